--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load, experiments, plots and scale runs for driftspring.
--- /dev/null
+++ b/crates/claims/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once claims held in memory by a quorum of daemons.
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leases, fencing, rollout of weights, drain and cache warming.
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,13 @@
+//! The driftspring router daemon.
+//!
+//! - [`pipeline`]: the path of a request, one file per filter, the list in one place.
+//! - [`sync`]: what a daemon hears: gossip, configuration, engines, cache events.
+//! - [`control`]: what the holders of leases do: rollout, drain, warming, claim group.
+//! - [`operator`]: the operators' statements, metrics and health checks.
+//! - [`state`]: what the parts share.
+
+pub mod control;
+pub mod operator;
+pub mod pipeline;
+pub mod state;
+pub mod sync;
--- /dev/null
+++ b/crates/daemon/src/operator/mod.rs
@@ -0,0 +1,1 @@
+//! The operators' interface: statements, metrics and health checks.
--- /dev/null
+++ b/crates/daemon/src/sync/mod.rs
@@ -0,0 +1,1 @@
+//! What a daemon hears: gossip, configuration, engine status and cache events.
--- /dev/null
+++ b/crates/driftctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line for driftspring.
--- /dev/null
+++ b/crates/external/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of outside systems: engine, object store, machine list, weight store, KV store.
--- /dev/null
+++ b/crates/limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission: tenant rate and concurrency, fairness, retry budget and engine breaker.
--- /dev/null
+++ b/crates/replication/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated configuration objects: revisions only rise, anti-entropy between daemons.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,8 @@
+//! The daemon's settings file and flags, checked value by value.
+
+pub mod model;
+
+pub use model::{
+    BootstrapEngine, BootstrapSettings, ListenSettings, LogSettings, MechanismSettings,
+    PlatformSettings, RequestSettings, RoutingPolicy, RoutingSettings, Settings,
+};
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,7 @@
+//! Numbered log events, control-budget counters and Prometheus metrics.
+
+pub mod events;
+
+pub use events::{EventCode, catalogue};
+#[doc(hidden)]
+pub use log as log_crate;
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,23 @@
+//! Identifiers, configuration objects, records and errors shared by every driftspring crate.
+//!
+//! Nothing here performs input or output. A type lives here only when two or more crates need it.
+
+pub mod config;
+pub mod error;
+pub mod ids;
+pub mod outcome;
+pub mod records;
+
+pub use config::{
+    ClaimGroup, ConfigObject, ConfigView, EngineDirective, EngineIntent, KeyHash, LegacyUpstream,
+    ModelRollout, ObjectKey, ObjectKind, Route, Tenant, VersionShift,
+};
+pub use error::{Peer, RetrySafety, Step, StepError};
+pub use ids::{
+    DaemonId, EngineId, FencingToken, IdempotencyKey, Incarnation, ModelName, RequestId, Revision,
+    TenantId, WeightsVersion, ZoneName,
+};
+pub use outcome::{NotRunReason, Outcome};
+pub use records::{
+    EngineHealth, EngineLoad, EngineRecord, MemberRecord, MemberState, ObjectRecord,
+};
