--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,9 +5,13 @@
 //! - [`control`]: what the holders of leases do: rollout, drain, warming, claim group.
 //! - [`operator`]: the operators' statements, metrics and health checks.
 //! - [`state`]: what the parts share.
+//! - [`runtime`]: sockets, threads, start and stop.
 
 pub mod control;
 pub mod operator;
 pub mod pipeline;
+pub mod runtime;
 pub mod state;
 pub mod sync;
+
+pub use runtime::{Daemon, RunningDaemon};
--- /dev/null
+++ b/crates/daemon/src/runtime/mod.rs
@@ -0,0 +1,221 @@
+//! Start and stop of a daemon: sockets, threads and the order of a planned stop.
+//!
+//! One thread runs the daemon's ntex system: the three HTTP servers (whose workers have threads of
+//! their own) and the background tasks of `sync` and `control`. Gossip has its own thread.
+
+mod sockets;
+mod stop;
+
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::thread::JoinHandle;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context, anyhow};
+use driftspring_settings::Settings;
+use driftspring_telemetry::events::process;
+use driftspring_telemetry::log_event;
+use driftspring_types::Incarnation;
+use ntex::rt::{DefaultRuntime, System};
+use ntex::server::Server;
+use ntex::time::Seconds;
+use ntex::web::{App, HttpServer};
+
+use crate::state::{BoundAddresses, DaemonState, Phase};
+use crate::{control, operator, pipeline, sync};
+use sockets::{Listeners, PeerSockets};
+use stop::StopSender;
+
+/// Worker threads of the operators' and of the peers' server.
+const INTERNAL_WORKERS: usize = 1;
+
+/// Starts daemons.
+pub struct Daemon;
+
+/// A daemon that runs in this process.
+pub struct RunningDaemon {
+    /// What its threads share.
+    pub state: Arc<DaemonState>,
+    stop_sender: StopSender,
+    system_thread: Option<JoinHandle<anyhow::Result<()>>>,
+}
+
+impl Daemon {
+    /// Binds every address, then starts to serve. Listening comes first, so that callers that
+    /// arrive while the first configuration is on its way are answered, not refused.
+    ///
+    /// # Errors
+    ///
+    /// An address can't be bound, or a thread can't be started.
+    pub fn start(settings: Settings) -> anyhow::Result<RunningDaemon> {
+        let listeners = Listeners::bind(&settings.listen)?;
+        let incarnation = Incarnation(unix_milliseconds());
+        let state = DaemonState::new(settings, incarnation, listeners.addresses()?);
+        let (stop_sender, stop_receiver) = stop::channel();
+        let (started_sender, started_receiver) = mpsc::channel();
+        let thread_state = Arc::clone(&state);
+        let system_thread = std::thread::Builder::new()
+            .name("driftspring".to_owned())
+            .spawn(move || {
+                let system = System::new("driftspring", DefaultRuntime);
+                system.block_on(async move {
+                    let servers = Servers::start(&thread_state, listeners)?;
+                    let _ = started_sender.send(());
+                    servers.run_until_stop(&thread_state, stop_receiver).await;
+                    Ok(())
+                })
+            })
+            .context("starting the daemon's thread")?;
+        let running = RunningDaemon {
+            state,
+            stop_sender,
+            system_thread: Some(system_thread),
+        };
+        running.wait_until_started(&started_receiver)
+    }
+}
+
+impl RunningDaemon {
+    /// The addresses that it listens on.
+    pub fn addresses(&self) -> BoundAddresses {
+        self.state.addresses
+    }
+
+    /// A planned stop: leaves the membership, finishes open requests, then ends.
+    ///
+    /// # Errors
+    ///
+    /// The daemon's thread ended with an error.
+    pub fn stop(mut self) -> anyhow::Result<()> {
+        self.state.enter_phase(Phase::Stopping);
+        self.stop_sender.stop(stop::StopKind::Planned);
+        self.join()
+    }
+
+    /// Ends at once and drops every connection, as a crash would.
+    pub fn kill(mut self) {
+        self.end_at_once();
+    }
+
+    fn end_at_once(&mut self) {
+        self.state.enter_phase(Phase::Terminated);
+        self.stop_sender.stop(stop::StopKind::AtOnce);
+        let _ = self.join();
+    }
+
+    fn join(&mut self) -> anyhow::Result<()> {
+        let Some(thread) = self.system_thread.take() else {
+            return Ok(());
+        };
+        thread
+            .join()
+            .map_err(|_| anyhow!("the daemon's thread panicked"))?
+    }
+
+    fn wait_until_started(mut self, started: &mpsc::Receiver<()>) -> anyhow::Result<Self> {
+        if started.recv().is_ok() {
+            return Ok(self);
+        }
+        self.join()?;
+        Err(anyhow!("the daemon ended before it served"))
+    }
+}
+
+impl Drop for RunningDaemon {
+    fn drop(&mut self) {
+        if self.system_thread.is_some() {
+            self.end_at_once();
+        }
+    }
+}
+
+/// The three HTTP servers of a daemon.
+struct Servers {
+    callers: Server,
+    operators: Server,
+    peers: Server,
+}
+
+impl Servers {
+    /// Starts the servers and the background tasks.
+    fn start(state: &Arc<DaemonState>, listeners: Listeners) -> anyhow::Result<Self> {
+        let Listeners {
+            callers,
+            operators,
+            peers,
+        } = listeners;
+        let PeerSockets { tcp, udp } = peers;
+        let stop_timeout = state.settings.request.stop_timeout;
+        let stop_seconds = u16::try_from(stop_timeout.as_secs()).unwrap_or(u16::MAX);
+        let shutdown_timeout = Seconds::new(stop_seconds);
+        let shared = Arc::clone(state);
+        let callers = HttpServer::new(async move || {
+            let state = Arc::clone(&shared);
+            App::new().configure(move |config| pipeline::configure(config, state))
+        })
+        .workers(state.settings.workers)
+        .shutdown_timeout(shutdown_timeout)
+        .disable_signals()
+        .listen(callers)?
+        .run();
+        let shared = Arc::clone(state);
+        let operators = HttpServer::new(async move || {
+            let state = Arc::clone(&shared);
+            App::new().configure(move |config| operator::configure(config, state))
+        })
+        .workers(INTERNAL_WORKERS)
+        .disable_signals()
+        .listen(operators)?
+        .run();
+        let shared = Arc::clone(state);
+        let peers = HttpServer::new(async move || {
+            let state = Arc::clone(&shared);
+            App::new().configure(move |config| sync::configure_peer_server(config, state))
+        })
+        .workers(INTERNAL_WORKERS)
+        .disable_signals()
+        .listen(tcp)?
+        .run();
+        sync::spawn_all(state, udp)?;
+        control::spawn_all(state);
+        let BoundAddresses {
+            callers: caller_address,
+            operators: operator_address,
+            peers: peer,
+        } = state.addresses;
+        log_event!(
+            process::PROCESS_STARTED,
+            "daemon={} incarnation={} callers={caller_address} operators={operator_address} peers={peer}",
+            state.settings.id,
+            state.incarnation
+        );
+        Ok(Self {
+            callers,
+            operators,
+            peers,
+        })
+    }
+
+    /// Serves until told to stop; a planned stop waits for open requests first.
+    async fn run_until_stop(self, state: &Arc<DaemonState>, stop: stop::StopReceiver) {
+        let kind = stop.wait().await;
+        let planned = kind == stop::StopKind::Planned && state.settings.mechanisms.graceful_stop;
+        if planned {
+            state.enter_phase(Phase::Stopping);
+            sync::announce_leaving(state).await;
+            stop::wait_for_open_requests(state).await;
+        }
+        self.callers.stop(planned).await;
+        state.enter_phase(Phase::Terminated);
+        self.operators.stop(false).await;
+        self.peers.stop(false).await;
+    }
+}
+
+/// The present time in milliseconds since the Unix epoch.
+fn unix_milliseconds() -> u64 {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/daemon/src/state/mod.rs
+++ b/crates/daemon/src/state/mod.rs
@@ -5,8 +5,9 @@
 
 mod engines;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
@@ -15,12 +16,37 @@
 
 pub use engines::{EngineEntry, EngineLoadCounters, EngineTable};
 
+/// How far a process is on its way to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[repr(u8)]
+pub enum Phase {
+    /// It serves.
+    Running,
+    /// It finishes open requests and refuses new ones.
+    Stopping,
+    /// Its threads return at once.
+    Terminated,
+}
+
+/// The addresses that a daemon listens on, after port 0 has been replaced by the port taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BoundAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For other daemons, UDP and TCP.
+    pub peers: SocketAddr,
+}
+
 /// What all threads of one daemon share.
 pub struct DaemonState {
     /// The checked settings; they do not change while the process lives.
     pub settings: Settings,
     /// This life of the daemon.
     pub incarnation: Incarnation,
+    /// The addresses that this life listens on.
+    pub addresses: BoundAddresses,
     /// When this life began, on the monotonic clock.
     pub started_at: Instant,
     /// The replicated configuration.
@@ -31,36 +57,46 @@
     pub members: ArcSwap<Vec<MemberRecord>>,
     /// Requests open in this daemon.
     pub open_requests: AtomicUsize,
-    /// Whether a planned stop has begun.
-    stopping: AtomicBool,
+    /// How far the process is on its way to its end; see [`Phase`].
+    phase: AtomicU8,
     /// Whether a first configuration from any source is in force.
     ready: AtomicBool,
 }
 
 impl DaemonState {
     /// The state of a daemon that has just started.
-    pub fn new(settings: Settings, incarnation: Incarnation) -> Arc<Self> {
+    pub fn new(
+        settings: Settings,
+        incarnation: Incarnation,
+        addresses: BoundAddresses,
+    ) -> Arc<Self> {
         Arc::new(Self {
             settings,
             incarnation,
+            addresses,
             started_at: Instant::now(),
             config: ArcSwap::from_pointee(ConfigView::default()),
             engines: ArcSwap::from_pointee(EngineTable::default()),
             members: ArcSwap::from_pointee(Vec::new()),
             open_requests: AtomicUsize::new(0),
-            stopping: AtomicBool::new(false),
+            phase: AtomicU8::new(Phase::Running as u8),
             ready: AtomicBool::new(false),
         })
     }
 
-    /// Whether a planned stop has begun.
+    /// Whether a planned stop has begun, or the process is over.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Acquire)
+        self.phase.load(Ordering::Acquire) >= Phase::Stopping as u8
+    }
+
+    /// Whether every thread should return at once.
+    pub fn is_terminated(&self) -> bool {
+        self.phase.load(Ordering::Acquire) >= Phase::Terminated as u8
     }
 
-    /// Begins a planned stop.
-    pub fn begin_stop(&self) {
-        self.stopping.store(true, Ordering::Release);
+    /// Moves on to `phase`; never back.
+    pub fn enter_phase(&self, phase: Phase) {
+        self.phase.fetch_max(phase as u8, Ordering::AcqRel);
     }
 
     /// Whether a first configuration from any source is in force.
