--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,6 +3,6 @@
 pub mod model;
 
 pub use model::{
-    BootstrapEngine, BootstrapSettings, ListenSettings, LogSettings, MechanismSettings,
-    PlatformSettings, RequestSettings, RoutingPolicy, RoutingSettings, Settings,
+    BootstrapEngine, BootstrapSettings, ClaimSettings, ListenSettings, LogSettings,
+    MechanismSettings, PlatformSettings, RequestSettings, RoutingPolicy, RoutingSettings, Settings,
 };
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -27,6 +27,8 @@
     pub request: RequestSettings,
     /// How engines are chosen.
     pub routing: RoutingSettings,
+    /// At-most-once claims.
+    pub claims: ClaimSettings,
     /// Mechanisms that experiments and tests may switch off.
     pub mechanisms: MechanismSettings,
     /// Logs.
@@ -105,6 +107,31 @@
     pub stop_timeout: Duration,
 }
 
+/// Settings of at-most-once claims (`[claims]`). All daemons must have the same.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClaimSettings {
+    /// How far the clocks of any two daemons may differ. A wrong bound loses the promise.
+    pub clock_skew_bound: Duration,
+    /// Idempotency keys issued longer ago are refused; claims are kept for as long.
+    pub key_maximum_age: Duration,
+    /// How long a claim waits for a majority of the holders.
+    pub ask_timeout: Duration,
+    /// Whether this daemon is the only one and holds its claims alone while there is no claim
+    /// group. With a second daemon anywhere this loses the promise.
+    pub standalone: bool,
+}
+
+impl Default for ClaimSettings {
+    fn default() -> Self {
+        Self {
+            clock_skew_bound: Duration::from_secs(1),
+            key_maximum_age: Duration::from_secs(15 * 60),
+            ask_timeout: Duration::from_millis(300),
+            standalone: false,
+        }
+    }
+}
+
 /// How engines are chosen: the full scheme or one of the baselines it is measured against.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -212,6 +239,7 @@
             bootstrap: BootstrapSettings::default(),
             request: RequestSettings::default(),
             routing: RoutingSettings::default(),
+            claims: ClaimSettings::default(),
             mechanisms: MechanismSettings::default(),
             log: LogSettings {
                 level: "info".to_owned(),
--- a/crates/types/src/config.rs
+++ b/crates/types/src/config.rs
@@ -10,7 +10,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{DaemonId, EngineId, FencingToken, ModelName, Revision, TenantId, WeightsVersion};
+use crate::ids::{
+    DaemonId, EngineId, FencingToken, Incarnation, ModelName, Revision, TenantId, WeightsVersion,
+};
 use crate::records::ObjectRecord;
 
 /// The kinds of configuration object; also the first part of each key.
@@ -226,13 +228,23 @@
     pub min_serving: u32,
 }
 
+/// One holder of a [`ClaimGroup`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimGroupMember {
+    /// The holder's name.
+    pub daemon: DaemonId,
+    /// The life in which it was appointed. A later life has lost its claims, and holds again only
+    /// once a majority of the group confirms that the epoch is still open.
+    pub incarnation: Incarnation,
+}
+
 /// The daemons that hold at-most-once claims. Replaced only through a sealed hand-over.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimGroup {
     /// Rises with every replacement of the group.
     pub epoch: u64,
-    /// The holders, by daemon name; a majority of them must grant a claim.
-    pub holders: Vec<DaemonId>,
+    /// The holders; a majority of them must grant a claim.
+    pub holders: Vec<ClaimGroupMember>,
     /// The fencing token under which the group was written.
     pub fencing_token: FencingToken,
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -9,8 +9,8 @@
 pub mod records;
 
 pub use config::{
-    ClaimGroup, ConfigObject, ConfigView, EngineDirective, EngineIntent, KeyHash, LegacyUpstream,
-    ModelRollout, ObjectKey, ObjectKind, Route, Tenant, VersionShift,
+    ClaimGroup, ClaimGroupMember, ConfigObject, ConfigView, EngineDirective, EngineIntent, KeyHash,
+    LegacyUpstream, ModelRollout, ObjectKey, ObjectKind, Route, Tenant, VersionShift,
 };
 pub use error::{Peer, RetrySafety, Step, StepError};
 pub use ids::{
