--- /dev/null
+++ b/crates/bench/src/flags.rs
@@ -0,0 +1,73 @@
+//! The command line of `driftspring-bench`.
+//!
+//! Each experiment reads its own flags; those of `compare` and `scale` may be extended by their modules' owners.
+
+#![allow(
+    missing_docs,
+    reason = "the items are made by the macro, which documents its flags only"
+)]
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Load, experiments, plots and scale runs for driftspring.
+    cmd driftspring-bench {
+        /// Runs a small system in one process, kills an engine midway and prints what happened.
+        cmd demo {
+            /// Seed of the workload.
+            optional --seed seed: u64
+            /// Requests to send.
+            optional --requests requests: usize
+        }
+        /// Sends an open-loop workload to daemons and reports latencies.
+        cmd run {
+            /// `directorate` or `moreton`.
+            optional --workload workload: String
+            /// Seed of the workload.
+            optional --seed seed: u64
+            /// Length of the run, in seconds.
+            optional --seconds seconds: u64
+            /// Requests per second over all tenants.
+            optional --rate rate: f64
+            /// `IP:port` of a daemon's callers interface; may be repeated. Without any, a system is embedded.
+            repeated --daemon daemon: String
+            /// Where to write the result as JSON.
+            optional --json json: PathBuf
+            /// Where to write the report as HTML.
+            optional --html html: PathBuf
+            /// Where to write the history of invocations and responses.
+            optional --history history: PathBuf
+        }
+        /// Measures what the router costs compared with calling the engine directly.
+        cmd overhead {
+            /// Seed of the workload.
+            optional --seed seed: u64
+            /// Length of each measured part, in seconds.
+            optional --seconds seconds: u64
+            /// Where to write the result as JSON.
+            optional --json json: PathBuf
+        }
+        /// Compares routing policies on the same trace in virtual time.
+        cmd compare {
+            /// Seed of the workload.
+            optional --seed seed: u64
+            /// `directorate` or `moreton`; both without this flag.
+            optional --workload workload: String
+            /// Where to write the result as JSON.
+            optional --json json: PathBuf
+            /// Where to write the report as HTML.
+            optional --html html: PathBuf
+        }
+        /// Runs membership and configuration over many hollow daemons in one process.
+        cmd scale {
+            /// Seed of the run.
+            optional --seed seed: u64
+            /// Number of daemons; a fixed series of sizes without this flag.
+            optional --daemons daemons: usize
+            /// Number of engines.
+            optional --engines engines: usize
+            /// Where to write the result as JSON.
+            optional --json json: PathBuf
+        }
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,18 @@
 //! Load, experiments, plots and scale runs for driftspring.
+//!
+//! - [`workload`]: seeded traces of requests with deeply nested prefixes.
+//! - [`demo`]: a small system in one process, with one engine killed midway.
+//! - [`live`]: open-loop load on daemons over HTTP.
+//! - [`overhead`]: what the router costs compared with calling the engine directly.
+//! - [`compare`]: routing policies against each other in virtual time.
+//! - [`scale`]: membership and configuration over hundreds of daemons in one process.
+//! - [`report`]: tables, JSON and HTML with plots.
+
+pub mod compare;
+pub mod demo;
+pub mod flags;
+pub mod live;
+pub mod overhead;
+pub mod report;
+pub mod scale;
+pub mod workload;
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,26 @@
+//! The `driftspring-bench` command: demo, load, experiments and scale runs.
+
+use std::process::ExitCode;
+
+use driftspring_bench::flags::{DriftspringBench, DriftspringBenchCmd};
+
+fn main() -> ExitCode {
+    let flags = DriftspringBench::from_env_or_exit();
+    match run(flags) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("driftspring-bench: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(flags: DriftspringBench) -> anyhow::Result<()> {
+    match flags.subcommand {
+        DriftspringBenchCmd::Demo(options) => driftspring_bench::demo::run(&options),
+        DriftspringBenchCmd::Run(options) => driftspring_bench::live::run(&options),
+        DriftspringBenchCmd::Overhead(options) => driftspring_bench::overhead::run(&options),
+        DriftspringBenchCmd::Compare(options) => driftspring_bench::compare::run(&options),
+        DriftspringBenchCmd::Scale(options) => driftspring_bench::scale::run(&options),
+    }
+}
--- /dev/null
+++ b/crates/bench/src/report/mod.rs
@@ -0,0 +1,1 @@
+//! Tables, JSON and HTML with plots.
--- /dev/null
+++ b/crates/bench/src/workload/mod.rs
@@ -0,0 +1,1 @@
+//! Seeded traces of requests with deeply nested prefixes.
