--- a/crates/daemon/src/runtime/mod.rs
+++ b/crates/daemon/src/runtime/mod.rs
@@ -12,6 +12,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context, anyhow};
+use driftspring_history::{Event, Recorder};
 use driftspring_settings::Settings;
 use driftspring_telemetry::events::process;
 use driftspring_telemetry::log_event;
@@ -50,7 +51,12 @@
     pub fn start(settings: Settings) -> anyhow::Result<RunningDaemon> {
         let listeners = Listeners::bind(&settings.listen)?;
         let incarnation = Incarnation(unix_milliseconds());
-        let state = DaemonState::new(settings, incarnation, listeners.addresses()?);
+        let recorder = match &settings.history_file {
+            Some(path) => Recorder::to_file(path)?,
+            None => Recorder::disabled(),
+        };
+        let addresses = listeners.addresses()?;
+        let state = DaemonState::new(settings, incarnation, addresses, recorder);
         let (stop_sender, stop_receiver) = stop::channel();
         let (started_sender, started_receiver) = mpsc::channel();
         let thread_state = Arc::clone(&state);
@@ -71,7 +77,12 @@
             stop_sender,
             system_thread: Some(system_thread),
         };
-        running.wait_until_started(&started_receiver)
+        let running = running.wait_until_started(&started_receiver)?;
+        running.state.recorder.record(Event::DaemonStarted {
+            daemon: running.state.settings.id.clone(),
+            incarnation,
+        });
+        Ok(running)
     }
 }
 
--- a/crates/daemon/src/state/mod.rs
+++ b/crates/daemon/src/state/mod.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
+use driftspring_history::Recorder;
 use driftspring_settings::Settings;
 use driftspring_types::{ConfigView, Incarnation, MemberRecord};
 
@@ -55,6 +56,8 @@
     pub engines: ArcSwap<EngineTable>,
     /// The daemons known, this one included.
     pub members: ArcSwap<Vec<MemberRecord>>,
+    /// Records dispatches and configuration in force in test and bench runs; else drops them.
+    pub recorder: Recorder,
     /// Requests open in this daemon.
     pub open_requests: AtomicUsize,
     /// How far the process is on its way to its end; see [`Phase`].
@@ -69,6 +72,7 @@
         settings: Settings,
         incarnation: Incarnation,
         addresses: BoundAddresses,
+        recorder: Recorder,
     ) -> Arc<Self> {
         Arc::new(Self {
             settings,
@@ -78,6 +82,7 @@
             config: ArcSwap::from_pointee(ConfigView::default()),
             engines: ArcSwap::from_pointee(EngineTable::default()),
             members: ArcSwap::from_pointee(Vec::new()),
+            recorder,
             open_requests: AtomicUsize::new(0),
             phase: AtomicU8::new(Phase::Running as u8),
             ready: AtomicBool::new(false),
