--- a/crates/external/src/lib.rs
+++ b/crates/external/src/lib.rs
@@ -1,1 +1,3 @@
 //! Clients of outside systems: engine, object store, machine list, weight store, KV store.
+
+pub mod engine;
