--- a/crates/types/src/config.rs
+++ b/crates/types/src/config.rs
@@ -115,6 +115,17 @@
         Self(blake3::hash(bearer_key.as_bytes()).to_hex().to_string())
     }
 
+    /// A hash given as 64 hexadecimal digits; nothing for any other text.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        let hash = blake3::Hash::from_hex(text).ok()?;
+        Some(Self(hash.to_hex().to_string()))
+    }
+
+    /// The hash in lower-case hexadecimal.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
     /// Whether both hashes are equal, compared in constant time.
     pub fn matches(&self, other: &Self) -> bool {
         use subtle::ConstantTimeEq;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod ids;
 pub mod outcome;
 pub mod records;
+pub mod suggest;
 
 pub use config::{
     ClaimGroup, ClaimGroupMember, ConfigObject, ConfigView, EngineDirective, EngineIntent, KeyHash,
@@ -21,3 +22,4 @@
 pub use records::{
     EngineHealth, EngineLoad, EngineRecord, MemberRecord, MemberState, ObjectRecord,
 };
+pub use suggest::closest_word;
