--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -12,8 +12,8 @@
 use crate::error::{LoadError, Problem, SettingError};
 use crate::flags::Overrides;
 use crate::model::{
-    BootstrapSettings, ListenSettings, LogSettings, MechanismSettings, PlatformSettings,
-    RequestSettings, RoutingPolicy, RoutingSettings, Settings,
+    BootstrapSettings, ClaimSettings, ListenSettings, LogSettings, MechanismSettings,
+    PlatformSettings, RequestSettings, RoutingPolicy, RoutingSettings, Settings,
 };
 use crate::values;
 
@@ -27,6 +27,8 @@
 const MAX_TIMEOUT: Duration = Duration::from_secs(3600);
 /// The largest number of requests that may be open at once.
 const MAX_OPEN_REQUESTS: u64 = 1_000_000;
+/// The longest time in the settings of claims.
+const MAX_CLAIM_TIME: Duration = Duration::from_secs(24 * 3600);
 /// The largest distance between zones.
 const MAX_ZONE_DISTANCE: Duration = Duration::from_secs(1);
 /// The slowest prefill that is believed, in microseconds per token.
@@ -96,6 +98,7 @@
         false => BootstrapSettings::default(),
     };
     let request = read_request(root.section("request"));
+    let claims = read_claims(root.section("claims"));
     let routing = read_routing(root.section("routing"));
     let mechanisms = read_mechanisms(root.section("mechanisms"));
     let log = read_log(root.section("log"));
@@ -110,6 +113,7 @@
         platform,
         bootstrap,
         request,
+        claims,
         routing,
         mechanisms,
         log,
@@ -170,6 +174,27 @@
     request
 }
 
+fn read_claims(section: Section<'_>) -> ClaimSettings {
+    let defaults = ClaimSettings::default();
+    let time = |key, default, shortest| {
+        section.or_default(key, default, |raw| {
+            values::duration(raw, shortest..=MAX_CLAIM_TIME)
+        })
+    };
+    let claims = ClaimSettings {
+        clock_skew_bound: time(
+            "clock_skew_bound",
+            defaults.clock_skew_bound,
+            Duration::ZERO,
+        ),
+        key_maximum_age: time("key_maximum_age", defaults.key_maximum_age, MIN_TIMEOUT),
+        ask_timeout: time("ask_timeout", defaults.ask_timeout, MIN_TIMEOUT),
+        standalone: section.or_default("standalone", defaults.standalone, values::boolean),
+    };
+    section.finish();
+    claims
+}
+
 fn read_routing(section: Section<'_>) -> RoutingSettings {
     let defaults = RoutingSettings::default();
     let switch = |key, default| section.or_default(key, default, values::boolean);
--- a/crates/settings/tests/example_file.rs
+++ b/crates/settings/tests/example_file.rs
@@ -1,6 +1,8 @@
 //! The annotated example stays complete, correct and equal to the defaults it documents.
 
-use driftspring_settings::{MechanismSettings, RequestSettings, RoutingSettings, check};
+use driftspring_settings::{
+    ClaimSettings, MechanismSettings, RequestSettings, RoutingSettings, check,
+};
 use driftspring_types::KeyHash;
 
 const EXAMPLE: &str = include_str!("../../../docs/driftspring.example.toml");
@@ -9,6 +11,7 @@
 fn example_loads_and_shows_the_defaults() {
     let settings = check(EXAMPLE).expect("the example is valid");
     assert_eq!(settings.request, RequestSettings::default());
+    assert_eq!(settings.claims, ClaimSettings::default());
     assert_eq!(settings.routing, RoutingSettings::default());
     assert_eq!(settings.mechanisms, MechanismSettings::default());
     assert_eq!(settings.workers, 2);
