--- a/crates/daemon/src/state/mod.rs
+++ b/crates/daemon/src/state/mod.rs
@@ -13,6 +13,7 @@
 use arc_swap::ArcSwap;
 use driftspring_history::Recorder;
 use driftspring_settings::Settings;
+use driftspring_telemetry::Metrics;
 use driftspring_types::{ConfigView, Incarnation, MemberRecord};
 
 pub use engines::{EngineEntry, EngineLoadCounters, EngineTable};
@@ -58,6 +59,8 @@
     pub members: ArcSwap<Vec<MemberRecord>>,
     /// Records dispatches and configuration in force in test and bench runs; else drops them.
     pub recorder: Recorder,
+    /// What `/metrics` shows; counted by every part.
+    pub metrics: Metrics,
     /// Requests open in this daemon.
     pub open_requests: AtomicUsize,
     /// How far the process is on its way to its end; see [`Phase`].
@@ -83,6 +86,7 @@
             engines: ArcSwap::from_pointee(EngineTable::default()),
             members: ArcSwap::from_pointee(Vec::new()),
             recorder,
+            metrics: Metrics::new(),
             open_requests: AtomicUsize::new(0),
             phase: AtomicU8::new(Phase::Running as u8),
             ready: AtomicBool::new(false),
