--- a/crates/telemetry/src/events/mod.rs
+++ b/crates/telemetry/src/events/mod.rs
@@ -5,12 +5,15 @@
 
 pub mod control;
 pub mod operator;
+mod page;
 pub mod pipeline;
 pub mod process;
 pub mod sync;
 
 use log::Level;
 
+pub use page::{SUBSYSTEMS, Subsystem, catalogue_page};
+
 /// One kind of log event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EventCode {
@@ -56,14 +59,11 @@
 
 /// All event codes of all subsystems, by number.
 pub fn catalogue() -> Vec<EventCode> {
-    let subsystems = [
-        process::ALL,
-        pipeline::ALL,
-        sync::ALL,
-        control::ALL,
-        operator::ALL,
-    ];
-    let mut codes = subsystems.concat();
+    let mut codes: Vec<EventCode> = SUBSYSTEMS
+        .iter()
+        .flat_map(|subsystem| subsystem.events)
+        .copied()
+        .collect();
     codes.sort_by_key(|code| code.number);
     codes
 }
