--- a/crates/engine-model/src/cache.rs
+++ b/crates/engine-model/src/cache.rs
@@ -84,6 +84,21 @@
             .count()
     }
 
+    /// The chain of cached blocks that ends in `block`, from its start; empty where it is not cached.
+    pub fn chain_to(&self, block: BlockHash) -> Vec<BlockHash> {
+        let mut chain = Vec::new();
+        let mut next = Some(block);
+        while let Some(block) = next {
+            let Some(cached) = self.blocks.get(&block) else {
+                break;
+            };
+            chain.push(block);
+            next = cached.parent;
+        }
+        chain.reverse();
+        chain
+    }
+
     /// Keeps the cached blocks `chain` from eviction, and touches them.
     pub fn pin(&mut self, now: ModelTime, chain: &[BlockHash]) {
         for block in chain {
--- a/crates/engine-model/src/lib.rs
+++ b/crates/engine-model/src/lib.rs
@@ -4,6 +4,7 @@
 //! and asks [`EngineModel::next_event_at`] when to call [`EngineModel::advance`] next. The stand-in
 //! engine drives it in real time, the routing experiments in virtual time.
 
+mod answer;
 mod cache;
 mod model;
 mod options;
@@ -13,6 +14,7 @@
 mod step;
 mod time;
 
+pub use answer::{answer_text, token_text};
 pub use cache::{Insertion, PrefixCache};
 pub use model::EngineModel;
 pub use options::EngineOptions;
--- a/crates/engine-model/src/model.rs
+++ b/crates/engine-model/src/model.rs
@@ -98,6 +98,11 @@
         self.cache.cached_prefix_blocks(chain)
     }
 
+    /// The chain of cached blocks that ends in `block`, from its start; empty where it is not cached.
+    pub fn cached_chain(&self, block: BlockHash) -> Vec<BlockHash> {
+        self.cache.chain_to(block)
+    }
+
     /// Sums since the model was made.
     pub fn totals(&self) -> EngineTotals {
         self.totals
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,19 @@
-//! Small stand-ins for the engine, object store, machine list, weight store and KV store, with fault switches.
+//! Small stand-ins for the systems around driftspring, with fault switches.
+//!
+//! Each one serves its part of `docs/PROTOCOLS.md` on loopback from a thread of its own, so that tests
+//! and experiments start whole systems within one process. They keep everything in memory.
+
+mod faults;
+mod gate;
+mod server;
+mod streaming;
+
+pub mod engine;
+pub mod kv_store;
+pub mod legacy;
+pub mod machine_list;
+pub mod object_store;
+pub mod weight_store;
+
+pub use faults::{FaultSwitches, FaultUpdate, Faults};
+pub use server::Running;
