--- a/crates/daemon/src/state/mod.rs
+++ b/crates/daemon/src/state/mod.rs
@@ -4,6 +4,7 @@
 //! swap it in. Writers: `sync` for configuration, engines and members; `pipeline` for load counters.
 
 mod engines;
+mod replica;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,6 +18,7 @@
 use driftspring_types::{ConfigView, Incarnation, MemberRecord};
 
 pub use engines::{EngineEntry, EngineLoadCounters, EngineTable};
+pub use replica::{PullSource, SharedReplica};
 
 /// How far a process is on its way to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -51,6 +53,8 @@
     pub addresses: BoundAddresses,
     /// When this life began, on the monotonic clock.
     pub started_at: Instant,
+    /// What feeds `config`; never touched by the request path.
+    pub replica: SharedReplica,
     /// The replicated configuration.
     pub config: ArcSwap<ConfigView>,
     /// The engines known.
@@ -77,7 +81,9 @@
         addresses: BoundAddresses,
         recorder: Recorder,
     ) -> Arc<Self> {
+        let replica = SharedReplica::new(&settings);
         Arc::new(Self {
+            replica,
             settings,
             incarnation,
             addresses,
