--- a/crates/daemon/src/pipeline/account.rs
+++ b/crates/daemon/src/pipeline/account.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Instant;
 
 use driftspring_telemetry::events::pipeline;
 use driftspring_telemetry::log_event;
@@ -9,12 +10,12 @@
 
 use super::admit::AdmissionPermit;
 use super::claim::ClaimHold;
-use super::shared::RequestPathState;
 use crate::state::DaemonState;
 
 /// One request in the books of this daemon, from its first byte to its last.
 pub struct Account {
     id: RequestId,
+    arrived_at: Instant,
     open: Option<OpenRequest>,
 }
 
@@ -29,9 +30,9 @@
     /// Begins a request.
     pub fn open(daemon: &Arc<DaemonState>, id: RequestId) -> Self {
         daemon.open_requests.fetch_add(1, Ordering::AcqRel);
-        RequestPathState::count(&daemon.request_path.started);
         Self {
             id,
+            arrived_at: Instant::now(),
             open: Some(OpenRequest {
                 daemon: Arc::clone(daemon),
                 permit: None,
@@ -45,6 +46,15 @@
         self.id
     }
 
+    /// Counts the first token of the answer.
+    pub fn first_token(&self) {
+        if let Some(open) = &self.open {
+            open.daemon
+                .metrics
+                .count_first_token(self.arrived_at.elapsed());
+        }
+    }
+
     /// Keeps `permit` until the request ends.
     pub fn hold_permit(&mut self, permit: AdmissionPermit) {
         if let Some(open) = &mut self.open {
@@ -63,6 +73,7 @@
     pub fn take(&mut self) -> Self {
         Self {
             id: self.id,
+            arrived_at: self.arrived_at,
             open: self.open.take(),
         }
     }
@@ -72,12 +83,9 @@
         let Some(mut open) = self.open.take() else {
             return;
         };
-        let path = &open.daemon.request_path;
-        match outcome {
-            Outcome::Completed => RequestPathState::count(&path.completed),
-            Outcome::NotRun { .. } => RequestPathState::count(&path.not_run),
-            Outcome::Unknown { .. } => RequestPathState::count(&path.unknown),
-        }
+        let metrics = &open.daemon.metrics;
+        metrics.count_outcome(outcome);
+        metrics.request_duration.observe(self.arrived_at.elapsed());
         if let Some(claim) = open.claim.take() {
             claim.settle(outcome);
         }
@@ -87,7 +95,7 @@
 impl Drop for Account {
     fn drop(&mut self) {
         if let Some(open) = &self.open {
-            RequestPathState::count(&open.daemon.request_path.abandoned);
+            open.daemon.metrics.abandoned_requests.inc();
             log_event!(pipeline::CALLER_HUNG_UP, "request={}", self.id);
         }
     }
--- a/crates/daemon/src/pipeline/answer.rs
+++ b/crates/daemon/src/pipeline/answer.rs
@@ -9,6 +9,7 @@
 };
 use driftspring_telemetry::events::pipeline;
 use driftspring_telemetry::log_event;
+use driftspring_telemetry::metrics::ExtraAttempt;
 use driftspring_types::{EngineId, Outcome, Peer, Step, StepError};
 
 use super::attempt::Attempt;
@@ -18,7 +19,6 @@
 use super::dispatch::{deadline_passed, dispatch};
 use super::refusal::Refusal;
 use super::sequence::{SequenceGate, SequenceStep};
-use super::shared::RequestPathState;
 use super::worker::WorkerState;
 
 /// The pause between two attempts to take up a stream that can't be continued elsewhere.
@@ -128,9 +128,12 @@
     /// Counts the tokens and ends the work at the engine.
     pub fn end(&mut self, outcome: &Outcome) {
         let tokens = self.delivered.len() as u64;
-        let path = &self.worker.daemon.request_path;
-        path.tokens
-            .fetch_add(tokens, std::sync::atomic::Ordering::Relaxed);
+        let metrics = &self.worker.daemon.metrics;
+        metrics.tokens_relayed.inc_by(tokens);
+        if let Some(cached_tokens) = self.source.head.cached_tokens {
+            let prompt_tokens = self.context.fingerprint.prompt_tokens;
+            metrics.count_prompt(u64::from(prompt_tokens), u64::from(cached_tokens));
+        }
         let attempt = self.attempt.take();
         if let (Some(attempt), Outcome::Completed) = (attempt, outcome) {
             attempt.complete();
@@ -176,7 +179,7 @@
                 Ok(Some(chunk))
             }
             SequenceStep::Repeated | SequenceStep::Foreign => {
-                RequestPathState::count(&self.worker.daemon.request_path.dropped_events);
+                self.worker.daemon.metrics.dropped_events.inc();
                 log_event!(
                     pipeline::EVENT_DROPPED,
                     "request={} sequence={} step={step:?}",
@@ -243,7 +246,7 @@
         };
         if resumed {
             self.resumed_at = Some(self.gate.next());
-            RequestPathState::count(&self.worker.daemon.request_path.resumed);
+            self.count(ExtraAttempt::Resume);
             log_event!(
                 pipeline::STREAM_RESUMED,
                 "request={} from={}",
@@ -307,18 +310,24 @@
             &self.delivered,
         )
         .await?;
-        RequestPathState::count(&self.worker.daemon.request_path.continued);
-        log_event!(
-            pipeline::ANSWER_CONTINUED,
-            "request={} engine={} delivered={}",
-            self.context.id,
-            attempt.engine_id(),
-            self.delivered.len()
-        );
+        if !self.delivered.is_empty() {
+            self.count(ExtraAttempt::Continuation);
+            log_event!(
+                pipeline::ANSWER_CONTINUED,
+                "request={} engine={} delivered={}",
+                self.context.id,
+                attempt.engine_id(),
+                self.delivered.len()
+            );
+        }
         self.attempt = Some(attempt);
         Ok(())
     }
 
+    fn count(&self, kind: ExtraAttempt) {
+        self.worker.daemon.metrics.extra_attempts.increment(kind);
+    }
+
     fn unknown(&self, error: &EngineError) -> Refusal {
         let peer = match &self.attempt {
             Some(attempt) => Peer::Engine(attempt.engine_id().clone()),
--- a/crates/daemon/src/pipeline/dispatch.rs
+++ b/crates/daemon/src/pipeline/dispatch.rs
@@ -7,6 +7,7 @@
 use driftspring_history::{Dispatch, Event};
 use driftspring_telemetry::events::pipeline;
 use driftspring_telemetry::log_event;
+use driftspring_telemetry::metrics::ExtraAttempt;
 use driftspring_types::{NotRunReason, Peer, RetrySafety, Step, StepError};
 
 use super::attempt::Attempt;
@@ -15,7 +16,6 @@
 use super::delivered::DeliveredTokens;
 use super::feedback;
 use super::refusal::{DEFAULT_RETRY_AFTER, Refusal, refusal_of};
-use super::shared::RequestPathState;
 use crate::state::DaemonState;
 
 /// Opens the request at an engine, to go on after `delivered`.
@@ -31,6 +31,7 @@
         let patience = patience(daemon, context, tried)?;
         let choice = choose_engine(daemon, context, tried)?;
         take_retry(daemon, context, tried)?;
+        count_retry(daemon, tried, delivered);
         record(daemon, context, &choice);
         let sent = Attempt::open(daemon, client, context, &choice, body.clone(), patience);
         let error = match sent.await {
@@ -83,16 +84,24 @@
     tried: &TriedEngines,
 ) -> Result<(), Refusal> {
     if tried.is_empty() {
+        daemon.retry_budget.count_first_attempt();
         return Ok(());
     }
     let percent = daemon.settings.request.retry_budget_percent;
-    if daemon.request_path.take_retry(percent) {
+    if daemon.retry_budget.take_retry(percent) {
         return Ok(());
     }
     log_event!(pipeline::RETRY_BUDGET_SPENT, "request={}", context.id);
     Err(tried.refusal(context))
 }
 
+/// Counts an attempt after the first one; one that continues an answer is counted by its success.
+fn count_retry(daemon: &DaemonState, tried: &TriedEngines, delivered: &DeliveredTokens) {
+    if !tried.is_empty() && delivered.is_empty() {
+        daemon.metrics.extra_attempts.increment(ExtraAttempt::Retry);
+    }
+}
+
 /// Notes a failed attempt; the final answer where no other attempt is safe.
 fn note_failure(
     context: &RequestContext,
@@ -128,9 +137,8 @@
     );
 }
 
-/// Counts the dispatch, and records it in test and bench runs.
+/// Records the dispatch in test and bench runs.
 fn record(daemon: &DaemonState, context: &RequestContext, choice: &EngineChoice) {
-    RequestPathState::count(&daemon.request_path.dispatched);
     if !daemon.recorder.is_enabled() {
         return;
     }
--- a/crates/daemon/src/pipeline/mod.rs
+++ b/crates/daemon/src/pipeline/mod.rs
@@ -30,9 +30,9 @@
 mod pass_through;
 mod refusal;
 mod relay;
+mod retry_budget;
 mod sequence;
 mod share;
-mod shared;
 mod worker;
 
 use std::rc::Rc;
@@ -49,8 +49,8 @@
 use worker::WorkerState;
 
 pub use choose_engine::{EngineChoice, TriedEngines};
+pub use retry_budget::RetryBudget;
 pub use sequence::{SequenceGate, SequenceStep};
-pub use shared::RequestPathState;
 
 /// Adds the callers' routes to a worker's application.
 pub fn configure(config: &mut ServiceConfig, state: Arc<DaemonState>) {
@@ -128,6 +128,7 @@
     }
     let context = Rc::new(context);
     let answer = answer::Answer::open(Rc::clone(worker), Rc::clone(&context)).await?;
+    account.first_token();
     if context.streamed {
         Ok(relay::relay(answer, account.take()))
     } else {
--- a/crates/daemon/src/pipeline/pass_through.rs
+++ b/crates/daemon/src/pipeline/pass_through.rs
@@ -18,7 +18,6 @@
 use super::account::Account;
 use super::decode::DecodedRequest;
 use super::refusal::{DEFAULT_RETRY_AFTER, Refusal};
-use super::shared::RequestPathState;
 use super::worker::WorkerState;
 
 /// Sends the request on, and its answer back: status, headers and body as they come.
@@ -29,7 +28,7 @@
     decoded: DecodedRequest,
     account: &mut Account,
 ) -> Result<HttpResponse, Refusal> {
-    RequestPathState::count(&worker.daemon.request_path.passed_through);
+    worker.daemon.metrics.legacy_requests.inc();
     let client = worker.legacy().await?;
     let patience = decoded.deadline.saturating_duration_since(Instant::now());
     let path = request.uri().path_and_query();
--- a/crates/daemon/src/state/mod.rs
+++ b/crates/daemon/src/state/mod.rs
@@ -17,7 +17,7 @@
 use driftspring_telemetry::Metrics;
 use driftspring_types::{ConfigView, Incarnation, MemberRecord};
 
-use crate::pipeline::RequestPathState;
+use crate::pipeline::RetryBudget;
 
 pub use engines::{EngineEntry, EngineLoadCounters, EngineTable};
 pub use replica::{PullSource, SharedReplica};
@@ -69,8 +69,8 @@
     pub metrics: Metrics,
     /// Requests open in this daemon.
     pub open_requests: AtomicUsize,
-    /// What the request path of all worker threads shares.
-    pub request_path: RequestPathState,
+    /// The budget of extra attempts.
+    pub retry_budget: RetryBudget,
     /// How far the process is on its way to its end; see [`Phase`].
     phase: AtomicU8,
     /// Whether a first configuration from any source is in force.
@@ -98,7 +98,7 @@
             recorder,
             metrics: Metrics::new(),
             open_requests: AtomicUsize::new(0),
-            request_path: RequestPathState::default(),
+            retry_budget: RetryBudget::default(),
             phase: AtomicU8::new(Phase::Running as u8),
             ready: AtomicBool::new(false),
         })
