--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,11 +5,14 @@
 //! - [`control`]: what the holders of leases do: rollout, drain, warming, claim group.
 //! - [`operator`]: the operators' statements, metrics and health checks.
 //! - [`state`]: what the parts share.
+//! - [`program`]: the command line.
 //! - [`runtime`]: sockets, threads, start and stop.
 
+mod command_line;
 pub mod control;
 pub mod operator;
 pub mod pipeline;
+pub mod program;
 pub mod runtime;
 pub mod state;
 pub mod sync;
--- a/crates/external/src/lib.rs
+++ b/crates/external/src/lib.rs
@@ -2,7 +2,6 @@
 
 pub mod engine;
 pub mod kv_store;
-pub mod legacy;
 pub mod object_store;
 mod service;
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,10 +4,12 @@
 //! and experiments start whole systems within one process. They keep everything in memory.
 
 mod faults;
+mod flags;
 mod gate;
 mod server;
 mod streaming;
 
+pub mod command_line;
 pub mod engine;
 pub mod kv_store;
 pub mod legacy;
--- /dev/null
+++ b/crates/system-tests/src/faults.rs
@@ -0,0 +1,163 @@
+//! The faults and planned stops that a test brings about in its system, each of them recorded.
+
+use anyhow::Context;
+use driftspring_history::{Event, Fault, FaultTarget};
+use driftspring_types::{DaemonId, EngineId};
+use serde_json::{Value, json};
+
+use crate::system::System;
+
+impl System {
+    /// Names the engine's machine as leaving in the machine list; the engine itself goes on.
+    ///
+    /// # Errors
+    ///
+    /// The list does not answer.
+    pub async fn announce_leaving(&mut self, id: &str) -> anyhow::Result<()> {
+        let engine = EngineId::from(id);
+        self.leaving_machines.push(engine.clone());
+        self.publish_machines().await?;
+        self.recorder.record(Event::EngineLeaving { engine });
+        Ok(())
+    }
+
+    /// Asks the engine for a planned stop: it finishes what is open, refuses the rest and exits.
+    ///
+    /// # Errors
+    ///
+    /// The engine does not answer.
+    pub async fn leave(&self, id: &str) -> anyhow::Result<()> {
+        let engine = self.engine(id)?;
+        let leaving = Event::EngineLeaving { engine: id.into() };
+        self.recorder.record(leaving);
+        let path = "/leave";
+        self.control
+            .post(engine.address(), path, &json!({}))
+            .await?;
+        Ok(())
+    }
+
+    /// Crashes the engine: it comes back at once, empty, under the same address.
+    ///
+    /// # Errors
+    ///
+    /// The engine does not answer.
+    pub async fn crash_engine(&self, id: &str) -> anyhow::Result<()> {
+        let target = FaultTarget::Engine(id.into());
+        self.inject(target, Fault::Crash);
+        self.engine(id)?.crash(&self.control).await?;
+        self.record_engine_start(&id.into()).await
+    }
+
+    /// Kills the engine for good. Its logs are read just before.
+    ///
+    /// # Errors
+    ///
+    /// There is no such engine, or it does not answer.
+    pub async fn kill_engine(&mut self, id: &str) -> anyhow::Result<()> {
+        let id = EngineId::from(id);
+        self.record_logs(&id).await?;
+        let target = FaultTarget::Engine(id.clone());
+        self.inject(target, Fault::Kill);
+        let engine = self.engines.remove(&id).context("no such engine")?;
+        engine.standin.kill();
+        Ok(())
+    }
+
+    /// Turns fault switches of the engine.
+    ///
+    /// # Errors
+    ///
+    /// The engine does not answer.
+    pub async fn set_engine_faults(&self, id: &str, switches: &Value) -> anyhow::Result<()> {
+        let target = FaultTarget::Engine(id.into());
+        self.inject(target, switches_fault(switches));
+        let standin = &self.engine(id)?.standin;
+        standin.set_faults(&self.control, switches).await
+    }
+
+    /// Turns fault switches of the object store.
+    ///
+    /// # Errors
+    ///
+    /// The store does not answer.
+    pub async fn set_store_faults(&self, switches: &Value) -> anyhow::Result<()> {
+        self.inject(FaultTarget::ObjectStore, switches_fault(switches));
+        let store = self.object_store()?;
+        store.set_faults(&self.control, switches).await
+    }
+
+    /// Turns fault switches of the machine list.
+    ///
+    /// # Errors
+    ///
+    /// The list does not answer.
+    pub async fn set_machine_list_faults(&self, switches: &Value) -> anyhow::Result<()> {
+        self.inject(FaultTarget::MachineList, switches_fault(switches));
+        let list = self.machine_list.as_ref().context("no machine list")?;
+        list.set_faults(&self.control, switches).await
+    }
+
+    /// Kills the daemon.
+    ///
+    /// # Errors
+    ///
+    /// There is no such daemon.
+    pub fn kill_daemon(&mut self, id: &str) -> anyhow::Result<()> {
+        let id = DaemonId::from(id);
+        self.inject(FaultTarget::Daemon(id.clone()), Fault::Kill);
+        let daemon = self.daemons.get_mut(&id).context("no such daemon")?;
+        daemon.kill()?;
+        self.recorder.record(Event::DaemonStopped { daemon: id });
+        Ok(())
+    }
+
+    /// Freezes the daemon's process.
+    ///
+    /// # Errors
+    ///
+    /// The daemon has no process of its own.
+    pub fn freeze_daemon(&self, id: &str) -> anyhow::Result<()> {
+        self.inject(FaultTarget::Daemon(id.into()), Fault::Freeze);
+        self.daemon(id)?.process()?.freeze()
+    }
+
+    /// Lets the daemon's process run again.
+    ///
+    /// # Errors
+    ///
+    /// The daemon has no process of its own.
+    pub fn thaw_daemon(&self, id: &str) -> anyhow::Result<()> {
+        self.daemon(id)?.process()?.thaw()?;
+        self.recorder.record(Event::FaultHealed {
+            target: FaultTarget::Daemon(id.into()),
+            fault: Fault::Freeze,
+        });
+        Ok(())
+    }
+
+    /// Stops the daemon as planned and waits for its end; callers go on meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// It does not end in time, or ends with a failure.
+    pub async fn stop_daemon(&mut self, id: &str) -> anyhow::Result<()> {
+        let id = DaemonId::from(id);
+        let daemon = self.daemons.get_mut(&id).context("no such daemon")?;
+        self.recorder
+            .record(Event::DaemonStopping { daemon: id.clone() });
+        daemon.stop().await?;
+        self.recorder.record(Event::DaemonStopped { daemon: id });
+        Ok(())
+    }
+
+    fn inject(&self, target: FaultTarget, fault: Fault) {
+        self.recorder.record(Event::FaultInjected { target, fault });
+    }
+}
+
+fn switches_fault(switches: &Value) -> Fault {
+    Fault::Switches {
+        body: switches.to_string(),
+    }
+}
