--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -1,5 +1,7 @@
 //! What the holders of leases do: rollout of weights, drain, cache warming, the claim group.
 
+pub mod config_writer;
+
 use std::sync::Arc;
 
 use crate::state::DaemonState;
--- /dev/null
+++ b/crates/daemon/src/pipeline/answer.rs
@@ -0,0 +1,348 @@
+//! The answer to one request: each token once and in order, over all engines that gave parts of it.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use anyhow::anyhow;
+use driftspring_external::engine::{
+    AnswerChunk, AnswerHead, AnswerItem, EngineClient, EngineError,
+};
+use driftspring_telemetry::events::pipeline;
+use driftspring_telemetry::log_event;
+use driftspring_telemetry::metrics::ExtraAttempt;
+use driftspring_types::{EngineId, Outcome, Peer, Step, StepError};
+
+use super::attempt::Attempt;
+use super::choose_engine::TriedEngines;
+use super::context::RequestContext;
+use super::delivered::DeliveredTokens;
+use super::dispatch::{deadline_passed, dispatch};
+use super::refusal::Refusal;
+use super::sequence::{SequenceGate, SequenceStep};
+use super::worker::WorkerState;
+
+/// The pause between two attempts to take up a stream that can't be continued elsewhere.
+const RESUME_PAUSE: Duration = Duration::from_millis(100);
+
+/// An answer on its way to its caller.
+pub struct Answer {
+    worker: Rc<WorkerState>,
+    context: Rc<RequestContext>,
+    client: EngineClient,
+    attempt: Option<Attempt>,
+    tried: TriedEngines,
+    gate: SequenceGate,
+    delivered: DeliveredTokens,
+    /// The first chunk, awaited before the response begins.
+    first: Option<AnswerChunk>,
+    /// How far the answer was when it was last resumed; a second time without progress is of no use.
+    resumed_at: Option<u64>,
+    source: AnswerSource,
+}
+
+/// Who began the answer.
+#[derive(Debug, Clone)]
+pub struct AnswerSource {
+    /// The engine.
+    pub engine: EngineId,
+    /// What it said about itself.
+    pub head: AnswerHead,
+}
+
+impl Answer {
+    /// Opens the request at an engine and awaits its first token, so that failures before it can
+    /// still be told by an HTTP status.
+    pub async fn open(
+        worker: Rc<WorkerState>,
+        context: Rc<RequestContext>,
+    ) -> Result<Self, Refusal> {
+        let client = worker.engines().await?.clone();
+        let mut tried = TriedEngines::default();
+        let delivered = DeliveredTokens::default();
+        let attempt = dispatch(&worker.daemon, &client, &context, &mut tried, &delivered).await?;
+        let match_answers = worker.daemon.settings.mechanisms.match_answers;
+        let mut answer = Self {
+            source: AnswerSource::of(&attempt),
+            gate: SequenceGate::new(context.id, match_answers),
+            worker,
+            context,
+            client,
+            attempt: Some(attempt),
+            tried,
+            delivered,
+            first: None,
+            resumed_at: None,
+        };
+        let first = answer.receive().await?;
+        if let Some(attempt) = &answer.attempt {
+            answer.source = AnswerSource::of(attempt);
+        }
+        answer.first = Some(first);
+        Ok(answer)
+    }
+
+    /// The request.
+    pub fn context(&self) -> &RequestContext {
+        &self.context
+    }
+
+    /// Who began the answer.
+    pub fn source(&self) -> &AnswerSource {
+        &self.source
+    }
+
+    /// The tokens given out.
+    pub fn delivered(&self) -> &DeliveredTokens {
+        &self.delivered
+    }
+
+    /// Whether broken streams are recovered; off in experiments only.
+    pub fn is_protected(&self) -> bool {
+        self.worker.daemon.settings.mechanisms.resume_streams
+    }
+
+    /// The next chunk; the one with a finish is the last.
+    pub async fn next(&mut self) -> Result<AnswerChunk, Refusal> {
+        match self.first.take() {
+            Some(chunk) => Ok(chunk),
+            None => self.receive().await,
+        }
+    }
+
+    /// The next chunk, where it has come already and is in order.
+    pub fn next_ready(&mut self) -> Option<AnswerChunk> {
+        loop {
+            let item = self.attempt.as_mut()?.next_buffered();
+            // What is not a plain next chunk is met again by `receive`, as an error or a wait.
+            let Ok(Some(AnswerItem::Chunk(chunk))) = item else {
+                return None;
+            };
+            match self.accept(chunk) {
+                Ok(Some(chunk)) => return Some(chunk),
+                Ok(None) => {}
+                Err(_) => return None,
+            }
+        }
+    }
+
+    /// Counts the tokens and ends the work at the engine.
+    pub fn end(&mut self, outcome: &Outcome) {
+        let tokens = self.delivered.len() as u64;
+        let metrics = &self.worker.daemon.metrics;
+        metrics.tokens_relayed.inc_by(tokens);
+        if let Some(cached_tokens) = self.source.head.cached_tokens {
+            let prompt_tokens = self.context.fingerprint.prompt_tokens;
+            metrics.count_prompt(u64::from(prompt_tokens), u64::from(cached_tokens));
+        }
+        let attempt = self.attempt.take();
+        if let (Some(attempt), Outcome::Completed) = (attempt, outcome) {
+            attempt.complete();
+        }
+    }
+
+    async fn receive(&mut self) -> Result<AnswerChunk, Refusal> {
+        loop {
+            let patience = self.patience()?;
+            let Some(attempt) = &mut self.attempt else {
+                return Err(self.unknown(&EngineError::Broken("the answer is over".to_owned())));
+            };
+            let checked = match attempt.next(patience).await {
+                Ok(AnswerItem::Chunk(chunk)) => self.accept(chunk),
+                Ok(AnswerItem::Done) => {
+                    Err(EngineError::Malformed("ended without a finish".to_owned()))
+                }
+                Err(error) => Err(error),
+            };
+            match checked {
+                Ok(Some(chunk)) => return Ok(chunk),
+                Ok(None) => {}
+                Err(error) => self.recover(error).await?,
+            }
+        }
+    }
+
+    /// Takes a chunk that is the next one; nothing for one that is dropped.
+    fn accept(&mut self, chunk: AnswerChunk) -> Result<Option<AnswerChunk>, EngineError> {
+        let step = if self.is_protected() {
+            self.gate.step(&chunk)
+        } else {
+            SequenceStep::Next
+        };
+        match step {
+            SequenceStep::Next => {
+                if let Some(attempt) = &mut self.attempt {
+                    attempt.answering();
+                }
+                if chunk.finish.is_none() {
+                    self.delivered.push(&chunk.text);
+                }
+                Ok(Some(chunk))
+            }
+            SequenceStep::Repeated | SequenceStep::Foreign => {
+                self.worker.daemon.metrics.dropped_events.inc();
+                log_event!(
+                    pipeline::EVENT_DROPPED,
+                    "request={} sequence={} step={step:?}",
+                    self.context.id,
+                    chunk.sequence
+                );
+                Ok(None)
+            }
+            SequenceStep::Gap => Err(EngineError::Malformed(format!(
+                "token {} came where {} was next",
+                chunk.sequence,
+                self.gate.next()
+            ))),
+        }
+    }
+
+    /// How long the next item may take.
+    fn patience(&self) -> Result<Duration, Refusal> {
+        let time_left = self.context.time_left();
+        if time_left.is_zero() {
+            return Err(deadline_passed(true));
+        }
+        let settings = &self.worker.daemon.settings.request;
+        let patience = match &self.attempt {
+            Some(attempt) if !attempt.has_answered() => {
+                let due = attempt.opened_at() + settings.first_token_timeout;
+                due.saturating_duration_since(Instant::now())
+            }
+            _ => settings.token_timeout,
+        };
+        Ok(patience.min(time_left))
+    }
+
+    /// Makes the answer go on after a failure, or gives it up.
+    async fn recover(&mut self, error: EngineError) -> Result<(), Refusal> {
+        let engine = self.attempt.as_ref().map(Attempt::engine_id).cloned();
+        let Some(engine) = engine else {
+            return Err(self.unknown(&error));
+        };
+        log_event!(
+            pipeline::STREAM_BROKEN,
+            "request={} engine={engine} delivered={} cause=\"{error}\"",
+            self.context.id,
+            self.delivered.len()
+        );
+        if !self.is_protected() {
+            return Err(self.unknown(&error));
+        }
+        if self.resume(&error).await {
+            return Ok(());
+        }
+        if !self.context.repeatable {
+            return Err(self.unknown(&error));
+        }
+        self.continue_elsewhere(&engine, error).await
+    }
+
+    /// Takes the stream up again at its engine; false where it can't be.
+    async fn resume(&mut self, error: &EngineError) -> bool {
+        let resumed = if self.context.repeatable {
+            self.resume_once(error).await
+        } else {
+            self.resume_patiently().await
+        };
+        if resumed {
+            self.resumed_at = Some(self.gate.next());
+            self.count(ExtraAttempt::Resume);
+            log_event!(
+                pipeline::STREAM_RESUMED,
+                "request={} from={}",
+                self.context.id,
+                self.gate.next()
+            );
+        }
+        resumed
+    }
+
+    /// One attempt, unless the engine has just shown that it does not answer.
+    async fn resume_once(&mut self, error: &EngineError) -> bool {
+        let stalled = matches!(error, EngineError::TimedOut(_));
+        if stalled || self.resumed_at == Some(self.gate.next()) {
+            return false;
+        }
+        self.try_resume().await.is_ok()
+    }
+
+    /// Attempts over a while, for an answer that no other engine may continue.
+    async fn resume_patiently(&mut self) -> bool {
+        let window = self.worker.daemon.settings.request.first_token_timeout;
+        let give_up_at = self.context.deadline.min(Instant::now() + window);
+        loop {
+            match self.try_resume().await {
+                Ok(()) => return true,
+                // The engine answers, and no longer has the request.
+                Err(EngineError::UnexpectedStatus { .. } | EngineError::Refused(_)) => {
+                    return false;
+                }
+                Err(_) if Instant::now() + RESUME_PAUSE >= give_up_at => return false,
+                Err(_) => ntex::time::sleep(RESUME_PAUSE).await,
+            }
+        }
+    }
+
+    async fn try_resume(&mut self) -> Result<(), EngineError> {
+        let token_timeout = self.worker.daemon.settings.request.token_timeout;
+        let patience = token_timeout.min(self.context.time_left());
+        let from = self.gate.next();
+        match &mut self.attempt {
+            Some(attempt) => attempt.resume(from, patience).await,
+            None => Err(EngineError::Broken("the answer is over".to_owned())),
+        }
+    }
+
+    /// Lets another engine go on after the tokens delivered.
+    async fn continue_elsewhere(
+        &mut self,
+        engine: &EngineId,
+        error: EngineError,
+    ) -> Result<(), Refusal> {
+        // Dropping the attempt cancels what the engine may still be doing.
+        self.attempt = None;
+        self.tried.note(engine, error);
+        let attempt = dispatch(
+            &self.worker.daemon,
+            &self.client,
+            &self.context,
+            &mut self.tried,
+            &self.delivered,
+        )
+        .await?;
+        if !self.delivered.is_empty() {
+            self.count(ExtraAttempt::Continuation);
+            log_event!(
+                pipeline::ANSWER_CONTINUED,
+                "request={} engine={} delivered={}",
+                self.context.id,
+                attempt.engine_id(),
+                self.delivered.len()
+            );
+        }
+        self.attempt = Some(attempt);
+        Ok(())
+    }
+
+    fn count(&self, kind: ExtraAttempt) {
+        self.worker.daemon.metrics.extra_attempts.increment(kind);
+    }
+
+    fn unknown(&self, error: &EngineError) -> Refusal {
+        let peer = match &self.attempt {
+            Some(attempt) => Peer::Engine(attempt.engine_id().clone()),
+            None => Peer::Local,
+        };
+        let cause = anyhow!(error.clone());
+        Refusal::unknown(StepError::may_have_run(Step::Relay, peer, cause))
+    }
+}
+
+impl AnswerSource {
+    fn of(attempt: &Attempt) -> Self {
+        Self {
+            engine: attempt.engine_id().clone(),
+            head: *attempt.head(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/pipeline/choose_engine.rs
@@ -0,0 +1,200 @@
+//! Filter: chooses the engine.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use anyhow::anyhow;
+use driftspring_external::engine::{EngineError, RefusalKind};
+use driftspring_types::{
+    ConfigView, EngineHealth, EngineId, EngineIntent, NotRunReason, Peer, RetrySafety, Step,
+    StepError,
+};
+
+use super::context::RequestContext;
+use super::engine_table::UNKNOWN_WEIGHTS;
+use super::refusal::{DEFAULT_RETRY_AFTER, Refusal, refusal_of};
+use crate::state::{DaemonState, EngineEntry};
+
+/// Attempts at one engine whose refusals only corrected what was known of it.
+const MAX_CORRECTIONS: u32 = 3;
+/// Attempts at one engine that did not answer, where there is no other.
+const MAX_ATTEMPTS_AT_ONE: u32 = 2;
+
+/// An engine chosen for a request.
+#[derive(Debug, Clone)]
+pub struct EngineChoice {
+    /// The engine.
+    pub engine: Arc<EngineEntry>,
+    /// Prompt tokens that it is expected to have cached.
+    pub expected_cached_tokens: u32,
+}
+
+/// The engines that a request was sent to in vain.
+#[derive(Debug, Default)]
+pub struct TriedEngines {
+    attempts: Vec<FailedAttempts>,
+    may_have_run: bool,
+    last_error: Option<(EngineId, EngineError)>,
+}
+
+/// The failures of one request at one engine.
+#[derive(Debug)]
+struct FailedAttempts {
+    engine: EngineId,
+    count: u32,
+    /// Whether the last refusal corrected what was known, so that the next attempt may succeed.
+    corrected: bool,
+    /// Whether the engine refused on its own account.
+    refused: bool,
+}
+
+impl TriedEngines {
+    /// Notes a failed attempt.
+    pub fn note(&mut self, engine: &EngineId, error: EngineError) {
+        self.may_have_run |= error.safety() == RetrySafety::MayHaveRun;
+        let (corrected, refused) = match &error {
+            EngineError::Refused(refusal) => (corrects(refusal.kind), true),
+            _ => (false, false),
+        };
+        match self
+            .attempts
+            .iter_mut()
+            .find(|tried| tried.engine == *engine)
+        {
+            Some(tried) => {
+                tried.count += 1;
+                tried.corrected = corrected;
+                tried.refused = refused;
+            }
+            None => self.attempts.push(FailedAttempts {
+                engine: engine.clone(),
+                count: 1,
+                corrected,
+                refused,
+            }),
+        }
+        self.last_error = Some((engine.clone(), error));
+    }
+
+    /// Whether no attempt has failed yet.
+    pub fn is_empty(&self) -> bool {
+        self.attempts.is_empty()
+    }
+
+    /// Whether an engine may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
+    /// Whether `engine` was not tried, or its last refusal only corrected what was known.
+    fn allows(&self, engine: &EngineId) -> bool {
+        self.of(engine)
+            .is_none_or(|tried| tried.corrected && tried.count < MAX_CORRECTIONS)
+    }
+
+    /// Whether `engine` is worth another attempt where there is no other engine.
+    fn allows_again(&self, engine: &EngineId) -> bool {
+        self.of(engine)
+            .is_some_and(|tried| !tried.refused && tried.count < MAX_ATTEMPTS_AT_ONE)
+    }
+
+    fn of(&self, engine: &EngineId) -> Option<&FailedAttempts> {
+        self.attempts.iter().find(|tried| tried.engine == *engine)
+    }
+
+    /// The final answer once no engine is left to try.
+    pub fn refusal(&self, context: &RequestContext) -> Refusal {
+        let Some((engine, error)) = &self.last_error else {
+            return no_engine(context);
+        };
+        let retry_after = match error {
+            EngineError::Refused(refusal) => refusal.retry_after,
+            _ => None,
+        };
+        let safety = if self.may_have_run {
+            RetrySafety::MayHaveRun
+        } else {
+            RetrySafety::NotRun
+        };
+        let error = StepError {
+            step: Step::Dispatch,
+            peer: Peer::Engine(engine.clone()),
+            safety,
+            cause: anyhow!(error.clone()),
+        };
+        let retry_after = retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
+        refusal_of(error, NotRunReason::EnginesRefused, retry_after)
+    }
+}
+
+fn corrects(kind: RefusalKind) -> bool {
+    matches!(
+        kind,
+        RefusalKind::IncarnationMismatch | RefusalKind::WeightsMismatch
+    )
+}
+
+/// Chooses an engine that can serve the request and was not tried in vain.
+pub fn choose_engine(
+    daemon: &DaemonState,
+    context: &RequestContext,
+    tried: &TriedEngines,
+) -> Result<EngineChoice, Refusal> {
+    let table = daemon.engines.load();
+    let config = daemon.config.load();
+    let heed_leaving = daemon.settings.mechanisms.heed_leaving;
+    let candidates: Vec<_> = table
+        .iter()
+        .filter(|engine| serves(engine, context))
+        .filter(|engine| !heed_leaving || takes_new_work(engine, &config))
+        .collect();
+    let fresh = least_loaded(&candidates, |engine| tried.allows(engine));
+    let chosen = fresh.or_else(|| least_loaded(&candidates, |engine| tried.allows_again(engine)));
+    let engine = chosen.ok_or_else(|| tried.refusal(context))?;
+    Ok(EngineChoice {
+        engine,
+        expected_cached_tokens: 0,
+    })
+}
+
+/// Whether the engine has the model and weights of the request, as far as is known.
+fn serves(engine: &EngineEntry, context: &RequestContext) -> bool {
+    let record = &engine.record;
+    let weights = record.weights_version;
+    record.model == context.route.model
+        && (weights == context.weights_version || weights == UNKNOWN_WEIGHTS)
+        && record.health != EngineHealth::Unreachable
+}
+
+/// Whether the engine is neither leaving nor drained nor loading.
+fn takes_new_work(engine: &EngineEntry, config: &ConfigView) -> bool {
+    let drained = config
+        .engines
+        .get(&engine.record.id)
+        .is_some_and(|directive| directive.intent == EngineIntent::Drain);
+    engine.record.health == EngineHealth::Serving && !drained
+}
+
+/// The engine with the fewest own open requests among those that `allowed` lets pass.
+fn least_loaded(
+    candidates: &[&Arc<EngineEntry>],
+    allowed: impl Fn(&EngineId) -> bool,
+) -> Option<Arc<EngineEntry>> {
+    candidates
+        .iter()
+        .filter(|engine| allowed(&engine.record.id))
+        .min_by_key(|engine| {
+            let open = engine.counters.open_requests.load(Ordering::Relaxed);
+            (open, &engine.record.id)
+        })
+        .map(|engine| Arc::clone(engine))
+}
+
+fn no_engine(context: &RequestContext) -> Refusal {
+    let cause = anyhow!(
+        "no engine serves model `{}` with weights version {}",
+        context.route.model,
+        context.weights_version
+    );
+    Refusal::no_engine(StepError::not_run(Step::ChooseEngine, Peer::Local, cause))
+}
--- /dev/null
+++ b/crates/daemon/src/pipeline/feedback.rs
@@ -0,0 +1,84 @@
+//! What answers and refusals say about the engine that sent them.
+//!
+//! They are the freshest reports there are, and cost nothing.
+
+use std::sync::atomic::Ordering;
+
+use driftspring_external::engine::{AnswerHead, EngineError, EngineRefusal, RefusalKind};
+use driftspring_types::{EngineHealth, EngineLoad, EngineRecord};
+
+use super::engine_table::put_record;
+use crate::state::{DaemonState, EngineEntry};
+
+/// The table is rebuilt for a mere change of load at most this often per engine, in milliseconds.
+const LOAD_REPORT_INTERVAL_MS: u64 = 20;
+
+/// Takes the report in the headers of an answer.
+pub fn answered(daemon: &DaemonState, engine: &EngineEntry, head: &AnswerHead) {
+    let Some(record) = reported(&engine.record, head) else {
+        return;
+    };
+    let only_load_changed = record.incarnation == engine.record.incarnation
+        && record.weights_version == engine.record.weights_version;
+    let now_ms = daemon.started_at.elapsed().as_millis() as u64;
+    let reported_at_ms = engine.counters.reported_at_ms.load(Ordering::Relaxed);
+    if only_load_changed && now_ms < reported_at_ms + LOAD_REPORT_INTERVAL_MS {
+        return;
+    }
+    engine
+        .counters
+        .reported_at_ms
+        .store(now_ms, Ordering::Relaxed);
+    put_record(daemon, &record);
+}
+
+/// Takes what a failed attempt says about its engine.
+pub fn failed(daemon: &DaemonState, engine: &EngineEntry, error: &EngineError) {
+    let EngineError::Refused(refusal) = error else {
+        return;
+    };
+    if let Some(record) = refused(&engine.record, refusal) {
+        put_record(daemon, &record);
+    }
+}
+
+/// The record after the report in `head`; nothing where it reports nothing.
+fn reported(known: &EngineRecord, head: &AnswerHead) -> Option<EngineRecord> {
+    let load = head.load.unwrap_or_default();
+    Some(EngineRecord {
+        incarnation: head.incarnation?,
+        weights_version: head.weights_version?,
+        report_sequence: head.report_sequence?,
+        health: EngineHealth::Serving,
+        load: EngineLoad {
+            cached_blocks: known.load.cached_blocks,
+            cache_capacity_blocks: known.load.cache_capacity_blocks,
+            ..load
+        },
+        ..known.clone()
+    })
+}
+
+/// The record after a refusal; nothing where the refusal says nothing lasting about the engine.
+fn refused(known: &EngineRecord, refusal: &EngineRefusal) -> Option<EngineRecord> {
+    let health = match refusal.kind {
+        RefusalKind::IncarnationMismatch | RefusalKind::WeightsMismatch => EngineHealth::Serving,
+        RefusalKind::Leaving => EngineHealth::Leaving,
+        RefusalKind::Loading => EngineHealth::Loading,
+        _ => return None,
+    };
+    let incarnation = refusal.incarnation.unwrap_or(known.incarnation);
+    let same_life = incarnation == known.incarnation;
+    Some(EngineRecord {
+        incarnation,
+        weights_version: refusal.weights_version.unwrap_or(known.weights_version),
+        // A refusal carries no sequence number; it is newer than the report that was acted on.
+        report_sequence: if same_life {
+            known.report_sequence + 1
+        } else {
+            0
+        },
+        health,
+        ..known.clone()
+    })
+}
--- a/crates/daemon/src/state/mod.rs
+++ b/crates/daemon/src/state/mod.rs
@@ -4,6 +4,7 @@
 //! swap it in. Writers: `sync` for configuration, engines and members; `pipeline` for load counters.
 
 mod engines;
+mod replica;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,7 +17,10 @@
 use driftspring_telemetry::Metrics;
 use driftspring_types::{ConfigView, Incarnation, MemberRecord};
 
+use crate::pipeline::RetryBudget;
+
 pub use engines::{EngineEntry, EngineLoadCounters, EngineTable};
+pub use replica::{PullSource, SharedReplica};
 
 /// How far a process is on its way to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -51,6 +55,8 @@
     pub addresses: BoundAddresses,
     /// When this life began, on the monotonic clock.
     pub started_at: Instant,
+    /// What feeds `config`; never touched by the request path.
+    pub replica: SharedReplica,
     /// The replicated configuration.
     pub config: ArcSwap<ConfigView>,
     /// The engines known.
@@ -63,6 +69,8 @@
     pub metrics: Metrics,
     /// Requests open in this daemon.
     pub open_requests: AtomicUsize,
+    /// The budget of extra attempts.
+    pub retry_budget: RetryBudget,
     /// How far the process is on its way to its end; see [`Phase`].
     phase: AtomicU8,
     /// Whether a first configuration from any source is in force.
@@ -77,7 +85,9 @@
         addresses: BoundAddresses,
         recorder: Recorder,
     ) -> Arc<Self> {
+        let replica = SharedReplica::new(&settings);
         Arc::new(Self {
+            replica,
             settings,
             incarnation,
             addresses,
@@ -88,6 +98,7 @@
             recorder,
             metrics: Metrics::new(),
             open_requests: AtomicUsize::new(0),
+            retry_budget: RetryBudget::default(),
             phase: AtomicU8::new(Phase::Running as u8),
             ready: AtomicBool::new(false),
         })
--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -1,5 +1,8 @@
 //! What a daemon hears: gossip, configuration, engine status and cache events.
 
+pub mod replication;
+pub mod store_watch;
+
 use std::net::UdpSocket;
 use std::sync::Arc;
 
@@ -8,14 +11,18 @@
 use crate::state::DaemonState;
 
 /// Adds the routes for internal calls of other daemons.
-pub fn configure_peer_server(_config: &mut ServiceConfig, _state: Arc<DaemonState>) {}
+pub fn configure_peer_server(config: &mut ServiceConfig, state: Arc<DaemonState>) {
+    replication::configure(config, &state);
+}
 
 /// Starts the gossip thread and the background tasks on the current ntex system.
 ///
 /// # Errors
 ///
 /// The gossip thread can't be started.
-pub fn spawn_all(_state: &Arc<DaemonState>, _gossip_socket: UdpSocket) -> anyhow::Result<()> {
+pub fn spawn_all(state: &Arc<DaemonState>, _gossip_socket: UdpSocket) -> anyhow::Result<()> {
+    replication::spawn_all(state);
+    store_watch::spawn_all(state);
     Ok(())
 }
 
--- /dev/null
+++ b/crates/daemon/tests/bad_input_tests.rs
@@ -0,0 +1,175 @@
+//! Requests that are at fault get a clear error that names the field, and never a hang.
+
+mod support;
+
+use std::io::Write;
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use quickcheck::quickcheck;
+use serde_json::json;
+use support::daemon::MODEL;
+use support::{Answer, Caller, TestDaemon};
+
+fn assert_refused(answer: &Answer, status: u16, field: &str) {
+    let error = &answer.json()["error"];
+    assert_eq!(answer.status, status, "{error}");
+    assert_eq!(error["param"], field, "{error}");
+    assert_eq!(error["not_run"], true, "{error}");
+    assert_eq!(error["outcome"], "not_run", "{error}");
+    assert!(
+        error["message"]
+            .as_str()
+            .is_some_and(|text| text.contains(field)),
+        "{error}"
+    );
+}
+
+#[test]
+fn a_field_at_fault_is_named() {
+    let daemon = TestDaemon::start(&[], |_| ());
+    let caller = daemon.caller();
+    let cases = [
+        (json!({"prompt": "text"}), "model"),
+        (json!({"model": 7, "prompt": "text"}), "model"),
+        (json!({"model": MODEL}), "prompt"),
+        (json!({"model": MODEL, "prompt": ["one", "two"]}), "prompt"),
+        (
+            json!({"model": MODEL, "prompt": "text", "max_tokens": -1}),
+            "max_tokens",
+        ),
+        (
+            json!({"model": MODEL, "prompt": "text", "stream": "yes"}),
+            "stream",
+        ),
+        (json!({"model": MODEL, "prompt": "text", "n": 2}), "n"),
+        (
+            json!({"model": MODEL, "prompt": "text", "continue_from": [" a"]}),
+            "continue_from",
+        ),
+    ];
+    for (body, field) in cases {
+        let answer = caller.post("/v1/completions", &[], body.to_string().as_bytes());
+        assert_refused(&answer, 400, field);
+    }
+    let chat = json!({"model": MODEL, "messages": [{"role": "user"}]}).to_string();
+    let answer = caller.post("/v1/chat/completions", &[], chat.as_bytes());
+    assert_refused(&answer, 400, "messages");
+    let repeated = format!(r#"{{"model": "{MODEL}", "prompt": "a", "prompt": "b"}}"#);
+    let answer = caller.post("/v1/completions", &[], repeated.as_bytes());
+    assert_refused(&answer, 400, "body");
+}
+
+#[test]
+fn a_header_at_fault_is_named() {
+    let daemon = TestDaemon::start(&[], |_| ());
+    let caller = daemon.caller();
+    let cases = [
+        ("x-priority", "10"),
+        ("x-priority", "high"),
+        ("x-deadline-ms", "soon"),
+        ("x-repeatable", "maybe"),
+        ("idempotency-key", ""),
+    ];
+    for (name, value) in cases {
+        assert_refused(&caller.complete(&[(name, value)], "text", 1), 400, name);
+    }
+    let once = [("x-repeatable", "false")];
+    assert_refused(&caller.complete(&once, "text", 1), 400, "idempotency-key");
+    let once = [("x-repeatable", "false"), ("idempotency-key", "order-7")];
+    assert_refused(
+        &caller.complete(&once, "text", 1),
+        400,
+        "x-idempotency-issued-at",
+    );
+}
+
+#[test]
+fn wrong_keys_and_models_are_refused() {
+    let daemon = TestDaemon::start(&[], |_| ());
+    let caller = daemon.caller();
+    let wrong = [("authorization", "Bearer another-key")];
+    assert_refused(&caller.complete(&wrong, "text", 1), 401, "authorization");
+    let basic = [("authorization", "Basic dXNlcg==")];
+    assert_refused(&caller.complete(&basic, "text", 1), 401, "authorization");
+    let body = json!({"model": "unheard-of", "prompt": "text"}).to_string();
+    let answer = caller.post("/v1/completions", &[], body.as_bytes());
+    assert_refused(&answer, 404, "model");
+    let answer = caller.post("/v1/embeddings", &[], b"{}");
+    assert_eq!(answer.status, 404);
+    assert_eq!(answer.json()["error"]["not_run"], true);
+}
+
+#[test]
+fn without_an_engine_the_answer_names_a_time_to_come_back() {
+    let daemon = TestDaemon::start(&[], |_| ());
+    let answer = daemon.caller().complete(&[], "text", 1);
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.json()["error"]["code"], "no_engine");
+    assert!(answer.header("retry-after").is_some());
+}
+
+#[test]
+fn an_oversized_body_is_refused_before_it_is_read() {
+    let daemon = TestDaemon::start(&[], |settings| settings.request.max_body_bytes = 1000);
+    let caller = daemon.caller();
+    let announced = b"POST /v1/completions HTTP/1.1\r\nhost: d\r\ncontent-length: 1001\r\n\r\n";
+    assert_refused(&caller.send_raw(announced), 413, "body");
+    let chunk = "x".repeat(1001);
+    let chunked = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: d\r\ntransfer-encoding: chunked\r\n\r\n3e9\r\n{chunk}\r\n"
+    );
+    assert_refused(&caller.send_raw(chunked.as_bytes()), 413, "body");
+}
+
+#[test]
+fn a_slow_sender_times_out() {
+    let daemon = TestDaemon::start(&[], |settings| {
+        settings.request.read_timeout = Duration::from_millis(50);
+    });
+    let mut connection = daemon.caller().connect();
+    connection
+        .write_all(b"POST /v1/completions HTTP/1.1\r\nhost: d\r\ncontent-length: 10\r\n\r\n{")
+        .expect("the daemon reads");
+    assert_refused(&support::caller::read_answer(connection), 408, "body");
+}
+
+#[test]
+fn models_lists_the_routes_of_the_tenant() {
+    let daemon = TestDaemon::start(&[], |_| ());
+    let request = "GET /v1/models HTTP/1.1\r\nhost: d\r\nconnection: close\r\n";
+    let with_key = format!(
+        "{request}authorization: Bearer {}\r\n\r\n",
+        support::daemon::KEY
+    );
+    let answer = daemon.caller().send_raw(with_key.as_bytes());
+    assert_eq!(answer.json()["data"][0]["id"], MODEL);
+    let without_key = format!("{request}\r\n");
+    assert_refused(
+        &daemon.caller().send_raw(without_key.as_bytes()),
+        401,
+        "authorization",
+    );
+}
+
+/// The daemon's address, for the property below, which can't capture it.
+static CALLER: OnceLock<Caller> = OnceLock::new();
+
+fn arbitrary_body_is_refused(mut body: Vec<u8>, as_json: bool) -> bool {
+    if as_json {
+        let text = String::from_utf8_lossy(&body).into_owned();
+        body = json!({"model": text, "prompt": [text]})
+            .to_string()
+            .into_bytes();
+    }
+    let caller = CALLER.get().expect("the daemon was started");
+    let answer = caller.post("/v1/completions", &[], &body);
+    answer.status == 400 && answer.json()["error"]["not_run"] == true
+}
+
+#[test]
+fn arbitrary_bodies_get_an_error() {
+    let daemon = TestDaemon::start(&[], |_| ());
+    CALLER.set(daemon.caller()).expect("set once");
+    quickcheck(arbitrary_body_is_refused as fn(Vec<u8>, bool) -> bool);
+}
--- a/crates/external/src/lib.rs
+++ b/crates/external/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod engine;
 pub mod kv_store;
+pub mod legacy;
 pub mod object_store;
 mod service;
 
--- a/crates/telemetry/src/metrics/mod.rs
+++ b/crates/telemetry/src/metrics/mod.rs
@@ -41,6 +41,10 @@
     pub request_duration: DurationHistogram,
     /// Tokens passed on to callers.
     pub tokens_relayed: Counter,
+    /// Requests given up by their callers before their end.
+    pub abandoned_requests: Counter,
+    /// Stream events not passed on, because they were repeated or belonged to another request.
+    pub dropped_events: Counter,
     /// Attempts after the first one of a request, by kind.
     pub extra_attempts: LabelledCounters<ExtraAttempt>,
     /// Prompt tokens of the requests that engines answered, as the engines counted them.
@@ -83,6 +87,8 @@
             time_to_first_token: DurationHistogram::default(),
             request_duration: DurationHistogram::default(),
             tokens_relayed: Counter::default(),
+            abandoned_requests: Counter::default(),
+            dropped_events: Counter::default(),
             extra_attempts: LabelledCounters::counters(),
             prompt_tokens: Counter::default(),
             cached_prompt_tokens: Counter::default(),
@@ -134,6 +140,16 @@
             "Tokens passed on to callers",
             self.tokens_relayed.clone(),
         );
+        registry.register(
+            "abandoned_requests",
+            "Requests given up by their callers before their end",
+            self.abandoned_requests.clone(),
+        );
+        registry.register(
+            "dropped_events",
+            "Stream events that were repeated or belonged to another request",
+            self.dropped_events.clone(),
+        );
         registry.register(
             "extra_attempts",
             "Attempts after the first one of a request, by kind",
