--- a/crates/daemon/src/pipeline/body.rs
+++ b/crates/daemon/src/pipeline/body.rs
@@ -16,6 +16,9 @@
 /// The field by which an answer is continued; only driftspring itself sends it.
 const CONTINUE_FROM: &str = "continue_from";
 const STREAM: &str = "stream";
+const MAX_TOKENS: &str = "max_tokens";
+/// The tokens that engines make where a request names no number.
+const DEFAULT_MAX_TOKENS: u32 = 16;
 
 /// A checked body.
 #[derive(Debug, Clone)]
@@ -26,6 +29,8 @@
     pub model: ModelName,
     /// The prompt's bytes as engines count and cache them.
     pub prompt: Vec<u8>,
+    /// How many tokens the answer has at the most.
+    pub max_tokens: u32,
     /// Whether the caller wants a stream.
     pub streamed: bool,
 }
@@ -45,7 +50,6 @@
         if choices.is_some_and(|choices| choices != 1) {
             return Err(invalid("n", "only one choice is made, so `n` must be 1"));
         }
-        let _max_tokens: Option<u32> = optional(&fields, "max_tokens")?;
         if fields.get(CONTINUE_FROM).is_some() {
             return Err(invalid(CONTINUE_FROM, "`continue_from` is reserved"));
         }
@@ -53,8 +57,9 @@
         Ok(Self {
             model: ModelName::new(model),
             prompt,
+            max_tokens: optional(&fields, MAX_TOKENS)?.unwrap_or(DEFAULT_MAX_TOKENS),
             streamed: streamed.unwrap_or(false),
-            raw,
+            raw: raw.clone(),
         })
     }
 
@@ -66,6 +71,7 @@
         let fields = fields_of(&self.raw)?;
         let body = EngineBody {
             fields: &fields,
+            max_tokens: self.max_tokens,
             delivered,
         };
         let json =
@@ -146,7 +152,7 @@
 fn optional<T: DeserializeOwned>(fields: &Fields<'_>, name: &str) -> Result<Option<T>, Refusal> {
     fields
         .get(name)
-        .map_or(Ok(None), |value| parse_field(name, value))
+        .map_or(Ok(None), |value| parse_field::<Option<T>>(name, value))
 }
 
 fn parse_field<T: DeserializeOwned>(name: &str, value: &RawValue) -> Result<T, Refusal> {
@@ -161,6 +167,7 @@
 /// Writes the fields with `stream` set and `continue_from` added.
 struct EngineBody<'a> {
     fields: &'a Fields<'a>,
+    max_tokens: u32,
     delivered: &'a DeliveredTokens,
 }
 
@@ -168,7 +175,7 @@
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         let mut map = serializer.serialize_map(None)?;
         for (name, value) in &self.fields.0 {
-            if name != STREAM {
+            if name != STREAM && name != MAX_TOKENS {
                 map.serialize_entry(name, value)?;
             }
         }
@@ -176,6 +183,8 @@
         if !self.delivered.is_empty() {
             map.serialize_entry(CONTINUE_FROM, self.delivered)?;
         }
+        let delivered = self.delivered.len() as u32;
+        map.serialize_entry(MAX_TOKENS, &self.max_tokens.saturating_sub(delivered))?;
         map.end()
     }
 }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -3,6 +3,21 @@
 
 pub mod caller;
 pub mod daemon;
+pub mod engines;
+
+use std::time::{Duration, Instant};
 
 pub use caller::{Answer, Caller};
 pub use daemon::TestDaemon;
+
+/// The longest that anything awaited may take.
+const DEADLINE: Duration = Duration::from_secs(20);
+
+/// Waits until `condition` holds.
+pub fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    let give_up_at = Instant::now() + DEADLINE;
+    while !condition() {
+        assert!(Instant::now() < give_up_at, "not in time: {what}");
+        std::thread::yield_now();
+    }
+}
