--- a/crates/system-tests/src/settings_file.rs
+++ b/crates/system-tests/src/settings_file.rs
@@ -45,11 +45,18 @@
     pub(crate) zone: String,
     pub(crate) seeds: Vec<SocketAddr>,
     pub(crate) history_file: PathBuf,
+    pub(crate) log: LogSection,
     pub(crate) listen: ListenSection,
     pub(crate) platform: PlatformSection,
     pub(crate) bootstrap: BootstrapSection,
 }
 
+/// What the daemon logs.
+#[derive(Debug, Serialize)]
+pub(crate) struct LogSection {
+    pub(crate) level: &'static str,
+}
+
 /// Where the daemon listens.
 #[derive(Debug, Clone, Copy, Serialize)]
 pub(crate) struct ListenSection {
--- a/crates/system-tests/src/system.rs
+++ b/crates/system-tests/src/system.rs
@@ -18,7 +18,7 @@
 use crate::finished::FinishedRun;
 use crate::process::Programs;
 use crate::settings_file::{
-    BootstrapSection, EngineSection, PlatformSection, SettingsFile, route, tenant,
+    BootstrapSection, EngineSection, LogSection, PlatformSection, SettingsFile, route, tenant,
 };
 use crate::standin::Standin;
 use crate::temporary::TemporaryDirectory;
@@ -184,6 +184,7 @@
             zone: daemon.options.zone.to_string(),
             seeds,
             history_file: daemon.next_history_file(directory),
+            log: LogSection { level: "error" },
             listen: daemon.listen(),
             platform,
             bootstrap: if daemon.options.bootstrap {
