--- a/crates/daemon/src/state/engines.rs
+++ b/crates/daemon/src/state/engines.rs
@@ -3,7 +3,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
 
+use driftspring_membership::merge_engines;
 use driftspring_types::{EngineId, EngineRecord};
 
 /// This daemon's own counters for one engine.
@@ -63,23 +65,47 @@
         self.entries.values()
     }
 
-    /// A table in which `record` replaces an older one of its engine; nothing where it is not newer.
+    /// A table in which `record` is merged with what is known of its engine; nothing where that
+    /// changes nothing.
     pub fn with_record(&self, record: EngineRecord) -> Option<Self> {
-        let known = self.entries.get(&record.id);
-        if known.is_some_and(|known| !record.supersedes(&known.record)) {
-            return None;
-        }
-        let counters = known
-            .map(|known| Arc::clone(&known.counters))
-            .unwrap_or_default();
+        let entry = merged_entry(self.entries.get(&record.id), &record)?;
         let mut entries = self.entries.clone();
-        entries.insert(
-            record.id.clone(),
-            Arc::new(EngineEntry { record, counters }),
-        );
+        entries.insert(record.id, entry);
         Some(Self { entries })
     }
 
+    /// A table of exactly the engines in `records` and of the bootstrap engines that never
+    /// reported, each merged with what is known here. `now` is the time since the daemon started.
+    pub fn rebuilt<'a>(
+        &self,
+        records: impl Iterator<Item = &'a EngineRecord>,
+        now: Duration,
+    ) -> Self {
+        let now_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+        let never_reported =
+            |(_, entry): &(&EngineId, &Arc<EngineEntry>)| entry.record.incarnation.0 == 0;
+        let mut entries: HashMap<EngineId, Arc<EngineEntry>> = self
+            .entries
+            .iter()
+            .filter(never_reported)
+            .map(|(id, entry)| (id.clone(), Arc::clone(entry)))
+            .collect();
+        for record in records {
+            let known = self.entries.get(&record.id);
+            let entry = match (merged_entry(known, record), known) {
+                (Some(entry), _) => {
+                    let reported_at = &entry.counters.reported_at_ms;
+                    reported_at.store(now_ms, Ordering::Relaxed);
+                    entry
+                }
+                (None, Some(known)) => Arc::clone(known),
+                (None, None) => continue,
+            };
+            entries.insert(record.id.clone(), entry);
+        }
+        Self { entries }
+    }
+
     /// A table without the engine `id`.
     pub fn without(&self, id: &EngineId) -> Self {
         let mut entries = self.entries.clone();
@@ -87,3 +113,24 @@
         Self { entries }
     }
 }
+
+/// The entry after `record` is merged with the known one; nothing where that changes nothing.
+fn merged_entry(
+    known: Option<&Arc<EngineEntry>>,
+    record: &EngineRecord,
+) -> Option<Arc<EngineEntry>> {
+    let Some(known) = known else {
+        return Some(Arc::new(EngineEntry {
+            record: record.clone(),
+            counters: Arc::default(),
+        }));
+    };
+    let merged = merge_engines(&known.record, record);
+    if merged == known.record {
+        return None;
+    }
+    Some(Arc::new(EngineEntry {
+        record: merged,
+        counters: Arc::clone(&known.counters),
+    }))
+}
--- a/crates/daemon/src/state/mod.rs
+++ b/crates/daemon/src/state/mod.rs
@@ -4,6 +4,7 @@
 //! swap it in. Writers: `sync` for configuration, engines and members; `pipeline` for load counters.
 
 mod engines;
+mod gossip;
 mod replica;
 
 use std::net::SocketAddr;
@@ -20,6 +21,7 @@
 use crate::pipeline::RetryBudget;
 
 pub use engines::{EngineEntry, EngineLoadCounters, EngineTable};
+pub use gossip::{GossipCommand, GossipMailbox};
 pub use replica::{PullSource, SharedReplica};
 
 /// How far a process is on its way to its end.
@@ -59,6 +61,8 @@
     pub replica: SharedReplica,
     /// The replicated configuration.
     pub config: ArcSwap<ConfigView>,
+    /// The way to the gossip thread.
+    pub gossip: GossipMailbox,
     /// The engines known.
     pub engines: ArcSwap<EngineTable>,
     /// The daemons known, this one included.
@@ -93,6 +97,7 @@
             addresses,
             started_at: Instant::now(),
             config: ArcSwap::from_pointee(ConfigView::default()),
+            gossip: GossipMailbox::default(),
             engines: ArcSwap::from_pointee(EngineTable::default()),
             members: ArcSwap::from_pointee(Vec::new()),
             recorder,
--- a/crates/external/src/lib.rs
+++ b/crates/external/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod engine;
 pub mod kv_store;
 pub mod legacy;
+pub mod machines;
 pub mod object_store;
 mod service;
 
--- a/crates/telemetry/src/events/sync.rs
+++ b/crates/telemetry/src/events/sync.rs
@@ -2,6 +2,15 @@
 
 crate::event_codes! {
     CONFIGURATION_IN_FORCE = 3000, Info, "A newer configuration is in force; the field gives the revision up to which it is complete.";
+    MEMBER_CHANGED = 3001, Info, "Another daemon is new or has another life or state; the fields give what is believed of it.";
+    ENGINE_CHANGED = 3002, Info, "An engine is new or has another life, weights version or health.";
+    ENGINE_UNREACHABLE = 3003, Warn, "An engine does not answer its observer; it gets no new requests until it does.";
+    OWN_INCARNATION_RAISED = 3004, Warn, "Other daemons knew a later life under this daemon's name, because the clock was set back or two daemons have one name. Check the names if this repeats.";
+    GOSSIP_UNDECODABLE = 3005, Warn, "A datagram on the peer address does not decode and was dropped. Check what sends it, or the versions of the daemons.";
+    GOSSIP_NOT_SENT = 3006, Warn, "A gossip datagram could not be sent; the next one makes up for it.";
+    GOSSIP_NOT_RECEIVED = 3007, Error, "The gossip socket failed; the daemon tries again.";
+    MACHINE_LIST_UNREACHABLE = 3008, Warn, "The machine list did not answer; engines and daemons known stay known. Logged once until it answers again.";
+    OBSERVER_FAILED = 3009, Error, "The observer of engines could not be started; this daemon learns of engines from the others only. Restart it.";
     OBJECT_REJECTED = 3500, Error, "A configuration object does not parse and is left out; the others are in force. Correct the object in the store.";
     PULL_FAILED = 3501, Warn, "A copy of the configuration from another daemon failed; the next gossip message leads to another attempt.";
     STORE_UNREACHABLE = 3502, Warn, "The object store did not answer; what is in force stays in force, and the daemon tries again.";
