--- a/crates/daemon/src/pipeline/choose_engine.rs
+++ b/crates/daemon/src/pipeline/choose_engine.rs
@@ -122,7 +122,9 @@
             safety,
             cause: anyhow!(error.clone()),
         };
-        let retry_after = retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
+        let retry_after = retry_after
+            .filter(|time| !time.is_zero())
+            .unwrap_or(DEFAULT_RETRY_AFTER);
         refusal_of(error, NotRunReason::EnginesRefused, retry_after)
     }
 }
--- a/crates/daemon/src/pipeline/mod.rs
+++ b/crates/daemon/src/pipeline/mod.rs
@@ -49,12 +49,12 @@
 use worker::WorkerState;
 
 pub use choose_engine::{EngineChoice, TriedEngines};
+pub use engine_table::add_bootstrap_engines;
 pub use retry_budget::RetryBudget;
 pub use sequence::{SequenceGate, SequenceStep};
 
 /// Adds the callers' routes to a worker's application.
 pub fn configure(config: &mut ServiceConfig, state: Arc<DaemonState>) {
-    engine_table::add_bootstrap_engines(&state);
     config.state(Rc::new(WorkerState::new(state)));
     config.service(web::resource(Endpoint::Completions.path()).route(web::post().to(completions)));
     config.service(
--- a/crates/daemon/src/runtime/mod.rs
+++ b/crates/daemon/src/runtime/mod.rs
@@ -57,6 +57,7 @@
         };
         let addresses = listeners.addresses()?;
         let state = DaemonState::new(settings, incarnation, addresses, recorder);
+        pipeline::add_bootstrap_engines(&state);
         let (stop_sender, stop_receiver) = stop::channel();
         let (started_sender, started_receiver) = mpsc::channel();
         let thread_state = Arc::clone(&state);
--- a/crates/daemon/tests/bad_input_tests.rs
+++ b/crates/daemon/tests/bad_input_tests.rs
@@ -8,9 +8,8 @@
 
 use quickcheck::quickcheck;
 use serde_json::json;
-use support::caller::OpenAnswer;
-use support::daemon::MODEL;
-use support::{Answer, Caller, TestDaemon};
+use support::caller::{Answer, Caller, OpenAnswer};
+use support::daemon::{MODEL, TestDaemon};
 
 fn assert_refused(answer: &Answer, status: u16, field: &str) {
     let error = &answer.json()["error"];
--- a/crates/daemon/tests/stream_tests.rs
+++ b/crates/daemon/tests/stream_tests.rs
@@ -8,10 +8,10 @@
 use driftspring_standin::FaultUpdate;
 use driftspring_standin::engine::RunEnd;
 use serde_json::json;
-use support::caller::StreamedAnswer;
-use support::daemon::MODEL;
+use support::caller::{Answer, StreamedAnswer};
+use support::daemon::{MODEL, TestDaemon};
 use support::engines::{Engines, expected_tokens};
-use support::{Answer, TestDaemon, wait_until};
+use support::wait_until;
 
 const PROMPT: &str = "band 4: 2 to 8 degrees; depot 7; truck 12; log:";
 const TOKENS: u32 = 24;
--- a/crates/daemon/tests/support/daemon.rs
+++ b/crates/daemon/tests/support/daemon.rs
@@ -6,7 +6,8 @@
 use driftspring_settings::{BootstrapEngine, Settings};
 use driftspring_types::{KeyHash, Route, Tenant, WeightsVersion};
 
-use super::{Caller, wait_until};
+use super::caller::Caller;
+use super::wait_until;
 
 /// The bearer key of the tenant.
 pub const KEY: &str = "key-of-depots";
