--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,12 +6,17 @@
 //! - [`overhead`]: what the router costs compared with calling the engine directly.
 //! - [`compare`]: routing policies against each other in virtual time.
 //! - [`scale`]: membership and configuration over hundreds of daemons in one process.
+//! - [`embedded`]: a whole system within this process.
+//! - [`load`], [`caller`]: open-loop load and the callers that time and check each stream.
 //! - [`report`]: tables, JSON and HTML with plots.
 
+pub mod caller;
 pub mod compare;
 pub mod demo;
+pub mod embedded;
 pub mod flags;
 pub mod live;
+pub mod load;
 pub mod overhead;
 pub mod report;
 pub mod scale;
