--- /dev/null
+++ b/crates/daemon/src/operator/tables/system.rs
@@ -0,0 +1,84 @@
+//! Tables of daemons, engines and what they have cached.
+
+use std::sync::atomic::Ordering;
+
+use driftspring_language::Row;
+use driftspring_telemetry::metrics::MetricLabel;
+use driftspring_types::{ConfigView, EngineId, EngineIntent, MemberRecord};
+
+use crate::state::{DaemonState, EngineTable};
+
+/// The rows of `engines`.
+pub fn engines(config: &ConfigView, engines: &EngineTable) -> Vec<Row> {
+    let entries = engines.iter();
+    entries
+        .map(|entry| {
+            let record = &entry.record;
+            let load = record.load;
+            let open_here = entry.counters.open_requests.load(Ordering::Relaxed);
+            vec![
+                record.id.as_str().into(),
+                record.zone.as_str().into(),
+                record.model.as_str().into(),
+                record.weights_version.0.into(),
+                record.health.text().into(),
+                intent(config, &record.id).into(),
+                load.running.into(),
+                load.queued.into(),
+                load.pending_prefill_tokens.into(),
+                open_here.into(),
+                load.cached_blocks.into(),
+                load.cache_capacity_blocks.into(),
+                record.incarnation.0.into(),
+                record.address.as_str().into(),
+            ]
+        })
+        .collect()
+}
+
+fn intent(config: &ConfigView, engine: &EngineId) -> &'static str {
+    let directive = config.engines.get(engine);
+    match directive.map(|directive| directive.intent) {
+        Some(EngineIntent::Drain) => "drain",
+        Some(EngineIntent::Serve) | None => "serve",
+    }
+}
+
+/// The rows of `members`.
+pub fn members(members: &[MemberRecord]) -> Vec<Row> {
+    members
+        .iter()
+        .map(|member| {
+            vec![
+                member.id.as_str().into(),
+                member.zone.as_str().into(),
+                member.state.text().into(),
+                member.complete_to.0.into(),
+                member.incarnation.0.into(),
+                member.caller_address.as_str().into(),
+                member.operator_address.as_str().into(),
+                member.peer_address.as_str().into(),
+            ]
+        })
+        .collect()
+}
+
+/// The rows of `cache`.
+pub fn cache(state: &DaemonState) -> Vec<Row> {
+    let engines = state.engines.load();
+    let entries = engines.iter();
+    entries
+        .map(|entry| {
+            let record = &entry.record;
+            vec![
+                record.id.as_str().into(),
+                record.model.as_str().into(),
+                record.weights_version.0.into(),
+                driftspring_language::Cell::Empty,
+                record.load.cached_blocks.into(),
+                record.load.cache_capacity_blocks.into(),
+                record.incarnation.0.into(),
+            ]
+        })
+        .collect()
+}
--- a/crates/language/src/error.rs
+++ b/crates/language/src/error.rs
@@ -2,8 +2,11 @@
 
 use std::fmt;
 
+use serde::{Deserialize, Serialize};
+
 /// What stood in the place of something expected.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Found {
     /// The statement's end.
     End,
@@ -21,7 +24,7 @@
 }
 
 /// An error in a statement.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ParseError {
     /// Where the faulty part begins, in characters from 1.
     pub column: usize,
--- a/crates/language/src/lib.rs
+++ b/crates/language/src/lib.rs
@@ -4,8 +4,9 @@
 //! - [`Statement`] prints itself in the form that [`parse`] reads back.
 //! - [`select`] applies a query's conditions, order and limit to the rows of a table.
 //!
-//! `docs/LANGUAGE.md` has the grammar with examples.
+//! [`api`] has the messages between `driftctl` and a daemon. `docs/LANGUAGE.md` has the grammar with examples.
 
+pub mod api;
 mod command;
 mod error;
 mod parser;
