--- a/crates/daemon/src/pipeline/answer.rs
+++ b/crates/daemon/src/pipeline/answer.rs
@@ -7,6 +7,7 @@
 use driftspring_external::engine::{
     AnswerChunk, AnswerHead, AnswerItem, EngineClient, EngineError,
 };
+use driftspring_settings::MechanismSettings;
 use driftspring_telemetry::events::pipeline;
 use driftspring_telemetry::log_event;
 use driftspring_telemetry::metrics::ExtraAttempt;
@@ -96,9 +97,9 @@
         &self.delivered
     }
 
-    /// Whether broken streams are recovered; off in experiments only.
-    pub fn is_protected(&self) -> bool {
-        self.worker.daemon.settings.mechanisms.resume_streams
+    /// The mechanisms that are on; all of them but in experiments.
+    pub fn mechanisms(&self) -> &MechanismSettings {
+        &self.worker.daemon.settings.mechanisms
     }
 
     /// The next chunk; the one with a finish is the last.
@@ -163,7 +164,7 @@
 
     /// Takes a chunk that is the next one; nothing for one that is dropped.
     fn accept(&mut self, chunk: AnswerChunk) -> Result<Option<AnswerChunk>, EngineError> {
-        let step = if self.is_protected() {
+        let step = if self.mechanisms().resume_streams {
             self.gate.step(&chunk)
         } else {
             SequenceStep::Next
@@ -225,7 +226,7 @@
             self.context.id,
             self.delivered.len()
         );
-        if !self.is_protected() {
+        if !self.mechanisms().resume_streams {
             return Err(self.unknown(&error));
         }
         if self.resume(&error).await {
--- a/crates/daemon/src/pipeline/mod.rs
+++ b/crates/daemon/src/pipeline/mod.rs
@@ -92,6 +92,7 @@
     match serve(worker, endpoint, request, payload, &mut account).await {
         Ok(response) => response,
         Err(refusal) => {
+            let refusal = refusal.classified(&worker.daemon.settings.mechanisms);
             account.settle(&refusal.outcome);
             refusal.log(id);
             refusal.response(id)
--- a/crates/daemon/src/pipeline/refusal.rs
+++ b/crates/daemon/src/pipeline/refusal.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use anyhow::anyhow;
+use driftspring_settings::MechanismSettings;
 use driftspring_telemetry::events::pipeline;
 use driftspring_telemetry::log_event;
 use driftspring_types::{NotRunReason, Outcome, Peer, RequestId, RetrySafety, Step, StepError};
@@ -75,6 +76,18 @@
         self
     }
 
+    /// What the caller is told while outcomes are not classified, in experiments: "not run" always.
+    pub fn classified(self, mechanisms: &MechanismSettings) -> Self {
+        if mechanisms.classify_outcomes || self.reason().is_some() {
+            return self;
+        }
+        let outcome = Outcome::NotRun {
+            reason: NotRunReason::EnginesRefused,
+            retry_after: DEFAULT_RETRY_AFTER,
+        };
+        Self { outcome, ..self }
+    }
+
     /// Logs the refusal.
     pub fn log(&self, id: RequestId) {
         match &self.outcome {
--- a/crates/daemon/tests/support/daemon.rs
+++ b/crates/daemon/tests/support/daemon.rs
@@ -1,10 +1,11 @@
 //! A daemon on loopback with one tenant and one route.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use driftspring::{Daemon, RunningDaemon};
 use driftspring_settings::{BootstrapEngine, Settings};
-use driftspring_types::{KeyHash, Route, Tenant, WeightsVersion};
+use driftspring_types::{EngineDirective, EngineIntent, KeyHash, Route, Tenant, WeightsVersion};
 
 use super::caller::Caller;
 use super::wait_until;
@@ -38,6 +39,18 @@
         Self { running }
     }
 
+    /// Puts the operators' wish in force that `engine` takes no new requests.
+    pub fn drain(&self, engine: &str) {
+        let state = &self.running.state;
+        let mut config = (*state.config.load_full()).clone();
+        let directive = EngineDirective {
+            id: engine.into(),
+            intent: EngineIntent::Drain,
+        };
+        config.engines.insert(directive.id.clone(), directive);
+        state.config.store(Arc::new(config));
+    }
+
     /// A caller of this daemon.
     pub fn caller(&self) -> Caller {
         Caller::new(self.running.addresses().callers)
