--- /dev/null
+++ b/crates/driftctl/src/main.rs
@@ -0,0 +1,7 @@
+//! The program `driftctl`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    driftctl::main()
+}
