--- a/crates/bench/src/flags.rs
+++ b/crates/bench/src/flags.rs
@@ -47,6 +47,18 @@
             /// Where to write the result as JSON.
             optional --json json: PathBuf
         }
+        /// Serves stand-in engines until the standard input ends; used by `overhead`.
+        cmd serve-engines {
+            /// Number of engines.
+            required --count count: usize
+        }
+        /// Serves one daemon until the standard input ends; used by `overhead`.
+        cmd serve-daemon {
+            /// The engines' `IP:port`, separated by commas.
+            required --engines engines: String
+            /// Worker threads.
+            optional --workers workers: usize
+        }
         /// Compares routing policies on the same trace in virtual time.
         cmd compare {
             /// Seed of the workload.
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -20,6 +20,12 @@
         DriftspringBenchCmd::Demo(options) => driftspring_bench::demo::run(&options),
         DriftspringBenchCmd::Run(options) => driftspring_bench::live::run(&options),
         DriftspringBenchCmd::Overhead(options) => driftspring_bench::overhead::run(&options),
+        DriftspringBenchCmd::ServeEngines(options) => {
+            driftspring_bench::overhead::serve_engines(&options)
+        }
+        DriftspringBenchCmd::ServeDaemon(options) => {
+            driftspring_bench::overhead::serve_daemon(&options)
+        }
         DriftspringBenchCmd::Compare(options) => driftspring_bench::compare::run(&options),
         DriftspringBenchCmd::Scale(options) => driftspring_bench::scale::run(&options),
     }
