--- a/crates/bench/src/overhead/serve.rs
+++ b/crates/bench/src/overhead/serve.rs
@@ -2,6 +2,7 @@
 
 use std::io::Read;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use anyhow::Context;
 use driftspring::Daemon;
@@ -11,7 +12,6 @@
 use driftspring_types::{
     DaemonId, EngineId, KeyHash, ModelName, Route, Tenant, WeightsVersion, ZoneName,
 };
-use std::time::Duration;
 
 use crate::caller::bearer_key;
 use crate::embedded::tenant_name;
@@ -25,6 +25,9 @@
 /// Time-outs that no part of the measurement reaches.
 const LONG: Duration = Duration::from_secs(300);
 
+/// Short, so that the engines' memory stays small at thousands of requests per second.
+const ANSWER_RETENTION: Duration = Duration::from_millis(500);
+
 /// The model that the engines serve.
 pub(super) const MODEL: &str = "model";
 
@@ -37,6 +40,7 @@
         .map(|number| {
             let mut standin = EngineStandinOptions::loopback(&engine_id(number), ZONE, MODEL);
             standin.engine = fast_engine();
+            standin.answer_retention = ANSWER_RETENTION;
             engine::start(standin)
         })
         .collect::<anyhow::Result<Vec<RunningEngine>>>()?;
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -54,6 +54,8 @@
     pub load_time: Duration,
     /// How long a request goes on after its last reader hung up, so that it may be resumed.
     pub hang_up_grace: Duration,
+    /// How long a finished answer may be resumed after its last reader left.
+    pub answer_retention: Duration,
     /// Limits and speeds.
     pub engine: EngineOptions,
 }
@@ -70,6 +72,7 @@
             weight_store: None,
             load_time: Duration::from_millis(600),
             hang_up_grace: Duration::from_secs(2),
+            answer_retention: Duration::from_secs(30),
             engine: EngineOptions::default(),
         }
     }
