--- a/crates/daemon/src/pipeline/account.rs
+++ b/crates/daemon/src/pipeline/account.rs
@@ -10,6 +10,7 @@
 
 use super::admit::AdmissionPermit;
 use super::claim::ClaimHold;
+use super::refusal::DEFAULT_RETRY_AFTER;
 use crate::state::DaemonState;
 
 /// One request in the books of this daemon, from its first byte to its last.
@@ -94,8 +95,14 @@
 
 impl Drop for Account {
     fn drop(&mut self) {
-        if let Some(open) = &self.open {
+        if let Some(open) = &mut self.open {
             open.daemon.metrics.abandoned_requests.inc();
+            if let Some(claim) = open.claim.take() {
+                // The engine may have run the request before its work was cancelled.
+                claim.settle(&Outcome::Unknown {
+                    retry_after: DEFAULT_RETRY_AFTER,
+                });
+            }
             log_event!(pipeline::CALLER_HUNG_UP, "request={}", self.id);
         }
     }
--- a/crates/daemon/src/pipeline/decode.rs
+++ b/crates/daemon/src/pipeline/decode.rs
@@ -16,6 +16,9 @@
 use super::refusal::{DEFAULT_RETRY_AFTER, Refusal};
 use crate::state::DaemonState;
 
+/// Memory set aside for a body before any of it has come, whatever length it announces.
+const MAX_RESERVED_BYTES: usize = 256 * 1024;
+
 /// A request as its caller sent it, read and checked.
 #[derive(Debug)]
 pub struct DecodedRequest {
@@ -75,7 +78,7 @@
     announced: usize,
     mut payload: Payload,
 ) -> Result<Bytes, Refusal> {
-    let mut body = BytesMut::with_capacity(announced);
+    let mut body = BytesMut::with_capacity(announced.min(MAX_RESERVED_BYTES));
     while let Some(piece) = payload.recv().await {
         let piece = piece.map_err(|error| {
             let message = format!("the body ended early: {error}");
--- a/crates/daemon/src/pipeline/headers.rs
+++ b/crates/daemon/src/pipeline/headers.rs
@@ -4,7 +4,7 @@
 
 use driftspring_types::{IdempotencyKey, RequestId, Step};
 use ntex::http::HeaderMap;
-use uuid::Uuid;
+use uuid::{Uuid, Version};
 
 use super::refusal::Refusal;
 
@@ -29,6 +29,8 @@
 
 /// The longest idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 256;
+/// The longest deadline; longer ones are shortened to it.
+const MAX_DEADLINE: Duration = Duration::from_secs(24 * 60 * 60);
 /// The highest priority.
 const MAX_PRIORITY: u8 = 9;
 
@@ -61,7 +63,7 @@
             idempotency: idempotency(map)?,
             repeatable: parsed(map, REPEATABLE, "true or false")?.unwrap_or(true),
             deadline: parsed(map, DEADLINE_MS, "a number of milliseconds")?
-                .map(Duration::from_millis),
+                .map(|milliseconds| Duration::from_millis(milliseconds).min(MAX_DEADLINE)),
             priority: parsed(map, PRIORITY, "a number from 0 to 9")?,
         };
         if headers
@@ -105,7 +107,11 @@
 
 /// The time in a UUID version 7, in milliseconds since the Unix epoch.
 fn time_of_uuid(key: &str) -> Option<u64> {
-    let (seconds, nanoseconds) = Uuid::try_parse(key).ok()?.get_timestamp()?.to_unix();
+    let uuid = Uuid::try_parse(key).ok()?;
+    if uuid.get_version() != Some(Version::SortRand) {
+        return None;
+    }
+    let (seconds, nanoseconds) = uuid.get_timestamp()?.to_unix();
     Some(seconds * 1000 + u64::from(nanoseconds / 1_000_000))
 }
 
--- a/crates/daemon/tests/bad_input_tests.rs
+++ b/crates/daemon/tests/bad_input_tests.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::io::Write;
+use std::io::{ErrorKind, Read, Write};
 use std::sync::OnceLock;
 use std::time::Duration;
 
@@ -134,6 +134,41 @@
     assert_refused(&OpenAnswer::read_head(connection).finish(), 408, "body");
 }
 
+#[test]
+fn slow_or_oversized_headers_end_the_connection() {
+    let daemon = TestDaemon::start(&[], |_| ());
+    let start = "POST /v1/completions HTTP/1.1\r\nhost: d\r\n";
+    let unfinished = daemon.caller().send_raw(start.as_bytes());
+    assert_eq!(unfinished.status, 408);
+    let oversized = format!("{start}x-padding: {}\r\n\r\n", "x".repeat(200_000));
+    let mut connection = daemon.caller().connect();
+    // The daemon may close, or reset the connection, before it has read everything.
+    let _ = connection.write_all(oversized.as_bytes());
+    let ended = connection
+        .read_to_end(&mut Vec::new())
+        .map_err(|error| error.kind());
+    assert!(
+        matches!(ended, Ok(_) | Err(ErrorKind::ConnectionReset)),
+        "{ended:?}"
+    );
+    assert_eq!(daemon.caller().complete(&[], "text", 1).status, 503);
+}
+
+#[test]
+fn extreme_numbers_in_headers_do_no_harm() {
+    let daemon = TestDaemon::start(&[], |_| ());
+    let largest = u64::MAX.to_string();
+    for name in ["x-deadline-ms", "x-idempotency-issued-at"] {
+        let headers = [(name, largest.as_str()), ("idempotency-key", "key")];
+        let answer = daemon.caller().complete(&headers, "text", 1);
+        assert_eq!(answer.json()["error"]["code"], "no_engine");
+    }
+    let passed = daemon
+        .caller()
+        .complete(&[("x-deadline-ms", "0")], "text", 1);
+    assert_eq!(passed.json()["error"]["code"], "deadline_passed");
+}
+
 #[test]
 fn models_lists_the_routes_of_the_tenant() {
     let daemon = TestDaemon::start(&[], |_| ());
