--- a/crates/driftctl/src/output.rs
+++ b/crates/driftctl/src/output.rs
@@ -79,10 +79,18 @@
                 error: Some(error),
                 cause: None,
             }),
-            OutputFormat::Table => writeln!(self.errors, "{place}{}", error.render(text)),
+            OutputFormat::Table => self.marked(place, text, error),
         }
     }
 
+    /// Writes a faulty statement with a mark below the fault; the place stands on a line before it.
+    fn marked(&mut self, place: &str, text: &str, error: &ParseError) -> io::Result<()> {
+        if !place.is_empty() {
+            writeln!(self.errors, "{}", place.trim_end())?;
+        }
+        writeln!(self.errors, "{}", error.render(text))
+    }
+
     /// Writes that no daemon answered.
     pub(crate) fn no_answer(&mut self, place: &str, error: &CallError) -> io::Result<()> {
         let status = match error {
@@ -143,9 +151,7 @@
                     "{place}unknown: {key} may have been changed, or may yet (write {write_id}): {cause}"
                 )
             }
-            StatementAnswer::Invalid { error } => {
-                writeln!(self.errors, "{place}{}", error.render(text))
-            }
+            StatementAnswer::Invalid { error } => self.marked(place, text, error),
         }
     }
 
--- a/crates/driftctl/tests/end_to_end.rs
+++ b/crates/driftctl/tests/end_to_end.rs
@@ -181,6 +181,17 @@
     freeze(&system, false);
 }
 
+#[test]
+fn store_out_of_reach_is_a_refusal() {
+    let system = TestSystem::start_without_store();
+    let answer = system.driftctl(0, &[ADD_TENANT]);
+    assert_eq!(answer.exit, 1, "{answer:?}");
+    assert_eq!(answer.only()["refusal"]["reason"], "store_unreachable");
+    let planned = system.driftctl(0, &["--dry-run", ADD_TENANT]);
+    assert_eq!(planned.exit, 0, "{planned:?}");
+    assert_eq!(system.driftctl(0, &["show leases"]).exit, 1);
+}
+
 #[test]
 fn script_stops_at_the_first_error_where_asked() {
     let system = TestSystem::start(1);
--- a/crates/driftctl/tests/without_daemon.rs
+++ b/crates/driftctl/tests/without_daemon.rs
@@ -62,6 +62,18 @@
     assert!(answer.standard.ends_with("(0 rows)\n"));
 }
 
+#[test]
+fn fault_in_a_script_names_file_and_line() {
+    let file = std::env::temp_dir().join(format!("driftctl-fault-{}.txt", std::process::id()));
+    std::fs::write(&file, "# first\nshow rotues\n").expect("a temporary file");
+    let path = file.to_str().expect("UTF-8");
+    let answer = run(&["-f", path]);
+    std::fs::remove_file(&file).expect("the file is there");
+    assert_eq!(answer.exit, 2);
+    let expected = format!("{path}:2:\nshow rotues\n     ^^^^^^\n");
+    assert!(answer.errors.starts_with(&expected), "{}", answer.errors);
+}
+
 #[test]
 fn statements_are_read_from_standard_input() {
     let mut child = command(&["--output", "json"])
--- a/crates/language/src/parser/commands.rs
+++ b/crates/language/src/parser/commands.rs
@@ -146,14 +146,19 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RouteOption {
+    Change(RouteChangeOption),
+    Legacy,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RouteChangeOption {
     Priority,
     Cache,
-    Legacy,
 }
 
-const CHANGE_OPTIONS: [(&str, RouteOption); 2] = [
-    ("priority", RouteOption::Priority),
-    ("cache", RouteOption::Cache),
+const CHANGE_OPTIONS: [(&str, RouteChangeOption); 2] = [
+    ("priority", RouteChangeOption::Priority),
+    ("cache", RouteChangeOption::Cache),
 ];
 
 fn add_route(cursor: &mut Cursor<'_>) -> Parsed<Command> {
@@ -171,15 +176,19 @@
         change: RouteChange::default(),
         legacy: None,
     };
-    let mut possible = CHANGE_OPTIONS.to_vec();
-    possible.push(("legacy", RouteOption::Legacy));
+    let mut possible: Vec<(&str, RouteOption)> = CHANGE_OPTIONS
+        .iter()
+        .map(|(word, option)| (*word, RouteOption::Change(*option)))
+        .chain([("legacy", RouteOption::Legacy)])
+        .collect();
     while let Some(option) = cursor.choice_or_end(&possible)? {
-        if option == RouteOption::Legacy {
-            let address = cursor.address("the legacy upstream")?;
-            let share = cursor.percent("the share of the legacy upstream")?;
-            added.legacy = Some((address, share));
-        } else {
-            route_option(cursor, option, &mut added.change)?;
+        match option {
+            RouteOption::Legacy => {
+                let address = cursor.address("the legacy upstream")?;
+                let share = cursor.percent("the share of the legacy upstream")?;
+                added.legacy = Some((address, share));
+            }
+            RouteOption::Change(option) => route_change(cursor, option, &mut added.change)?,
         }
         possible.retain(|(_, other)| *other != option);
     }
@@ -194,26 +203,25 @@
     }
     let mut change = RouteChange::default();
     while let Some(option) = cursor.choice_or_end(&possible)? {
-        route_option(cursor, option, &mut change)?;
+        route_change(cursor, option, &mut change)?;
         possible.retain(|(_, other)| *other != option);
     }
     Ok(Command::SetRoute { route, change })
 }
 
-fn route_option(
+fn route_change(
     cursor: &mut Cursor<'_>,
-    option: RouteOption,
+    option: RouteChangeOption,
     change: &mut RouteChange,
 ) -> Parsed<()> {
     match option {
-        RouteOption::Priority => {
+        RouteChangeOption::Priority => {
             let priority = cursor.number("the priority", 0..=Priority::MAX)?;
             change.priority = Priority::new(priority);
         }
-        RouteOption::Cache => {
+        RouteChangeOption::Cache => {
             change.use_cache = Some(cursor.choice(&[("on", true), ("off", false)])?);
         }
-        RouteOption::Legacy => {}
     }
     Ok(())
 }
