--- a/crates/claims/src/key.rs
+++ b/crates/claims/src/key.rs
@@ -89,7 +89,7 @@
 }
 
 /// The longest idempotency key, in bytes.
-pub const MAX_KEY_BYTES: usize = 255;
+pub const MAX_KEY_BYTES: usize = 256;
 
 impl IssuedKey {
     /// Reads a key and its time of issue from the values of [`KEY_HEADER`] and
--- a/crates/daemon/src/pipeline/account.rs
+++ b/crates/daemon/src/pipeline/account.rs
@@ -8,10 +8,10 @@
 use driftspring_telemetry::log_event;
 use driftspring_types::{Outcome, RequestId};
 
-use super::admit::AdmissionPermit;
 use super::claim::ClaimHold;
 use super::refusal::DEFAULT_RETRY_AFTER;
 use crate::state::DaemonState;
+use driftspring_limits::Permit;
 
 /// One request in the books of this daemon, from its first byte to its last.
 pub struct Account {
@@ -23,7 +23,7 @@
 /// What is held while a request is open.
 struct OpenRequest {
     daemon: Arc<DaemonState>,
-    permit: Option<AdmissionPermit>,
+    permit: Option<Permit>,
     claim: Option<ClaimHold>,
 }
 
@@ -57,7 +57,7 @@
     }
 
     /// Keeps `permit` until the request ends.
-    pub fn hold_permit(&mut self, permit: AdmissionPermit) {
+    pub fn hold_permit(&mut self, permit: Permit) {
         if let Some(open) = &mut self.open {
             open.permit = Some(permit);
         }
--- a/crates/daemon/src/pipeline/choose_engine.rs
+++ b/crates/daemon/src/pipeline/choose_engine.rs
@@ -10,6 +10,7 @@
     StepError,
 };
 
+use super::breaker;
 use super::context::RequestContext;
 use super::engine_table::UNKNOWN_WEIGHTS;
 use super::refusal::{DEFAULT_RETRY_AFTER, Refusal, refusal_of};
@@ -145,14 +146,21 @@
     let table = daemon.engines.load();
     let config = daemon.config.load();
     let heed_leaving = daemon.settings.mechanisms.heed_leaving;
-    let candidates: Vec<_> = table
+    let able: Vec<_> = table
         .iter()
         .filter(|engine| serves(engine, context))
         .filter(|engine| !heed_leaving || takes_new_work(engine, &config))
         .collect();
+    let now_ms = daemon.uptime_ms();
+    let candidates = breaker::passed(&able, context, now_ms);
+    if candidates.is_empty() && !able.is_empty() && tried.is_empty() {
+        return Err(breaker::all_open(&able, context, now_ms));
+    }
     let fresh = least_loaded(&candidates, |engine| tried.allows(engine));
     let chosen = fresh.or_else(|| least_loaded(&candidates, |engine| tried.allows_again(engine)));
     let engine = chosen.ok_or_else(|| tried.refusal(context))?;
+    // Where another thread has just begun the probe of the same engine, two requests probe it.
+    engine.counters.breaker.try_pass(now_ms);
     Ok(EngineChoice {
         engine,
         expected_cached_tokens: 0,
--- a/crates/daemon/src/pipeline/dispatch.rs
+++ b/crates/daemon/src/pipeline/dispatch.rs
@@ -84,11 +84,10 @@
     tried: &TriedEngines,
 ) -> Result<(), Refusal> {
     if tried.is_empty() {
-        daemon.retry_budget.count_first_attempt();
+        daemon.retry_budget.first_attempt();
         return Ok(());
     }
-    let percent = daemon.settings.request.retry_budget_percent;
-    if daemon.retry_budget.take_retry(percent) {
+    if daemon.retry_budget.try_retry() {
         return Ok(());
     }
     log_event!(pipeline::RETRY_BUDGET_SPENT, "request={}", context.id);
--- a/crates/daemon/src/pipeline/feedback.rs
+++ b/crates/daemon/src/pipeline/feedback.rs
@@ -5,6 +5,8 @@
 use std::sync::atomic::Ordering;
 
 use driftspring_external::engine::{AnswerHead, EngineError, EngineRefusal, RefusalKind};
+use driftspring_telemetry::events::pipeline;
+use driftspring_telemetry::log_event;
 use driftspring_types::{EngineHealth, EngineLoad, EngineRecord};
 
 use super::engine_table::put_record;
@@ -15,12 +17,13 @@
 
 /// Takes the report in the headers of an answer.
 pub fn answered(daemon: &DaemonState, engine: &EngineEntry, head: &AnswerHead) {
+    engine.counters.breaker.record_success();
     let Some(record) = reported(&engine.record, head) else {
         return;
     };
     let only_load_changed = record.incarnation == engine.record.incarnation
         && record.weights_version == engine.record.weights_version;
-    let now_ms = daemon.started_at.elapsed().as_millis() as u64;
+    let now_ms = daemon.uptime_ms();
     let reported_at_ms = engine.counters.reported_at_ms.load(Ordering::Relaxed);
     if only_load_changed && now_ms < reported_at_ms + LOAD_REPORT_INTERVAL_MS {
         return;
@@ -35,13 +38,30 @@
 /// Takes what a failed attempt says about its engine.
 pub fn failed(daemon: &DaemonState, engine: &EngineEntry, error: &EngineError) {
     let EngineError::Refused(refusal) = error else {
+        failed_to_answer(daemon, engine, error);
         return;
     };
+    engine.counters.breaker.record_success();
     if let Some(record) = refused(&engine.record, refusal) {
         put_record(daemon, &record);
     }
 }
 
+/// Counts a failure against the engine's breaker. An answer of whatever kind is none.
+fn failed_to_answer(daemon: &DaemonState, engine: &EngineEntry, error: &EngineError) {
+    let is_silent = matches!(
+        error,
+        EngineError::NotConnected(_) | EngineError::Broken(_) | EngineError::TimedOut(_)
+    );
+    if is_silent && engine.counters.breaker.record_failure(daemon.uptime_ms()) {
+        log_event!(
+            pipeline::BREAKER_OPENED,
+            "engine={} cause=\"{error}\"",
+            engine.record.id
+        );
+    }
+}
+
 /// The record after the report in `head`; nothing where it reports nothing.
 fn reported(known: &EngineRecord, head: &AnswerHead) -> Option<EngineRecord> {
     let load = head.load.unwrap_or_default();
--- a/crates/daemon/src/pipeline/headers.rs
+++ b/crates/daemon/src/pipeline/headers.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use driftspring_claims::IssuedKey;
 use driftspring_types::{IdempotencyKey, RequestId, Step};
 use ntex::http::HeaderMap;
-use uuid::{Uuid, Version};
+use uuid::Uuid;
 
 use super::refusal::Refusal;
 
@@ -101,18 +102,15 @@
     let named = parsed(map, ISSUED_AT, "milliseconds since the Unix epoch")?;
     Ok(Some(Idempotency {
         key: IdempotencyKey::from(key),
-        issued_at_ms: named.or_else(|| time_of_uuid(key)),
+        // The time inside the key goes first: it is the same in every attempt.
+        issued_at_ms: time_of_uuid(key).or(named),
     }))
 }
 
 /// The time in a UUID version 7, in milliseconds since the Unix epoch.
 fn time_of_uuid(key: &str) -> Option<u64> {
-    let uuid = Uuid::try_parse(key).ok()?;
-    if uuid.get_version() != Some(Version::SortRand) {
-        return None;
-    }
-    let (seconds, nanoseconds) = uuid.get_timestamp()?.to_unix();
-    Some(seconds * 1000 + u64::from(nanoseconds / 1_000_000))
+    let issued = IssuedKey::parse(key, None).ok()?;
+    Some(issued.issued_at.0)
 }
 
 fn parsed<T: std::str::FromStr>(
--- a/crates/daemon/src/pipeline/mod.rs
+++ b/crates/daemon/src/pipeline/mod.rs
@@ -13,6 +13,7 @@
 mod attempt;
 mod authenticate;
 mod body;
+mod breaker;
 mod choose_engine;
 mod claim;
 mod classify;
@@ -30,7 +31,6 @@
 mod pass_through;
 mod refusal;
 mod relay;
-mod retry_budget;
 mod sequence;
 mod share;
 mod worker;
@@ -50,7 +50,6 @@
 
 pub use choose_engine::{EngineChoice, TriedEngines};
 pub use engine_table::add_bootstrap_engines;
-pub use retry_budget::RetryBudget;
 pub use sequence::{SequenceGate, SequenceStep};
 
 /// Adds the callers' routes to a worker's application.
@@ -115,16 +114,18 @@
     let tenant = authenticate::authenticate(daemon, &config, request.headers())?;
     let route = match_route::match_route(&config, &tenant, &decoded.body.model)?;
     if let Some(upstream) = match_route::legacy_upstream(&route, &decoded.body.prompt) {
-        let permit = admit::admit(daemon, &tenant, decoded.deadline).await?;
-        account.hold_permit(permit);
+        account.hold_permit(admit::admit(daemon, &tenant)?);
+        if let Some(claim) = claim::claim(worker, &tenant, &decoded.headers).await? {
+            account.hold_claim(claim);
+        }
         return pass_through::pass_through(worker, upstream, request, decoded, account).await;
     }
+    let caller_headers = decoded.headers.clone();
     let priority = classify::classify(&decoded, &route);
     let scope = fingerprint::scope(daemon, &tenant, &route, &decoded.body.prompt);
     let context = RequestContext::new(decoded, tenant, route, priority, scope);
-    let permit = admit::admit(daemon, &context.tenant, context.deadline).await?;
-    account.hold_permit(permit);
-    if let Some(claim) = claim::claim(daemon, &context).await? {
+    account.hold_permit(admit::admit(daemon, &context.tenant)?);
+    if let Some(claim) = claim::claim(worker, &context.tenant, &caller_headers).await? {
         account.hold_claim(claim);
     }
     let context = Rc::new(context);
--- a/crates/daemon/src/pipeline/refusal.rs
+++ b/crates/daemon/src/pipeline/refusal.rs
@@ -27,6 +27,8 @@
     pub error: StepError,
     /// The field or header of the request that is at fault.
     pub field: Option<String>,
+    /// The reason as told to the caller in `code`.
+    pub code: Option<NotRunReason>,
     /// The HTTP status.
     pub status: StatusCode,
 }
@@ -41,6 +43,7 @@
             },
             error,
             field: None,
+            code: Some(reason),
             status: status_of(reason),
         }
     }
@@ -66,10 +69,18 @@
             },
             error,
             field: None,
+            code: None,
             status: StatusCode::BAD_GATEWAY,
         }
     }
 
+    /// This submission was not run, but another one under the same key may have been.
+    pub fn claimed_elsewhere(error: StepError) -> Self {
+        let mut refusal = Self::unknown(error).with_status(StatusCode::CONFLICT);
+        refusal.code = Some(NotRunReason::AlreadyClaimed);
+        refusal
+    }
+
     /// The same refusal under another HTTP status.
     pub fn with_status(mut self, status: StatusCode) -> Self {
         self.status = status;
@@ -212,7 +223,7 @@
             message: format!("{:#}", refusal.error.cause),
             kind: kind_of(refusal.status),
             param: refusal.field.as_deref(),
-            code: refusal.reason(),
+            code: refusal.code,
             outcome: if not_run { "not_run" } else { "unknown" },
             not_run,
             retry_after_ms: refusal.retry_after().map(|time| time.as_millis() as u64),
--- a/crates/daemon/src/pipeline/worker.rs
+++ b/crates/daemon/src/pipeline/worker.rs
@@ -9,6 +9,7 @@
 use tokio::sync::OnceCell;
 
 use super::refusal::Refusal;
+use crate::claims::ClaimClient;
 use crate::state::DaemonState;
 
 /// How long a cancel or status call to an engine may take.
@@ -20,6 +21,7 @@
     pub daemon: Arc<DaemonState>,
     engines: OnceCell<EngineClient>,
     legacy: OnceCell<LegacyClient>,
+    claims: OnceCell<ClaimClient>,
 }
 
 impl WorkerState {
@@ -29,6 +31,7 @@
             daemon,
             engines: OnceCell::new(),
             legacy: OnceCell::new(),
+            claims: OnceCell::new(),
         }
     }
 
@@ -44,6 +47,14 @@
             .map_err(|error| client_failed(Step::Dispatch, error))
     }
 
+    /// The client of claim holders.
+    pub async fn claims(&self) -> Result<&ClaimClient, Refusal> {
+        self.claims
+            .get_or_try_init(|| ClaimClient::new(&self.daemon))
+            .await
+            .map_err(|error| client_failed(Step::Claim, error))
+    }
+
     /// The client of legacy upstreams.
     pub async fn legacy(&self) -> Result<&LegacyClient, Refusal> {
         let connect_timeout = self.daemon.settings.request.connect_timeout;
--- a/crates/daemon/src/runtime/mod.rs
+++ b/crates/daemon/src/runtime/mod.rs
@@ -23,7 +23,7 @@
 use ntex::web::{App, HttpServer};
 
 use crate::state::{BoundAddresses, DaemonState, Phase};
-use crate::{control, operator, pipeline, sync};
+use crate::{claims, control, operator, pipeline, sync};
 use sockets::{Listeners, PeerSockets};
 use stop::StopSender;
 
@@ -189,6 +189,7 @@
         .listen(tcp)?
         .run();
         sync::spawn_all(state, udp)?;
+        claims::spawn_all(state);
         control::spawn_all(state);
         let BoundAddresses {
             callers: caller_address,
--- a/crates/daemon/src/state/engines.rs
+++ b/crates/daemon/src/state/engines.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
+use driftspring_limits::EngineBreaker;
 use driftspring_membership::merge_engines;
 use driftspring_types::{EngineId, EngineRecord};
 
@@ -15,6 +16,8 @@
     pub open_requests: AtomicU32,
     /// Prompt tokens dispatched by this daemon for which no first token has come yet.
     pub pending_prefill_tokens: AtomicU32,
+    /// Keeps requests away while the engine does not answer.
+    pub breaker: EngineBreaker,
     /// When the newest report reached this daemon, in milliseconds since it started.
     pub reported_at_ms: AtomicU64,
 }
--- a/crates/daemon/src/state/mod.rs
+++ b/crates/daemon/src/state/mod.rs
@@ -13,13 +13,13 @@
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
+use driftspring_claims::{ClaimHolder, HolderRules};
 use driftspring_history::Recorder;
-use driftspring_settings::Settings;
+use driftspring_limits::{Admission, RetryBudget};
+use driftspring_settings::{ClaimSettings, Settings};
 use driftspring_telemetry::Metrics;
 use driftspring_types::{ConfigView, Incarnation, MemberRecord};
 
-use crate::pipeline::RetryBudget;
-
 pub use engines::{EngineEntry, EngineLoadCounters, EngineTable};
 pub use gossip::{GossipCommand, GossipMailbox};
 pub use replica::{PullSource, SharedReplica};
@@ -73,8 +73,12 @@
     pub metrics: Metrics,
     /// Requests open in this daemon.
     pub open_requests: AtomicUsize,
+    /// Whether requests are taken in.
+    pub admission: Admission,
     /// The budget of extra attempts.
     pub retry_budget: RetryBudget,
+    /// The claims that this daemon holds for the others and itself.
+    pub claims: ClaimHolder,
     /// How far the process is on its way to its end; see [`Phase`].
     phase: AtomicU8,
     /// Whether a first configuration from any source is in force.
@@ -90,6 +94,11 @@
         recorder: Recorder,
     ) -> Arc<Self> {
         let replica = SharedReplica::new(&settings);
+        let max_open = u32::try_from(settings.request.max_open).unwrap_or(u32::MAX);
+        let admission = Admission::new(max_open);
+        let retry_budget = RetryBudget::new(settings.request.retry_budget_percent);
+        let rules = holder_rules(&settings.claims);
+        let claims = ClaimHolder::new(settings.id.clone(), incarnation, rules);
         Arc::new(Self {
             replica,
             settings,
@@ -103,12 +112,19 @@
             recorder,
             metrics: Metrics::new(),
             open_requests: AtomicUsize::new(0),
-            retry_budget: RetryBudget::default(),
+            admission,
+            retry_budget,
+            claims,
             phase: AtomicU8::new(Phase::Running as u8),
             ready: AtomicBool::new(false),
         })
     }
 
+    /// The time since this life began, in milliseconds.
+    pub fn uptime_ms(&self) -> u64 {
+        u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Whether a planned stop has begun, or the process is over.
     pub fn is_stopping(&self) -> bool {
         self.phase.load(Ordering::Acquire) >= Phase::Stopping as u8
@@ -134,3 +150,11 @@
         self.ready.store(true, Ordering::Release);
     }
 }
+
+fn holder_rules(settings: &ClaimSettings) -> HolderRules {
+    HolderRules {
+        clock_skew_bound: settings.clock_skew_bound,
+        key_maximum_age: settings.key_maximum_age,
+        abstain: true,
+    }
+}
--- a/crates/daemon/src/sync/replication/peer_client.rs
+++ b/crates/daemon/src/sync/replication/peer_client.rs
@@ -87,20 +87,36 @@
         Q: Encode<Binary>,
         A: for<'de> Decode<'de, Binary, musli::alloc::Global>,
     {
-        let exchange = self.exchange(address, path, question);
-        let answer = timeout(CALL_TIMEOUT, exchange)
+        self.exchange(address, path, question, CALL_TIMEOUT)
             .await
-            .unwrap_or_else(|()| Err(anyhow!("no answer in time")));
-        let peer = Peer::Daemon(peer.clone());
-        answer.map_err(|cause| StepError::may_have_run(Step::Synchronise, peer, cause))
+            .map_err(|cause| {
+                let peer = Peer::Daemon(peer.clone());
+                StepError::may_have_run(Step::Synchronise, peer, cause)
+            })
     }
 
-    async fn exchange<Q, A>(
+    /// Sends `question` to `path` at `address` and reads the answer, all within `patience`.
+    ///
+    /// # Errors
+    ///
+    /// The peer did not answer in time, or not by the protocol; it may have acted on the question.
+    pub(crate) async fn exchange<Q, A>(
         &self,
         address: SocketAddr,
         path: &str,
         question: &Q,
+        patience: Duration,
     ) -> anyhow::Result<A>
+    where
+        Q: Encode<Binary>,
+        A: for<'de> Decode<'de, Binary, musli::alloc::Global>,
+    {
+        timeout(patience, self.send(address, path, question))
+            .await
+            .unwrap_or_else(|()| Err(anyhow!("no answer within {patience:?}")))
+    }
+
+    async fn send<Q, A>(&self, address: SocketAddr, path: &str, question: &Q) -> anyhow::Result<A>
     where
         Q: Encode<Binary>,
         A: for<'de> Decode<'de, Binary, musli::alloc::Global>,
--- a/crates/telemetry/src/events/pipeline.rs
+++ b/crates/telemetry/src/events/pipeline.rs
@@ -11,4 +11,6 @@
     EVENT_DROPPED = 2007, Debug, "A stream event was repeated or belonged to another request, and was not passed on.";
     RETRY_BUDGET_SPENT = 2008, Warn, "A request was not tried again because the retry budget is spent. The engines fail more often than the budget bears.";
     PASS_THROUGH_FAILED = 2009, Warn, "The legacy upstream of a route did not answer.";
+    BREAKER_OPENED = 2010, Warn, "An engine failed to answer several times in a row and gets no requests for a while; then single ones until it answers.";
+    CLAIM_REFUSED = 2011, Info, "A request that may not be repeated was not dispatched, because its claim was not granted; the fields give the reason.";
 }
--- a/crates/telemetry/src/events/sync.rs
+++ b/crates/telemetry/src/events/sync.rs
@@ -15,4 +15,7 @@
     PULL_FAILED = 3501, Warn, "A copy of the configuration from another daemon failed; the next gossip message leads to another attempt.";
     STORE_UNREACHABLE = 3502, Warn, "The object store did not answer; what is in force stays in force, and the daemon tries again.";
     STORE_WATCHED = 3503, Info, "This daemon watches the object store for its zone, from the revision given.";
+    CLAIMS_HELD = 3700, Info, "What this daemon holds of the claim group has changed; the fields give epoch and state.";
+    CLAIM_HOLDER_WAITING = 3701, Warn, "This daemon was appointed a claim holder in an earlier life and waits for a majority of active holders. Where a majority has restarted, the claim group must be replaced, which needs the object store.";
+    CLAIM_CLIENT_FAILED = 3702, Error, "The client of claim holders could not be built; this daemon can't return to the claim group. Restart it.";
 }
