--- a/crates/daemon/src/pipeline/answer.rs
+++ b/crates/daemon/src/pipeline/answer.rs
@@ -13,7 +13,7 @@
 use driftspring_telemetry::metrics::ExtraAttempt;
 use driftspring_types::{EngineId, Outcome, Peer, Step, StepError};
 
-use super::attempt::Attempt;
+use super::attempt::{Attempt, ResumePatience};
 use super::choose_engine::TriedEngines;
 use super::context::RequestContext;
 use super::delivered::DeliveredTokens;
@@ -22,9 +22,6 @@
 use super::sequence::{SequenceGate, SequenceStep};
 use super::worker::WorkerState;
 
-/// The pause between two attempts to take up a stream that can't be continued elsewhere.
-const RESUME_PAUSE: Duration = Duration::from_millis(100);
-
 /// An answer on its way to its caller.
 pub struct Answer {
     worker: Rc<WorkerState>,
@@ -145,7 +142,7 @@
         loop {
             let patience = self.patience()?;
             let Some(attempt) = &mut self.attempt else {
-                return Err(self.unknown(&EngineError::Broken("the answer is over".to_owned())));
+                return Err(self.unknown(&answer_is_over()));
             };
             let checked = match attempt.next(patience).await {
                 Ok(AnswerItem::Chunk(chunk)) => self.accept(chunk),
@@ -243,7 +240,7 @@
         let resumed = if self.context.repeatable {
             self.resume_once(error).await
         } else {
-            self.resume_patiently().await
+            self.try_resume_patiently().await.is_ok()
         };
         if resumed {
             self.resumed_at = Some(self.gate.next());
@@ -267,30 +264,22 @@
         self.try_resume().await.is_ok()
     }
 
-    /// Attempts over a while, for an answer that no other engine may continue.
-    async fn resume_patiently(&mut self) -> bool {
-        let window = self.worker.daemon.settings.request.first_token_timeout;
-        let give_up_at = self.context.deadline.min(Instant::now() + window);
-        loop {
-            match self.try_resume().await {
-                Ok(()) => return true,
-                // The engine answers, and no longer has the request.
-                Err(EngineError::UnexpectedStatus { .. } | EngineError::Refused(_)) => {
-                    return false;
-                }
-                Err(_) if Instant::now() + RESUME_PAUSE >= give_up_at => return false,
-                Err(_) => ntex::time::sleep(RESUME_PAUSE).await,
-            }
+    async fn try_resume(&mut self) -> Result<(), EngineError> {
+        let patience = ResumePatience::new(&self.worker.daemon, &self.context);
+        let from = self.gate.next();
+        match &mut self.attempt {
+            Some(attempt) => attempt.resume(from, patience.one_call).await,
+            None => Err(answer_is_over()),
         }
     }
 
-    async fn try_resume(&mut self) -> Result<(), EngineError> {
-        let token_timeout = self.worker.daemon.settings.request.token_timeout;
-        let patience = token_timeout.min(self.context.time_left());
+    /// Attempts over a while, for an answer that no other engine may continue.
+    async fn try_resume_patiently(&mut self) -> Result<(), EngineError> {
+        let patience = ResumePatience::new(&self.worker.daemon, &self.context);
         let from = self.gate.next();
         match &mut self.attempt {
-            Some(attempt) => attempt.resume(from, patience).await,
-            None => Err(EngineError::Broken("the answer is over".to_owned())),
+            Some(attempt) => attempt.resume_patiently(from, patience).await,
+            None => Err(answer_is_over()),
         }
     }
 
@@ -339,6 +328,10 @@
     }
 }
 
+fn answer_is_over() -> EngineError {
+    EngineError::Broken("the answer is over".to_owned())
+}
+
 impl AnswerSource {
     fn of(attempt: &Attempt) -> Self {
         Self {
--- a/crates/daemon/src/pipeline/attempt.rs
+++ b/crates/daemon/src/pipeline/attempt.rs
@@ -17,6 +17,31 @@
 /// How long the rest of a whole answer may take to come, so that its connection can be used again.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The pause between two attempts to take up a stream that can't be continued elsewhere.
+const RESUME_PAUSE: Duration = Duration::from_millis(100);
+
+/// How long to try to take up a stream at its engine.
+#[derive(Debug, Clone, Copy)]
+pub struct ResumePatience {
+    /// The wait for the headers of one call.
+    pub one_call: Duration,
+    /// When to give up.
+    pub give_up_at: Instant,
+}
+
+impl ResumePatience {
+    /// The patience that the settings and the deadline leave.
+    pub fn new(daemon: &DaemonState, context: &RequestContext) -> Self {
+        let settings = &daemon.settings.request;
+        Self {
+            one_call: settings.token_timeout.min(context.time_left()),
+            give_up_at: context
+                .deadline
+                .min(Instant::now() + settings.first_token_timeout),
+        }
+    }
+}
+
 /// A request open at an engine.
 pub struct Attempt {
     work: EngineWork,
@@ -38,7 +63,15 @@
         let opened_at = Instant::now();
         let mut work = EngineWork::begin(client, context, choice);
         let call = call_for(daemon, context, &choice.engine, body);
-        match client.generate(&call, patience).await {
+        let opened = match client.generate(&call, patience).await {
+            Err(EngineError::Broken(_)) if !context.repeatable => {
+                // It may be running: its answer can be had without running it again.
+                let patience = ResumePatience::new(daemon, context);
+                work.resume_patiently(0, patience).await
+            }
+            opened => opened,
+        };
+        match opened {
             Ok(stream) => Ok(Self {
                 work,
                 stream,
@@ -46,9 +79,7 @@
                 has_answered: false,
             }),
             Err(error) => {
-                if error.safety() == RetrySafety::NotRun {
-                    work.is_over = true;
-                }
+                work.is_over = error.safety() == RetrySafety::NotRun;
                 Err(error)
             }
         }
@@ -97,13 +128,17 @@
 
     /// Takes the stream up again at the same engine, from token `from` on.
     pub async fn resume(&mut self, from: u64, patience: Duration) -> Result<(), EngineError> {
-        let address = &self.work.engine.record.address;
-        let request_id = self.work.request_id;
-        self.stream = self
-            .work
-            .client
-            .resume(address, request_id, from, patience)
-            .await?;
+        self.stream = self.work.resume(from, patience).await?;
+        Ok(())
+    }
+
+    /// Tries [`Attempt::resume`] until it succeeds, the engine no longer has the request, or time is up.
+    pub async fn resume_patiently(
+        &mut self,
+        from: u64,
+        patience: ResumePatience,
+    ) -> Result<(), EngineError> {
+        self.stream = self.work.resume_patiently(from, patience).await?;
         Ok(())
     }
 
@@ -165,6 +200,31 @@
         }
     }
 
+    async fn resume(&self, from: u64, patience: Duration) -> Result<AnswerStream, EngineError> {
+        let address = &self.engine.record.address;
+        self.client
+            .resume(address, self.request_id, from, patience)
+            .await
+    }
+
+    async fn resume_patiently(
+        &self,
+        from: u64,
+        patience: ResumePatience,
+    ) -> Result<AnswerStream, EngineError> {
+        loop {
+            let error = match self.resume(from, patience.one_call).await {
+                Ok(stream) => return Ok(stream),
+                Err(error) => error,
+            };
+            let is_gone = matches!(error, EngineError::UnexpectedStatus { .. });
+            if is_gone || Instant::now() + RESUME_PAUSE >= patience.give_up_at {
+                return Err(EngineError::Broken(format!("and not resumed: {error}")));
+            }
+            ntex::time::sleep(RESUME_PAUSE).await;
+        }
+    }
+
     fn answering(&mut self) {
         let computed = std::mem::take(&mut self.pending_prefill_tokens);
         self.engine.counters.first_token(computed);
