--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -1,10 +1,35 @@
-//! What the holders of leases do: rollout of weights, drain, cache warming, the claim group.
+//! What the holder of the control lease does: rollout of weights, drain, cache warming, the claim group.
+//!
+//! - [`config_writer`]: operators' writes of configuration objects; needs no lease.
+//! - [`lease_task`]: keeps the lease, where this daemon is a candidate for it.
+//! - [`orders`]: sends orders to engines; checks the lease right before each one.
+//! - [`engine_control`]: tells engines to drain or serve, and has them load weights.
 
 pub mod config_writer;
+mod engine_control;
+mod lease_task;
+mod ordered_loads;
+mod orders;
 
 use std::sync::Arc;
 
+use driftspring_telemetry::events::control;
+use driftspring_telemetry::log_event;
+use ntex::rt::spawn;
+
 use crate::state::DaemonState;
 
-/// Starts the background tasks on the current ntex system.
-pub fn spawn_all(_state: &Arc<DaemonState>) {}
+/// Starts the background tasks on the current ntex system, where there is a store to hold the lease in.
+pub fn spawn_all(state: &Arc<DaemonState>) {
+    let Some(store) = state.settings.platform.object_store else {
+        return;
+    };
+    let state = Arc::clone(state);
+    spawn(async move {
+        let lease = lease_task::ControlLease::new(&state);
+        spawn(lease_task::run(Arc::clone(&state), store, lease.clone()));
+        if let Err(error) = engine_control::run(state, lease).await {
+            log_event!(control::CONTROL_NOT_STARTED, "error={error:#}");
+        }
+    });
+}
--- a/crates/daemon/tests/configuration_support/mod.rs
+++ b/crates/daemon/tests/configuration_support/mod.rs
@@ -1,6 +1,8 @@
 //! Daemons in zones around one object store, each zone with its own way to it. They hear each other
 //! by gossip, or by notices that a thread of the test passes on, so that it can cut zones off.
 
+#![allow(dead_code, reason = "each test program uses a part of this")]
+
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
