--- a/crates/system-tests/src/engine.rs
+++ b/crates/system-tests/src/engine.rs
@@ -1,6 +1,7 @@
 //! Engines under test.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use driftspring_standin::engine::{self, EngineStandinOptions};
 use driftspring_types::{EngineId, Incarnation, WeightsVersion, ZoneName};
@@ -12,6 +13,10 @@
 use crate::process::Programs;
 use crate::standin::Standin;
 use crate::system::Host;
+use crate::wait::wait_until;
+
+/// How long a crash may take.
+const CRASH_PATIENCE: Duration = Duration::from_secs(5);
 
 /// What a stand-in engine is.
 #[derive(Debug, Clone)]
@@ -78,11 +83,17 @@
         Ok(status.incarnation)
     }
 
-    /// Crashes it: it comes back empty under the same address.
+    /// Crashes it: it comes back empty under the same address, in a new life.
     pub(crate) async fn crash(&self, control: &HttpControl) -> anyhow::Result<()> {
+        let before = self.incarnation(control).await?;
         let path = "/standin/crash";
-        control.post(self.address(), path, &json!({})).await?;
-        Ok(())
+        // The crash may drop the connection of this call too, before its answer.
+        let _ = control.post(self.address(), path, &json!({})).await;
+        wait_until("the engine's new life", CRASH_PATIENCE, async || {
+            let present = self.incarnation(control).await;
+            present.is_ok_and(|present| present > before)
+        })
+        .await
     }
 }
 
--- a/crates/system-tests/src/faults.rs
+++ b/crates/system-tests/src/faults.rs
@@ -1,11 +1,17 @@
 //! The faults and planned stops that a test brings about in its system, each of them recorded.
 
+use std::time::Duration;
+
 use anyhow::Context;
 use driftspring_history::{Event, Fault, FaultTarget};
 use driftspring_types::{DaemonId, EngineId};
 use serde_json::{Value, json};
 
 use crate::system::System;
+use crate::wait::wait_until;
+
+/// How long an engine's planned stop may take.
+const LEAVE_PATIENCE: Duration = Duration::from_secs(30);
 
 impl System {
     /// Names the engine's machine as leaving in the machine list; the engine itself goes on.
@@ -22,18 +28,29 @@
     }
 
     /// Asks the engine for a planned stop: it finishes what is open, refuses the rest and exits.
+    /// Returns when it is gone.
     ///
     /// # Errors
     ///
-    /// The engine does not answer.
-    pub async fn leave(&self, id: &str) -> anyhow::Result<()> {
-        let engine = self.engine(id)?;
-        let leaving = Event::EngineLeaving { engine: id.into() };
+    /// There is no such engine, or it does not go.
+    pub async fn leave(&mut self, id: &str) -> anyhow::Result<()> {
+        let id = EngineId::from(id);
+        let engine = self.engines.remove(&id).context("no such engine")?;
+        let leaving = Event::EngineLeaving { engine: id.clone() };
         self.recorder.record(leaving);
-        let path = "/leave";
-        self.control
-            .post(engine.address(), path, &json!({}))
-            .await?;
+        let address = engine.address();
+        self.control.post(address, "/leave", &json!({})).await?;
+        // The log can't be read any more once the engine is gone, so the last reading counts.
+        let mut logs = self.read_logs(address).await?;
+        wait_until("the engine's exit", LEAVE_PATIENCE, async || {
+            match self.read_logs(address).await {
+                Ok(newer) => logs = newer,
+                Err(_) => return true,
+            }
+            false
+        })
+        .await?;
+        self.record_logs(&id, logs);
         Ok(())
     }
 
@@ -56,10 +73,11 @@
     /// There is no such engine, or it does not answer.
     pub async fn kill_engine(&mut self, id: &str) -> anyhow::Result<()> {
         let id = EngineId::from(id);
-        self.record_logs(&id).await?;
-        let target = FaultTarget::Engine(id.clone());
-        self.inject(target, Fault::Kill);
         let engine = self.engines.remove(&id).context("no such engine")?;
+        let logs = self.read_logs(engine.address()).await?;
+        self.record_logs(&id, logs);
+        let target = FaultTarget::Engine(id);
+        self.inject(target, Fault::Kill);
         engine.standin.kill();
         Ok(())
     }
--- a/crates/system-tests/src/system.rs
+++ b/crates/system-tests/src/system.rs
@@ -33,6 +33,12 @@
     Processes(Programs),
 }
 
+/// What an engine writes down.
+pub(crate) struct EngineLogs {
+    runs: Vec<RunLogEntry>,
+    orders: Vec<OrderLogEntry>,
+}
+
 /// A system of stand-ins and daemons with its recording.
 pub struct System {
     /// Records what the test does.
@@ -297,23 +303,27 @@
         Ok(())
     }
 
-    /// Records the engine's run log, each run at the time when it began, and its order log.
-    pub(crate) async fn record_logs(&self, id: &EngineId) -> anyhow::Result<()> {
-        let address = self.engine(id.as_str())?.address();
-        let runs: Vec<RunLogEntry> = self.control.get_lines(address, "/standin/run-log").await?;
-        for run in runs {
+    /// Reads the run log and the order log of the engine at `address`.
+    pub(crate) async fn read_logs(&self, address: SocketAddr) -> anyhow::Result<EngineLogs> {
+        let control = &self.control;
+        Ok(EngineLogs {
+            runs: control.get_lines(address, "/standin/run-log").await?,
+            orders: control.get_lines(address, "/standin/order-log").await?,
+        })
+    }
+
+    /// Records each run at the time when it began, and the orders in their order.
+    pub(crate) fn record_logs(&self, id: &EngineId, logs: EngineLogs) {
+        for run in logs.runs {
             let began_at_us = run.started_ms * 1000;
             let engine = id.clone();
             self.recorder
                 .record_at(began_at_us, Event::EngineRun { engine, run });
         }
-        let path = "/standin/order-log";
-        let orders: Vec<OrderLogEntry> = self.control.get_lines(address, path).await?;
-        for order in orders {
+        for order in logs.orders {
             let engine = id.clone();
             self.recorder.record(Event::EngineOrder { engine, order });
         }
-        Ok(())
     }
 
     /// Ends the run: reads the engines' logs, stops the daemons as planned, and puts all recordings
@@ -323,8 +333,9 @@
     ///
     /// An engine does not answer, or a recording can't be read.
     pub async fn finish(mut self) -> anyhow::Result<FinishedRun> {
-        for id in self.engines.keys().cloned().collect::<Vec<_>>() {
-            self.record_logs(&id).await?;
+        for (id, engine) in &self.engines {
+            let logs = self.read_logs(engine.address()).await?;
+            self.record_logs(id, logs);
         }
         let running: Vec<_> = self
             .daemons
