--- a/crates/system-tests/src/faults.rs
+++ b/crates/system-tests/src/faults.rs
@@ -39,9 +39,9 @@
         let leaving = Event::EngineLeaving { engine: id.clone() };
         self.recorder.record(leaving);
         let address = engine.address();
-        self.control.post(address, "/leave", &json!({})).await?;
         // The log can't be read any more once the engine is gone, so the last reading counts.
         let mut logs = self.read_logs(address).await?;
+        self.control.post(address, "/leave", &json!({})).await?;
         wait_until("the engine's exit", LEAVE_PATIENCE, async || {
             match self.read_logs(address).await {
                 Ok(newer) => logs = newer,
--- a/crates/system-tests/src/system.rs
+++ b/crates/system-tests/src/system.rs
@@ -9,6 +9,7 @@
 };
 use driftspring_standin::{kv_store, machine_list, object_store};
 use driftspring_types::{DaemonId, EngineId};
+use futures_util::future::try_join_all;
 use serde_json::{Value, json};
 
 use crate::caller::{Call, CallResult, Caller};
@@ -326,6 +327,23 @@
         }
     }
 
+    /// Stops every running daemon as planned, all at once.
+    async fn stop_all_daemons(&mut self) -> anyhow::Result<()> {
+        let recorder = &self.recorder;
+        let running = self
+            .daemons
+            .iter_mut()
+            .filter(|(_, host)| host.is_running());
+        let stops = running.map(|(id, host)| async move {
+            recorder.record(Event::DaemonStopping { daemon: id.clone() });
+            host.stop().await?;
+            recorder.record(Event::DaemonStopped { daemon: id.clone() });
+            anyhow::Ok(())
+        });
+        try_join_all(stops).await?;
+        Ok(())
+    }
+
     /// Ends the run: reads the engines' logs, stops the daemons as planned, and puts all recordings
     /// together. Faults of engines must have been healed before.
     ///
@@ -337,15 +355,7 @@
             let logs = self.read_logs(engine.address()).await?;
             self.record_logs(id, logs);
         }
-        let running: Vec<_> = self
-            .daemons
-            .iter()
-            .filter(|(_, daemon)| daemon.is_running())
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in running {
-            self.stop_daemon(id.as_str()).await?;
-        }
+        self.stop_all_daemons().await?;
         let mut histories = vec![self.recorder.history()];
         for file in self.daemons.values().flat_map(|d| &d.history_files) {
             histories.push(read_history(file)?);
