--- a/crates/bench/src/compare/agenda.rs
+++ b/crates/bench/src/compare/agenda.rs
@@ -24,6 +24,8 @@
     Refused(usize),
     /// The daemon learns that the engine is gone.
     Failed(usize),
+    /// The daemon learns that an answer is complete.
+    Ended(usize),
     /// A cache event reaches a daemon: daemon, engine, event.
     Events(usize, usize, Rc<CacheEvent>),
     /// Engines note their load.
--- a/crates/bench/src/workload/trace.rs
+++ b/crates/bench/src/workload/trace.rs
@@ -42,6 +42,8 @@
 #[derive(Debug, Clone)]
 struct Session {
     tenant: usize,
+    /// The zone that its requests reach; any where they come from everywhere.
+    zone: Option<usize>,
     shared: Vec<Segment>,
 }
 
@@ -151,7 +153,13 @@
                 bytes: level.bytes,
             });
         }
-        Session { tenant, shared }
+        let zone = self.random.random_range(0..self.workload.zones);
+        let zone = fixed.is_none().then_some(zone);
+        Session {
+            tenant,
+            zone,
+            shared,
+        }
     }
 
     fn push(&mut self, at: Duration, session: &Session) {
@@ -160,11 +168,13 @@
             seed: self.random.random(),
             bytes: self.service.note_bytes,
         });
+        let any_zone = self.random.random_range(0..self.workload.zones);
+        let zone = session.zone.unwrap_or(any_zone);
         let request = TraceRequest {
             at,
             tenant: TenantId::new(format!("tenant-{}", session.tenant)),
             model: self.service.model.into(),
-            zone: self.random.random_range(0..self.workload.zones),
+            zone,
             prompt: Prompt { segments },
             answer_tokens: self.service.answer_tokens,
         };
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -18,8 +18,10 @@
 pub mod scheduler;
 
 pub use baselines::{Baseline, BaselineScheduler};
-pub use candidate::{Candidate, Decision, DecisionReason, EngineKey, ZoneDistance};
-pub use cost::{Cost, CostModel, CostWeights};
+pub use candidate::{
+    Candidate, Decision, DecisionReason, EngineKey, Ineligible, ZoneDistance, check_eligible,
+};
+pub use cost::{Cost, CostModel, CostWeights, PlacementRank};
 pub use heat::{HeatSettings, HeatTracker};
 pub use load::{LoadEstimate, LoadModel, LoadReport};
 pub use placement::{Placement, PlacementSettings};
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -13,8 +13,12 @@
     pub age: Duration,
     /// Prompt tokens that this daemon dispatched to the engine after the report reached it.
     pub dispatched_since_tokens: u32,
+    /// Requests that this daemon dispatched to the engine after the report reached it.
+    pub dispatched_since_requests: u32,
     /// Prompt tokens that this daemon dispatched and that have no first token yet.
     pub own_pending_tokens: u32,
+    /// Requests that this daemon has open at the engine.
+    pub own_open_requests: u32,
 }
 
 /// An engine's load at the time of the choice.
@@ -23,7 +27,7 @@
     /// Prompt tokens that the engine will probably compute before those of a new request.
     pub pending_prefill_tokens: f64,
     /// Requests open at the engine.
-    pub open_requests: u32,
+    pub open_requests: f64,
     /// The age of the report that this rests on.
     pub report_age: Duration,
 }
@@ -31,14 +35,15 @@
 /// How reports age.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LoadModel {
-    /// After this time a reported backlog counts half: it was worked off, or others added to it.
+    /// After this time a reported backlog counts half. Short, because a backlog is worked off within
+    /// tens of milliseconds, and all daemons that believe an old report avoid or seek the same engine.
     pub half_life: Duration,
 }
 
 impl Default for LoadModel {
     fn default() -> Self {
         Self {
-            half_life: Duration::from_millis(500),
+            half_life: Duration::from_millis(100),
         }
     }
 }
@@ -48,11 +53,14 @@
     /// less than what this daemon itself waits for.
     pub fn estimate(&self, report: &LoadReport) -> LoadEstimate {
         let half_lives = report.age.as_secs_f64() / self.half_life.as_secs_f64();
-        let reported = f64::from(report.load.pending_prefill_tokens) * (-half_lives).exp2();
-        let with_own = reported + f64::from(report.dispatched_since_tokens);
+        let weight = (-half_lives).exp2();
+        let tokens = f64::from(report.load.pending_prefill_tokens) * weight
+            + f64::from(report.dispatched_since_tokens);
+        let requests = f64::from(report.load.running + report.load.queued) * weight
+            + f64::from(report.dispatched_since_requests);
         LoadEstimate {
-            pending_prefill_tokens: with_own.max(f64::from(report.own_pending_tokens)),
-            open_requests: report.load.running + report.load.queued,
+            pending_prefill_tokens: tokens.max(f64::from(report.own_pending_tokens)),
+            open_requests: requests.max(f64::from(report.own_open_requests)),
             report_age: report.age,
         }
     }
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -6,6 +6,9 @@
 //! a shared prefix are computed on as few engines as its traffic allows. Daemons that see the same
 //! shares place alike without a message; where the shares differ a little, one set contains the
 //! other.
+//!
+//! The nearest engines are placed first and the others come after them: requests of one session
+//! reach one zone, so its prefix need not be in the others.
 
 use std::time::Duration;
 
@@ -17,8 +20,8 @@
 /// How wide prefixes spread.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PlacementSettings {
-    /// Engines per fair share: at 1.0 a prefix with a third of the traffic gets a third of the
-    /// engines.
+    /// Engines per fair share: at 1.0 a prefix with a third of the traffic gets a third of the nearest
+    /// engines. More gives the choice room to avoid a busy one, and costs a copy per engine.
     pub spread: f64,
     /// Shares are measured against at least this many requests, so that the first requests after a
     /// start do not look hot.
@@ -30,13 +33,16 @@
 impl Default for PlacementSettings {
     fn default() -> Self {
         Self {
-            spread: 1.0,
+            spread: 6.0,
             least_total: 32.0,
             widen: true,
         }
     }
 }
 
+/// A decayed count above this means that the node was seen before.
+const LEAST_SEEN: f64 = 0.1;
+
 /// Candidates in the order of their claim to a prompt: first the home, then those that the last hot
 /// node spreads over, then those of the node before it, and so on.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -45,6 +51,8 @@
     pub order: Vec<usize>,
     /// How many of `order` belong to the deepest node.
     pub width: usize,
+    /// How many of `order` belong to the deepest node seen before.
+    pub shared_width: usize,
 }
 
 impl Placement {
@@ -62,16 +70,32 @@
         let mut placement = Self {
             order: (0..candidates.len()).collect(),
             width: candidates.len(),
+            shared_width: candidates.len(),
         };
+        let near = placement.begin_with_nearest(candidates);
         for block in &fingerprint.blocks {
             // The request itself says nothing about the traffic to come.
             let earlier = heat.observe(*block, now) - 1.0;
-            let width = settings.width(earlier / total, candidates.len());
+            let width = settings.width(earlier / total, near);
             placement.narrow(width, *block, candidates);
+            if earlier > LEAST_SEEN {
+                placement.shared_width = placement.width;
+            }
         }
         placement
     }
 
+    /// Puts the nearest candidates first; returns how many there are.
+    fn begin_with_nearest(&mut self, candidates: &[Candidate]) -> usize {
+        let distance_of = |index: &usize| candidates[*index].distance;
+        self.order.sort_by_key(distance_of);
+        let nearest = self.order.first().map(distance_of);
+        let is_near = |index: &&usize| Some(distance_of(index)) == nearest;
+        self.width = self.order.iter().filter(is_near).count();
+        self.shared_width = self.width;
+        self.width
+    }
+
     /// Keeps the `width` highest-scoring engines of `node` among the present ones.
     fn narrow(&mut self, width: usize, node: BlockHash, candidates: &[Candidate]) {
         if width >= self.width {
--- a/crates/routing/src/scheduler.rs
+++ b/crates/routing/src/scheduler.rs
@@ -4,14 +4,16 @@
 
 use driftspring_directory::Overlap;
 use driftspring_prefix::{BlockHash, Fingerprint};
-use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::candidate::{Candidate, Decision, DecisionReason};
-use crate::cost::{Cost, CostModel};
+use crate::cost::{Cost, CostModel, PlacementRank};
 use crate::heat::{HeatSettings, HeatTracker};
 use crate::placement::{Placement, PlacementSettings};
 
+/// Candidates compared by default.
+const DEFAULT_COMPARED: usize = 6;
+
 /// How the scheduler weighs engines.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SchedulerSettings {
@@ -21,16 +23,23 @@
     pub placement: PlacementSettings,
     /// How heat is tracked.
     pub heat: HeatSettings,
-    /// Candidates compared by their claim to the prefix.
-    pub compared_by_placement: usize,
-    /// Further candidates drawn at random, so that load can leave a crowded prefix.
-    pub compared_at_random: usize,
-    /// What leaving the home costs, in microseconds: it makes a second copy of the prefix, and other
-    /// daemons look for it at the home.
-    pub leave_home_microseconds: f64,
+    /// Candidates compared, those with the best claim to the prefix first.
+    pub compared: usize,
+}
+
+impl SchedulerSettings {
+    /// The settings for engines that compute a prompt token in `prefill_microseconds_per_token`.
+    pub fn new(prefill_microseconds_per_token: f64) -> Self {
+        Self {
+            cost: CostModel::new(prefill_microseconds_per_token),
+            placement: PlacementSettings::default(),
+            heat: HeatSettings::default(),
+            compared: DEFAULT_COMPARED,
+        }
+    }
 }
 
-/// Chooses engines for one model.
+/// Chooses engines by placement, residency, load and distance.
 #[derive(Debug)]
 pub struct Scheduler {
     settings: SchedulerSettings,
@@ -60,8 +69,10 @@
     }
 
     /// Chooses one of `candidates`, all of which may serve the request; nothing where there is none.
-    /// `overlap_of` tells what the candidate at a position has cached of the prompt; `now` is the
-    /// time since the daemon's start; `pool` names the set of engines that the traffic is shared by.
+    ///
+    /// `pool` names the traffic that the candidates share, such as the model's. `overlap_of` tells
+    /// what the candidate at a position has cached of the prompt. `now` is the time since the
+    /// daemon's start.
     pub fn choose(
         &self,
         pool: &str,
@@ -69,75 +80,64 @@
         candidates: &[Candidate],
         overlap_of: impl Fn(usize) -> Overlap,
         now: Duration,
-        random: &mut impl Rng,
     ) -> Option<Decision> {
+        let settings = &self.settings;
         let traffic = BlockHash(xxh3_64(pool.as_bytes()));
         let placement = Placement::of(
-            &self.settings.placement,
+            &settings.placement,
             &self.heat,
             traffic,
             fingerprint,
             candidates,
             now,
         );
-        let home = *placement.order.first()?;
-        let compared: Vec<Compared> = self
-            .positions(&placement, random)
-            .map(|index| {
-                let overlap = overlap_of(index);
-                let cost = self.cost(fingerprint, &candidates[index], overlap, index == home);
-                Compared {
-                    index,
-                    overlap,
-                    cost,
-                }
+        let ranked = placement.order.iter().take(settings.compared).enumerate();
+        let compared: Vec<Compared> = ranked
+            .map(|(rank, index)| {
+                let placement = PlacementRank {
+                    rank,
+                    is_home: rank < placement.shared_width,
+                };
+                let overlap = overlap_of(*index);
+                let candidate = &candidates[*index];
+                self.compare(fingerprint, candidate, *index, overlap, placement)
             })
             .collect();
-        decide(home, &compared)
+        decide(&compared)
     }
 
-    /// The candidates to compare, the home first.
-    fn positions<'a>(
-        &self,
-        placement: &'a Placement,
-        random: &'a mut impl Rng,
-    ) -> impl Iterator<Item = usize> + 'a {
-        let count = placement.order.len();
-        let by_placement = self.settings.compared_by_placement.min(count);
-        let others = count - by_placement;
-        let at_random = self.settings.compared_at_random.min(others);
-        let drawn = (0..at_random).map(move |_| random.random_range(by_placement..count));
-        (0..by_placement)
-            .chain(drawn)
-            .map(|position| placement.order[position])
-    }
-
-    fn cost(
+    fn compare(
         &self,
         fingerprint: &Fingerprint,
         candidate: &Candidate,
+        index: usize,
         overlap: Overlap,
-        is_home: bool,
-    ) -> Cost {
-        let prompt_tokens = fingerprint.prompt_tokens;
-        let cost = &self.settings.cost;
-        let own = cost.cost(prompt_tokens, overlap, &candidate.load, candidate.distance);
-        if is_home {
-            return own;
+        placement: PlacementRank,
+    ) -> Compared {
+        let cost = self.settings.cost.placed_cost(
+            fingerprint.prompt_tokens,
+            overlap,
+            &candidate.load,
+            candidate.distance,
+            placement,
+        );
+        Compared {
+            index,
+            overlap,
+            cost,
         }
-        Cost(own.0 + self.settings.leave_home_microseconds)
     }
 }
 
 /// The cheapest; among equals the first, so that the home wins ties.
-fn decide(home: usize, compared: &[Compared]) -> Option<Decision> {
-    let home_overlap = compared.first()?.overlap;
+fn decide(compared: &[Compared]) -> Option<Decision> {
+    let home = compared.first()?;
     let cheapest = compared
         .iter()
         .min_by(|one, other| one.cost.0.total_cmp(&other.cost.0))?;
-    let reason = if cheapest.index == home {
+    let reason = if cheapest.index == home.index {
         DecisionReason::Home
-    } else if cheapest.overlap.blocks > home_overlap.blocks {
+    } else if cheapest.overlap.blocks > home.overlap.blocks {
         DecisionReason::Resident
     } else {
         DecisionReason::Spill
