--- a/crates/control/src/claim_group.rs
+++ b/crates/control/src/claim_group.rs
@@ -47,7 +47,10 @@
 }
 
 /// Up to [`GROUP_SIZE`] daemons, an odd number of them: present holders first, then from the zones in turn.
-fn choose_holders(group: Option<&ClaimGroup>, members: &[MemberRecord]) -> Vec<ClaimGroupMember> {
+pub fn choose_holders(
+    group: Option<&ClaimGroup>,
+    members: &[MemberRecord],
+) -> Vec<ClaimGroupMember> {
     let present: Vec<&DaemonId> = group
         .iter()
         .flat_map(|group| group.holders.iter().map(|holder| &holder.daemon))
--- a/crates/daemon/src/claims/client.rs
+++ b/crates/daemon/src/claims/client.rs
@@ -101,7 +101,7 @@
     }
 
     /// Sends `message` to every holder of `group`; the states of those that answered.
-    pub(super) async fn statuses(
+    pub(crate) async fn statuses(
         &self,
         group: &ClaimGroup,
         message: ClaimMessage,
--- a/crates/daemon/src/control/config_writer.rs
+++ b/crates/daemon/src/control/config_writer.rs
@@ -59,22 +59,29 @@
 
 /// Writes `proposal` to the store. Must be called on an ntex thread.
 ///
-/// A lost answer is settled by repeating the conditional write for up to five seconds.
+/// A lost answer is settled by repeating the conditional write for up to five seconds. Where both the
+/// operator and the store say that there is no object, the store's mark of deletion is no conflict.
 pub async fn propose(state: &Arc<DaemonState>, proposal: &Proposal) -> ProposalOutcome {
-    let store = match object_store(state).await {
-        Ok(store) => store,
-        Err(error) => return ProposalOutcome::NotSent(error),
-    };
-    let deadline = Instant::now() + SETTLE_TIME;
-    let outcome = write(state, &store, proposal, proposal.expected, deadline).await;
+    let outcome = propose_strictly(state, proposal).await;
     let ProposalOutcome::Refused { current } = &outcome else {
         return outcome;
     };
-    // Both the operator and the store say that there is no object; only its mark of deletion differs.
-    if current.is_absent() && expects_absence(state, proposal) {
-        return write(state, &store, proposal, current.revision, deadline).await;
+    if !current.is_absent() || !expects_absence(state, proposal) {
+        return outcome;
+    }
+    let after_deletion = Proposal {
+        expected: current.revision,
+        ..proposal.clone()
+    };
+    propose_strictly(state, &after_deletion).await
+}
+
+/// Like [`propose`], but the object's revision must be exactly the expected one.
+pub async fn propose_strictly(state: &Arc<DaemonState>, proposal: &Proposal) -> ProposalOutcome {
+    match object_store(state).await {
+        Ok(store) => write(state, &store, proposal).await,
+        Err(error) => ProposalOutcome::NotSent(error),
     }
-    outcome
 }
 
 /// The members, this daemon included, in which a change is not known to be in force. Must be called on
@@ -145,14 +152,13 @@
     state: &Arc<DaemonState>,
     store: &ObjectStore,
     proposal: &Proposal,
-    expected: Revision,
-    deadline: Instant,
 ) -> ProposalOutcome {
     let body = match &proposal.value {
         Some(fields) => WriteBody::Object(fields.clone()),
         None => WriteBody::Deletion,
     };
-    let write = ConditionalWrite::new(proposal.key.clone(), expected, body);
+    let write = ConditionalWrite::new(proposal.key.clone(), proposal.expected, body);
+    let deadline = Instant::now() + SETTLE_TIME;
     match store.write_settled(&write, deadline).await {
         SettledWrite::Accepted(revision) => {
             put_in_force(state, &write, revision);
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -3,8 +3,10 @@
 //! - [`config_writer`]: operators' writes of configuration objects; needs no lease.
 //! - [`lease_task`]: keeps the lease, where this daemon is a candidate for it.
 //! - [`orders`]: sends orders to engines; checks the lease right before each one.
+//! - [`claim_group_task`]: keeps the group of claim holders.
 //! - [`engine_control`]: tells engines to drain or serve, and has them load weights.
 
+mod claim_group_task;
 pub mod config_writer;
 mod engine_control;
 mod lease_task;
@@ -28,8 +30,17 @@
     spawn(async move {
         let lease = lease_task::ControlLease::new(&state);
         spawn(lease_task::run(Arc::clone(&state), store, lease.clone()));
-        if let Err(error) = engine_control::run(state, lease).await {
-            log_event!(control::CONTROL_NOT_STARTED, "error={error:#}");
-        }
+        spawn(reporting(claim_group_task::run(
+            Arc::clone(&state),
+            lease.clone(),
+        )));
+        reporting(engine_control::run(state, lease)).await;
     });
 }
+
+/// Runs a task and logs where it could not start.
+async fn reporting(task: impl Future<Output = anyhow::Result<()>>) {
+    if let Err(error) = task.await {
+        log_event!(control::CONTROL_NOT_STARTED, "error={error:#}");
+    }
+}
