--- a/crates/daemon/src/pipeline/feedback.rs
+++ b/crates/daemon/src/pipeline/feedback.rs
@@ -7,7 +7,7 @@
 use driftspring_external::engine::{AnswerHead, EngineError, EngineRefusal, RefusalKind};
 use driftspring_telemetry::events::pipeline;
 use driftspring_telemetry::log_event;
-use driftspring_types::{EngineHealth, EngineLoad, EngineRecord};
+use driftspring_types::{EngineHealth, EngineLoad, EngineRecord, Incarnation};
 
 use super::engine_table::put_record;
 use crate::state::{DaemonState, EngineEntry};
@@ -18,11 +18,15 @@
 /// Takes the report in the headers of an answer.
 pub fn answered(daemon: &DaemonState, engine: &EngineEntry, head: &AnswerHead) {
     engine.counters.breaker.record_success();
-    let Some(record) = reported(&engine.record, head) else {
+    let table = daemon.engines.load();
+    let Some(known) = table.get(&engine.record.id) else {
         return;
     };
-    let only_load_changed = record.incarnation == engine.record.incarnation
-        && record.weights_version == engine.record.weights_version;
+    let Some(record) = reported(&known.record, head) else {
+        return;
+    };
+    let only_load_changed = record.incarnation == known.record.incarnation
+        && record.weights_version == known.record.weights_version;
     let now_ms = daemon.uptime_ms();
     let reported_at_ms = engine.counters.reported_at_ms.load(Ordering::Relaxed);
     if only_load_changed && now_ms < reported_at_ms + LOAD_REPORT_INTERVAL_MS {
@@ -65,11 +69,12 @@
 /// The record after the report in `head`; nothing where it reports nothing.
 fn reported(known: &EngineRecord, head: &AnswerHead) -> Option<EngineRecord> {
     let load = head.load.unwrap_or_default();
+    let incarnation = head.incarnation?;
     Some(EngineRecord {
-        incarnation: head.incarnation?,
+        incarnation,
         weights_version: head.weights_version?,
         report_sequence: head.report_sequence?,
-        health: EngineHealth::Serving,
+        health: health_of(known, incarnation),
         load: EngineLoad {
             cached_blocks: known.load.cached_blocks,
             cache_capacity_blocks: known.load.cache_capacity_blocks,
@@ -79,6 +84,16 @@
     })
 }
 
+/// The health of an engine that answers: one that is leaving still finishes what it has.
+fn health_of(known: &EngineRecord, incarnation: Incarnation) -> EngineHealth {
+    let is_leaving = known.health == EngineHealth::Leaving && known.incarnation == incarnation;
+    if is_leaving {
+        EngineHealth::Leaving
+    } else {
+        EngineHealth::Serving
+    }
+}
+
 /// The record after a refusal; nothing where the refusal says nothing lasting about the engine.
 fn refused(known: &EngineRecord, refusal: &EngineRefusal) -> Option<EngineRecord> {
     let health = match refusal.kind {
