--- a/crates/daemon/src/operator/tables/mod.rs
+++ b/crates/daemon/src/operator/tables/mod.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod leases;
+mod requests;
 mod system;
 
 use std::sync::Arc;
@@ -24,6 +25,7 @@
         Table::Models => configuration::models(&state.config.load(), &state.engines.load()),
         Table::Engines => system::engines(&state.config.load(), &state.engines.load()),
         Table::Members => system::members(&state.members.load()),
+        Table::Requests => requests::rows(state),
         Table::Cache => system::cache(state),
         Table::Leases => leases::rows(state).await?,
     })
--- a/crates/daemon/src/operator/tables/system.rs
+++ b/crates/daemon/src/operator/tables/system.rs
@@ -1,6 +1,6 @@
 //! Tables of daemons, engines and what they have cached.
 
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use driftspring_language::Row;
 use driftspring_telemetry::metrics::MetricLabel;
@@ -15,7 +15,9 @@
         .map(|entry| {
             let record = &entry.record;
             let load = record.load;
-            let open_here = entry.counters.open_requests.load(Ordering::Relaxed);
+            let counters = &entry.counters;
+            let open_here = counters.open_requests.load(Ordering::Relaxed);
+            let here = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
             vec![
                 record.id.as_str().into(),
                 record.zone.as_str().into(),
@@ -27,6 +29,9 @@
                 load.queued.into(),
                 load.pending_prefill_tokens.into(),
                 open_here.into(),
+                here(&counters.dispatched_requests).into(),
+                here(&counters.prompt_tokens).into(),
+                here(&counters.cached_tokens).into(),
                 load.cached_blocks.into(),
                 load.cache_capacity_blocks.into(),
                 record.incarnation.0.into(),
--- a/crates/daemon/src/pipeline/answer.rs
+++ b/crates/daemon/src/pipeline/answer.rs
@@ -1,6 +1,7 @@
 //! The answer to one request: each token once and in order, over all engines that gave parts of it.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use anyhow::anyhow;
@@ -21,6 +22,7 @@
 use super::refusal::Refusal;
 use super::sequence::{SequenceGate, SequenceStep};
 use super::worker::WorkerState;
+use crate::state::RecentAnswer;
 
 /// An answer on its way to its caller.
 pub struct Answer {
@@ -131,13 +133,34 @@
         if let Some(cached_tokens) = self.source.head.cached_tokens {
             let prompt_tokens = self.context.fingerprint.prompt_tokens;
             metrics.count_prompt(u64::from(prompt_tokens), u64::from(cached_tokens));
+            if let Some(engine) = self.worker.daemon.engines.load().get(&self.source.engine) {
+                engine.counters.answered(prompt_tokens, cached_tokens);
+            }
         }
+        self.keep_for_operators(outcome);
         let attempt = self.attempt.take();
         if let (Some(attempt), Outcome::Completed) = (attempt, outcome) {
             attempt.complete();
         }
     }
 
+    fn keep_for_operators(&self, outcome: &Outcome) {
+        let head = &self.source.head;
+        self.worker.daemon.recent_answers.record(RecentAnswer {
+            request: self.context.id,
+            route: Arc::clone(&self.context.route),
+            weights_version: self.context.weights_version,
+            engine: self.source.engine.clone(),
+            incarnation: head.incarnation,
+            last_engine: self.attempt.as_ref().map(Attempt::engine_id).cloned(),
+            prompt_tokens: self.context.fingerprint.prompt_tokens,
+            cached_tokens: head.cached_tokens,
+            tokens: self.delivered.len() as u64,
+            outcome: outcome.clone(),
+            ended_at: Instant::now(),
+        });
+    }
+
     async fn receive(&mut self) -> Result<AnswerChunk, Refusal> {
         loop {
             let patience = self.patience()?;
--- a/crates/daemon/src/state/engines.rs
+++ b/crates/daemon/src/state/engines.rs
@@ -18,6 +18,12 @@
     pub pending_prefill_tokens: AtomicU32,
     /// Keeps requests away while the engine does not answer.
     pub breaker: EngineBreaker,
+    /// Requests that this daemon has sent to the engine so far.
+    pub dispatched_requests: AtomicU64,
+    /// Prompt tokens of the answers that the engine began through this daemon.
+    pub prompt_tokens: AtomicU64,
+    /// Those that the engine took from its cache, as it said.
+    pub cached_tokens: AtomicU64,
     /// When the newest report reached this daemon, in milliseconds since it started.
     pub reported_at_ms: AtomicU64,
 }
@@ -26,6 +32,7 @@
     /// Counts a dispatched request of `prefill_tokens` prompt tokens expected to be computed.
     pub fn dispatched(&self, prefill_tokens: u32) {
         self.open_requests.fetch_add(1, Ordering::Relaxed);
+        self.dispatched_requests.fetch_add(1, Ordering::Relaxed);
         self.pending_prefill_tokens
             .fetch_add(prefill_tokens, Ordering::Relaxed);
     }
@@ -36,6 +43,14 @@
             .fetch_sub(prefill_tokens, Ordering::Relaxed);
     }
 
+    /// Counts the prompt of an answer, with what the engine took from its cache.
+    pub fn answered(&self, prompt_tokens: u32, cached_tokens: u32) {
+        self.prompt_tokens
+            .fetch_add(u64::from(prompt_tokens), Ordering::Relaxed);
+        self.cached_tokens
+            .fetch_add(u64::from(cached_tokens), Ordering::Relaxed);
+    }
+
     /// Counts the end of a request.
     pub fn ended(&self) {
         self.open_requests.fetch_sub(1, Ordering::Relaxed);
--- a/crates/daemon/src/state/mod.rs
+++ b/crates/daemon/src/state/mod.rs
@@ -5,6 +5,7 @@
 
 mod engines;
 mod gossip;
+mod recent;
 mod replica;
 
 use std::net::SocketAddr;
@@ -22,6 +23,7 @@
 
 pub use engines::{EngineEntry, EngineLoadCounters, EngineTable};
 pub use gossip::{GossipCommand, GossipMailbox};
+pub use recent::{RecentAnswer, RecentAnswers};
 pub use replica::{PullSource, SharedReplica};
 
 /// How far a process is on its way to its end.
@@ -71,6 +73,8 @@
     pub recorder: Recorder,
     /// What `/metrics` shows; counted by every part.
     pub metrics: Metrics,
+    /// The newest answers, for operators.
+    pub recent_answers: RecentAnswers,
     /// Requests open in this daemon.
     pub open_requests: AtomicUsize,
     /// Whether requests are taken in.
@@ -111,6 +115,7 @@
             members: ArcSwap::from_pointee(Vec::new()),
             recorder,
             metrics: Metrics::new(),
+            recent_answers: RecentAnswers::default(),
             open_requests: AtomicUsize::new(0),
             admission,
             retry_budget,
--- a/crates/driftctl/src/output.rs
+++ b/crates/driftctl/src/output.rs
@@ -11,7 +11,7 @@
 
 const HELP: &str = "\
 Questions:
-  show routes|tenants|engines|members|cache|leases|models|limits
+  show routes|tenants|engines|members|cache|leases|models|limits|requests
        [where COLUMN =|!=|<|<=|>|>=|contains VALUE [and ...]] [order by COLUMN [desc]] [limit N]
 Orders:
   add tenant T key-hash HASH|key KEY [rate N] [concurrency N] [weight N]
--- a/crates/language/src/table.rs
+++ b/crates/language/src/table.rs
@@ -19,6 +19,8 @@
     Models,
     /// Limits of tenants.
     Limits,
+    /// The newest requests that engines answered through the daemon that is asked.
+    Requests,
 }
 
 /// A column of a table.
@@ -85,7 +87,7 @@
     number("revision"),
 ];
 
-static ENGINES: [Column; 14] = [
+static ENGINES: [Column; 17] = [
     text("name"),
     text("zone"),
     text("model"),
@@ -96,6 +98,9 @@
     number("queued"),
     number("pending_tokens"),
     number("open_here"),
+    number("sent_here"),
+    number("prompt_tokens_here"),
+    number("cached_tokens_here"),
     number("cached_blocks"),
     number("cache_capacity"),
     number("incarnation"),
@@ -148,9 +153,24 @@
     number("revision"),
 ];
 
+static REQUESTS: [Column; 12] = [
+    text("request"),
+    text("route"),
+    text("tenant"),
+    text("model"),
+    number("version"),
+    text("engine"),
+    text("last_engine"),
+    number("prompt_tokens"),
+    number("cached_tokens"),
+    number("tokens"),
+    text("outcome"),
+    number("age_ms"),
+];
+
 impl Table {
     /// Every table with its name.
-    pub const NAMES: [(&'static str, Self); 8] = [
+    pub const NAMES: [(&'static str, Self); 9] = [
         ("routes", Self::Routes),
         ("tenants", Self::Tenants),
         ("engines", Self::Engines),
@@ -159,6 +179,7 @@
         ("leases", Self::Leases),
         ("models", Self::Models),
         ("limits", Self::Limits),
+        ("requests", Self::Requests),
     ];
 
     /// Its name.
@@ -172,6 +193,7 @@
             Self::Leases => "leases",
             Self::Models => "models",
             Self::Limits => "limits",
+            Self::Requests => "requests",
         }
     }
 
@@ -186,6 +208,7 @@
             Self::Leases => &LEASES,
             Self::Models => &MODELS,
             Self::Limits => &LIMITS,
+            Self::Requests => &REQUESTS,
         }
     }
 
