--- a/crates/driftctl/tests/support/mod.rs
+++ b/crates/driftctl/tests/support/mod.rs
@@ -21,6 +21,16 @@
 }
 
 impl TestSystem {
+    /// The revision of the newest configuration change; writes of leases don't count.
+    pub fn configuration_revision(&self) -> u64 {
+        let history = self.store.store.history();
+        let changes = history.iter().rev();
+        let newest = changes
+            .into_iter()
+            .find(|change| !change.key.starts_with("leases/"));
+        newest.map_or(0, |change| change.revision)
+    }
+
     /// `count` daemons, each with the earlier ones as seeds.
     pub fn start(count: usize) -> Self {
         let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
