--- a/crates/bench/src/flags.rs
+++ b/crates/bench/src/flags.rs
@@ -44,6 +44,8 @@
             optional --seed seed: u64
             /// Length of each measured part, in seconds.
             optional --seconds seconds: u64
+            /// Requests per second each way for the latencies; 60% of the measured saturation without it.
+            optional --rate rate: f64
             /// Where to write the result as JSON.
             optional --json json: PathBuf
         }
@@ -51,6 +53,8 @@
         cmd serve-engines {
             /// Number of engines.
             required --count count: usize
+            /// Milliseconds between the tokens of an answer.
+            required --step-ms milliseconds: u64
         }
         /// Serves one daemon until the standard input ends; used by `overhead`.
         cmd serve-daemon {
--- a/crates/bench/src/overhead/children.rs
+++ b/crates/bench/src/overhead/children.rs
@@ -3,6 +3,7 @@
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
+use std::time::Duration;
 
 use anyhow::Context;
 
@@ -50,9 +51,11 @@
 }
 
 impl EngineProcess {
-    /// Starts `count` engines.
-    pub(super) fn start(count: usize) -> anyhow::Result<Self> {
-        let arguments = ["serve-engines", "--count", &count.to_string()];
+    /// Starts `count` engines that give a token each `step`.
+    pub(super) fn start(count: usize, step: Duration) -> anyhow::Result<Self> {
+        let count = count.to_string();
+        let step_ms = step.as_millis().to_string();
+        let arguments = ["serve-engines", "--count", &count, "--step-ms", &step_ms];
         let child = ServingChild::start(&arguments.map(str::to_owned))?;
         let addresses = child.announcement.split(',').map(str::parse);
         let addresses = addresses.collect::<Result<_, _>>();
