--- a/crates/daemon/src/pipeline/answer.rs
+++ b/crates/daemon/src/pipeline/answer.rs
@@ -6,7 +6,7 @@
 
 use anyhow::anyhow;
 use driftspring_external::engine::{
-    AnswerChunk, AnswerHead, AnswerItem, EngineClient, EngineError,
+    AnswerChunk, AnswerHead, AnswerItem, EngineClient, EngineError, Finish,
 };
 use driftspring_settings::MechanismSettings;
 use driftspring_telemetry::events::pipeline;
@@ -21,6 +21,7 @@
 use super::dispatch::{deadline_passed, dispatch};
 use super::refusal::Refusal;
 use super::sequence::{SequenceGate, SequenceStep};
+use super::usage::AnswerUsage;
 use super::worker::WorkerState;
 use crate::state::RecentAnswer;
 
@@ -38,6 +39,8 @@
     /// How far the answer was when it was last resumed; a second time without progress is of no use.
     resumed_at: Option<u64>,
     source: AnswerSource,
+    /// Whether more than one engine gave tokens.
+    is_continued: bool,
 }
 
 /// Who began the answer.
@@ -72,6 +75,7 @@
             delivered,
             first: None,
             resumed_at: None,
+            is_continued: false,
         };
         let first = answer.receive().await?;
         if let Some(attempt) = &answer.attempt {
@@ -101,6 +105,14 @@
         &self.worker.daemon.settings.mechanisms
     }
 
+    /// The token counts of the answer that ended in `finish`.
+    pub fn usage(&self, finish: &Finish) -> AnswerUsage {
+        let reported = finish.usage.map_or(0, |usage| usage.cached_tokens);
+        let cached_tokens = self.source.head.cached_tokens.unwrap_or(reported);
+        let prompt_tokens = self.context.fingerprint.prompt_tokens;
+        AnswerUsage::new(prompt_tokens, self.delivered.len() as u32, cached_tokens)
+    }
+
     /// The next chunk; the one with a finish is the last.
     pub async fn next(&mut self) -> Result<AnswerChunk, Refusal> {
         match self.first.take() {
@@ -194,10 +206,7 @@
                 if let Some(attempt) = &mut self.attempt {
                     attempt.answering();
                 }
-                if chunk.finish.is_none() {
-                    self.delivered.push(&chunk.text);
-                }
-                Ok(Some(chunk))
+                Ok(Some(self.deliver(chunk)))
             }
             SequenceStep::Repeated | SequenceStep::Foreign => {
                 self.worker.daemon.metrics.dropped_events.inc();
@@ -217,6 +226,18 @@
         }
     }
 
+    /// Notes what is given out; the counts of an answer by several engines are put right.
+    fn deliver(&mut self, mut chunk: AnswerChunk) -> AnswerChunk {
+        match &chunk.finish {
+            None => self.delivered.push(&chunk.text),
+            Some(finish) if self.is_continued => {
+                chunk.raw = self.usage(finish).written_into(&chunk.raw);
+            }
+            Some(_) => {}
+        }
+        chunk
+    }
+
     /// How long the next item may take.
     fn patience(&self) -> Result<Duration, Refusal> {
         let time_left = self.context.time_left();
@@ -324,6 +345,7 @@
         )
         .await?;
         if !self.delivered.is_empty() {
+            self.is_continued = true;
             self.count(ExtraAttempt::Continuation);
             log_event!(
                 pipeline::ANSWER_CONTINUED,
--- a/crates/daemon/src/pipeline/collect.rs
+++ b/crates/daemon/src/pipeline/collect.rs
@@ -13,6 +13,7 @@
 use super::answer::Answer;
 use super::refusal::Refusal;
 use super::relay::add_source_headers;
+use super::usage::AnswerUsage;
 
 /// The response with the whole of `answer`.
 pub async fn collect(mut answer: Answer, account: &mut Account) -> Result<HttpResponse, Refusal> {
@@ -46,7 +47,7 @@
     created: u64,
     model: &'a str,
     choices: [Choice<'a>; 1],
-    usage: CompletionUsage,
+    usage: AnswerUsage,
     request_id: RequestId,
 }
 
@@ -67,14 +68,6 @@
     content: &'a str,
 }
 
-#[derive(Serialize)]
-struct CompletionUsage {
-    prompt_tokens: u32,
-    completion_tokens: u32,
-    total_tokens: u32,
-    cached_tokens: u32,
-}
-
 impl<'a> Completion<'a> {
     fn new(answer: &'a Answer, finish: &'a Finish) -> Self {
         let context = answer.context();
@@ -89,7 +82,7 @@
             created: unix_seconds(),
             model: context.body.model.as_str(),
             choices: [Choice::new(context.endpoint, text, &finish.reason)],
-            usage: CompletionUsage::new(answer, finish),
+            usage: answer.usage(finish),
             request_id: context.id,
         }
     }
@@ -112,21 +105,6 @@
     }
 }
 
-impl CompletionUsage {
-    /// Counted here, since an engine that continued an answer counts its first tokens as prompt.
-    fn new(answer: &Answer, finish: &Finish) -> Self {
-        let prompt_tokens = answer.context().fingerprint.prompt_tokens;
-        let completion_tokens = answer.delivered().len() as u32;
-        let reported = finish.usage.map_or(0, |usage| usage.cached_tokens);
-        Self {
-            prompt_tokens,
-            completion_tokens,
-            total_tokens: prompt_tokens + completion_tokens,
-            cached_tokens: answer.source().head.cached_tokens.unwrap_or(reported),
-        }
-    }
-}
-
 fn unix_seconds() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     since_epoch.unwrap_or_default().as_secs()
--- a/crates/daemon/src/pipeline/mod.rs
+++ b/crates/daemon/src/pipeline/mod.rs
@@ -33,6 +33,7 @@
 mod relay;
 mod sequence;
 mod share;
+mod usage;
 mod worker;
 
 use std::rc::Rc;
--- a/crates/daemon/tests/stream_tests.rs
+++ b/crates/daemon/tests/stream_tests.rs
@@ -28,6 +28,7 @@
         sequences: (0..u64::from(TOKENS)).collect(),
         has_finish: true,
         is_terminated: true,
+        counted_tokens: Some(u64::from(TOKENS)),
         error: None,
     };
     assert_eq!(answer.status, 200, "{:?}", answer.json());
--- a/crates/daemon/tests/support/caller.rs
+++ b/crates/daemon/tests/support/caller.rs
@@ -36,6 +36,8 @@
     pub has_finish: bool,
     /// Whether the terminal marker came last.
     pub is_terminated: bool,
+    /// The number of tokens that the last event counts.
+    pub counted_tokens: Option<u64>,
     /// The error event.
     pub error: Option<Value>,
 }
@@ -142,6 +144,7 @@
         let choice = &event["choices"][0];
         if choice["finish_reason"].is_string() {
             self.has_finish = true;
+            self.counted_tokens = event["usage"]["completion_tokens"].as_u64();
             return;
         }
         let text = choice["text"]
