--- a/crates/daemon/src/claims/client.rs
+++ b/crates/daemon/src/claims/client.rs
@@ -10,6 +10,8 @@
     Attempt, ClaimAnswer, ClaimKey, ClaimMessage, ClaimRefusal, ClaimReply, ClaimRequest, Claimant,
     Decision, HolderStatus, ReleaseRequest, UnixMillis,
 };
+use driftspring_telemetry::events::pipeline;
+use driftspring_telemetry::log_event;
 use driftspring_types::{ClaimGroup, DaemonId, MemberRecord, Peer, Step, StepError};
 use futures_util::future::join_all;
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -96,7 +98,11 @@
         let reply = self.send(&holder, ClaimMessage::Claim(request)).await;
         match reply {
             Ok(ClaimReply::Claim(answer)) => (holder, Some(answer)),
-            _ => (holder, None),
+            Ok(_) => (holder, None),
+            Err(error) => {
+                log_event!(pipeline::CLAIM_HOLDER_SILENT, "error=\"{error}\"");
+                (holder, None)
+            }
         }
     }
 
--- a/crates/telemetry/src/events/pipeline.rs
+++ b/crates/telemetry/src/events/pipeline.rs
@@ -13,4 +13,5 @@
     PASS_THROUGH_FAILED = 2009, Warn, "The legacy upstream of a route did not answer.";
     BREAKER_OPENED = 2010, Warn, "An engine failed to answer several times in a row and gets no requests for a while; then single ones until it answers.";
     CLAIM_REFUSED = 2011, Info, "A request that may not be repeated was not dispatched, because its claim was not granted; the fields give the reason.";
+    CLAIM_HOLDER_SILENT = 2012, Debug, "A claim holder did not answer in time; a majority of the others is enough.";
 }
