--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -5,6 +5,7 @@
 //! - [`orders`]: sends orders to engines; checks the lease right before each one.
 //! - [`claim_group_task`]: keeps the group of claim holders.
 //! - [`engine_control`]: tells engines to drain or serve, and has them load weights.
+//! - [`warming`]: brings hot prefixes to engines that come up cold; needs no lease.
 
 mod claim_group_task;
 pub mod config_writer;
@@ -12,6 +13,7 @@
 mod lease_task;
 mod ordered_loads;
 mod orders;
+mod warming;
 
 use std::sync::Arc;
 
@@ -21,8 +23,10 @@
 
 use crate::state::DaemonState;
 
-/// Starts the background tasks on the current ntex system, where there is a store to hold the lease in.
+/// Starts the background tasks on the current ntex system; those that need the lease only where there
+/// is a store to hold it in.
 pub fn spawn_all(state: &Arc<DaemonState>) {
+    spawn(reporting(warming::run(Arc::clone(state))));
     let Some(store) = state.settings.platform.object_store else {
         return;
     };
--- a/crates/daemon/src/pipeline/dispatch.rs
+++ b/crates/daemon/src/pipeline/dispatch.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::anyhow;
+use driftspring_control::hot_prefixes::PrefixSample;
 use driftspring_external::engine::{EngineClient, EngineError, RefusalKind};
 use driftspring_history::{Dispatch, Event};
 use driftspring_telemetry::events::pipeline;
@@ -16,7 +17,7 @@
 use super::delivered::DeliveredTokens;
 use super::feedback;
 use super::refusal::{DEFAULT_RETRY_AFTER, Refusal, refusal_of};
-use crate::state::DaemonState;
+use crate::state::{DaemonState, EngineEntry};
 
 /// Opens the request at an engine, to go on after `delivered`.
 pub async fn dispatch(
@@ -37,6 +38,7 @@
         let error = match sent.await {
             Ok(attempt) => {
                 feedback::answered(daemon, attempt.engine(), attempt.head());
+                sample_prefix(daemon, context, attempt.engine());
                 return Ok(attempt);
             }
             Err(error) => error,
@@ -47,6 +49,19 @@
     }
 }
 
+/// Tells the warming of engines of a prefix that `engine` now has cached.
+fn sample_prefix(daemon: &DaemonState, context: &RequestContext, engine: &EngineEntry) {
+    if !context.route.use_cache {
+        return;
+    }
+    daemon.prefix_samples.observe(|| PrefixSample {
+        model: context.route.model.clone(),
+        weights_version: context.weights_version,
+        engine: engine.record.id.clone(),
+        blocks: context.fingerprint.blocks.clone(),
+    });
+}
+
 /// How long the next attempt may wait for its headers.
 fn patience(
     daemon: &DaemonState,
--- a/crates/daemon/src/state/mod.rs
+++ b/crates/daemon/src/state/mod.rs
@@ -5,6 +5,7 @@
 
 mod engines;
 mod gossip;
+mod prefix_samples;
 mod recent;
 mod replica;
 
@@ -23,6 +24,7 @@
 
 pub use engines::{EngineEntry, EngineLoadCounters, EngineTable};
 pub use gossip::{GossipCommand, GossipMailbox};
+pub use prefix_samples::PrefixSamples;
 pub use recent::{RecentAnswer, RecentAnswers};
 pub use replica::{PullSource, SharedReplica};
 
@@ -63,6 +65,8 @@
     pub replica: SharedReplica,
     /// The replicated configuration.
     pub config: ArcSwap<ConfigView>,
+    /// Samples of answered prefixes, for the warming of engines.
+    pub prefix_samples: PrefixSamples,
     /// The way to the gossip thread.
     pub gossip: GossipMailbox,
     /// The engines known.
@@ -98,6 +102,7 @@
         recorder: Recorder,
     ) -> Arc<Self> {
         let replica = SharedReplica::new(&settings);
+        let prefix_samples = PrefixSamples::new(&settings);
         let max_open = u32::try_from(settings.request.max_open).unwrap_or(u32::MAX);
         let admission = Admission::new(max_open);
         let retry_budget = RetryBudget::new(settings.request.retry_budget_percent);
@@ -105,6 +110,7 @@
         let claims = ClaimHolder::new(settings.id.clone(), incarnation, rules);
         Arc::new(Self {
             replica,
+            prefix_samples,
             settings,
             incarnation,
             addresses,
--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -1,6 +1,6 @@
 //! What a daemon hears: gossip, configuration, engine status and cache events.
 
-mod duties;
+pub(crate) mod duties;
 mod gossip;
 pub mod machines;
 mod observe;
--- a/crates/system-tests/src/system.rs
+++ b/crates/system-tests/src/system.rs
@@ -237,6 +237,15 @@
             .with_context(|| format!("no engine {id}"))
     }
 
+    /// The store of kept KV cache.
+    ///
+    /// # Errors
+    ///
+    /// There is none.
+    pub fn kv_store(&self) -> anyhow::Result<&Standin> {
+        self.kv_store.as_ref().context("no KV store")
+    }
+
     /// The object store.
     ///
     /// # Errors
--- a/crates/telemetry/src/events/control.rs
+++ b/crates/telemetry/src/events/control.rs
@@ -14,4 +14,7 @@
     CLAIM_GROUP_WRITTEN = 4031, Info, "The group of claim holders was written; the fields give its epoch and holders.";
     CLAIM_GROUP_NOT_SEALED = 4032, Warn, "The epoch of the claim group could not be sealed, so the group can't be replaced yet: no majority of its holders answers.";
     CLAIM_GROUP_NOT_WRITTEN = 4033, Warn, "A new claim group was not written, or it is not known whether it was; the holder of the lease tries again.";
+    ENGINE_WARMED = 4040, Info, "Hot prefixes were imported at an engine that came up cold.";
+    PREFIX_KEPT = 4041, Info, "A hot prefix was exported from an engine and put into the KV store.";
+    WARMING_FAILED = 4042, Warn, "A hot prefix could not be kept or imported; the engine computes it when a request needs it.";
 }
