--- a/crates/standin/src/engine/core.rs
+++ b/crates/standin/src/engine/core.rs
@@ -20,6 +20,13 @@
 use super::request::{Expectations, RequestBody, RequestHeaders};
 use super::run_log::{RunEnd, RunLogEntry};
 
+/// Weights to be loaded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct WantedWeights {
+    pub(crate) model: String,
+    pub(crate) weights_version: u64,
+}
+
 /// A request that is not over.
 #[derive(Debug)]
 struct OpenRequest {
@@ -38,6 +45,8 @@
     pub(crate) health: EngineHealth,
     pub(crate) drained: bool,
     pub(crate) role: Option<String>,
+    /// The weights ordered last, until they are loaded.
+    pub(crate) wanted_weights: Option<WantedWeights>,
     pub(crate) events: EventLog,
     pub(crate) orders: OrderBook,
     /// The salt of each cached chain, by its first block.
@@ -60,6 +69,7 @@
             health: EngineHealth::Serving,
             drained: false,
             role: None,
+            wanted_weights: None,
             events: EventLog::new(seed_of(options.id.as_str())),
             orders: OrderBook::default(),
             salts: HashMap::new(),
@@ -286,6 +296,23 @@
         self.report_sequence = 0;
         self.health = EngineHealth::Serving;
         self.drained = false;
+        self.wanted_weights = None;
+        self.orders.forget_obeyed();
+    }
+
+    /// Serves with the wanted weights and an empty cache, if they are still those that were `loaded`.
+    pub(crate) fn finish_load(&mut self, now: ModelTime, loaded: &WantedWeights) -> bool {
+        if self.wanted_weights.as_ref() != Some(loaded) {
+            return false;
+        }
+        self.wanted_weights = None;
+        self.model.clear_cache(now);
+        self.salts.clear();
+        self.weights_version = loaded.weights_version;
+        if self.health == EngineHealth::Loading {
+            self.health = EngineHealth::Serving;
+        }
+        true
     }
 
     /// Whether a request is not over or its answer still being read.
--- a/crates/standin/src/engine/orders.rs
+++ b/crates/standin/src/engine/orders.rs
@@ -48,7 +48,7 @@
     Fenced { highest_token: u64 },
 }
 
-/// The orders that came. A crash forgets the repeats but not the highest token.
+/// The orders that came.
 #[derive(Debug, Default)]
 pub(crate) struct OrderBook {
     highest_token: u64,
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Forgets which orders were obeyed, as a crash undoes their effect. The highest token stays.
+    pub(crate) fn forget_obeyed(&mut self) {
+        self.obeyed.clear();
+    }
+
     /// Every order that came.
     pub(crate) fn log(&self) -> &[OrderLogEntry] {
         &self.log
--- a/crates/standin/tests/engine_tests.rs
+++ b/crates/standin/tests/engine_tests.rs
@@ -220,6 +220,23 @@
     assert_eq!(status["incarnation"], incarnation);
 }
 
+#[ntex::test]
+async fn the_weights_ordered_last_are_served_in_the_end() {
+    let engine = start(small_engine());
+    let client = client().await;
+    for version in [2, 3] {
+        let order = json!({"fencing_token": 1, "order_id": format!("load-{version}"), "order":
+            {"kind": "load_weights", "model": "model", "weights_version": version}});
+        let (status, _) = post(&client, url(engine.server.address, "/orders"), &order).await;
+        assert_eq!(status, StatusCode::OK);
+    }
+    eventually("the last weights are served", async || {
+        let (_, status) = get(&client, url(engine.server.address, "/status")).await;
+        status["health"] == "serving" && status["weights_version"] == 3
+    })
+    .await;
+}
+
 #[ntex::test]
 async fn a_leaving_engine_finishes_its_streams_and_ends() {
     let engine = start(small_engine());
