--- a/crates/system-tests/src/faults.rs
+++ b/crates/system-tests/src/faults.rs
@@ -4,12 +4,16 @@
 
 use anyhow::Context;
 use driftspring_history::{Event, Fault, FaultTarget};
-use driftspring_types::{DaemonId, EngineId};
+use driftspring_types::{DaemonId, EngineDirective, EngineId, EngineIntent, WeightsVersion};
 use serde_json::{Value, json};
 
+use crate::MODEL;
 use crate::system::System;
 use crate::wait::wait_until;
 
+/// Above any token that the daemons of a test reach.
+const TEST_FENCING_TOKEN: u64 = 1_000_000;
+
 /// How long an engine's planned stop may take.
 const LEAVE_PATIENCE: Duration = Duration::from_secs(30);
 
@@ -27,6 +31,41 @@
         Ok(())
     }
 
+    /// Writes an operator's directive to drain the engine into the object store.
+    ///
+    /// # Errors
+    ///
+    /// The store does not answer, or has a directive for the engine already.
+    pub async fn drain_engine(&self, id: &str) -> anyhow::Result<()> {
+        let path = format!("/objects/engines/{id}?expect=0");
+        let directive = EngineDirective {
+            id: id.into(),
+            intent: EngineIntent::Drain,
+        };
+        let body = serde_json::to_value(directive)?;
+        let store = self.object_store()?;
+        self.control.put(store.address, &path, &body).await?;
+        self.recorder
+            .record(Event::EngineLeaving { engine: id.into() });
+        Ok(())
+    }
+
+    /// Orders the engine to load other weights, under a fencing token of the test's own.
+    ///
+    /// # Errors
+    ///
+    /// The engine does not answer, or refuses.
+    pub async fn load_weights(&self, id: &str, version: WeightsVersion) -> anyhow::Result<()> {
+        let body = json!({
+            "fencing_token": TEST_FENCING_TOKEN,
+            "order_id": format!("load-{version}-at-{id}"),
+            "order": {"kind": "load_weights", "model": MODEL, "weights_version": version},
+        });
+        let address = self.engine(id)?.address();
+        self.control.post(address, "/orders", &body).await?;
+        Ok(())
+    }
+
     /// Asks the engine for a planned stop: it finishes what is open, refuses the rest and exits.
     /// Returns when it is gone.
     ///
