--- a/crates/daemon/src/claims/client.rs
+++ b/crates/daemon/src/claims/client.rs
@@ -12,6 +12,7 @@
 };
 use driftspring_telemetry::events::pipeline;
 use driftspring_telemetry::log_event;
+use driftspring_telemetry::metrics::ControlSubsystem;
 use driftspring_types::{ClaimGroup, DaemonId, MemberRecord, Peer, Step, StepError};
 use futures_util::future::join_all;
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -45,7 +46,7 @@
     pub async fn new(daemon: &Arc<DaemonState>) -> anyhow::Result<Self> {
         Ok(Self {
             daemon: Arc::clone(daemon),
-            peers: PeerClient::new().await?,
+            peers: PeerClient::new(daemon, ControlSubsystem::Claims).await?,
             ask_timeout: daemon.settings.claims.ask_timeout,
         })
     }
--- a/crates/daemon/src/claims/server.rs
+++ b/crates/daemon/src/claims/server.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 
 use driftspring_claims::ClaimMessage;
+use driftspring_telemetry::metrics::ControlSubsystem;
 use ntex::util::Bytes;
 use ntex::web::{self, HttpResponse, ServiceConfig};
 
 use super::{CLAIMS_PATH, now};
 use crate::state::DaemonState;
+use crate::sync::control_cost::answer_counted;
 
 pub(super) fn configure(config: &mut ServiceConfig, state: &Arc<DaemonState>) {
     let state = Arc::clone(state);
@@ -15,7 +17,7 @@
         CLAIMS_PATH,
         web::post().to(move |body: Bytes| {
             let state = Arc::clone(&state);
-            async move { answer(&state, &body) }
+            async move { answer_counted(&state, ControlSubsystem::Claims, &body, answer) }
         }),
     );
 }
--- a/crates/daemon/src/control/config_writer.rs
+++ b/crates/daemon/src/control/config_writer.rs
@@ -11,6 +11,7 @@
 };
 use driftspring_telemetry::events::control;
 use driftspring_telemetry::log_event;
+use driftspring_telemetry::metrics::ControlSubsystem;
 use driftspring_types::{DaemonId, MemberState, ObjectKey, Peer, Revision, Step, StepError};
 use futures_util::future::join_all;
 use serde_json::{Map, Value};
@@ -99,7 +100,7 @@
     if !is_in_force(state, &request) {
         lacking.push(state.settings.id.clone());
     }
-    let Ok(client) = PeerClient::new().await else {
+    let Ok(client) = PeerClient::new(state, ControlSubsystem::Operator).await else {
         lacking.extend(others(state, revision).into_iter().map(|(id, _)| id));
         return lacking;
     };
--- a/crates/daemon/src/operator/tables/configuration.rs
+++ b/crates/daemon/src/operator/tables/configuration.rs
@@ -1,6 +1,7 @@
 //! Tables of configuration objects.
 
 use driftspring_language::{Cell, Row};
+use driftspring_limits::Admission;
 use driftspring_types::{
     ConfigView, EngineHealth, EngineRecord, ModelName, ObjectKey, ObjectKind, Route, Tenant,
 };
@@ -58,13 +59,14 @@
 }
 
 /// The rows of `limits`.
-pub fn limits(config: &ConfigView) -> Vec<Row> {
+pub fn limits(config: &ConfigView, admission: &Admission) -> Vec<Row> {
     let row = |tenant: &Tenant| {
         vec![
             tenant.id.as_str().into(),
             tenant.requests_per_second.into(),
             tenant.max_concurrent.into(),
             tenant.weight.into(),
+            admission.open_requests_of(&tenant.id).into(),
             revision(config, ObjectKind::Tenants, tenant.id.as_str()),
         ]
     };
--- a/crates/daemon/src/operator/tables/leases.rs
+++ b/crates/daemon/src/operator/tables/leases.rs
@@ -3,23 +3,14 @@
 use std::sync::Arc;
 
 use anyhow::anyhow;
+use driftspring_control::LeaseRecord;
 use driftspring_external::ServiceTimeouts;
 use driftspring_external::object_store::{ObjectStore, StoredObject};
 use driftspring_language::{Cell, Row};
 use driftspring_types::{ObjectKind, Peer, Step, StepError};
-use serde::Deserialize;
 
 use crate::state::DaemonState;
 
-/// The fields of a lease that are shown.
-#[derive(Debug, Default, Deserialize)]
-struct LeaseFields {
-    #[serde(default)]
-    holder: Option<String>,
-    #[serde(default)]
-    expires_ms: Option<u64>,
-}
-
 /// The rows of `leases`. Must be called on an ntex thread.
 ///
 /// # Errors
@@ -40,15 +31,20 @@
     Ok(rows.collect())
 }
 
+/// The row of a lease; one whose value is faulty shows with its name and revision only.
 fn row(name: String, object: StoredObject) -> Row {
-    let fields = object
+    let revision = object.revision;
+    let record = object
         .value
-        .and_then(|value| serde_json::from_value(value).ok());
-    let fields: LeaseFields = fields.unwrap_or_default();
+        .and_then(|value| serde_json::from_value::<LeaseRecord>(value).ok());
+    let holder = record.as_ref().and_then(|record| record.holder.as_ref());
+    let token = record.as_ref().map(|record| record.token_at(revision).0);
     vec![
         Cell::from(name),
-        fields.holder.into(),
-        object.revision.0.into(),
-        fields.expires_ms.into(),
+        holder.map(|holder| holder.daemon.as_str()).into(),
+        holder.map(|holder| holder.incarnation.0).into(),
+        token.into(),
+        record.as_ref().map(|record| record.term_ms).into(),
+        revision.0.into(),
     ]
 }
--- a/crates/daemon/src/operator/tables/mod.rs
+++ b/crates/daemon/src/operator/tables/mod.rs
@@ -21,9 +21,9 @@
     Ok(match table {
         Table::Routes => configuration::routes(&state.config.load()),
         Table::Tenants => configuration::tenants(&state.config.load()),
-        Table::Limits => configuration::limits(&state.config.load()),
+        Table::Limits => configuration::limits(&state.config.load(), &state.admission),
         Table::Models => configuration::models(&state.config.load(), &state.engines.load()),
-        Table::Engines => system::engines(&state.config.load(), &state.engines.load()),
+        Table::Engines => system::engines(state),
         Table::Members => system::members(&state.members.load()),
         Table::Requests => requests::rows(state),
         Table::Cache => system::cache(state),
--- a/crates/daemon/src/operator/tables/system.rs
+++ b/crates/daemon/src/operator/tables/system.rs
@@ -3,13 +3,17 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use driftspring_language::Row;
+use driftspring_limits::BreakerState;
 use driftspring_telemetry::metrics::MetricLabel;
 use driftspring_types::{ConfigView, EngineId, EngineIntent, MemberRecord};
 
-use crate::state::{DaemonState, EngineTable};
+use crate::state::DaemonState;
 
 /// The rows of `engines`.
-pub fn engines(config: &ConfigView, engines: &EngineTable) -> Vec<Row> {
+pub fn engines(state: &DaemonState) -> Vec<Row> {
+    let config = state.config.load();
+    let engines = state.engines.load();
+    let now_ms = state.uptime_ms();
     let entries = engines.iter();
     entries
         .map(|entry| {
@@ -24,7 +28,8 @@
                 record.model.as_str().into(),
                 record.weights_version.0.into(),
                 record.health.text().into(),
-                intent(config, &record.id).into(),
+                intent(&config, &record.id).into(),
+                breaker_text(counters.breaker.state(now_ms)).into(),
                 load.running.into(),
                 load.queued.into(),
                 load.pending_prefill_tokens.into(),
@@ -49,6 +54,14 @@
     }
 }
 
+fn breaker_text(state: BreakerState) -> &'static str {
+    match state {
+        BreakerState::Closed => "closed",
+        BreakerState::ProbeDue => "probe_due",
+        BreakerState::Open { .. } => "open",
+    }
+}
+
 /// The rows of `members`.
 pub fn members(members: &[MemberRecord]) -> Vec<Row> {
     members
--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -1,5 +1,6 @@
 //! What a daemon hears: gossip, configuration, engine status and cache events.
 
+pub mod control_cost;
 pub(crate) mod duties;
 mod gossip;
 pub mod machines;
--- a/crates/daemon/src/sync/replication/peer_client.rs
+++ b/crates/daemon/src/sync/replication/peer_client.rs
@@ -5,6 +5,7 @@
 
 use anyhow::{Context, anyhow};
 use driftspring_replication::{Delta, PullRequest};
+use driftspring_telemetry::metrics::{ControlMetrics, ControlSubsystem};
 use driftspring_types::{DaemonId, Peer, Step, StepError};
 use musli::mode::Binary;
 use musli::{Decode, Encode};
@@ -15,6 +16,7 @@
 
 use super::server::HoldsRequest;
 use super::{HOLDS_PATH, PULL_PATH};
+use crate::state::DaemonState;
 
 /// How long opening a connection to another daemon may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -27,15 +29,18 @@
 #[derive(Clone)]
 pub struct PeerClient {
     http: Client,
+    control: ControlMetrics,
+    subsystem: ControlSubsystem,
 }
 
 impl PeerClient {
-    /// A client with its own connections. Must be made on an ntex thread.
+    /// A client with its own connections, whose messages count as those of `subsystem`. Must be made on
+    /// an ntex thread.
     ///
     /// # Errors
     ///
     /// The HTTP client can't be built.
-    pub async fn new() -> anyhow::Result<Self> {
+    pub async fn new(state: &DaemonState, subsystem: ControlSubsystem) -> anyhow::Result<Self> {
         let io = IoConfig::new().set_connect_timeout(Millis::from(CONNECT_TIMEOUT));
         let http = ClientBuilder::new()
             .disable_timeout()
@@ -45,7 +50,11 @@
             .build(SharedCfg::new("peer-client").add(io).build())
             .await
             .context("building the client of other daemons")?;
-        Ok(Self { http })
+        Ok(Self {
+            http,
+            control: state.metrics.control.clone(),
+            subsystem,
+        })
     }
 
     /// Asks `peer` for its records above a revision.
@@ -122,6 +131,7 @@
         A: for<'de> Decode<'de, Binary, musli::alloc::Global>,
     {
         let body = musli::wire::to_vec(question).map_err(|error| anyhow!("{error}"))?;
+        self.control.count_sent(self.subsystem, body.len());
         let request = self.http.post(format!("http://{address}{path}"));
         let response = request
             .send_body(body)
@@ -131,6 +141,7 @@
             return Err(anyhow!("HTTP status {}", response.status()));
         }
         let body = response.body().await.map_err(|error| anyhow!("{error}"))?;
+        self.control.count_received(self.subsystem, body.len());
         musli::wire::from_slice(&body).map_err(|error| anyhow!("malformed answer: {error}"))
     }
 }
--- a/crates/daemon/src/sync/replication/pull.rs
+++ b/crates/daemon/src/sync/replication/pull.rs
@@ -5,6 +5,7 @@
 use driftspring_replication::{PullProgress, PullSession};
 use driftspring_telemetry::events::sync;
 use driftspring_telemetry::log_event;
+use driftspring_telemetry::metrics::ControlSubsystem;
 use driftspring_types::StepError;
 
 use super::peer_client::PeerClient;
@@ -13,7 +14,7 @@
 /// Copies from one peer at a time until the process ends. A failed copy is not repeated by itself: the
 /// next notice, from this peer or another, leads to a new one.
 pub(super) async fn run(state: Arc<DaemonState>) {
-    let client = match PeerClient::new().await {
+    let client = match PeerClient::new(&state, ControlSubsystem::Configuration).await {
         Ok(client) => client,
         Err(error) => {
             log_event!(sync::PULL_FAILED, "error={error:#}");
--- a/crates/daemon/src/sync/replication/server.rs
+++ b/crates/daemon/src/sync/replication/server.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use driftspring_replication::PullRequest;
+use driftspring_telemetry::metrics::ControlSubsystem;
 use driftspring_types::Revision;
 use musli::mode::Binary;
 use musli::{Decode, Encode};
@@ -11,6 +12,7 @@
 
 use super::{HOLDS_PATH, PULL_PATH};
 use crate::state::DaemonState;
+use crate::sync::control_cost::answer_counted;
 
 /// About the size of one chunk of a copy, in bytes.
 const CHUNK_BYTES: usize = 256 * 1024;
@@ -32,18 +34,26 @@
             PULL_PATH,
             web::post().to(move |body: Bytes| {
                 let state = Arc::clone(&pull_state);
-                async move { answer_pull(&state, &body) }
+                async move { counted(&state, &body, answer_pull) }
             }),
         )
         .route(
             HOLDS_PATH,
             web::post().to(move |body: Bytes| {
                 let state = Arc::clone(&holds_state);
-                async move { answer_holds(&state, &body) }
+                async move { counted(&state, &body, answer_holds) }
             }),
         );
 }
 
+fn counted(
+    state: &DaemonState,
+    body: &[u8],
+    answer: impl FnOnce(&DaemonState, &[u8]) -> HttpResponse,
+) -> HttpResponse {
+    answer_counted(state, ControlSubsystem::Configuration, body, answer)
+}
+
 fn answer_pull(state: &DaemonState, body: &[u8]) -> HttpResponse {
     if !state.settings.mechanisms.anti_entropy {
         return HttpResponse::NotFound().finish();
--- a/crates/language/src/table.rs
+++ b/crates/language/src/table.rs
@@ -87,13 +87,14 @@
     number("revision"),
 ];
 
-static ENGINES: [Column; 17] = [
+static ENGINES: [Column; 18] = [
     text("name"),
     text("zone"),
     text("model"),
     number("version"),
     text("health"),
     text("intent"),
+    text("breaker"),
     number("running"),
     number("queued"),
     number("pending_tokens"),
@@ -128,11 +129,13 @@
     number("incarnation"),
 ];
 
-static LEASES: [Column; 4] = [
+static LEASES: [Column; 6] = [
     text("name"),
     text("holder"),
+    number("incarnation"),
     number("token"),
-    number("expires_ms"),
+    number("term_ms"),
+    number("revision"),
 ];
 
 static MODELS: [Column; 7] = [
@@ -145,11 +148,12 @@
     number("revision"),
 ];
 
-static LIMITS: [Column; 5] = [
+static LIMITS: [Column; 6] = [
     text("tenant"),
     number("rate"),
     number("concurrency"),
     number("weight"),
+    number("open_here"),
     number("revision"),
 ];
 
--- a/crates/language/tests/selection.rs
+++ b/crates/language/tests/selection.rs
@@ -10,7 +10,7 @@
     }
 }
 
-/// Rows of `limits`: tenant, rate, concurrency, weight, revision.
+/// Rows of `limits`: tenant, rate, concurrency, weight, open requests, revision.
 fn limits(rows: &[(&str, Option<u64>)]) -> Vec<Row> {
     rows.iter()
         .map(|(tenant, rate)| {
@@ -20,6 +20,7 @@
                 rate,
                 Cell::Empty,
                 Cell::from(1u64),
+                Cell::from(0u64),
                 Cell::from(7u64),
             ]
         })
--- a/crates/limits/src/admission.rs
+++ b/crates/limits/src/admission.rs
@@ -86,6 +86,11 @@
         &self.usage
     }
 
+    /// Requests that `tenant` has open here.
+    pub fn open_requests_of(&self, tenant: &TenantId) -> u32 {
+        self.tenants.usage(tenant).map_or(0, |usage| usage.open())
+    }
+
     /// Admits a request of `tenant`, or refuses it at once.
     pub fn admit(&self, tenant: &Tenant) -> Result<Permit, Refusal> {
         let live_daemons = self.live_daemons.load(Ordering::Acquire);
--- a/crates/limits/src/tenants.rs
+++ b/crates/limits/src/tenants.rs
@@ -111,6 +111,13 @@
         self.replace(shard, &tenant.id, shares)
     }
 
+    /// What `tenant` uses, where it has been seen.
+    pub(crate) fn usage(&self, tenant: &TenantId) -> Option<Arc<TenantUsage>> {
+        let shard = self.shard(tenant).load();
+        let limits = shard.get(tenant)?;
+        Some(Arc::clone(&limits.usage))
+    }
+
     /// Forgets the tenants for which `is_kept` is false and that have nothing open.
     pub(crate) fn retain(&self, is_kept: impl Fn(&TenantId) -> bool) {
         for shard in &self.shards {
--- a/crates/telemetry/src/metrics/control.rs
+++ b/crates/telemetry/src/metrics/control.rs
@@ -5,8 +5,8 @@
 use super::counters::LabelledCounters;
 use super::labels::ControlSubsystem;
 
-/// Bytes and time of control work.
-#[derive(Debug)]
+/// Bytes and time of control work. Clones share the numbers.
+#[derive(Debug, Clone)]
 pub struct ControlMetrics {
     /// Bytes of message bodies sent.
     pub bytes_sent: LabelledCounters<ControlSubsystem>,
