--- a/crates/daemon/src/pipeline/answer.rs
+++ b/crates/daemon/src/pipeline/answer.rs
@@ -17,6 +17,7 @@
 use super::attempt::{Attempt, ResumePatience};
 use super::choose_engine::TriedEngines;
 use super::context::RequestContext;
+use super::deadline_body::DeadlineWatch;
 use super::delivered::DeliveredTokens;
 use super::dispatch::{deadline_passed, dispatch};
 use super::refusal::Refusal;
@@ -90,6 +91,11 @@
         &self.context
     }
 
+    /// What ends overdue responses of this thread.
+    pub fn deadlines(&self) -> &Rc<DeadlineWatch> {
+        &self.worker.deadlines
+    }
+
     /// Who began the answer.
     pub fn source(&self) -> &AnswerSource {
         &self.source
--- a/crates/daemon/src/pipeline/mod.rs
+++ b/crates/daemon/src/pipeline/mod.rs
@@ -19,6 +19,7 @@
 mod classify;
 mod collect;
 mod context;
+mod deadline_body;
 mod decode;
 mod delivered;
 mod dispatch;
--- a/crates/daemon/src/pipeline/relay.rs
+++ b/crates/daemon/src/pipeline/relay.rs
@@ -1,6 +1,7 @@
 //! Filter: passes an answer on to its caller as a stream of server-sent events.
 
 use std::convert::Infallible;
+use std::rc::Rc;
 
 use driftspring_external::engine::AnswerChunk;
 use driftspring_types::Outcome;
@@ -11,6 +12,7 @@
 
 use super::account::Account;
 use super::answer::Answer;
+use super::dispatch::deadline_passed;
 use super::headers;
 use super::refusal::Refusal;
 
@@ -31,12 +33,16 @@
     builder.content_type("text/event-stream");
     builder.header("cache-control", "no-cache");
     add_source_headers(&mut builder, &answer);
+    let (id, deadline) = (answer.context().id, answer.context().deadline);
+    let deadlines = Rc::clone(answer.deadlines());
+    let overdue = deadline_passed(true).stream_event(id);
     let relay = Relay {
         answer,
         account,
         has_ended: false,
     };
-    builder.streaming(Box::pin(unfold(relay, next_piece)))
+    let pieces = unfold(relay, next_piece);
+    builder.streaming(deadlines.body(id, deadline, overdue, pieces))
 }
 
 /// Adds the headers that say who answers.
--- a/crates/daemon/src/pipeline/worker.rs
+++ b/crates/daemon/src/pipeline/worker.rs
@@ -1,5 +1,6 @@
 //! What one worker thread keeps: its connections to engines and legacy upstreams.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use driftspring_types::{Peer, Step, StepError};
 use tokio::sync::OnceCell;
 
+use super::deadline_body::DeadlineWatch;
 use super::refusal::Refusal;
 use crate::claims::ClaimClient;
 use crate::state::DaemonState;
@@ -19,6 +21,8 @@
 pub struct WorkerState {
     /// What all threads share.
     pub daemon: Arc<DaemonState>,
+    /// Ends overdue responses of this thread.
+    pub deadlines: Rc<DeadlineWatch>,
     engines: OnceCell<EngineClient>,
     legacy: OnceCell<LegacyClient>,
     claims: OnceCell<ClaimClient>,
@@ -29,6 +33,7 @@
     pub fn new(daemon: Arc<DaemonState>) -> Self {
         Self {
             daemon,
+            deadlines: Rc::default(),
             engines: OnceCell::new(),
             legacy: OnceCell::new(),
             claims: OnceCell::new(),
--- a/crates/daemon/tests/stream_tests.rs
+++ b/crates/daemon/tests/stream_tests.rs
@@ -2,13 +2,14 @@
 
 mod support;
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use driftspring_settings::Settings;
 use driftspring_standin::FaultUpdate;
 use driftspring_standin::engine::RunEnd;
 use serde_json::json;
-use support::caller::{Answer, StreamedAnswer};
+use support::caller::{Answer, OpenAnswer, StreamedAnswer};
 use support::daemon::{MODEL, TestDaemon};
 use support::engines::{Engines, expected_tokens};
 use support::wait_until;
@@ -175,6 +176,32 @@
     assert!(error["retry_after_ms"].as_u64() > Some(0));
 }
 
+#[test]
+fn a_caller_that_reads_nothing_keeps_its_engine_until_its_deadline_only() {
+    let engines = Engines::start_with(1, |options| {
+        options.engine.step_base_microseconds = 10.0;
+    });
+    let daemon = TestDaemon::start(&engines.addresses(), |_| ());
+    let deadline = [("x-deadline-ms", "3000")];
+    let caller = daemon.caller();
+    let connection = caller.send_stream_request(&deadline, PROMPT, 1_000_000);
+    wait_until("the run is cancelled", || {
+        let runs = engines.runs();
+        runs.first()
+            .is_some_and(|run| run.ended == RunEnd::Cancelled)
+    });
+    let state = &daemon.running.state;
+    wait_until("the request is over", || {
+        state.open_requests.load(Ordering::Acquire) == 0
+    });
+    assert_eq!(state.metrics.abandoned_requests.get(), 1, "it was blocked");
+    let streamed = OpenAnswer::read_head(connection).finish().events();
+    assert_eq!(
+        streamed.error.expect("an error event")["outcome"],
+        "unknown"
+    );
+}
+
 #[test]
 fn a_caller_that_hangs_up_cancels_the_engine_s_work() {
     let engines = Engines::start_with(1, |options| {
--- a/crates/telemetry/src/events/pipeline.rs
+++ b/crates/telemetry/src/events/pipeline.rs
@@ -14,4 +14,5 @@
     BREAKER_OPENED = 2010, Warn, "An engine failed to answer several times in a row and gets no requests for a while; then single ones until it answers.";
     CLAIM_REFUSED = 2011, Info, "A request that may not be repeated was not dispatched, because its claim was not granted; the fields give the reason.";
     CLAIM_HOLDER_SILENT = 2012, Debug, "A claim holder did not answer in time; a majority of the others is enough.";
+    CALLER_STALLED = 2013, Info, "A caller did not read its stream until the deadline; the engine's work is cancelled.";
 }
