--- a/crates/bench/src/compare/measure.rs
+++ b/crates/bench/src/compare/measure.rs
@@ -56,6 +56,28 @@
     pub busiest_utilisation: f64,
 }
 
+impl RunResult {
+    /// The means over several runs; requests are summed. Nothing where there are none.
+    pub fn mean_of(runs: &[Self]) -> Option<Self> {
+        let mean = |value: fn(&Self) -> f64| {
+            runs.iter().map(value).sum::<f64>() / runs.len().max(1) as f64
+        };
+        (!runs.is_empty()).then(|| Self {
+            hit_rate: mean(|run| run.hit_rate),
+            hit_rate_bound: mean(|run| run.hit_rate_bound),
+            first_token_p50_ms: mean(|run| run.first_token_p50_ms),
+            first_token_p95_ms: mean(|run| run.first_token_p95_ms),
+            first_token_p99_ms: mean(|run| run.first_token_p99_ms),
+            recomputed_per_needed: mean(|run| run.recomputed_per_needed),
+            wasted: mean(|run| run.wasted),
+            shed: runs.iter().map(|run| run.shed).sum(),
+            requests: runs.iter().map(|run| run.requests).sum(),
+            prefill_utilisation: mean(|run| run.prefill_utilisation),
+            busiest_utilisation: mean(|run| run.busiest_utilisation),
+        })
+    }
+}
+
 impl Default for Measures {
     fn default() -> Self {
         const SIGNIFICANT_DIGITS: u8 = 3;
--- a/crates/bench/src/compare/policy.rs
+++ b/crates/bench/src/compare/policy.rs
@@ -83,6 +83,13 @@
         scheme("full", ALL_PARTS),
         scheme("full - events", without(|parts| parts.events = false)),
         scheme("full - answers", without(|parts| parts.answers = false)),
+        scheme(
+            "full - events, answers",
+            without(|parts| {
+                parts.events = false;
+                parts.answers = false;
+            }),
+        ),
         scheme("full - widening", without(|parts| parts.widening = false)),
         scheme(
             "full - kept cache",
--- a/crates/bench/src/flags.rs
+++ b/crates/bench/src/flags.rs
@@ -65,8 +65,10 @@
         }
         /// Compares routing policies on the same trace in virtual time.
         cmd compare {
-            /// Seed of the workload.
+            /// Seed of the first trace.
             optional --seed seed: u64
+            /// How many traces, each with the next seed; the results are averaged.
+            optional --traces traces: u64
             /// `directorate` or `moreton`; both without this flag.
             optional --workload workload: String
             /// Where to write the result as JSON.
--- a/crates/routing/src/heat.rs
+++ b/crates/routing/src/heat.rs
@@ -39,7 +39,7 @@
     fn default() -> Self {
         Self {
             capacity: 32_768,
-            half_life: Duration::from_secs(20),
+            half_life: Duration::from_secs(12),
         }
     }
 }
