--- a/crates/daemon/src/pipeline/attempt.rs
+++ b/crates/daemon/src/pipeline/attempt.rs
@@ -85,11 +85,6 @@
         }
     }
 
-    /// The engine.
-    pub fn engine(&self) -> &Arc<EngineEntry> {
-        &self.work.engine
-    }
-
     /// The engine's name.
     pub fn engine_id(&self) -> &EngineId {
         &self.work.engine.record.id
@@ -189,7 +184,7 @@
 impl EngineWork {
     fn begin(client: &EngineClient, context: &RequestContext, choice: &EngineChoice) -> Self {
         let prompt_tokens = context.fingerprint.prompt_tokens;
-        let prefill_tokens = prompt_tokens.saturating_sub(choice.expected_cached_tokens);
+        let prefill_tokens = prompt_tokens.saturating_sub(choice.overlap.tokens());
         choice.engine.counters.dispatched(prefill_tokens);
         Self {
             client: client.clone(),
--- a/crates/daemon/src/pipeline/choose_engine.rs
+++ b/crates/daemon/src/pipeline/choose_engine.rs
@@ -1,9 +1,9 @@
 //! Filter: chooses the engine.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use anyhow::anyhow;
+use driftspring_directory::{EngineResidency, Overlap};
 use driftspring_external::engine::{EngineError, RefusalKind};
 use driftspring_types::{
     ConfigView, EngineHealth, EngineId, EngineIntent, NotRunReason, Peer, RetrySafety, Step,
@@ -14,7 +14,7 @@
 use super::context::RequestContext;
 use super::engine_table::UNKNOWN_WEIGHTS;
 use super::refusal::{DEFAULT_RETRY_AFTER, Refusal, refusal_of};
-use crate::state::{DaemonState, EngineEntry};
+use crate::state::{DaemonState, EngineCandidate, EngineEntry};
 
 /// Attempts at one engine whose refusals only corrected what was known of it.
 const MAX_CORRECTIONS: u32 = 3;
@@ -26,8 +26,11 @@
 pub struct EngineChoice {
     /// The engine.
     pub engine: Arc<EngineEntry>,
-    /// Prompt tokens that it is expected to have cached.
-    pub expected_cached_tokens: u32,
+    /// What its present life has cached; nothing before its first report, and for requests that
+    /// start cold.
+    pub residency: Option<Arc<EngineResidency>>,
+    /// What it probably has of the prompt.
+    pub overlap: Overlap,
 }
 
 /// The engines that a request was sent to in vain.
@@ -156,15 +159,15 @@
     if candidates.is_empty() && !able.is_empty() && tried.is_empty() {
         return Err(breaker::all_open(&able, context, now_ms));
     }
-    let fresh = least_loaded(&candidates, |engine| tried.allows(engine));
-    let chosen = fresh.or_else(|| least_loaded(&candidates, |engine| tried.allows_again(engine)));
-    let engine = chosen.ok_or_else(|| tried.refusal(context))?;
+    let choose = |allows: fn(&TriedEngines, &EngineId) -> bool| {
+        choose_among(daemon, context, &candidates, |engine| allows(tried, engine))
+    };
+    let fresh = choose(TriedEngines::allows);
+    let chosen = fresh.or_else(|| choose(TriedEngines::allows_again));
+    let choice = chosen.ok_or_else(|| tried.refusal(context))?;
     // Where another thread has just begun the probe of the same engine, two requests probe it.
-    engine.counters.breaker.try_pass(now_ms);
-    Ok(EngineChoice {
-        engine,
-        expected_cached_tokens: 0,
-    })
+    choice.engine.counters.breaker.try_pass(now_ms);
+    Ok(choice)
 }
 
 /// Whether the engine has the model and weights of the request, as far as is known.
@@ -185,19 +188,43 @@
     engine.record.health == EngineHealth::Serving && !drained
 }
 
-/// The engine with the fewest own open requests among those that `allowed` lets pass.
-fn least_loaded(
+/// Chooses by the policy of the settings among the candidates that `allowed` lets pass.
+fn choose_among(
+    daemon: &DaemonState,
+    context: &RequestContext,
     candidates: &[&Arc<EngineEntry>],
     allowed: impl Fn(&EngineId) -> bool,
-) -> Option<Arc<EngineEntry>> {
-    candidates
+) -> Option<EngineChoice> {
+    let mut engines: Vec<EngineCandidate> = candidates
         .iter()
         .filter(|engine| allowed(&engine.record.id))
-        .min_by_key(|engine| {
-            let open = engine.counters.open_requests.load(Ordering::Relaxed);
-            (open, &engine.record.id)
-        })
-        .map(|engine| Arc::clone(engine))
+        .map(|engine| candidate(daemon, context, engine))
+        .collect();
+    let model = &context.route.model;
+    let fingerprint = &context.fingerprint;
+    let now = daemon.uptime();
+    let decision = daemon.routing.choose(model, fingerprint, &engines, now)?;
+    let chosen = engines.swap_remove(decision.index);
+    Some(EngineChoice {
+        engine: chosen.engine,
+        residency: chosen.residency,
+        overlap: decision.overlap,
+    })
+}
+
+fn candidate(
+    daemon: &DaemonState,
+    context: &RequestContext,
+    engine: &Arc<EngineEntry>,
+) -> EngineCandidate {
+    let uses_cache = context.route.use_cache;
+    let residency = uses_cache
+        .then(|| daemon.routing.residency_of(&engine.record))
+        .flatten();
+    EngineCandidate {
+        engine: Arc::clone(engine),
+        residency,
+    }
 }
 
 fn no_engine(context: &RequestContext) -> Refusal {
--- a/crates/daemon/src/pipeline/dispatch.rs
+++ b/crates/daemon/src/pipeline/dispatch.rs
@@ -34,16 +34,17 @@
         take_retry(daemon, context, tried)?;
         count_retry(daemon, tried, delivered);
         record(daemon, context, &choice);
+        feedback::dispatched(daemon, context, &choice);
         let sent = Attempt::open(daemon, client, context, &choice, body.clone(), patience);
         let error = match sent.await {
             Ok(attempt) => {
-                feedback::answered(daemon, attempt.engine(), attempt.head());
-                sample_prefix(daemon, context, attempt.engine());
+                feedback::answered(daemon, context, &choice, attempt.head());
+                sample_prefix(daemon, context, &choice.engine);
                 return Ok(attempt);
             }
             Err(error) => error,
         };
-        feedback::failed(daemon, &choice.engine, &error);
+        feedback::failed(daemon, context, &choice, &error);
         log_failure(context, &choice, &error);
         note_failure(context, &choice, tried, error)?;
     }
@@ -163,6 +164,6 @@
         tenant: context.tenant.id.clone(),
         incarnation: choice.engine.record.incarnation,
         weights_version: context.weights_version,
-        expected_cached_tokens: choice.expected_cached_tokens,
+        expected_cached_tokens: choice.overlap.tokens(),
     }));
 }
--- a/crates/daemon/src/pipeline/feedback.rs
+++ b/crates/daemon/src/pipeline/feedback.rs
@@ -9,14 +9,30 @@
 use driftspring_telemetry::log_event;
 use driftspring_types::{EngineHealth, EngineLoad, EngineRecord, Incarnation};
 
+use super::choose_engine::EngineChoice;
+use super::context::RequestContext;
 use super::engine_table::put_record;
 use crate::state::{DaemonState, EngineEntry};
 
 /// The table is rebuilt for a mere change of load at most this often per engine, in milliseconds.
 const LOAD_REPORT_INTERVAL_MS: u64 = 20;
 
-/// Takes the report in the headers of an answer.
-pub fn answered(daemon: &DaemonState, engine: &EngineEntry, head: &AnswerHead) {
+/// Notes that the request goes to the engine, which will soon have its prompt cached.
+pub fn dispatched(daemon: &DaemonState, context: &RequestContext, choice: &EngineChoice) {
+    if let Some(residency) = &choice.residency {
+        residency.dispatched(&context.fingerprint, daemon.uptime());
+    }
+}
+
+/// Takes what an answer's headers say: what the engine had cached of the prompt, and its load.
+pub fn answered(
+    daemon: &DaemonState,
+    context: &RequestContext,
+    choice: &EngineChoice,
+    head: &AnswerHead,
+) {
+    correct_residency(daemon, context, choice, head);
+    let engine = &choice.engine;
     engine.counters.breaker.record_success();
     let table = daemon.engines.load();
     let Some(known) = table.get(&engine.record.id) else {
@@ -32,15 +48,42 @@
     if only_load_changed && now_ms < reported_at_ms + LOAD_REPORT_INTERVAL_MS {
         return;
     }
-    engine
-        .counters
-        .reported_at_ms
-        .store(now_ms, Ordering::Relaxed);
+    engine.counters.reported(now_ms);
     put_record(daemon, &record);
 }
 
+fn correct_residency(
+    daemon: &DaemonState,
+    context: &RequestContext,
+    choice: &EngineChoice,
+    head: &AnswerHead,
+) {
+    if !daemon.settings.routing.use_answers {
+        return;
+    }
+    let Some(residency) = &choice.residency else {
+        return;
+    };
+    if head.incarnation != Some(residency.incarnation()) {
+        return;
+    }
+    if let Some(cached_tokens) = head.cached_tokens {
+        let now = daemon.uptime();
+        residency.answered(&context.fingerprint, choice.overlap, cached_tokens, now);
+    }
+}
+
 /// Takes what a failed attempt says about its engine.
-pub fn failed(daemon: &DaemonState, engine: &EngineEntry, error: &EngineError) {
+pub fn failed(
+    daemon: &DaemonState,
+    context: &RequestContext,
+    choice: &EngineChoice,
+    error: &EngineError,
+) {
+    if let Some(residency) = &choice.residency {
+        residency.not_computed(&context.fingerprint, choice.overlap);
+    }
+    let engine = &choice.engine;
     let EngineError::Refused(refusal) = error else {
         failed_to_answer(daemon, engine, error);
         return;
--- a/crates/daemon/src/state/engines.rs
+++ b/crates/daemon/src/state/engines.rs
@@ -1,6 +1,6 @@
 //! The engines known to a daemon, with the counters that survive each rebuild of the table.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
@@ -26,6 +26,25 @@
     pub cached_tokens: AtomicU64,
     /// When the newest report reached this daemon, in milliseconds since it started.
     pub reported_at_ms: AtomicU64,
+    /// Prompt tokens dispatched by this daemon since then.
+    dispatched_since_tokens: AtomicU32,
+    /// Requests dispatched by this daemon since then.
+    dispatched_since_requests: AtomicU32,
+}
+
+/// One reading of [`EngineLoadCounters`].
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct OwnLoad {
+    /// Requests that this daemon has open at the engine.
+    pub open_requests: u32,
+    /// Prompt tokens dispatched by this daemon for which no first token has come yet.
+    pub pending_prefill_tokens: u32,
+    /// When the newest report reached this daemon, since it started.
+    pub reported_at: Duration,
+    /// Prompt tokens dispatched by this daemon since then.
+    pub dispatched_since_tokens: u32,
+    /// Requests dispatched by this daemon since then.
+    pub dispatched_since_requests: u32,
 }
 
 impl EngineLoadCounters {
@@ -35,6 +54,28 @@
         self.dispatched_requests.fetch_add(1, Ordering::Relaxed);
         self.pending_prefill_tokens
             .fetch_add(prefill_tokens, Ordering::Relaxed);
+        self.dispatched_since_tokens
+            .fetch_add(prefill_tokens, Ordering::Relaxed);
+        self.dispatched_since_requests
+            .fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Notes that a report reached this daemon. What was dispatched before counts as part of it.
+    pub fn reported(&self, now_ms: u64) {
+        self.reported_at_ms.store(now_ms, Ordering::Relaxed);
+        self.dispatched_since_tokens.store(0, Ordering::Relaxed);
+        self.dispatched_since_requests.store(0, Ordering::Relaxed);
+    }
+
+    /// Reads all counters; each for itself, so that they may differ by a request under way.
+    pub fn own_load(&self) -> OwnLoad {
+        OwnLoad {
+            open_requests: self.open_requests.load(Ordering::Relaxed),
+            pending_prefill_tokens: self.pending_prefill_tokens.load(Ordering::Relaxed),
+            reported_at: Duration::from_millis(self.reported_at_ms.load(Ordering::Relaxed)),
+            dispatched_since_tokens: self.dispatched_since_tokens.load(Ordering::Relaxed),
+            dispatched_since_requests: self.dispatched_since_requests.load(Ordering::Relaxed),
+        }
     }
 
     /// Counts the first token of a request.
@@ -69,7 +110,7 @@
 /// All engines known.
 #[derive(Debug, Clone, Default)]
 pub struct EngineTable {
-    entries: HashMap<EngineId, Arc<EngineEntry>>,
+    entries: BTreeMap<EngineId, Arc<EngineEntry>>,
 }
 
 impl EngineTable {
@@ -78,7 +119,7 @@
         self.entries.get(id)
     }
 
-    /// All engines, in no order.
+    /// All engines, in the order of their names.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<EngineEntry>> {
         self.entries.values()
     }
@@ -102,7 +143,7 @@
         let now_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
         let never_reported =
             |(_, entry): &(&EngineId, &Arc<EngineEntry>)| entry.record.incarnation.0 == 0;
-        let mut entries: HashMap<EngineId, Arc<EngineEntry>> = self
+        let mut entries: BTreeMap<EngineId, Arc<EngineEntry>> = self
             .entries
             .iter()
             .filter(never_reported)
@@ -112,8 +153,7 @@
             let known = self.entries.get(&record.id);
             let entry = match (merged_entry(known, record), known) {
                 (Some(entry), _) => {
-                    let reported_at = &entry.counters.reported_at_ms;
-                    reported_at.store(now_ms, Ordering::Relaxed);
+                    entry.counters.reported(now_ms);
                     entry
                 }
                 (None, Some(known)) => Arc::clone(known),
--- a/crates/daemon/src/state/mod.rs
+++ b/crates/daemon/src/state/mod.rs
@@ -8,11 +8,12 @@
 mod prefix_samples;
 mod recent;
 mod replica;
+mod routing;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
 use driftspring_claims::{ClaimHolder, HolderRules};
@@ -22,11 +23,12 @@
 use driftspring_telemetry::Metrics;
 use driftspring_types::{ConfigView, Incarnation, MemberRecord};
 
-pub use engines::{EngineEntry, EngineLoadCounters, EngineTable};
+pub use engines::{EngineEntry, EngineLoadCounters, EngineTable, OwnLoad};
 pub use gossip::{GossipCommand, GossipMailbox};
 pub use prefix_samples::PrefixSamples;
 pub use recent::{RecentAnswer, RecentAnswers};
 pub use replica::{PullSource, SharedReplica};
+pub use routing::{EngineCandidate, RoutingState};
 
 /// How far a process is on its way to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -71,6 +73,8 @@
     pub gossip: GossipMailbox,
     /// The engines known.
     pub engines: ArcSwap<EngineTable>,
+    /// What the engine choice knows.
+    pub routing: RoutingState,
     /// The daemons known, this one included.
     pub members: ArcSwap<Vec<MemberRecord>>,
     /// Records dispatches and configuration in force in test and bench runs; else drops them.
@@ -108,7 +112,9 @@
         let retry_budget = RetryBudget::new(settings.request.retry_budget_percent);
         let rules = holder_rules(&settings.claims);
         let claims = ClaimHolder::new(settings.id.clone(), incarnation, rules);
+        let routing = RoutingState::new(&settings.routing, &settings.zone);
         Arc::new(Self {
+            routing,
             replica,
             prefix_samples,
             settings,
@@ -136,6 +142,11 @@
         u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// The time since this life began.
+    pub fn uptime(&self) -> Duration {
+        self.started_at.elapsed()
+    }
+
     /// Whether a planned stop has begun, or the process is over.
     pub fn is_stopping(&self) -> bool {
         self.phase.load(Ordering::Acquire) >= Phase::Stopping as u8
--- a/crates/daemon/src/sync/publication.rs
+++ b/crates/daemon/src/sync/publication.rs
@@ -57,5 +57,8 @@
         state
             .engines
             .rcu(|published| published.rebuilt(membership.engines().iter(), now));
+        let engines = state.engines.load();
+        let directory = &state.routing.directory;
+        directory.retain(|engine| engines.get(engine).is_some());
     }
 }
--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -68,11 +68,14 @@
         known.filter(|known| known.incarnation() == incarnation)
     }
 
-    /// Forgets an engine that has left.
-    pub fn forget(&self, engine: &EngineId) {
+    /// Forgets all engines but those that `is_known`.
+    pub fn retain(&self, is_known: impl Fn(&EngineId) -> bool) {
+        if self.engines.load().keys().all(&is_known) {
+            return;
+        }
         self.engines.rcu(|engines| {
             let mut engines = ResidencyMap::clone(engines);
-            engines.remove(engine);
+            engines.retain(|engine, _| is_known(engine));
             engines
         });
     }
