--- a/crates/daemon/src/command_line.rs
+++ b/crates/daemon/src/command_line.rs
@@ -31,6 +31,8 @@
             /// The settings file (TOML).
             required file: PathBuf
         }
+        /// Reads a bearer key from standard input and prints its hash, as settings and orders name it.
+        cmd hash-key {}
         /// Prints the catalogue of log events, the source of docs/EVENTS.md.
         cmd events {}
     }
--- a/crates/daemon/src/operator/planner/routes.rs
+++ b/crates/daemon/src/operator/planner/routes.rs
@@ -8,9 +8,6 @@
 use super::{PlannedChange, PlanningView};
 use crate::operator::effects::Effects;
 
-/// The priority of a route for which none is given.
-const DEFAULT_PRIORITY: u8 = 4;
-
 fn target(view: &PlanningView, route: &str) -> Target {
     let key = ObjectKey::new(ObjectKind::Routes, route);
     Target::new(key, view.object.as_ref())
@@ -31,7 +28,7 @@
             address: address.to_string(),
             percent: share.get(),
         }),
-        priority: DEFAULT_PRIORITY,
+        priority: Route::DEFAULT_PRIORITY,
         use_cache: true,
     };
     apply(&mut route, &added.change);
--- a/crates/daemon/src/operator/planner/tenants.rs
+++ b/crates/daemon/src/operator/planner/tenants.rs
@@ -8,9 +8,6 @@
 use super::{PlannedChange, PlanningView};
 use crate::operator::effects::Effects;
 
-/// The weight of a tenant for which none is given.
-const DEFAULT_WEIGHT: u32 = 1;
-
 fn target(view: &PlanningView, tenant: &TenantId) -> Target {
     let key = ObjectKey::new(ObjectKind::Tenants, tenant.as_str());
     Target::new(key, view.object.as_ref())
@@ -24,7 +21,7 @@
         key_hash: added.key_hash.clone(),
         requests_per_second: 0,
         max_concurrent: 0,
-        weight: DEFAULT_WEIGHT,
+        weight: Tenant::DEFAULT_WEIGHT,
     };
     apply(&mut tenant, &added.limits);
     check_key(view, &target, &tenant)?;
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -9,6 +9,7 @@
 use driftspring_settings::{Overrides, Settings, load};
 use driftspring_telemetry::catalogue_page;
 use driftspring_telemetry::logging::{self, LogFormat};
+use driftspring_types::KeyHash;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
@@ -24,6 +25,7 @@
     match Driftspring::from_env_or_exit().subcommand {
         DriftspringCmd::Run(flags) => run(&flags),
         DriftspringCmd::CheckConfig(flags) => Ok(check_config(&flags.file)),
+        DriftspringCmd::HashKey(_) => hash_key(),
         DriftspringCmd::Events(_) => {
             print!("{}", catalogue_page());
             Ok(ExitCode::SUCCESS)
@@ -77,6 +79,13 @@
     });
 }
 
+/// Prints the hash of the bearer key on standard input, so that it stands in no list of processes.
+fn hash_key() -> anyhow::Result<ExitCode> {
+    let key = std::io::read_to_string(std::io::stdin()).context("reading the bearer key")?;
+    println!("{}", KeyHash::of_bearer_key(key.trim()).as_str());
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Checks a settings file; lists every fault on standard error.
 fn check_config(file: &Path) -> ExitCode {
     match load(Some(file), &Overrides::none()) {
--- a/crates/language/src/parser/commands.rs
+++ b/crates/language/src/parser/commands.rs
@@ -1,6 +1,6 @@
 //! Reads orders.
 
-use driftspring_types::{EngineId, KeyHash, ModelName, TenantId, WeightsVersion};
+use driftspring_types::{EngineId, KeyHash, ModelName, Tenant, TenantId, WeightsVersion};
 
 use super::cursor::{Cursor, Parsed};
 use crate::command::{
@@ -8,8 +8,6 @@
 };
 use crate::value::Priority;
 
-/// The largest weight of a tenant.
-const MAX_WEIGHT: u32 = 1000;
 /// The largest number of replicas in an order.
 const MAX_REPLICAS: u32 = 100_000;
 
@@ -136,7 +134,7 @@
                 change.concurrency = Some(cursor.number("requests open at once", 0..=u32::MAX)?);
             }
             TenantOption::Weight => {
-                change.weight = Some(cursor.number("the weight", 1..=MAX_WEIGHT)?);
+                change.weight = Some(cursor.number("the weight", 1..=Tenant::MAX_WEIGHT)?);
             }
         }
         possible.retain(|(_, other)| *other != option);
--- a/crates/language/src/parser/cursor.rs
+++ b/crates/language/src/parser/cursor.rs
@@ -4,15 +4,12 @@
 use std::ops::RangeInclusive;
 use std::str::FromStr;
 
-use driftspring_types::closest_word;
+use driftspring_types::{MAX_NAME_BYTES, closest_word, is_valid_name};
 
 use crate::error::{Found, ParseError};
 use crate::token::{Token, TokenKind};
 use crate::value::Percent;
 
-/// The longest name, in bytes.
-const MAX_NAME_BYTES: usize = 100;
-
 /// A place in the tokens of a statement.
 pub(super) struct Cursor<'a> {
     tokens: &'a [Token],
@@ -114,7 +111,9 @@
     /// Reads a name; `what` says of what.
     pub(super) fn name(&mut self, what: &str) -> Parsed<String> {
         let name = match self.peek().map(|token| &token.kind) {
-            Some(TokenKind::Word(text) | TokenKind::Quoted(text)) if is_name(text) => text.clone(),
+            Some(TokenKind::Word(text) | TokenKind::Quoted(text)) if is_valid_name(text) => {
+                text.clone()
+            }
             _ => {
                 return Err(self.error(format!(
                     "{what}: 1 to {MAX_NAME_BYTES} letters, digits, \".\", \"_\" or \"-\""
@@ -179,11 +178,6 @@
     }
 }
 
-fn is_name(text: &str) -> bool {
-    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
-    (1..=MAX_NAME_BYTES).contains(&text.len()) && text.bytes().all(allowed)
-}
-
 fn list_of_words(words: &[&str]) -> String {
     match words {
         [word] => format!("{word:?}"),
--- a/crates/language/src/value.rs
+++ b/crates/language/src/value.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use driftspring_types::Route;
+
 /// A share in per cent, 0 to 100.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Percent(u8);
@@ -39,7 +41,7 @@
 
 impl Priority {
     /// The most urgent.
-    pub const MAX: u8 = 9;
+    pub const MAX: u8 = Route::MAX_PRIORITY;
 
     /// The priority `priority`; nothing above 9.
     pub fn new(priority: u8) -> Option<Self> {
--- a/crates/settings/src/bootstrap.rs
+++ b/crates/settings/src/bootstrap.rs
@@ -1,6 +1,7 @@
 //! The bootstrap section: tenants, routes and engines that hold until newer ones are heard of.
 
 use std::collections::HashSet;
+use std::ops::RangeInclusive;
 
 use driftspring_types::{
     EngineId, KeyHash, LegacyUpstream, ModelName, Route, Tenant, TenantId, VersionShift,
@@ -12,12 +13,6 @@
 use crate::model::{BootstrapEngine, BootstrapSettings};
 use crate::values::{self, RawValue, Refusal};
 
-/// The highest priority of a request.
-const MAX_PRIORITY: u64 = 9;
-/// The priority of requests where neither caller nor route names one.
-const DEFAULT_PRIORITY: u8 = 4;
-/// The largest weight of a tenant.
-const MAX_WEIGHT: u64 = 1000;
 /// What a bearer key hash looks like.
 const KEY_HASH_EXPECTED: &str = "the BLAKE3 hash of the bearer key, 64 hexadecimal digits";
 
@@ -59,14 +54,15 @@
 fn read_tenant(section: Section<'_>) -> Option<Tenant> {
     let id = section.required("id", "the tenant's name", values::name);
     let key_hash = section.required("key_hash", KEY_HASH_EXPECTED, key_hash);
-    let count = |key, default, range| {
+    let count = |key, default, range: RangeInclusive<u32>| {
         section.or_default(key, default, |raw| {
-            values::integer(raw, range).map(|number| number as u32)
+            let (from, to) = range.into_inner();
+            values::integer(raw, u64::from(from)..=u64::from(to)).map(|number| number as u32)
         })
     };
-    let requests_per_second = count("requests_per_second", 0, 0..=u64::from(u32::MAX));
-    let max_concurrent = count("max_concurrent", 0, 0..=u64::from(u32::MAX));
-    let weight = count("weight", 1, 1..=MAX_WEIGHT);
+    let requests_per_second = count("requests_per_second", 0, 0..=u32::MAX);
+    let max_concurrent = count("max_concurrent", 0, 0..=u32::MAX);
+    let weight = count("weight", Tenant::DEFAULT_WEIGHT, 1..=Tenant::MAX_WEIGHT);
     section.finish();
     Some(Tenant {
         id: TenantId::new(id?),
@@ -95,8 +91,8 @@
     let model = section.required("model", "the model's name", values::name);
     let weights_version =
         section.required("weights_version", "the weights version", weights_version);
-    let priority = section.or_default("priority", DEFAULT_PRIORITY, |raw| {
-        values::integer(raw, 0..=MAX_PRIORITY).map(|number| number as u8)
+    let priority = section.or_default("priority", Route::DEFAULT_PRIORITY, |raw| {
+        values::integer(raw, 0..=u64::from(Route::MAX_PRIORITY)).map(|number| number as u8)
     });
     let use_cache = section.or_default("use_cache", true, values::boolean);
     let shift = match section.has("shift") {
--- a/crates/settings/src/values.rs
+++ b/crates/settings/src/values.rs
@@ -4,12 +4,9 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
-use driftspring_types::closest_word;
+use driftspring_types::{MAX_NAME_BYTES, closest_word, is_valid_name};
 use toml::de::DeValue;
 
-/// The longest name of a daemon, zone, tenant, route, model or engine, in bytes.
-const MAX_NAME_BYTES: usize = 100;
-
 /// Units of durations with their length in microseconds.
 const DURATION_UNITS: [(&str, u64); 5] = [
     ("us", 1),
@@ -99,7 +96,7 @@
 /// A name: letters, digits, `.`, `_` and `-`.
 pub(crate) fn name(raw: RawValue<'_>) -> Result<String, Refusal> {
     raw.as_text()
-        .filter(|text| is_name(text))
+        .filter(|text| is_valid_name(text))
         .map(str::to_owned)
         .ok_or_else(|| {
             Refusal::expected(format!(
@@ -108,11 +105,6 @@
         })
 }
 
-fn is_name(text: &str) -> bool {
-    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
-    (1..=MAX_NAME_BYTES).contains(&text.len()) && text.bytes().all(allowed)
-}
-
 /// An IP address with a port.
 pub(crate) fn address(raw: RawValue<'_>) -> Result<SocketAddr, Refusal> {
     raw.as_text()
--- a/crates/types/src/config.rs
+++ b/crates/types/src/config.rs
@@ -151,8 +151,15 @@
     pub weight: u32,
 }
 
+impl Tenant {
+    /// The weight of a tenant for which none is given.
+    pub const DEFAULT_WEIGHT: u32 = 1;
+    /// The largest weight.
+    pub const MAX_WEIGHT: u32 = 1000;
+}
+
 fn default_weight() -> u32 {
-    1
+    Tenant::DEFAULT_WEIGHT
 }
 
 /// An upstream that serves a route's traffic until it is moved to driftspring.
@@ -189,8 +196,15 @@
     pub use_cache: bool,
 }
 
+impl Route {
+    /// The priority of a route for which none is given.
+    pub const DEFAULT_PRIORITY: u8 = 4;
+    /// The highest priority.
+    pub const MAX_PRIORITY: u8 = 9;
+}
+
 fn default_priority() -> u8 {
-    4
+    Route::DEFAULT_PRIORITY
 }
 
 fn default_true() -> bool {
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -7,6 +7,16 @@
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
+/// The longest name of a daemon, zone, tenant, route, model or engine, in bytes.
+pub const MAX_NAME_BYTES: usize = 100;
+
+/// Whether `text` may name something in settings and operators' statements: letters, digits, `.`, `_`
+/// and `-`, [`MAX_NAME_BYTES`] at the most.
+pub fn is_valid_name(text: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
+    (1..=MAX_NAME_BYTES).contains(&text.len()) && text.bytes().all(allowed)
+}
+
 /// Declares a cheaply cloned text identifier.
 macro_rules! text_id {
     ($(#[$doc:meta])* $name:ident) => {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -15,8 +15,8 @@
 };
 pub use error::{Peer, RetrySafety, Step, StepError};
 pub use ids::{
-    DaemonId, EngineId, FencingToken, IdempotencyKey, Incarnation, ModelName, RequestId, Revision,
-    TenantId, WeightsVersion, ZoneName,
+    DaemonId, EngineId, FencingToken, IdempotencyKey, Incarnation, MAX_NAME_BYTES, ModelName,
+    RequestId, Revision, TenantId, WeightsVersion, ZoneName, is_valid_name,
 };
 pub use outcome::{NotRunReason, Outcome};
 pub use records::{
