--- a/crates/daemon/src/pipeline/answer.rs
+++ b/crates/daemon/src/pipeline/answer.rs
@@ -1,4 +1,6 @@
 //! The answer to one request: each token once and in order, over all engines that gave parts of it.
+//!
+//! How it goes on after a failure is in [`super::recovery`].
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -11,10 +13,9 @@
 use driftspring_settings::MechanismSettings;
 use driftspring_telemetry::events::pipeline;
 use driftspring_telemetry::log_event;
-use driftspring_telemetry::metrics::ExtraAttempt;
 use driftspring_types::{EngineId, Outcome, Peer, Step, StepError};
 
-use super::attempt::{Attempt, ResumePatience};
+use super::attempt::Attempt;
 use super::choose_engine::TriedEngines;
 use super::context::RequestContext;
 use super::deadline_body::DeadlineWatch;
@@ -28,20 +29,20 @@
 
 /// An answer on its way to its caller.
 pub struct Answer {
-    worker: Rc<WorkerState>,
-    context: Rc<RequestContext>,
-    client: EngineClient,
-    attempt: Option<Attempt>,
-    tried: TriedEngines,
-    gate: SequenceGate,
-    delivered: DeliveredTokens,
+    pub(super) worker: Rc<WorkerState>,
+    pub(super) context: Rc<RequestContext>,
+    pub(super) client: EngineClient,
+    pub(super) attempt: Option<Attempt>,
+    pub(super) tried: TriedEngines,
+    pub(super) gate: SequenceGate,
+    pub(super) delivered: DeliveredTokens,
     /// The first chunk, awaited before the response begins.
     first: Option<AnswerChunk>,
     /// How far the answer was when it was last resumed; a second time without progress is of no use.
-    resumed_at: Option<u64>,
+    pub(super) resumed_at: Option<u64>,
     source: AnswerSource,
     /// Whether more than one engine gave tokens.
-    is_continued: bool,
+    pub(super) is_continued: bool,
 }
 
 /// Who began the answer.
@@ -261,115 +262,7 @@
         Ok(patience.min(time_left))
     }
 
-    /// Makes the answer go on after a failure, or gives it up.
-    async fn recover(&mut self, error: EngineError) -> Result<(), Refusal> {
-        let engine = self.attempt.as_ref().map(Attempt::engine_id).cloned();
-        let Some(engine) = engine else {
-            return Err(self.unknown(&error));
-        };
-        log_event!(
-            pipeline::STREAM_BROKEN,
-            "request={} engine={engine} delivered={} cause=\"{error}\"",
-            self.context.id,
-            self.delivered.len()
-        );
-        if !self.mechanisms().resume_streams {
-            return Err(self.unknown(&error));
-        }
-        if self.resume(&error).await {
-            return Ok(());
-        }
-        if !self.context.repeatable {
-            return Err(self.unknown(&error));
-        }
-        self.continue_elsewhere(&engine, error).await
-    }
-
-    /// Takes the stream up again at its engine; false where it can't be.
-    async fn resume(&mut self, error: &EngineError) -> bool {
-        let resumed = if self.context.repeatable {
-            self.resume_once(error).await
-        } else {
-            self.try_resume_patiently().await.is_ok()
-        };
-        if resumed {
-            self.resumed_at = Some(self.gate.next());
-            self.count(ExtraAttempt::Resume);
-            log_event!(
-                pipeline::STREAM_RESUMED,
-                "request={} from={}",
-                self.context.id,
-                self.gate.next()
-            );
-        }
-        resumed
-    }
-
-    /// One attempt, unless the engine has just shown that it does not answer.
-    async fn resume_once(&mut self, error: &EngineError) -> bool {
-        let stalled = matches!(error, EngineError::TimedOut(_));
-        if stalled || self.resumed_at == Some(self.gate.next()) {
-            return false;
-        }
-        self.try_resume().await.is_ok()
-    }
-
-    async fn try_resume(&mut self) -> Result<(), EngineError> {
-        let patience = ResumePatience::new(&self.worker.daemon, &self.context);
-        let from = self.gate.next();
-        match &mut self.attempt {
-            Some(attempt) => attempt.resume(from, patience.one_call).await,
-            None => Err(answer_is_over()),
-        }
-    }
-
-    /// Attempts over a while, for an answer that no other engine may continue.
-    async fn try_resume_patiently(&mut self) -> Result<(), EngineError> {
-        let patience = ResumePatience::new(&self.worker.daemon, &self.context);
-        let from = self.gate.next();
-        match &mut self.attempt {
-            Some(attempt) => attempt.resume_patiently(from, patience).await,
-            None => Err(answer_is_over()),
-        }
-    }
-
-    /// Lets another engine go on after the tokens delivered.
-    async fn continue_elsewhere(
-        &mut self,
-        engine: &EngineId,
-        error: EngineError,
-    ) -> Result<(), Refusal> {
-        // Dropping the attempt cancels what the engine may still be doing.
-        self.attempt = None;
-        self.tried.note(engine, error);
-        let attempt = dispatch(
-            &self.worker.daemon,
-            &self.client,
-            &self.context,
-            &mut self.tried,
-            &self.delivered,
-        )
-        .await?;
-        if !self.delivered.is_empty() {
-            self.is_continued = true;
-            self.count(ExtraAttempt::Continuation);
-            log_event!(
-                pipeline::ANSWER_CONTINUED,
-                "request={} engine={} delivered={}",
-                self.context.id,
-                attempt.engine_id(),
-                self.delivered.len()
-            );
-        }
-        self.attempt = Some(attempt);
-        Ok(())
-    }
-
-    fn count(&self, kind: ExtraAttempt) {
-        self.worker.daemon.metrics.extra_attempts.increment(kind);
-    }
-
-    fn unknown(&self, error: &EngineError) -> Refusal {
+    pub(super) fn unknown(&self, error: &EngineError) -> Refusal {
         let peer = match &self.attempt {
             Some(attempt) => Peer::Engine(attempt.engine_id().clone()),
             None => Peer::Local,
@@ -379,7 +272,7 @@
     }
 }
 
-fn answer_is_over() -> EngineError {
+pub(super) fn answer_is_over() -> EngineError {
     EngineError::Broken("the answer is over".to_owned())
 }
 
--- a/crates/daemon/src/pipeline/attempt.rs
+++ b/crates/daemon/src/pipeline/attempt.rs
@@ -18,7 +18,7 @@
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The pause between two attempts to take up a stream that can't be continued elsewhere.
-const RESUME_PAUSE: Duration = Duration::from_millis(100);
+pub const RESUME_PAUSE: Duration = Duration::from_millis(100);
 
 /// How long to try to take up a stream at its engine.
 #[derive(Debug, Clone, Copy)]
--- a/crates/daemon/src/pipeline/mod.rs
+++ b/crates/daemon/src/pipeline/mod.rs
@@ -30,6 +30,7 @@
 mod match_route;
 mod models;
 mod pass_through;
+mod recovery;
 mod refusal;
 mod relay;
 mod sequence;
