--- a/crates/daemon/src/runtime/mod.rs
+++ b/crates/daemon/src/runtime/mod.rs
@@ -6,6 +6,7 @@
 mod sockets;
 mod stop;
 
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::mpsc;
 use std::thread::JoinHandle;
@@ -20,7 +21,7 @@
 use ntex::rt::{DefaultRuntime, System};
 use ntex::server::Server;
 use ntex::time::Seconds;
-use ntex::web::{App, HttpServer};
+use ntex::web::{App, HttpServer, ServiceConfig};
 
 use crate::state::{BoundAddresses, DaemonState, Phase};
 use crate::{claims, control, operator, pipeline, sync};
@@ -157,56 +158,17 @@
             peers,
         } = listeners;
         let PeerSockets { tcp, udp } = peers;
-        let stop_timeout = state.settings.request.stop_timeout;
-        let stop_seconds = u16::try_from(stop_timeout.as_secs()).unwrap_or(u16::MAX);
-        let shutdown_timeout = Seconds::new(stop_seconds);
-        let shared = Arc::clone(state);
-        let callers = HttpServer::new(async move || {
-            let state = Arc::clone(&shared);
-            App::new().configure(move |config| pipeline::configure(config, state))
-        })
-        .workers(state.settings.workers)
-        .shutdown_timeout(shutdown_timeout)
-        .disable_signals()
-        .listen(callers)?
-        .run();
-        let shared = Arc::clone(state);
-        let operators = HttpServer::new(async move || {
-            let state = Arc::clone(&shared);
-            App::new().configure(move |config| operator::configure(config, state))
-        })
-        .workers(INTERNAL_WORKERS)
-        .disable_signals()
-        .listen(operators)?
-        .run();
-        let shared = Arc::clone(state);
-        let peers = HttpServer::new(async move || {
-            let state = Arc::clone(&shared);
-            App::new().configure(move |config| sync::configure_peer_server(config, state))
-        })
-        .workers(INTERNAL_WORKERS)
-        .disable_signals()
-        .listen(tcp)?
-        .run();
+        let workers = state.settings.workers;
+        let servers = Self {
+            callers: serve(state, callers, workers, pipeline::configure)?,
+            operators: serve(state, operators, INTERNAL_WORKERS, operator::configure)?,
+            peers: serve(state, tcp, INTERNAL_WORKERS, sync::configure_peer_server)?,
+        };
         sync::spawn_all(state, udp)?;
         claims::spawn_all(state);
         control::spawn_all(state);
-        let BoundAddresses {
-            callers: caller_address,
-            operators: operator_address,
-            peers: peer,
-        } = state.addresses;
-        log_event!(
-            process::PROCESS_STARTED,
-            "daemon={} incarnation={} callers={caller_address} operators={operator_address} peers={peer}",
-            state.settings.id,
-            state.incarnation
-        );
-        Ok(Self {
-            callers,
-            operators,
-            peers,
-        })
+        log_started(state);
+        Ok(servers)
     }
 
     /// Serves until told to stop; a planned stop waits for open requests first.
@@ -225,6 +187,45 @@
     }
 }
 
+/// Starts one HTTP server, whose workers each have the routes that `configure` adds.
+fn serve(
+    state: &Arc<DaemonState>,
+    listener: TcpListener,
+    workers: usize,
+    configure: fn(&mut ServiceConfig, Arc<DaemonState>),
+) -> std::io::Result<Server> {
+    let shared = Arc::clone(state);
+    let server = HttpServer::new(async move || {
+        let state = Arc::clone(&shared);
+        App::new().configure(move |config| configure(config, state))
+    });
+    let server = server
+        .workers(workers)
+        .shutdown_timeout(stop_seconds(state))
+        .disable_signals()
+        .listen(listener)?;
+    Ok(server.run())
+}
+
+/// How long a graceful stop of a server may take.
+fn stop_seconds(state: &DaemonState) -> Seconds {
+    let seconds = state.settings.request.stop_timeout.as_secs();
+    Seconds::new(u16::try_from(seconds).unwrap_or(u16::MAX))
+}
+
+fn log_started(state: &DaemonState) {
+    let addresses = state.addresses;
+    log_event!(
+        process::PROCESS_STARTED,
+        "daemon={} incarnation={} callers={} operators={} peers={}",
+        state.settings.id,
+        state.incarnation,
+        addresses.callers,
+        addresses.operators,
+        addresses.peers
+    );
+}
+
 /// The present time in milliseconds since the Unix epoch.
 fn unix_milliseconds() -> u64 {
     let since_epoch = SystemTime::now()
