--- a/crates/standin/src/engine/stream.rs
+++ b/crates/standin/src/engine/stream.rs
@@ -7,7 +7,7 @@
 use uuid::Uuid;
 
 use super::answer::{Answer, AnswerEnd, AnswerStart, Reader};
-use super::chunks::{STREAM_END, last_chunk, token_chunk};
+use super::chunks::{STREAM_END, last_event, token_event};
 use crate::faults::FaultSwitches;
 use crate::streaming::{PartSource, StreamBroken};
 
@@ -63,7 +63,7 @@
         match reached.end {
             Some(AnswerEnd::Whole) => {
                 self.position = Position::EndMarker;
-                Ok(last_chunk(&answer, answer.next_sequence()))
+                Ok(last_event(&answer))
             }
             _ => Err(StreamBroken),
         }
@@ -71,7 +71,7 @@
 
     /// The event of one token, with the extra events that the switches ask for.
     fn token_events(&self, answer: &Answer, sequence: u64) -> Vec<u8> {
-        let event = token_chunk(answer, sequence, &answer.token(sequence));
+        let event = token_event(answer, sequence, &answer.token(sequence));
         let mut events = Vec::new();
         if self.faults.take_crossing() {
             events.extend(foreign_event(answer, sequence));
@@ -111,5 +111,5 @@
         prompt_tokens: 0,
         created: answer.created,
     });
-    token_chunk(&foreign, sequence, &token_text(FOREIGN_PROMPT, sequence))
+    token_event(&foreign, sequence, &token_text(FOREIGN_PROMPT, sequence))
 }
