--- a/crates/daemon/src/sync/duties.rs
+++ b/crates/daemon/src/sync/duties.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use driftspring_membership::{engine_owners, zone_readers};
-use driftspring_types::{EngineRecord, MemberRecord};
+use driftspring_membership::zone_readers;
+use driftspring_types::MemberRecord;
 
 use crate::state::DaemonState;
 
@@ -19,20 +19,6 @@
     zone_readers(&members, &state.settings.zone).contains(&state.settings.id)
 }
 
-/// This daemon's place among the owners of `engine`, 0 for the first; nothing where it is no owner.
-pub fn ownership(
-    state: &DaemonState,
-    members: &[MemberRecord],
-    engine: &EngineRecord,
-) -> Option<usize> {
-    if is_alone(state, members) {
-        return Some(0);
-    }
-    engine_owners(members, &engine.id, &engine.zone)
-        .iter()
-        .position(|owner| *owner == state.settings.id)
-}
-
 /// Whether no other daemon is known.
 pub fn is_alone(state: &DaemonState, members: &[MemberRecord]) -> bool {
     members.iter().all(|member| member.id == state.settings.id)
--- a/crates/daemon/src/sync/gossip.rs
+++ b/crates/daemon/src/sync/gossip.rs
@@ -12,7 +12,7 @@
 use driftspring_telemetry::events::sync;
 use driftspring_telemetry::log_event;
 use driftspring_telemetry::metrics::ControlSubsystem;
-use driftspring_types::{DaemonId, EngineHealth, MemberRecord, MemberState};
+use driftspring_types::{DaemonId, EngineHealth, MemberRecord, MemberState, Revision};
 use tokio::sync::oneshot;
 
 use super::publication::Publication;
@@ -63,6 +63,8 @@
     membership: Membership,
     publication: Publication,
     next_tick: Instant,
+    /// The highest revision and the digest of loose records that were last told.
+    told: (Revision, u32),
 }
 
 impl Driver {
@@ -78,6 +80,7 @@
             membership,
             publication: Publication::default(),
             next_tick: Instant::now(),
+            told: (Revision(0), 0),
         }
     }
 
@@ -112,7 +115,7 @@
     }
 
     fn tick(&mut self) {
-        self.membership.set_notice(self.state.replica.notice());
+        self.renew_notice();
         let complete_to = self.state.config.load().complete_to;
         let own_id = &self.state.settings.id;
         self.membership.note_complete_to(own_id, complete_to);
@@ -120,6 +123,16 @@
         self.perform(actions);
     }
 
+    /// Puts the present notice into the next datagrams. Only a changed record is news worth extra
+    /// datagrams: the store's revision also rises with every renewed lease.
+    fn renew_notice(&mut self) {
+        let bytes = self.state.replica.notice();
+        let notice = musli::wire::from_slice::<Notice>(&bytes).unwrap_or_default();
+        let is_news = (notice.highest, notice.loose_digest) != self.told;
+        self.told = (notice.highest, notice.loose_digest);
+        self.membership.set_notice(bytes, is_news);
+    }
+
     fn receive(&mut self, from: SocketAddr, bytes: &[u8]) {
         let state = Arc::clone(&self.state);
         let control = &state.metrics.control;
--- a/crates/daemon/src/sync/observe.rs
+++ b/crates/daemon/src/sync/observe.rs
@@ -7,12 +7,13 @@
 use std::time::{Duration, Instant};
 
 use driftspring_external::engine::{EngineClient, EngineTimeouts};
+use driftspring_membership::OwnershipCache;
 use driftspring_telemetry::metrics::ControlSubsystem;
 use driftspring_types::{EngineHealth, EngineId};
 use ntex::rt::spawn;
 use ntex::time::sleep;
 
-use super::duties::{may_still_join, ownership};
+use super::duties::may_still_join;
 use crate::state::{DaemonState, EngineTable, GossipCommand};
 
 /// Time between two rounds in which due engines are asked.
@@ -47,6 +48,7 @@
     state: Arc<DaemonState>,
     client: EngineClient,
     progress: Rc<RefCell<HashMap<EngineId, Progress>>>,
+    ownership: Rc<RefCell<OwnershipCache>>,
 }
 
 impl Observer {
@@ -60,6 +62,7 @@
             state,
             client: EngineClient::new(TIMEOUTS).await?,
             progress: Rc::default(),
+            ownership: Rc::default(),
         })
     }
 
@@ -94,10 +97,13 @@
     fn observe_due_engines(&self) {
         let engines = self.state.engines.load();
         let members = self.state.members.load();
+        let own = &self.state.settings.id;
+        let mut ownership = self.ownership.borrow_mut();
+        ownership.update(&members);
         self.forget_unknown(&engines);
         for entry in engines.iter() {
             let record = &entry.record;
-            let Some(place) = ownership(&self.state, &members, record) else {
+            let Some(place) = ownership.place(&members, own, record) else {
                 continue;
             };
             let interval = POLL_INTERVALS[place.min(POLL_INTERVALS.len() - 1)];
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -5,7 +5,7 @@
 //! - [`prober`]: whom to probe; [`suspicion`]: time to refute; [`zone_contacts`]: which zones can be reached.
 //! - [`update_queue`]: news to pass on; [`sync`] and [`digest`]: comparison of full state.
 //! - [`message`], [`rows`], [`tag`]: the datagram and its compact content.
-//! - [`rendezvous`]: who reads the store and observes which engine.
+//! - [`rendezvous`]: who reads the store and observes which engine; [`ownership`] keeps the latter.
 //! - [`config`]: periods, bounds and byte budgets.
 
 pub mod action;
@@ -16,6 +16,7 @@
 pub mod membership;
 pub mod merge;
 pub mod message;
+pub mod ownership;
 pub mod prober;
 pub mod rendezvous;
 pub mod rows;
@@ -30,4 +31,5 @@
 pub use membership::Membership;
 pub use merge::{merge_engines, merge_members};
 pub use message::{ByteCounts, Datagram, DecodeError};
+pub use ownership::OwnershipCache;
 pub use rendezvous::{engine_owners, zone_readers};
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -50,6 +50,8 @@
     whole_records: BTreeMap<DaemonId, MemberTag>,
     contacts: Vec<SocketAddr>,
     notice: Vec<u8>,
+    /// How often the notice is still to be passed on by itself.
+    notice_transmissions_left: u32,
     allowance: SyncAllowance,
     started_at: Option<Duration>,
     last_tick: Duration,
@@ -79,6 +81,7 @@
             whole_records: BTreeMap::new(),
             contacts: Vec::new(),
             notice: Vec::new(),
+            notice_transmissions_left: 0,
             allowance: SyncAllowance::new(&config),
             started_at: None,
             last_tick: Duration::ZERO,
@@ -131,8 +134,17 @@
         self.contacts = contacts;
     }
 
+    /// The replication notice that every datagram carries.
+    pub fn notice(&self) -> &[u8] {
+        &self.notice
+    }
+
     /// Replaces the replication notice that every datagram carries; at most 100 bytes are sent.
-    pub fn set_notice(&mut self, notice: Vec<u8>) {
+    /// Where it `is_news`, it is also passed on without waiting for the next probes.
+    pub fn set_notice(&mut self, notice: Vec<u8>, is_news: bool) {
+        if is_news && notice != self.notice {
+            self.notice_transmissions_left = self.config.change_transmissions;
+        }
         self.notice = notice;
     }
 
--- a/crates/membership/src/membership/outbound.rs
+++ b/crates/membership/src/membership/outbound.rs
@@ -124,9 +124,11 @@
 
     /// Passes news on without waiting for the next probe, to one member at a time.
     pub(super) fn spread_news(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        if self.news.is_empty() && !self.engines.has_changes() {
+        let has_notice = self.notice_transmissions_left > 0;
+        if self.news.is_empty() && !self.engines.has_changes() && !has_notice {
             return;
         }
+        self.notice_transmissions_left = self.notice_transmissions_left.saturating_sub(1);
         self.next_news_at = now + jittered(self.config.news_interval, &mut self.rng);
         let go_far = self.rng.random_ratio(1, self.config.cross_zone_news_period);
         let Some(target) = self
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -171,12 +171,14 @@
     pub loads: usize,
     /// Replication notices.
     pub notices: usize,
+    /// Comparisons of full state, whatever they carry.
+    pub sync: usize,
 }
 
 impl ByteCounts {
     /// The bytes of all kinds.
     pub fn total(&self) -> usize {
-        self.probes + self.members + self.engines + self.loads + self.notices
+        self.probes + self.members + self.engines + self.loads + self.notices + self.sync
     }
 
     /// Adds `other` to the counts.
@@ -186,6 +188,7 @@
         self.engines += other.engines;
         self.loads += other.loads;
         self.notices += other.notices;
+        self.sync += other.sync;
     }
 }
 
@@ -230,6 +233,12 @@
 
     /// How the `encoded_bytes` of this datagram divide.
     pub fn byte_counts(&self, encoded_bytes: usize) -> ByteCounts {
+        if let MessageKind::SyncRequest { .. } | MessageKind::SyncRows { .. } = self.kind {
+            return ByteCounts {
+                sync: encoded_bytes,
+                ..ByteCounts::default()
+            };
+        }
         let members = self.member_rows.len() + self.member_changes.len();
         let engines = self.engine_rows.len();
         let loads = self.loads.len();
@@ -240,6 +249,7 @@
             engines,
             loads,
             notices,
+            sync: 0,
         }
     }
 }
--- a/crates/membership/tests/gossip.rs
+++ b/crates/membership/tests/gossip.rs
@@ -257,3 +257,20 @@
     println!("{bytes_per_second} bytes/s per daemon");
     assert!(bytes_per_second < 400);
 }
+
+#[test]
+fn a_new_notice_reaches_everyone_within_seconds() {
+    let mut simulation = Simulation::new(60, 6, 20);
+    simulation.run_until(LIMIT, "all alive", Simulation::all_alive_agree);
+    simulation.run(seconds(15));
+    let notice = vec![7, 7];
+    simulation.nodes[8]
+        .membership
+        .set_notice(notice.clone(), true);
+    simulation.adopt_notices = true;
+    let told = |simulation: &Simulation| {
+        let mut nodes = simulation.nodes.iter();
+        nodes.all(|node| node.membership.notice() == [7, 7])
+    };
+    simulation.run_until(seconds(5), "told", told);
+}
