--- a/crates/bench/src/flags.rs
+++ b/crates/bench/src/flags.rs
@@ -80,8 +80,10 @@
         cmd scale {
             /// Seed of the run.
             optional --seed seed: u64
-            /// Number of daemons; a fixed series of sizes without this flag.
-            optional --daemons daemons: usize
+            /// Numbers of daemons, separated by commas; 10,40,120,380 without this flag.
+            optional --daemons daemons: String
+            /// Length of the quiet measurement of each size, in seconds.
+            optional --seconds seconds: u64
             /// Number of engines.
             optional --engines engines: usize
             /// Where to write the result as JSON.
--- a/crates/membership/src/config.rs
+++ b/crates/membership/src/config.rs
@@ -44,10 +44,12 @@
     pub change_transmissions: u32,
     /// How often a daemon passes on one report of an engine's load.
     pub load_transmissions: u32,
-    /// Bytes of member changes in one datagram.
+    /// Bytes of member changes in one datagram of a probe.
     pub member_bytes: usize,
-    /// Bytes of engine health changes in one datagram.
+    /// Bytes of engine health changes in one datagram of a probe.
     pub engine_bytes: usize,
+    /// Bytes of changes in one datagram sent only because there is news; half of them for members.
+    pub news_bytes: usize,
     /// Bytes of the own zone's engine loads in one datagram within the zone.
     pub near_load_bytes: usize,
     /// Bytes of other engine loads in one datagram, whatever its target.
@@ -83,6 +85,7 @@
             load_transmissions: 5,
             member_bytes: 250,
             engine_bytes: 250,
+            news_bytes: 900,
             near_load_bytes: 360,
             far_load_bytes: 70,
             load_interval: Duration::from_secs(2),
--- a/crates/membership/src/engine_table.rs
+++ b/crates/membership/src/engine_table.rs
@@ -183,6 +183,13 @@
         outcome
     }
 
+    /// Takes in a peer's digest: an equal one shows that it knows every change.
+    pub fn heard_digest(&mut self, digest: u32) {
+        if digest == self.digest.total() {
+            self.changes.count_known_by_a_peer();
+        }
+    }
+
     /// Whether any change still has to be passed on.
     pub fn has_changes(&self) -> bool {
         !self.changes.is_empty()
--- a/crates/membership/src/membership/inbound.rs
+++ b/crates/membership/src/membership/inbound.rs
@@ -356,6 +356,7 @@
         datagram: &Datagram,
         actions: &mut Vec<Action>,
     ) {
+        self.engines.heard_digest(datagram.engines_digest);
         let equal = datagram.members_digest == self.members.digest().total()
             && datagram.engines_digest == self.engines.digest().total();
         if equal {
--- a/crates/membership/src/membership/outbound.rs
+++ b/crates/membership/src/membership/outbound.rs
@@ -63,12 +63,17 @@
         if let Some(target) = target {
             tell_target_of_itself(&mut datagram, &target);
         }
-        self.write_member_news(&mut datagram);
-        self.engines
-            .write_changes(&mut datagram.engine_rows, self.config.engine_bytes);
         if matches!(datagram.kind, MessageKind::News) {
+            let limit = self.config.news_bytes;
+            self.write_member_news(&mut datagram, limit / 2);
+            let left = limit - datagram.member_rows.len() - datagram.member_changes.len();
+            self.engines.write_changes(&mut datagram.engine_rows, left);
             return datagram;
         }
+        self.write_member_news(&mut datagram, self.config.member_bytes);
+        let engine_bytes = self.config.engine_bytes;
+        self.engines
+            .write_changes(&mut datagram.engine_rows, engine_bytes);
         if is_near {
             self.zones
                 .write(now, &mut datagram.zone_contacts, ZONE_CONTACT_BYTES);
@@ -77,8 +82,7 @@
         datagram
     }
 
-    fn write_member_news(&mut self, datagram: &mut Datagram) {
-        let limit = self.config.member_bytes;
+    fn write_member_news(&mut self, datagram: &mut Datagram, limit: usize) {
         let Self {
             news,
             members,
--- a/crates/membership/src/update_queue.rs
+++ b/crates/membership/src/update_queue.rs
@@ -81,6 +81,15 @@
         }
     }
 
+    /// Counts a transmission of everything: a peer showed that it knows all of it.
+    pub fn count_known_by_a_peer(&mut self) {
+        let max_transmissions = self.max_transmissions;
+        self.pending.retain(|_, pending| {
+            pending.transmissions += 1;
+            pending.transmissions < max_transmissions
+        });
+    }
+
     fn count_transmission(&mut self, key: &Key) {
         let Some(pending) = self.pending.get_mut(key) else {
             return;
