--- a/crates/bench/src/scale/hollow.rs
+++ b/crates/bench/src/scale/hollow.rs
@@ -23,8 +23,8 @@
 
 use super::cluster::{Shared, SharedDaemon};
 use super::plan::{
-    ALONE_PATIENCE, HTTP_HEADER_BYTES, POLL_INTERVALS, ROUND_INTERVAL, SEEDS, daemon_id,
-    engine_status, zone_name, zone_of,
+    ALONE_PATIENCE, HTTP_HEADER_BYTES, POLL_INTERVALS, ROUND_INTERVAL, SEEDS, SETTLE_PATIENCE,
+    daemon_id, engine_status, zone_name, zone_of,
 };
 use super::traffic::TrafficKind;
 
@@ -294,6 +294,10 @@
         if view.iter().all(|member| member.id == self.id) {
             return now.saturating_sub(self.life.started_at) > ALONE_PATIENCE;
         }
+        let age = now.saturating_sub(self.life.started_at);
+        if !self.life.membership.is_settled() && age < SETTLE_PATIENCE {
+            return false;
+        }
         zone_readers(view, &zone_name(self.zone)).contains(&self.id)
     }
 
--- a/crates/bench/src/scale/plan.rs
+++ b/crates/bench/src/scale/plan.rs
@@ -32,6 +32,9 @@
 /// How long a daemon waits for its seeds before it reads the store by itself.
 pub const ALONE_PATIENCE: Duration = Duration::from_secs(1);
 
+/// How long a daemon waits for a whole view of the members, as in the daemon itself.
+pub const SETTLE_PATIENCE: Duration = Duration::from_secs(2);
+
 /// Bytes of the headers of IPv4 and UDP in front of each datagram.
 pub const DATAGRAM_HEADER_BYTES: u64 = 28;
 
--- a/crates/daemon/src/state/mod.rs
+++ b/crates/daemon/src/state/mod.rs
@@ -69,6 +69,8 @@
     pub config: ArcSwap<ConfigView>,
     /// Samples of answered prefixes, for the warming of engines.
     pub prefix_samples: PrefixSamples,
+    /// Whether the view of the members is more than that of a daemon that has just started.
+    membership_settled: AtomicBool,
     /// The way to the gossip thread.
     pub gossip: GossipMailbox,
     /// The engines known.
@@ -122,6 +124,7 @@
             addresses,
             started_at: Instant::now(),
             config: ArcSwap::from_pointee(ConfigView::default()),
+            membership_settled: AtomicBool::new(false),
             gossip: GossipMailbox::default(),
             engines: ArcSwap::from_pointee(EngineTable::default()),
             members: ArcSwap::from_pointee(Vec::new()),
@@ -162,6 +165,17 @@
         self.phase.fetch_max(phase as u8, Ordering::AcqRel);
     }
 
+    /// Whether the view of the members is more than that of a daemon that has just started; before,
+    /// it says little about which shared duties fall to whom.
+    pub fn is_membership_settled(&self) -> bool {
+        self.membership_settled.load(Ordering::Acquire)
+    }
+
+    /// Notes that the view of the members is whole, or that the time to wait for that is over.
+    pub fn set_membership_settled(&self) {
+        self.membership_settled.store(true, Ordering::Release);
+    }
+
     /// Whether a first configuration from any source is in force.
     pub fn is_ready(&self) -> bool {
         self.ready.load(Ordering::Acquire)
--- a/crates/daemon/src/sync/duties.rs
+++ b/crates/daemon/src/sync/duties.rs
@@ -16,7 +16,8 @@
     if is_alone(state, &members) {
         return !may_still_join(state);
     }
-    zone_readers(&members, &state.settings.zone).contains(&state.settings.id)
+    state.is_membership_settled()
+        && zone_readers(&members, &state.settings.zone).contains(&state.settings.id)
 }
 
 /// Whether no other daemon is known.
--- a/crates/daemon/src/sync/gossip.rs
+++ b/crates/daemon/src/sync/gossip.rs
@@ -24,6 +24,11 @@
 /// Time between two ticks of the state machine.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How long a daemon that has just started waits for a whole view of the members before it goes by
+/// the one it has. In a herd start nobody has a whole view, and with small ones almost every daemon
+/// takes itself for a reader of the store.
+const SETTLE_PATIENCE: Duration = Duration::from_secs(2);
+
 /// How long a planned stop waits for the gossip thread to announce it.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -119,8 +124,12 @@
         let complete_to = self.state.config.load().complete_to;
         let own_id = &self.state.settings.id;
         self.membership.note_complete_to(own_id, complete_to);
-        let actions = self.membership.tick(self.now());
+        let now = self.now();
+        let actions = self.membership.tick(now);
         self.perform(actions);
+        if self.membership.is_settled() || now >= SETTLE_PATIENCE {
+            self.state.set_membership_settled();
+        }
     }
 
     /// Puts the present notice into the next datagrams. Only a changed record is news worth extra
--- a/crates/daemon/src/sync/store_watch.rs
+++ b/crates/daemon/src/sync/store_watch.rs
@@ -82,6 +82,9 @@
     if is_alone(state) {
         return true;
     }
+    if !state.is_membership_settled() {
+        return false;
+    }
     let readers = zone_readers(&state.members.load(), &state.settings.zone);
     readers.contains(&state.settings.id)
 }
--- a/crates/membership/src/config.rs
+++ b/crates/membership/src/config.rs
@@ -20,8 +20,6 @@
     pub indirect_helpers: usize,
     /// How long a suspected member may refute before it is declared dead.
     pub suspicion_timeout: Duration,
-    /// Members of the zone that ask a suspected one again, each at a random time in that period.
-    pub suspicion_checks: u32,
     /// Time between two datagrams sent only because there is news.
     pub news_interval: Duration,
     /// One datagram of news in this many goes to another zone.
@@ -71,24 +69,23 @@
             cross_zone_period: 5,
             indirect_helpers: 3,
             suspicion_timeout: Duration::from_secs(5),
-            suspicion_checks: 4,
             news_interval: Duration::from_millis(200),
             cross_zone_news_period: 4,
             reconnect_interval: Duration::from_secs(5),
             dead_retention: Duration::from_secs(3600),
             zone_silence: Duration::from_secs(15),
             sync_interval: Duration::from_secs(5),
-            join_sync_interval: Duration::from_millis(500),
-            join_period: Duration::from_secs(10),
-            sync_datagrams_per_second: 32,
+            join_sync_interval: Duration::from_millis(300),
+            join_period: Duration::from_secs(15),
+            sync_datagrams_per_second: 48,
             change_transmissions: 8,
             load_transmissions: 5,
             member_bytes: 250,
             engine_bytes: 250,
             news_bytes: 900,
-            near_load_bytes: 360,
+            near_load_bytes: 520,
             far_load_bytes: 70,
-            load_interval: Duration::from_secs(2),
+            load_interval: Duration::from_secs(3),
             far_load_interval: Duration::from_secs(60),
             engine_expiry: Duration::from_secs(600),
         }
--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -4,6 +4,7 @@
 //! Two tables with equal digests are taken as equal; where they differ, the buckets tell which
 //! few records have to be compared.
 
+use musli::{Decode, Encode};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Digests of one table.
@@ -27,9 +28,13 @@
         self.total
     }
 
-    /// The digests of the buckets.
-    pub fn buckets(&self) -> &[u32] {
-        &self.buckets
+    /// Half of each bucket's digest, two bytes each. Which `half` is left to chance, so that two
+    /// buckets that agree in one half by accident are found out by the other.
+    pub fn bucket_halves(&self, half: DigestHalf) -> Vec<u8> {
+        let halves = self.buckets.iter();
+        halves
+            .flat_map(|digest| half.of(*digest).to_le_bytes())
+            .collect()
     }
 
     /// The bucket of the record named `name`.
@@ -44,10 +49,34 @@
         self.buckets[bucket] ^= old ^ new;
     }
 
-    /// The buckets whose digests differ from `others`; a missing digest differs.
-    pub fn differing(&self, others: &[u32]) -> Vec<usize> {
+    /// The buckets whose digests differ from the `others`; a missing digest differs.
+    pub fn differing(&self, half: DigestHalf, others: &[u8]) -> Vec<usize> {
+        let mut theirs = others.chunks_exact(size_of::<u16>());
+        let differs = |digest: &u32| {
+            let own = half.of(*digest).to_le_bytes();
+            theirs.next() != Some(own.as_slice())
+        };
+        let differing: Vec<bool> = self.buckets.iter().map(differs).collect();
         (0..self.buckets.len())
-            .filter(|&bucket| others.get(bucket) != Some(&self.buckets[bucket]))
+            .filter(|&bucket| differing[bucket])
             .collect()
     }
 }
+
+/// One half of a 32-bit digest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub enum DigestHalf {
+    /// The low 16 bits.
+    Low,
+    /// The high 16 bits.
+    High,
+}
+
+impl DigestHalf {
+    fn of(self, digest: u32) -> u16 {
+        match self {
+            Self::Low => digest as u16,
+            Self::High => (digest >> 16) as u16,
+        }
+    }
+}
--- a/crates/membership/src/engine_table.rs
+++ b/crates/membership/src/engine_table.rs
@@ -16,8 +16,8 @@
 use crate::tag::EngineTag;
 use crate::update_queue::UpdateQueue;
 
-/// Buckets in which engine tables are compared: about ten records each at 600 engines.
-const ENGINE_BUCKETS: usize = 64;
+/// Buckets in which engine tables are compared: two or three records each at 600 engines.
+const ENGINE_BUCKETS: usize = 256;
 
 /// One engine.
 #[derive(Debug, Clone)]
@@ -186,7 +186,7 @@
     /// Takes in a peer's digest: an equal one shows that it knows every change.
     pub fn heard_digest(&mut self, digest: u32) {
         if digest == self.digest.total() {
-            self.changes.count_known_by_a_peer();
+            self.changes.count_known_by_a_peer(|_| true);
         }
     }
 
--- a/crates/membership/src/member_table.rs
+++ b/crates/membership/src/member_table.rs
@@ -11,8 +11,8 @@
 use crate::rows::MemberChange;
 use crate::tag::{MemberTag, ZoneTag, member_digest};
 
-/// Buckets in which member tables are compared: about twelve records each at 380 members.
-const MEMBER_BUCKETS: usize = 32;
+/// Buckets in which member tables are compared: two records each at 380 members.
+const MEMBER_BUCKETS: usize = 192;
 
 /// One member.
 #[derive(Debug, Clone)]
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -4,6 +4,8 @@
 //! each datagram, and carries out the [`Action`]s. `now` is the time since any fixed origin of the
 //! driver's monotonic clock. The same seed and calls give the same actions.
 
+mod beliefs;
+mod comparison;
 mod inbound;
 mod outbound;
 mod probing;
@@ -48,6 +50,8 @@
     news: UpdateQueue<DaemonId>,
     /// The lives among them of which the whole record has to travel.
     whole_records: BTreeMap<DaemonId, MemberTag>,
+    /// Members of whom the sender of the present datagram believes something refuted.
+    corrections: Vec<DaemonId>,
     contacts: Vec<SocketAddr>,
     notice: Vec<u8>,
     /// How often the notice is still to be passed on by itself.
@@ -61,6 +65,10 @@
     next_sync_at: Duration,
     /// Messages in a row whose digests differed from the own ones.
     differing_digests: u32,
+    /// Messages in a row whose digests equalled the own ones.
+    equal_digests: u32,
+    /// Whether enough of them came in this life.
+    is_settled: bool,
 }
 
 impl Membership {
@@ -79,6 +87,7 @@
             suspicions: BTreeMap::new(),
             news: UpdateQueue::new(config.change_transmissions),
             whole_records: BTreeMap::new(),
+            corrections: Vec::new(),
             contacts: Vec::new(),
             notice: Vec::new(),
             notice_transmissions_left: 0,
@@ -90,6 +99,8 @@
             next_reconnect_at: Duration::ZERO,
             next_sync_at: Duration::ZERO,
             differing_digests: 0,
+            equal_digests: 0,
+            is_settled: false,
             own,
             config,
         };
@@ -202,6 +213,9 @@
         if now >= self.next_reconnect_at {
             self.reconnect(now, &mut actions);
         }
+        if now >= self.next_sync_at {
+            self.join(now, &mut actions);
+        }
         self.members.forget_dead(now, self.config.dead_retention);
         self.engines.expire(now, &self.config);
         actions
@@ -227,6 +241,12 @@
         }
     }
 
+    /// Whether other daemons were found to know exactly the same in this life: the view is then no
+    /// longer that of a daemon that has just started.
+    pub fn is_settled(&self) -> bool {
+        self.is_settled
+    }
+
     /// Whether this daemon has just started.
     fn is_joining(&self, now: Duration) -> bool {
         self.started_at
@@ -261,8 +281,11 @@
             self.zones.heard_of(entry.zone, now);
         }
         if entry.record.state == MemberState::Suspect && entry.zone == self.own_zone {
-            if !self.suspicions.contains_key(id) {
-                let suspicion = self.new_suspicion(now);
+            // A suspicion of a higher refutation number begins anew: the member was alive since.
+            let refutation = entry.record.refutation;
+            let timed = self.suspicions.get(id);
+            if timed.is_none_or(|timed| timed.refutation() != refutation) {
+                let suspicion = self.new_suspicion(now, refutation);
                 self.suspicions.insert(id.clone(), suspicion);
             }
         } else {
--- a/crates/membership/src/membership/outbound.rs
+++ b/crates/membership/src/membership/outbound.rs
@@ -1,5 +1,6 @@
 //! What a datagram carries, and datagrams sent without being asked.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use driftspring_types::{DaemonId, MemberState};
@@ -9,6 +10,7 @@
 use super::Membership;
 use crate::action::Action;
 use crate::config::MAX_DATAGRAM_BYTES;
+use crate::digest::DigestHalf;
 use crate::member_table::MemberEntry;
 use crate::message::{Datagram, MessageKind, Section};
 use crate::prober::jittered;
@@ -146,7 +148,7 @@
     }
 
     /// A random living member of another zone, or of the own one.
-    fn random_peer(&mut self, far: bool) -> Option<MemberEntry> {
+    pub(super) fn random_peer(&mut self, far: bool) -> Option<MemberEntry> {
         let is_candidate = |entry: &&MemberEntry| {
             entry.record.id != self.own.id
                 && entry.record.state != MemberState::Dead
@@ -179,9 +181,19 @@
         actions
     }
 
-    /// The request that compares full state with a peer.
-    pub(super) fn sync_request(&self) -> MessageKind {
-        sync::request(&self.members, &self.engines)
+    /// Compares full state with a peer, to which this daemon introduces itself.
+    pub(super) fn request_sync(&mut self, to: SocketAddr, actions: &mut Vec<Action>) {
+        let half = if self.rng.random() {
+            DigestHalf::Low
+        } else {
+            DigestHalf::High
+        };
+        let kind = sync::request(&self.members, &self.engines, half);
+        let mut datagram = self.compose_bare(kind);
+        datagram
+            .member_rows
+            .push(&MemberRow::from(&self.own), MAX_DATAGRAM_BYTES);
+        actions.push(Action::Send { to, datagram });
     }
 }
 
@@ -195,7 +207,7 @@
 }
 
 /// Tells a member that it is suspected or taken for dead, so that it can refute.
-fn tell_target_of_itself(datagram: &mut Datagram, target: &MemberEntry) {
+pub(super) fn tell_target_of_itself(datagram: &mut Datagram, target: &MemberEntry) {
     if matches!(
         target.record.state,
         MemberState::Suspect | MemberState::Dead
--- a/crates/membership/src/membership/probing.rs
+++ b/crates/membership/src/membership/probing.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use driftspring_types::{DaemonId, MemberRecord, MemberState};
+use rand::Rng;
 use rand::seq::IndexedRandom;
 
 use super::Membership;
+use super::outbound::tell_target_of_itself;
 use crate::action::Action;
 use crate::member_table::{MemberEntry, MemberMerge};
 use crate::message::MessageKind;
@@ -17,6 +19,10 @@
 /// Contacts asked at once while no other member is known.
 const CONTACTS_AT_ONCE: usize = 2;
 
+/// While it joins, a daemon compares full state with a contact instead of a member once in this many
+/// times.
+const JOIN_CONTACT_PERIOD: u32 = 4;
+
 impl Membership {
     /// Probes the next member.
     pub(super) fn start_probe(&mut self, now: Duration, actions: &mut Vec<Action>) {
@@ -46,7 +52,7 @@
     /// Asks helpers for late probes and ends failed ones.
     pub(super) fn continue_probes(&mut self, now: Duration, actions: &mut Vec<Action>) {
         for (sequence, subject) in self.prober.due_for_helpers(now, &self.config) {
-            self.ask_helpers(sequence, &subject, actions);
+            self.ask_again(sequence, &subject, actions);
         }
         for probe in self.prober.failed(now, &self.config) {
             let same_life = self
@@ -60,13 +66,18 @@
         }
     }
 
-    fn ask_helpers(&mut self, sequence: u32, subject: &DaemonId, actions: &mut Vec<Action>) {
+    /// Probes once more, directly and by helpers, since a single datagram may just be lost.
+    fn ask_again(&mut self, sequence: u32, subject: &DaemonId, actions: &mut Vec<Action>) {
         let Some(entry) = self.members.get(subject).cloned() else {
             return;
         };
         let own = (&self.own.id, self.own_zone);
         let count = self.config.indirect_helpers;
         let helpers = choose_helpers(&self.members, own, &entry, count, &mut self.rng);
+        if let Some(to) = entry.peer {
+            let datagram = self.compose_bare(MessageKind::Ping { sequence });
+            actions.push(Action::Send { to, datagram });
+        }
         let target = CompactAddress::new(&entry.record.peer_address);
         for to in helpers {
             let kind = MessageKind::PingRequest {
@@ -92,13 +103,12 @@
     }
 
     /// A suspicion that begins now.
-    pub(super) fn new_suspicion(&mut self, now: Duration) -> Suspicion {
-        let is_near = |entry: &&MemberEntry| entry.zone == self.own_zone;
-        let zone_members = self.members.iter().filter(is_near).count();
-        Suspicion::new(now, zone_members, &self.config, &mut self.rng)
+    pub(super) fn new_suspicion(&mut self, now: Duration, refutation: u64) -> Suspicion {
+        Suspicion::new(now, refutation, &self.config, &mut self.rng)
     }
 
-    /// Asks suspected members again, which also tells them of the suspicion.
+    /// Asks suspected members some times before declaring them dead; the question tells them of the
+    /// suspicion, and so whoever missed the refutation hears it from the member itself.
     pub(super) fn check_suspects(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let due: Vec<DaemonId> = self
             .suspicions
@@ -106,7 +116,13 @@
             .filter_map(|(id, suspicion)| suspicion.take_check(now).then(|| id.clone()))
             .collect();
         for id in due {
-            self.ping(now, &id, actions);
+            let sequence = self.prober.next_sequence();
+            let suspect = self.members.get(&id);
+            if let Some((to, entry)) = suspect.and_then(|entry| Some((entry.peer?, entry))) {
+                let mut datagram = self.compose_bare(MessageKind::Ping { sequence });
+                tell_target_of_itself(&mut datagram, entry);
+                actions.push(Action::Send { to, datagram });
+            }
         }
     }
 
@@ -156,10 +172,40 @@
             .copied()
             .collect();
         for to in contacts {
-            let kind = self.sync_request();
-            let datagram = self.compose_bare(kind);
-            actions.push(Action::Send { to, datagram });
+            self.request_sync(to, actions);
+        }
+    }
+
+    /// Compares full state with one daemon after the other until the time to join is over; from then
+    /// on comparisons are made only where digests keep differing. That some peers agree is no
+    /// reason to end before: in a herd start they may all know the same few.
+    pub(super) fn join(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if !self.is_joining(now) {
+            return;
+        }
+        let interval = if self.has_agreeing_peers() {
+            self.config.probe_interval
+        } else {
+            self.config.join_sync_interval
+        };
+        self.next_sync_at = now + jittered(interval, &mut self.rng);
+        if let Some(to) = self.join_target() {
+            self.request_sync(to, actions);
+        }
+    }
+
+    /// A random contact at times, which many others contact too; else a random member.
+    fn join_target(&mut self) -> Option<SocketAddr> {
+        if self.rng.random_ratio(1, JOIN_CONTACT_PERIOD)
+            && let Some(contact) = self.contacts.choose(&mut self.rng)
+        {
+            return Some(*contact);
         }
+        let go_far = self.rng.random_ratio(1, self.config.cross_zone_news_period);
+        let peer = self
+            .random_peer(go_far)
+            .or_else(|| self.random_peer(!go_far));
+        peer.and_then(|peer| peer.peer)
     }
 
     fn ping_a_dead_member(&mut self, now: Duration, actions: &mut Vec<Action>) {
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -11,6 +11,7 @@
 use musli::{Decode, Encode};
 
 use crate::config::MAX_DATAGRAM_BYTES;
+use crate::digest::DigestHalf;
 use crate::rows::{CompactAddress, EngineRow, LoadReport, MemberChange, MemberRow, ZoneContact};
 use crate::tag::MemberTag;
 
@@ -40,10 +41,12 @@
     News,
     /// Asks for the records of every bucket whose digest differs from the receiver's.
     SyncRequest {
-        /// The digests of the member table's buckets, in order (`u32`).
-        member_buckets: Section,
-        /// The digests of the engine table's buckets, in order (`u32`).
-        engine_buckets: Section,
+        /// Which half of each digest follows.
+        half: DigestHalf,
+        /// The digests of the member table's buckets, two bytes each.
+        member_digests: Section,
+        /// The digests of the engine table's buckets, two bytes each.
+        engine_digests: Section,
     },
     /// The records of some buckets.
     SyncRows {
@@ -214,19 +217,13 @@
         self.engine_rows.items::<EngineRow>()?;
         self.loads.items::<LoadReport>()?;
         self.zone_contacts.items::<ZoneContact>()?;
-        match &self.kind {
-            MessageKind::SyncRequest {
-                member_buckets,
-                engine_buckets,
-            }
-            | MessageKind::SyncRows {
-                member_buckets,
-                engine_buckets,
-            } => {
-                member_buckets.items::<u32>()?;
-                engine_buckets.items::<u32>()?;
-            }
-            _ => (),
+        if let MessageKind::SyncRows {
+            member_buckets,
+            engine_buckets,
+        } = &self.kind
+        {
+            member_buckets.items::<u32>()?;
+            engine_buckets.items::<u32>()?;
         }
         Ok(())
     }
--- a/crates/membership/src/prober.rs
+++ b/crates/membership/src/prober.rs
@@ -42,7 +42,6 @@
 pub struct Prober {
     /// Members of the own zone still to be probed in this round, in random order.
     round: Vec<DaemonId>,
-    probes_started: u32,
     next_sequence: u32,
     pending: BTreeMap<u32, PendingProbe>,
     relayed: BTreeMap<u32, RelayedProbe>,
@@ -54,7 +53,7 @@
 }
 
 impl Prober {
-    /// The member to probe next: mostly of the own zone, in rounds; in turn of the other zones.
+    /// The member to probe next: mostly of the own zone, in rounds; at times of another zone.
     pub fn next_target(
         &mut self,
         table: &MemberTable,
@@ -62,9 +61,8 @@
         config: &GossipConfig,
         rng: &mut StdRng,
     ) -> Option<DaemonId> {
-        self.probes_started = self.probes_started.wrapping_add(1);
-        let far_turn = self.probes_started.is_multiple_of(config.cross_zone_period);
-        if far_turn {
+        // By chance and not in turn, since daemons that start together would all turn together.
+        if rng.random_ratio(1, config.cross_zone_period) {
             let far = far_target(table, own, rng);
             return far.or_else(|| self.near_target(table, own, rng));
         }
--- a/crates/membership/src/rows.rs
+++ b/crates/membership/src/rows.rs
@@ -165,6 +165,9 @@
     }
 }
 
+/// Prompt tokens in one unit of [`LoadReport::pending_prefill_units`].
+const PREFILL_UNIT_TOKENS: u32 = 16;
+
 /// A newer load of an engine whose record the receiver holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
 #[musli(packed)]
@@ -177,10 +180,8 @@
     pub running: u32,
     /// Requests waiting.
     pub queued: u32,
-    /// Prompt tokens not yet computed.
-    pub pending_prefill_tokens: u32,
-    /// Cached blocks held.
-    pub cached_blocks: u32,
+    /// Prompt tokens not yet computed, in units of sixteen.
+    pub pending_prefill_units: u32,
 }
 
 impl From<&EngineRecord> for LoadReport {
@@ -190,21 +191,21 @@
             report_sequence: record.report_sequence,
             running: record.load.running,
             queued: record.load.queued,
-            pending_prefill_tokens: record.load.pending_prefill_tokens,
-            cached_blocks: record.load.cached_blocks,
+            pending_prefill_units: record.load.pending_prefill_tokens / PREFILL_UNIT_TOKENS,
         }
     }
 }
 
 impl LoadReport {
-    /// `record` with this report's load.
+    /// `record` with this report's load; how full the cache is stays as the last whole record said.
     pub fn applied_to(&self, record: &EngineRecord) -> EngineRecord {
         let mut updated = record.clone();
         updated.report_sequence = self.report_sequence;
         updated.load.running = self.running;
         updated.load.queued = self.queued;
-        updated.load.pending_prefill_tokens = self.pending_prefill_tokens;
-        updated.load.cached_blocks = self.cached_blocks;
+        updated.load.pending_prefill_tokens = self
+            .pending_prefill_units
+            .saturating_mul(PREFILL_UNIT_TOKENS);
         updated
     }
 }
--- a/crates/membership/src/sync.rs
+++ b/crates/membership/src/sync.rs
@@ -5,6 +5,7 @@
 use driftspring_types::{EngineRecord, MemberRecord};
 
 use crate::config::{GossipConfig, MAX_DATAGRAM_BYTES};
+use crate::digest::DigestHalf;
 use crate::engine_table::EngineTable;
 use crate::member_table::MemberTable;
 use crate::message::{MessageKind, Section};
@@ -13,8 +14,8 @@
 /// Bytes of records in one datagram, the rest being left for the envelope and the bucket numbers.
 const ROW_BYTES: usize = MAX_DATAGRAM_BYTES - 200;
 
-/// Bytes of the bucket digests in a request.
-const DIGEST_BYTES: usize = 500;
+/// Bytes of bucket numbers of each kind in one datagram.
+const BUCKET_NUMBER_BYTES: usize = 60;
 
 /// How many datagrams of full state may be sent at present.
 #[derive(Debug, Clone)]
@@ -78,21 +79,14 @@
 }
 
 /// The request that compares both tables with a peer's.
-pub fn request(members: &MemberTable, engines: &EngineTable) -> MessageKind {
+pub fn request(members: &MemberTable, engines: &EngineTable, half: DigestHalf) -> MessageKind {
     MessageKind::SyncRequest {
-        member_buckets: digests(members.digest().buckets()),
-        engine_buckets: digests(engines.digest().buckets()),
+        half,
+        member_digests: Section::from_bytes(members.digest().bucket_halves(half)),
+        engine_digests: Section::from_bytes(engines.digest().bucket_halves(half)),
     }
 }
 
-fn digests(buckets: &[u32]) -> Section {
-    let mut section = Section::default();
-    for digest in buckets {
-        section.push(digest, DIGEST_BYTES);
-    }
-    section
-}
-
 /// Packs records bucket by bucket into datagrams.
 #[derive(Debug, Default)]
 pub struct SyncPages {
@@ -118,8 +112,10 @@
         }
         self.make_room(rows.len());
         self.open.member_rows.append(&rows);
-        if whole {
-            self.open.member_buckets.push(&(bucket as u32), usize::MAX);
+        let number = bucket as u32;
+        if whole && !self.open.member_buckets.push(&number, BUCKET_NUMBER_BYTES) {
+            self.close();
+            self.open.member_buckets.push(&number, BUCKET_NUMBER_BYTES);
         }
     }
 
@@ -140,8 +136,10 @@
         }
         self.make_room(rows.len());
         self.open.engine_rows.append(&rows);
-        if whole {
-            self.open.engine_buckets.push(&(bucket as u32), usize::MAX);
+        let number = bucket as u32;
+        if whole && !self.open.engine_buckets.push(&number, BUCKET_NUMBER_BYTES) {
+            self.close();
+            self.open.engine_buckets.push(&number, BUCKET_NUMBER_BYTES);
         }
     }
 
--- a/crates/membership/src/update_queue.rs
+++ b/crates/membership/src/update_queue.rs
@@ -28,14 +28,19 @@
         }
     }
 
-    /// Adds news of `key`, or starts them anew.
+    /// Adds news of `key`, or starts them anew. News that replace others which were never sent keep
+    /// their place, so that a record which changes often still gets its turn.
     pub fn push(&mut self, key: Key) {
         self.arrivals += 1;
-        let pending = Pending {
+        let arrival = self.arrivals;
+        let pending = self.pending.entry(key).or_insert(Pending {
             transmissions: 0,
-            arrival: self.arrivals,
-        };
-        self.pending.insert(key, pending);
+            arrival,
+        });
+        if pending.transmissions > 0 {
+            pending.transmissions = 0;
+            pending.arrival = arrival;
+        }
     }
 
     /// Drops the news of `key`.
@@ -58,7 +63,7 @@
         self.pending.is_empty()
     }
 
-    /// Offers news to `write`, the least often sent and then the newest first, until it returns
+    /// Offers news to `write`, the least often sent and then the oldest first, until it returns
     /// false because there is no more room.
     pub fn take(&mut self, mut write: impl FnMut(&Key) -> bool) {
         if self.pending.is_empty() {
@@ -67,10 +72,7 @@
         let mut order: Vec<(u32, u64, Key)> = self
             .pending
             .iter()
-            .map(|(key, pending)| {
-                let newest_first = u64::MAX - pending.arrival;
-                (pending.transmissions, newest_first, key.clone())
-            })
+            .map(|(key, pending)| (pending.transmissions, pending.arrival, key.clone()))
             .collect();
         order.sort_unstable();
         for (_, _, key) in order {
@@ -81,11 +83,13 @@
         }
     }
 
-    /// Counts a transmission of everything: a peer showed that it knows all of it.
-    pub fn count_known_by_a_peer(&mut self) {
+    /// Counts a transmission of all news that satisfy `is_known`: a peer showed that it knows them.
+    pub fn count_known_by_a_peer(&mut self, is_known: impl Fn(&Key) -> bool) {
         let max_transmissions = self.max_transmissions;
-        self.pending.retain(|_, pending| {
-            pending.transmissions += 1;
+        self.pending.retain(|key, pending| {
+            if is_known(key) {
+                pending.transmissions += 1;
+            }
             pending.transmissions < max_transmissions
         });
     }
