--- a/crates/daemon/src/sync/duties.rs
+++ b/crates/daemon/src/sync/duties.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use driftspring_membership::zone_readers;
-use driftspring_types::MemberRecord;
+use driftspring_membership::{OwnershipCache, zone_readers};
+use driftspring_types::{EngineRecord, MemberRecord};
 
 use crate::state::DaemonState;
 
@@ -20,6 +20,16 @@
         && zone_readers(&members, &state.settings.zone).contains(&state.settings.id)
 }
 
+/// This daemon's place among the owners of `engine`, 0 for the first; nothing where it is no owner.
+/// Whoever asks often, and for every engine, keeps an [`OwnershipCache`].
+pub fn ownership(
+    state: &DaemonState,
+    members: &[MemberRecord],
+    engine: &EngineRecord,
+) -> Option<usize> {
+    OwnershipCache::default().place(members, &state.settings.id, engine)
+}
+
 /// Whether no other daemon is known.
 pub fn is_alone(state: &DaemonState, members: &[MemberRecord]) -> bool {
     members.iter().all(|member| member.id == state.settings.id)
