--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -1,5 +1,6 @@
 //! What a daemon hears: gossip, configuration, engine status and cache events.
 
+mod cache_events;
 pub mod control_cost;
 pub(crate) mod duties;
 mod gossip;
@@ -34,6 +35,7 @@
 pub fn spawn_all(state: &Arc<DaemonState>, gossip_socket: UdpSocket) -> anyhow::Result<()> {
     gossip::spawn(state, gossip_socket)?;
     spawn(observe_engines(Arc::clone(state)));
+    spawn(cache_events::run(Arc::clone(state)));
     replication::spawn_all(state);
     store_watch::spawn_all(state);
     Ok(())
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -270,7 +270,7 @@
     fn default() -> Self {
         Self {
             policy: RoutingPolicy::Full,
-            use_events: true,
+            use_events: false,
             use_answers: true,
             widen_hot_prefixes: true,
             use_kept_cache: true,
--- a/crates/telemetry/src/events/sync.rs
+++ b/crates/telemetry/src/events/sync.rs
@@ -11,6 +11,8 @@
     GOSSIP_NOT_RECEIVED = 3007, Error, "The gossip socket failed; the daemon tries again.";
     MACHINE_LIST_UNREACHABLE = 3008, Warn, "The machine list did not answer; engines and daemons known stay known. Logged once until it answers again.";
     OBSERVER_FAILED = 3009, Error, "The observer of engines could not be started; this daemon learns of engines from the others only. Restart it.";
+    CACHE_EVENTS_FAILED = 3010, Error, "The reader of cache events could not be started; residency rests on answers alone. Restart the daemon.";
+    CACHE_EVENTS_BROKEN = 3011, Warn, "The stream of an engine's cache events broke; what is known of its cache expires by age until it is read again.";
     OBJECT_REJECTED = 3500, Error, "A configuration object does not parse and is left out; the others are in force. Correct the object in the store.";
     PULL_FAILED = 3501, Warn, "A copy of the configuration from another daemon failed; the next gossip message leads to another attempt.";
     STORE_UNREACHABLE = 3502, Warn, "The object store did not answer; what is in force stays in force, and the daemon tries again.";
