--- a/crates/daemon/src/operator/tables/system.rs
+++ b/crates/daemon/src/operator/tables/system.rs
@@ -1,6 +1,7 @@
 //! Tables of daemons, engines and what they have cached.
 
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use driftspring_language::Row;
 use driftspring_limits::BreakerState;
@@ -84,15 +85,21 @@
 /// The rows of `cache`.
 pub fn cache(state: &DaemonState) -> Vec<Row> {
     let engines = state.engines.load();
+    let residency = state.routing.directory.snapshot();
+    let now = state.started_at.elapsed();
     let entries = engines.iter();
     entries
         .map(|entry| {
             let record = &entry.record;
+            let known = residency
+                .get(&record.id)
+                .filter(|known| known.incarnation() == record.incarnation);
             vec![
                 record.id.as_str().into(),
                 record.model.as_str().into(),
                 record.weights_version.0.into(),
-                driftspring_language::Cell::Empty,
+                known.map(|known| known.resident_blocks(now)).into(),
+                known.map(|known| milliseconds(known.lifetime())).into(),
                 record.load.cached_blocks.into(),
                 record.load.cache_capacity_blocks.into(),
                 record.incarnation.0.into(),
@@ -100,3 +107,7 @@
         })
         .collect()
 }
+
+fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/daemon/tests/operator_tables_tests.rs
+++ b/crates/daemon/tests/operator_tables_tests.rs
@@ -4,6 +4,7 @@
 
 use driftspring_language::api::{StatementAnswer, StatementRequest};
 use driftspring_language::{Cell, Row, Table};
+use driftspring_prefix::BLOCK_BYTES;
 use support::caller::Caller;
 use support::daemon::{MODEL, TestDaemon};
 use support::engines::Engines;
@@ -61,6 +62,20 @@
     assert_eq!(count("cached_tokens_here"), cached(&requests[1]));
 }
 
+#[test]
+fn cached_blocks_of_an_answered_prompt_show() {
+    let engines = Engines::start(1);
+    let daemon = TestDaemon::start(&engines.addresses(), |_| ());
+    let prompt = PROMPT.repeat(40);
+    let whole_blocks = (prompt.len() / BLOCK_BYTES) as u64;
+    // Asked again and again, since blocks are believed to stay for a few seconds only.
+    wait_until("the prompt's blocks are known", || {
+        assert_eq!(daemon.caller().stream(&[], &prompt, TOKENS).status, 200);
+        let engine = rows(&daemon, "show cache").remove(0);
+        cell(Table::Cache, &engine, "known_blocks") == Cell::from(whole_blocks)
+    });
+}
+
 #[test]
 fn every_row_has_a_cell_for_each_column() {
     let engines = Engines::start(1);
--- a/crates/directory/src/engine.rs
+++ b/crates/directory/src/engine.rs
@@ -71,6 +71,16 @@
         size_of::<Self>() + self.table.capacity() * size_of::<u64>()
     }
 
+    /// How many blocks are believed resident at `now` (time since the daemon's start). Reads the whole
+    /// table: for operators, not for the request path.
+    pub fn resident_blocks(&self, now: Duration) -> u32 {
+        let now = Tick::at(now);
+        let last_uses = self.table.last_uses();
+        let resident = last_uses
+            .filter(|last_use| !self.is_cleared(*last_use) && self.is_fresh(*last_use, now));
+        resident.count() as u32
+    }
+
     /// The leading blocks of `fingerprint` believed resident at `now` (time since the daemon's
     /// start).
     ///
@@ -149,9 +159,12 @@
     }
 
     fn is_resident(&self, block: BlockHash, now: Tick) -> bool {
-        let Some(last_use) = self.last_use(block) else {
-            return false;
-        };
+        self.last_use(block)
+            .is_some_and(|last_use| self.is_fresh(last_use, now))
+    }
+
+    /// Whether a block last used at `last_use` is believed to be still there at `now`.
+    fn is_fresh(&self, last_use: Tick, now: Tick) -> bool {
         let events_whole_since = self.events_whole_since.load(Ordering::Relaxed);
         let is_confirmed =
             events_whole_since != NEVER && last_use.is_after(Tick::from_stored(events_whole_since));
@@ -161,8 +174,12 @@
     /// The last use since the engine's cache was last cleared.
     fn last_use(&self, block: BlockHash) -> Option<Tick> {
         let last_use = self.table.last_use(block.0)?;
+        (!self.is_cleared(last_use)).then_some(last_use)
+    }
+
+    /// Whether the engine's cache was cleared after `last_use`.
+    fn is_cleared(&self, last_use: Tick) -> bool {
         let cleared_at = self.cleared_at.load(Ordering::Relaxed);
-        let is_gone = cleared_at != NEVER && !last_use.is_after(Tick::from_stored(cleared_at));
-        (!is_gone).then_some(last_use)
+        cleared_at != NEVER && !last_use.is_after(Tick::from_stored(cleared_at))
     }
 }
--- a/crates/directory/src/table.rs
+++ b/crates/directory/src/table.rs
@@ -51,6 +51,15 @@
             .reduce(later)
     }
 
+    /// The last known use of every entry, in no order.
+    pub fn last_uses(&self) -> impl Iterator<Item = Tick> {
+        self.slots
+            .iter()
+            .map(|slot| slot.load(Ordering::Relaxed))
+            .filter(|value| *value != EMPTY)
+            .map(tick_of)
+    }
+
     /// Notes a use of `hash`; an older use than the known one changes nothing.
     pub fn touch(&self, hash: u64, tick: Tick) {
         for _ in 0..ATTEMPTS {
--- a/crates/directory/tests/residency.rs
+++ b/crates/directory/tests/residency.rs
@@ -58,6 +58,18 @@
     }
 }
 
+#[test]
+fn resident_blocks_are_counted_until_they_expire_or_are_cleared() {
+    let engine = engine();
+    engine.answered(&prompt(8), Overlap::default(), 0, seconds(1));
+    assert_eq!(engine.resident_blocks(seconds(2)), 8);
+    engine.answered(&prompt(4), Overlap::default(), 0, seconds(5));
+    assert_eq!(engine.resident_blocks(seconds(9)), 4);
+    let cleared = event(CacheEventKind::Cleared, &prompt(0));
+    engine.apply_event(&cleared, seconds(9));
+    assert_eq!(engine.resident_blocks(seconds(9)), 0);
+}
+
 #[test]
 fn unused_blocks_expire_and_a_use_renews_them() {
     let engine = engine();
--- a/crates/language/src/table.rs
+++ b/crates/language/src/table.rs
@@ -119,11 +119,12 @@
     text("peers"),
 ];
 
-static CACHE: [Column; 7] = [
+static CACHE: [Column; 8] = [
     text("engine"),
     text("model"),
     number("version"),
     number("known_blocks"),
+    number("lifetime_ms"),
     number("reported_blocks"),
     number("capacity"),
     number("incarnation"),
