--- a/crates/daemon/src/claims/upkeep.rs
+++ b/crates/daemon/src/claims/upkeep.rs
@@ -1,26 +1,24 @@
-//! Takes in the group, returns to it after a restart, forgets old claims; and tells the admission
-//! how many daemons share a tenant's limits.
+//! Takes in the group, returns to it after a restart, forgets old claims.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use driftspring_claims::{ClaimMessage, EpochState, RecoveryRound};
 use driftspring_telemetry::events::sync;
 use driftspring_telemetry::log_event;
-use driftspring_types::{ClaimGroup, ConfigView, MemberState, TenantId};
+use driftspring_types::ClaimGroup;
 use ntex::time::sleep;
 
 use super::{ClaimClient, now, present_group};
 use crate::state::DaemonState;
 
-/// How often the group and the members are looked at.
+/// How often the group is looked at.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// How often a restarted holder asks whether it may return.
 const RECOVERY_INTERVAL: Duration = Duration::from_millis(250);
 
-/// How often old claims and removed tenants are forgotten.
+/// How often old claims are forgotten.
 const FORGET_INTERVAL: Duration = Duration::from_secs(30);
 
 /// Runs until the process ends.
@@ -45,7 +43,6 @@
     held: EpochState,
     next_recovery: Instant,
     next_forgetting: Instant,
-    config_cleaned_for: Option<Arc<ConfigView>>,
 }
 
 impl Upkeep {
@@ -56,12 +53,10 @@
             held: EpochState::NotHolding,
             next_recovery: Instant::now(),
             next_forgetting: Instant::now() + FORGET_INTERVAL,
-            config_cleaned_for: None,
         }
     }
 
     async fn step(&mut self) {
-        self.count_daemons();
         if let Some(group) = present_group(&self.state) {
             self.state.claims.apply_group(&group, now());
             self.recover(&group).await;
@@ -70,19 +65,9 @@
         if Instant::now() >= self.next_forgetting {
             self.next_forgetting = Instant::now() + FORGET_INTERVAL;
             self.state.claims.forget_old_claims(now());
-            self.forget_tenants();
         }
     }
 
-    fn count_daemons(&self) {
-        let members = self.state.members.load();
-        let others = members.iter().filter(|member| {
-            member.id != self.state.settings.id && member.state == MemberState::Alive
-        });
-        let live = u32::try_from(others.count() + 1).unwrap_or(u32::MAX);
-        self.state.admission.set_live_daemons(live);
-    }
-
     async fn recover(&mut self, group: &ClaimGroup) {
         let waiting = EpochState::Recovering { epoch: group.epoch };
         if self.state.claims.status().state != waiting || Instant::now() < self.next_recovery {
@@ -106,24 +91,4 @@
             log_event!(sync::CLAIM_HOLDER_WAITING, "epoch={epoch}");
         }
     }
-
-    fn forget_tenants(&mut self) {
-        let config = self.state.config.load_full();
-        let is_cleaned = self
-            .config_cleaned_for
-            .as_ref()
-            .is_some_and(|cleaned| Arc::ptr_eq(cleaned, &config));
-        if is_cleaned {
-            return;
-        }
-        let known: HashSet<&TenantId> = config
-            .tenants_by_key
-            .values()
-            .map(|tenant| &tenant.id)
-            .collect();
-        self.state
-            .admission
-            .retain_tenants(|tenant| known.contains(tenant));
-        self.config_cleaned_for = Some(Arc::clone(&config));
-    }
 }
--- a/crates/daemon/src/pipeline/mod.rs
+++ b/crates/daemon/src/pipeline/mod.rs
@@ -8,6 +8,7 @@
 //! gives out each token once and in order, and recovers from broken streams.
 
 mod account;
+mod admission_upkeep;
 mod admit;
 mod answer;
 mod attempt;
@@ -55,6 +56,11 @@
 pub use engine_table::add_bootstrap_engines;
 pub use sequence::{SequenceGate, SequenceStep};
 
+/// Starts the background task on the current ntex system.
+pub fn spawn_all(state: &Arc<DaemonState>) {
+    ntex::rt::spawn(admission_upkeep::run(Arc::clone(state)));
+}
+
 /// Adds the callers' routes to a worker's application.
 pub fn configure(config: &mut ServiceConfig, state: Arc<DaemonState>) {
     config.state(Rc::new(WorkerState::new(state)));
--- a/crates/daemon/src/runtime/mod.rs
+++ b/crates/daemon/src/runtime/mod.rs
@@ -165,6 +165,7 @@
             peers: serve(state, tcp, INTERNAL_WORKERS, sync::configure_peer_server)?,
         };
         sync::spawn_all(state, udp)?;
+        pipeline::spawn_all(state);
         claims::spawn_all(state);
         control::spawn_all(state);
         log_started(state);
