--- a/crates/system-tests/src/load.rs
+++ b/crates/system-tests/src/load.rs
@@ -22,6 +22,10 @@
 /// The pause of a caller whose daemon does not listen.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(20);
 
+/// How often a caller sends a request again that may not be repeated and did not end whole. Its key
+/// stays the same, so that it is the router's part to run it once.
+const MAX_CALLER_RETRIES: usize = 2;
+
 /// How long a test waits for progress of its load.
 const PROGRESS_PATIENCE: Duration = Duration::from_secs(30);
 
@@ -156,13 +160,20 @@
     async fn run(mut self) -> Vec<CallResult> {
         let mut results = Vec::new();
         while !self.progress.stopped.get() {
-            let call = self.next_call();
-            let target = self.random.random_range(0..self.targets.len());
-            let result = self.send(&call, target).await;
-            if result.status.is_none() {
-                ntex::time::sleep(UNREACHABLE_PAUSE).await;
+            let mut call = self.next_call();
+            for _ in 0..=MAX_CALLER_RETRIES {
+                let target = self.random.random_range(0..self.targets.len());
+                let result = self.send(&call, target).await;
+                if result.status.is_none() {
+                    ntex::time::sleep(UNREACHABLE_PAUSE).await;
+                }
+                let is_over = call.repeatable || result.ending == Ending::Whole;
+                results.push(result);
+                if is_over {
+                    break;
+                }
+                call = call.again();
             }
-            results.push(result);
         }
         results
     }
