--- a/crates/check/src/planned_stop.rs
+++ b/crates/check/src/planned_stop.rs
@@ -62,7 +62,8 @@
         let cut = match answered.value.ending {
             Ending::Whole | Ending::Abandoned => false,
             Ending::Silent => true,
-            Ending::NotRun { .. } | Ending::Unknown => begun,
+            // An explicit error may also come of the loss of the request's engine.
+            Ending::NotRun { .. } | Ending::Unknown => begun && !self.lost_its_engine(request),
         };
         cut.then(|| self.violation(answered.index, request_id, &format!("daemon {daemon}")))
     }
@@ -90,6 +91,27 @@
         cut.then(|| self.violation(answered.index, request_id, &format!("engine {engine}")))
     }
 
+    /// Whether an engine to which the request was sent was hit by a fault while it was open.
+    fn lost_its_engine(&self, request: &RequestHistory<'_>) -> bool {
+        let Some((invoked, answered)) = request.invoked.zip(request.answered) else {
+            return false;
+        };
+        let sent_to = |engine: &EngineId| {
+            let mut dispatches = request.dispatches.iter();
+            dispatches.any(|dispatch| dispatch.value.engine == *engine)
+        };
+        self.history
+            .iter()
+            .filter(|(_, at_us, _)| (invoked.at_us..=answered.at_us).contains(at_us))
+            .any(|(_, _, event)| match event {
+                Event::FaultInjected {
+                    target: FaultTarget::Engine(engine),
+                    ..
+                } => sent_to(engine),
+                _ => false,
+            })
+    }
+
     /// Whether the run also brought a fault about at the engine.
     fn engine_fault(&self, engine: &EngineId) -> bool {
         self.history.iter().any(|(_, _, event)| {
--- a/crates/check/tests/requests.rs
+++ b/crates/check/tests/requests.rs
@@ -4,7 +4,7 @@
 
 use common::{Script, invocation, request, run_with_cached, token};
 use driftspring_check::Promise;
-use driftspring_history::{Ending, Event, Invocation};
+use driftspring_history::{Ending, Event, Fault, FaultTarget, Invocation};
 use driftspring_types::NotRunReason;
 
 const NOT_RUN: Ending = Ending::NotRun { reason: None };
@@ -141,6 +141,14 @@
     first(Some(NotRunReason::NoEngine))
         .leave(0)
         .assert_kept(Promise::Restart);
+    let silent = || Script::default().start_daemon(0, 1).invoke(1, 1);
+    silent()
+        .answer(3, 1, Ending::Silent)
+        .assert_broken(Promise::Restart, 2);
+    silent()
+        .kill_daemon(2)
+        .answer(3, 1, Ending::Silent)
+        .assert_kept(Promise::Restart);
 }
 
 #[test]
@@ -158,6 +166,25 @@
     stopped(Ending::Whole).assert_kept(Promise::PlannedStop);
 }
 
+#[test]
+fn an_error_by_the_loss_of_the_engine_is_no_cut_by_the_stop() {
+    let crashed = |engine: &str, ending| {
+        let target = FaultTarget::Engine(engine.into());
+        let fault = Fault::Crash;
+        let daemon = "daemon-1".into();
+        Script::default()
+            .invoke(0, 1)
+            .dispatch(1, 1, 1, 0)
+            .token(2, 1, 0, 0)
+            .at(3, Event::FaultInjected { target, fault })
+            .at(4, Event::DaemonStopping { daemon })
+            .answer(5, 1, ending)
+    };
+    crashed("engine-1", Ending::Unknown).assert_kept(Promise::PlannedStop);
+    crashed("engine-1", Ending::Silent).assert_broken(Promise::PlannedStop, 5);
+    crashed("engine-2", Ending::Unknown).assert_broken(Promise::PlannedStop, 5);
+}
+
 #[test]
 fn a_planned_stop_of_an_engine_cuts_no_open_stream() {
     let stopped = |ending| {
--- a/crates/daemon/src/sync/gossip.rs
+++ b/crates/daemon/src/sync/gossip.rs
@@ -236,8 +236,12 @@
 
 /// Waits a little after an unexpected error of the socket, which might come at once again.
 fn pause_after(error: &std::io::Error) {
-    let is_timeout = matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut);
-    if !is_timeout {
+    // A process that was stopped and continued comes back from the call with `Interrupted`.
+    let is_expected = matches!(
+        error.kind(),
+        ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted
+    );
+    if !is_expected {
         log_event!(sync::GOSSIP_NOT_RECEIVED, "error={error}");
         std::thread::sleep(RECEIVE_TIMEOUT);
     }
--- a/crates/system-tests/tests/cache_reliance.rs
+++ b/crates/system-tests/tests/cache_reliance.rs
@@ -83,6 +83,14 @@
     run(async { crash_warm_engines(&[]).await?.expect_kept(&settings()) })
 }
 
+#[test]
+fn requests_rely_on_a_lost_cache_where_the_incarnation_is_not_named() -> anyhow::Result<()> {
+    run(async {
+        let finished = crash_warm_engines(&["mechanisms.expect_incarnation=false"]).await?;
+        finished.expect_broken(Promise::CacheReliance, &settings())
+    })
+}
+
 #[test]
 fn lost_events_crashes_and_new_weights_mislead_no_request() -> anyhow::Result<()> {
     run(async { faulty_caches(&[]).await?.expect_kept(&settings()) })
