--- a/crates/daemon/src/runtime/mod.rs
+++ b/crates/daemon/src/runtime/mod.rs
@@ -18,6 +18,7 @@
 use driftspring_telemetry::events::process;
 use driftspring_telemetry::log_event;
 use driftspring_types::Incarnation;
+use futures_util::future::join_all;
 use ntex::rt::{DefaultRuntime, System};
 use ntex::server::Server;
 use ntex::time::Seconds;
@@ -180,11 +181,12 @@
             state.enter_phase(Phase::Stopping);
             sync::announce_leaving(state).await;
             stop::wait_for_open_requests(state).await;
+            self.callers.stop(true).await;
         }
-        self.callers.stop(planned).await;
         state.enter_phase(Phase::Terminated);
-        self.operators.stop(false).await;
-        self.peers.stop(false).await;
+        // Each server's stop takes a fixed pause of the library, so they stop side by side.
+        let rest = [&self.callers, &self.operators, &self.peers].map(|server| server.stop(false));
+        join_all(rest).await;
     }
 }
 
