--- a/crates/daemon/src/pipeline/answer.rs
+++ b/crates/daemon/src/pipeline/answer.rs
@@ -16,13 +16,13 @@
 use driftspring_types::{EngineId, Outcome, Peer, Step, StepError};
 
 use super::attempt::Attempt;
-use super::choose_engine::TriedEngines;
 use super::context::RequestContext;
 use super::deadline_body::DeadlineWatch;
 use super::delivered::DeliveredTokens;
 use super::dispatch::{deadline_passed, dispatch};
 use super::refusal::Refusal;
 use super::sequence::{SequenceGate, SequenceStep};
+use super::tried_engines::TriedEngines;
 use super::usage::AnswerUsage;
 use super::worker::WorkerState;
 use crate::state::RecentAnswer;
--- a/crates/daemon/src/pipeline/attempt.rs
+++ b/crates/daemon/src/pipeline/attempt.rs
@@ -90,6 +90,11 @@
         &self.work.engine.record.id
     }
 
+    /// The engine.
+    pub fn engine(&self) -> &EngineEntry {
+        &self.work.engine
+    }
+
     /// What the engine said about itself.
     pub fn head(&self) -> &AnswerHead {
         &self.stream.head
--- a/crates/daemon/src/pipeline/dispatch.rs
+++ b/crates/daemon/src/pipeline/dispatch.rs
@@ -12,11 +12,12 @@
 use driftspring_types::{NotRunReason, Peer, RetrySafety, Step, StepError};
 
 use super::attempt::Attempt;
-use super::choose_engine::{EngineChoice, TriedEngines, choose_engine};
+use super::choose_engine::{EngineChoice, choose_engine};
 use super::context::RequestContext;
 use super::delivered::DeliveredTokens;
 use super::feedback;
 use super::refusal::{DEFAULT_RETRY_AFTER, Refusal, refusal_of};
+use super::tried_engines::TriedEngines;
 use crate::state::{DaemonState, EngineEntry};
 
 /// Opens the request at an engine, to go on after `delivered`.
--- a/crates/daemon/src/pipeline/feedback.rs
+++ b/crates/daemon/src/pipeline/feedback.rs
@@ -95,7 +95,7 @@
 }
 
 /// Counts a failure against the engine's breaker. An answer of whatever kind is none.
-fn failed_to_answer(daemon: &DaemonState, engine: &EngineEntry, error: &EngineError) {
+pub fn failed_to_answer(daemon: &DaemonState, engine: &EngineEntry, error: &EngineError) {
     let is_silent = matches!(
         error,
         EngineError::NotConnected(_) | EngineError::Broken(_) | EngineError::TimedOut(_)
--- a/crates/daemon/src/pipeline/mod.rs
+++ b/crates/daemon/src/pipeline/mod.rs
@@ -36,6 +36,7 @@
 mod relay;
 mod sequence;
 mod share;
+mod tried_engines;
 mod usage;
 mod worker;
 
@@ -52,9 +53,10 @@
 use refusal::Refusal;
 use worker::WorkerState;
 
-pub use choose_engine::{EngineChoice, TriedEngines};
+pub use choose_engine::EngineChoice;
 pub use engine_table::add_bootstrap_engines;
 pub use sequence::{SequenceGate, SequenceStep};
+pub use tried_engines::TriedEngines;
 
 /// Starts the background task on the current ntex system.
 pub fn spawn_all(state: &Arc<DaemonState>) {
--- a/crates/daemon/src/pipeline/recovery.rs
+++ b/crates/daemon/src/pipeline/recovery.rs
@@ -12,6 +12,7 @@
 use super::answer::{Answer, answer_is_over};
 use super::attempt::{Attempt, RESUME_PAUSE, ResumePatience};
 use super::dispatch::dispatch;
+use super::feedback;
 use super::refusal::Refusal;
 
 impl Answer {
@@ -95,7 +96,9 @@
         error: EngineError,
     ) -> Result<(), Refusal> {
         // Dropping the attempt cancels what the engine may still be doing.
-        self.attempt = None;
+        if let Some(attempt) = self.attempt.take() {
+            feedback::failed_to_answer(&self.worker.daemon, attempt.engine(), &error);
+        }
         self.tried.note(engine, error);
         let attempt = dispatch(
             &self.worker.daemon,
