--- a/crates/daemon/src/state/mod.rs
+++ b/crates/daemon/src/state/mod.rs
@@ -107,7 +107,7 @@
         addresses: BoundAddresses,
         recorder: Recorder,
     ) -> Arc<Self> {
-        let replica = SharedReplica::new(&settings);
+        let replica = SharedReplica::new(&settings, incarnation);
         let prefix_samples = PrefixSamples::new(&settings);
         let max_open = u32::try_from(settings.request.max_open).unwrap_or(u32::MAX);
         let admission = Admission::new(max_open);
--- a/crates/daemon/src/state/replica.rs
+++ b/crates/daemon/src/state/replica.rs
@@ -9,7 +9,7 @@
 use arc_swap::ArcSwap;
 use driftspring_replication::{Change, MergeRule, Notice, PullRequest, Replica};
 use driftspring_settings::{BootstrapSettings, Settings};
-use driftspring_types::{DaemonId, ObjectKey, ObjectKind, ObjectRecord, Revision};
+use driftspring_types::{DaemonId, Incarnation, ObjectKey, ObjectKind, ObjectRecord, Revision};
 use serde::Serialize;
 use tokio::sync::Notify;
 
@@ -38,12 +38,12 @@
 
 impl SharedReplica {
     /// A replica that holds the objects of the bootstrap settings only.
-    pub fn new(settings: &Settings) -> Self {
+    pub fn new(settings: &Settings, life: Incarnation) -> Self {
         let rule = match settings.mechanisms.revision_order {
             true => MergeRule::HighestRevision,
             false => MergeRule::LastArrival,
         };
-        let replica = Replica::new(rule, bootstrap_records(&settings.bootstrap));
+        let replica = Replica::new(rule, life, bootstrap_records(&settings.bootstrap));
         let shared = Self {
             replica: Mutex::new(replica),
             notice: ArcSwap::from_pointee(Vec::new()),
--- a/crates/daemon/src/sync/replication/pull.rs
+++ b/crates/daemon/src/sync/replication/pull.rs
@@ -42,7 +42,7 @@
         let progress = state
             .replica
             .update(|replica| session.apply(replica, delta));
-        if progress == PullProgress::Done {
+        if !matches!(progress, PullProgress::Ask(_)) {
             return Ok(());
         }
     }
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between the replicas of two daemons.
 
-use driftspring_types::{ObjectRecord, Revision};
+use driftspring_types::{Incarnation, ObjectRecord, Revision};
 use musli::{Decode, Encode};
 
 use crate::gaps::ListGap;
@@ -30,6 +30,8 @@
 /// Records of a replica in the order of their revisions, or one chunk of them.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
 pub struct Delta {
+    /// The life of the sender; the chunks of one copy must all come from the same one.
+    pub life: Incarnation,
     /// The records above this revision were chosen; it may be lower than the one asked for.
     pub base: Revision,
     /// The revision up to which the sender held every accepted change when it answered.
--- a/crates/replication/src/pull.rs
+++ b/crates/replication/src/pull.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use driftspring_types::Revision;
+use driftspring_types::{Incarnation, Revision};
 
 use crate::gaps::ListGap;
 use crate::message::{Delta, PullRequest};
@@ -15,6 +15,8 @@
     Ask(PullRequest),
     /// The copy is whole.
     Done,
+    /// The peer was restarted meanwhile and may know less than it claimed. What came is kept.
+    Abandoned,
 }
 
 /// One copy from one peer. Its chunks must all come from that peer's same life.
@@ -31,6 +33,7 @@
 
 #[derive(Debug)]
 struct FirstChunk {
+    life: Incarnation,
     base: Revision,
     complete_to: Revision,
     gaps: Vec<ListGap>,
@@ -54,16 +57,21 @@
     /// Takes one chunk of the peer's answer into `replica`.
     pub fn apply(&mut self, replica: &mut Replica, delta: Delta) -> (Change, PullProgress) {
         let first = self.first.get_or_insert_with(|| FirstChunk {
+            life: delta.life,
             base: delta.base,
             complete_to: delta.complete_to,
             gaps: delta.gaps.clone(),
         });
+        let is_same_life = first.life == delta.life;
         let last_revision = delta.records.last().map(|record| record.revision);
         let mut change = Change::default();
         for record in delta.records {
             self.seen.insert(record.key.clone(), record.revision);
             change |= replica.merge(record);
         }
+        if !is_same_life {
+            return (change, PullProgress::Abandoned);
+        }
         if let (true, Some(since)) = (delta.more, last_revision) {
             self.request = PullRequest {
                 since,
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -4,7 +4,7 @@
 use std::ops::BitOrAssign;
 use std::sync::Arc;
 
-use driftspring_types::{ObjectKind, ObjectRecord, Revision};
+use driftspring_types::{Incarnation, ObjectKind, ObjectRecord, Revision};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::gaps::{ListGap, ListGaps};
@@ -51,6 +51,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Replica {
     rule: MergeRule,
+    life: Incarnation,
     defaults: BTreeMap<String, ObjectRecord>,
     records: BTreeMap<Arc<str>, ObjectRecord>,
     by_revision: BTreeSet<(Revision, Arc<str>)>,
@@ -59,11 +60,17 @@
 }
 
 impl Replica {
-    /// An empty replica, in which `defaults` hold until a record of the same key is known.
-    pub fn new(rule: MergeRule, defaults: impl IntoIterator<Item = ObjectRecord>) -> Self {
+    /// An empty replica of a daemon's present life, in which `defaults` hold until a record of the same
+    /// key is known.
+    pub fn new(
+        rule: MergeRule,
+        life: Incarnation,
+        defaults: impl IntoIterator<Item = ObjectRecord>,
+    ) -> Self {
         let defaults = defaults.into_iter();
         Self {
             rule,
+            life,
             defaults: defaults
                 .map(|record| (record.key.clone(), record))
                 .collect(),
@@ -139,6 +146,7 @@
             false => self.gaps.base_for(request.since),
         };
         let mut delta = Delta {
+            life: self.life,
             base,
             complete_to: self.complete_to,
             gaps: self.gaps.above(base),
--- a/crates/replication/tests/replica_state_machine.rs
+++ b/crates/replication/tests/replica_state_machine.rs
@@ -62,7 +62,10 @@
         let before = system.replicas.clone();
         system.take(step);
         for (replica, before) in before.iter().enumerate() {
+            let is_restarted =
+                matches!(step, Step::Restart { replica: index } if *index == replica);
             let fault = regression(before, &system.replicas[replica])
+                .filter(|_| !is_restarted)
                 .or_else(|| false_claim(&system, replica));
             if let Some(fault) = fault {
                 return Err(format!(
