--- a/crates/daemon/src/sync/replication/publisher.rs
+++ b/crates/daemon/src/sync/replication/publisher.rs
@@ -7,6 +7,7 @@
 use driftspring_replication::{Change, Replica};
 use driftspring_telemetry::events::sync;
 use driftspring_telemetry::log_event;
+use driftspring_telemetry::metrics::ControlSubsystem;
 use driftspring_types::{ConfigView, Revision};
 use ntex::time::sleep;
 
@@ -51,6 +52,7 @@
 
 /// Publishes what has changed since the last call.
 pub fn publish(state: &DaemonState) {
+    let _timer = state.metrics.control.time(ControlSubsystem::Configuration);
     state.replica.publish(|replica, change| {
         if change.records {
             publish_records(state, replica);
--- a/crates/daemon/src/sync/replication/server.rs
+++ b/crates/daemon/src/sync/replication/server.rs
@@ -58,13 +58,16 @@
     if !state.settings.mechanisms.anti_entropy {
         return HttpResponse::NotFound().finish();
     }
+    let control = &state.metrics.control;
+    let _timer = control.time(ControlSubsystem::Configuration);
+    control.count_received(ControlSubsystem::Configuration, body.len());
     let Ok(request) = musli::wire::from_slice::<PullRequest>(body) else {
         return HttpResponse::BadRequest().finish();
     };
     let delta = state
         .replica
         .read(|replica| replica.changes_since(request, CHUNK_BYTES));
-    encoded(&delta)
+    encoded(state, &delta)
 }
 
 /// Answers by the published view: what is known but not yet in force does not count.
@@ -72,7 +75,7 @@
     let Ok(request) = musli::wire::from_slice::<HoldsRequest>(body) else {
         return HttpResponse::BadRequest().finish();
     };
-    encoded(&is_in_force(state, &request))
+    encoded(state, &is_in_force(state, &request))
 }
 
 /// Whether a change, or a later one of its object, is in force in this daemon.
@@ -82,9 +85,13 @@
     view.complete_to >= request.revision || held.is_some_and(|held| *held >= request.revision)
 }
 
-fn encoded(message: &impl Encode<Binary>) -> HttpResponse {
+fn encoded(state: &DaemonState, message: &impl Encode<Binary>) -> HttpResponse {
     match musli::wire::to_vec(message) {
-        Ok(bytes) => HttpResponse::Ok().body(bytes),
+        Ok(bytes) => {
+            let control = &state.metrics.control;
+            control.count_sent(ControlSubsystem::Configuration, bytes.len());
+            HttpResponse::Ok().body(bytes)
+        }
         Err(_) => HttpResponse::InternalServerError().finish(),
     }
 }
--- a/crates/daemon/src/sync/store_watch.rs
+++ b/crates/daemon/src/sync/store_watch.rs
@@ -5,13 +5,13 @@
 
 use driftspring_external::ServiceTimeouts;
 use driftspring_external::object_store::{ObjectStore, WatchItem, WatchStream};
-use driftspring_membership::zone_readers;
 use driftspring_telemetry::events::sync;
 use driftspring_telemetry::log_event;
 use driftspring_types::{Peer, Revision, Step, StepError};
 use ntex::rt::spawn;
 use ntex::time::{sleep, timeout};
 
+use super::duties::{is_alone, is_zone_reader};
 use crate::state::DaemonState;
 
 /// How often a daemon that is no reader looks whether it has become one, on average.
@@ -45,7 +45,7 @@
     }
     let mut failures = 0;
     while !state.is_terminated() {
-        if !is_reader(&state) {
+        if !is_zone_reader(&state) {
             sleep(jittered(READER_CHECK_INTERVAL)).await;
             continue;
         }
@@ -65,28 +65,15 @@
     const CHECKS: u32 = 10;
     let pause = jittered(ALONE_PATIENCE) / CHECKS;
     for _ in 0..CHECKS {
-        if !is_alone(state) {
+        if !is_alone(state, &state.members.load()) {
             return;
         }
         sleep(pause).await;
     }
 }
 
-fn is_alone(state: &DaemonState) -> bool {
-    let members = state.members.load();
-    members.iter().all(|member| member.id == state.settings.id)
-}
-
-/// Whether this daemon reads the store for its zone; alone it always does.
-fn is_reader(state: &DaemonState) -> bool {
-    if is_alone(state) {
-        return true;
-    }
-    if !state.is_membership_settled() {
-        return false;
-    }
-    let readers = zone_readers(&state.members.load(), &state.settings.zone);
-    readers.contains(&state.settings.id)
+fn knows_anything(state: &DaemonState) -> bool {
+    state.replica.read(|replica| replica.complete_to()) > Revision(0)
 }
 
 /// Watches, after a list where nothing is known yet, for as long as this daemon is a reader.
@@ -95,7 +82,7 @@
     store: &ObjectStore,
     failures: &mut u32,
 ) -> Result<(), StepError> {
-    if state.replica.read(|replica| replica.complete_to()) == Revision(0) {
+    if !knows_anything(state) {
         list(state, store).await?;
     }
     let mut cursor = state.replica.read(|replica| replica.begin_watch());
@@ -105,7 +92,7 @@
     }
     *failures = 0;
     log_event!(sync::STORE_WATCHED, "from={}", cursor.from());
-    while is_reader(state) {
+    while is_zone_reader(state) {
         let Some(item) = next_item(&mut watch).await? else {
             return Ok(());
         };
--- a/crates/daemon/tests/configuration.rs
+++ b/crates/daemon/tests/configuration.rs
@@ -16,7 +16,7 @@
 use driftspring::control::config_writer::{Proposal, ProposalOutcome, members_lacking, propose};
 use driftspring_settings::MechanismSettings;
 use driftspring_standin::FaultUpdate;
-use driftspring_types::Revision;
+use driftspring_types::{Revision, Route};
 use futures_util::future::join_all;
 
 /// A revision that no store of a test comes to, whatever leases it keeps.
@@ -173,8 +173,8 @@
     cluster.drop_store_connections();
     let again = eventually(|| cluster.store.counters().watches >= watches + 4).await;
     assert!(again, "the watches were not opened again");
-    let before = cluster.store.counters();
     cluster.kill(3);
+    let before = cluster.store.counters();
     cluster.start(3);
     let listed = eventually(|| cluster.store.counters().lists > before.lists).await;
     assert!(listed, "the restarted daemon did not list");
@@ -254,6 +254,55 @@
     cluster.check().await.expect("promise holds");
 }
 
+#[ntex::test]
+async fn a_herd_start_reads_the_store_a_few_times_only() {
+    const ZONES: usize = 3;
+    let mut cluster = started(ZONES, 4, ALL_ON()).await;
+    let revision = accepted(&cluster.propose(0, "a", 0, 10).await);
+    assert!(eventually(|| cluster.is_everywhere("a", revision)).await);
+    for index in 0..cluster.len() {
+        cluster.kill(index);
+    }
+    let before = cluster.store.counters().lists;
+    // While the first lists are on their way, nobody has anything to copy from.
+    let slow = FaultUpdate {
+        delay_ms: Some(300),
+        ..FaultUpdate::default()
+    };
+    cluster.store_faults(&slow);
+    cluster.start_all();
+    assert!(eventually(|| cluster.is_everywhere("a", revision)).await);
+    let lists = cluster.store.counters().lists - before;
+    assert!(lists <= 2 * ZONES as u64, "{lists} lists");
+    cluster.check().await.expect("promise holds");
+}
+
+#[ntex::test]
+async fn a_herd_started_while_the_store_is_down_serves_by_its_settings_and_catches_up() {
+    let mut cluster = started(2, 2, ALL_ON()).await;
+    let revision = accepted(&cluster.propose(0, "a", 0, 10).await);
+    for index in 0..cluster.len() {
+        cluster.kill(index);
+        let bootstrap = &mut cluster.settings_mut(index).bootstrap;
+        bootstrap.routes = vec![bootstrap_route("a"), bootstrap_route("only-in-settings")];
+    }
+    cluster.store_faults(&store_down(true));
+    cluster.start_all();
+    let serves = || (0..cluster.len()).all(|index| cluster.state(index).is_ready());
+    assert!(within(Duration::from_secs(1), serves).await);
+    assert_eq!(cluster.in_force(0, "a"), 0);
+    cluster.store_faults(&store_down(false));
+    assert!(eventually(|| cluster.is_everywhere("a", revision)).await);
+    let view = cluster.state(0).config.load_full();
+    let routes = view.routes.values().next().expect("routes of the tenant");
+    assert!(routes.contains_key(&"only-in-settings".into()));
+    cluster.check().await.expect("promise holds");
+}
+
+fn bootstrap_route(name: &str) -> Route {
+    serde_json::from_value(route(name, 1).into()).expect("a route")
+}
+
 #[ntex::test]
 async fn a_deleted_object_stays_deleted() {
     let mut cluster = started(2, 2, ALL_ON()).await;
