--- a/crates/bench/src/flags.rs
+++ b/crates/bench/src/flags.rs
@@ -76,6 +76,11 @@
             /// Where to write the report as HTML.
             optional --html html: PathBuf
         }
+        /// Measures the time and memory of one routing decision.
+        cmd decision {
+            /// Where to write the result as JSON.
+            optional --json json: PathBuf
+        }
         /// Runs membership and configuration over many hollow daemons in one process.
         cmd scale {
             /// Seed of the run.
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`live`]: open-loop load on daemons over HTTP.
 //! - [`overhead`]: what the router costs compared with calling the engine directly.
 //! - [`compare`]: routing policies against each other in virtual time.
+//! - [`decision`]: the time and memory of one routing decision.
 //! - [`scale`]: membership and configuration over hundreds of daemons in one process.
 //! - [`embedded`]: a whole system within this process.
 //! - [`load`], [`caller`]: open-loop load and the callers that time and check each stream.
@@ -12,6 +13,7 @@
 
 pub mod caller;
 pub mod compare;
+pub mod decision;
 pub mod demo;
 pub mod embedded;
 pub mod flags;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -27,6 +27,7 @@
             driftspring_bench::overhead::serve_daemon(&options)
         }
         DriftspringBenchCmd::Compare(options) => driftspring_bench::compare::run(&options),
+        DriftspringBenchCmd::Decision(options) => driftspring_bench::decision::run(&options),
         DriftspringBenchCmd::Scale(options) => driftspring_bench::scale::run(&options),
     }
 }
--- a/crates/daemon/src/pipeline/choose_engine.rs
+++ b/crates/daemon/src/pipeline/choose_engine.rs
@@ -10,7 +10,7 @@
 use super::engine_table::UNKNOWN_WEIGHTS;
 use super::refusal::Refusal;
 use super::tried_engines::TriedEngines;
-use crate::state::{DaemonState, EngineCandidate, EngineEntry};
+use crate::state::{DaemonState, EngineEntry};
 
 /// An engine chosen for a request.
 #[derive(Debug, Clone)]
@@ -79,34 +79,24 @@
     candidates: &[&Arc<EngineEntry>],
     allowed: impl Fn(&EngineId) -> bool,
 ) -> Option<EngineChoice> {
-    let mut engines: Vec<EngineCandidate> = candidates
+    let engines: Vec<&Arc<EngineEntry>> = candidates
         .iter()
+        .copied()
         .filter(|engine| allowed(&engine.record.id))
-        .map(|engine| candidate(daemon, context, engine))
         .collect();
     let model = &context.route.model;
     let fingerprint = &context.fingerprint;
-    let now = daemon.uptime();
-    let decision = daemon.routing.choose(model, fingerprint, &engines, now)?;
-    let chosen = engines.swap_remove(decision.index);
-    Some(EngineChoice {
-        engine: chosen.engine,
-        residency: chosen.residency,
-        overlap: decision.overlap,
-    })
-}
-
-fn candidate(
-    daemon: &DaemonState,
-    context: &RequestContext,
-    engine: &Arc<EngineEntry>,
-) -> EngineCandidate {
     let uses_cache = context.route.use_cache;
+    let now = daemon.uptime();
+    let routing = &daemon.routing;
+    let decision = routing.choose(model, fingerprint, uses_cache, &engines, now)?;
+    let engine = Arc::clone(engines[decision.index]);
     let residency = uses_cache
-        .then(|| daemon.routing.residency_of(&engine.record))
+        .then(|| routing.residency_of(&engine.record))
         .flatten();
-    EngineCandidate {
-        engine: Arc::clone(engine),
+    Some(EngineChoice {
+        engine,
         residency,
-    }
+        overlap: decision.overlap,
+    })
 }
--- a/crates/daemon/src/state/mod.rs
+++ b/crates/daemon/src/state/mod.rs
@@ -28,7 +28,7 @@
 pub use prefix_samples::PrefixSamples;
 pub use recent::{RecentAnswer, RecentAnswers};
 pub use replica::{PullSource, SharedReplica};
-pub use routing::{EngineCandidate, RoutingState};
+pub use routing::RoutingState;
 
 /// How far a process is on its way to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/daemon/src/state/routing.rs
+++ b/crates/daemon/src/state/routing.rs
@@ -38,16 +38,6 @@
     zone_distance: Duration,
 }
 
-/// A candidate of the request path.
-#[derive(Debug, Clone)]
-pub struct EngineCandidate {
-    /// The engine.
-    pub engine: Arc<EngineEntry>,
-    /// What its present life has cached; nothing for engines that never reported, and for requests
-    /// that start cold.
-    pub residency: Option<Arc<EngineResidency>>,
-}
-
 impl RoutingState {
     /// The state of a daemon in `zone` that has seen no traffic.
     pub fn new(settings: &RoutingSettings, zone: &ZoneName) -> Self {
@@ -70,17 +60,19 @@
         }
     }
 
-    /// Chooses one of `engines` for a prompt for `model`; `now` is the time since the daemon's start.
+    /// Chooses one of `engines` for a prompt for `model`, which may start from cached work if it
+    /// `uses_cache`; `now` is the time since the daemon's start.
     pub fn choose(
         &self,
         model: &ModelName,
         fingerprint: &Fingerprint,
-        engines: &[EngineCandidate],
+        uses_cache: bool,
+        engines: &[&Arc<EngineEntry>],
         now: Duration,
     ) -> Option<Decision> {
         let candidates: Vec<Candidate> = engines
             .iter()
-            .map(|candidate| self.candidate(&candidate.engine, now))
+            .map(|engine| self.candidate(engine, now))
             .collect();
         match &self.scheduler {
             PolicyScheduler::Baseline(scheduler) => {
@@ -88,7 +80,8 @@
             }
             PolicyScheduler::Full(scheduler) => {
                 let overlap_of = |index: usize| {
-                    let residency = engines[index].residency.as_ref();
+                    let record = &engines[index].record;
+                    let residency = uses_cache.then(|| self.residency_of(record)).flatten();
                     residency.map_or(Overlap::default(), |known| known.overlap(fingerprint, now))
                 };
                 scheduler.choose(model.as_str(), fingerprint, &candidates, overlap_of, now)
--- a/crates/routing/src/heat.rs
+++ b/crates/routing/src/heat.rs
@@ -102,36 +102,28 @@
     fn try_observe(&self, node: BlockHash, tick: u64) -> Option<f64> {
         let tag = tag_of(node);
         let set = self.set_of(node);
-        let mut coldest: Option<(&AtomicU64, u64, f64)> = None;
         for slot in set {
             let value = load(slot);
             let entry = Entry::unpack(value);
-            let count = self.decayed(entry, tick);
             if entry.tag == tag {
-                return replace(
-                    slot,
-                    value,
-                    Entry {
-                        tag,
-                        tick,
-                        count: count + 1.0,
-                    },
-                );
-            }
-            if coldest.is_none_or(|(_, _, least)| count < least) {
-                coldest = Some((slot, value, count));
+                let count = self.decayed(entry, tick) + 1.0;
+                return replace(slot, value, Entry { tag, tick, count });
             }
         }
-        let (slot, value, _) = coldest?;
-        replace(
-            slot,
-            value,
-            Entry {
-                tag,
-                tick,
-                count: 1.0,
-            },
-        )
+        let (slot, value) = self.coldest(set, tick)?;
+        let count = 1.0;
+        replace(slot, value, Entry { tag, tick, count })
+    }
+
+    /// The slot with the lowest count, and its value.
+    fn coldest<'a>(&self, set: &'a [AtomicU64], tick: u64) -> Option<(&'a AtomicU64, u64)> {
+        let values = set.iter().map(|slot| (slot, load(slot)));
+        let counted = values.map(|(slot, value)| {
+            let count = self.decayed(Entry::unpack(value), tick);
+            (slot, value, count)
+        });
+        let coldest = counted.min_by(|one, other| one.2.total_cmp(&other.2))?;
+        Some((coldest.0, coldest.1))
     }
 
     fn decayed(&self, entry: Entry, tick: u64) -> f64 {
