--- a/crates/bench/src/scale/tables.rs
+++ b/crates/bench/src/scale/tables.rs
@@ -2,17 +2,33 @@
 
 use std::fmt::Write;
 
+use super::ScaleResult;
+use super::full_configuration::FullConfiguration;
 use super::measure::SizeResult;
 use super::traffic::ByteRates;
 
-/// Both tables as text.
-pub fn render(results: &[SizeResult]) -> String {
+/// All tables as text.
+pub fn render(result: &ScaleResult) -> String {
     let mut text = String::new();
-    render_bytes(&mut text, results);
-    render_times(&mut text, results);
+    render_bytes(&mut text, &result.sizes);
+    render_times(&mut text, &result.sizes);
+    render_configuration(&mut text, &result.full_configuration);
     text
 }
 
+fn render_configuration(text: &mut String, configuration: &FullConfiguration) {
+    let _ = writeln!(
+        text,
+        "\none daemon with {} tenants and as many routes: replica {:.1} MB, view {:.1} MB built in {:.3} s, \
+         whole copy {:.1} MB",
+        configuration.tenants,
+        configuration.replica_bytes as f64 / 1e6,
+        configuration.view_bytes as f64 / 1e6,
+        configuration.view_build_s,
+        configuration.copy_bytes as f64 / 1e6,
+    );
+}
+
 fn render_bytes(text: &mut String, results: &[SizeResult]) {
     let _ = writeln!(
         text,
