--- a/crates/membership/src/engine_table.rs
+++ b/crates/membership/src/engine_table.rs
@@ -145,15 +145,18 @@
         outcome
     }
 
-    /// Merges a whole record from a peer, and passes news on where `relay` says so.
+    /// Merges a whole record from a peer. A change of a known life is always passed on; a record of an
+    /// unknown one where `relay` says so.
     pub fn receive_row(
         &mut self,
         now: Duration,
         record: &EngineRecord,
         relay: bool,
     ) -> EngineMerge {
+        let known = self.get(&record.id);
+        let is_known_life = known.is_some_and(|known| known.incarnation == record.incarnation);
         let outcome = self.merge(now, record);
-        if outcome == EngineMerge::NewState && relay {
+        if outcome == EngineMerge::NewState && (relay || is_known_life) {
             self.changes.push(record.id.clone());
         }
         outcome
--- a/crates/membership/src/membership/probing.rs
+++ b/crates/membership/src/membership/probing.rs
@@ -28,9 +28,10 @@
     pub(super) fn start_probe(&mut self, now: Duration, actions: &mut Vec<Action>) {
         self.next_probe_at = now + jittered(self.config.probe_interval, &mut self.rng);
         let own = (&self.own.id, self.own_zone);
-        let target = self
-            .prober
-            .next_target(&self.members, own, &self.config, &mut self.rng);
+        let silent = self.zones.stalest(now, self.config.zone_silence / 4);
+        let target =
+            self.prober
+                .next_target(&self.members, own, silent, &self.config, &mut self.rng);
         if let Some(target) = target {
             self.ping(now, &target, actions);
         }
--- a/crates/membership/src/prober.rs
+++ b/crates/membership/src/prober.rs
@@ -13,6 +13,12 @@
 use crate::member_table::{MemberEntry, MemberTable};
 use crate::tag::{MemberTag, ZoneTag};
 
+/// Probes of a silent zone in one probe interval, by all daemons of the own zone together.
+const SILENT_ZONE_PROBES: f64 = 2.0;
+
+/// The largest share of one daemon's probes that go to a silent zone.
+const MAX_SILENT_ZONE_SHARE: f64 = 0.5;
+
 /// A probe of this daemon that waits for an answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PendingProbe {
@@ -53,14 +59,23 @@
 }
 
 impl Prober {
-    /// The member to probe next: mostly of the own zone, in rounds; at times of another zone.
+    /// The member to probe next: mostly of the own zone, in rounds; at times of another zone; a
+    /// `silent_zone` first, which this daemon shares with the others of its zone.
     pub fn next_target(
         &mut self,
         table: &MemberTable,
         own: (&DaemonId, ZoneTag),
+        silent_zone: Option<ZoneTag>,
         config: &GossipConfig,
         rng: &mut StdRng,
     ) -> Option<DaemonId> {
+        if let Some(zone) = silent_zone {
+            let near = table.iter().filter(|entry| entry.zone == own.1).count();
+            let share = SILENT_ZONE_PROBES / near.max(1) as f64;
+            if rng.random_bool(share.min(MAX_SILENT_ZONE_SHARE)) {
+                return target_in_zone(table, own.0, zone, rng);
+            }
+        }
         // By chance and not in turn, since daemons that start together would all turn together.
         if rng.random_ratio(1, config.cross_zone_period) {
             let far = far_target(table, own, rng);
@@ -161,7 +176,7 @@
     }
 }
 
-/// A member of a random other zone, a dead one only where the zone has no other.
+/// A member of a random other zone.
 fn far_target(
     table: &MemberTable,
     own: (&DaemonId, ZoneTag),
@@ -170,6 +185,16 @@
     let zones: BTreeSet<ZoneTag> = table.iter().map(|entry| entry.zone).collect();
     let zones: Vec<ZoneTag> = zones.into_iter().filter(|zone| *zone != own.1).collect();
     let zone = *zones.choose(rng)?;
+    target_in_zone(table, own.0, zone, rng)
+}
+
+/// A random member of `zone`, a dead one only where the zone has no other.
+fn target_in_zone(
+    table: &MemberTable,
+    own: &DaemonId,
+    zone: ZoneTag,
+    rng: &mut StdRng,
+) -> Option<DaemonId> {
     let in_zone: Vec<&MemberEntry> = table
         .iter()
         .filter(|entry| entry.zone == zone && entry.peer.is_some())
@@ -177,7 +202,7 @@
     let answering: Vec<&MemberEntry> = in_zone
         .iter()
         .copied()
-        .filter(|entry| may_answer(entry, own.0))
+        .filter(|entry| may_answer(entry, own))
         .collect();
     let candidates = if answering.is_empty() {
         in_zone
--- a/crates/membership/src/zone_contacts.rs
+++ b/crates/membership/src/zone_contacts.rs
@@ -54,6 +54,15 @@
                 .is_some_and(|at| now.saturating_sub(*at) <= silence)
     }
 
+    /// The zone that was not heard from for the longest time, if that is longer than `age`.
+    pub fn stalest(&self, now: Duration, age: Duration) -> Option<ZoneTag> {
+        let (zone, heard_at) = self
+            .heard_at
+            .iter()
+            .min_by_key(|(_, heard_at)| **heard_at)?;
+        (now.saturating_sub(*heard_at) > age).then_some(*zone)
+    }
+
     /// Writes the contacts for a peer of the own zone.
     pub fn write(&self, now: Duration, section: &mut Section, limit: usize) {
         for (zone, heard_at) in &self.heard_at {
--- a/crates/membership/tests/gossip.rs
+++ b/crates/membership/tests/gossip.rs
@@ -117,6 +117,16 @@
     assert_eq!(refutations, 0);
 }
 
+#[test]
+fn small_zones_stay_in_contact() {
+    let mut simulation = Simulation::new(12, 6, 21);
+    simulation.run_until(LIMIT, "all alive", Simulation::all_alive_agree);
+    for _ in 0..300 {
+        simulation.run(seconds(1));
+        assert!(simulation.all_alive_agree());
+    }
+}
+
 #[test]
 fn no_reachable_daemon_stays_dead_after_cuts_inside_zones() {
     for seed in 9..13 {
