--- a/crates/daemon/src/pipeline/deadline_body.rs
+++ b/crates/daemon/src/pipeline/deadline_body.rs
@@ -25,6 +25,10 @@
 /// The bytes of a response.
 type Pieces = Pin<Box<dyn Stream<Item = Result<Bytes, Infallible>>>>;
 
+/// Makes the last piece of the overdue response to a request. Few responses need one, and an error costs
+/// more to make than the rest of a relay's start.
+type FinalPiece = fn(RequestId) -> Bytes;
+
 /// A body that ends at its deadline.
 pub struct DeadlineBody(Rc<TimedBody>);
 
@@ -34,8 +38,8 @@
     deadline: Instant,
     /// Nothing once the body has ended or was overdue.
     pieces: RefCell<Option<Pieces>>,
-    /// The last piece of an overdue body.
-    final_piece: RefCell<Option<Bytes>>,
+    /// Makes the last piece of an overdue body.
+    final_piece: Cell<Option<FinalPiece>>,
 }
 
 /// Looks after the bodies of one worker thread.
@@ -47,19 +51,19 @@
 
 impl DeadlineWatch {
     /// The body of the response to `id`. Where it is still open after `deadline`, it ends in
-    /// `final_piece`.
+    /// the piece that `final_piece` makes.
     pub fn body(
         self: &Rc<Self>,
         id: RequestId,
         deadline: Instant,
-        final_piece: Bytes,
+        final_piece: FinalPiece,
         pieces: impl Stream<Item = Result<Bytes, Infallible>> + 'static,
     ) -> DeadlineBody {
         let body = Rc::new(TimedBody {
             id,
             deadline,
             pieces: RefCell::new(Some(Box::pin(pieces))),
-            final_piece: RefCell::new(Some(final_piece)),
+            final_piece: Cell::new(Some(final_piece)),
         });
         self.open.borrow_mut().push(Rc::downgrade(&body));
         self.ensure_sweeping();
@@ -117,7 +121,8 @@
     fn poll_next(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         let mut pieces = self.0.pieces.borrow_mut();
         let Some(open) = pieces.as_mut() else {
-            return Poll::Ready(self.0.final_piece.take().map(Ok));
+            let final_piece = self.0.final_piece.take();
+            return Poll::Ready(final_piece.map(|make| Ok(make(self.0.id))));
         };
         let next = open.as_mut().poll_next(context);
         if matches!(next, Poll::Ready(None)) {
--- a/crates/daemon/src/pipeline/relay.rs
+++ b/crates/daemon/src/pipeline/relay.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use driftspring_external::engine::AnswerChunk;
-use driftspring_types::Outcome;
+use driftspring_types::{Outcome, RequestId};
 use futures_util::stream::unfold;
 use ntex::http::ResponseBuilder;
 use ntex::util::{Bytes, BytesMut};
@@ -35,14 +35,18 @@
     add_source_headers(&mut builder, &answer);
     let (id, deadline) = (answer.context().id, answer.context().deadline);
     let deadlines = Rc::clone(answer.deadlines());
-    let overdue = deadline_passed(true).stream_event(id);
     let relay = Relay {
         answer,
         account,
         has_ended: false,
     };
     let pieces = unfold(relay, next_piece);
-    builder.streaming(deadlines.body(id, deadline, overdue, pieces))
+    builder.streaming(deadlines.body(id, deadline, overdue_event, pieces))
+}
+
+/// The last event of a stream that is open past its deadline.
+fn overdue_event(id: RequestId) -> Bytes {
+    deadline_passed(true).stream_event(id)
 }
 
 /// Adds the headers that say who answers.
