--- a/crates/bench/src/compare/kept.rs
+++ b/crates/bench/src/compare/kept.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{HashMap, HashSet, VecDeque};
 
-use driftspring_engine_model::ModelTime;
 use driftspring_prefix::BlockHash;
 
 use super::request::SimulatedRequest;
@@ -33,7 +32,7 @@
     }
 
     /// The shared prefixes that `engine` served of late, the newest first.
-    pub fn chains_of(&self, engine: usize, _now: ModelTime) -> Vec<Vec<BlockHash>> {
+    pub fn chains_of(&self, engine: usize) -> Vec<Vec<BlockHash>> {
         let mut uses: HashMap<BlockHash, u32> = HashMap::new();
         for block in self.recent.iter().flat_map(|(_, blocks)| blocks) {
             *uses.entry(*block).or_default() += 1;
--- a/crates/routing/src/candidate.rs
+++ b/crates/routing/src/candidate.rs
@@ -3,9 +3,7 @@
 use std::time::Duration;
 
 use driftspring_directory::Overlap;
-use driftspring_types::{
-    EngineDirective, EngineHealth, EngineId, EngineIntent, EngineRecord, ModelName, WeightsVersion,
-};
+use driftspring_types::EngineId;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -41,45 +39,6 @@
     pub load: LoadEstimate,
 }
 
-/// Why an engine may not serve a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Ineligible {
-    /// It serves another model.
-    OtherModel,
-    /// Its weights have another version.
-    OtherWeights,
-    /// It loads weights, leaves or does not answer.
-    NotServing,
-    /// An operator drains it.
-    Draining,
-}
-
-/// Checks whether the engine of `record` may serve a request for `model` at `weights_version`.
-///
-/// # Errors
-/// Why it may not.
-pub fn check_eligible(
-    record: &EngineRecord,
-    directive: Option<&EngineDirective>,
-    model: &ModelName,
-    weights_version: WeightsVersion,
-) -> Result<(), Ineligible> {
-    if record.model != *model {
-        return Err(Ineligible::OtherModel);
-    }
-    if record.weights_version != weights_version {
-        return Err(Ineligible::OtherWeights);
-    }
-    if record.health != EngineHealth::Serving {
-        return Err(Ineligible::NotServing);
-    }
-    if directive.is_some_and(|directive| directive.intent == EngineIntent::Drain) {
-        return Err(Ineligible::Draining);
-    }
-    Ok(())
-}
-
 /// What decided the choice; for operators and logs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -18,9 +18,7 @@
 pub mod scheduler;
 
 pub use baselines::{Baseline, BaselineScheduler};
-pub use candidate::{
-    Candidate, Decision, DecisionReason, EngineKey, Ineligible, ZoneDistance, check_eligible,
-};
+pub use candidate::{Candidate, Decision, DecisionReason, EngineKey, ZoneDistance};
 pub use cost::{Cost, CostModel, CostWeights, PlacementRank};
 pub use heat::{HeatSettings, HeatTracker};
 pub use load::{LoadEstimate, LoadModel, LoadReport};
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -28,8 +28,6 @@
     pub pending_prefill_tokens: f64,
     /// Requests open at the engine.
     pub open_requests: f64,
-    /// The age of the report that this rests on.
-    pub report_age: Duration,
 }
 
 /// How reports age.
@@ -61,7 +59,6 @@
         LoadEstimate {
             pending_prefill_tokens: tokens.max(f64::from(report.own_pending_tokens)),
             open_requests: requests.max(f64::from(report.own_open_requests)),
-            report_age: report.age,
         }
     }
 }
