--- a/crates/daemon/src/pipeline/decode.rs
+++ b/crates/daemon/src/pipeline/decode.rs
@@ -43,10 +43,13 @@
     id: RequestId,
 ) -> Result<DecodedRequest, Refusal> {
     let settings = &daemon.settings.request;
+    let arrived_at = Instant::now();
+    // Read before anything is refused: a caller that is still sending its body when the connection
+    // closes sees a broken connection instead of the answer.
+    let raw = read_body(settings, request.headers(), payload).await?;
     let headers = CallerHeaders::read(request.headers())?;
     let patience = headers.deadline.unwrap_or(settings.default_deadline);
-    let deadline = Instant::now() + patience;
-    let raw = read_body(settings, request.headers(), payload).await?;
+    let deadline = arrived_at + patience;
     let body = RequestBody::parse(endpoint, raw)?;
     Ok(DecodedRequest {
         id,
--- a/crates/daemon/src/pipeline/mod.rs
+++ b/crates/daemon/src/pipeline/mod.rs
@@ -119,8 +119,8 @@
     account: &mut Account,
 ) -> Result<HttpResponse, Refusal> {
     let daemon = &worker.daemon;
-    admit::refuse_while_stopping(daemon)?;
     let decoded = decode::decode(daemon, endpoint, request, payload, account.id()).await?;
+    admit::refuse_while_stopping(daemon)?;
     let config = daemon.config.load_full();
     let tenant = authenticate::authenticate(daemon, &config, request.headers())?;
     let route = match_route::match_route(&config, &tenant, &decoded.body.model)?;
--- a/crates/daemon/tests/bad_input_tests.rs
+++ b/crates/daemon/tests/bad_input_tests.rs
@@ -8,7 +8,7 @@
 
 use quickcheck::quickcheck;
 use serde_json::json;
-use support::caller::{Answer, Caller, OpenAnswer};
+use support::caller::{Answer, Caller, OpenAnswer, completion};
 use support::daemon::{MODEL, TestDaemon};
 
 fn assert_refused(answer: &Answer, status: u16, field: &str) {
@@ -84,6 +84,33 @@
     );
 }
 
+#[test]
+fn a_refusal_waits_for_the_body() {
+    let daemon = TestDaemon::start(&[], |_| ());
+    let body = completion("text", 1, false).to_string();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: d\r\nconnection: close\r\nx-priority: high\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    let mut connection = daemon.caller().connect();
+    connection
+        .write_all(head.as_bytes())
+        .expect("the daemon reads");
+    let early = Some(Duration::from_millis(200));
+    connection.set_read_timeout(early).expect("a socket option");
+    let answered = connection.peek(&mut [0]);
+    assert!(answered.is_err(), "answered before the body was sent");
+    connection.set_read_timeout(None).expect("a socket option");
+    connection
+        .write_all(body.as_bytes())
+        .expect("the daemon reads");
+    assert_refused(
+        &OpenAnswer::read_head(connection).finish(),
+        400,
+        "x-priority",
+    );
+}
+
 #[test]
 fn wrong_keys_and_models_are_refused() {
     let daemon = TestDaemon::start(&[], |_| ());
--- a/crates/standin/src/engine/control_calls.rs
+++ b/crates/standin/src/engine/control_calls.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use driftspring_types::{EngineHealth, EngineLoad};
+use ntex::util::Bytes;
 use ntex::web::{self, HttpResponse};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -160,7 +161,8 @@
     }
 }
 
-async fn leave(engine: SharedEngine) -> HttpResponse {
+/// Takes the body too: an answer before the caller has sent it would break the connection off.
+async fn leave(engine: SharedEngine, _body: Bytes) -> HttpResponse {
     engine.core().health = EngineHealth::Leaving;
     let leaving = Arc::clone(&engine);
     ntex::rt::spawn(async move {
