--- a/crates/daemon/src/pipeline/mod.rs
+++ b/crates/daemon/src/pipeline/mod.rs
@@ -123,22 +123,17 @@
     admit::refuse_while_stopping(daemon)?;
     let config = daemon.config.load_full();
     let tenant = authenticate::authenticate(daemon, &config, request.headers())?;
+    account.hold_permit(admit::admit(daemon, &tenant)?);
     let route = match_route::match_route(&config, &tenant, &decoded.body.model)?;
+    if let Some(claim) = claim::claim(worker, &tenant, &decoded.headers).await? {
+        account.hold_claim(claim);
+    }
     if let Some(upstream) = match_route::legacy_upstream(&route, &decoded.body.prompt) {
-        account.hold_permit(admit::admit(daemon, &tenant)?);
-        if let Some(claim) = claim::claim(worker, &tenant, &decoded.headers).await? {
-            account.hold_claim(claim);
-        }
         return pass_through::pass_through(worker, upstream, request, decoded, account).await;
     }
-    let caller_headers = decoded.headers.clone();
     let priority = classify::classify(&decoded, &route);
     let scope = fingerprint::scope(daemon, &tenant, &route, &decoded.body.prompt);
     let context = RequestContext::new(decoded, tenant, route, priority, scope);
-    account.hold_permit(admit::admit(daemon, &context.tenant)?);
-    if let Some(claim) = claim::claim(worker, &context.tenant, &caller_headers).await? {
-        account.hold_claim(claim);
-    }
     let context = Rc::new(context);
     let answer = answer::Answer::open(Rc::clone(worker), Rc::clone(&context)).await?;
     account.first_token();
