--- a/crates/daemon/src/state/replica.rs
+++ b/crates/daemon/src/state/replica.rs
@@ -122,6 +122,11 @@
         self.change_made.notified().await;
     }
 
+    /// Whether records have changed since the last publication.
+    pub fn has_unpublished_records(&self) -> bool {
+        locked(&self.unpublished).records
+    }
+
     /// Publishes what has changed. The replica stays locked meanwhile, so views come in order.
     pub fn publish(&self, publish: impl FnOnce(&Replica, Change)) {
         let replica = self.lock();
--- a/crates/daemon/src/sync/replication/publisher.rs
+++ b/crates/daemon/src/sync/replication/publisher.rs
@@ -1,7 +1,7 @@
 //! Puts the replica in force: builds the view that the request path reads.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use driftspring_history::{Event, ObservedObject};
 use driftspring_replication::{Change, Replica};
@@ -9,21 +9,45 @@
 use driftspring_telemetry::log_event;
 use driftspring_telemetry::metrics::ControlSubsystem;
 use driftspring_types::{ConfigView, Revision};
-use ntex::time::sleep;
+use ntex::time::{sleep, timeout};
 
 use crate::state::DaemonState;
 
 /// How long a daemon that has bootstrap objects waits for newer ones before it serves by them.
 const BOOTSTRAP_GRACE: Duration = Duration::from_millis(250);
+/// The pause after a publication, for each object in force: building a view takes one to two microseconds
+/// per object.
+const PAUSE_PER_OBJECT: Duration = Duration::from_micros(10);
+/// How long a mere rise of `complete_to` waits, for each object in force: it copies the view.
+const COMPLETE_TO_PAUSE_PER_OBJECT: Duration = Duration::from_micros(100);
 
 /// Publishes each change until the process ends. Changes that come meanwhile are published together.
 pub(super) async fn run(state: Arc<DaemonState>) {
     loop {
-        state.replica.changed().await;
+        next_publication(&state).await;
         publish(&state);
+        sleep(per_object(&state, PAUSE_PER_OBJECT)).await;
     }
 }
 
+/// Waits until something is to be published. A mere rise of `complete_to`, as each renewal of a lease
+/// brings about, waits for other changes for a while.
+async fn next_publication(state: &DaemonState) {
+    state.replica.changed().await;
+    let deadline = Instant::now() + per_object(state, COMPLETE_TO_PAUSE_PER_OBJECT);
+    while state.is_ready() && !state.replica.has_unpublished_records() {
+        let time_left = deadline.saturating_duration_since(Instant::now());
+        if time_left.is_zero() || timeout(time_left, state.replica.changed()).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn per_object(state: &DaemonState, pause: Duration) -> Duration {
+    let objects = state.config.load().revisions.len();
+    pause.saturating_mul(u32::try_from(objects).unwrap_or(u32::MAX))
+}
+
 /// Publishes the bootstrap objects. They are in force at once where nothing newer can be heard of.
 pub(super) fn publish_bootstrap(state: &DaemonState) {
     let everything = Change {
