--- a/crates/daemon/src/runtime/mod.rs
+++ b/crates/daemon/src/runtime/mod.rs
@@ -32,6 +32,10 @@
 /// Worker threads of the operators' and of the peers' server.
 const INTERNAL_WORKERS: usize = 1;
 
+/// How long a server's connections may take, once no request is open, to be flushed and closed. Open
+/// requests are waited for before, for `request.stop_timeout`.
+const FLUSH_TIMEOUT: Seconds = Seconds(5);
+
 /// Starts daemons.
 pub struct Daemon;
 
@@ -204,18 +208,12 @@
     });
     let server = server
         .workers(workers)
-        .shutdown_timeout(stop_seconds(state))
+        .shutdown_timeout(FLUSH_TIMEOUT)
         .disable_signals()
         .listen(listener)?;
     Ok(server.run())
 }
 
-/// How long a graceful stop of a server may take.
-fn stop_seconds(state: &DaemonState) -> Seconds {
-    let seconds = state.settings.request.stop_timeout.as_secs();
-    Seconds::new(u16::try_from(seconds).unwrap_or(u16::MAX))
-}
-
 fn log_started(state: &DaemonState) {
     let addresses = state.addresses;
     log_event!(
