--- a/crates/daemon/tests/support/engines.rs
+++ b/crates/daemon/tests/support/engines.rs
@@ -18,6 +18,13 @@
         Self::start_with(count, |_| ())
     }
 
+    /// `count` engines that make a token in 20 ms, so that a fault finds an answer midway.
+    pub fn start_slow(count: usize) -> Self {
+        Self::start_with(count, |options| {
+            options.engine.step_base_microseconds = 20_000.0;
+        })
+    }
+
     /// `count` engines with options changed by `change`.
     pub fn start_with(count: usize, change: impl Fn(&mut EngineStandinOptions)) -> Self {
         let engines = (0..count).map(|index| {
