--- a/crates/bench/src/compare/engine.rs
+++ b/crates/bench/src/compare/engine.rs
@@ -7,6 +7,8 @@
 use driftspring_routing::EngineKey;
 use driftspring_types::{EngineId, EngineLoad, Incarnation};
 
+use super::daemon::EngineReport;
+
 /// How old the load in reports and answers is.
 pub const REPORT_LAG: Duration = Duration::from_millis(250);
 
@@ -70,14 +72,21 @@
         self.samples.push_back((now, self.model.load()));
     }
 
-    /// The load as the engine reports it.
-    pub fn reported_load(&self) -> EngineLoad {
+    fn reported_load(&self) -> EngineLoad {
         self.samples
             .front()
             .map(|(_, load)| *load)
             .unwrap_or_default()
     }
 
+    /// The report as it leaves the engine.
+    pub fn report(&self) -> EngineReport {
+        EngineReport {
+            incarnation: self.incarnation,
+            load: self.reported_load(),
+        }
+    }
+
     /// Sums over the run.
     pub fn totals(&self) -> EngineTotals {
         self.model.totals()
--- a/crates/bench/src/compare/mod.rs
+++ b/crates/bench/src/compare/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! - [`policy`], [`scenario`]: what is compared, and under what.
 //! - [`request`], [`bound`]: the trace, and the hit rate that no router can exceed on it.
-//! - [`simulation`], [`agenda`], [`daemon`], [`engine`], [`kept`]: one run.
+//! - [`simulation`], [`setup`], [`agenda`], [`daemon`], [`engine`], [`kept`]: one run.
 //! - [`measure`], [`table`]: results.
 
 pub mod agenda;
@@ -18,6 +18,7 @@
 pub mod policy;
 pub mod request;
 pub mod scenario;
+pub mod setup;
 pub mod simulation;
 pub mod table;
 
@@ -33,7 +34,8 @@
 use self::policy::{NamedPolicy, all_policies};
 use self::request::SimulatedRequest;
 use self::scenario::Scenario;
-use self::simulation::{Setup, Simulation};
+use self::setup::Setup;
+use self::simulation::Simulation;
 use crate::flags::Compare;
 use crate::workload::{Trace, Workload};
 
@@ -90,6 +92,9 @@
     }
     let runs = average(run_all(&prepared));
     table::print(&runs);
+    if let Some(path) = &options.html {
+        table::write_html(&runs, path)?;
+    }
     if let Some(path) = &options.json {
         let json = serde_json::to_string_pretty(&runs)?;
         std::fs::write(path, json).with_context(|| format!("writing {}", path.display()))?;
--- a/crates/bench/src/compare/request.rs
+++ b/crates/bench/src/compare/request.rs
@@ -1,5 +1,6 @@
 //! A trace's requests as the simulation needs them.
 
+use driftspring_directory::Overlap;
 use driftspring_engine_model::ModelTime;
 use driftspring_prefix::{CacheScope, Fingerprint};
 use driftspring_types::WeightsVersion;
@@ -23,6 +24,23 @@
     pub new_tokens: u32,
 }
 
+/// Where a request is.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RequestState {
+    /// How often it was sent to an engine.
+    pub attempts: u8,
+    /// The engine it was sent to last.
+    pub engine: usize,
+    /// What that engine was expected to have cached.
+    pub expected: Overlap,
+    /// Prompt tokens booked as pending there.
+    pub missing_tokens: u32,
+    /// What it had cached.
+    pub cached_tokens: u32,
+    /// Whether the first token has come.
+    pub has_first_token: bool,
+}
+
 /// Hashes the prompts of `trace`.
 pub fn prepare(workload: &Workload, trace: &Trace) -> Vec<SimulatedRequest> {
     let mut seen = std::collections::HashSet::new();
--- a/crates/bench/tests/compare.rs
+++ b/crates/bench/tests/compare.rs
@@ -7,7 +7,8 @@
 use driftspring_bench::compare::policy::all_policies;
 use driftspring_bench::compare::request::{SimulatedRequest, prepare};
 use driftspring_bench::compare::scenario::Scenario;
-use driftspring_bench::compare::simulation::{Setup, Simulation};
+use driftspring_bench::compare::setup::Setup;
+use driftspring_bench::compare::simulation::Simulation;
 use driftspring_bench::workload::{Trace, Workload};
 use driftspring_engine_model::EngineOptions;
 
