--- a/crates/daemon/src/runtime/mod.rs
+++ b/crates/daemon/src/runtime/mod.rs
@@ -188,6 +188,7 @@
             self.callers.stop(true).await;
         }
         state.enter_phase(Phase::Terminated);
+        stop::end_workers();
         // Each server's stop takes a fixed pause of the library, so they stop side by side.
         let rest = [&self.callers, &self.operators, &self.peers].map(|server| server.stop(false));
         join_all(rest).await;
--- a/crates/daemon/src/runtime/stop.rs
+++ b/crates/daemon/src/runtime/stop.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use ntex::rt::{Arbiter, System};
 use ntex::time::sleep;
 use tokio::sync::oneshot;
 
@@ -59,3 +60,13 @@
         sleep(OPEN_REQUESTS_POLL).await;
     }
 }
+
+/// Ends the threads of all HTTP workers of the current ntex system at once, with every connection
+/// that is still open. A stop of the servers alone leaves their connections some seconds.
+pub fn end_workers() {
+    let own = Arbiter::current().id();
+    System::current().list_arbiters(|arbiters| {
+        let workers = arbiters.iter().filter(|arbiter| arbiter.id() != own);
+        workers.for_each(Arbiter::stop);
+    });
+}
