--- a/crates/membership/src/engine_table.rs
+++ b/crates/membership/src/engine_table.rs
@@ -52,6 +52,9 @@
     far_loads: UpdateQueue<EngineId>,
     /// Expired lives, so that a peer that still remembers one does not bring it back.
     expired: BTreeMap<EngineId, (Incarnation, u64)>,
+    /// Where the turn of loads for other zones begins, so that the daemons of a zone do not all
+    /// send the same ones at a time.
+    far_start: usize,
     far_cursor: Option<EngineId>,
     version: u64,
 }
@@ -63,8 +66,8 @@
 }
 
 impl EngineTable {
-    /// An empty table of a daemon in `own_zone`.
-    pub fn new(own_zone: ZoneName, config: &GossipConfig) -> Self {
+    /// An empty table of a daemon in `own_zone`; `far_start` should differ between daemons.
+    pub fn new(own_zone: ZoneName, config: &GossipConfig, far_start: usize) -> Self {
         Self {
             own_zone,
             entries: BTreeMap::new(),
@@ -74,6 +77,7 @@
             near_loads: UpdateQueue::new(config.load_transmissions),
             far_loads: UpdateQueue::new(config.load_transmissions),
             expired: BTreeMap::new(),
+            far_start,
             far_cursor: None,
             version: 0,
         }
@@ -225,10 +229,14 @@
             .filter(|entry| entry.record.zone == *own_zone)
             .map(|entry| &entry.record.id)
             .collect();
-        if let Some(cursor) = &self.far_cursor {
-            let start = ids.partition_point(|id| *id <= cursor);
-            ids.rotate_left(start);
+        if ids.is_empty() {
+            return;
         }
+        let start = match &self.far_cursor {
+            Some(cursor) => ids.partition_point(|id| *id <= cursor),
+            None => self.far_start % ids.len(),
+        };
+        ids.rotate_left(start);
         let mut last = None;
         for id in ids {
             if !section.push(&LoadReport::from(&self.entries[id].record), limit) {
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -81,7 +81,7 @@
             own_zone,
             rng: StdRng::seed_from_u64(seed),
             members,
-            engines: EngineTable::new(own.zone.clone(), &config),
+            engines: EngineTable::new(own.zone.clone(), &config, seed as usize),
             zones: ZoneContacts::new(own_zone),
             prober: Prober::default(),
             suspicions: BTreeMap::new(),
