--- a/crates/daemon/src/runtime/mod.rs
+++ b/crates/daemon/src/runtime/mod.rs
@@ -19,6 +19,8 @@
 use driftspring_telemetry::log_event;
 use driftspring_types::Incarnation;
 use futures_util::future::join_all;
+use ntex::SharedCfg;
+use ntex::http::HttpServiceConfig;
 use ntex::rt::{DefaultRuntime, System};
 use ntex::server::Server;
 use ntex::time::Seconds;
@@ -36,6 +38,9 @@
 /// requests are waited for before, for `request.stop_timeout`.
 const FLUSH_TIMEOUT: Seconds = Seconds(5);
 
+/// How long an idle connection is kept; the library's 5 s makes callers connect again and again.
+const KEEP_ALIVE: Seconds = Seconds(75);
+
 /// Starts daemons.
 pub struct Daemon;
 
@@ -207,7 +212,9 @@
         let state = Arc::clone(&shared);
         App::new().configure(move |config| configure(config, state))
     });
+    let http = HttpServiceConfig::new().set_keepalive(KEEP_ALIVE);
     let server = server
+        .config(SharedCfg::new("driftspring").add(http))
         .workers(workers)
         .shutdown_timeout(FLUSH_TIMEOUT)
         .disable_signals()
--- a/crates/daemon/src/runtime/sockets.rs
+++ b/crates/daemon/src/runtime/sockets.rs
@@ -4,9 +4,13 @@
 
 use anyhow::Context;
 use driftspring_settings::ListenSettings;
+use ntex::server::create_tcp_listener;
 
 use crate::state::BoundAddresses;
 
+/// Connections that may wait to be accepted; after a herd restart every caller comes at once.
+const BACKLOG: i32 = 4096;
+
 /// How often a free port is sought that both UDP and TCP can take.
 const MAX_PORT_ATTEMPTS: usize = 32;
 
@@ -71,5 +75,6 @@
 }
 
 fn bind_tcp(address: SocketAddr, purpose: &str) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address).with_context(|| format!("binding TCP {address} for {purpose}"))
+    create_tcp_listener(address, BACKLOG)
+        .with_context(|| format!("binding TCP {address} for {purpose}"))
 }
