--- /dev/null
+++ b/crates/gateway/src/configuration.rs
@@ -0,0 +1,207 @@
+//! The configuration in force: routes, services, tenants and what callers may send.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What may be done with a request again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteKind {
+    /// It may run more than once.
+    Safe,
+    /// It runs at most once.
+    Unsafe,
+    /// Its answer is a series of events; it runs at most once unless the route is resumable.
+    Streaming,
+}
+
+/// One part of the traffic of a route.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Backend {
+    /// The service.
+    pub service: String,
+    /// Its share of the traffic, against the other weights of the route.
+    pub weight: u32,
+}
+
+/// A route.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Route {
+    /// Its name.
+    pub name: String,
+    /// The host that callers name, without a port.
+    pub host: String,
+    /// How the path begins.
+    pub path_prefix: String,
+    /// What may be done with its requests again.
+    pub kind: RouteKind,
+    /// How long a request may be held.
+    pub timeout: Duration,
+    /// The time in which an answer should begin.
+    pub objective: Duration,
+    /// Its rank; 0 is the most urgent.
+    pub priority: u8,
+    /// How many replicas may run one request.
+    pub max_attempts: u32,
+    /// Whether requests need no key.
+    pub is_public: bool,
+    /// Whether another replica may go on with a broken stream.
+    pub is_resumable: bool,
+    /// Where its requests go.
+    pub backends: Vec<Backend>,
+}
+
+impl Route {
+    /// Whether a request of this route may run more than once.
+    pub fn is_repeatable(&self) -> bool {
+        match self.kind {
+            RouteKind::Safe => true,
+            RouteKind::Unsafe => false,
+            RouteKind::Streaming => self.is_resumable,
+        }
+    }
+}
+
+/// A tenant.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Tenant {
+    /// Its name, which replicas are told.
+    pub name: String,
+    /// Its rank, which goes before that of the route.
+    pub priority: Option<u8>,
+    /// Whether it shares no cached prompt work with other tenants.
+    pub is_isolated: bool,
+}
+
+/// What a service of language models can do.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EngineLimits {
+    /// Requests that a replica works on at once.
+    pub slots: u32,
+    /// Tokens that a replica's memory holds.
+    pub capacity_tokens: u64,
+    /// Bytes of one cached token.
+    pub bytes_per_token: u64,
+    /// What a replica's link carries, in megabits a second.
+    pub link_megabits: f64,
+}
+
+/// A store of cached prompt work beside the replicas.
+#[derive(Debug, Clone, PartialEq)]
+pub struct KvStore {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Tokens that it holds.
+    pub capacity_tokens: u64,
+    /// What its link carries, in megabits a second.
+    pub link_megabits: f64,
+}
+
+/// A service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Service {
+    /// Its name.
+    pub name: String,
+    /// Connections that one replica accepts from all callers together.
+    pub max_connections: u32,
+    /// Set for services of language models.
+    pub engine: Option<EngineLimits>,
+    /// Set for stores of cached prompt work.
+    pub kv_store: Option<KvStore>,
+}
+
+/// What callers may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Bytes of a request's head.
+    pub max_header_bytes: usize,
+    /// Bytes of a request's body.
+    pub max_body_bytes: usize,
+}
+
+/// A whole configuration; immutable once built.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Configuration {
+    /// Its version; newer ones are larger.
+    pub version: u64,
+    routes_by_host: HashMap<String, Vec<Arc<Route>>>,
+    services: HashMap<String, Service>,
+    tenants_by_key: Option<HashMap<String, Arc<Tenant>>>,
+    /// What callers may send.
+    pub limits: CallerLimits,
+}
+
+impl Configuration {
+    /// Puts a configuration together. Without `tenants` no request needs a key.
+    pub fn new(
+        version: u64,
+        routes: Vec<Route>,
+        services: Vec<Service>,
+        tenants: Option<Vec<(Tenant, Vec<String>)>>,
+        limits: CallerLimits,
+    ) -> Self {
+        let named = |service: Service| (service.name.clone(), service);
+        Self {
+            version,
+            routes_by_host: index_routes(routes),
+            services: services.into_iter().map(named).collect(),
+            tenants_by_key: tenants.map(index_tenants),
+            limits,
+        }
+    }
+
+    /// The route of the longest prefix that begins `path` at `host` (without a port).
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.routes_by_host.get(host)?;
+        routes
+            .iter()
+            .find(|route| path.starts_with(route.path_prefix.as_str()))
+    }
+
+    /// Whether requests on routes that aren't public need a key.
+    pub fn needs_keys(&self) -> bool {
+        self.tenants_by_key.is_some()
+    }
+
+    /// The tenant that holds `key`.
+    pub fn tenant(&self, key: &str) -> Option<&Arc<Tenant>> {
+        self.tenants_by_key.as_ref()?.get(key)
+    }
+
+    /// The service of this name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(name)
+    }
+
+    /// Every store of cached prompt work.
+    pub fn kv_stores(&self) -> impl Iterator<Item = &KvStore> {
+        self.services
+            .values()
+            .filter_map(|service| service.kv_store.as_ref())
+    }
+}
+
+/// Routes by host, those with the longest prefix first.
+fn index_routes(routes: Vec<Route>) -> HashMap<String, Vec<Arc<Route>>> {
+    let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+    for route in routes {
+        let of_host = by_host.entry(route.host.clone()).or_default();
+        of_host.push(Arc::new(route));
+    }
+    for routes in by_host.values_mut() {
+        routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+    }
+    by_host
+}
+
+fn index_tenants(tenants: Vec<(Tenant, Vec<String>)>) -> HashMap<String, Arc<Tenant>> {
+    let mut by_key = HashMap::new();
+    for (tenant, keys) in tenants {
+        let tenant = Arc::new(tenant);
+        by_key.extend(keys.into_iter().map(|key| (key, Arc::clone(&tenant))));
+    }
+    by_key
+}
--- /dev/null
+++ b/crates/gateway/src/currency.rs
@@ -0,0 +1,59 @@
+//! Since when the configuration in force is known to be the newest.
+//!
+//! A read of the store that began at some moment proves that the configuration it returned was in force
+//! at that moment or later. Times are of the steady clock: the time of day may jump.
+
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+
+use tokio::sync::Notify;
+
+/// What is proved of the configuration.
+#[derive(Debug, Default)]
+pub struct Currency {
+    proved_at: Cell<Option<Instant>>,
+    wanted: Notify,
+    proved: Notify,
+}
+
+impl Currency {
+    /// Nothing is proved yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes in that a read which began at `began` returned what is in force.
+    pub fn prove(&self, began: Instant) {
+        if self.proved_at.get().is_none_or(|known| known < began) {
+            self.proved_at.set(Some(began));
+        }
+        self.proved.notify_waiters();
+    }
+
+    /// How old the newest proof is.
+    pub fn age(&self) -> Option<Duration> {
+        self.proved_at.get().map(|proved_at| proved_at.elapsed())
+    }
+
+    /// Whether there is a proof that is not older than `age`.
+    pub fn is_within(&self, age: Duration) -> bool {
+        self.age().is_some_and(|known| known <= age)
+    }
+
+    /// Waits until somebody wants a new proof.
+    pub async fn wanted(&self) {
+        self.wanted.notified().await;
+    }
+
+    /// Asks for a proof that is not older than `age`, and waits for it up to `patience`.
+    pub async fn confirm(&self, age: Duration, patience: Duration) -> bool {
+        let confirmed = async {
+            while !self.is_within(age) {
+                let proved = self.proved.notified();
+                self.wanted.notify_one();
+                proved.await;
+            }
+        };
+        tokio::time::timeout(patience, confirmed).await.is_ok()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,29 @@
+//! Routes opaque requests to replicas that an object store lists.
+//!
+//! The gateway knows routes by host and path prefix, tenants by key, replicas by their entries in the
+//! store and prompts by the sizes and names of their parts. It never reads a body. How all of this is
+//! spelled on the wire is a [`protocol::Platform`], which lies outside of this crate.
+//!
+//! - [`configuration`]: routes, services and tenants in force.
+//! - [`protocol`]: what a platform's adapter has to supply.
+//! - [`pipeline`]: the path of a request, one file per filter, the list in one place.
+//! - [`replicas`]: what is believed of each replica, and the choice of one.
+//! - [`upstream`]: connections to replicas and to the store.
+//! - [`store`]: calls to the object store and the tasks that follow it.
+//! - [`rollout`]: new weights, ordered by one daemon at a time.
+//! - [`server`]: sockets, readiness, start and stop.
+
+pub mod budget;
+pub mod configuration;
+pub mod currency;
+pub mod metrics;
+pub mod pipeline;
+pub mod protocol;
+pub mod replicas;
+pub mod rollout;
+pub mod server;
+pub mod state;
+pub mod store;
+pub mod upstream;
+
+pub use server::{Gateway, RunningGateway};
--- /dev/null
+++ b/crates/gateway/src/pipeline/account.rs
@@ -0,0 +1,144 @@
+//! Keeps the books of one request from its arrival to its end, however it ends.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+use driftspring_telemetry::events::gateway;
+use driftspring_telemetry::log_event;
+use ntex::http::ConnectionType;
+use ntex::web::HttpResponse;
+
+use crate::configuration::Route;
+use crate::state::{GatewayState, SharedStatus};
+
+/// The books of one request. Where it is dropped before it was settled, the caller has left.
+#[derive(Debug)]
+pub struct Account {
+    status: Arc<SharedStatus>,
+    started: Instant,
+    id: String,
+    route: String,
+    is_settled: bool,
+}
+
+impl Account {
+    /// Opens the books.
+    pub fn open(state: &Rc<GatewayState>, started: Instant) -> Self {
+        let status = Arc::clone(&state.status);
+        status.open_requests.fetch_add(1, Ordering::AcqRel);
+        Self {
+            status,
+            started,
+            id: String::new(),
+            route: String::new(),
+            is_settled: false,
+        }
+    }
+
+    /// Takes in the request's id.
+    pub fn name(&mut self, id: &str) {
+        self.id = id.to_owned();
+    }
+
+    /// Takes in the request's route.
+    pub fn note_route(&mut self, route: &Route) {
+        self.route = route.name.clone();
+    }
+
+    /// The request's id; empty where there is none.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// The name of the request's route; empty where there is none.
+    pub fn route(&self) -> &str {
+        &self.route
+    }
+
+    /// When the request arrived.
+    pub fn started(&self) -> Instant {
+        self.started
+    }
+
+    /// The head of a replica's answer has come.
+    pub fn answered(&self) {
+        self.status
+            .metrics
+            .time_to_answer
+            .observe(self.started.elapsed());
+    }
+
+    /// The answer was whole.
+    pub fn completed(&mut self, replica: &str, status: u16) {
+        self.is_settled = true;
+        let elapsed = self.started.elapsed();
+        self.status.metrics.answered.inc();
+        self.status.metrics.request_duration.observe(elapsed);
+        log_event!(
+            gateway::REQUEST_ENDED,
+            "request={} route={} replica={replica} status={status} elapsed={elapsed:?}",
+            self.id,
+            self.route
+        );
+    }
+
+    /// The gateway gives an answer of its own.
+    pub fn refused(&mut self) {
+        self.is_settled = true;
+        self.status.metrics.refused.inc();
+    }
+
+    /// The answer was cut midway.
+    pub fn cut(&mut self, reason: &str) {
+        self.is_settled = true;
+        self.status.metrics.cut.inc();
+        log_event!(
+            gateway::STREAM_CUT,
+            "request={} route={} elapsed={:?} reason={reason:?}",
+            self.id,
+            self.route,
+            self.started.elapsed()
+        );
+    }
+
+    /// The books, for the answer's stream to keep; what stays behind is settled.
+    pub fn take(&mut self) -> Self {
+        self.status.open_requests.fetch_add(1, Ordering::AcqRel);
+        let taken = Self {
+            status: Arc::clone(&self.status),
+            started: self.started,
+            id: self.id.clone(),
+            route: self.route.clone(),
+            is_settled: false,
+        };
+        self.is_settled = true;
+        taken
+    }
+}
+
+impl Drop for Account {
+    fn drop(&mut self) {
+        self.status.open_requests.fetch_sub(1, Ordering::AcqRel);
+        if !self.is_settled {
+            self.status.metrics.abandoned.inc();
+            log_event!(
+                gateway::CALLER_LEFT,
+                "request={} route={} elapsed={:?}",
+                self.id,
+                self.route,
+                self.started.elapsed()
+            );
+        }
+    }
+}
+
+/// While a planned stop is on, each answer tells its caller to use another connection.
+pub fn close_while_stopping(state: &GatewayState, mut response: HttpResponse) -> HttpResponse {
+    if state.status.is_stopping() {
+        let head = response.head_mut();
+        head.set_connection_type(ConnectionType::Close);
+    }
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -0,0 +1,257 @@
+//! Tries replicas one after the other until one answers, as far as the request may be sent again.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use driftspring_telemetry::events::gateway;
+use driftspring_telemetry::log_event;
+
+use super::choose_replica::{Choice, choose};
+use super::context::RequestContext;
+use super::dispatch::{Opened, send};
+use super::judge::{Verdict, judge};
+use super::refusal::{Reason, Refusal, Step};
+use crate::state::GatewayState;
+use crate::upstream::SendFailure;
+
+/// Replicas that may say "not run", or can't be reached, before the request is refused.
+const MAX_VAIN_SENDS: usize = 3;
+
+/// Replicas that can't be reached before the request is refused.
+const MAX_UNREACHABLE: usize = 4;
+
+/// The attempts of one request.
+pub struct Attempts {
+    state: Rc<GatewayState>,
+    context: Rc<RequestContext>,
+    tried: Vec<String>,
+    runs: u32,
+    vain_sends: usize,
+    unreachable: usize,
+    sends: u32,
+}
+
+/// A replica's answer whose head has come.
+#[derive(Debug)]
+pub struct Attempt {
+    /// The answer.
+    pub opened: Opened,
+    /// The replica.
+    pub choice: Choice,
+    /// Whether the replica says that it failed.
+    pub has_failed: bool,
+}
+
+impl Attempts {
+    /// No attempt was made yet.
+    pub fn new(state: &Rc<GatewayState>, context: &Rc<RequestContext>) -> Self {
+        state.budgets.earn(&context.service);
+        Self {
+            state: Rc::clone(state),
+            context: Rc::clone(context),
+            tried: Vec::new(),
+            runs: 0,
+            vain_sends: 0,
+            unreachable: 0,
+            sends: 0,
+        }
+    }
+
+    /// Sends the request until a replica's answer has begun. `last_event_id` goes on with a stream.
+    pub async fn next(&mut self, last_event_id: Option<&str>) -> Result<Attempt, Refusal> {
+        loop {
+            if self.context.time_left().is_zero() {
+                return Err(self.give_up(Reason::TimedOut, None, "no time left"));
+            }
+            let choice = match choose(&self.state, &self.context, &self.tried) {
+                Ok(choice) => choice,
+                Err(refusal) => return Err(self.without_replica(refusal)),
+            };
+            if self.sends > 0 && !self.spend() {
+                return Err(self.give_up(Reason::NotRun, None, "the budget is spent"));
+            }
+            let sent = send(&self.state, &self.context, &choice, last_event_id).await;
+            match sent {
+                Ok(opened) => {
+                    self.sends += 1;
+                    if let Some(attempt) = self.take_answer(opened, choice)? {
+                        return Ok(attempt);
+                    }
+                }
+                Err(SendFailure::NotSent { peer, cause }) => {
+                    self.not_sent(&choice, peer, &cause)?;
+                }
+                Err(SendFailure::Lost { peer, cause }) => {
+                    self.sends += 1;
+                    self.lost(&choice, peer, &cause)?;
+                }
+            }
+        }
+    }
+
+    /// Whether a request that a replica has run, or may have run, may go to another one.
+    pub fn may_run_again(&self) -> bool {
+        self.context.route.is_repeatable() && self.runs < self.context.route.max_attempts
+    }
+
+    /// Takes in that an answer that had begun broke off; an error where the request can't be sent again.
+    pub fn broke_off(&mut self, choice: &Choice, cause: &str) -> Result<(), Refusal> {
+        let peer = choice.replica.pool.peer();
+        self.lost(choice, peer, cause)
+    }
+
+    fn take_answer(
+        &mut self,
+        opened: Opened,
+        choice: Choice,
+    ) -> Result<Option<Attempt>, Refusal> {
+        let (verdict, meta) = judge(&*self.state.platform, &self.context, &opened.answer);
+        let peer = choice.replica.pool.peer();
+        if choice.replica.health.note_answer() {
+            log_event!(gateway::REPLICA_WELL, "replica={}", choice.replica.id);
+        }
+        if let (Some(version), Some(prompt)) = (meta.weights_version, self.context.prompt()) {
+            choice.replica.note_version(&prompt.model, version);
+        }
+        match verdict {
+            Verdict::Final | Verdict::Failed => {
+                self.runs += 1;
+                let has_failed = verdict == Verdict::Failed;
+                choice.replica.health.note_outcome(has_failed);
+                if has_failed && self.tries_failed_again(&choice) {
+                    return Ok(None);
+                }
+                Ok(Some(Attempt {
+                    opened,
+                    choice,
+                    has_failed,
+                }))
+            }
+            Verdict::NotRun => {
+                let status = opened.answer.status().as_u16();
+                let detail = format!("status {status}, misdirected {}", meta.is_misdirected);
+                self.not_run(&choice, peer, &detail)?;
+                Ok(None)
+            }
+            Verdict::Unusable(why) => {
+                self.lost(&choice, peer, why)?;
+                Ok(None)
+            }
+        }
+    }
+
+    /// Whether a request that failed at a replica goes to another one instead of passing the failure on.
+    fn tries_failed_again(&mut self, choice: &Choice) -> bool {
+        let is_possible = self.may_run_again()
+            && !self.context.time_left().is_zero()
+            && choose(&self.state, &self.context, &self.tried_with(choice)).is_ok();
+        if is_possible {
+            self.log_attempt(choice, "failed", "the replica answered with a failure");
+            self.tried.push(choice.replica.id.clone());
+        }
+        is_possible
+    }
+
+    fn tried_with(&self, choice: &Choice) -> Vec<String> {
+        let mut tried = self.tried.clone();
+        tried.push(choice.replica.id.clone());
+        tried
+    }
+
+    fn not_sent(
+        &mut self,
+        choice: &Choice,
+        peer: SocketAddr,
+        cause: &str,
+    ) -> Result<(), Refusal> {
+        self.note_failure(choice, cause);
+        self.log_attempt(choice, "not_sent", cause);
+        self.tried.push(choice.replica.id.clone());
+        self.unreachable += 1;
+        match self.unreachable >= MAX_UNREACHABLE {
+            true => Err(self.give_up(Reason::NotRun, Some(peer), cause)),
+            false => Ok(()),
+        }
+    }
+
+    fn not_run(&mut self, choice: &Choice, peer: SocketAddr, detail: &str) -> Result<(), Refusal> {
+        self.log_attempt(choice, "not_run", detail);
+        self.tried.push(choice.replica.id.clone());
+        self.vain_sends += 1;
+        match self.vain_sends >= MAX_VAIN_SENDS {
+            true => Err(self.give_up(Reason::NotRun, Some(peer), detail)),
+            false => Ok(()),
+        }
+    }
+
+    fn lost(&mut self, choice: &Choice, peer: SocketAddr, cause: &str) -> Result<(), Refusal> {
+        self.runs += 1;
+        self.note_failure(choice, cause);
+        choice.replica.health.note_outcome(true);
+        self.log_attempt(choice, "lost", cause);
+        self.tried.push(choice.replica.id.clone());
+        match self.may_run_again() {
+            true => Ok(()),
+            false => Err(self.give_up(Reason::Unknown, Some(peer), cause)),
+        }
+    }
+
+    fn note_failure(&self, choice: &Choice, cause: &str) {
+        let pause = choice.replica.health.note_failure(Instant::now());
+        log_event!(
+            gateway::REPLICA_SUSPECT,
+            "replica={} pause={pause:?} cause={cause:?}",
+            choice.replica.id
+        );
+    }
+
+    fn spend(&self) -> bool {
+        let is_left = self.state.budgets.try_spend(&self.context.service);
+        match is_left {
+            true => {
+                self.state.status.metrics.repeated.inc();
+            }
+            false => log_event!(
+                gateway::BUDGET_SPENT,
+                "request={} service={}",
+                self.context.id,
+                self.context.service
+            ),
+        }
+        is_left
+    }
+
+    fn without_replica(&self, refusal: Refusal) -> Refusal {
+        match self.runs {
+            0 => refusal,
+            _ => self.give_up(Reason::Unknown, None, &refusal.detail),
+        }
+    }
+
+    /// The refusal of a request that goes to no more replicas. Once it may have run, nothing is promised.
+    fn give_up(&self, reason: Reason, peer: Option<SocketAddr>, detail: &str) -> Refusal {
+        let reason = match (reason, self.runs) {
+            (Reason::NotRun, 0) => Reason::NotRun,
+            (Reason::NotRun, _) => Reason::Unknown,
+            (Reason::TimedOut, 0) if self.sends == 0 => Reason::NotRun,
+            (reason, _) => reason,
+        };
+        Refusal {
+            step: Step::Dispatch,
+            reason,
+            peer,
+            detail: detail.to_owned(),
+        }
+    }
+
+    fn log_attempt(&self, choice: &Choice, taken_for: &str, detail: &str) {
+        log_event!(
+            gateway::ATTEMPT_ENDED,
+            "request={} replica={} taken_for={taken_for} elapsed={:?} detail={detail:?}",
+            self.context.id,
+            choice.replica.id,
+            self.context.started.elapsed()
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pipeline/choose_backend.rs
@@ -0,0 +1,47 @@
+//! Filter: divides the traffic of a route among its services.
+
+use super::refusal::{Reason, Refusal, Step};
+use crate::configuration::Route;
+use crate::state::GatewayState;
+
+/// The service of the next request. Each service's share follows its weight closely: the one that is
+/// furthest behind its share goes next.
+pub fn choose_backend(state: &GatewayState, route: &Route) -> Result<String, Refusal> {
+    let total: f64 = route
+        .backends
+        .iter()
+        .map(|backend| f64::from(backend.weight))
+        .sum();
+    if total <= 0.0 {
+        return Err(Refusal::new(
+            Step::Choose,
+            Reason::NoReplica,
+            "no service has any weight",
+        ));
+    }
+    let position = match route.backends.len() {
+        1 => 0,
+        _ => next_position(state, route, total),
+    };
+    Ok(route.backends[position].service.clone())
+}
+
+fn next_position(state: &GatewayState, route: &Route, total: f64) -> usize {
+    let mut division = state.division.borrow_mut();
+    let owed = division.entry(route.name.clone()).or_default();
+    if owed.len() != route.backends.len() {
+        // Each daemon begins elsewhere, so that together they don't all begin with the same service.
+        let start = (state.life % 1000) as f64 / 1000.0;
+        *owed = vec![0.0; route.backends.len()];
+        owed[0] = start;
+    }
+    for (owed, backend) in owed.iter_mut().zip(&route.backends) {
+        *owed += f64::from(backend.weight) / total;
+    }
+    let furthest_behind = (0..owed.len())
+        .filter(|index| route.backends[*index].weight > 0)
+        .max_by(|one, other| owed[*one].total_cmp(&owed[*other]))
+        .unwrap_or(0);
+    owed[furthest_behind] -= 1.0;
+    furthest_behind
+}
--- /dev/null
+++ b/crates/gateway/src/pipeline/context.rs
@@ -0,0 +1,117 @@
+//! What is known of a request once it may be sent.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::decode::Decoded;
+use crate::configuration::{Configuration, Route, Tenant};
+use crate::protocol::{Prompt, RequestMeta};
+use crate::replicas::PlacementKey;
+
+/// How long a request is held where neither caller nor route say so.
+const LONGEST_HOLD: Duration = Duration::from_secs(600);
+
+/// What is known of a request once it may be sent.
+#[derive(Debug)]
+pub struct RequestContext {
+    /// Its id.
+    pub id: String,
+    /// What its head says.
+    pub meta: RequestMeta,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query, as they came.
+    pub path: String,
+    /// The caller's headers that are passed on.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// The configuration under which it was taken.
+    pub configuration: Arc<Configuration>,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Its tenant.
+    pub tenant: Option<Arc<Tenant>>,
+    /// The service that serves it.
+    pub service: String,
+    /// When it arrived.
+    pub started: Instant,
+    /// When its caller or its route gives it up.
+    pub deadline: Instant,
+}
+
+impl RequestContext {
+    /// Puts the context together.
+    pub fn new(
+        decoded: Decoded,
+        configuration: Arc<Configuration>,
+        route: Arc<Route>,
+        tenant: Option<Arc<Tenant>>,
+        service: String,
+        body: Bytes,
+        started: Instant,
+    ) -> Self {
+        let wait = decoded.meta.deadline.unwrap_or(LONGEST_HOLD);
+        let hold = match route.timeout {
+            Duration::ZERO => LONGEST_HOLD,
+            timeout => timeout,
+        };
+        Self {
+            id: decoded.id,
+            meta: decoded.meta,
+            method: decoded.method,
+            path: decoded.path,
+            headers: decoded.headers,
+            body,
+            configuration,
+            route,
+            tenant,
+            service,
+            started,
+            deadline: started + wait.min(hold),
+        }
+    }
+
+    /// The time left.
+    pub fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// The prompt, where there is one.
+    pub fn prompt(&self) -> Option<&Prompt> {
+        self.meta.prompt.as_ref()
+    }
+
+    /// Whose cached prompt work may be shared: an isolated tenant's own, or everybody's else.
+    pub fn wall(&self) -> &str {
+        match &self.tenant {
+            Some(tenant) if tenant.is_isolated => &tenant.name,
+            _ => "",
+        }
+    }
+
+    /// What places the request: all parts of its prompt but the last, which nobody shares.
+    pub fn placement_key(&self) -> Option<PlacementKey> {
+        let prompt = self.prompt()?;
+        let (_, shared) = prompt.parts.split_last()?;
+        let mut text = format!("{}\n{}\n", self.wall(), prompt.model);
+        for part in shared {
+            text.push_str(&part.id);
+            text.push(',');
+        }
+        if shared.is_empty() {
+            return None;
+        }
+        Some(PlacementKey(xxh3_64(text.as_bytes())))
+    }
+
+    /// The rank among a replica's requests; 0 goes first.
+    pub fn priority(&self) -> u8 {
+        let of_tenant = self.tenant.as_ref().and_then(|tenant| tenant.priority);
+        of_tenant.unwrap_or(self.route.priority).min(9)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pipeline/decode.rs
@@ -0,0 +1,120 @@
+//! Filter: reads the head of a request.
+
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use ntex::web::HttpRequest;
+
+use super::refusal::{Reason, Refusal, Step};
+use crate::protocol::RequestMeta;
+use crate::state::GatewayState;
+
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const EXPECT: HeaderName = http::header::EXPECT;
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 10] = [
+    CONNECTION,
+    KEEP_ALIVE,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    CONTENT_LENGTH,
+    EXPECT,
+];
+
+/// Whether a header concerns one connection only, or is set anew for each.
+pub fn is_hop_by_hop(name: &HeaderName) -> bool {
+    HOP_BY_HOP.contains(name)
+}
+
+/// A request whose head was read.
+#[derive(Debug)]
+pub struct Decoded {
+    /// Its id.
+    pub id: String,
+    /// What its head says.
+    pub meta: RequestMeta,
+    /// The host that it names, without a port.
+    pub host: String,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query, as they came.
+    pub path: String,
+    /// The headers that are passed on.
+    pub headers: HeaderMap,
+}
+
+/// Reads the head; the caller's control headers and those of its connection are left out.
+pub fn decode(state: &GatewayState, request: &HttpRequest) -> Result<Decoded, Refusal> {
+    let all = convert(request);
+    let malformed = |detail: String| Refusal::new(Step::Decode, Reason::MalformedHead, detail);
+    let meta = state.platform.read_request(&all).map_err(malformed)?;
+    let id = meta
+        .id
+        .clone()
+        .filter(|id| !id.is_empty())
+        .ok_or_else(|| malformed("no request id".to_owned()))?;
+    let host = all
+        .get(HOST)
+        .and_then(|host| host.to_str().ok())
+        .map(without_port)
+        .ok_or_else(|| malformed("no host".to_owned()))?
+        .to_ascii_lowercase();
+    let uri = request.uri();
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    Ok(Decoded {
+        id,
+        meta,
+        host,
+        method: request.method().clone(),
+        path: path.to_owned(),
+        headers: passed_on(state, &all),
+    })
+}
+
+fn convert(request: &HttpRequest) -> HeaderMap {
+    let mut headers = HeaderMap::with_capacity(request.headers().len());
+    for (name, value) in request.headers() {
+        if let Ok(value) = HeaderValue::from_bytes(value.as_bytes()) {
+            headers.append(name.clone(), value);
+        }
+    }
+    headers
+}
+
+fn passed_on(state: &GatewayState, all: &HeaderMap) -> HeaderMap {
+    let named_by_connection = named_by_connection(all);
+    let mut headers = HeaderMap::with_capacity(all.len());
+    for (name, value) in all {
+        let is_passed = !is_hop_by_hop(name)
+            && !named_by_connection.iter().any(|named| named == name.as_str())
+            && state.platform.passes_to_replica(name);
+        if is_passed {
+            headers.append(name.clone(), value.clone());
+        }
+    }
+    headers
+}
+
+/// Further headers that the caller's `Connection` names.
+fn named_by_connection(all: &HeaderMap) -> Vec<String> {
+    let values = all.get_all(CONNECTION).iter();
+    let texts = values.filter_map(|value| value.to_str().ok());
+    texts
+        .flat_map(|text| text.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect()
+}
+
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -0,0 +1,121 @@
+//! Filter: sends a request to one replica.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use driftspring_telemetry::events::gateway;
+use driftspring_telemetry::log_event;
+use http::Request;
+use http::header::HOST;
+use http_body_util::Full;
+
+use super::choose_replica::Choice;
+use super::context::RequestContext;
+use crate::protocol::Dispatch;
+use crate::replicas::OpenWork;
+use crate::state::GatewayState;
+use crate::upstream::{Answer, Connection, SendFailure};
+
+/// An answer whose head has come, and the count of the work that it stands for.
+#[derive(Debug)]
+pub struct Opened {
+    /// The answer.
+    pub answer: Answer,
+    /// Counts the request at its replica.
+    pub work: OpenWork,
+}
+
+/// Sends the request and waits for the head of the answer. A kept connection that turns out to be closed
+/// before a byte was sent is replaced.
+pub async fn send(
+    state: &GatewayState,
+    context: &RequestContext,
+    choice: &Choice,
+    last_event_id: Option<&str>,
+) -> Result<Opened, SendFailure> {
+    let pool = &choice.replica.pool;
+    let tokens = context.prompt().map_or(0, |prompt| prompt.input_tokens);
+    let work = OpenWork::begin(&choice.replica, u64::from(tokens));
+    loop {
+        let mut connection = connect(choice).await?;
+        let request = build(state, context, choice, last_event_id)?;
+        log_sent(state, context, choice, &connection);
+        match connection.send(request).await {
+            Ok(response) => {
+                let answer = Answer::new(response, connection, Rc::clone(pool));
+                return Ok(Opened { answer, work });
+            }
+            Err(SendFailure::NotSent { .. }) if connection.is_reused => {}
+            Err(failure) => return Err(failure),
+        }
+    }
+}
+
+async fn connect(choice: &Choice) -> Result<Connection, SendFailure> {
+    let pool = &choice.replica.pool;
+    if let Some(connection) = pool.take_idle() {
+        return Ok(connection);
+    }
+    pool.open().await.map_err(|error| SendFailure::NotSent {
+        peer: pool.peer(),
+        cause: error.to_string(),
+    })
+}
+
+fn build(
+    state: &GatewayState,
+    context: &RequestContext,
+    choice: &Choice,
+    last_event_id: Option<&str>,
+) -> Result<Request<Full<Bytes>>, SendFailure> {
+    let dispatch = Dispatch {
+        replica: choice.replica.id.clone(),
+        deadline: context.time_left(),
+        tenant: context.tenant.as_ref().map(|tenant| tenant.name.clone()),
+        priority: context.prompt().map(|_| context.priority()),
+        weights_version: choice.weights_version,
+        cache_scope: choice.cache_scope.clone(),
+        fetch_from: choice.fetch_from,
+        save_to: choice.save_to,
+        last_event_id: last_event_id.map(str::to_owned),
+    };
+    let request = Request::builder()
+        .method(context.method.clone())
+        .uri(context.path.as_str())
+        .body(Full::new(context.body.clone()));
+    let mut request = request.map_err(|error| SendFailure::NotSent {
+        peer: choice.replica.pool.peer(),
+        cause: error.to_string(),
+    })?;
+    let headers = request.headers_mut();
+    *headers = context.headers.clone();
+    debug_assert!(headers.contains_key(HOST));
+    state.platform.write_dispatch(&dispatch, headers);
+    Ok(request)
+}
+
+fn log_sent(
+    state: &GatewayState,
+    context: &RequestContext,
+    choice: &Choice,
+    connection: &Connection,
+) {
+    state.status.metrics.sent.inc();
+    log_event!(
+        gateway::REQUEST_SENT,
+        "request={} route={} replica={} address={} home={} candidates={} open={} version={:?} fetch={:?} configuration={} proof_age={:?} left={:?} reused={}",
+        context.id,
+        context.route.name,
+        choice.replica.id,
+        connection.peer,
+        choice.is_home,
+        choice.candidates,
+        choice.replica.open_requests(),
+        choice.weights_version,
+        choice.fetch_from,
+        context.configuration.version,
+        state.currency.age(),
+        context.time_left(),
+        connection.is_reused
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/pipeline/event_splitter.rs
@@ -0,0 +1,85 @@
+//! Splits a stream of bytes into whole events.
+//!
+//! An event ends with an empty line. A replica may stop partway through an event, so bytes are passed on
+//! only once their event is whole.
+
+use bytes::{Bytes, BytesMut};
+
+/// The longest event, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Gathers bytes and gives out whole events.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    buffer: BytesMut,
+    last_id: Option<String>,
+}
+
+impl EventSplitter {
+    /// A splitter that goes on after the event `last_id`.
+    pub fn after(last_id: Option<String>) -> Self {
+        Self {
+            buffer: BytesMut::new(),
+            last_id,
+        }
+    }
+
+    /// The id of the last whole event.
+    pub fn last_id(&self) -> Option<&str> {
+        self.last_id.as_deref()
+    }
+
+    /// Whether part of an event is held.
+    pub fn is_inside_event(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Forgets the part of an event that is held.
+    pub fn discard_part(&mut self) {
+        self.buffer.clear();
+    }
+
+    /// Adds bytes and takes out every event that is whole by now; empty where none is.
+    ///
+    /// # Errors
+    ///
+    /// An event is too long.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, &'static str> {
+        let searched = self.buffer.len().saturating_sub(3);
+        self.buffer.extend_from_slice(bytes);
+        let Some(end) = last_event_end(&self.buffer, searched) else {
+            return match self.buffer.len() > MAX_EVENT_BYTES {
+                true => Err("an event is too long"),
+                false => Ok(Bytes::new()),
+            };
+        };
+        let events = self.buffer.split_to(end).freeze();
+        if let Some(id) = last_event_id(&events) {
+            self.last_id = Some(id);
+        }
+        Ok(events)
+    }
+}
+
+/// The end of the last whole event, looking at what lies behind `searched` only.
+fn last_event_end(buffer: &[u8], searched: usize) -> Option<usize> {
+    let tail = &buffer[searched..];
+    let after_line_feeds = find_last(tail, b"\n\n").map(|at| at + 2);
+    let after_returns = find_last(tail, b"\r\n\r\n").map(|at| at + 4);
+    let end = after_line_feeds.max(after_returns)?;
+    Some(searched + end)
+}
+
+fn find_last(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
+    bytes
+        .windows(pattern.len())
+        .rposition(|window| window == pattern)
+}
+
+/// The id of the last event that has one.
+fn last_event_id(events: &[u8]) -> Option<String> {
+    let lines = events.rsplit(|byte| *byte == b'\n');
+    let id = lines.into_iter().find_map(|line| line.strip_prefix(b"id:"))?;
+    let text = std::str::from_utf8(id).ok()?;
+    Some(text.trim().to_owned())
+}
--- /dev/null
+++ b/crates/gateway/src/pipeline/find_route.rs
@@ -0,0 +1,40 @@
+//! Filter: finds the route of a request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::decode::Decoded;
+use super::refusal::{Reason, Refusal, Step};
+use crate::configuration::{Configuration, Route};
+use crate::state::GatewayState;
+
+/// How fresh the proof has to be on which a request is turned away for good.
+pub const DENIAL_CURRENCY: Duration = Duration::from_millis(700);
+
+/// How long a request waits for such a proof.
+pub const DENIAL_PATIENCE: Duration = Duration::from_millis(600);
+
+/// The configuration in force and the request's route. A missing route is believed only where the
+/// configuration has just been read, since the route may be new.
+pub async fn find_route(
+    state: &GatewayState,
+    decoded: &Decoded,
+) -> Result<(Arc<Configuration>, Arc<Route>), Refusal> {
+    let path = decoded.path.split('?').next().unwrap_or("/");
+    let look_up = || {
+        let configuration = state.configuration.load_full()?;
+        let route = configuration.route(&decoded.host, path).cloned()?;
+        Some((configuration, route))
+    };
+    if let Some(found) = look_up() {
+        return Ok(found);
+    }
+    let is_confirmed = state
+        .currency
+        .confirm(DENIAL_CURRENCY, DENIAL_PATIENCE)
+        .await;
+    look_up().ok_or_else(|| match is_confirmed {
+        true => Refusal::new(Step::Route, Reason::NoRoute, decoded.host.as_str()),
+        false => Refusal::new(Step::Route, Reason::NotInformed, "no current configuration"),
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/pipeline/refusal.rs
@@ -0,0 +1,147 @@
+//! Answers of the gateway's own, and what they promise.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use driftspring_telemetry::events::gateway;
+use driftspring_telemetry::log_event;
+use http::StatusCode;
+use ntex::http::ResponseBuilder;
+use ntex::web::HttpResponse;
+
+use super::account::Account;
+use crate::state::GatewayState;
+
+/// The step of the path at which a request was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// Reading the head.
+    Decode,
+    /// Finding the route.
+    Route,
+    /// Checking the key.
+    Authenticate,
+    /// Reading the body.
+    Body,
+    /// Choosing a replica.
+    Choose,
+    /// Sending the request.
+    Dispatch,
+    /// Reading the answer.
+    Answer,
+}
+
+/// Why a request gets no replica's answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// The head can't be read.
+    MalformedHead,
+    /// There is no such route.
+    NoRoute,
+    /// The key is not known.
+    UnknownKey,
+    /// The body is too large.
+    BodyTooLarge,
+    /// The body broke off, or is malformed.
+    BrokenBody,
+    /// No configuration is known, or it is not known to be current.
+    NotInformed,
+    /// The route has no replica that could serve.
+    NoReplica,
+    /// The replicas asked are full or leaving, and have not run it.
+    NotRun,
+    /// It may have run.
+    Unknown,
+    /// Its time is over.
+    TimedOut,
+}
+
+impl Reason {
+    /// The status that callers see. 429, 503, 408 and 421 promise that the request never runs.
+    fn status(self) -> StatusCode {
+        match self {
+            Self::MalformedHead | Self::BrokenBody => StatusCode::BAD_REQUEST,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NotInformed | Self::NoReplica | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Unknown => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// When the caller should come back, where that can help.
+    fn retry_after(self) -> Option<Duration> {
+        match self {
+            Self::NotInformed => Some(Duration::from_millis(300)),
+            Self::NoReplica => Some(Duration::from_millis(250)),
+            Self::NotRun => Some(Duration::from_millis(120)),
+            _ => None,
+        }
+    }
+}
+
+/// An answer of the gateway's own.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refusal {
+    /// Where.
+    pub step: Step,
+    /// Why.
+    pub reason: Reason,
+    /// The replica that it concerns.
+    pub peer: Option<SocketAddr>,
+    /// More for the logs.
+    pub detail: String,
+}
+
+impl Refusal {
+    /// A refusal that concerns no peer.
+    pub fn new(step: Step, reason: Reason, detail: impl Into<String>) -> Self {
+        Self {
+            step,
+            reason,
+            peer: None,
+            detail: detail.into(),
+        }
+    }
+
+    /// The same, concerning `peer`.
+    pub fn at(self, peer: SocketAddr) -> Self {
+        Self {
+            peer: Some(peer),
+            ..self
+        }
+    }
+
+    /// The answer; settles the account.
+    pub fn into_response(self, state: &GatewayState, account: &mut Account) -> HttpResponse {
+        let status = self.reason.status();
+        let retry_after = self.reason.retry_after();
+        log_event!(
+            gateway::REQUEST_REFUSED,
+            "request={} route={} status={} step={:?} reason={:?} peer={:?} retry_after={:?} elapsed={:?} detail={:?}",
+            account.id(),
+            account.route(),
+            status.as_u16(),
+            self.step,
+            self.reason,
+            self.peer,
+            retry_after,
+            account.started().elapsed(),
+            self.detail
+        );
+        account.refused();
+        let mut builder = ResponseBuilder::new(status);
+        if !account.id().is_empty() {
+            let header = state.platform.request_id_header();
+            builder.header(header, account.id());
+        }
+        if let Some(time) = retry_after {
+            builder.header("retry-after", format!("{:.3}", time.as_secs_f64()));
+        }
+        if self.reason == Reason::BrokenBody || self.reason == Reason::BodyTooLarge {
+            builder.force_close();
+        }
+        builder.finish()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -0,0 +1,233 @@
+//! Filter: passes a stream on, event by event.
+//!
+//! The head is held until the first whole event, so that a replica that breaks off before it can still be
+//! replaced. A stream that breaks later goes on at another replica where the route allows it; else the
+//! caller's connection is closed without the end of the answer, so that it can't be taken for whole.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use driftspring_telemetry::events::gateway;
+use driftspring_telemetry::log_event;
+use futures_util::stream::unfold;
+use ntex::http::ResponseBuilder;
+use ntex::io::IoRef;
+use ntex::web::{HttpRequest, HttpResponse};
+
+use super::account::Account;
+use super::attempts::{Attempt, Attempts};
+use super::collect::{LAST_WORD, copy_headers};
+use super::context::RequestContext;
+use super::event_splitter::EventSplitter;
+use super::refusal::{Reason, Refusal, Step};
+use crate::state::GatewayState;
+
+/// A stream on its way.
+struct Relay {
+    context: Rc<RequestContext>,
+    attempts: Attempts,
+    attempt: Attempt,
+    splitter: EventSplitter,
+    /// What was read before the head was passed on.
+    first: Option<Piece>,
+    account: Account,
+    caller: Option<IoRef>,
+    has_ended: bool,
+}
+
+/// What comes next in a stream.
+enum Piece {
+    /// Whole events.
+    Events(Bytes),
+    /// The end of a whole answer.
+    End,
+}
+
+/// Serves the request.
+pub async fn serve(
+    state: &Rc<GatewayState>,
+    context: Rc<RequestContext>,
+    request: &HttpRequest,
+    account: &mut Account,
+) -> Result<HttpResponse, Refusal> {
+    let limit = context.time_left() + LAST_WORD;
+    let opening = tokio::time::timeout(limit, open(state, &context)).await;
+    let (attempts, attempt, splitter, first) = opening.map_err(|_| {
+        Refusal::new(
+            Step::Answer,
+            Reason::TimedOut,
+            "no first event in the request's time",
+        )
+    })??;
+    account.answered();
+    let mut builder = ResponseBuilder::new(attempt.opened.answer.status());
+    copy_headers(attempt.opened.answer.headers(), &mut builder);
+    let relay = Relay {
+        context,
+        attempts,
+        attempt,
+        splitter,
+        first: Some(first),
+        account: account.take(),
+        caller: request.io().cloned(),
+        has_ended: false,
+    };
+    Ok(builder.streaming(Box::pin(unfold(relay, next_piece))))
+}
+
+/// Waits for the first whole event, or the end of an answer without any.
+async fn open(
+    state: &Rc<GatewayState>,
+    context: &Rc<RequestContext>,
+) -> Result<(Attempts, Attempt, EventSplitter, Piece), Refusal> {
+    let mut attempts = Attempts::new(state, context);
+    loop {
+        let mut attempt = attempts.next(None).await?;
+        let mut splitter = EventSplitter::after(context.meta.last_event_id.clone());
+        match read_piece(&mut attempt, &mut splitter).await {
+            Ok(first) => {
+                attempt.opened.work.prompt_read();
+                return Ok((attempts, attempt, splitter, first));
+            }
+            Err(cause) => attempts.broke_off(&attempt.choice, &cause)?,
+        }
+    }
+}
+
+/// Reads until there are whole events, or the end.
+async fn read_piece(attempt: &mut Attempt, splitter: &mut EventSplitter) -> Result<Piece, String> {
+    let is_stream = attempt.opened.answer.status().is_success();
+    loop {
+        let next = attempt.opened.answer.next().await;
+        match next.map_err(|error| error.to_string())? {
+            Some(bytes) if !is_stream => return Ok(Piece::Events(bytes)),
+            Some(bytes) => {
+                let events = splitter.push(&bytes)?;
+                if !events.is_empty() {
+                    return Ok(Piece::Events(events));
+                }
+            }
+            None if splitter.is_inside_event() => return Err("it ended inside an event".to_owned()),
+            None => return Ok(Piece::End),
+        }
+    }
+}
+
+/// The next bytes of the response. Once the stream is cut nothing more comes: the connection is closed,
+/// and the response must not be ended as if it were whole.
+async fn next_piece(mut relay: Relay) -> Option<(Result<ntex::util::Bytes, Infallible>, Relay)> {
+    if relay.has_ended {
+        return None;
+    }
+    match relay.next_events().await {
+        Some(events) => {
+            let bytes = ntex::util::Bytes::copy_from_slice(&events);
+            Some((Ok(bytes), relay))
+        }
+        None if relay.has_ended => None,
+        None => std::future::pending().await,
+    }
+}
+
+impl Relay {
+    /// Whole events; nothing at the end of the answer, and where the stream was cut.
+    async fn next_events(&mut self) -> Option<Bytes> {
+        loop {
+            let piece = match self.first.take() {
+                Some(piece) => Ok(piece),
+                None => self.read_before_deadline().await,
+            };
+            match piece {
+                Ok(Piece::Events(events)) => return Some(events),
+                Ok(Piece::End) => {
+                    self.end();
+                    return None;
+                }
+                Err(cause) => {
+                    if !self.go_on_elsewhere(&cause).await {
+                        return None;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn read_before_deadline(&mut self) -> Result<Piece, String> {
+        let left = self.time_left();
+        let caller = self.caller.clone();
+        let reading = read_piece(&mut self.attempt, &mut self.splitter);
+        tokio::select! {
+            piece = tokio::time::timeout(left, reading) => match piece {
+                Ok(piece) => piece,
+                Err(_) => Err("the request's time is over".to_owned()),
+            },
+            () = caller_gone(caller) => Err("the caller has left".to_owned()),
+        }
+    }
+
+    fn time_left(&self) -> Duration {
+        let last = self.context.deadline + LAST_WORD;
+        last.saturating_duration_since(Instant::now())
+    }
+
+    /// Goes on at another replica after the last event; false where the stream is cut.
+    async fn go_on_elsewhere(&mut self, cause: &str) -> bool {
+        if self.caller.as_ref().is_some_and(IoRef::is_closed) {
+            self.cut("the caller has left");
+            return false;
+        }
+        let is_over = self.time_left() <= LAST_WORD;
+        if is_over || self.attempts.broke_off(&self.attempt.choice, cause).is_err() {
+            self.cut(cause);
+            return false;
+        }
+        self.attempt.opened.answer.close();
+        self.splitter.discard_part();
+        let last_id = self.splitter.last_id().map(str::to_owned);
+        match self.attempts.next(last_id.as_deref()).await {
+            Ok(attempt) if attempt.opened.answer.status().is_success() => {
+                log_event!(
+                    gateway::STREAM_MOVED,
+                    "request={} from={} to={} after={last_id:?} cause={cause:?}",
+                    self.context.id,
+                    self.attempt.choice.replica.id,
+                    attempt.choice.replica.id
+                );
+                self.attempt = attempt;
+                true
+            }
+            Ok(_) => {
+                self.cut(cause);
+                false
+            }
+            Err(refusal) => {
+                self.cut(&refusal.detail);
+                false
+            }
+        }
+    }
+
+    fn end(&mut self) {
+        self.has_ended = true;
+        let status = self.attempt.opened.answer.status().as_u16();
+        self.account.completed(&self.attempt.choice.replica.id, status);
+    }
+
+    /// Closes the caller's connection without the end of the answer.
+    fn cut(&mut self, cause: &str) {
+        self.account.cut(cause);
+        self.attempt.opened.answer.close();
+        if let Some(caller) = &self.caller {
+            caller.close();
+        }
+    }
+}
+
+async fn caller_gone(caller: Option<IoRef>) {
+    match caller {
+        Some(caller) => caller.on_disconnect().await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/protocol.rs
@@ -0,0 +1,364 @@
+//! What a platform's adapter has to supply: how requests, replicas and the store are spelled.
+//!
+//! An adapter translates and decides nothing. Every call is built here as bytes of HTTP/1.1 and every
+//! answer is read from them, so that the rest of the gateway knows typed messages only.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, Method, StatusCode};
+
+use crate::configuration::Configuration;
+
+/// One part of a prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Its name; equal names are equal parts.
+    pub id: String,
+    /// Its size.
+    pub tokens: u32,
+}
+
+/// What a caller says of its prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Prompt {
+    /// The model.
+    pub model: String,
+    /// Tokens of the prompt.
+    pub input_tokens: u32,
+    /// Tokens of the answer at the most.
+    pub max_output_tokens: u32,
+    /// The parts of the prompt, in order; the last one belongs to the request or its session.
+    pub parts: Vec<PromptPart>,
+    /// The caller's guess at the length of the answer, in tokens.
+    pub length_hint: Option<u32>,
+}
+
+/// What the head of a request says.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RequestMeta {
+    /// The request's id.
+    pub id: Option<String>,
+    /// How long the caller waits.
+    pub deadline: Option<Duration>,
+    /// The caller's key.
+    pub key: Option<String>,
+    /// The prompt, where there is one.
+    pub prompt: Option<Prompt>,
+    /// The event after which the stream goes on.
+    pub last_event_id: Option<String>,
+}
+
+/// What a replica is told beside the caller's own head.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Dispatch {
+    /// The only life of a replica that may run the request.
+    pub replica: String,
+    /// How long the replica may work.
+    pub deadline: Duration,
+    /// The tenant.
+    pub tenant: Option<String>,
+    /// The rank among the replica's requests; 0 goes first.
+    pub priority: Option<u8>,
+    /// The only version of the weights that may run the request.
+    pub weights_version: Option<u64>,
+    /// The name under which cached prompt work is kept and found.
+    pub cache_scope: Option<String>,
+    /// Where to take cached prompt work from.
+    pub fetch_from: Option<SocketAddr>,
+    /// Where to copy cached prompt work to.
+    pub save_to: Option<SocketAddr>,
+    /// The event after which the stream goes on.
+    pub last_event_id: Option<String>,
+}
+
+/// What the head of a replica's answer says.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AnswerMeta {
+    /// The request that it answers.
+    pub request_id: Option<String>,
+    /// Whether the replica says that it has not run the request and never will.
+    pub is_not_run: bool,
+    /// Whether the replica says that another one lives at its address, or has other weights.
+    pub is_misdirected: bool,
+    /// The version of its weights.
+    pub weights_version: Option<u64>,
+    /// Whether the head names the replica's signature.
+    pub is_signed: bool,
+}
+
+/// How requests and answers are spelled.
+pub trait RequestProtocol {
+    /// Reads the head of a caller's request.
+    ///
+    /// # Errors
+    ///
+    /// Says which field can't be read.
+    fn read_request(&self, headers: &HeaderMap) -> Result<RequestMeta, String>;
+    /// Whether a header of a caller is passed on.
+    fn passes_to_replica(&self, name: &HeaderName) -> bool;
+    /// Adds the headers of `dispatch`.
+    fn write_dispatch(&self, dispatch: &Dispatch, headers: &mut HeaderMap);
+    /// Reads the head of a replica's answer.
+    fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerMeta;
+    /// The header that carries the request's id in answers.
+    fn request_id_header(&self) -> HeaderName;
+}
+
+/// One call over HTTP/1.1.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Call {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// The body; empty for none.
+    pub body: Bytes,
+    /// The media type of the body.
+    pub content_type: Option<&'static str>,
+    /// Further headers.
+    pub headers: HeaderMap,
+}
+
+/// The kinds of objects that the gateway follows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ObjectKind {
+    /// The operator's configuration.
+    Configuration,
+    /// The entries of replicas.
+    Replicas,
+    /// The wanted versions of weights.
+    Weights,
+    /// Leases of daemons.
+    Leases,
+    /// The daemons themselves.
+    Daemons,
+}
+
+/// The weights of one model at a replica.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ModelVersion {
+    /// The model.
+    pub model: String,
+    /// The version of its weights.
+    pub version: u64,
+}
+
+/// A replica as the store lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReplicaEntry {
+    /// The id of this life of the replica.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub is_draining: bool,
+    /// How much longer it stays slow after its start.
+    pub cold_remaining: Duration,
+    /// Its weights.
+    pub models: Vec<ModelVersion>,
+}
+
+/// The lease of a task that one daemon does at a time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaseRecord {
+    /// The daemon that holds it.
+    pub holder: String,
+    /// The life of that daemon.
+    pub life: u64,
+    /// The fencing token, which rises with each acquisition.
+    pub token: u64,
+    /// Rises with each renewal.
+    pub renewal: u64,
+}
+
+/// Where a daemon listens for others.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DaemonRecord {
+    /// The daemon's name.
+    pub name: String,
+    /// Its address for other daemons.
+    pub peers: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+}
+
+/// The content of an object.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ObjectContent {
+    /// See [`ObjectKind::Configuration`].
+    Configuration(Box<Configuration>),
+    /// See [`ObjectKind::Replicas`].
+    Replica(ReplicaEntry),
+    /// See [`ObjectKind::Weights`].
+    Weights(ModelVersion),
+    /// See [`ObjectKind::Leases`].
+    Lease(LeaseRecord),
+    /// See [`ObjectKind::Daemons`].
+    Daemon(DaemonRecord),
+}
+
+/// An object as the store keeps it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StoredObject {
+    /// Its name.
+    pub name: String,
+    /// The revision of its last change.
+    pub revision: u64,
+    /// Its content, or what is wrong with it.
+    pub content: Result<ObjectContent, String>,
+}
+
+/// One page of a list.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ListPage {
+    /// The objects.
+    pub items: Vec<StoredObject>,
+    /// Whether more follow after the last of them.
+    pub has_more: bool,
+    /// The store's revision.
+    pub revision: u64,
+}
+
+/// A change of one object.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ObjectEvent {
+    /// The object after the change, or before it went.
+    pub object: StoredObject,
+    /// Whether it is gone.
+    pub is_deleted: bool,
+}
+
+/// The answer of a watch.
+#[derive(Debug, Clone, PartialEq)]
+pub struct WatchPage {
+    /// The changes, in order.
+    pub events: Vec<ObjectEvent>,
+    /// The revision to go on from.
+    pub revision: u64,
+}
+
+/// What became of a conditional write.
+#[derive(Debug, Clone, PartialEq)]
+pub enum WriteAnswer {
+    /// It took effect at this revision.
+    Accepted(u64),
+    /// It had no effect: the object is another one by now, if it can be read.
+    Conflict(Option<StoredObject>),
+    /// It had no effect for now: the store is busy or throttles.
+    Busy,
+    /// Nothing is known.
+    Unknown,
+}
+
+/// How the store is spelled.
+pub trait StoreProtocol {
+    /// Lists objects after a name.
+    fn list(&self, kind: ObjectKind, after: Option<&str>) -> Call;
+    /// Waits for changes after `revision`, for `wait` at the most.
+    fn watch(&self, kind: ObjectKind, revision: u64, wait: Duration) -> Call;
+    /// Writes an object that must have `expected` as its revision; none means that it must not exist.
+    fn write(&self, name: &str, content: &ObjectContent, expected: Option<u64>) -> Call;
+    /// Reads one page of a list.
+    ///
+    /// # Errors
+    ///
+    /// Says what can't be read.
+    fn read_list(&self, kind: ObjectKind, body: &[u8]) -> Result<ListPage, String>;
+    /// Reads the answer of a watch.
+    ///
+    /// # Errors
+    ///
+    /// Says what can't be read.
+    fn read_watch(&self, kind: ObjectKind, body: &[u8]) -> Result<WatchPage, String>;
+    /// Reads the answer to a write.
+    fn read_write(&self, kind: ObjectKind, status: StatusCode, body: &[u8]) -> WriteAnswer;
+}
+
+/// How a replica changes its weights.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LoadMethod {
+    /// Open requests end first.
+    Wait,
+    /// Open streams are cut.
+    Truncate,
+    /// Open streams go on with the new weights.
+    Retain,
+}
+
+/// An order to load weights.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WeightsOrder {
+    /// The life of the replica that may take it.
+    pub replica: String,
+    /// The weights.
+    pub weights: ModelVersion,
+    /// How.
+    pub method: LoadMethod,
+    /// The daemon that gives it.
+    pub holder: String,
+    /// The token of its lease.
+    pub token: u64,
+    /// The number of orders that the replica must have taken before.
+    pub expected_sequence: Option<u64>,
+}
+
+/// What a replica said to an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// It is under way.
+    Accepted,
+    /// The replica has the weights.
+    Holds,
+    /// Another order is under way, or came before.
+    Conflict,
+    /// A later holder has given orders.
+    Fenced,
+    /// Another replica has the address.
+    Misdirected,
+    /// It refused for another reason.
+    Refused,
+}
+
+/// A replica as it describes itself, some hundred milliseconds late.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReplicaReport {
+    /// Its weights.
+    pub models: Vec<ModelVersion>,
+    /// Whether an order is under way.
+    pub is_busy: bool,
+    /// Orders that it has taken.
+    pub order_sequence: u64,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Requests that run.
+    pub running: u32,
+}
+
+/// How replicas are spoken to beside requests.
+pub trait ReplicaProtocol {
+    /// Gives an order.
+    fn order(&self, order: &WeightsOrder) -> Call;
+    /// Reads the answer to an order.
+    fn read_order(&self, status: StatusCode) -> OrderAnswer;
+    /// Asks a replica to describe itself.
+    fn report(&self) -> Call;
+    /// Reads a replica's description.
+    ///
+    /// # Errors
+    ///
+    /// Says what can't be read.
+    fn read_report(&self, body: &[u8]) -> Result<ReplicaReport, String>;
+}
+
+/// Everything that an adapter supplies.
+pub trait Platform: RequestProtocol + StoreProtocol + ReplicaProtocol + Send + Sync {}
+
+impl<T: RequestProtocol + StoreProtocol + ReplicaProtocol + Send + Sync> Platform for T {}
--- /dev/null
+++ b/crates/gateway/src/replicas/mod.rs
@@ -0,0 +1,11 @@
+//! What is believed of each replica, and the choice of one.
+
+mod health;
+mod placement;
+mod registry;
+mod replica;
+
+pub use health::Health;
+pub use placement::{Candidate, PlacementKey, place};
+pub use registry::Registry;
+pub use replica::{OpenWork, Replica};
--- /dev/null
+++ b/crates/gateway/src/replicas/registry.rs
@@ -0,0 +1,131 @@
+//! All replicas that the store lists.
+
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+
+use driftspring_telemetry::events::gateway;
+use driftspring_telemetry::log_event;
+
+use super::replica::Replica;
+use crate::protocol::ReplicaEntry;
+
+/// The replicas listed now.
+#[derive(Debug, Default)]
+pub struct Registry {
+    by_id: RefCell<HashMap<String, Rc<Replica>>>,
+    by_service: RefCell<HashMap<String, Rc<Vec<Rc<Replica>>>>>,
+}
+
+impl Registry {
+    /// The replicas of a service, by id; one snapshot, which later changes don't touch.
+    pub fn of_service(&self, service: &str) -> Rc<Vec<Rc<Replica>>> {
+        let by_service = self.by_service.borrow();
+        by_service.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Every replica.
+    pub fn all(&self) -> Vec<Rc<Replica>> {
+        self.by_id.borrow().values().cloned().collect()
+    }
+
+    /// The replica with this id.
+    pub fn get(&self, id: &str) -> Option<Rc<Replica>> {
+        self.by_id.borrow().get(id).cloned()
+    }
+
+    /// How many replicas are listed.
+    pub fn len(&self) -> usize {
+        self.by_id.borrow().len()
+    }
+
+    /// Whether no replica is listed.
+    pub fn is_empty(&self) -> bool {
+        self.by_id.borrow().is_empty()
+    }
+
+    /// Takes in the whole list: what is not in it is gone.
+    pub fn replace_all(&self, entries: Vec<ReplicaEntry>) {
+        let listed: HashSet<String> = entries.iter().map(|entry| entry.id.clone()).collect();
+        let known: Vec<String> = self.by_id.borrow().keys().cloned().collect();
+        for id in known.iter().filter(|id| !listed.contains(*id)) {
+            self.remove_one(id);
+        }
+        for entry in entries {
+            self.put_one(entry);
+        }
+        self.index();
+    }
+
+    /// Takes in one entry.
+    pub fn put(&self, entry: ReplicaEntry) {
+        self.put_one(entry);
+        self.index();
+    }
+
+    /// Takes in that an entry is gone.
+    pub fn remove(&self, id: &str) {
+        self.remove_one(id);
+        self.index();
+    }
+
+    fn put_one(&self, entry: ReplicaEntry) {
+        let known = self.get(&entry.id);
+        match known.filter(|known| known.pool.peer() == entry.address) {
+            Some(known) => {
+                log_change(&known, &entry);
+                known.update(entry);
+            }
+            None => {
+                log_event!(
+                    gateway::REPLICA_SEEN,
+                    "replica={} service={} address={} zone={} models={:?}",
+                    entry.id,
+                    entry.service,
+                    entry.address,
+                    entry.zone,
+                    entry.models
+                );
+                let replica = Replica::new(entry);
+                let mut by_id = self.by_id.borrow_mut();
+                by_id.insert(replica.id.clone(), replica);
+            }
+        }
+    }
+
+    fn remove_one(&self, id: &str) {
+        if let Some(replica) = self.by_id.borrow_mut().remove(id) {
+            replica.pool.clear();
+            log_event!(gateway::REPLICA_GONE, "replica={id}");
+        }
+    }
+
+    fn index(&self) {
+        let mut by_service: HashMap<String, Vec<Rc<Replica>>> = HashMap::new();
+        for replica in self.by_id.borrow().values() {
+            let service = replica.entry().service.clone();
+            let of_service = by_service.entry(service).or_default();
+            of_service.push(Rc::clone(replica));
+        }
+        let shared = by_service.into_iter().map(|(service, mut replicas)| {
+            replicas.sort_by(|one, other| one.id.cmp(&other.id));
+            (service, Rc::new(replicas))
+        });
+        *self.by_service.borrow_mut() = shared.collect();
+    }
+}
+
+/// Logs a change that matters for the choice; the count of orders alone does not.
+fn log_change(known: &Replica, entry: &ReplicaEntry) {
+    let old = known.entry();
+    let has_changed = old.is_draining != entry.is_draining || old.models != entry.models;
+    if has_changed {
+        log_event!(
+            gateway::REPLICA_CHANGED,
+            "replica={} draining={} models={:?}",
+            entry.id,
+            entry.is_draining,
+            entry.models
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/replicas/replica.rs
@@ -0,0 +1,151 @@
+//! One life of a replica, as this daemon knows it.
+
+use std::cell::{Cell, Ref, RefCell};
+use std::rc::Rc;
+use std::time::Instant;
+
+use super::health::Health;
+use crate::protocol::{ModelVersion, ReplicaEntry};
+use crate::upstream::Pool;
+
+/// One life of a replica.
+#[derive(Debug)]
+pub struct Replica {
+    /// The id of this life.
+    pub id: String,
+    /// The connections to it.
+    pub pool: Rc<Pool>,
+    /// Whether it can be reached.
+    pub health: Health,
+    entry: RefCell<ReplicaEntry>,
+    open_requests: Cell<u32>,
+    pending_tokens: Cell<u64>,
+    loading_since: Cell<Option<Instant>>,
+    order_sequence: Cell<u64>,
+}
+
+impl Replica {
+    /// The replica of a new entry.
+    pub fn new(entry: ReplicaEntry) -> Rc<Self> {
+        Rc::new(Self {
+            id: entry.id.clone(),
+            pool: Pool::new(entry.address),
+            health: Health::default(),
+            order_sequence: Cell::new(0),
+            entry: RefCell::new(entry),
+            open_requests: Cell::new(0),
+            pending_tokens: Cell::new(0),
+            loading_since: Cell::new(None),
+        })
+    }
+
+    /// Its entry in the store.
+    pub fn entry(&self) -> Ref<'_, ReplicaEntry> {
+        self.entry.borrow()
+    }
+
+    /// Takes in a newer entry; versions of weights never go back, since entries lag.
+    pub fn update(&self, mut entry: ReplicaEntry) {
+        for model in &mut entry.models {
+            if let Some(known) = self.version_of(&model.model) {
+                model.version = model.version.max(known);
+            }
+        }
+        *self.entry.borrow_mut() = entry;
+    }
+
+    /// The version of the weights of `model` that it is believed to have.
+    pub fn version_of(&self, model: &str) -> Option<u64> {
+        let entry = self.entry.borrow();
+        let of_model = entry.models.iter().find(|known| known.model == model);
+        of_model.map(|known| known.version)
+    }
+
+    /// Takes in that it has at least `version` of the weights of `model`; true where that is news.
+    pub fn note_version(&self, model: &str, version: u64) -> bool {
+        let mut entry = self.entry.borrow_mut();
+        let of_model = entry.models.iter_mut().find(|known| known.model == model);
+        match of_model {
+            Some(known) if known.version < version => {
+                known.version = version;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Takes in the weights that it says it has.
+    pub fn take_models(&self, models: &[ModelVersion]) {
+        for model in models {
+            self.note_version(&model.model, model.version);
+        }
+    }
+
+    /// The number of orders that it is believed to have taken.
+    pub fn order_sequence(&self) -> u64 {
+        self.order_sequence.get()
+    }
+
+    /// Takes in the number of orders that it has taken.
+    pub fn set_order_sequence(&self, sequence: u64) {
+        self.order_sequence.set(sequence);
+    }
+
+    /// Takes in whether it is loading weights.
+    pub fn set_loading(&self, since: Option<Instant>) {
+        self.loading_since.set(since);
+    }
+
+    /// Since when it is loading weights.
+    pub fn loading_since(&self) -> Option<Instant> {
+        self.loading_since.get()
+    }
+
+    /// Requests of this daemon that are open there.
+    pub fn open_requests(&self) -> u32 {
+        self.open_requests.get()
+    }
+
+    /// Tokens of this daemon's prompts that it has still to read.
+    pub fn pending_tokens(&self) -> u64 {
+        self.pending_tokens.get()
+    }
+}
+
+/// A request that is open at a replica; counts until it is dropped.
+#[derive(Debug)]
+pub struct OpenWork {
+    replica: Rc<Replica>,
+    tokens: Cell<u64>,
+}
+
+impl OpenWork {
+    /// Counts a request whose prompt has `tokens` to read.
+    pub fn begin(replica: &Rc<Replica>, tokens: u64) -> Self {
+        replica.open_requests.set(replica.open_requests.get() + 1);
+        replica
+            .pending_tokens
+            .set(replica.pending_tokens.get() + tokens);
+        Self {
+            replica: Rc::clone(replica),
+            tokens: Cell::new(tokens),
+        }
+    }
+
+    /// Takes in that the prompt was read.
+    pub fn prompt_read(&self) {
+        let tokens = self.tokens.replace(0);
+        let pending = self.replica.pending_tokens.get();
+        self.replica
+            .pending_tokens
+            .set(pending.saturating_sub(tokens));
+    }
+}
+
+impl Drop for OpenWork {
+    fn drop(&mut self) {
+        self.prompt_read();
+        let open = self.replica.open_requests.get();
+        self.replica.open_requests.set(open.saturating_sub(1));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/rollout/lease.rs
@@ -0,0 +1,211 @@
+//! The lease under which one daemon gives orders to replicas.
+//!
+//! Unlike the lease of the daemon's other tasks it is taken only while there is something to order: an
+//! idle one costs no call. It is an object in the store, changed on condition of its revision. A holder
+//! may give orders until [`LeaseTimes::term`] after it *began* the write that gave it the lease. Another
+//! daemon may take it once it has seen the object unchanged for the term and a further
+//! [`LeaseTimes::distance`], so that orders of two holders lie at least the distance apart, whatever
+//! became of messages. Tokens rise by one with each acquisition, so none is used twice.
+//!
+//! Times are of one steady clock, as durations since any fixed moment.
+
+use std::time::Duration;
+
+use crate::protocol::{LeaseRecord, WriteAnswer};
+
+/// The times of the lease; all daemons must have the same.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseTimes {
+    /// How long a holder may give orders after it began its last successful write.
+    pub term: Duration,
+    /// How far orders of two holders must lie apart.
+    pub distance: Duration,
+    /// How long after a successful write the next renewal begins.
+    pub renewal: Duration,
+    /// How long the last holder is waited for, although others could take the lease.
+    pub deference: Duration,
+}
+
+/// What a daemon that wants to give orders does next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeaseAction {
+    /// It may give orders under this token.
+    Hold(u64),
+    /// Write this record on condition of this revision, then [`OrderLease::on_write`].
+    Write {
+        /// The record.
+        record: LeaseRecord,
+        /// The revision that the object must have; none where it must not exist.
+        expected: Option<u64>,
+    },
+    /// Nothing for so long.
+    Wait(Duration),
+}
+
+/// The object as last seen.
+#[derive(Debug, Clone)]
+struct Seen {
+    revision: u64,
+    record: LeaseRecord,
+    first_seen: Duration,
+}
+
+/// What a daemon knows of the lease.
+#[derive(Debug)]
+pub struct OrderLease {
+    name: String,
+    life: u64,
+    times: LeaseTimes,
+    seen: Option<Seen>,
+    is_informed: bool,
+    valid_until: Option<Duration>,
+    renew_at: Duration,
+    wanted_since: Option<Duration>,
+    retry_at: Duration,
+    is_fenced: bool,
+}
+
+impl OrderLease {
+    /// A daemon that knows nothing of the lease yet.
+    pub fn new(name: &str, life: u64, times: LeaseTimes) -> Self {
+        Self {
+            name: name.to_owned(),
+            life,
+            times,
+            seen: None,
+            is_informed: false,
+            valid_until: None,
+            renew_at: Duration::ZERO,
+            wanted_since: None,
+            retry_at: Duration::ZERO,
+            is_fenced: false,
+        }
+    }
+
+    /// Takes in that the object, or its absence, was read from the store.
+    pub fn on_list(&mut self, now: Duration, object: Option<(u64, LeaseRecord)>) {
+        self.is_informed = true;
+        if let Some((revision, record)) = object {
+            self.on_seen(now, revision, record);
+        }
+    }
+
+    /// Takes in the object as seen; older revisions are ignored.
+    pub fn on_seen(&mut self, now: Duration, revision: u64, record: LeaseRecord) {
+        let is_older = self
+            .seen
+            .as_ref()
+            .is_some_and(|seen| seen.revision >= revision);
+        if is_older {
+            return;
+        }
+        if !self.is_own(&record) {
+            self.valid_until = None;
+        }
+        self.seen = Some(Seen {
+            revision,
+            record,
+            first_seen: now,
+        });
+    }
+
+    /// The token under which an order may be given at `now`.
+    pub fn token_at(&self, now: Duration) -> Option<u64> {
+        let is_valid = self.valid_until.is_some_and(|until| now < until);
+        let seen = self.seen.as_ref().filter(|_| is_valid && !self.is_fenced)?;
+        Some(seen.record.token)
+    }
+
+    /// A replica has seen a higher token: this one may not be used again.
+    pub fn on_fenced(&mut self) {
+        self.is_fenced = true;
+        self.valid_until = None;
+    }
+
+    /// There is nothing to order any more.
+    pub fn rest(&mut self) {
+        self.wanted_since = None;
+    }
+
+    /// What to do at `now` in order to give orders; `jitter` sets daemons apart that begin together.
+    pub fn next(&mut self, now: Duration, jitter: Duration) -> LeaseAction {
+        let wanted_since = *self.wanted_since.get_or_insert(now);
+        if let Some(token) = self.token_at(now)
+            && now < self.renew_at
+        {
+            return LeaseAction::Hold(token);
+        }
+        if !self.is_informed {
+            return LeaseAction::Wait(self.times.deference);
+        }
+        if now < self.retry_at {
+            return LeaseAction::Wait(self.retry_at - now);
+        }
+        let Some(seen) = &self.seen else {
+            return self.after_wait(wanted_since + jitter, now, None);
+        };
+        if self.is_own(&seen.record) {
+            return self.write(Some(seen.clone()), self.is_fenced);
+        }
+        let free_at = seen.first_seen + self.times.term + self.times.distance;
+        let polite_at = wanted_since + self.times.deference + jitter;
+        let seen = seen.clone();
+        self.after_wait(free_at.max(polite_at), now, Some(seen))
+    }
+
+    /// Takes in what became of a write that began at `began` and ended at `ended`.
+    pub fn on_write(&mut self, record: LeaseRecord, began: Duration, ended: Duration, answer: WriteAnswer) {
+        match answer {
+            WriteAnswer::Accepted(revision) => {
+                self.is_fenced = false;
+                self.valid_until = Some(began + self.times.term);
+                self.renew_at = began + self.times.renewal;
+                self.seen = Some(Seen {
+                    revision,
+                    record,
+                    first_seen: ended,
+                });
+            }
+            WriteAnswer::Conflict(Some(object)) => {
+                if let Ok(crate::protocol::ObjectContent::Lease(record)) = object.content {
+                    self.on_seen(ended, object.revision, record);
+                }
+                self.retry_at = ended + RETRY_PAUSE;
+            }
+            WriteAnswer::Conflict(None) | WriteAnswer::Busy | WriteAnswer::Unknown => {
+                self.retry_at = ended + RETRY_PAUSE;
+            }
+        }
+    }
+
+    fn is_own(&self, record: &LeaseRecord) -> bool {
+        record.holder == self.name && record.life == self.life
+    }
+
+    fn after_wait(&self, at: Duration, now: Duration, seen: Option<Seen>) -> LeaseAction {
+        match now < at {
+            true => LeaseAction::Wait(at - now),
+            false => self.write(seen, true),
+        }
+    }
+
+    fn write(&self, seen: Option<Seen>, raises_token: bool) -> LeaseAction {
+        let (token, renewal) = match &seen {
+            Some(seen) if raises_token => (seen.record.token + 1, 0),
+            Some(seen) => (seen.record.token, seen.record.renewal + 1),
+            None => (1, 0),
+        };
+        LeaseAction::Write {
+            record: LeaseRecord {
+                holder: self.name.clone(),
+                life: self.life,
+                token,
+                renewal,
+            },
+            expected: seen.map(|seen| seen.revision),
+        }
+    }
+}
+
+/// The pause after a write that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
--- /dev/null
+++ b/crates/gateway/src/rollout/plan.rs
@@ -0,0 +1,52 @@
+//! Which replicas load new weights next.
+
+use std::time::Duration;
+
+/// A replica in the eyes of the plan.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlannedReplica {
+    /// Its id.
+    pub id: String,
+    /// Its zone.
+    pub zone: String,
+    /// Whether it has older weights than wanted.
+    pub is_outdated: bool,
+    /// Whether it is loading, or was told to.
+    pub is_loading: bool,
+    /// Requests of this daemon that are open there.
+    pub open_requests: u32,
+    /// How long it is left alone after an order that failed.
+    pub pause: Duration,
+}
+
+/// One in so many replicas of a service loads at once: the store of weights serves about so many at full
+/// speed, and the others have to bear the traffic meanwhile.
+const REPLICAS_PER_LOAD: usize = 5;
+
+/// How many replicas of a service may load at once.
+pub fn parallel_loads(replicas: usize) -> usize {
+    (replicas / REPLICAS_PER_LOAD).max(1)
+}
+
+/// The replicas that should be told to load now: those with the fewest open requests first, and no two of
+/// one zone before every zone has one.
+pub fn next_loads(replicas: &[PlannedReplica]) -> Vec<String> {
+    let loading = replicas.iter().filter(|replica| replica.is_loading);
+    let mut zones: Vec<&str> = loading.map(|replica| replica.zone.as_str()).collect();
+    let free = parallel_loads(replicas.len()).saturating_sub(zones.len());
+    let mut waiting: Vec<&PlannedReplica> = replicas
+        .iter()
+        .filter(|replica| replica.is_outdated && !replica.is_loading && replica.pause.is_zero())
+        .collect();
+    let mut chosen = Vec::new();
+    while chosen.len() < free && !waiting.is_empty() {
+        let in_zone = |replica: &&PlannedReplica| {
+            zones.iter().filter(|zone| **zone == replica.zone).count()
+        };
+        waiting.sort_by_key(|replica| (in_zone(replica), replica.open_requests, replica.id.clone()));
+        let next = waiting.remove(0);
+        zones.push(&next.zone);
+        chosen.push(next.id.clone());
+    }
+    chosen
+}
--- /dev/null
+++ b/crates/gateway/src/rollout/task.rs
@@ -0,0 +1,360 @@
+//! Brings every replica to the wanted weights, while this daemon holds the lease.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use driftspring_telemetry::events::gateway;
+use driftspring_telemetry::log_event;
+use rand::Rng;
+
+use super::lease::{LeaseAction, LeaseTimes};
+use super::plan::{PlannedReplica, next_loads};
+use crate::protocol::{
+    LoadMethod, ModelVersion, ObjectContent, ObjectKind, OrderAnswer, WeightsOrder, WriteAnswer,
+};
+use crate::replicas::Replica;
+use crate::state::GatewayState;
+use crate::store;
+use crate::upstream::{self, CallError};
+
+/// The name of the lease's object.
+pub const LEASE_NAME: &str = "weights";
+
+/// How often the task looks for work where nothing wakes it.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How long an order's answer is waited for.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// How long a replica's description is waited for.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// The time between two descriptions of a replica that loads.
+const REPORT_INTERVAL: Duration = Duration::from_millis(120);
+
+/// How long a replica may load before it counts as failed.
+const LONGEST_LOAD: Duration = Duration::from_secs(6);
+
+/// How long a replica is left alone after an order that failed.
+const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(250);
+
+/// Orders without an answer after which a replica is left alone for a while.
+const MAX_LOST_ORDERS: u32 = 12;
+
+/// The longest random wait that sets daemons apart.
+const LONGEST_JITTER_MS: u64 = 250;
+
+/// The times of the lease under the settings.
+pub fn lease_times(distance: Duration) -> LeaseTimes {
+    LeaseTimes {
+        term: Duration::from_millis(1800),
+        distance: distance + Duration::from_millis(200),
+        renewal: Duration::from_millis(800),
+        deference: Duration::from_millis(350),
+    }
+}
+
+/// What the task keeps of each replica.
+#[derive(Debug, Default)]
+struct Progress {
+    by_replica: RefCell<HashMap<String, ReplicaProgress>>,
+}
+
+/// What is known of one replica's orders.
+#[derive(Debug, Clone, Copy, Default)]
+struct ReplicaProgress {
+    is_driven: bool,
+    paused_until: Option<Instant>,
+}
+
+/// Looks for outdated replicas for ever, and brings them up to date.
+pub async fn run(state: Rc<GatewayState>) {
+    let progress = Rc::new(Progress::default());
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(LOOK_INTERVAL) => {}
+            () = state.rollout_wanted.notified() => {}
+        }
+        let outdated = outdated_by_model(&state);
+        if outdated.is_empty() {
+            state.lease.borrow_mut().rest();
+            continue;
+        }
+        if hold_lease(&state).await.is_none() {
+            continue;
+        }
+        for (service, wanted) in outdated {
+            start_loads(&state, &progress, &service, &wanted);
+        }
+    }
+}
+
+/// Services with outdated replicas, and the weights that these should have.
+fn outdated_by_model(state: &GatewayState) -> Vec<(String, ModelVersion)> {
+    let mut found: Vec<(String, ModelVersion)> = Vec::new();
+    let weights = state.weights.borrow();
+    for replica in state.registry.all() {
+        let entry = replica.entry();
+        for model in &entry.models {
+            let Some(wanted) = weights.get(&model.model) else {
+                continue;
+            };
+            let is_known = found
+                .iter()
+                .any(|(service, known)| *service == entry.service && known.model == model.model);
+            if model.version < wanted.version && !entry.is_draining && !is_known {
+                let version = wanted.version;
+                let model = model.model.clone();
+                found.push((entry.service.clone(), ModelVersion { model, version }));
+            }
+        }
+    }
+    found
+}
+
+/// One step towards the lease; the token once this daemon holds it.
+async fn hold_lease(state: &Rc<GatewayState>) -> Option<u64> {
+    let jitter = Duration::from_millis(rand::rng().random_range(0..LONGEST_JITTER_MS));
+    let action = {
+        let mut lease = state.lease.borrow_mut();
+        lease.next(state.now(), jitter)
+    };
+    match action {
+        LeaseAction::Hold(token) => Some(token),
+        LeaseAction::Wait(_) => None,
+        LeaseAction::Write { record, expected } => {
+            let began = state.now();
+            let content = ObjectContent::Lease(record.clone());
+            let answer =
+                store::write(state, ObjectKind::Leases, LEASE_NAME, &content, expected).await;
+            let mut lease = state.lease.borrow_mut();
+            let had_token = lease.token_at(began);
+            if !matches!(answer, WriteAnswer::Accepted(_)) {
+                log_event!(
+                    gateway::LEASE_NOT_ACQUIRED,
+                    "lease={LEASE_NAME} token={} renewal={} expected={expected:?} answer={answer:?}",
+                    record.token,
+                    record.renewal
+                );
+            }
+            lease.on_write(record, began, state.now(), answer);
+            let token = lease.token_at(state.now());
+            if let Some(token) = token.filter(|_| had_token.is_none()) {
+                log_event!(gateway::LEASE_ACQUIRED, "lease={LEASE_NAME} token={token}");
+            }
+            token
+        }
+    }
+}
+
+fn start_loads(
+    state: &Rc<GatewayState>,
+    progress: &Rc<Progress>,
+    service: &str,
+    wanted: &ModelVersion,
+) {
+    let now = Instant::now();
+    let replicas = state.registry.of_service(service);
+    let staying = replicas.iter().filter(|replica| !replica.entry().is_draining);
+    let planned: Vec<PlannedReplica> = staying
+        .map(|replica| planned(progress, replica, wanted, now))
+        .collect();
+    for id in next_loads(&planned) {
+        let Some(replica) = state.registry.get(&id) else {
+            continue;
+        };
+        progress.by_replica.borrow_mut().entry(id).or_default().is_driven = true;
+        let (state, progress, wanted) = (Rc::clone(state), Rc::clone(progress), wanted.clone());
+        ntex::rt::spawn(async move {
+            let is_done = drive(&state, &replica, wanted).await;
+            let mut by_replica = progress.by_replica.borrow_mut();
+            let own = by_replica.entry(replica.id.clone()).or_default();
+            own.is_driven = false;
+            own.paused_until = (!is_done).then(|| Instant::now() + PAUSE_AFTER_FAILURE);
+            state.rollout_wanted.notify_one();
+        });
+    }
+}
+
+fn planned(
+    progress: &Progress,
+    replica: &Replica,
+    wanted: &ModelVersion,
+    now: Instant,
+) -> PlannedReplica {
+    let by_replica = progress.by_replica.borrow();
+    let own = by_replica.get(&replica.id).copied().unwrap_or_default();
+    let version = replica.version_of(&wanted.model);
+    PlannedReplica {
+        id: replica.id.clone(),
+        zone: replica.entry().zone.clone(),
+        is_outdated: version.is_some_and(|version| version < wanted.version),
+        is_loading: own.is_driven,
+        open_requests: replica.open_requests(),
+        pause: own
+            .paused_until
+            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now)),
+    }
+}
+
+/// Orders one replica to load and waits until it has the weights; false where it failed.
+async fn drive(state: &Rc<GatewayState>, replica: &Rc<Replica>, wanted: ModelVersion) -> bool {
+    replica.set_loading(Some(Instant::now()));
+    let is_done = order_until_taken(state, replica, &wanted).await
+        && wait_until_loaded(state, replica, &wanted).await;
+    replica.set_loading(None);
+    is_done
+}
+
+/// Gives the order until the replica has taken it.
+async fn order_until_taken(
+    state: &Rc<GatewayState>,
+    replica: &Rc<Replica>,
+    wanted: &ModelVersion,
+) -> bool {
+    for _ in 0..MAX_LOST_ORDERS {
+        let Some(token) = state.lease.borrow().token_at(state.now()) else {
+            return false;
+        };
+        let order = WeightsOrder {
+            replica: replica.id.clone(),
+            weights: wanted.clone(),
+            method: LoadMethod::Wait,
+            holder: state.settings.name.clone(),
+            token,
+            expected_sequence: Some(replica.order_sequence()),
+        };
+        let call = state.platform.order(&order);
+        let answer = upstream::call(&replica.pool, &call, ORDER_TIMEOUT).await;
+        let answer = answer.map(|(status, _)| state.platform.read_order(status));
+        log_order(replica, &order, &answer);
+        match answer {
+            Ok(OrderAnswer::Accepted) => {
+                replica.set_order_sequence(replica.order_sequence() + 1);
+                return true;
+            }
+            Ok(OrderAnswer::Holds) => {
+                note_loaded(replica, wanted);
+                return true;
+            }
+            Ok(OrderAnswer::Conflict) => {
+                if !learn_sequence(state, replica, wanted).await {
+                    return false;
+                }
+            }
+            Ok(OrderAnswer::Fenced) => {
+                state.lease.borrow_mut().on_fenced();
+                return false;
+            }
+            Ok(OrderAnswer::Misdirected | OrderAnswer::Refused) => return false,
+            Err(CallError::NotSent(_)) => return false,
+            Err(CallError::Lost(_) | CallError::TimedOut(_)) => {}
+        }
+    }
+    false
+}
+
+/// After a conflict: the replica is doing something else, or was ordered by another daemon before.
+async fn learn_sequence(
+    state: &Rc<GatewayState>,
+    replica: &Rc<Replica>,
+    wanted: &ModelVersion,
+) -> bool {
+    tokio::time::sleep(REPORT_INTERVAL).await;
+    let Some(report) = report(state, replica).await else {
+        return false;
+    };
+    replica.set_order_sequence(report.order_sequence);
+    replica.take_models(&report.models);
+    if report.is_busy {
+        return wait_until_loaded(state, replica, wanted).await;
+    }
+    true
+}
+
+/// Waits until the replica reports the weights.
+async fn wait_until_loaded(
+    state: &Rc<GatewayState>,
+    replica: &Rc<Replica>,
+    wanted: &ModelVersion,
+) -> bool {
+    let began = Instant::now();
+    let mut silent = 0;
+    while began.elapsed() < LONGEST_LOAD {
+        if replica.version_of(&wanted.model) >= Some(wanted.version) {
+            return true;
+        }
+        tokio::time::sleep(REPORT_INTERVAL).await;
+        match report(state, replica).await {
+            Some(report) => {
+                silent = 0;
+                replica.take_models(&report.models);
+                let has_ended = !report.is_busy && began.elapsed() > REPORT_LAG;
+                if replica.version_of(&wanted.model) >= Some(wanted.version) {
+                    note_loaded(replica, wanted);
+                } else if has_ended {
+                    return false;
+                }
+            }
+            None => {
+                silent += 1;
+                if silent > 3 || state.registry.get(&replica.id).is_none() {
+                    return false;
+                }
+            }
+        }
+    }
+    false
+}
+
+/// A report that is not busy tells nothing before an order has had time to show.
+const REPORT_LAG: Duration = Duration::from_millis(900);
+
+async fn report(
+    state: &Rc<GatewayState>,
+    replica: &Rc<Replica>,
+) -> Option<crate::protocol::ReplicaReport> {
+    let call = state.platform.report();
+    let answer = upstream::call(&replica.pool, &call, REPORT_TIMEOUT).await;
+    let (status, body) = answer.ok()?;
+    if !status.is_success() {
+        return None;
+    }
+    state.platform.read_report(&body).ok()
+}
+
+fn note_loaded(replica: &Replica, wanted: &ModelVersion) {
+    replica.note_version(&wanted.model, wanted.version);
+    log_event!(
+        gateway::WEIGHTS_LOADED,
+        "replica={} model={} version={} after={:?}",
+        replica.id,
+        wanted.model,
+        wanted.version,
+        replica.loading_since().map(|since| since.elapsed())
+    );
+}
+
+fn log_order(replica: &Replica, order: &WeightsOrder, answer: &Result<OrderAnswer, CallError>) {
+    match answer {
+        Ok(answer) => log_event!(
+            gateway::ORDER_ANSWERED,
+            "replica={} version={} token={} sequence={:?} answer={answer:?}",
+            replica.id,
+            order.weights.version,
+            order.token,
+            order.expected_sequence
+        ),
+        Err(error) => log_event!(
+            gateway::ORDER_LOST,
+            "replica={} version={} token={} sequence={:?} error={:?}",
+            replica.id,
+            order.weights.version,
+            order.token,
+            order.expected_sequence,
+            error.to_string()
+        ),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/server.rs
@@ -0,0 +1,284 @@
+//! Sockets, readiness, start and stop.
+//!
+//! One worker thread serves callers and follows the store: the machines have a fraction of a core, and a
+//! second thread would only add wake-ups. A second small server answers whether the gateway is ready.
+
+mod listeners;
+mod stop;
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
+use std::thread::JoinHandle;
+
+use anyhow::{Context, anyhow};
+use driftspring_settings::{GatewaySettings, load_gateway};
+use driftspring_telemetry::events::gateway;
+use driftspring_telemetry::log_event;
+use ntex::SharedCfg;
+use ntex::http::HttpServiceConfig;
+use ntex::rt::{DefaultRuntime, System};
+use ntex::server::Server;
+use ntex::time::Seconds;
+use ntex::web::{self, App, HttpResponse, HttpServer};
+use tokio::sync::oneshot;
+
+use crate::pipeline;
+use crate::protocol::Platform;
+use crate::rollout;
+use crate::state::{GatewayState, SharedStatus};
+use crate::store;
+use listeners::Listeners;
+
+/// How long an idle connection of a caller is kept.
+const KEEP_ALIVE: Seconds = Seconds(75);
+
+/// How long the head of a request may take to come.
+const HEAD_TIMEOUT: Seconds = Seconds(30);
+
+/// The largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Starts gateways.
+pub struct Gateway;
+
+/// A gateway that runs in this process.
+pub struct RunningGateway {
+    /// What its threads share.
+    pub status: Arc<SharedStatus>,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where it tells whether it is ready.
+    pub health: SocketAddr,
+    settings: GatewaySettings,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<anyhow::Result<()>>>,
+}
+
+impl Gateway {
+    /// Binds every address, then starts to serve.
+    ///
+    /// # Errors
+    ///
+    /// An address can't be bound, or a thread can't be started.
+    pub fn start(
+        settings: GatewaySettings,
+        platform: Arc<dyn Platform>,
+    ) -> anyhow::Result<RunningGateway> {
+        let listeners = Listeners::bind(&settings.listen)?;
+        let (callers, health) = listeners.addresses()?;
+        let status = Arc::new(SharedStatus::default());
+        let (stop, stopped) = oneshot::channel();
+        let (started, is_started) = mpsc::channel();
+        let thread_status = Arc::clone(&status);
+        let thread_settings = settings.clone();
+        let thread = std::thread::Builder::new()
+            .name("gateway".to_owned())
+            .spawn(move || {
+                let system = System::new("gateway", DefaultRuntime);
+                system.block_on(async move {
+                    let servers = Servers::start(
+                        &thread_settings,
+                        &platform,
+                        &thread_status,
+                        listeners,
+                    )?;
+                    let _ = started.send(());
+                    // A sender that is gone means that the process ends.
+                    let _ = stopped.await;
+                    servers.stop().await;
+                    Ok(())
+                })
+            })
+            .context("starting the gateway's thread")?;
+        let mut running = RunningGateway {
+            status,
+            callers,
+            health,
+            settings,
+            stop: Some(stop),
+            thread: Some(thread),
+        };
+        if is_started.recv().is_err() {
+            running.join()?;
+            return Err(anyhow!("the gateway ended before it served"));
+        }
+        log_event!(
+            gateway::GATEWAY_STARTED,
+            "name={} zone={} callers={callers} health={health} store={}",
+            running.settings.name,
+            running.settings.zone,
+            running.settings.store
+        );
+        Ok(running)
+    }
+}
+
+impl RunningGateway {
+    /// A planned stop: not ready any more, then open requests end, then the gateway.
+    ///
+    /// # Errors
+    ///
+    /// The gateway's thread failed.
+    pub fn stop(mut self) -> anyhow::Result<()> {
+        self.status.is_stopping.store(true, Ordering::Release);
+        log_event!(
+            gateway::GATEWAY_STOPPING,
+            "open={}",
+            self.status.open_requests.load(Ordering::Acquire)
+        );
+        stop::wait_for_callers(&self.status, self.settings.times.stop_grace);
+        log_event!(
+            gateway::GATEWAY_STOPPED,
+            "open={}",
+            self.status.open_requests.load(Ordering::Acquire)
+        );
+        self.end()
+    }
+
+    /// Reads the settings file again. What listens stays as it is; faulty settings change nothing.
+    pub fn reload(&self, file: &Path) {
+        match load_gateway(file) {
+            Ok(settings) => {
+                let is_changed = settings != self.settings;
+                log_event!(gateway::SETTINGS_RELOADED, "changed={is_changed}");
+                if let Ok(mut reloaded) = self.status.reloaded.lock() {
+                    *reloaded = Some(settings);
+                }
+            }
+            Err(error) => log_event!(gateway::SETTINGS_REJECTED, "error={:?}", error.to_string()),
+        }
+    }
+
+    /// Ends at once, as a crash would.
+    pub fn kill(mut self) {
+        let _ = self.end();
+    }
+
+    fn end(&mut self) -> anyhow::Result<()> {
+        self.stop = None;
+        self.join()
+    }
+
+    fn join(&mut self) -> anyhow::Result<()> {
+        let Some(thread) = self.thread.take() else {
+            return Ok(());
+        };
+        thread
+            .join()
+            .map_err(|_| anyhow!("the gateway's thread panicked"))?
+    }
+}
+
+impl Drop for RunningGateway {
+    fn drop(&mut self) {
+        let _ = self.end();
+    }
+}
+
+/// The HTTP servers of a gateway.
+struct Servers {
+    callers: Server,
+    health: Server,
+    metrics: Option<Server>,
+}
+
+impl Servers {
+    fn start(
+        settings: &GatewaySettings,
+        platform: &Arc<dyn Platform>,
+        status: &Arc<SharedStatus>,
+        listeners: Listeners,
+    ) -> anyhow::Result<Self> {
+        let metrics = listeners.metrics.map(|listener| serve_metrics(status, listener));
+        Ok(Self {
+            callers: serve_callers(settings, platform, status, listeners.callers)?,
+            health: serve_health(status, listeners.health)?,
+            metrics: metrics.transpose()?,
+        })
+    }
+
+    async fn stop(self) {
+        let metrics = self.metrics.iter();
+        let servers = [&self.callers, &self.health].into_iter().chain(metrics);
+        futures_util::future::join_all(servers.map(|server| server.stop(false))).await;
+    }
+}
+
+fn serve_callers(
+    settings: &GatewaySettings,
+    platform: &Arc<dyn Platform>,
+    status: &Arc<SharedStatus>,
+    listener: TcpListener,
+) -> anyhow::Result<Server> {
+    let settings = settings.clone();
+    let platform = Arc::clone(platform);
+    let status = Arc::clone(status);
+    let server = HttpServer::new(async move || {
+        let state = GatewayState::new(
+            settings.clone(),
+            Arc::clone(&platform),
+            Arc::clone(&status),
+        );
+        store::spawn_all(&state);
+        ntex::rt::spawn(rollout::run(Rc::clone(&state)));
+        App::new()
+            .state(state)
+            .default_service(web::route().to(pipeline::respond))
+    });
+    let http = HttpServiceConfig::new()
+        .set_keepalive(KEEP_ALIVE)
+        .set_client_timeout(HEAD_TIMEOUT)
+        .set_max_buf_size(MAX_HEAD_BYTES);
+    let server = server
+        .config(SharedCfg::new("callers").add(http))
+        .workers(1)
+        .disable_signals()
+        .listen(listener)?;
+    Ok(server.run())
+}
+
+fn serve_health(status: &Arc<SharedStatus>, listener: TcpListener) -> anyhow::Result<Server> {
+    let status = Arc::clone(status);
+    serve_page(listener, move || {
+        let status = Arc::clone(&status);
+        match status.is_ready() {
+            true => HttpResponse::Ok().finish(),
+            false => HttpResponse::ServiceUnavailable().finish(),
+        }
+    })
+}
+
+fn serve_metrics(status: &Arc<SharedStatus>, listener: TcpListener) -> anyhow::Result<Server> {
+    let status = Arc::clone(status);
+    serve_page(listener, move || {
+        let page = status.metrics.page();
+        HttpResponse::Ok()
+            .content_type("text/plain; version=0.0.4; charset=utf-8")
+            .body(page)
+    })
+}
+
+/// Serves one page under every path.
+fn serve_page(
+    listener: TcpListener,
+    page: impl Fn() -> HttpResponse + Clone + Send + 'static,
+) -> anyhow::Result<Server> {
+    let server = HttpServer::new(async move || {
+        let page = page.clone();
+        App::new().default_service(web::route().to(move || {
+            let response = page();
+            async move { response }
+        }))
+    });
+    let http = HttpServiceConfig::new().set_keepalive(KEEP_ALIVE);
+    let server = server
+        .config(SharedCfg::new("pages").add(http))
+        .workers(1)
+        .disable_signals()
+        .listen(listener)?;
+    Ok(server.run())
+}
--- /dev/null
+++ b/crates/gateway/src/server/listeners.rs
@@ -0,0 +1,48 @@
+//! The sockets of a gateway, bound before anything else starts.
+
+use std::net::{SocketAddr, TcpListener};
+
+use anyhow::Context;
+use driftspring_settings::GatewayListen;
+use ntex::server::create_tcp_listener;
+use socket2::SockRef;
+
+use crate::upstream::set_options;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 4096;
+
+/// Every socket that a gateway listens on.
+pub struct Listeners {
+    /// For callers.
+    pub callers: TcpListener,
+    /// For those who ask whether it is ready.
+    pub health: TcpListener,
+    /// For those who collect metrics.
+    pub metrics: Option<TcpListener>,
+}
+
+impl Listeners {
+    /// Binds every address of `listen`.
+    pub fn bind(listen: &GatewayListen) -> anyhow::Result<Self> {
+        let callers = bind(listen.callers, "callers")?;
+        // Accepted connections take over these options: a caller that is gone without a word is noticed.
+        set_options(&SockRef::from(&callers)).context("setting the options of the listener")?;
+        let metrics = listen.metrics.map(|address| bind(address, "metrics"));
+        Ok(Self {
+            callers,
+            health: bind(listen.health, "health")?,
+            metrics: metrics.transpose()?,
+        })
+    }
+
+    /// The addresses for callers and for readiness.
+    pub fn addresses(&self) -> anyhow::Result<(SocketAddr, SocketAddr)> {
+        Ok((self.callers.local_addr()?, self.health.local_addr()?))
+    }
+}
+
+fn bind(address: SocketAddr, purpose: &str) -> anyhow::Result<TcpListener> {
+    create_tcp_listener(address, BACKLOG)
+        .with_context(|| format!("binding TCP {address} for {purpose}"))
+}
--- /dev/null
+++ b/crates/gateway/src/server/stop.rs
@@ -0,0 +1,35 @@
+//! The wait of a planned stop.
+
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use crate::state::SharedStatus;
+
+/// How long new requests may still come: whoever sends callers here asks each second, and believes the
+/// second answer.
+const CALLERS_TURN_AWAY: Duration = Duration::from_millis(2600);
+
+/// How long there must be no open request before the end.
+const QUIET: Duration = Duration::from_millis(250);
+
+/// How often open requests are counted.
+const POLL: Duration = Duration::from_millis(25);
+
+/// The share of the grace after which the gateway ends whatever is open.
+const GRACE_USED: f64 = 0.93;
+
+/// Waits until callers have turned away and no request is open, or the grace is nearly over.
+pub fn wait_for_callers(status: &SharedStatus, grace: Duration) {
+    let began = Instant::now();
+    let last = began + grace.mul_f64(GRACE_USED);
+    let mut quiet_since = Instant::now();
+    while Instant::now() < last {
+        if status.open_requests.load(Ordering::Acquire) > 0 {
+            quiet_since = Instant::now();
+        }
+        if began.elapsed() >= CALLERS_TURN_AWAY.min(grace / 2) && quiet_since.elapsed() >= QUIET {
+            return;
+        }
+        std::thread::sleep(POLL);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,159 @@
+//! What the parts of one gateway share. All of it lives on one thread, the worker that serves callers;
+//! what other threads see is in [`SharedStatus`].
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwapOption;
+use driftspring_settings::GatewaySettings;
+use rand::Rng;
+use tokio::sync::Notify;
+
+use crate::budget::RetryBudgets;
+use crate::configuration::{Configuration, KvStore};
+use crate::currency::Currency;
+use crate::metrics::GatewayMetrics;
+use crate::protocol::Platform;
+use crate::replicas::Registry;
+use crate::rollout::{OrderLease, lease_times};
+use crate::upstream::Pool;
+
+/// How old the proof of the configuration may be while callers are sent here: those with keys are served
+/// badly at a daemon that has not heard of the store for longer.
+const READY_CURRENCY: Duration = Duration::from_millis(2800);
+
+/// What the threads of a gateway share.
+#[derive(Debug, Default)]
+pub struct SharedStatus {
+    /// Whether the configuration and the replicas are known and current.
+    pub is_informed: AtomicBool,
+    /// Whether a planned stop has begun.
+    pub is_stopping: AtomicBool,
+    /// Requests that are open.
+    pub open_requests: AtomicU32,
+    /// What is counted.
+    pub metrics: GatewayMetrics,
+    /// Settings that were read again and are not in force yet.
+    pub reloaded: Mutex<Option<GatewaySettings>>,
+}
+
+impl SharedStatus {
+    /// Whether new connections should come here.
+    pub fn is_ready(&self) -> bool {
+        self.is_informed.load(Ordering::Acquire) && !self.is_stopping()
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Acquire)
+    }
+}
+
+/// The weights that the operator wants for a model.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WantedWeights {
+    /// Their version.
+    pub version: u64,
+    /// When this daemon heard of them.
+    pub since: Instant,
+}
+
+/// The state of one gateway.
+pub struct GatewayState {
+    /// The settings.
+    pub settings: GatewaySettings,
+    /// How the platform speaks.
+    pub platform: Arc<dyn Platform>,
+    /// What other threads see.
+    pub status: Arc<SharedStatus>,
+    /// The configuration in force.
+    pub configuration: ArcSwapOption<Configuration>,
+    /// Since when the configuration is known to be the newest.
+    pub currency: Currency,
+    /// The replicas.
+    pub registry: Registry,
+    /// The wanted weights, by model.
+    pub weights: RefCell<HashMap<String, WantedWeights>>,
+    /// How often requests may be sent again.
+    pub budgets: RetryBudgets,
+    /// The connections to the store.
+    pub store: Rc<Pool>,
+    /// The lease under which orders are given.
+    pub lease: RefCell<OrderLease>,
+    /// Wakes the task that brings replicas to new weights.
+    pub rollout_wanted: Notify,
+    /// A number that no other life of this daemon has.
+    pub life: u64,
+    /// How the traffic of each route was divided so far.
+    pub division: RefCell<HashMap<String, Vec<f64>>>,
+    draws: Cell<u64>,
+    began: Instant,
+}
+
+impl GatewayState {
+    /// The state of a gateway that knows nothing yet.
+    pub fn new(
+        settings: GatewaySettings,
+        platform: Arc<dyn Platform>,
+        status: Arc<SharedStatus>,
+    ) -> Rc<Self> {
+        let budgets = RetryBudgets::new(&settings.retries);
+        let store = Pool::new(settings.store);
+        let life = u64::from(rand::rng().random::<u32>());
+        let times = lease_times(settings.times.lease_term);
+        let lease = OrderLease::new(&settings.name, life, times);
+        Rc::new(Self {
+            settings,
+            platform,
+            status,
+            configuration: ArcSwapOption::empty(),
+            currency: Currency::new(),
+            registry: Registry::default(),
+            weights: RefCell::new(HashMap::new()),
+            budgets,
+            store,
+            lease: RefCell::new(lease),
+            rollout_wanted: Notify::new(),
+            life,
+            division: RefCell::new(HashMap::new()),
+            draws: Cell::new(0),
+            began: Instant::now(),
+        })
+    }
+
+    /// The time since this gateway's start, of the steady clock.
+    pub fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    /// Tells other threads whether the configuration and the replicas are known and current.
+    pub fn refresh_readiness(&self) {
+        let is_informed = self.configuration.load().is_some()
+            && !self.registry.is_empty()
+            && self.currency.is_within(READY_CURRENCY);
+        self.status.is_informed.store(is_informed, Ordering::Release);
+    }
+
+    /// A number that differs from call to call.
+    pub fn draw(&self) -> u64 {
+        let draw = self.draws.get().wrapping_add(1);
+        self.draws.set(draw);
+        draw ^ self.life
+    }
+
+    /// The store of cached prompt work that serves this daemon's zone best.
+    pub fn kv_store(&self, configuration: &Configuration) -> Option<KvStore> {
+        let mut stores: Vec<&KvStore> = configuration.kv_stores().collect();
+        stores.sort_by_key(|store| (store.zone != self.settings.zone, store.address));
+        stores.first().map(|store| (*store).clone())
+    }
+
+    /// The wanted weights of `model`.
+    pub fn wanted_weights(&self, model: &str) -> Option<WantedWeights> {
+        self.weights.borrow().get(model).copied()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/store/client.rs
@@ -0,0 +1,113 @@
+//! Calls to the object store.
+
+use std::time::Duration;
+
+use http::StatusCode;
+
+use crate::protocol::{
+    Call, ListPage, ObjectContent, ObjectKind, StoredObject, WatchPage, WriteAnswer,
+};
+use crate::state::GatewayState;
+use crate::upstream;
+
+/// How long a call may take. The store may be slow: an answer in this time is worth waiting for.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// How much longer than asked for the answer of a watch may take.
+const WATCH_MARGIN: Duration = Duration::from_millis(1500);
+
+/// Why a call to the store brought nothing.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// No whole answer came.
+    #[error(transparent)]
+    Call(#[from] upstream::CallError),
+    /// The store refused.
+    #[error("the store answered {0}")]
+    Status(StatusCode),
+    /// The history that a watch would go on from is gone.
+    #[error("the history is gone")]
+    HistoryGone,
+    /// The answer can't be read.
+    #[error("unreadable answer: {0}")]
+    Unreadable(String),
+}
+
+/// Every object of a kind, with the revision of the store that a watch can go on from.
+///
+/// # Errors
+///
+/// The store did not answer, refused, or its answer can't be read.
+pub async fn list_all(
+    state: &GatewayState,
+    kind: ObjectKind,
+) -> Result<(Vec<StoredObject>, u64), StoreError> {
+    let mut objects: Vec<StoredObject> = Vec::new();
+    let mut first_revision = None;
+    loop {
+        let after = objects.last().map(|object| object.name.as_str());
+        let call = state.platform.list(kind, after);
+        let body = get(state, &call, CALL_TIMEOUT).await?;
+        let page: ListPage = state
+            .platform
+            .read_list(kind, &body)
+            .map_err(StoreError::Unreadable)?;
+        // A watch goes on from the first page: what changed since is told again.
+        let revision = *first_revision.get_or_insert(page.revision);
+        let is_empty = page.items.is_empty();
+        objects.extend(page.items);
+        if !page.has_more || is_empty {
+            return Ok((objects, revision));
+        }
+    }
+}
+
+/// The changes after `revision`; waits for the first one, up to `wait`.
+///
+/// # Errors
+///
+/// The store did not answer, refused, or its answer can't be read.
+pub async fn watch(
+    state: &GatewayState,
+    kind: ObjectKind,
+    revision: u64,
+    wait: Duration,
+) -> Result<WatchPage, StoreError> {
+    let call = state.platform.watch(kind, revision, wait);
+    let body = get(state, &call, wait + WATCH_MARGIN).await?;
+    state
+        .platform
+        .read_watch(kind, &body)
+        .map_err(StoreError::Unreadable)
+}
+
+/// Writes an object on condition of its revision.
+pub async fn write(
+    state: &GatewayState,
+    kind: ObjectKind,
+    name: &str,
+    content: &ObjectContent,
+    expected: Option<u64>,
+) -> WriteAnswer {
+    let call = state.platform.write(name, content, expected);
+    state.status.metrics.store_calls.inc();
+    match upstream::call(&state.store, &call, CALL_TIMEOUT).await {
+        Ok((status, body)) => state.platform.read_write(kind, status, &body),
+        Err(upstream::CallError::NotSent(_)) => WriteAnswer::Busy,
+        Err(_) => WriteAnswer::Unknown,
+    }
+}
+
+async fn get(
+    state: &GatewayState,
+    call: &Call,
+    timeout: Duration,
+) -> Result<bytes::Bytes, StoreError> {
+    state.status.metrics.store_calls.inc();
+    let (status, body) = upstream::call(&state.store, call, timeout).await?;
+    match status {
+        StatusCode::OK => Ok(body),
+        StatusCode::GONE => Err(StoreError::HistoryGone),
+        status => Err(StoreError::Status(status)),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/store/mod.rs
@@ -0,0 +1,26 @@
+//! Calls to the object store and the tasks that follow it.
+
+mod client;
+mod configuration_reader;
+mod follow;
+
+pub use client::{StoreError, list_all, watch, write};
+
+use std::rc::Rc;
+
+use crate::protocol::ObjectKind;
+use crate::state::GatewayState;
+
+/// Starts the tasks that follow the store, on the present thread.
+pub fn spawn_all(state: &Rc<GatewayState>) {
+    ntex::rt::spawn(configuration_reader::run(Rc::clone(state)));
+    let followed = [
+        ObjectKind::Configuration,
+        ObjectKind::Replicas,
+        ObjectKind::Weights,
+        ObjectKind::Leases,
+    ];
+    for kind in followed {
+        ntex::rt::spawn(follow::run(Rc::clone(state), kind));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/upstream/call.rs
@@ -0,0 +1,76 @@
+//! Short calls to the store and to replicas, beside callers' requests.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HOST};
+use http::{HeaderValue, Request, StatusCode};
+use http_body_util::Full;
+
+use super::answer::Answer;
+use super::pool::Pool;
+use crate::protocol::Call;
+
+/// The longest answer to a call, in bytes.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// Why a call has no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// It was not sent.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// It may have been carried out.
+    #[error("no answer: {0}")]
+    Lost(String),
+    /// No whole answer came in time; the call may have been carried out.
+    #[error("no answer in {0:?}")]
+    TimedOut(Duration),
+}
+
+/// Makes a call and waits for its whole answer.
+///
+/// # Errors
+///
+/// Says whether the call may have been carried out.
+pub async fn call(
+    pool: &Rc<Pool>,
+    call: &Call,
+    timeout: Duration,
+) -> Result<(StatusCode, Bytes), CallError> {
+    tokio::time::timeout(timeout, exchange(pool, call))
+        .await
+        .map_err(|_| CallError::TimedOut(timeout))?
+}
+
+async fn exchange(pool: &Rc<Pool>, call: &Call) -> Result<(StatusCode, Bytes), CallError> {
+    let request = build(pool, call).map_err(|error| CallError::NotSent(error.to_string()))?;
+    let mut connection = match pool.take_idle() {
+        Some(connection) => connection,
+        None => pool
+            .open()
+            .await
+            .map_err(|error| CallError::NotSent(error.to_string()))?,
+    };
+    let response = connection.send(request).await;
+    let response = response.map_err(|failure| CallError::Lost(failure.to_string()))?;
+    let mut answer = Answer::new(response, connection, Rc::clone(pool));
+    let body = answer.collect(MAX_ANSWER_BYTES).await;
+    let body = body.map_err(|error| CallError::Lost(error.to_string()))?;
+    Ok((answer.status(), body))
+}
+
+fn build(pool: &Pool, call: &Call) -> Result<Request<Full<Bytes>>, http::Error> {
+    let mut request = Request::builder()
+        .method(&call.method)
+        .uri(&call.path)
+        .header(HOST, pool.peer().to_string());
+    for (name, value) in &call.headers {
+        request = request.header(name, value);
+    }
+    if let Some(content_type) = call.content_type {
+        request = request.header(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    }
+    request.body(Full::new(call.body.clone()))
+}
--- /dev/null
+++ b/crates/gateway/src/upstream/connection.rs
@@ -0,0 +1,156 @@
+//! One connection, which carries one request at a time.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::task::AbortHandle;
+
+use super::connector::{ConnectError, connect};
+
+/// How long a connection is kept idle where the peer says nothing about it.
+const DEFAULT_IDLE: Duration = Duration::from_secs(8);
+
+/// How much sooner than the peer a kept connection is given up, since both clocks and the way matter.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+
+/// Why a request got no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum SendFailure {
+    /// Not one byte of it was sent.
+    #[error("not sent to {peer}: {cause}")]
+    NotSent {
+        /// The peer.
+        peer: SocketAddr,
+        /// The cause.
+        cause: String,
+    },
+    /// It was sent, in part at least, and may have run.
+    #[error("no answer from {peer}: {cause}")]
+    Lost {
+        /// The peer.
+        peer: SocketAddr,
+        /// The cause.
+        cause: String,
+    },
+}
+
+/// A connection. Dropping it closes it at once, whatever is still open on it.
+#[derive(Debug)]
+pub struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+    /// The other end.
+    pub peer: SocketAddr,
+    usable_until: Instant,
+    /// When it was last used.
+    pub last_used: Instant,
+    /// Whether it has carried a request before.
+    pub is_reused: bool,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// The peer can't be reached.
+    pub async fn open(peer: SocketAddr) -> Result<Self, ConnectError> {
+        let stream = connect(peer).await?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, driver) = handshake.map_err(|error| ConnectError::Failed {
+            peer,
+            cause: std::io::Error::other(error),
+        })?;
+        // The driver ends with the connection; what ended it shows at the request that it carried.
+        let driver = tokio::task::spawn_local(async move {
+            let _ = driver.await;
+        });
+        let now = Instant::now();
+        Ok(Self {
+            sender,
+            driver: driver.abort_handle(),
+            peer,
+            usable_until: now + DEFAULT_IDLE,
+            last_used: now,
+            is_reused: false,
+        })
+    }
+
+    /// Whether it can carry a request now.
+    pub fn is_ready(&self, now: Instant) -> bool {
+        self.sender.is_ready() && now < self.usable_until
+    }
+
+    /// Whether it will never carry a request again.
+    pub fn is_over(&self, now: Instant) -> bool {
+        self.sender.is_closed() || now >= self.usable_until
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Says whether the request was sent.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendFailure> {
+        let peer = self.peer;
+        let sent = self.sender.try_send_request(request).await;
+        self.last_used = Instant::now();
+        sent.map_err(|mut error| {
+            let was_sent = error.take_message().is_none();
+            let cause = describe(error.error());
+            match was_sent {
+                true => SendFailure::Lost { peer, cause },
+                false => SendFailure::NotSent { peer, cause },
+            }
+        })
+    }
+
+    /// Takes in what an answer's head says of how long the peer keeps the connection.
+    pub fn note_keep_alive(&mut self, headers: &HeaderMap) {
+        let idle = match peer_idle_time(headers) {
+            Some(time) => time.saturating_sub(IDLE_MARGIN),
+            None => DEFAULT_IDLE,
+        };
+        self.is_reused = true;
+        self.last_used = Instant::now();
+        self.usable_until = self.last_used + idle;
+    }
+}
+
+/// An error of the HTTP library with its causes.
+pub fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text
+}
+
+/// The time of `Keep-Alive: timeout=SECONDS`.
+fn peer_idle_time(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = value.split(',').find_map(|part| {
+        let (name, number) = part.trim().split_once('=')?;
+        let is_timeout = name.eq_ignore_ascii_case("timeout");
+        is_timeout.then(|| number.trim().parse().ok())?
+    });
+    seconds.map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/gateway/src/upstream/connector.rs
@@ -0,0 +1,65 @@
+//! Opens connections.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+
+/// How long a connection may take to come up.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// How long sent bytes may stay unacknowledged before the peer counts as gone.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// How long a connection may be silent before its peer is probed.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+
+/// Time between two probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Probes without an answer after which the peer counts as gone.
+const PROBES: u32 = 2;
+
+/// Why a connection did not come up.
+#[derive(Debug, thiserror::Error)]
+pub enum ConnectError {
+    /// The peer refused it, or the network failed.
+    #[error("connecting to {peer}: {cause}")]
+    Failed {
+        /// The peer.
+        peer: SocketAddr,
+        /// The cause.
+        cause: io::Error,
+    },
+    /// The peer did not answer in time.
+    #[error("connecting to {peer}: no answer")]
+    Silent {
+        /// The peer.
+        peer: SocketAddr,
+    },
+}
+
+/// Connects to `peer`.
+pub async fn connect(peer: SocketAddr) -> Result<TcpStream, ConnectError> {
+    let failed = |cause| ConnectError::Failed { peer, cause };
+    let connecting = TcpStream::connect(peer);
+    let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+    let stream = connected
+        .map_err(|_| ConnectError::Silent { peer })?
+        .map_err(failed)?;
+    set_options(&SockRef::from(&stream)).map_err(failed)?;
+    Ok(stream)
+}
+
+/// Notices a peer that is gone without a word, and sends small messages at once.
+pub fn set_options(socket: &SockRef<'_>) -> io::Result<()> {
+    let keepalive = TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    socket.set_tcp_nodelay(true)
+}
--- /dev/null
+++ b/crates/gateway/src/upstream/pool.rs
@@ -0,0 +1,75 @@
+//! The connections to one peer.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use super::connection::Connection;
+use super::connector::ConnectError;
+
+/// Idle connections that are kept at the most.
+const MAX_IDLE: usize = 64;
+
+/// The connections to one peer, the most recently used one first.
+#[derive(Debug)]
+pub struct Pool {
+    peer: SocketAddr,
+    idle: RefCell<Vec<Connection>>,
+    opened: Cell<u64>,
+}
+
+impl Pool {
+    /// A pool without connections.
+    pub fn new(peer: SocketAddr) -> Rc<Self> {
+        Rc::new(Self {
+            peer,
+            idle: RefCell::new(Vec::new()),
+            opened: Cell::new(0),
+        })
+    }
+
+    /// The peer.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Connections opened so far.
+    pub fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+
+    /// A connection that is ready, if there is one.
+    pub fn take_idle(&self) -> Option<Connection> {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|connection| !connection.is_over(now));
+        let position = idle
+            .iter()
+            .rposition(|connection| connection.is_ready(now))?;
+        Some(idle.remove(position))
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// The peer can't be reached.
+    pub async fn open(&self) -> Result<Connection, ConnectError> {
+        self.opened.set(self.opened.get() + 1);
+        Connection::open(self.peer).await
+    }
+
+    /// Keeps a connection whose last answer has ended.
+    pub fn put(&self, connection: Connection) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < MAX_IDLE {
+            idle.push(connection);
+        }
+    }
+
+    /// Closes every idle connection.
+    pub fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+}
--- /dev/null
+++ b/crates/settings/src/gateway.rs
@@ -0,0 +1,187 @@
+//! The settings of the gateway, checked value by value like those of the daemon.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use toml::de::DeTable;
+
+use crate::document::{Document, Section};
+use crate::error::{LoadError, Problem, SettingError};
+use crate::flags::Overrides;
+use crate::model::LogSettings;
+use crate::values::{self, RawValue, Refusal};
+
+/// The longest time that a setting may name, in seconds.
+const LONGEST_SECONDS: f64 = 24.0 * 3600.0;
+/// What an address looks like.
+const ADDRESS_EXPECTED: &str = "an IP address with a port such as \"10.0.0.1:8080\"";
+
+/// Where a gateway listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GatewayListen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For those who ask whether it is ready.
+    pub health: SocketAddr,
+    /// For other gateways (UDP).
+    pub peers: SocketAddr,
+    /// For those who collect metrics.
+    pub metrics: Option<SocketAddr>,
+}
+
+/// Times that the operator has promised or asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GatewayTimes {
+    /// Keys are accepted while the configuration was current at most so long ago; none: for ever.
+    pub key_currency: Option<Duration>,
+    /// How soon a configuration must be in force.
+    pub configuration_lag: Duration,
+    /// How long open requests may take after the order to stop.
+    pub stop_grace: Duration,
+    /// How long two holders of the lease have to keep apart.
+    pub lease_term: Duration,
+    /// How soon no request may begin on older weights.
+    pub weights_deadline: Duration,
+}
+
+/// How often requests may be sent again.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct GatewayRetries {
+    /// Repeats for each request, over all gateways.
+    pub ratio: f64,
+    /// Repeats beyond that in each window, over all gateways.
+    pub slack: u32,
+    /// The window.
+    pub window: Duration,
+}
+
+/// All settings of a gateway.
+#[derive(Debug, Clone, PartialEq)]
+pub struct GatewaySettings {
+    /// Its unique name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where it listens.
+    pub listen: GatewayListen,
+    /// The address of the object store.
+    pub store: SocketAddr,
+    /// Times.
+    pub times: GatewayTimes,
+    /// Repeats.
+    pub retries: GatewayRetries,
+    /// Logs.
+    pub log: LogSettings,
+}
+
+/// Reads the settings file `path` of a gateway.
+///
+/// # Errors
+///
+/// The file can't be read, or holds faulty settings, all of which are listed.
+pub fn load_gateway(path: &Path) -> Result<GatewaySettings, LoadError> {
+    let text = fs::read_to_string(path).map_err(|cause| LoadError::Unreadable {
+        path: path.to_owned(),
+        cause,
+    })?;
+    check_gateway(&text).map_err(LoadError::Invalid)
+}
+
+/// Checks the text of a gateway's settings file.
+///
+/// # Errors
+///
+/// Every fault.
+pub fn check_gateway(text: &str) -> Result<GatewaySettings, Vec<SettingError>> {
+    let overrides = Overrides::none();
+    let document = Document::new(text, &overrides);
+    let (table, syntax_errors) = DeTable::parse_recoverable(text);
+    for error in &syntax_errors {
+        let origin = document.place(&error.span().unwrap_or_default());
+        let problem = Problem::Syntax(error.message().to_owned());
+        document.report(origin, "(file)", problem);
+    }
+    if !syntax_errors.is_empty() {
+        return Err(document.into_errors());
+    }
+    let settings = read_settings(Section::root(&document, table.get_ref()));
+    let errors = document.into_errors();
+    match settings {
+        Some(settings) if errors.is_empty() => Ok(settings),
+        _ => Err(errors),
+    }
+}
+
+/// Reads every section, so that all faults are found.
+fn read_settings(root: Section<'_>) -> Option<GatewaySettings> {
+    let name = root.required("name", "this gateway's unique name", values::name);
+    let zone = root.required("zone", "the name of this gateway's zone", values::name);
+    let store = root.required("store", ADDRESS_EXPECTED, values::address);
+    let listen = read_listen(root.section("listen"));
+    let times = read_times(root.section("times"));
+    let retries = read_retries(root.section("retries"));
+    let log = read_log(root.section("log"));
+    root.finish();
+    Some(GatewaySettings {
+        name: name?,
+        zone: zone?,
+        listen: listen?,
+        store: store?,
+        times,
+        retries,
+        log,
+    })
+}
+
+fn read_listen(section: Section<'_>) -> Option<GatewayListen> {
+    let callers = section.required("callers", ADDRESS_EXPECTED, values::address);
+    let health = section.required("health", ADDRESS_EXPECTED, values::address);
+    let peers = section.required("peers", ADDRESS_EXPECTED, values::address);
+    let metrics = section.optional("metrics", values::address);
+    section.finish();
+    Some(GatewayListen {
+        callers: callers?,
+        health: health?,
+        peers: peers?,
+        metrics,
+    })
+}
+
+fn read_times(section: Section<'_>) -> GatewayTimes {
+    let time = |key, default| section.or_default(key, Duration::from_secs_f64(default), seconds);
+    let times = GatewayTimes {
+        key_currency: section.optional("key_currency_seconds", seconds),
+        configuration_lag: time("configuration_lag_seconds", 2.0),
+        stop_grace: time("stop_grace_seconds", 8.0),
+        lease_term: time("lease_term_seconds", 3.0),
+        weights_deadline: time("weights_deadline_seconds", 8.0),
+    };
+    section.finish();
+    times
+}
+
+fn read_retries(section: Section<'_>) -> GatewayRetries {
+    let retries = GatewayRetries {
+        ratio: section.or_default("ratio", 0.2, |raw| values::number(raw, 0.0..=10.0)),
+        slack: section.or_default("slack", 20, |raw| {
+            values::integer(raw, 0..=1_000_000).map(|number| number as u32)
+        }),
+        window: section.or_default("window_seconds", Duration::from_secs(10), seconds),
+    };
+    section.finish();
+    retries
+}
+
+fn read_log(section: Section<'_>) -> LogSettings {
+    let level = section.or_default("level", "info".to_owned(), values::log_level);
+    let json = section.or_default("json", true, values::boolean);
+    section.finish();
+    LogSettings { level, json }
+}
+
+/// A time in seconds, fractions too.
+fn seconds(raw: RawValue<'_>) -> Result<Duration, Refusal> {
+    values::number(raw, 0.0..=LONGEST_SECONDS).map(Duration::from_secs_f64)
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,12 +7,16 @@
 mod document;
 mod error;
 mod flags;
+mod gateway;
 mod load;
 pub mod model;
 mod values;
 
 pub use error::{LoadError, Origin, Problem, SettingError};
 pub use flags::{InvalidAssignment, Overrides};
+pub use gateway::{
+    GatewayListen, GatewayRetries, GatewaySettings, GatewayTimes, check_gateway, load_gateway,
+};
 pub use load::{check, check_with, load};
 pub use model::{
     BootstrapEngine, BootstrapSettings, ClaimSettings, ListenSettings, LogSettings,
--- /dev/null
+++ b/crates/telemetry/src/events/gateway.rs
@@ -0,0 +1,37 @@
+//! Events of the gateway: numbers 6000 to 6999.
+
+crate::event_codes! {
+    GATEWAY_STARTED = 6000, Info, "The gateway listens; the fields give its addresses.";
+    GATEWAY_STOPPING = 6001, Info, "A planned stop has begun: the gateway is not ready any more and finishes open requests.";
+    GATEWAY_STOPPED = 6002, Info, "The gateway ends; the fields tell how many requests were still open.";
+    SETTINGS_RELOADED = 6003, Info, "The settings file was read again and is in force.";
+    SETTINGS_REJECTED = 6004, Error, "The settings file was read again and is faulty; the earlier settings stay in force.";
+    LOG_LINES_DROPPED = 6005, Warn, "Log lines were dropped since more came than may be written; the field counts them.";
+    REQUEST_SENT = 6100, Info, "A request was sent to a replica; the fields give the route, the configuration's version, the age of its proof, and why the replica was chosen.";
+    ATTEMPT_ENDED = 6101, Info, "A replica did not serve a request; the fields tell what its answer was taken for.";
+    REQUEST_ENDED = 6102, Info, "A request got its whole answer from a replica.";
+    REQUEST_REFUSED = 6103, Info, "A request got an answer of the gateway's own; the fields give the step, the peer, the reason and the time to come back.";
+    CALLER_LEFT = 6104, Info, "A caller closed its connection before its answer was whole; its replica's work is cancelled.";
+    STREAM_MOVED = 6105, Info, "A broken stream goes on at another replica after the last event that was passed on.";
+    STREAM_CUT = 6106, Warn, "A stream broke and can't go on; its caller's connection is closed without the end of the answer.";
+    BUDGET_SPENT = 6107, Warn, "A request was not sent again since the budget of its service is spent.";
+    CONFIGURATION_TAKEN = 6200, Info, "A newer configuration is in force.";
+    OBJECT_REJECTED = 6201, Error, "An object of the store can't be read; what was in force before it stays.";
+    STORE_LOST = 6202, Warn, "The store does not answer; the field tells which task noticed it.";
+    STORE_REGAINED = 6203, Info, "The store answers again.";
+    CURRENCY_LOST = 6204, Warn, "The configuration is not known to be current any more: requests that need a key are refused until it is.";
+    WEIGHTS_WANTED = 6205, Info, "The operator named new weights.";
+    REPLICA_SEEN = 6300, Info, "A replica is listed for the first time.";
+    REPLICA_CHANGED = 6301, Info, "The entry of a replica has changed.";
+    REPLICA_GONE = 6302, Info, "The entry of a replica is gone; it gets no new requests.";
+    REPLICA_SUSPECT = 6303, Warn, "A replica could not be reached or broke off; it gets no requests for the time given.";
+    REPLICA_WELL = 6304, Info, "A replica that was suspect has answered.";
+    LEASE_ACQUIRED = 6400, Info, "This daemon may give orders, under the token given.";
+    LEASE_NOT_ACQUIRED = 6401, Info, "Another daemon holds the lease, or the store did not say; it is tried again.";
+    LEASE_LOST = 6402, Warn, "This daemon may not give orders any more.";
+    ORDER_ANSWERED = 6403, Info, "A replica answered an order to load weights.";
+    ORDER_LOST = 6404, Warn, "An order has no answer; it may have been taken, or may be taken later.";
+    WEIGHTS_LOADED = 6405, Info, "A replica has new weights.";
+    ROLLOUT_COMPLETE = 6406, Info, "Every replica has the wanted weights.";
+    PEER_LOST = 6500, Warn, "Another daemon could not be told something; it learns it from the store.";
+}
--- a/crates/telemetry/src/events/mod.rs
+++ b/crates/telemetry/src/events/mod.rs
@@ -4,6 +4,7 @@
 //! `E<number> <name> <fields>`; `docs/EVENTS.md` lists every number once, which a test checks.
 
 pub mod control;
+pub mod gateway;
 pub mod operator;
 mod page;
 pub mod pipeline;
--- a/crates/telemetry/src/events/page.rs
+++ b/crates/telemetry/src/events/page.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 
-use super::{EventCode, control, operator, pipeline, process, sync};
+use super::{EventCode, control, gateway, operator, pipeline, process, sync};
 
 /// A subsystem with its range of numbers.
 #[derive(Debug, Clone, Copy)]
@@ -16,7 +16,7 @@
 }
 
 /// Every subsystem, by number.
-pub const SUBSYSTEMS: [Subsystem; 5] = [
+pub const SUBSYSTEMS: [Subsystem; 6] = [
     Subsystem {
         title: "Process",
         first_number: 1000,
@@ -42,6 +42,11 @@
         first_number: 5000,
         events: operator::ALL,
     },
+    Subsystem {
+        title: "Gateway",
+        first_number: 6000,
+        events: gateway::ALL,
+    },
 ];
 
 const HEADER: &str = "# Events
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -38,8 +38,25 @@
 ///
 /// The specification is faulty, a logger is already in place, or no thread could be started.
 pub fn start(level: &str, format: LogFormat) -> Result<LoggerHandle, LogSetupError> {
+    start_on(level, format, io::stderr())
+}
+
+/// Like [`start`], but on standard output.
+///
+/// # Errors
+///
+/// Those of [`start`].
+pub fn start_on_stdout(level: &str, format: LogFormat) -> Result<LoggerHandle, LogSetupError> {
+    start_on(level, format, io::stdout())
+}
+
+fn start_on(
+    level: &str,
+    format: LogFormat,
+    output: impl Write + Send + 'static,
+) -> Result<LoggerHandle, LogSetupError> {
     let specification = LogSpecification::parse(with_quiet_libraries(level))?;
-    let writer = QueuedWriter::start(format, io::stderr())?;
+    let writer = QueuedWriter::start(format, output)?;
     let handle = Logger::with(specification)
         .use_utc()
         .log_to_writer(Box::new(writer))
