--- a/crates/gateway/src/rollout/plan.rs
+++ b/crates/gateway/src/rollout/plan.rs
@@ -9,8 +9,8 @@
     pub id: String,
     /// Its zone.
     pub zone: String,
-    /// Whether it has older weights than wanted.
-    pub is_outdated: bool,
+    /// The version of its weights, where that is older than wanted.
+    pub outdated_version: Option<u64>,
     /// Whether it is loading, or was told to.
     pub is_loading: bool,
     /// Requests of this daemon that are open there.
@@ -28,22 +28,25 @@
     (replicas / REPLICAS_PER_LOAD).max(1)
 }
 
-/// The replicas that should be told to load now: those with the fewest open requests first, and no two of
-/// one zone before every zone has one.
+/// The replicas that should be told to load now: those with the oldest weights first, then no two of one
+/// zone before every zone has one, then those with the fewest open requests.
 pub fn next_loads(replicas: &[PlannedReplica]) -> Vec<String> {
     let loading = replicas.iter().filter(|replica| replica.is_loading);
     let mut zones: Vec<&str> = loading.map(|replica| replica.zone.as_str()).collect();
     let free = parallel_loads(replicas.len()).saturating_sub(zones.len());
     let mut waiting: Vec<&PlannedReplica> = replicas
         .iter()
-        .filter(|replica| replica.is_outdated && !replica.is_loading && replica.pause.is_zero())
+        .filter(|replica| replica.outdated_version.is_some() && !replica.is_loading && replica.pause.is_zero())
         .collect();
     let mut chosen = Vec::new();
     while chosen.len() < free && !waiting.is_empty() {
         let in_zone = |replica: &&PlannedReplica| {
             zones.iter().filter(|zone| **zone == replica.zone).count()
         };
-        waiting.sort_by_key(|replica| (in_zone(replica), replica.open_requests, replica.id.clone()));
+        waiting.sort_by_key(|replica| {
+            let version = replica.outdated_version;
+            (version, in_zone(replica), replica.open_requests, replica.id.clone())
+        });
         let next = waiting.remove(0);
         zones.push(&next.zone);
         chosen.push(next.id.clone());
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -190,7 +190,7 @@
     PlannedReplica {
         id: replica.id.clone(),
         zone: replica.entry().zone.clone(),
-        is_outdated: version.is_some_and(|version| version < wanted.version),
+        outdated_version: version.filter(|version| *version < wanted.version),
         is_loading: own.is_driven,
         open_requests: replica.open_requests(),
         pause: own
@@ -221,7 +221,7 @@
         let order = WeightsOrder {
             replica: replica.id.clone(),
             weights: wanted.clone(),
-            method: LoadMethod::Wait,
+            method: LoadMethod::Retain,
             holder: state.settings.name.clone(),
             token,
             expected_sequence: Some(replica.order_sequence()),
