--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod budget;
 pub mod configuration;
+pub mod connections;
 pub mod currency;
 pub mod metrics;
 pub mod pipeline;
--- a/crates/gateway/src/pipeline/account.rs
+++ b/crates/gateway/src/pipeline/account.rs
@@ -1,22 +1,22 @@
 //! Keeps the books of one request from its arrival to its end, however it ends.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
 use ntex::http::ConnectionType;
+use ntex::io::{Id, IoRef};
 use ntex::web::HttpResponse;
 
 use crate::configuration::Route;
-use crate::state::{GatewayState, SharedStatus};
+use crate::state::GatewayState;
 
 /// The books of one request. Where it is dropped before it was settled, the caller has left.
-#[derive(Debug)]
 pub struct Account {
-    status: Arc<SharedStatus>,
+    state: Rc<GatewayState>,
+    connection: Option<Id>,
     started: Instant,
     id: String,
     route: String,
@@ -25,11 +25,14 @@
 
 impl Account {
     /// Opens the books.
-    pub fn open(state: &Rc<GatewayState>, started: Instant) -> Self {
-        let status = Arc::clone(&state.status);
-        status.open_requests.fetch_add(1, Ordering::AcqRel);
+    pub fn open(state: &Rc<GatewayState>, connection: Option<&IoRef>, started: Instant) -> Self {
+        state.status.open_requests.fetch_add(1, Ordering::AcqRel);
+        if let Some(connection) = connection {
+            state.callers.request_began(connection);
+        }
         Self {
-            status,
+            state: Rc::clone(state),
+            connection: connection.map(IoRef::id),
             started,
             id: String::new(),
             route: String::new(),
@@ -64,7 +67,8 @@
 
     /// The head of a replica's answer has come.
     pub fn answered(&self) {
-        self.status
+        self.state
+            .status
             .metrics
             .time_to_answer
             .observe(self.started.elapsed());
@@ -74,8 +78,8 @@
     pub fn completed(&mut self, replica: &str, status: u16) {
         self.is_settled = true;
         let elapsed = self.started.elapsed();
-        self.status.metrics.answered.inc();
-        self.status.metrics.request_duration.observe(elapsed);
+        self.state.status.metrics.answered.inc();
+        self.state.status.metrics.request_duration.observe(elapsed);
         log_event!(
             gateway::REQUEST_ENDED,
             "request={} route={} replica={replica} status={status} elapsed={elapsed:?}",
@@ -87,13 +91,13 @@
     /// The gateway gives an answer of its own.
     pub fn refused(&mut self) {
         self.is_settled = true;
-        self.status.metrics.refused.inc();
+        self.state.status.metrics.refused.inc();
     }
 
     /// The answer was cut midway.
     pub fn cut(&mut self, reason: &str) {
         self.is_settled = true;
-        self.status.metrics.cut.inc();
+        self.state.status.metrics.cut.inc();
         log_event!(
             gateway::STREAM_CUT,
             "request={} route={} elapsed={:?} reason={reason:?}",
@@ -105,9 +109,10 @@
 
     /// The books, for the answer's stream to keep; what stays behind is settled.
     pub fn take(&mut self) -> Self {
-        self.status.open_requests.fetch_add(1, Ordering::AcqRel);
+        self.state.status.open_requests.fetch_add(1, Ordering::AcqRel);
         let taken = Self {
-            status: Arc::clone(&self.status),
+            state: Rc::clone(&self.state),
+            connection: self.connection.take(),
             started: self.started,
             id: self.id.clone(),
             route: self.route.clone(),
@@ -120,9 +125,12 @@
 
 impl Drop for Account {
     fn drop(&mut self) {
-        self.status.open_requests.fetch_sub(1, Ordering::AcqRel);
+        self.state.status.open_requests.fetch_sub(1, Ordering::AcqRel);
+        if let Some(connection) = self.connection {
+            self.state.callers.request_ended(connection);
+        }
         if !self.is_settled {
-            self.status.metrics.abandoned.inc();
+            self.state.status.metrics.abandoned.inc();
             log_event!(
                 gateway::CALLER_LEFT,
                 "request={} route={} elapsed={:?}",
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -39,8 +39,6 @@
     pub opened: Opened,
     /// The replica.
     pub choice: Choice,
-    /// Whether the replica says that it failed.
-    pub has_failed: bool,
 }
 
 impl Attempts {
@@ -122,11 +120,7 @@
                 if has_failed && self.tries_failed_again(&choice) {
                     return Ok(None);
                 }
-                Ok(Some(Attempt {
-                    opened,
-                    choice,
-                    has_failed,
-                }))
+                Ok(Some(Attempt { opened, choice }))
             }
             Verdict::NotRun => {
                 let status = opened.answer.status().as_u16();
--- a/crates/gateway/src/pipeline/collect.rs
+++ b/crates/gateway/src/pipeline/collect.rs
@@ -58,9 +58,7 @@
 ) -> Result<Whole, Refusal> {
     let mut attempts = Attempts::new(state, context);
     loop {
-        let Attempt {
-            mut opened, choice, ..
-        } = attempts.next(None).await?;
+        let Attempt { mut opened, choice } = attempts.next(None).await?;
         match opened.answer.collect(MAX_ANSWER_BYTES).await {
             Ok(body) => {
                 return Ok(Whole {
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -41,7 +41,7 @@
     payload: Payload,
 ) -> HttpResponse {
     let started = Instant::now();
-    let mut account = Account::open(&state, started);
+    let mut account = Account::open(&state, request.io(), started);
     let response = match serve(&state, &request, payload, &mut account).await {
         Ok(response) => response,
         Err(refusal) => refusal.into_response(&state, &mut account),
@@ -58,6 +58,7 @@
 ) -> Result<HttpResponse, Refusal> {
     let decoded = decode::decode(state, request)?;
     account.name(&decoded.id);
+    refusal::refuse_at_end_of_stop(state)?;
     let (configuration, route) = find_route::find_route(state, &decoded).await?;
     account.note_route(&route);
     let tenant = authenticate::authenticate(state, &route, decoded.meta.key.as_deref()).await?;
--- a/crates/gateway/src/pipeline/refusal.rs
+++ b/crates/gateway/src/pipeline/refusal.rs
@@ -46,6 +46,8 @@
     BrokenBody,
     /// No configuration is known, or it is not known to be current.
     NotInformed,
+    /// A planned stop is nearly over.
+    Stopping,
     /// The route has no replica that could serve.
     NoReplica,
     /// The replicas asked are full or leaving, and have not run it.
@@ -64,7 +66,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NotInformed | Self::NoReplica | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotInformed | Self::Stopping | Self::NoReplica | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -73,6 +75,7 @@
     /// When the caller should come back, where that can help.
     fn retry_after(self) -> Option<Duration> {
         match self {
+            Self::Stopping => Some(Duration::ZERO),
             Self::NotInformed => Some(Duration::from_millis(300)),
             Self::NoReplica => Some(Duration::from_millis(250)),
             Self::NotRun => Some(Duration::from_millis(120)),
@@ -81,6 +84,14 @@
     }
 }
 
+/// Filter: refuses requests that come when a planned stop is nearly over.
+pub fn refuse_at_end_of_stop(state: &GatewayState) -> Result<(), Refusal> {
+    match state.status.is_closed() {
+        true => Err(Refusal::new(Step::Decode, Reason::Stopping, "stopping")),
+        false => Ok(()),
+    }
+}
+
 /// An answer of the gateway's own.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Refusal {
@@ -105,14 +116,6 @@
         }
     }
 
-    /// The same, concerning `peer`.
-    pub fn at(self, peer: SocketAddr) -> Self {
-        Self {
-            peer: Some(peer),
-            ..self
-        }
-    }
-
     /// The answer; settles the account.
     pub fn into_response(self, state: &GatewayState, account: &mut Account) -> HttpResponse {
         let status = self.reason.status();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -224,6 +224,7 @@
             Arc::clone(&status),
         );
         store::spawn_all(&state);
+        ntex::rt::spawn(stop::close_idle_connections(Rc::clone(&state)));
         ntex::rt::spawn(rollout::run(Rc::clone(&state)));
         App::new()
             .state(state)
--- a/crates/gateway/src/server/stop.rs
+++ b/crates/gateway/src/server/stop.rs
@@ -1,9 +1,10 @@
 //! The wait of a planned stop.
 
+use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use crate::state::SharedStatus;
+use crate::state::{GatewayState, SharedStatus};
 
 /// How long new requests may still come: whoever sends callers here asks each second, and believes the
 /// second answer.
@@ -12,13 +13,17 @@
 /// How long there must be no open request before the end.
 const QUIET: Duration = Duration::from_millis(250);
 
+/// How often a serving gateway looks whether it is to close connections.
+const WATCH_INTERVAL: Duration = Duration::from_millis(250);
+
 /// How often open requests are counted.
 const POLL: Duration = Duration::from_millis(25);
 
 /// The share of the grace after which the gateway ends whatever is open.
 const GRACE_USED: f64 = 0.93;
 
-/// Waits until callers have turned away and no request is open, or the grace is nearly over.
+/// Waits until callers have turned away and no request is open, or the grace is nearly over. Once they had
+/// the time to turn away, new requests are refused, since they might not end in time.
 pub fn wait_for_callers(status: &SharedStatus, grace: Duration) {
     let began = Instant::now();
     let last = began + grace.mul_f64(GRACE_USED);
@@ -27,9 +32,24 @@
         if status.open_requests.load(Ordering::Acquire) > 0 {
             quiet_since = Instant::now();
         }
-        if began.elapsed() >= CALLERS_TURN_AWAY.min(grace / 2) && quiet_since.elapsed() >= QUIET {
-            return;
+        if began.elapsed() >= CALLERS_TURN_AWAY.min(grace / 2) {
+            status.is_closed.store(true, Ordering::Release);
+            if quiet_since.elapsed() >= QUIET {
+                return;
+            }
         }
         std::thread::sleep(POLL);
     }
 }
+
+/// Closes callers' connections that have no open request, once new requests are refused. Callers then use
+/// another gateway without having been refused.
+pub async fn close_idle_connections(state: Rc<GatewayState>) {
+    while !state.status.is_closed() {
+        tokio::time::sleep(WATCH_INTERVAL).await;
+    }
+    loop {
+        state.callers.close_idle();
+        tokio::time::sleep(POLL).await;
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,6 +15,7 @@
 
 use crate::budget::RetryBudgets;
 use crate::configuration::{Configuration, KvStore};
+use crate::connections::CallerConnections;
 use crate::currency::Currency;
 use crate::metrics::GatewayMetrics;
 use crate::protocol::Platform;
@@ -33,6 +34,8 @@
     pub is_informed: AtomicBool,
     /// Whether a planned stop has begun.
     pub is_stopping: AtomicBool,
+    /// Whether a planned stop has gone so far that new requests are refused.
+    pub is_closed: AtomicBool,
     /// Requests that are open.
     pub open_requests: AtomicU32,
     /// What is counted.
@@ -51,6 +54,11 @@
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::Acquire)
     }
+
+    /// Whether new requests are refused, since a planned stop is nearly over.
+    pub fn is_closed(&self) -> bool {
+        self.is_closed.load(Ordering::Acquire)
+    }
 }
 
 /// The weights that the operator wants for a model.
@@ -80,6 +88,8 @@
     pub weights: RefCell<HashMap<String, WantedWeights>>,
     /// How often requests may be sent again.
     pub budgets: RetryBudgets,
+    /// The callers' connections.
+    pub callers: CallerConnections,
     /// The connections to the store.
     pub store: Rc<Pool>,
     /// The lease under which orders are given.
@@ -116,6 +126,7 @@
             weights: RefCell::new(HashMap::new()),
             budgets,
             store,
+            callers: CallerConnections::default(),
             lease: RefCell::new(lease),
             rollout_wanted: Notify::new(),
             life,
