--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`upstream`]: connections to replicas and to the store.
 //! - [`store`]: calls to the object store and the tasks that follow it.
 //! - [`rollout`]: new weights, ordered by one daemon at a time.
+//! - [`weights`]: the weights that the operator wants, and since when.
 //! - [`server`]: sockets, readiness, start and stop.
 
 pub mod budget;
@@ -26,5 +27,6 @@
 pub mod state;
 pub mod store;
 pub mod upstream;
+pub mod weights;
 
 pub use server::{Gateway, RunningGateway};
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -100,14 +100,13 @@
     let Some(prompt) = context.prompt() else {
         return true;
     };
-    let Some(wanted) = state.wanted_weights(&prompt.model) else {
+    let Some(version) = replica.version_of(&prompt.model) else {
         return true;
     };
-    let is_wanted = replica
-        .version_of(&prompt.model)
-        .is_none_or(|version| version >= wanted.version);
+    let weights = state.weights.borrow();
+    let outdated_for = weights.outdated_for(&prompt.model, version, Instant::now());
     let deadline = state.settings.times.weights_deadline;
-    is_wanted || wanted.since.elapsed() + WEIGHTS_MARGIN < deadline
+    outdated_for.is_none_or(|age| age + WEIGHTS_MARGIN < deadline)
 }
 
 fn view(state: &GatewayState, replica: &Replica) -> Candidate {
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -21,7 +21,7 @@
     open_requests: Cell<u32>,
     pending_tokens: Cell<u64>,
     loading_since: Cell<Option<Instant>>,
-    order_sequence: Cell<u64>,
+    order_sequence: Cell<Option<u64>>,
 }
 
 impl Replica {
@@ -31,7 +31,7 @@
             id: entry.id.clone(),
             pool: Pool::new(entry.address),
             health: Health::default(),
-            order_sequence: Cell::new(0),
+            order_sequence: Cell::new(None),
             entry: RefCell::new(entry),
             open_requests: Cell::new(0),
             pending_tokens: Cell::new(0),
@@ -81,14 +81,20 @@
         }
     }
 
-    /// The number of orders that it is believed to have taken.
-    pub fn order_sequence(&self) -> u64 {
+    /// The number of orders that it is believed to have taken, where that is known.
+    pub fn order_sequence(&self) -> Option<u64> {
         self.order_sequence.get()
     }
 
     /// Takes in the number of orders that it has taken.
     pub fn set_order_sequence(&self, sequence: u64) {
-        self.order_sequence.set(sequence);
+        self.order_sequence.set(Some(sequence));
+    }
+
+    /// Takes in that it has taken one more order.
+    pub fn count_order(&self) {
+        let sequence = self.order_sequence.get().unwrap_or(0);
+        self.order_sequence.set(Some(sequence + 1));
     }
 
     /// Takes in whether it is loading weights.
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -12,7 +12,8 @@
 use super::lease::{LeaseAction, LeaseTimes};
 use super::plan::{PlannedReplica, next_loads};
 use crate::protocol::{
-    LoadMethod, ModelVersion, ObjectContent, ObjectKind, OrderAnswer, WeightsOrder, WriteAnswer,
+    LoadMethod, ModelVersion, ObjectContent, ObjectKind, OrderAnswer, ReplicaReport, WeightsOrder,
+    WriteAnswer,
 };
 use crate::replicas::Replica;
 use crate::state::GatewayState;
@@ -98,16 +99,18 @@
     for replica in state.registry.all() {
         let entry = replica.entry();
         for model in &entry.models {
-            let Some(wanted) = weights.get(&model.model) else {
+            let Some(wanted) = weights.newest(&model.model) else {
                 continue;
             };
             let is_known = found
                 .iter()
                 .any(|(service, known)| *service == entry.service && known.model == model.model);
-            if model.version < wanted.version && !entry.is_draining && !is_known {
-                let version = wanted.version;
-                let model = model.model.clone();
-                found.push((entry.service.clone(), ModelVersion { model, version }));
+            if model.version < wanted && !entry.is_draining && !is_known {
+                let weights = ModelVersion {
+                    model: model.model.clone(),
+                    version: wanted,
+                };
+                found.push((entry.service.clone(), weights));
             }
         }
     }
@@ -214,6 +217,9 @@
     replica: &Rc<Replica>,
     wanted: &ModelVersion,
 ) -> bool {
+    if replica.order_sequence().is_none() && !learn_state(state, replica).await {
+        return false;
+    }
     for _ in 0..MAX_LOST_ORDERS {
         let Some(token) = state.lease.borrow().token_at(state.now()) else {
             return false;
@@ -224,7 +230,7 @@
             method: LoadMethod::Retain,
             holder: state.settings.name.clone(),
             token,
-            expected_sequence: Some(replica.order_sequence()),
+            expected_sequence: replica.order_sequence(),
         };
         let call = state.platform.order(&order);
         let answer = upstream::call(&replica.pool, &call, ORDER_TIMEOUT).await;
@@ -232,7 +238,7 @@
         log_order(replica, &order, &answer);
         match answer {
             Ok(OrderAnswer::Accepted) => {
-                replica.set_order_sequence(replica.order_sequence() + 1);
+                replica.count_order();
                 return true;
             }
             Ok(OrderAnswer::Holds) => {
@@ -266,14 +272,27 @@
     let Some(report) = report(state, replica).await else {
         return false;
     };
-    replica.set_order_sequence(report.order_sequence);
-    replica.take_models(&report.models);
+    take_report(replica, &report);
     if report.is_busy {
         return wait_until_loaded(state, replica, wanted).await;
     }
     true
 }
 
+/// Learns how many orders a replica has taken; false where it does not say.
+async fn learn_state(state: &Rc<GatewayState>, replica: &Rc<Replica>) -> bool {
+    let Some(report) = report(state, replica).await else {
+        return false;
+    };
+    take_report(replica, &report);
+    true
+}
+
+fn take_report(replica: &Replica, report: &ReplicaReport) {
+    replica.set_order_sequence(report.order_sequence);
+    replica.take_models(&report.models);
+}
+
 /// Waits until the replica reports the weights.
 async fn wait_until_loaded(
     state: &Rc<GatewayState>,
@@ -315,7 +334,7 @@
 async fn report(
     state: &Rc<GatewayState>,
     replica: &Rc<Replica>,
-) -> Option<crate::protocol::ReplicaReport> {
+) -> Option<ReplicaReport> {
     let call = state.platform.report();
     let answer = upstream::call(&replica.pool, &call, REPORT_TIMEOUT).await;
     let (status, body) = answer.ok()?;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,6 +22,7 @@
 use crate::replicas::Registry;
 use crate::rollout::{OrderLease, lease_times};
 use crate::upstream::Pool;
+use crate::weights::WantedWeights;
 
 /// How old the proof of the configuration may be while callers are sent here: those with keys are served
 /// badly at a daemon that has not heard of the store for longer.
@@ -61,14 +62,6 @@
     }
 }
 
-/// The weights that the operator wants for a model.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct WantedWeights {
-    /// Their version.
-    pub version: u64,
-    /// When this daemon heard of them.
-    pub since: Instant,
-}
 
 /// The state of one gateway.
 pub struct GatewayState {
@@ -84,8 +77,8 @@
     pub currency: Currency,
     /// The replicas.
     pub registry: Registry,
-    /// The wanted weights, by model.
-    pub weights: RefCell<HashMap<String, WantedWeights>>,
+    /// The wanted weights.
+    pub weights: RefCell<WantedWeights>,
     /// How often requests may be sent again.
     pub budgets: RetryBudgets,
     /// The callers' connections.
@@ -123,7 +116,7 @@
             configuration: ArcSwapOption::empty(),
             currency: Currency::new(),
             registry: Registry::default(),
-            weights: RefCell::new(HashMap::new()),
+            weights: RefCell::default(),
             budgets,
             store,
             callers: CallerConnections::default(),
@@ -162,9 +155,4 @@
         stores.sort_by_key(|store| (store.zone != self.settings.zone, store.address));
         stores.first().map(|store| (*store).clone())
     }
-
-    /// The wanted weights of `model`.
-    pub fn wanted_weights(&self, model: &str) -> Option<WantedWeights> {
-        self.weights.borrow().get(model).copied()
-    }
 }
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -9,7 +9,7 @@
 use super::client::{StoreError, list_all, watch};
 use crate::protocol::{ModelVersion, ObjectContent, ObjectKind, ReplicaEntry, StoredObject};
 use crate::rollout::LEASE_NAME;
-use crate::state::{GatewayState, WantedWeights};
+use crate::state::GatewayState;
 
 /// How long one watch waits for a change.
 const WATCH_WAIT: Duration = Duration::from_secs(15);
@@ -17,6 +17,9 @@
 /// The pause after a call that failed.
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(200);
 
+/// How long a daemon that has just started may still use older weights.
+const FIRST_WEIGHTS_GRACE: Duration = Duration::from_millis(4500);
+
 /// Follows `kind` for ever. Whenever a watch ends otherwise than by an answer, the list is read anew,
 /// since changes may have been missed.
 pub async fn run(state: Rc<GatewayState>, kind: ObjectKind) {
@@ -137,25 +140,34 @@
     state.configuration.store(Some((*configuration).into()));
 }
 
+/// Takes in wanted weights. What the first list after a start names may be wanted for any time: it counts
+/// as old, but for the time in which a daemon that has just started is not yet held to it.
 fn take_weights(state: &GatewayState, weights: &ModelVersion) {
-    let mut wanted = state.weights.borrow_mut();
-    let known = wanted.get(&weights.model).map(|known| known.version);
-    if known.is_some_and(|known| known >= weights.version) {
+    let is_first = state.weights.borrow().newest(&weights.model).is_none();
+    let age = match is_first {
+        true => state
+            .settings
+            .times
+            .weights_deadline
+            .saturating_sub(FIRST_WEIGHTS_GRACE),
+        false => Duration::ZERO,
+    };
+    name_weights(state, weights, age);
+}
+
+/// Takes in weights that have been wanted for `age`.
+pub fn name_weights(state: &GatewayState, weights: &ModelVersion, age: Duration) {
+    let now = Instant::now();
+    let since = now.checked_sub(age).unwrap_or(now);
+    if !state.weights.borrow_mut().name(weights, since) {
         return;
     }
     log_event!(
         gateway::WEIGHTS_WANTED,
-        "model={} version={} before={known:?}",
+        "model={} version={} age={age:?}",
         weights.model,
         weights.version
     );
-    wanted.insert(
-        weights.model.clone(),
-        WantedWeights {
-            version: weights.version,
-            since: Instant::now(),
-        },
-    );
     state.rollout_wanted.notify_one();
 }
 
--- /dev/null
+++ b/crates/gateway/src/weights.rs
@@ -0,0 +1,71 @@
+//! The weights that the operator wants, and since when.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use crate::protocol::ModelVersion;
+
+/// Versions of one model whose age is remembered; older ones count as wanted since the oldest of these.
+const REMEMBERED_VERSIONS: usize = 16;
+
+/// A version that is or was wanted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Named {
+    version: u64,
+    since: Instant,
+}
+
+/// The wanted weights of all models.
+///
+/// Each version counts from the time it was named: where one is followed by the next before it is
+/// everywhere, replicas with still older weights are out of use by the time of the first.
+#[derive(Debug, Default)]
+pub struct WantedWeights {
+    by_model: HashMap<String, Vec<Named>>,
+}
+
+impl WantedWeights {
+    /// Takes in that `weights` are wanted since `since`; true where they are the newest.
+    pub fn name(&mut self, weights: &ModelVersion, since: Instant) -> bool {
+        let named = self.by_model.entry(weights.model.clone()).or_default();
+        if named.last().is_some_and(|last| last.version >= weights.version) {
+            return false;
+        }
+        named.push(Named {
+            version: weights.version,
+            since,
+        });
+        if named.len() > REMEMBERED_VERSIONS {
+            // The second oldest is taken for older than it is, which is the safe side.
+            let oldest = named.remove(0);
+            named[0].since = oldest.since;
+        }
+        true
+    }
+
+    /// The newest version of a model's weights.
+    pub fn newest(&self, model: &str) -> Option<u64> {
+        let named = self.by_model.get(model)?;
+        named.last().map(|last| last.version)
+    }
+
+    /// For how long a version newer than `version` has been wanted.
+    pub fn outdated_for(&self, model: &str, version: u64, now: Instant) -> Option<Duration> {
+        let named = self.by_model.get(model)?;
+        let newer = named.iter().find(|named| named.version > version)?;
+        Some(now.saturating_duration_since(newer.since))
+    }
+
+    /// The newest version of every model, with its age.
+    pub fn all(&self, now: Instant) -> Vec<(ModelVersion, Duration)> {
+        let newest = |(model, named): (&String, &Vec<Named>)| {
+            let last = named.last()?;
+            let weights = ModelVersion {
+                model: model.clone(),
+                version: last.version,
+            };
+            Some((weights, now.saturating_duration_since(last.since)))
+        };
+        self.by_model.iter().filter_map(newest).collect()
+    }
+}
