--- a/crates/gateway/src/currency.rs
+++ b/crates/gateway/src/currency.rs
@@ -45,12 +45,17 @@
         self.wanted.notified().await;
     }
 
+    /// Asks for a proof.
+    pub fn want(&self) {
+        self.wanted.notify_one();
+    }
+
     /// Asks for a proof that is not older than `age`, and waits for it up to `patience`.
     pub async fn confirm(&self, age: Duration, patience: Duration) -> bool {
         let confirmed = async {
             while !self.is_within(age) {
                 let proved = self.proved.notified();
-                self.wanted.notify_one();
+                self.want();
                 proved.await;
             }
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`configuration`]: routes, services and tenants in force.
 //! - [`protocol`]: what a platform's adapter has to supply.
 //! - [`pipeline`]: the path of a request, one file per filter, the list in one place.
+//! - [`peers`]: what daemons tell each other.
 //! - [`replicas`]: what is believed of each replica, and the choice of one.
 //! - [`upstream`]: connections to replicas and to the store.
 //! - [`store`]: calls to the object store and the tasks that follow it.
@@ -19,6 +20,7 @@
 pub mod connections;
 pub mod currency;
 pub mod metrics;
+pub mod peers;
 pub mod pipeline;
 pub mod protocol;
 pub mod replicas;
--- /dev/null
+++ b/crates/gateway/src/peers/change_log.rs
@@ -0,0 +1,145 @@
+//! Replicas and daemons in the order in which they changed.
+//!
+//! Each item stands once, at its last change, so the log is never longer than what it describes and the
+//! tombstones of what is gone, of which only the newest are kept. Whoever has the changes up to some
+//! number gets those after it; whoever has another log, or has missed tombstones, gets everything.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::message::{Change, Item, ItemKey};
+
+/// Tombstones that are kept.
+const MAX_TOMBSTONES: usize = 256;
+
+/// The changes of one life of a daemon.
+#[derive(Debug)]
+pub struct ChangeLog {
+    id: u64,
+    sequence: u64,
+    changes: BTreeMap<u64, Change>,
+    sequence_by_key: HashMap<ItemKey, u64>,
+    tombstones: BTreeMap<u64, ItemKey>,
+    forgotten: u64,
+}
+
+/// A part of a log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogPage {
+    /// The changes.
+    pub changes: Vec<Change>,
+    /// The last change that they go up to.
+    pub sequence: u64,
+    /// Whether they begin at the beginning.
+    pub is_from_start: bool,
+    /// Whether more follow.
+    pub has_more: bool,
+}
+
+impl ChangeLog {
+    /// An empty log; `id` differs from that of every other log.
+    pub fn new(id: u64) -> Self {
+        Self {
+            id,
+            sequence: 0,
+            changes: BTreeMap::new(),
+            sequence_by_key: HashMap::new(),
+            tombstones: BTreeMap::new(),
+            forgotten: 0,
+        }
+    }
+
+    /// The log's id.
+    pub fn id(&self) -> u64 {
+        self.id
+    }
+
+    /// The number of the last change.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// The item with this key.
+    pub fn get(&self, key: &ItemKey) -> Option<&Item> {
+        match self.changes.get(self.sequence_by_key.get(key)?) {
+            Some(Change::Put(item)) => Some(item),
+            _ => None,
+        }
+    }
+
+    /// Every item.
+    pub fn items(&self) -> impl Iterator<Item = &Item> {
+        self.changes.values().filter_map(|change| match change {
+            Change::Put(item) => Some(item),
+            Change::Gone(_) => None,
+        })
+    }
+
+    /// Takes in an item; true where it is new or has changed.
+    pub fn put(&mut self, item: Item) -> bool {
+        let key = item.key();
+        if self.get(&key) == Some(&item) {
+            return false;
+        }
+        self.record(key, Change::Put(item));
+        true
+    }
+
+    /// Takes in that an item is gone; true where it was there.
+    pub fn remove(&mut self, key: &ItemKey) -> bool {
+        if self.get(key).is_none() {
+            return false;
+        }
+        self.record(key.clone(), Change::Gone(key.clone()));
+        self.tombstones.insert(self.sequence, key.clone());
+        while self.tombstones.len() > MAX_TOMBSTONES {
+            self.forget_oldest_tombstone();
+        }
+        true
+    }
+
+    /// The changes of this log after `sequence`, as many as `fits` allows. It is asked with the page so
+    /// far and the next change, and says whether that still fits.
+    pub fn page(
+        &self,
+        log: u64,
+        sequence: u64,
+        fits: impl Fn(&[Change], &Change) -> bool,
+    ) -> LogPage {
+        let knows_enough = log == self.id && sequence >= self.forgotten && sequence <= self.sequence;
+        let after = if knows_enough { sequence } else { 0 };
+        let mut page = LogPage {
+            changes: Vec::new(),
+            sequence: after,
+            is_from_start: after == 0,
+            has_more: false,
+        };
+        for (number, change) in self.changes.range(after + 1..) {
+            if !page.changes.is_empty() && !fits(&page.changes, change) {
+                page.has_more = true;
+                return page;
+            }
+            page.changes.push(change.clone());
+            page.sequence = *number;
+        }
+        page.sequence = self.sequence;
+        page
+    }
+
+    fn record(&mut self, key: ItemKey, change: Change) {
+        if let Some(earlier) = self.sequence_by_key.remove(&key) {
+            self.changes.remove(&earlier);
+            self.tombstones.remove(&earlier);
+        }
+        self.sequence += 1;
+        self.sequence_by_key.insert(key, self.sequence);
+        self.changes.insert(self.sequence, change);
+    }
+
+    fn forget_oldest_tombstone(&mut self) {
+        if let Some((sequence, key)) = self.tombstones.pop_first() {
+            self.changes.remove(&sequence);
+            self.sequence_by_key.remove(&key);
+            self.forgotten = sequence;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/convert.rs
@@ -0,0 +1,55 @@
+//! Entries of the store as daemons tell them to each other, and back.
+
+use std::time::Duration;
+
+use super::message::{WireDaemon, WireReplica};
+use crate::protocol::{DaemonRecord, ModelVersion, ReplicaEntry};
+
+impl From<&ReplicaEntry> for WireReplica {
+    fn from(entry: &ReplicaEntry) -> Self {
+        let models = entry.models.iter();
+        Self {
+            id: entry.id.clone(),
+            service: entry.service.clone(),
+            address: entry.address.to_string(),
+            zone: entry.zone.clone(),
+            slots: entry.slots,
+            is_draining: entry.is_draining,
+            models: models
+                .map(|model| (model.model.clone(), model.version))
+                .collect(),
+        }
+    }
+}
+
+impl WireReplica {
+    /// The entry; nothing where the address can't be read.
+    pub fn to_entry(&self) -> Option<ReplicaEntry> {
+        let models = self.models.iter();
+        Some(ReplicaEntry {
+            id: self.id.clone(),
+            service: self.service.clone(),
+            address: self.address.parse().ok()?,
+            zone: self.zone.clone(),
+            slots: self.slots,
+            is_draining: self.is_draining,
+            cold_remaining: Duration::ZERO,
+            models: models
+                .map(|(model, version)| ModelVersion {
+                    model: model.clone(),
+                    version: *version,
+                })
+                .collect(),
+        })
+    }
+}
+
+impl From<&DaemonRecord> for WireDaemon {
+    fn from(record: &DaemonRecord) -> Self {
+        Self {
+            name: record.name.clone(),
+            peers: record.peers.to_string(),
+            zone: record.zone.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/message.rs
@@ -0,0 +1,180 @@
+//! The datagrams between daemons, in musli's `wire` encoding, which bears added fields.
+
+use musli::{Decode, Encode};
+
+/// The largest datagram that is sent, in bytes.
+pub const MAX_DATAGRAM_BYTES: usize = 1200;
+
+/// The largest datagram that is read, in bytes.
+pub const RECEIVE_BYTES: usize = 2048;
+
+/// A datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub enum Message {
+    /// Asks what is in force and what has changed.
+    Ask(Ask),
+    /// Answers that.
+    Tell(Tell),
+    /// There is something new: ask.
+    Nudge,
+    /// Tells how a replica's loading of weights goes.
+    Loading(Loading),
+}
+
+/// A question.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct Ask {
+    /// Returned in the answer.
+    pub nonce: u64,
+    /// The log of which the sender has the changes up to [`Ask::sequence`].
+    pub log: u64,
+    /// The last change that it has.
+    pub sequence: u64,
+}
+
+/// An answer.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct Tell {
+    /// The nonce of the question.
+    pub nonce: u64,
+    /// How old the proof is that [`Tell::configuration`] was the newest, in milliseconds.
+    pub proof_age_ms: Option<u64>,
+    /// The version of the configuration in force.
+    pub configuration: u64,
+    /// The wanted weights.
+    pub weights: Vec<WireWeights>,
+    /// The lease for orders.
+    pub lease: Option<WireLease>,
+    /// The log that the changes are of.
+    pub log: u64,
+    /// The last change that these go up to.
+    pub sequence: u64,
+    /// Whether the changes are all that there is, so that what is not among them is gone.
+    pub is_from_start: bool,
+    /// Whether more follow.
+    pub has_more: bool,
+    /// Changes, in order.
+    pub changes: Vec<Change>,
+}
+
+/// Wanted weights.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct WireWeights {
+    /// The model.
+    pub model: String,
+    /// The version.
+    pub version: u64,
+    /// For how long they have been wanted, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// The lease for orders.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct WireLease {
+    /// The revision of its object.
+    pub revision: u64,
+    /// The holder; empty where it was given back.
+    pub holder: String,
+    /// The life of the holder.
+    pub life: u64,
+    /// The fencing token.
+    pub token: u64,
+    /// The number of renewals.
+    pub renewal: u64,
+}
+
+/// One change.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub enum Change {
+    /// An item is there, or has changed.
+    Put(Item),
+    /// An item is gone.
+    Gone(ItemKey),
+}
+
+/// What an item is called.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Encode, Decode)]
+pub enum ItemKey {
+    /// A replica, by id.
+    Replica(String),
+    /// A daemon, by name.
+    Daemon(String),
+}
+
+/// What daemons keep of replicas and of each other.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub enum Item {
+    /// A replica.
+    Replica(WireReplica),
+    /// A daemon.
+    Daemon(WireDaemon),
+}
+
+impl Item {
+    /// Its key.
+    pub fn key(&self) -> ItemKey {
+        match self {
+            Self::Replica(replica) => ItemKey::Replica(replica.id.clone()),
+            Self::Daemon(daemon) => ItemKey::Daemon(daemon.name.clone()),
+        }
+    }
+}
+
+/// A replica.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct WireReplica {
+    /// Its id.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// Its address.
+    pub address: String,
+    /// Its zone.
+    pub zone: String,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub is_draining: bool,
+    /// Its weights: models with their versions.
+    pub models: Vec<(String, u64)>,
+}
+
+/// A daemon.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct WireDaemon {
+    /// Its name.
+    pub name: String,
+    /// Its address for other daemons.
+    pub peers: String,
+    /// Its zone.
+    pub zone: String,
+}
+
+/// How a replica's loading of weights goes.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct Loading {
+    /// The replica's id.
+    pub replica: String,
+    /// The model.
+    pub model: String,
+    /// The version.
+    pub version: u64,
+    /// Whether it has the weights by now; else it has begun to load them.
+    pub is_done: bool,
+    /// Whether the load has failed.
+    pub has_failed: bool,
+    /// Whether the receiver passes it on to its group.
+    pub pass_on: bool,
+}
+
+impl Message {
+    /// The datagram's bytes; nothing where it can't be encoded.
+    pub fn encode(&self) -> Option<Vec<u8>> {
+        musli::wire::to_vec(self).ok()
+    }
+
+    /// Reads a datagram; nothing where it does not decode.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        musli::wire::decode(bytes).ok()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/mod.rs
@@ -0,0 +1,23 @@
+//! What daemons tell each other, so that few of them read the store.
+//!
+//! In each group of daemons the one of the lowest rank reads the store: it is the group's *reader*. The
+//! others ask it twice a second what is in force, how old its proof of that is, and what has changed. A
+//! daemon whose source is silent or knows nothing recent asks the next in rank, and reads the store itself
+//! once no other is left before it. So nobody is elected, and a daemon that the store refuses is served by
+//! the others.
+//!
+//! A proof passed on is counted from the moment at which the question was *sent*: a datagram that lay in
+//! a queue, or a process that was frozen, can only make it look older than it is.
+//!
+//! - [`message`]: the datagrams.
+//! - [`change_log`]: replicas and daemons in the order in which they changed, so that only news are sent.
+//! - [`source`]: whom to ask.
+//! - [`task`]: does it.
+
+pub mod change_log;
+mod convert;
+pub mod message;
+pub mod source;
+mod task;
+
+pub use task::{Peers, run};
--- a/crates/gateway/src/pipeline/find_route.rs
+++ b/crates/gateway/src/pipeline/find_route.rs
@@ -33,7 +33,8 @@
         .currency
         .confirm(DENIAL_CURRENCY, DENIAL_PATIENCE)
         .await;
-    look_up().ok_or_else(|| match is_confirmed {
+    let is_known = state.configuration.load().is_some();
+    look_up().ok_or_else(|| match is_confirmed && is_known {
         true => Refusal::new(Step::Route, Reason::NoRoute, decoded.host.as_str()),
         false => Refusal::new(Step::Route, Reason::NotInformed, "no current configuration"),
     })
--- a/crates/gateway/src/replicas/registry.rs
+++ b/crates/gateway/src/replicas/registry.rs
@@ -1,7 +1,7 @@
 //! All replicas that the store lists.
 
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 
 use driftspring_telemetry::events::gateway;
@@ -44,29 +44,29 @@
         self.by_id.borrow().is_empty()
     }
 
-    /// Takes in the whole list: what is not in it is gone.
-    pub fn replace_all(&self, entries: Vec<ReplicaEntry>) {
-        let listed: HashSet<String> = entries.iter().map(|entry| entry.id.clone()).collect();
-        let known: Vec<String> = self.by_id.borrow().keys().cloned().collect();
-        for id in known.iter().filter(|id| !listed.contains(*id)) {
-            self.remove_one(id);
-        }
-        for entry in entries {
-            self.put_one(entry);
-        }
-        self.index();
-    }
-
-    /// Takes in one entry.
+    /// Takes in one entry; it counts from [`Registry::index`] on.
     pub fn put(&self, entry: ReplicaEntry) {
         self.put_one(entry);
-        self.index();
     }
 
-    /// Takes in that an entry is gone.
+    /// Takes in that an entry is gone; it counts from [`Registry::index`] on.
     pub fn remove(&self, id: &str) {
         self.remove_one(id);
-        self.index();
+    }
+
+    /// Puts what was taken in into force.
+    pub fn index(&self) {
+        let mut by_service: HashMap<String, Vec<Rc<Replica>>> = HashMap::new();
+        for replica in self.by_id.borrow().values() {
+            let service = replica.entry().service.clone();
+            let of_service = by_service.entry(service).or_default();
+            of_service.push(Rc::clone(replica));
+        }
+        let shared = by_service.into_iter().map(|(service, mut replicas)| {
+            replicas.sort_by(|one, other| one.id.cmp(&other.id));
+            (service, Rc::new(replicas))
+        });
+        *self.by_service.borrow_mut() = shared.collect();
     }
 
     fn put_one(&self, entry: ReplicaEntry) {
@@ -99,20 +99,6 @@
             log_event!(gateway::REPLICA_GONE, "replica={id}");
         }
     }
-
-    fn index(&self) {
-        let mut by_service: HashMap<String, Vec<Rc<Replica>>> = HashMap::new();
-        for replica in self.by_id.borrow().values() {
-            let service = replica.entry().service.clone();
-            let of_service = by_service.entry(service).or_default();
-            of_service.push(Rc::clone(replica));
-        }
-        let shared = by_service.into_iter().map(|(service, mut replicas)| {
-            replicas.sort_by(|one, other| one.id.cmp(&other.id));
-            (service, Rc::new(replicas))
-        });
-        *self.by_service.borrow_mut() = shared.collect();
-    }
 }
 
 /// Logs a change that matters for the choice; the count of orders alone does not.
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -2,12 +2,15 @@
 
 use std::cell::{Cell, Ref, RefCell};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::health::Health;
 use crate::protocol::{ModelVersion, ReplicaEntry};
 use crate::upstream::Pool;
 
+/// How long a replica is believed to load weights where nobody tells that it has ended.
+const LONGEST_LOAD: Duration = Duration::from_secs(4);
+
 /// One life of a replica.
 #[derive(Debug)]
 pub struct Replica {
@@ -102,9 +105,10 @@
         self.loading_since.set(since);
     }
 
-    /// Since when it is loading weights.
+    /// Since when it is loading weights; what has taken too long is believed to be over.
     pub fn loading_since(&self) -> Option<Instant> {
-        self.loading_since.get()
+        let since = self.loading_since.get()?;
+        (since.elapsed() < LONGEST_LOAD).then_some(since)
     }
 
     /// Requests of this daemon that are open there.
--- a/crates/gateway/src/rollout/lease.rs
+++ b/crates/gateway/src/rollout/lease.rs
@@ -109,6 +109,12 @@
         });
     }
 
+    /// The object as last seen, with its revision.
+    pub fn seen(&self) -> Option<(u64, &LeaseRecord)> {
+        let seen = self.seen.as_ref()?;
+        Some((seen.revision, &seen.record))
+    }
+
     /// The token under which an order may be given at `now`.
     pub fn token_at(&self, now: Duration) -> Option<u64> {
         let is_valid = self.valid_until.is_some_and(|until| now < until);
@@ -127,6 +133,20 @@
         self.wanted_since = None;
     }
 
+    /// The record that gives the lease back, with the revision that the object must have; nothing where this
+    /// daemon does not hold it. It must give no order from now on.
+    pub fn give_back(&mut self) -> Option<(LeaseRecord, u64)> {
+        self.valid_until = None;
+        let seen = self.seen.as_ref().filter(|seen| self.is_own(&seen.record))?;
+        let record = LeaseRecord {
+            holder: String::new(),
+            life: 0,
+            token: seen.record.token,
+            renewal: seen.record.renewal + 1,
+        };
+        Some((record, seen.revision))
+    }
+
     /// What to do at `now` in order to give orders; `jitter` sets daemons apart that begin together.
     pub fn next(&mut self, now: Duration, jitter: Duration) -> LeaseAction {
         let wanted_since = *self.wanted_since.get_or_insert(now);
@@ -147,8 +167,12 @@
         if self.is_own(&seen.record) {
             return self.write(Some(seen.clone()), self.is_fenced);
         }
-        let free_at = seen.first_seen + self.times.term + self.times.distance;
-        let polite_at = wanted_since + self.times.deference + jitter;
+        let (term, deference) = match seen.record.holder.is_empty() {
+            true => (Duration::ZERO, Duration::ZERO),
+            false => (self.times.term, self.times.deference),
+        };
+        let free_at = seen.first_seen + term + self.times.distance;
+        let polite_at = wanted_since + deference + jitter;
         let seen = seen.clone();
         self.after_wait(free_at.max(polite_at), now, Some(seen))
     }
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -11,6 +11,7 @@
 
 use super::lease::{LeaseAction, LeaseTimes};
 use super::plan::{PlannedReplica, next_loads};
+use crate::peers::message::Loading;
 use crate::protocol::{
     LoadMethod, ModelVersion, ObjectContent, ObjectKind, OrderAnswer, ReplicaReport, WeightsOrder,
     WriteAnswer,
@@ -78,6 +79,9 @@
             () = tokio::time::sleep(LOOK_INTERVAL) => {}
             () = state.rollout_wanted.notified() => {}
         }
+        if state.status.is_stopping() {
+            return give_back(&state).await;
+        }
         let outdated = outdated_by_model(&state);
         if outdated.is_empty() {
             state.lease.borrow_mut().rest();
@@ -92,6 +96,23 @@
     }
 }
 
+/// Gives the lease back before a planned stop, so that another daemon need not wait for its end.
+async fn give_back(state: &Rc<GatewayState>) {
+    let given_back = state.lease.borrow_mut().give_back();
+    if let Some((record, revision)) = given_back {
+        let content = ObjectContent::Lease(record);
+        let answer = store::write(
+            state,
+            ObjectKind::Leases,
+            LEASE_NAME,
+            &content,
+            Some(revision),
+        )
+        .await;
+        log_event!(gateway::LEASE_LOST, "lease={LEASE_NAME} given_back={answer:?}");
+    }
+}
+
 /// Services with outdated replicas, and the weights that these should have.
 fn outdated_by_model(state: &GatewayState) -> Vec<(String, ModelVersion)> {
     let mut found: Vec<(String, ModelVersion)> = Vec::new();
@@ -205,12 +226,32 @@
 /// Orders one replica to load and waits until it has the weights; false where it failed.
 async fn drive(state: &Rc<GatewayState>, replica: &Rc<Replica>, wanted: ModelVersion) -> bool {
     replica.set_loading(Some(Instant::now()));
+    tell(state, replica, &wanted, false, false);
     let is_done = order_until_taken(state, replica, &wanted).await
         && wait_until_loaded(state, replica, &wanted).await;
     replica.set_loading(None);
+    tell(state, replica, &wanted, is_done, !is_done);
     is_done
 }
 
+/// Tells the other daemons, so that they send no requests to a replica that is loading.
+fn tell(
+    state: &GatewayState,
+    replica: &Replica,
+    wanted: &ModelVersion,
+    is_done: bool,
+    has_failed: bool,
+) {
+    state.peers.tell_loading(Loading {
+        replica: replica.id.clone(),
+        model: wanted.model.clone(),
+        version: wanted.version,
+        is_done,
+        has_failed,
+        pass_on: false,
+    });
+}
+
 /// Gives the order until the replica has taken it.
 async fn order_until_taken(
     state: &Rc<GatewayState>,
@@ -224,6 +265,9 @@
         let Some(token) = state.lease.borrow().token_at(state.now()) else {
             return false;
         };
+        if state.status.is_stopping() {
+            return false;
+        }
         let order = WeightsOrder {
             replica: replica.id.clone(),
             weights: wanted.clone(),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -6,7 +6,7 @@
 mod listeners;
 mod stop;
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -26,6 +26,7 @@
 use ntex::web::{self, App, HttpResponse, HttpServer};
 use tokio::sync::oneshot;
 
+use crate::peers;
 use crate::pipeline;
 use crate::protocol::Platform;
 use crate::rollout;
@@ -195,7 +196,7 @@
     ) -> anyhow::Result<Self> {
         let metrics = listeners.metrics.map(|listener| serve_metrics(status, listener));
         Ok(Self {
-            callers: serve_callers(settings, platform, status, listeners.callers)?,
+            callers: serve_callers(settings, platform, status, listeners.callers, listeners.peers)?,
             health: serve_health(status, listeners.health)?,
             metrics: metrics.transpose()?,
         })
@@ -213,10 +214,12 @@
     platform: &Arc<dyn Platform>,
     status: &Arc<SharedStatus>,
     listener: TcpListener,
+    peers_socket: UdpSocket,
 ) -> anyhow::Result<Server> {
     let settings = settings.clone();
     let platform = Arc::clone(platform);
     let status = Arc::clone(status);
+    let peers_socket = Arc::new(peers_socket);
     let server = HttpServer::new(async move || {
         let state = GatewayState::new(
             settings.clone(),
@@ -224,6 +227,9 @@
             Arc::clone(&status),
         );
         store::spawn_all(&state);
+        if let Ok(socket) = peers_socket.try_clone() {
+            ntex::rt::spawn(peers::run(Rc::clone(&state), socket));
+        }
         ntex::rt::spawn(stop::close_idle_connections(Rc::clone(&state)));
         ntex::rt::spawn(rollout::run(Rc::clone(&state)));
         App::new()
--- a/crates/gateway/src/server/listeners.rs
+++ b/crates/gateway/src/server/listeners.rs
@@ -1,6 +1,6 @@
 //! The sockets of a gateway, bound before anything else starts.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 
 use anyhow::Context;
 use driftspring_settings::GatewayListen;
@@ -20,6 +20,8 @@
     pub health: TcpListener,
     /// For those who collect metrics.
     pub metrics: Option<TcpListener>,
+    /// For other daemons.
+    pub peers: UdpSocket,
 }
 
 impl Listeners {
@@ -33,6 +35,7 @@
             callers,
             health: bind(listen.health, "health")?,
             metrics: metrics.transpose()?,
+            peers: bind_udp(listen.peers)?,
         })
     }
 
@@ -42,6 +45,13 @@
     }
 }
 
+fn bind_udp(address: SocketAddr) -> anyhow::Result<UdpSocket> {
+    let socket = UdpSocket::bind(address)
+        .with_context(|| format!("binding UDP {address} for other daemons"))?;
+    socket.set_nonblocking(true)?;
+    Ok(socket)
+}
+
 fn bind(address: SocketAddr, purpose: &str) -> anyhow::Result<TcpListener> {
     create_tcp_listener(address, BACKLOG)
         .with_context(|| format!("binding TCP {address} for {purpose}"))
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,6 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -18,6 +19,8 @@
 use crate::connections::CallerConnections;
 use crate::currency::Currency;
 use crate::metrics::GatewayMetrics;
+use crate::peers::Peers;
+use crate::peers::message::{Change, Item, ItemKey, WireDaemon};
 use crate::protocol::Platform;
 use crate::replicas::Registry;
 use crate::rollout::{OrderLease, lease_times};
@@ -79,8 +82,12 @@
     pub registry: Registry,
     /// The wanted weights.
     pub weights: RefCell<WantedWeights>,
+    /// Whether the wanted weights were listed since the start.
+    pub has_listed_weights: Cell<bool>,
     /// How often requests may be sent again.
     pub budgets: RetryBudgets,
+    /// What other daemons tell, and are told.
+    pub peers: Peers,
     /// The callers' connections.
     pub callers: CallerConnections,
     /// The connections to the store.
@@ -93,6 +100,7 @@
     pub life: u64,
     /// How the traffic of each route was divided so far.
     pub division: RefCell<HashMap<String, Vec<f64>>>,
+    has_changes: Cell<bool>,
     draws: Cell<u64>,
     began: Instant,
 }
@@ -107,6 +115,7 @@
         let budgets = RetryBudgets::new(&settings.retries);
         let store = Pool::new(settings.store);
         let life = u64::from(rand::rng().random::<u32>());
+        let peers = Peers::new(own_daemon(&settings), seeds(&settings), life);
         let times = lease_times(settings.times.lease_term);
         let lease = OrderLease::new(&settings.name, life, times);
         Rc::new(Self {
@@ -117,13 +126,16 @@
             currency: Currency::new(),
             registry: Registry::default(),
             weights: RefCell::default(),
+            has_listed_weights: Cell::new(false),
             budgets,
             store,
+            peers,
             callers: CallerConnections::default(),
             lease: RefCell::new(lease),
             rollout_wanted: Notify::new(),
             life,
             division: RefCell::new(HashMap::new()),
+            has_changes: Cell::new(false),
             draws: Cell::new(0),
             began: Instant::now(),
         })
@@ -134,6 +146,43 @@
         self.began.elapsed()
     }
 
+    /// Takes in a change of a replica or a daemon; see [`GatewayState::registry_changed`].
+    pub fn apply(&self, change: Change) {
+        let mut log = self.peers.log.borrow_mut();
+        match change {
+            Change::Put(item) => {
+                if !log.put(item.clone()) {
+                    return;
+                }
+                if let Item::Replica(replica) = &item
+                    && let Some(entry) = replica.to_entry()
+                {
+                    self.registry.put(entry);
+                }
+            }
+            Change::Gone(key) => {
+                log.remove(&key);
+                if let ItemKey::Replica(id) = &key {
+                    self.registry.remove(id);
+                }
+            }
+        }
+        self.has_changes.set(true);
+    }
+
+    /// Puts the changes taken in since the last call into force, and tells others of them.
+    pub fn registry_changed(&self) {
+        if !self.has_changes.replace(false) {
+            return;
+        }
+        self.registry.index();
+        let count = i64::try_from(self.registry.len()).unwrap_or(i64::MAX);
+        self.status.metrics.replicas.set(count);
+        self.refresh_readiness();
+        self.rollout_wanted.notify_one();
+        self.peers.news.notify_one();
+    }
+
     /// Tells other threads whether the configuration and the replicas are known and current.
     pub fn refresh_readiness(&self) {
         let is_informed = self.configuration.load().is_some()
@@ -156,3 +205,24 @@
         stores.first().map(|store| (*store).clone())
     }
 }
+
+fn own_daemon(settings: &GatewaySettings) -> WireDaemon {
+    WireDaemon {
+        name: settings.name.clone(),
+        peers: settings.listen.peers.to_string(),
+        zone: settings.zone.clone(),
+    }
+}
+
+/// The machines named as seeds, at the port at which every daemon listens for others.
+fn seeds(settings: &GatewaySettings) -> Vec<WireDaemon> {
+    let own = settings.listen.peers;
+    let others = settings.seeds.iter().filter(|seed| seed.ip() != own.ip());
+    others
+        .map(|seed| WireDaemon {
+            name: format!("seed {}", seed.ip()),
+            peers: SocketAddr::new(seed.ip(), own.port()).to_string(),
+            zone: settings.zone.clone(),
+        })
+        .collect()
+}
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -1,5 +1,6 @@
 //! Follows the objects of one kind: a list, then watches from its revision on.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -7,7 +8,8 @@
 use driftspring_telemetry::log_event;
 
 use super::client::{StoreError, list_all, watch};
-use crate::protocol::{ModelVersion, ObjectContent, ObjectKind, ReplicaEntry, StoredObject};
+use crate::peers::message::{Change, Item, ItemKey, WireDaemon, WireReplica};
+use crate::protocol::{ModelVersion, ObjectContent, ObjectKind, StoredObject};
 use crate::rollout::LEASE_NAME;
 use crate::state::GatewayState;
 
@@ -17,22 +19,34 @@
 /// The pause after a call that failed.
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(200);
 
+/// The pause between two watches of daemons, which come in crowds and don't matter at once.
+const DAEMONS_PAUSE: Duration = Duration::from_millis(600);
+
 /// How long a daemon that has just started may still use older weights.
 const FIRST_WEIGHTS_GRACE: Duration = Duration::from_millis(4500);
 
-/// Follows `kind` for ever. Whenever a watch ends otherwise than by an answer, the list is read anew,
-/// since changes may have been missed.
+/// Follows `kind` whenever this daemon reads the store for its group. Whenever a watch ends otherwise than
+/// by an answer, the list is read anew, since changes may have been missed.
 pub async fn run(state: Rc<GatewayState>, kind: ObjectKind) {
     loop {
+        state.peers.until_reader().await;
+        let mut pause = PAUSE_AFTER_FAILURE;
         match list_all(&state, kind).await {
             Ok((objects, revision)) => {
                 take_list(&state, kind, objects);
-                let error = watch_from(&state, kind, revision).await;
-                log::debug!("watch of {kind:?} ended: {error}");
+                tokio::select! {
+                    error = watch_from(&state, kind, revision) => {
+                        log::debug!("watch of {kind:?} ended: {error}");
+                    }
+                    () = state.peers.until_follower() => {}
+                }
+            }
+            Err(error) => {
+                log::debug!("list of {kind:?} failed: {error}");
+                pause = PAUSE_AFTER_FAILURE * 3;
             }
-            Err(error) => log::debug!("list of {kind:?} failed: {error}"),
         }
-        tokio::time::sleep(PAUSE_AFTER_FAILURE).await;
+        tokio::time::sleep(pause).await;
     }
 }
 
@@ -42,9 +56,13 @@
         match watch(state, kind, revision, WATCH_WAIT).await {
             Ok(page) => {
                 for event in page.events {
-                    take_event(state, event.object, event.is_deleted);
+                    take_event(state, kind, event.object, event.is_deleted);
                 }
+                state.registry_changed();
                 revision = revision.max(page.revision);
+                if kind == ObjectKind::Daemons {
+                    tokio::time::sleep(DAEMONS_PAUSE).await;
+                }
             }
             Err(error) => return error,
         }
@@ -56,44 +74,66 @@
         take_lease_list(state, objects);
         return;
     }
-    if kind != ObjectKind::Replicas {
-        for object in objects {
-            take_event(state, object, false);
-        }
+    if kind == ObjectKind::Weights && !state.has_listed_weights.replace(true) {
+        take_first_weights(state, objects);
+        return;
+    }
+    if matches!(kind, ObjectKind::Replicas | ObjectKind::Daemons) {
+        take_items(state, kind, objects);
         return;
     }
-    let mut entries: Vec<ReplicaEntry> = Vec::with_capacity(objects.len());
     for object in objects {
-        match object.content {
-            Ok(ObjectContent::Replica(entry)) => entries.push(entry),
-            Ok(_) => {}
-            Err(error) => log_rejected(&object.name, &error),
-        }
+        take_event(state, kind, object, false);
+    }
+}
+
+/// Takes in the whole list of replicas or daemons: what is not in it is gone.
+pub fn take_items(state: &GatewayState, kind: ObjectKind, objects: Vec<StoredObject>) {
+    let listed: HashSet<ItemKey> = objects
+        .iter()
+        .filter_map(|object| item_key(kind, &object.name))
+        .collect();
+    let is_of_kind = |key: &ItemKey| matches!(key, ItemKey::Replica(_)) == (kind == ObjectKind::Replicas);
+    let known: Vec<ItemKey> = state.peers.log.borrow().items().map(Item::key).collect();
+    let gone = known.into_iter().filter(|key| is_of_kind(key) && !listed.contains(key));
+    for key in gone {
+        state.apply(Change::Gone(key));
+    }
+    for object in objects {
+        take_event(state, kind, object, false);
     }
-    state.registry.replace_all(entries);
-    note_replicas(state);
+    state.registry_changed();
 }
 
-fn take_event(state: &GatewayState, object: StoredObject, is_deleted: bool) {
+/// What replicas and daemons are called among daemons.
+fn item_key(kind: ObjectKind, name: &str) -> Option<ItemKey> {
+    match kind {
+        ObjectKind::Replicas => Some(ItemKey::Replica(name.to_owned())),
+        ObjectKind::Daemons => Some(ItemKey::Daemon(name.to_owned())),
+        _ => None,
+    }
+}
+
+fn take_event(state: &GatewayState, kind: ObjectKind, object: StoredObject, is_deleted: bool) {
     if is_deleted {
-        if state.registry.get(&object.name).is_some() {
-            state.registry.remove(&object.name);
-            note_replicas(state);
+        if let Some(key) = item_key(kind, &object.name) {
+            state.apply(Change::Gone(key));
         }
         return;
     }
     match object.content {
         Ok(ObjectContent::Configuration(_)) => take_configuration(state, object),
         Ok(ObjectContent::Replica(entry)) => {
-            state.registry.put(entry);
-            note_replicas(state);
+            state.apply(Change::Put(Item::Replica(WireReplica::from(&entry))));
         }
-        Ok(ObjectContent::Weights(weights)) => take_weights(state, &weights),
+        Ok(ObjectContent::Weights(weights)) => name_weights(state, &weights, Duration::ZERO),
         Ok(ObjectContent::Lease(record)) => {
             let mut lease = state.lease.borrow_mut();
             lease.on_seen(state.now(), object.revision, record);
         }
-        Ok(ObjectContent::Daemon(_)) => {}
+        Ok(ObjectContent::Daemon(daemon)) => {
+            state.apply(Change::Put(Item::Daemon(WireDaemon::from(&daemon))));
+        }
         Err(error) => log_rejected(&object.name, &error),
     }
 }
@@ -107,13 +147,6 @@
     state.lease.borrow_mut().on_list(state.now(), known);
 }
 
-fn note_replicas(state: &GatewayState) {
-    let count = i64::try_from(state.registry.len()).unwrap_or(i64::MAX);
-    state.status.metrics.replicas.set(count);
-    state.refresh_readiness();
-    state.rollout_wanted.notify_one();
-}
-
 /// Puts a configuration in force, unless a newer one is.
 pub fn take_configuration(state: &GatewayState, object: StoredObject) {
     let configuration = match object.content {
@@ -138,21 +171,19 @@
     let version = i64::try_from(configuration.version).unwrap_or(i64::MAX);
     state.status.metrics.configuration_version.set(version);
     state.configuration.store(Some((*configuration).into()));
+    state.peers.news.notify_one();
 }
 
-/// Takes in wanted weights. What the first list after a start names may be wanted for any time: it counts
-/// as old, but for the time in which a daemon that has just started is not yet held to it.
-fn take_weights(state: &GatewayState, weights: &ModelVersion) {
-    let is_first = state.weights.borrow().newest(&weights.model).is_none();
-    let age = match is_first {
-        true => state
-            .settings
-            .times
-            .weights_deadline
-            .saturating_sub(FIRST_WEIGHTS_GRACE),
-        false => Duration::ZERO,
-    };
-    name_weights(state, weights, age);
+/// Takes in the first list of wanted weights since the start. They may be wanted for any time: they count as
+/// old, but for the time in which a daemon that has just started is not yet held to them.
+fn take_first_weights(state: &GatewayState, objects: Vec<StoredObject>) {
+    let deadline = state.settings.times.weights_deadline;
+    let age = deadline.saturating_sub(FIRST_WEIGHTS_GRACE);
+    for object in objects {
+        if let Ok(ObjectContent::Weights(weights)) = object.content {
+            name_weights(state, &weights, age);
+        }
+    }
 }
 
 /// Takes in weights that have been wanted for `age`.
@@ -168,6 +199,7 @@
         weights.model,
         weights.version
     );
+    state.peers.news.notify_one();
     state.rollout_wanted.notify_one();
 }
 
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -3,8 +3,11 @@
 mod client;
 mod configuration_reader;
 mod follow;
+mod join;
 
 pub use client::{StoreError, list_all, watch, write};
+pub use follow::name_weights;
+pub use join::join_daemons;
 
 use std::rc::Rc;
 
@@ -19,6 +22,7 @@
         ObjectKind::Replicas,
         ObjectKind::Weights,
         ObjectKind::Leases,
+        ObjectKind::Daemons,
     ];
     for kind in followed {
         ntex::rt::spawn(follow::run(Rc::clone(state), kind));
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -68,6 +68,9 @@
     pub listen: GatewayListen,
     /// The address of the object store.
     pub store: SocketAddr,
+    /// Addresses of machines that run other gateways; only their IP counts, since every gateway listens for
+    /// others at the same port.
+    pub seeds: Vec<SocketAddr>,
     /// Times.
     pub times: GatewayTimes,
     /// Repeats.
@@ -119,6 +122,7 @@
     let name = root.required("name", "this gateway's unique name", values::name);
     let zone = root.required("zone", "the name of this gateway's zone", values::name);
     let store = root.required("store", ADDRESS_EXPECTED, values::address);
+    let seeds = root.list("seeds", values::address);
     let listen = read_listen(root.section("listen"));
     let times = read_times(root.section("times"));
     let retries = read_retries(root.section("retries"));
@@ -129,6 +133,7 @@
         zone: zone?,
         listen: listen?,
         store: store?,
+        seeds,
         times,
         retries,
         log,
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -33,5 +33,6 @@
     ORDER_LOST = 6404, Warn, "An order has no answer; it may have been taken, or may be taken later.";
     WEIGHTS_LOADED = 6405, Info, "A replica has new weights.";
     ROLLOUT_COMPLETE = 6406, Info, "Every replica has the wanted weights.";
+    SOURCE_CHANGED = 6501, Info, "This daemon learns what is in force from another source: the store, or the daemon named.";
     PEER_LOST = 6500, Warn, "Another daemon could not be told something; it learns it from the store.";
 }
