--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -39,6 +39,8 @@
     pub nonce: u64,
     /// How old the proof is that [`Tell::configuration`] was the newest, in milliseconds.
     pub proof_age_ms: Option<u64>,
+    /// How long ago somebody who reads the whole store knew all that is told here, in milliseconds.
+    pub view_age_ms: Option<u64>,
     /// The version of the configuration in force.
     pub configuration: u64,
     /// The wanted weights.
--- a/crates/gateway/src/peers/source.rs
+++ b/crates/gateway/src/peers/source.rs
@@ -21,8 +21,8 @@
 /// How long a daemon reads the store in vain before it asks others.
 const STORE_PATIENCE: Duration = Duration::from_millis(1300);
 
-/// How old a source's proof may be.
-const LONGEST_PROOF_AGE: Duration = Duration::from_millis(2200);
+/// How old what a source tells may be.
+const LONGEST_VIEW_AGE: Duration = Duration::from_millis(2200);
 
 /// The daemons of `own`'s group, by rank; `own` is among them.
 pub fn ranked_group(daemons: &[WireDaemon], own: &WireDaemon) -> Vec<WireDaemon> {
@@ -105,26 +105,34 @@
         }
     }
 
-    /// Takes in an answer, and how old the proof in it is; false where the source is passed over for it.
-    pub fn on_answer(&mut self, now: Duration, proof_age: Option<Duration>) -> bool {
-        self.unanswered = 0;
-        let is_recent = proof_age.is_some_and(|age| age <= LONGEST_PROOF_AGE);
-        if !is_recent {
-            self.pass_over(now);
+    /// Takes in an answer, and how old what it tells is; false where that is of no use. A source that knows
+    /// nothing yet may have just started, so it is asked again like a silent one.
+    pub fn on_answer(&mut self, now: Duration, view_age: Option<Duration>) -> bool {
+        match view_age {
+            Some(age) if age <= LONGEST_VIEW_AGE => {
+                self.unanswered = 0;
+                true
+            }
+            Some(_) => {
+                self.pass_over(now);
+                false
+            }
+            None => {
+                self.on_silence(now);
+                false
+            }
         }
-        is_recent
     }
 
-    /// Takes in how old the proof is that `own` got from the store in the time `reading` that it has read
-    /// it. Where that is too old, the others are asked, those behind in rank too.
+    /// Takes in how old the view is that `own` got from the store in the time `reading` that it has read it. Where that is too old, the others are asked, those behind in rank too.
     pub fn on_store(
         &mut self,
         now: Duration,
         own: &str,
         reading: Duration,
-        proof_age: Option<Duration>,
+        view_age: Option<Duration>,
     ) {
-        let is_recent = proof_age.is_some_and(|age| age <= LONGEST_PROOF_AGE);
+        let is_recent = view_age.is_some_and(|age| age <= LONGEST_VIEW_AGE);
         if !is_recent && reading >= STORE_PATIENCE {
             self.passed_over.insert(own.to_owned(), now + PASS_OVER);
         }
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -49,6 +49,9 @@
     pub is_reader: Cell<bool>,
     /// Wakes the tasks that wait to become the reader.
     pub reader_changed: Notify,
+    /// Whether this daemon, as the reader, follows the replicas.
+    pub follows_replicas: Cell<bool>,
+    view_proved_at: Cell<Option<Instant>>,
     reader_since: Cell<Duration>,
     seeds: Vec<WireDaemon>,
     own: WireDaemon,
@@ -68,6 +71,8 @@
             log: RefCell::new(ChangeLog::new(life)),
             news: Notify::new(),
             is_reader: Cell::new(false),
+            follows_replicas: Cell::new(false),
+            view_proved_at: Cell::new(None),
             reader_since: Cell::new(Duration::ZERO),
             seeds,
             reader_changed: Notify::new(),
@@ -112,6 +117,18 @@
         }
     }
 
+    /// Takes in that all that is known here was known to a reader of the whole store at `moment`.
+    pub fn prove_view(&self, moment: Instant) {
+        if self.view_proved_at.get().is_none_or(|known| known < moment) {
+            self.view_proved_at.set(Some(moment));
+        }
+    }
+
+    /// How long ago all that is known here was known to a reader of the whole store.
+    pub fn view_age(&self) -> Option<Duration> {
+        self.view_proved_at.get().map(|moment| moment.elapsed())
+    }
+
     /// Waits until this daemon has to read the store itself.
     pub async fn until_reader(&self) {
         while !self.is_reader.get() {
@@ -167,7 +184,7 @@
             Source::Store => {
                 let reading = state.now().saturating_sub(state.peers.reader_since.get());
                 let own = &state.peers.own.name;
-                chooser.on_store(state.now(), own, reading, state.currency.age());
+                chooser.on_store(state.now(), own, reading, state.peers.view_age());
                 false
             }
         };
@@ -212,8 +229,8 @@
         peers.ask_now.notify_one();
         return false;
     };
-    let proof_age = answer.proof_age_ms.map(Duration::from_millis);
-    if !chooser.on_answer(state.now(), proof_age) {
+    let view_age = answer.view_age_ms.map(Duration::from_millis);
+    if !chooser.on_answer(state.now(), view_age) {
         peers.ask_now.notify_one();
         return false;
     }
@@ -233,6 +250,9 @@
 async fn take_answer(state: &Rc<GatewayState>, answer: Tell, sent_at: Instant) -> bool {
     take_weights_and_lease(state, &answer);
     take_changes(state, &answer);
+    if let Some(moment) = moment_before(sent_at, answer.view_age_ms) {
+        state.peers.prove_view(moment);
+    }
     let configuration = state.configuration.load();
     let known = configuration.as_ref().map_or(0, |known| known.version);
     if known < answer.configuration {
@@ -240,8 +260,7 @@
         return answer.has_more;
     }
     if known == answer.configuration
-        && let Some(age) = answer.proof_age_ms
-        && let Some(proved_at) = sent_at.checked_sub(Duration::from_millis(age))
+        && let Some(proved_at) = moment_before(sent_at, answer.proof_age_ms)
     {
         state.currency.prove(proved_at);
     }
@@ -249,6 +268,10 @@
     answer.has_more
 }
 
+fn moment_before(sent_at: Instant, age_ms: Option<u64>) -> Option<Instant> {
+    sent_at.checked_sub(Duration::from_millis(age_ms?))
+}
+
 fn take_weights_and_lease(state: &GatewayState, answer: &Tell) {
     for weights in &answer.weights {
         let named = ModelVersion {
@@ -341,11 +364,13 @@
     let configuration = state.configuration.load();
     let age = state.currency.age();
     let to_ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    // Rounded up: a proof may look older than it is, never newer.
+    let to_ms_up = |time: Duration| to_ms(time) + 1;
     let weights = state.weights.borrow().all(Instant::now());
     Tell {
         nonce: question.nonce,
-        // Rounded up: a proof may look older than it is, never newer.
-        proof_age_ms: age.map(|age| to_ms(age) + 1),
+        proof_age_ms: age.map(to_ms_up),
+        view_age_ms: state.peers.view_age().map(to_ms_up),
         configuration: configuration.as_ref().map_or(0, |known| known.version),
         weights: weights
             .into_iter()
--- a/crates/gateway/src/store/configuration_reader.rs
+++ b/crates/gateway/src/store/configuration_reader.rs
@@ -56,6 +56,9 @@
                 take_configuration(state, object);
             }
             state.currency.prove(began);
+            if state.peers.is_reader.get() && state.peers.follows_replicas.get() {
+                state.peers.prove_view(began);
+            }
             log_regained(is_reachable);
             true
         }
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -34,12 +34,14 @@
         match list_all(&state, kind).await {
             Ok((objects, revision)) => {
                 take_list(&state, kind, objects);
+                note_following(&state, kind, true);
                 tokio::select! {
                     error = watch_from(&state, kind, revision) => {
                         log::debug!("watch of {kind:?} ended: {error}");
                     }
                     () = state.peers.until_follower() => {}
                 }
+                note_following(&state, kind, false);
             }
             Err(error) => {
                 log::debug!("list of {kind:?} failed: {error}");
@@ -50,6 +52,17 @@
     }
 }
 
+/// Takes in whether this daemon follows `kind`; the others may rely on what it tells while it follows replicas.
+fn note_following(state: &GatewayState, kind: ObjectKind, is_following: bool) {
+    if kind != ObjectKind::Replicas {
+        return;
+    }
+    state.peers.follows_replicas.set(is_following);
+    if is_following && state.peers.is_reader.get() {
+        state.peers.prove_view(Instant::now());
+    }
+}
+
 /// Takes in changes until a watch fails.
 async fn watch_from(state: &Rc<GatewayState>, kind: ObjectKind, mut revision: u64) -> StoreError {
     loop {
