--- a/crates/gateway/src/peers/change_log.rs
+++ b/crates/gateway/src/peers/change_log.rs
@@ -105,7 +105,8 @@
         sequence: u64,
         fits: impl Fn(&[Change], &Change) -> bool,
     ) -> LogPage {
-        let knows_enough = log == self.id && sequence >= self.forgotten && sequence <= self.sequence;
+        let knows_enough =
+            log == self.id && sequence >= self.forgotten && sequence <= self.sequence;
         let after = if knows_enough { sequence } else { 0 };
         let mut page = LogPage {
             changes: Vec::new(),
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -188,7 +188,11 @@
                 false
             }
         };
-        let pause = if has_more { Duration::ZERO } else { ASK_INTERVAL };
+        let pause = if has_more {
+            Duration::ZERO
+        } else {
+            ASK_INTERVAL
+        };
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
             () = state.peers.ask_now.notified() => tokio::time::sleep(SHORTEST_INTERVAL).await,
@@ -380,13 +384,17 @@
                 age_ms: to_ms(age),
             })
             .collect(),
-        lease: state.lease.borrow().seen().map(|(revision, record)| WireLease {
-            revision,
-            holder: record.holder.clone(),
-            life: record.life,
-            token: record.token,
-            renewal: record.renewal,
-        }),
+        lease: state
+            .lease
+            .borrow()
+            .seen()
+            .map(|(revision, record)| WireLease {
+                revision,
+                holder: record.holder.clone(),
+                life: record.life,
+                token: record.token,
+                renewal: record.renewal,
+            }),
         log: log.id(),
         sequence: page.sequence,
         is_from_start: page.is_from_start,
@@ -406,8 +414,17 @@
     const FIELDS: usize = 40;
     match change {
         Change::Put(Item::Replica(replica)) => {
-            let models: usize = replica.models.iter().map(|(model, _)| model.len() + 12).sum();
-            let texts = [&replica.id, &replica.service, &replica.address, &replica.zone];
+            let models: usize = replica
+                .models
+                .iter()
+                .map(|(model, _)| model.len() + 12)
+                .sum();
+            let texts = [
+                &replica.id,
+                &replica.service,
+                &replica.address,
+                &replica.zone,
+            ];
             FIELDS + models + texts.iter().map(|text| text.len()).sum::<usize>()
         }
         Change::Put(Item::Daemon(daemon)) => {
@@ -468,11 +485,7 @@
     }
 }
 
-async fn take_loading(
-    state: &GatewayState,
-    socket: &tokio::net::UdpSocket,
-    mut loading: Loading,
-) {
+async fn take_loading(state: &GatewayState, socket: &tokio::net::UdpSocket, mut loading: Loading) {
     if let Some(replica) = state.registry.get(&loading.replica) {
         let has_ended = loading.is_done || loading.has_failed;
         replica.set_loading((!has_ended).then(Instant::now));
--- a/crates/gateway/src/pipeline/account.rs
+++ b/crates/gateway/src/pipeline/account.rs
@@ -109,7 +109,10 @@
 
     /// The books, for the answer's stream to keep; what stays behind is settled.
     pub fn take(&mut self) -> Self {
-        self.state.status.open_requests.fetch_add(1, Ordering::AcqRel);
+        self.state
+            .status
+            .open_requests
+            .fetch_add(1, Ordering::AcqRel);
         let taken = Self {
             state: Rc::clone(&self.state),
             connection: self.connection.take(),
@@ -125,7 +128,10 @@
 
 impl Drop for Account {
     fn drop(&mut self) {
-        self.state.status.open_requests.fetch_sub(1, Ordering::AcqRel);
+        self.state
+            .status
+            .open_requests
+            .fetch_sub(1, Ordering::AcqRel);
         if let Some(connection) = self.connection {
             self.state.callers.request_ended(connection);
         }
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -99,11 +99,7 @@
         self.lost(choice, peer, cause)
     }
 
-    fn take_answer(
-        &mut self,
-        opened: Opened,
-        choice: Choice,
-    ) -> Result<Option<Attempt>, Refusal> {
+    fn take_answer(&mut self, opened: Opened, choice: Choice) -> Result<Option<Attempt>, Refusal> {
         let (verdict, meta) = judge(&*self.state.platform, &self.context, &opened.answer);
         let peer = choice.replica.pool.peer();
         if choice.replica.health.note_answer() {
@@ -153,12 +149,7 @@
         tried
     }
 
-    fn not_sent(
-        &mut self,
-        choice: &Choice,
-        peer: SocketAddr,
-        cause: &str,
-    ) -> Result<(), Refusal> {
+    fn not_sent(&mut self, choice: &Choice, peer: SocketAddr, cause: &str) -> Result<(), Refusal> {
         self.note_failure(choice, cause);
         self.log_attempt(choice, "not_sent", cause);
         self.tried.push(choice.replica.id.clone());
--- a/crates/gateway/src/pipeline/authenticate.rs
+++ b/crates/gateway/src/pipeline/authenticate.rs
@@ -19,7 +19,9 @@
 ) -> Result<Option<Arc<Tenant>>, Refusal> {
     let needs_key = || {
         let configuration = state.configuration.load();
-        let needs_keys = configuration.as_ref().is_some_and(|known| known.needs_keys());
+        let needs_keys = configuration
+            .as_ref()
+            .is_some_and(|known| known.needs_keys());
         needs_keys && !route.is_public
     };
     if !needs_key() {
--- a/crates/gateway/src/pipeline/collect.rs
+++ b/crates/gateway/src/pipeline/collect.rs
@@ -52,10 +52,7 @@
     body: Bytes,
 }
 
-async fn fetch(
-    state: &Rc<GatewayState>,
-    context: &Rc<RequestContext>,
-) -> Result<Whole, Refusal> {
+async fn fetch(state: &Rc<GatewayState>, context: &Rc<RequestContext>) -> Result<Whole, Refusal> {
     let mut attempts = Attempts::new(state, context);
     loop {
         let Attempt { mut opened, choice } = attempts.next(None).await?;
--- a/crates/gateway/src/pipeline/decode.rs
+++ b/crates/gateway/src/pipeline/decode.rs
@@ -93,7 +93,9 @@
     let mut headers = HeaderMap::with_capacity(all.len());
     for (name, value) in all {
         let is_passed = !is_hop_by_hop(name)
-            && !named_by_connection.iter().any(|named| named == name.as_str())
+            && !named_by_connection
+                .iter()
+                .any(|named| named == name.as_str())
             && state.platform.passes_to_replica(name);
         if is_passed {
             headers.append(name.clone(), value.clone());
--- a/crates/gateway/src/pipeline/event_splitter.rs
+++ b/crates/gateway/src/pipeline/event_splitter.rs
@@ -79,7 +79,9 @@
 /// The id of the last event that has one.
 fn last_event_id(events: &[u8]) -> Option<String> {
     let lines = events.rsplit(|byte| *byte == b'\n');
-    let id = lines.into_iter().find_map(|line| line.strip_prefix(b"id:"))?;
+    let id = lines
+        .into_iter()
+        .find_map(|line| line.strip_prefix(b"id:"))?;
     let text = std::str::from_utf8(id).ok()?;
     Some(text.trim().to_owned())
 }
--- a/crates/gateway/src/pipeline/refusal.rs
+++ b/crates/gateway/src/pipeline/refusal.rs
@@ -66,7 +66,9 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NotInformed | Self::Stopping | Self::NoReplica | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotInformed | Self::Stopping | Self::NoReplica | Self::NotRun => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -179,7 +179,12 @@
             return false;
         }
         let is_over = self.time_left() <= LAST_WORD;
-        if is_over || self.attempts.broke_off(&self.attempt.choice, cause).is_err() {
+        if is_over
+            || self
+                .attempts
+                .broke_off(&self.attempt.choice, cause)
+                .is_err()
+        {
             self.cut(cause);
             return false;
         }
@@ -212,7 +217,8 @@
     fn end(&mut self) {
         self.has_ended = true;
         let status = self.attempt.opened.answer.status().as_u16();
-        self.account.completed(&self.attempt.choice.replica.id, status);
+        self.account
+            .completed(&self.attempt.choice.replica.id, status);
     }
 
     /// Closes the caller's connection without the end of the answer.
--- a/crates/gateway/src/rollout/lease.rs
+++ b/crates/gateway/src/rollout/lease.rs
@@ -137,7 +137,10 @@
     /// daemon does not hold it. It must give no order from now on.
     pub fn give_back(&mut self) -> Option<(LeaseRecord, u64)> {
         self.valid_until = None;
-        let seen = self.seen.as_ref().filter(|seen| self.is_own(&seen.record))?;
+        let seen = self
+            .seen
+            .as_ref()
+            .filter(|seen| self.is_own(&seen.record))?;
         let record = LeaseRecord {
             holder: String::new(),
             life: 0,
@@ -178,7 +181,13 @@
     }
 
     /// Takes in what became of a write that began at `began` and ended at `ended`.
-    pub fn on_write(&mut self, record: LeaseRecord, began: Duration, ended: Duration, answer: WriteAnswer) {
+    pub fn on_write(
+        &mut self,
+        record: LeaseRecord,
+        began: Duration,
+        ended: Duration,
+        answer: WriteAnswer,
+    ) {
         match answer {
             WriteAnswer::Accepted(revision) => {
                 self.is_fenced = false;
--- a/crates/gateway/src/rollout/plan.rs
+++ b/crates/gateway/src/rollout/plan.rs
@@ -36,16 +36,22 @@
     let free = parallel_loads(replicas.len()).saturating_sub(zones.len());
     let mut waiting: Vec<&PlannedReplica> = replicas
         .iter()
-        .filter(|replica| replica.outdated_version.is_some() && !replica.is_loading && replica.pause.is_zero())
+        .filter(|replica| {
+            replica.outdated_version.is_some() && !replica.is_loading && replica.pause.is_zero()
+        })
         .collect();
     let mut chosen = Vec::new();
     while chosen.len() < free && !waiting.is_empty() {
-        let in_zone = |replica: &&PlannedReplica| {
-            zones.iter().filter(|zone| **zone == replica.zone).count()
-        };
+        let in_zone =
+            |replica: &&PlannedReplica| zones.iter().filter(|zone| **zone == replica.zone).count();
         waiting.sort_by_key(|replica| {
             let version = replica.outdated_version;
-            (version, in_zone(replica), replica.open_requests, replica.id.clone())
+            (
+                version,
+                in_zone(replica),
+                replica.open_requests,
+                replica.id.clone(),
+            )
         });
         let next = waiting.remove(0);
         zones.push(&next.zone);
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -109,7 +109,10 @@
             Some(revision),
         )
         .await;
-        log_event!(gateway::LEASE_LOST, "lease={LEASE_NAME} given_back={answer:?}");
+        log_event!(
+            gateway::LEASE_LOST,
+            "lease={LEASE_NAME} given_back={answer:?}"
+        );
     }
 }
 
@@ -181,7 +184,9 @@
 ) {
     let now = Instant::now();
     let replicas = state.registry.of_service(service);
-    let staying = replicas.iter().filter(|replica| !replica.entry().is_draining);
+    let staying = replicas
+        .iter()
+        .filter(|replica| !replica.entry().is_draining);
     let planned: Vec<PlannedReplica> = staying
         .map(|replica| planned(progress, replica, wanted, now))
         .collect();
@@ -189,7 +194,12 @@
         let Some(replica) = state.registry.get(&id) else {
             continue;
         };
-        progress.by_replica.borrow_mut().entry(id).or_default().is_driven = true;
+        progress
+            .by_replica
+            .borrow_mut()
+            .entry(id)
+            .or_default()
+            .is_driven = true;
         let (state, progress, wanted) = (Rc::clone(state), Rc::clone(progress), wanted.clone());
         ntex::rt::spawn(async move {
             let is_done = drive(&state, &replica, wanted).await;
@@ -375,10 +385,7 @@
 /// A report that is not busy tells nothing before an order has had time to show.
 const REPORT_LAG: Duration = Duration::from_millis(900);
 
-async fn report(
-    state: &Rc<GatewayState>,
-    replica: &Rc<Replica>,
-) -> Option<ReplicaReport> {
+async fn report(state: &Rc<GatewayState>, replica: &Rc<Replica>) -> Option<ReplicaReport> {
     let call = state.platform.report();
     let answer = upstream::call(&replica.pool, &call, REPORT_TIMEOUT).await;
     let (status, body) = answer.ok()?;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -81,12 +81,8 @@
             .spawn(move || {
                 let system = System::new("gateway", DefaultRuntime);
                 system.block_on(async move {
-                    let servers = Servers::start(
-                        &thread_settings,
-                        &platform,
-                        &thread_status,
-                        listeners,
-                    )?;
+                    let servers =
+                        Servers::start(&thread_settings, &platform, &thread_status, listeners)?;
                     let _ = started.send(());
                     // A sender that is gone means that the process ends.
                     let _ = stopped.await;
@@ -194,9 +190,17 @@
         status: &Arc<SharedStatus>,
         listeners: Listeners,
     ) -> anyhow::Result<Self> {
-        let metrics = listeners.metrics.map(|listener| serve_metrics(status, listener));
+        let metrics = listeners
+            .metrics
+            .map(|listener| serve_metrics(status, listener));
         Ok(Self {
-            callers: serve_callers(settings, platform, status, listeners.callers, listeners.peers)?,
+            callers: serve_callers(
+                settings,
+                platform,
+                status,
+                listeners.callers,
+                listeners.peers,
+            )?,
             health: serve_health(status, listeners.health)?,
             metrics: metrics.transpose()?,
         })
@@ -221,11 +225,7 @@
     let status = Arc::clone(status);
     let peers_socket = Arc::new(peers_socket);
     let server = HttpServer::new(async move || {
-        let state = GatewayState::new(
-            settings.clone(),
-            Arc::clone(&platform),
-            Arc::clone(&status),
-        );
+        let state = GatewayState::new(settings.clone(), Arc::clone(&platform), Arc::clone(&status));
         store::spawn_all(&state);
         if let Ok(socket) = peers_socket.try_clone() {
             ntex::rt::spawn(peers::run(Rc::clone(&state), socket));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,8 +5,8 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::{Arc, Mutex};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
@@ -65,7 +65,6 @@
     }
 }
 
-
 /// The state of one gateway.
 pub struct GatewayState {
     /// The settings.
@@ -188,7 +187,9 @@
         let is_informed = self.configuration.load().is_some()
             && !self.registry.is_empty()
             && self.currency.is_within(READY_CURRENCY);
-        self.status.is_informed.store(is_informed, Ordering::Release);
+        self.status
+            .is_informed
+            .store(is_informed, Ordering::Release);
     }
 
     /// A number that differs from call to call.
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -106,9 +106,12 @@
         .iter()
         .filter_map(|object| item_key(kind, &object.name))
         .collect();
-    let is_of_kind = |key: &ItemKey| matches!(key, ItemKey::Replica(_)) == (kind == ObjectKind::Replicas);
+    let is_of_kind =
+        |key: &ItemKey| matches!(key, ItemKey::Replica(_)) == (kind == ObjectKind::Replicas);
     let known: Vec<ItemKey> = state.peers.log.borrow().items().map(Item::key).collect();
-    let gone = known.into_iter().filter(|key| is_of_kind(key) && !listed.contains(key));
+    let gone = known
+        .into_iter()
+        .filter(|key| is_of_kind(key) && !listed.contains(key));
     for key in gone {
         state.apply(Change::Gone(key));
     }
--- a/crates/gateway/src/store/join.rs
+++ b/crates/gateway/src/store/join.rs
@@ -49,7 +49,12 @@
     let own = state.peers.own().name.clone();
     loop {
         tokio::time::sleep(CROWD).await;
-        let is_listed = state.peers.log.borrow().get(&ItemKey::Daemon(own.clone())).is_some();
+        let is_listed = state
+            .peers
+            .log
+            .borrow()
+            .get(&ItemKey::Daemon(own.clone()))
+            .is_some();
         if is_listed {
             return;
         }
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -28,7 +28,10 @@
     /// Takes in that `weights` are wanted since `since`; true where they are the newest.
     pub fn name(&mut self, weights: &ModelVersion, since: Instant) -> bool {
         let named = self.by_model.entry(weights.model.clone()).or_default();
-        if named.last().is_some_and(|last| last.version >= weights.version) {
+        if named
+            .last()
+            .is_some_and(|last| last.version >= weights.version)
+        {
             return false;
         }
         named.push(Named {
--- /dev/null
+++ b/crates/gateway/tests/decisions.rs
@@ -0,0 +1,184 @@
+//! The parts that decide, each alone: placement, budgets, wanted weights, the plan of loads, health.
+
+use std::time::{Duration, Instant};
+
+use driftspring_gateway::budget::RetryBudgets;
+use driftspring_gateway::protocol::ModelVersion;
+use driftspring_gateway::replicas::{Candidate, Health, PlacementKey, place};
+use driftspring_gateway::rollout::plan::{PlannedReplica, next_loads, parallel_loads};
+use driftspring_gateway::weights::WantedWeights;
+use driftspring_settings::GatewayRetries;
+use quickcheck::quickcheck;
+
+fn candidate(id_hash: u64, open_requests: u32) -> Candidate {
+    Candidate {
+        id_hash,
+        open_requests,
+        failure_share: 0.0,
+        is_near: true,
+    }
+}
+
+quickcheck! {
+    fn a_key_keeps_its_home_when_another_replica_goes(key: u64, ids: Vec<u64>, gone: usize) -> bool {
+        let mut ids = ids;
+        ids.sort_unstable();
+        ids.dedup();
+        if ids.len() < 2 {
+            return true;
+        }
+        let all: Vec<Candidate> = ids.iter().map(|id| candidate(*id, 0)).collect();
+        let (home, _) = place(&all, Some(PlacementKey(key)), 0).expect("there are some");
+        let gone = gone % all.len();
+        if gone == home {
+            return true;
+        }
+        let mut rest = all.clone();
+        rest.remove(gone);
+        let (new_home, _) = place(&rest, Some(PlacementKey(key)), 0).expect("there are some");
+        rest[new_home].id_hash == all[home].id_hash
+    }
+}
+
+#[test]
+fn a_loaded_home_is_passed_over() {
+    let mut all: Vec<Candidate> = (1..=6).map(|id| candidate(id, 0)).collect();
+    let key = Some(PlacementKey(7));
+    let (home, _) = place(&all, key, 0).expect("there are some");
+    all[home].open_requests = 12;
+    let (chosen, same_home) = place(&all, key, 0).expect("there are some");
+    assert_ne!(chosen, home);
+    assert_eq!(same_home, home);
+}
+
+#[test]
+fn without_a_key_the_least_loaded_takes_it() {
+    let all = [candidate(1, 3), candidate(2, 1), candidate(3, 2)];
+    assert_eq!(place(&all, None, 5), Some((1, 1)));
+    assert_eq!(place(&[], None, 5), None);
+}
+
+fn budgets(ratio: f64, slack: u32) -> RetryBudgets {
+    RetryBudgets::new(&GatewayRetries {
+        ratio,
+        slack,
+        window: Duration::from_secs(10),
+    })
+}
+
+#[test]
+fn all_daemons_together_keep_within_the_allowed_repeats() {
+    const DAEMONS: usize = 79;
+    const REQUESTS: usize = 2225;
+    let (ratio, slack) = (0.2, 198);
+    let mut repeats = 0;
+    for _ in 0..DAEMONS {
+        let budget = budgets(ratio, slack);
+        budget.set_daemons(DAEMONS);
+        for _ in 0..REQUESTS / DAEMONS {
+            budget.earn("service");
+            while budget.try_spend("service") {
+                repeats += 1;
+            }
+        }
+    }
+    let allowed = ratio * REQUESTS as f64 + f64::from(slack);
+    assert!(
+        f64::from(repeats) <= allowed,
+        "{repeats} repeats, {allowed} allowed"
+    );
+}
+
+#[test]
+fn budgets_of_services_are_apart() {
+    let budget = budgets(0.2, 40);
+    while budget.try_spend("one") {}
+    assert!(budget.try_spend("other"));
+}
+
+fn weights(version: u64) -> ModelVersion {
+    ModelVersion {
+        model: "model".to_owned(),
+        version,
+    }
+}
+
+#[test]
+fn each_version_counts_from_its_own_naming() {
+    let start = Instant::now();
+    let mut wanted = WantedWeights::default();
+    assert!(wanted.name(&weights(4), start));
+    assert!(wanted.name(&weights(5), start + Duration::from_secs(4)));
+    assert!(!wanted.name(&weights(4), start + Duration::from_secs(5)));
+    let now = start + Duration::from_secs(8);
+    assert_eq!(
+        wanted.outdated_for("model", 3, now),
+        Some(Duration::from_secs(8))
+    );
+    assert_eq!(
+        wanted.outdated_for("model", 4, now),
+        Some(Duration::from_secs(4))
+    );
+    assert_eq!(wanted.outdated_for("model", 5, now), None);
+    assert_eq!(wanted.newest("model"), Some(5));
+}
+
+#[test]
+fn many_versions_are_remembered_no_younger_than_they_are() {
+    let start = Instant::now();
+    let mut wanted = WantedWeights::default();
+    for version in 1..=100 {
+        wanted.name(&weights(version), start + Duration::from_secs(version));
+    }
+    let now = start + Duration::from_secs(100);
+    let age = wanted.outdated_for("model", 1, now).expect("outdated");
+    assert!(age >= Duration::from_secs(98), "{age:?}");
+}
+
+fn planned(id: &str, zone: &str, version: Option<u64>, is_loading: bool) -> PlannedReplica {
+    PlannedReplica {
+        id: id.to_owned(),
+        zone: zone.to_owned(),
+        outdated_version: version,
+        is_loading,
+        open_requests: 0,
+        pause: Duration::ZERO,
+    }
+}
+
+#[test]
+fn the_oldest_weights_load_first_and_zones_take_turns() {
+    let mut replicas: Vec<PlannedReplica> = (0..10)
+        .map(|number| planned(&format!("r{number}"), "a", None, false))
+        .collect();
+    replicas[3] = planned("r3", "a", Some(2), false);
+    replicas[4] = planned("r4", "a", Some(1), false);
+    replicas[5] = planned("r5", "b", Some(1), false);
+    assert_eq!(parallel_loads(10), 2);
+    assert_eq!(next_loads(&replicas), ["r4", "r5"]);
+    replicas[4].is_loading = true;
+    assert_eq!(next_loads(&replicas), ["r5"]);
+    replicas[5].is_loading = true;
+    assert!(next_loads(&replicas).is_empty());
+}
+
+#[test]
+fn a_single_replica_loads_too() {
+    assert_eq!(
+        next_loads(&[planned("only", "a", Some(1), false)]),
+        ["only"]
+    );
+}
+
+#[test]
+fn a_replica_that_fails_again_and_again_is_left_alone_longer() {
+    let health = Health::default();
+    let now = Instant::now();
+    let first = health.note_failure(now);
+    let second = health.note_failure(now);
+    assert!(second > first);
+    assert!(health.is_suspect(now));
+    assert!(!health.is_suspect(now + second));
+    assert!(health.note_answer());
+    assert!(!health.is_suspect(now));
+}
--- /dev/null
+++ b/crates/gateway/tests/event_splitter.rs
@@ -0,0 +1,64 @@
+//! Streams are passed on in whole events, however their bytes are cut.
+
+use driftspring_gateway::pipeline::EventSplitter;
+use quickcheck::quickcheck;
+
+fn stream(events: u8) -> Vec<u8> {
+    let event = |number| format!("id: {number}\ndata: piece {number}\n\n");
+    (1..=u32::from(events))
+        .map(event)
+        .collect::<String>()
+        .into_bytes()
+}
+
+quickcheck! {
+    fn any_cut_gives_the_same_bytes_in_whole_events(events: u8, cuts: Vec<usize>) -> bool {
+        let whole = stream(events);
+        let mut positions: Vec<usize> = cuts.iter().map(|cut| cut % (whole.len() + 1)).collect();
+        positions.push(whole.len());
+        positions.sort_unstable();
+        let mut splitter = EventSplitter::default();
+        let mut given = Vec::new();
+        let mut from = 0;
+        for position in positions {
+            let events = splitter.push(&whole[from..position]).expect("short events");
+            if !events.is_empty() && !events.ends_with(b"\n\n") {
+                return false;
+            }
+            given.extend_from_slice(&events);
+            from = position;
+        }
+        given == whole && !splitter.is_inside_event()
+    }
+}
+
+#[test]
+fn the_last_id_is_that_of_the_last_whole_event() {
+    let mut splitter = EventSplitter::after(Some("3".to_owned()));
+    assert_eq!(splitter.last_id(), Some("3"));
+    let events = splitter
+        .push(b"id: 4\ndata: a\n\nid: 5\ndata: b")
+        .expect("short");
+    assert_eq!(&events[..], b"id: 4\ndata: a\n\n");
+    assert_eq!(splitter.last_id(), Some("4"));
+    assert!(splitter.is_inside_event());
+}
+
+#[test]
+fn a_part_of_an_event_is_forgotten_before_another_replica_goes_on() {
+    let mut splitter = EventSplitter::default();
+    splitter
+        .push(b"id: 1\ndata: a\n\nid: 2\ndata: half")
+        .expect("short");
+    splitter.discard_part();
+    let events = splitter.push(b"id: 2\ndata: whole\n\n").expect("short");
+    assert_eq!(&events[..], b"id: 2\ndata: whole\n\n");
+}
+
+#[test]
+fn line_ends_may_have_returns() {
+    let mut splitter = EventSplitter::default();
+    let events = splitter.push(b"id: 1\r\ndata: a\r\n\r\nid").expect("short");
+    assert_eq!(&events[..], b"id: 1\r\ndata: a\r\n\r\n");
+    assert_eq!(splitter.last_id(), Some("1"));
+}
--- /dev/null
+++ b/crates/gateway/tests/order_lease.rs
@@ -0,0 +1,185 @@
+//! Orders of two holders lie apart, whatever becomes of messages; tokens are never used twice.
+
+use std::time::Duration;
+
+use driftspring_gateway::protocol::{LeaseRecord, ObjectContent, StoredObject, WriteAnswer};
+use driftspring_gateway::rollout::{LeaseAction, OrderLease, lease_times};
+use quickcheck::quickcheck;
+
+const DISTANCE: Duration = Duration::from_secs(3);
+const NO_JITTER: Duration = Duration::ZERO;
+
+/// The lease's object in a store.
+#[derive(Default)]
+struct Store {
+    object: Option<(u64, LeaseRecord)>,
+    revision: u64,
+}
+
+impl Store {
+    fn write(&mut self, record: &LeaseRecord, expected: Option<u64>) -> WriteAnswer {
+        if self.object.as_ref().map(|(revision, _)| *revision) != expected {
+            return WriteAnswer::Conflict(self.object.clone().map(|(revision, record)| {
+                StoredObject {
+                    name: "weights".to_owned(),
+                    revision,
+                    content: Ok(ObjectContent::Lease(record)),
+                }
+            }));
+        }
+        self.revision += 1;
+        self.object = Some((self.revision, record.clone()));
+        WriteAnswer::Accepted(self.revision)
+    }
+}
+
+fn daemon(name: &str) -> OrderLease {
+    let mut lease = OrderLease::new(name, 1, lease_times(DISTANCE));
+    lease.on_list(Duration::ZERO, None);
+    lease
+}
+
+fn acquire(lease: &mut OrderLease, store: &mut Store, now: Duration) -> Option<u64> {
+    match lease.next(now, NO_JITTER) {
+        LeaseAction::Hold(token) => Some(token),
+        LeaseAction::Wait(_) => None,
+        LeaseAction::Write { record, expected } => {
+            let answer = store.write(&record, expected);
+            lease.on_write(record, now, now, answer);
+            lease.token_at(now)
+        }
+    }
+}
+
+fn at(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+#[test]
+fn the_first_to_write_holds_it_and_the_other_learns_so() {
+    let (mut store, mut one, mut other) = (Store::default(), daemon("one"), daemon("other"));
+    assert_eq!(acquire(&mut one, &mut store, at(10)), Some(1));
+    assert_eq!(acquire(&mut other, &mut store, at(11)), None);
+    assert_eq!(one.token_at(at(500)), Some(1));
+}
+
+#[test]
+fn a_holder_that_does_not_renew_gives_no_order_after_its_term() {
+    let (mut store, mut one) = (Store::default(), daemon("one"));
+    acquire(&mut one, &mut store, at(0));
+    let term = lease_times(DISTANCE).term;
+    assert_eq!(one.token_at(term - at(1)), Some(1));
+    assert_eq!(one.token_at(term), None);
+}
+
+#[test]
+fn another_takes_it_only_after_term_and_distance_and_with_a_higher_token() {
+    let (mut store, mut one, mut other) = (Store::default(), daemon("one"), daemon("other"));
+    acquire(&mut one, &mut store, at(0));
+    let (revision, record) = store.object.clone().expect("written");
+    other.on_seen(at(20), revision, record);
+    let times = lease_times(DISTANCE);
+    let free_at = at(20) + times.term + times.distance;
+    assert_eq!(acquire(&mut other, &mut store, at(400)), None);
+    assert_eq!(acquire(&mut other, &mut store, free_at - at(1)), None);
+    assert_eq!(acquire(&mut other, &mut store, free_at), Some(2));
+}
+
+#[test]
+fn one_that_was_given_back_is_free_after_the_distance() {
+    let (mut store, mut one, mut other) = (Store::default(), daemon("one"), daemon("other"));
+    acquire(&mut one, &mut store, at(0));
+    let (record, revision) = one.give_back().expect("held");
+    assert_eq!(one.token_at(at(1)), None);
+    store.write(&record, Some(revision));
+    let (revision, record) = store.object.clone().expect("written");
+    other.on_seen(at(100), revision, record);
+    let distance = lease_times(DISTANCE).distance;
+    assert_eq!(
+        acquire(&mut other, &mut store, at(100) + distance - at(1)),
+        None
+    );
+    assert_eq!(acquire(&mut other, &mut store, at(100) + distance), Some(2));
+}
+
+#[test]
+fn a_fenced_holder_raises_its_token_before_it_orders_again() {
+    let (mut store, mut one) = (Store::default(), daemon("one"));
+    acquire(&mut one, &mut store, at(0));
+    one.on_fenced();
+    assert_eq!(one.token_at(at(1)), None);
+    assert_eq!(acquire(&mut one, &mut store, at(100)), Some(2));
+}
+
+#[test]
+fn a_later_life_of_the_same_daemon_is_another_holder() {
+    let (mut store, mut one) = (Store::default(), daemon("one"));
+    acquire(&mut one, &mut store, at(0));
+    let mut reborn = OrderLease::new("one", 2, lease_times(DISTANCE));
+    reborn.on_list(at(50), store.object.clone());
+    assert_eq!(acquire(&mut reborn, &mut store, at(600)), None);
+}
+
+/// What happens to one write.
+fn deliver(
+    lease: &mut OrderLease,
+    store: &mut Store,
+    late: &mut Vec<(Duration, LeaseRecord, Option<u64>)>,
+    now: Duration,
+    fate: u8,
+) {
+    let LeaseAction::Write { record, expected } = lease.next(now, NO_JITTER) else {
+        return;
+    };
+    match fate % 4 {
+        0 | 1 => {
+            let answer = store.write(&record, expected);
+            lease.on_write(record, now, now, answer);
+        }
+        2 => {
+            store.write(&record, expected);
+            lease.on_write(record, now, now, WriteAnswer::Unknown);
+        }
+        _ => {
+            late.push((now + at(2000), record.clone(), expected));
+            lease.on_write(record, now, now, WriteAnswer::Unknown);
+        }
+    }
+}
+
+quickcheck! {
+    /// Two daemons want the lease all the time; writes are answered, lost after their effect, or done two
+    /// seconds late; news of the object reach a daemon or not.
+    fn no_two_holders_order_within_the_distance(fates: Vec<(u8, u8)>) -> bool {
+        let mut store = Store::default();
+        let mut daemons = [daemon("one"), daemon("other")];
+        let mut late = Vec::new();
+        let mut last_order: Option<(usize, Duration, u64)> = None;
+        for (step, (fate, news)) in fates.iter().enumerate() {
+            let now = at(150 * step as u64 + 10);
+            late.retain(|(due, record, expected)| {
+                let is_due = *due <= now;
+                if is_due {
+                    store.write(record, *expected);
+                }
+                !is_due
+            });
+            let which = usize::from(fate / 4 % 2);
+            deliver(&mut daemons[which], &mut store, &mut late, now, *fate);
+            if let Some((revision, record)) = store.object.clone().filter(|_| news % 3 > 0) {
+                daemons[usize::from(news % 2)].on_seen(now, revision, record);
+            }
+            for (index, lease) in daemons.iter().enumerate() {
+                let Some(token) = lease.token_at(now) else { continue };
+                if let Some((holder, then, before)) = last_order
+                    && holder != index
+                    && (now - then < DISTANCE || token <= before)
+                {
+                    return false;
+                }
+                last_order = Some((index, now, token));
+            }
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/settings/tests/gateway.rs
@@ -0,0 +1,62 @@
+//! The gateway's settings: every value is checked, every fault listed.
+
+use std::time::Duration;
+
+use driftspring_settings::check_gateway;
+
+const WHOLE: &str = r#"
+name = "front-1"
+zone = "z"
+store = "10.200.1.7:8784"
+seeds = ["10.1.0.30:8783"]
+[listen]
+callers = "10.1.0.30:8782"
+health = "10.1.0.30:8789"
+peers = "10.1.0.30:7340"
+metrics = "10.1.0.30:9464"
+[times]
+key_currency_seconds = 5000e-3
+stop_grace_seconds = 8
+[retries]
+ratio = 0.2
+slack = 54
+window_seconds = 10
+"#;
+
+#[test]
+fn whole_settings_are_taken() {
+    let settings = check_gateway(WHOLE).expect("valid");
+    assert_eq!(settings.times.key_currency, Some(Duration::from_secs(5)));
+    assert_eq!(settings.times.stop_grace, Duration::from_secs(8));
+    assert_eq!(settings.times.lease_term, Duration::from_secs(3));
+    assert_eq!(settings.retries.slack, 54);
+    assert_eq!(settings.seeds.len(), 1);
+}
+
+#[test]
+fn a_missing_value_is_named() {
+    let text = WHOLE.replace("store = \"10.200.1.7:8784\"", "");
+    let errors = check_gateway(&text).expect_err("no store");
+    assert_eq!(errors.len(), 1);
+    assert_eq!(errors[0].key, "store");
+}
+
+#[test]
+fn every_fault_is_listed_with_its_line() {
+    let text = WHOLE
+        .replace("ratio = 0.2", "ratio = \"much\"")
+        .replace("slack = 54", "slack = -1")
+        .replace("stop_grace_seconds", "stop_grase_seconds");
+    let errors = check_gateway(&text).expect_err("three faults");
+    let keys: Vec<&str> = errors.iter().map(|error| error.key.as_str()).collect();
+    assert_eq!(
+        keys,
+        ["times.stop_grase_seconds", "retries.ratio", "retries.slack"]
+    );
+    assert!(errors[0].to_string().contains("line 13"), "{}", errors[0]);
+}
+
+#[test]
+fn text_that_is_no_toml_is_an_error() {
+    assert!(check_gateway("name = ").is_err());
+}
