--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! store and prompts by the sizes and names of their parts. It never reads a body. How all of this is
 //! spelled on the wire is a [`protocol::Platform`], which lies outside of this crate.
 //!
+//! - [`cache`]: what stores of cached prompt work are known to keep.
 //! - [`configuration`]: routes, services and tenants in force.
 //! - [`protocol`]: what a platform's adapter has to supply.
 //! - [`pipeline`]: the path of a request, one file per filter, the list in one place.
@@ -16,6 +17,7 @@
 //! - [`server`]: sockets, readiness, start and stop.
 
 pub mod budget;
+pub mod cache;
 pub mod configuration;
 pub mod connections;
 pub mod currency;
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -14,6 +14,9 @@
 /// How much sooner than allowed no request is sent to older weights, for its way and its wait there.
 const WEIGHTS_MARGIN: Duration = Duration::from_millis(1500);
 
+/// Shared tokens from which a prompt is worth copying to a store; fewer are read again in no time.
+const WORTH_KEEPING: u32 = 512;
+
 /// A replica for one attempt.
 #[derive(Debug)]
 pub struct Choice {
@@ -54,17 +57,36 @@
     };
     let store = store.map(|store| store.address);
     let weights_version = version_of(context, &replica);
+    let cache_scope = cache_scope(context, weights_version);
+    let save_to = store.filter(|store| wants_copy(state, context, *store, cache_scope.as_deref()));
     Ok(Choice {
         weights_version,
-        cache_scope: cache_scope(context, weights_version),
+        cache_scope,
         fetch_from: store,
-        save_to: store,
+        save_to,
         is_home: position == home,
         candidates: candidates.len(),
         replica,
     })
 }
 
+/// Whether the shared parts of the prompt are worth copying to the store, and not known to be there.
+fn wants_copy(
+    state: &GatewayState,
+    context: &RequestContext,
+    store: SocketAddr,
+    scope: Option<&str>,
+) -> bool {
+    let shared = context.shared_parts();
+    let tokens: u32 = shared.iter().map(|part| part.tokens).sum();
+    let Some(scope) = scope.filter(|_| tokens >= WORTH_KEEPING) else {
+        return false;
+    };
+    state
+        .cached
+        .wants_copy(store, scope, shared, Instant::now())
+}
+
 /// The replicas that may serve: listed, not leaving, with weights that may still be used; of these, if
 /// there are any, those that can be reached and aren't loading.
 fn eligible(
--- a/crates/gateway/src/pipeline/context.rs
+++ b/crates/gateway/src/pipeline/context.rs
@@ -9,7 +9,7 @@
 
 use super::decode::Decoded;
 use crate::configuration::{Configuration, Route, Tenant};
-use crate::protocol::{Prompt, RequestMeta};
+use crate::protocol::{Prompt, PromptPart, RequestMeta};
 use crate::replicas::PlacementKey;
 
 /// How long a request is held where neither caller nor route say so.
@@ -94,10 +94,16 @@
         }
     }
 
-    /// What places the request: all parts of its prompt but the last, which nobody shares.
+    /// All parts of the prompt but the last, which nobody shares.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        let parts = self.prompt().map_or(&[][..], |prompt| &prompt.parts);
+        parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
+    /// What places the request: the parts of its prompt that others share.
     pub fn placement_key(&self) -> Option<PlacementKey> {
         let prompt = self.prompt()?;
-        let (_, shared) = prompt.parts.split_last()?;
+        let shared = self.shared_parts();
         let mut text = format!("{}\n{}\n", self.wall(), prompt.model);
         for part in shared {
             text.push_str(&part.id);
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -342,6 +342,30 @@
     pub running: u32,
 }
 
+/// A change of what a replica or a store of cached prompt work keeps.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CacheEvent {
+    /// The name under which it is kept.
+    pub scope: String,
+    /// The part.
+    pub part: String,
+    /// Tokens of it that are kept now.
+    pub tokens: u32,
+}
+
+/// An answer about what is kept.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CachePage {
+    /// Differs from one life of the peer to the next.
+    pub epoch: u64,
+    /// Where to go on.
+    pub next: u64,
+    /// Whether events before these are lost.
+    pub has_gap: bool,
+    /// The changes, in order; or all that is kept.
+    pub events: Vec<CacheEvent>,
+}
+
 /// How replicas are spoken to beside requests.
 pub trait ReplicaProtocol {
     /// Gives an order.
@@ -350,6 +374,22 @@
     fn read_order(&self, status: StatusCode) -> OrderAnswer;
     /// Asks a replica to describe itself.
     fn report(&self) -> Call;
+    /// Waits for changes of what is kept after `since`, for `wait` at the most.
+    fn cache_events(&self, since: u64, wait: Duration) -> Call;
+    /// Reads the answer to [`ReplicaProtocol::cache_events`].
+    ///
+    /// # Errors
+    ///
+    /// Says what can't be read.
+    fn read_cache_events(&self, body: &[u8]) -> Result<CachePage, String>;
+    /// Lists all that is kept.
+    fn cache_list(&self) -> Call;
+    /// Reads the answer to [`ReplicaProtocol::cache_list`].
+    ///
+    /// # Errors
+    ///
+    /// Says what can't be read.
+    fn read_cache_list(&self, body: &[u8]) -> Result<CachePage, String>;
     /// Reads a replica's description.
     ///
     /// # Errors
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -26,6 +26,7 @@
 use ntex::web::{self, App, HttpResponse, HttpServer};
 use tokio::sync::oneshot;
 
+use crate::cache;
 use crate::peers;
 use crate::pipeline;
 use crate::protocol::Platform;
@@ -230,6 +231,7 @@
         if let Ok(socket) = peers_socket.try_clone() {
             ntex::rt::spawn(peers::run(Rc::clone(&state), socket));
         }
+        ntex::rt::spawn(cache::run(Rc::clone(&state)));
         ntex::rt::spawn(stop::close_idle_connections(Rc::clone(&state)));
         ntex::rt::spawn(rollout::run(Rc::clone(&state)));
         App::new()
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,6 +15,7 @@
 use tokio::sync::Notify;
 
 use crate::budget::RetryBudgets;
+use crate::cache::CachedParts;
 use crate::configuration::{Configuration, KvStore};
 use crate::connections::CallerConnections;
 use crate::currency::Currency;
@@ -87,6 +88,8 @@
     pub budgets: RetryBudgets,
     /// What other daemons tell, and are told.
     pub peers: Peers,
+    /// What stores of cached prompt work keep.
+    pub cached: CachedParts,
     /// The callers' connections.
     pub callers: CallerConnections,
     /// The connections to the store.
@@ -129,6 +132,7 @@
             budgets,
             store,
             peers,
+            cached: CachedParts::default(),
             callers: CallerConnections::default(),
             lease: RefCell::new(lease),
             rollout_wanted: Notify::new(),
