--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -96,6 +96,8 @@
     /// Takes in that an answer that had begun broke off; an error where the request can't be sent again.
     pub fn broke_off(&mut self, choice: &Choice, cause: &str) -> Result<(), Refusal> {
         let peer = choice.replica.pool.peer();
+        // It counted as a run when its head came.
+        self.runs -= 1;
         self.lost(choice, peer, cause)
     }
 
@@ -162,6 +164,7 @@
 
     fn not_run(&mut self, choice: &Choice, peer: SocketAddr, detail: &str) -> Result<(), Refusal> {
         self.log_attempt(choice, "not_run", detail);
+        choice.replica.health.note_full(Instant::now());
         self.tried.push(choice.replica.id.clone());
         self.vain_sends += 1;
         match self.vain_sends >= MAX_VAIN_SENDS {
--- a/crates/gateway/src/replicas/health.rs
+++ b/crates/gateway/src/replicas/health.rs
@@ -9,6 +9,9 @@
 /// The longest pause.
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 
+/// How long a replica is left alone after it said that it is full.
+const FULL_PAUSE: Duration = Duration::from_millis(120);
+
 /// How much one outcome weighs in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.08;
 
@@ -17,6 +20,7 @@
 pub struct Health {
     failures_in_row: Cell<u32>,
     suspect_until: Cell<Option<Instant>>,
+    full_until: Cell<Option<Instant>>,
     failure_share: Cell<f64>,
 }
 
@@ -39,6 +43,11 @@
         was_suspect
     }
 
+    /// Takes in that the replica did not run a request, since it is full or loading.
+    pub fn note_full(&self, now: Instant) {
+        self.full_until.set(Some(now + FULL_PAUSE));
+    }
+
     /// Takes in whether a request that it ran failed there.
     pub fn note_outcome(&self, has_failed: bool) {
         let outcome = f64::from(u8::from(has_failed));
@@ -54,6 +63,7 @@
 
     /// Whether it should get no requests at `now`.
     pub fn is_suspect(&self, now: Instant) -> bool {
-        self.suspect_until.get().is_some_and(|until| now < until)
+        let is_before = |until: Instant| now < until;
+        self.suspect_until.get().is_some_and(is_before) || self.full_until.get().is_some_and(is_before)
     }
 }
