--- a/crates/gateway/src/cache/kept.rs
+++ b/crates/gateway/src/cache/kept.rs
@@ -108,6 +108,19 @@
         action(by_store.entry(store).or_default())
     }
 
+    /// Whether `store` is known to keep all `parts` under `scope`.
+    pub fn keeps(
+        &self,
+        store: SocketAddr,
+        scope: &str,
+        parts: &[PromptPart],
+        now: Instant,
+    ) -> bool {
+        let by_store = self.by_store.borrow();
+        let kept = by_store.get(&store).filter(|kept| kept.is_informed);
+        kept.is_some_and(|kept| kept.has_all(scope, parts, now))
+    }
+
     /// Whether a request should copy `parts` to `store`: unless they are known to be there, or to be on
     /// their way. Takes in that it does.
     pub fn wants_copy(
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -19,6 +19,8 @@
     Nudge,
     /// Tells how a replica's loading of weights goes.
     Loading(Loading),
+    /// Tells what replicas were given to read: their ids with tokens.
+    Work(Vec<(String, u64)>),
 }
 
 /// A question.
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -35,6 +35,12 @@
 /// How long news are gathered before others are told.
 const NEWS_GATHERING: Duration = Duration::from_millis(15);
 
+/// Tokens from which others are told what a replica was given to read.
+const WORTH_TELLING: u64 = 1200;
+
+/// Prompts that are told of at once; more are left out.
+const MOST_WORK: usize = 24;
+
 /// The size of a page of changes, in bytes, beside the rest of an answer.
 const PAGE_BYTES: usize = MAX_DATAGRAM_BYTES - 350;
 
@@ -62,6 +68,8 @@
     nonce: Cell<u64>,
     ask_now: Notify,
     outbox: RefCell<Vec<Loading>>,
+    work: RefCell<Vec<(String, u64)>>,
+    nudges: Cell<bool>,
 }
 
 impl Peers {
@@ -84,6 +92,8 @@
             nonce: Cell::new(life << 20),
             ask_now: Notify::new(),
             outbox: RefCell::new(Vec::new()),
+            work: RefCell::new(Vec::new()),
+            nudges: Cell::new(false),
         }
     }
 
@@ -148,6 +158,24 @@
         self.outbox.borrow_mut().push(loading);
         self.news.notify_one();
     }
+
+    /// Tells the daemons of the group what a replica was given to read, where that is much.
+    pub fn tell_work(&self, replica: &str, tokens: u64) {
+        if tokens < WORTH_TELLING {
+            return;
+        }
+        let mut work = self.work.borrow_mut();
+        if work.len() < MOST_WORK {
+            work.push((replica.to_owned(), tokens));
+            self.news.notify_one();
+        }
+    }
+
+    /// Tells those who ask this daemon that there are news.
+    pub fn nudge(&self) {
+        self.nudges.set(true);
+        self.news.notify_one();
+    }
 }
 
 /// Asks, answers and tells for ever.
@@ -355,6 +383,7 @@
                 let _ = answers.send(answer);
             }
             Some(Message::Nudge) => state.peers.ask_now.notify_one(),
+            Some(Message::Work(work)) => take_work(&state, &work),
             Some(Message::Loading(loading)) => take_loading(&state, &socket, loading).await,
             None => log::debug!("datagram of {from} does not decode"),
         }
@@ -443,8 +472,15 @@
         for loading in loadings {
             spread_loading(&state, &socket, loading).await;
         }
-        for follower in recent_followers(&state.peers) {
-            send_to(&socket, &Message::Nudge, follower).await;
+        let work = std::mem::take(&mut *state.peers.work.borrow_mut());
+        if !work.is_empty() {
+            let daemons = state.peers.daemons();
+            send_to_group(&state, &socket, &daemons, &Message::Work(work)).await;
+        }
+        if state.peers.nudges.replace(false) {
+            for follower in recent_followers(&state.peers) {
+                send_to(&socket, &Message::Nudge, follower).await;
+            }
         }
     }
 }
@@ -463,7 +499,8 @@
 ) {
     let daemons = state.peers.daemons();
     loading.pass_on = false;
-    send_to_group(state, socket, &daemons, &loading).await;
+    let message = Message::Loading(loading.clone());
+    send_to_group(state, socket, &daemons, &message).await;
     loading.pass_on = true;
     for first in other_groups_first(&daemons, &state.peers.own) {
         send(socket, &Message::Loading(loading.clone()), &first.peers).await;
@@ -474,13 +511,21 @@
     state: &GatewayState,
     socket: &tokio::net::UdpSocket,
     daemons: &[WireDaemon],
-    loading: &Loading,
+    message: &Message,
 ) {
     let own = &state.peers.own;
-    let message = Message::Loading(loading.clone());
     for daemon in ranked_group(daemons, own) {
         if daemon.name != own.name {
-            send(socket, &message, &daemon.peers).await;
+            send(socket, message, &daemon.peers).await;
+        }
+    }
+}
+
+fn take_work(state: &GatewayState, work: &[(String, u64)]) {
+    let now = Instant::now();
+    for (id, tokens) in work {
+        if let Some(replica) = state.registry.get(id) {
+            replica.note_prompt(*tokens, now);
         }
     }
 }
@@ -495,7 +540,8 @@
     }
     if std::mem::replace(&mut loading.pass_on, false) {
         let daemons = state.peers.daemons();
-        send_to_group(state, socket, &daemons, &loading).await;
+        let message = Message::Loading(loading);
+        send_to_group(state, socket, &daemons, &message).await;
     }
 }
 
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -8,14 +8,24 @@
 
 use super::context::RequestContext;
 use super::refusal::{Reason, Refusal, Step};
-use crate::replicas::{Candidate, Replica, place};
+use crate::configuration::KvStore;
+use crate::replicas::{Candidate, Replica, SharedPrompt, place, reading_time};
 use crate::state::GatewayState;
 
 /// How much sooner than allowed no request is sent to older weights, for its way and its wait there.
 const WEIGHTS_MARGIN: Duration = Duration::from_millis(1500);
 
 /// Shared tokens from which a prompt is worth copying to a store; fewer are read again in no time.
-const WORTH_KEEPING: u32 = 512;
+const WORTH_KEEPING: u64 = 512;
+
+/// How much a fetch counts against its time on an idle link, since others use the link too.
+const FETCH_WEIGHT: f64 = 3.0;
+
+/// How much reading shared parts again counts against its time: it keeps others waiting, and is paid for.
+const READING_WEIGHT: f64 = 2.0;
+
+/// After this time answers with older weights are worth less.
+const WORTH_LESS_AFTER: Duration = Duration::from_millis(1400);
 
 /// A replica for one attempt.
 #[derive(Debug)]
@@ -30,6 +40,8 @@
     pub fetch_from: Option<SocketAddr>,
     /// Where to copy cached prompt work to.
     pub save_to: Option<SocketAddr>,
+    /// Tokens of the prompt that it probably has to read.
+    pub tokens_to_read: u64,
     /// Whether the prompt's shared parts belong there.
     pub is_home: bool,
     /// Replicas among which it was chosen.
@@ -45,21 +57,22 @@
     let candidates = eligible(state, context, tried)?;
     let views: Vec<Candidate> = candidates
         .iter()
-        .map(|replica| view(state, replica))
+        .map(|replica| view(state, context, replica))
         .collect();
-    let key = context.placement_key();
+    let store = match context.shared_tokens() {
+        0 => None,
+        _ => state.kv_store(&context.configuration),
+    };
+    let shared = shared_prompt(state, context, store.as_ref(), &candidates);
     let (position, home) =
-        place(&views, key, state.draw()).ok_or_else(|| no_replica("none is listed"))?;
+        place(&views, shared, state.draw()).ok_or_else(|| no_replica("none is listed"))?;
     let replica = Rc::clone(&candidates[position]);
-    let store = match key {
-        Some(_) => state.kv_store(&context.configuration),
-        None => None,
-    };
     let store = store.map(|store| store.address);
     let weights_version = version_of(context, &replica);
     let cache_scope = cache_scope(context, weights_version);
     let save_to = store.filter(|store| wants_copy(state, context, *store, cache_scope.as_deref()));
     Ok(Choice {
+        tokens_to_read: tokens_to_read(context, store, position == home),
         weights_version,
         cache_scope,
         fetch_from: store,
@@ -78,8 +91,7 @@
     scope: Option<&str>,
 ) -> bool {
     let shared = context.shared_parts();
-    let tokens: u32 = shared.iter().map(|part| part.tokens).sum();
-    let Some(scope) = scope.filter(|_| tokens >= WORTH_KEEPING) else {
+    let Some(scope) = scope.filter(|_| context.shared_tokens() >= WORTH_KEEPING) else {
         return false;
     };
     state
@@ -119,22 +131,80 @@
 }
 
 fn has_usable_weights(state: &GatewayState, context: &RequestContext, replica: &Replica) -> bool {
-    let Some(prompt) = context.prompt() else {
-        return true;
-    };
-    let Some(version) = replica.version_of(&prompt.model) else {
-        return true;
-    };
-    let weights = state.weights.borrow();
-    let outdated_for = weights.outdated_for(&prompt.model, version, Instant::now());
     let deadline = state.settings.times.weights_deadline;
-    outdated_for.is_none_or(|age| age + WEIGHTS_MARGIN < deadline)
+    outdated_for(state, context, replica).is_none_or(|age| age + WEIGHTS_MARGIN < deadline)
+}
+
+/// Whether an answer with the replica's weights is worth less.
+fn is_worth_less(state: &GatewayState, context: &RequestContext, replica: &Replica) -> bool {
+    outdated_for(state, context, replica).is_some_and(|age| age >= WORTH_LESS_AFTER)
+}
+
+/// For how long newer weights than the replica's have been wanted.
+fn outdated_for(
+    state: &GatewayState,
+    context: &RequestContext,
+    replica: &Replica,
+) -> Option<Duration> {
+    let prompt = context.prompt()?;
+    let version = replica.version_of(&prompt.model)?;
+    let weights = state.weights.borrow();
+    weights.outdated_for(&prompt.model, version, Instant::now())
+}
+
+/// What the shared parts cost where they are not kept: the way from the store, if they are known to be
+/// there under the newest weights, else reading them, which is also paid for.
+fn shared_prompt(
+    state: &GatewayState,
+    context: &RequestContext,
+    store: Option<&KvStore>,
+    candidates: &[Rc<Replica>],
+) -> Option<SharedPrompt> {
+    let key = context.placement_key()?;
+    let tokens = context.shared_tokens();
+    let reading = reading_time(tokens).mul_f64(READING_WEIGHT);
+    let version = candidates
+        .iter()
+        .filter_map(|replica| version_of(context, replica))
+        .max();
+    let scope = cache_scope(context, version)?;
+    let is_kept = |store: &&KvStore| {
+        let parts = context.shared_parts();
+        state.cached.keeps(store.address, &scope, parts, Instant::now())
+    };
+    let fetching = store
+        .filter(is_kept)
+        .map(|store| fetching_time(context, store, tokens));
+    let miss = fetching.map_or(reading, |fetching| fetching.min(reading));
+    Some(SharedPrompt { key, miss })
+}
+
+/// The time in which so many tokens come from the store.
+fn fetching_time(context: &RequestContext, store: &KvStore, tokens: u64) -> Duration {
+    let service = context.configuration.service(&context.service);
+    let bytes_per_token = service
+        .and_then(|service| service.engine.as_ref())
+        .map_or(0, |engine| engine.bytes_per_token);
+    let bits = (tokens * bytes_per_token * 8) as f64;
+    let bits_per_second = store.link_megabits.max(1.0) * 1e6;
+    Duration::from_secs_f64(FETCH_WEIGHT * bits / bits_per_second)
+}
+
+/// Tokens that the replica has to read: all but those that its home keeps, or that come from the store.
+fn tokens_to_read(context: &RequestContext, store: Option<SocketAddr>, is_home: bool) -> u64 {
+    let all = u64::from(context.prompt().map_or(0, |prompt| prompt.input_tokens));
+    match is_home || store.is_some() {
+        true => all.saturating_sub(context.shared_tokens()),
+        false => all,
+    }
 }
 
-fn view(state: &GatewayState, replica: &Replica) -> Candidate {
+fn view(state: &GatewayState, context: &RequestContext, replica: &Replica) -> Candidate {
     Candidate {
         id_hash: xxh3_64(replica.id.as_bytes()),
         open_requests: replica.open_requests(),
+        reading: replica.reading(Instant::now()),
+        is_outdated: is_worth_less(state, context, replica),
         failure_share: replica.health.failure_share(),
         is_near: replica.entry().zone == state.settings.zone,
     }
--- a/crates/gateway/src/pipeline/context.rs
+++ b/crates/gateway/src/pipeline/context.rs
@@ -100,6 +100,12 @@
         parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
+    /// Tokens of these parts.
+    pub fn shared_tokens(&self) -> u64 {
+        let parts = self.shared_parts().iter();
+        parts.map(|part| u64::from(part.tokens)).sum()
+    }
+
     /// What places the request: the parts of its prompt that others share.
     pub fn placement_key(&self) -> Option<PlacementKey> {
         let prompt = self.prompt()?;
--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -1,6 +1,7 @@
 //! Filter: sends a request to one replica.
 
 use std::rc::Rc;
+use std::time::Instant;
 
 use bytes::Bytes;
 use driftspring_telemetry::events::gateway;
@@ -21,8 +22,8 @@
 pub struct Opened {
     /// The answer.
     pub answer: Answer,
-    /// Counts the request at its replica.
-    pub work: OpenWork,
+    /// Counts the request at its replica for as long as the answer is open.
+    pub _work: OpenWork,
 }
 
 /// Sends the request and waits for the head of the answer. A kept connection that turns out to be closed
@@ -34,8 +35,15 @@
     last_event_id: Option<&str>,
 ) -> Result<Opened, SendFailure> {
     let pool = &choice.replica.pool;
-    let tokens = context.prompt().map_or(0, |prompt| prompt.input_tokens);
-    let work = OpenWork::begin(&choice.replica, u64::from(tokens));
+    let work = OpenWork::begin(&choice.replica);
+    if choice.tokens_to_read > 0 {
+        choice
+            .replica
+            .note_prompt(choice.tokens_to_read, Instant::now());
+        state
+            .peers
+            .tell_work(&choice.replica.id, choice.tokens_to_read);
+    }
     loop {
         let mut connection = connect(choice).await?;
         let request = build(state, context, choice, last_event_id)?;
@@ -43,7 +51,10 @@
         match connection.send(request).await {
             Ok(response) => {
                 let answer = Answer::new(response, connection, Rc::clone(pool));
-                return Ok(Opened { answer, work });
+                return Ok(Opened {
+                    answer,
+                    _work: work,
+                });
             }
             Err(SendFailure::NotSent { .. }) if connection.is_reused => {}
             Err(failure) => return Err(failure),
@@ -103,7 +114,7 @@
     state.status.metrics.sent.inc();
     log_event!(
         gateway::REQUEST_SENT,
-        "request={} route={} replica={} address={} home={} candidates={} open={} version={:?} fetch={:?} configuration={} proof_age={:?} left={:?} reused={}",
+        "request={} route={} replica={} address={} home={} candidates={} open={} reading={:?} tokens={} version={:?} fetch={:?} save={} configuration={} proof_age={:?} left={:?} reused={}",
         context.id,
         context.route.name,
         choice.replica.id,
@@ -111,8 +122,11 @@
         choice.is_home,
         choice.candidates,
         choice.replica.open_requests(),
+        choice.replica.reading(Instant::now()),
+        choice.tokens_to_read,
         choice.weights_version,
         choice.fetch_from,
+        choice.save_to.is_some(),
         context.configuration.version,
         state.currency.age(),
         context.time_left(),
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -88,7 +88,6 @@
         let mut splitter = EventSplitter::after(context.meta.last_event_id.clone());
         match read_piece(&mut attempt, &mut splitter).await {
             Ok(first) => {
-                attempt.opened.work.prompt_read();
                 return Ok((attempts, attempt, splitter, first));
             }
             Err(cause) => attempts.broke_off(&attempt.choice, &cause)?,
--- a/crates/gateway/src/replicas/placement.rs
+++ b/crates/gateway/src/replicas/placement.rs
@@ -1,12 +1,15 @@
-//! Where a request goes: rendezvous hashing on what its prompt shares, with bounded load.
+//! Where a request goes: the replica that answers it soonest, as far as this daemon knows.
 //!
-//! Every daemon computes the same order of replicas for the same shared parts, so that a part is read and
-//! kept at few replicas without a message between daemons. The first replica of the order that is not
-//! loaded far beyond the mean takes the request.
+//! Rendezvous hashing on what a prompt shares ranks the replicas alike at every daemon, so that the shared
+//! parts are read and kept at few of them without a message. The first in rank, the *home*, is expected to
+//! keep them; elsewhere they have to be fetched or read. Against that stands the time for which a replica
+//! is still reading other prompts. Both are milliseconds, so they can be compared.
+
+use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// What a prompt shares with others; equal keys go to the same replicas.
+/// What a prompt shares with others; equal keys rank the replicas alike.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlacementKey(pub u64);
 
@@ -17,63 +20,87 @@
     pub id_hash: u64,
     /// Requests of this daemon that are open there.
     pub open_requests: u32,
+    /// How long it is still reading prompts, as far as daemons told each other.
+    pub reading: Duration,
     /// The share of recent requests that failed there.
     pub failure_share: f64,
+    /// Whether it has older weights than wanted, for so long that answers lose worth.
+    pub is_outdated: bool,
     /// Whether it is in this daemon's zone.
     pub is_near: bool,
 }
 
-/// How far above the mean a replica's load may lie, as a factor.
-const LOAD_BOUND: f64 = 1.2;
+/// What a request shares, and what that costs elsewhere than at its home.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SharedPrompt {
+    /// Ranks the replicas.
+    pub key: PlacementKey,
+    /// The time to bring or read the shared parts where they are not kept.
+    pub miss: Duration,
+}
+
+/// Milliseconds that one open request counts as: it shares its replica's steps.
+const OPEN_REQUEST_MS: f64 = 4.0;
+
+/// Milliseconds that failures count as where all requests fail.
+const FAILURE_MS: f64 = 900.0;
 
-/// Open requests that a replica may have whatever the mean.
-const FREE_REQUESTS: f64 = 1.0;
+/// Milliseconds that older weights count as.
+const OUTDATED_MS: f64 = 60.0;
 
-/// Open requests that a replica's failures weigh as much as, where all requests fail.
-const FAILURE_PENALTY: f64 = 40.0;
+/// Milliseconds that the way to another zone counts as.
+const FAR_MS: f64 = 2.0;
 
-/// Open requests that the way to another zone weighs as much as.
-const FAR_PENALTY: f64 = 0.5;
+/// Milliseconds that each rank counts as, so that daemons that know the same choose the same.
+const RANK_MS: f64 = 1.0;
 
-/// The position of the candidate that takes the request, and of the first one in the order of its key.
-/// Without a key the least loaded candidate takes it. `tie` settles what is equal.
+/// The position of the candidate that takes the request, and that of its home. Without a shared prompt the
+/// least loaded candidate takes it. `tie` settles what is equal.
 pub fn place(
     candidates: &[Candidate],
-    key: Option<PlacementKey>,
+    shared: Option<SharedPrompt>,
     tie: u64,
 ) -> Option<(usize, usize)> {
-    let Some(key) = key else {
+    let Some(shared) = shared else {
         let least = least_loaded(candidates, tie)?;
         return Some((least, least));
     };
-    let total: f64 = candidates.iter().map(load).sum();
-    let mean = total / candidates.len().max(1) as f64;
-    let bound = FREE_REQUESTS + (mean * LOAD_BOUND).ceil();
+    let order = ranked(candidates, shared.key);
+    let home = *order.first()?;
+    let miss_ms = shared.miss.as_secs_f64() * 1000.0;
+    let cost = |(rank, index): &(usize, usize)| {
+        let miss = if *rank == 0 { 0.0 } else { miss_ms };
+        load_ms(&candidates[*index]) + miss + RANK_MS * *rank as f64
+    };
+    let ranks = order.iter().copied().enumerate();
+    let cheapest = ranks.min_by(|one, other| cost(one).total_cmp(&cost(other)))?;
+    Some((cheapest.1, home))
+}
+
+/// The positions of the candidates, by their claim to `key`.
+fn ranked(candidates: &[Candidate], key: PlacementKey) -> Vec<usize> {
     let mut order: Vec<usize> = (0..candidates.len()).collect();
     order.sort_by_cached_key(|index| {
-        std::cmp::Reverse(xxh3_64_with_seed(
-            &key.0.to_le_bytes(),
-            candidates[*index].id_hash,
-        ))
+        let score = xxh3_64_with_seed(&key.0.to_le_bytes(), candidates[*index].id_hash);
+        std::cmp::Reverse(score)
     });
-    let home = *order.first()?;
-    let chosen = order
-        .iter()
-        .copied()
-        .find(|index| load(&candidates[*index]) < bound);
-    Some((chosen.unwrap_or(home), home))
+    order
 }
 
-/// Its open requests, its failures counted as such too.
-fn load(candidate: &Candidate) -> f64 {
-    f64::from(candidate.open_requests) + FAILURE_PENALTY * candidate.failure_share
+/// What a request waits for at a candidate, in milliseconds; what makes it worse counts as waiting too.
+fn load_ms(candidate: &Candidate) -> f64 {
+    let outdated = if candidate.is_outdated { OUTDATED_MS } else { 0.0 };
+    candidate.reading.as_secs_f64() * 1000.0
+        + OPEN_REQUEST_MS * f64::from(candidate.open_requests)
+        + FAILURE_MS * candidate.failure_share
+        + outdated
 }
 
 fn least_loaded(candidates: &[Candidate], tie: u64) -> Option<usize> {
     let weight = |index: &usize| {
         let candidate = &candidates[*index];
-        let far = if candidate.is_near { 0.0 } else { FAR_PENALTY };
-        load(candidate) + far
+        let far = if candidate.is_near { 0.0 } else { FAR_MS };
+        load_ms(candidate) + far
     };
     let tie_break = |index: &usize| xxh3_64_with_seed(&tie.to_le_bytes(), *index as u64);
     (0..candidates.len()).min_by(|one, other| {
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -22,7 +22,7 @@
     pub health: Health,
     entry: RefCell<ReplicaEntry>,
     open_requests: Cell<u32>,
-    pending_tokens: Cell<u64>,
+    reading_until: Cell<Option<Instant>>,
     loading_since: Cell<Option<Instant>>,
     order_sequence: Cell<Option<u64>>,
 }
@@ -37,7 +37,7 @@
             order_sequence: Cell::new(None),
             entry: RefCell::new(entry),
             open_requests: Cell::new(0),
-            pending_tokens: Cell::new(0),
+            reading_until: Cell::new(None),
             loading_since: Cell::new(None),
         })
     }
@@ -116,9 +116,17 @@
         self.open_requests.get()
     }
 
-    /// Tokens of this daemon's prompts that it has still to read.
-    pub fn pending_tokens(&self) -> u64 {
-        self.pending_tokens.get()
+    /// Takes in that it was given a prompt of which it has `tokens` to read, by this daemon or another.
+    pub fn note_prompt(&self, tokens: u64, now: Instant) {
+        let time = reading_time(tokens);
+        let begins = self.reading_until.get().map_or(now, |until| until.max(now));
+        self.reading_until.set(Some(begins + time));
+    }
+
+    /// How long it is still reading prompts, as far as daemons told each other.
+    pub fn reading(&self, now: Instant) -> Duration {
+        let until = self.reading_until.get();
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 }
 
@@ -126,36 +134,28 @@
 #[derive(Debug)]
 pub struct OpenWork {
     replica: Rc<Replica>,
-    tokens: Cell<u64>,
 }
 
 impl OpenWork {
-    /// Counts a request whose prompt has `tokens` to read.
-    pub fn begin(replica: &Rc<Replica>, tokens: u64) -> Self {
+    /// Counts a request.
+    pub fn begin(replica: &Rc<Replica>) -> Self {
         replica.open_requests.set(replica.open_requests.get() + 1);
-        replica
-            .pending_tokens
-            .set(replica.pending_tokens.get() + tokens);
         Self {
             replica: Rc::clone(replica),
-            tokens: Cell::new(tokens),
         }
     }
-
-    /// Takes in that the prompt was read.
-    pub fn prompt_read(&self) {
-        let tokens = self.tokens.replace(0);
-        let pending = self.replica.pending_tokens.get();
-        self.replica
-            .pending_tokens
-            .set(pending.saturating_sub(tokens));
-    }
 }
 
 impl Drop for OpenWork {
     fn drop(&mut self) {
-        self.prompt_read();
         let open = self.replica.open_requests.get();
         self.replica.open_requests.set(open.saturating_sub(1));
     }
 }
+
+/// The time in which a replica reads so many tokens of a prompt, as far as is known without asking: the
+/// slowest engine of the operator's sheets.
+pub fn reading_time(tokens: u64) -> Duration {
+    const TOKENS_PER_MS: u64 = 36;
+    Duration::from_millis(tokens / TOKENS_PER_MS)
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -183,7 +183,7 @@
         self.status.metrics.replicas.set(count);
         self.refresh_readiness();
         self.rollout_wanted.notify_one();
-        self.peers.news.notify_one();
+        self.peers.nudge();
     }
 
     /// Tells other threads whether the configuration and the replicas are known and current.
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -187,7 +187,7 @@
     let version = i64::try_from(configuration.version).unwrap_or(i64::MAX);
     state.status.metrics.configuration_version.set(version);
     state.configuration.store(Some((*configuration).into()));
-    state.peers.news.notify_one();
+    state.peers.nudge();
 }
 
 /// Takes in the first list of wanted weights since the start. They may be wanted for any time: they count as
@@ -215,7 +215,7 @@
         weights.model,
         weights.version
     );
-    state.peers.news.notify_one();
+    state.peers.nudge();
     state.rollout_wanted.notify_one();
 }
 
