--- a/crates/gateway/src/cache/follow.rs
+++ b/crates/gateway/src/cache/follow.rs
@@ -32,7 +32,12 @@
         let pool = Pool::new(store);
         while present_store(&state) == Some(store) {
             let is_done = follow_once(&state, &pool, store).await;
-            tokio::time::sleep(if is_done { GATHERING } else { PAUSE_AFTER_FAILURE }).await;
+            tokio::time::sleep(if is_done {
+                GATHERING
+            } else {
+                PAUSE_AFTER_FAILURE
+            })
+            .await;
         }
     }
 }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -43,6 +43,8 @@
     pub proof_age_ms: Option<u64>,
     /// How long ago somebody who reads the whole store knew all that is told here, in milliseconds.
     pub view_age_ms: Option<u64>,
+    /// The highest revision of the store that is known.
+    pub store_revision: u64,
     /// The version of the configuration in force.
     pub configuration: u64,
     /// The wanted weights.
--- a/crates/gateway/src/peers/source.rs
+++ b/crates/gateway/src/peers/source.rs
@@ -21,6 +21,12 @@
 /// How long a daemon reads the store in vain before it asks others.
 const STORE_PATIENCE: Duration = Duration::from_millis(1300);
 
+/// For how long it is remembered that a source knew nothing recent.
+const STALE_MEMORY: Duration = Duration::from_millis(4000);
+
+/// Daemons that must know nothing recent before the store counts as down for all.
+const STALE_OTHERS: usize = 2;
+
 /// How old what a source tells may be.
 const LONGEST_VIEW_AGE: Duration = Duration::from_millis(2200);
 
@@ -69,6 +75,8 @@
     passed_over: HashMap<String, Duration>,
     unanswered: u32,
     asked: Option<String>,
+    stale: HashMap<String, Duration>,
+    store_is_vain: bool,
 }
 
 impl SourceChooser {
@@ -111,9 +119,11 @@
         match view_age {
             Some(age) if age <= LONGEST_VIEW_AGE => {
                 self.unanswered = 0;
+                self.stale.clear();
                 true
             }
             Some(_) => {
+                self.note_stale(now);
                 self.pass_over(now);
                 false
             }
@@ -124,6 +134,19 @@
         }
     }
 
+    fn note_stale(&mut self, now: Duration) {
+        if let Some(asked) = &self.asked {
+            self.stale.insert(asked.clone(), now);
+        }
+    }
+
+    /// Whether the store seems to be down for all: this daemon reads it in vain, and others that answered
+    /// know nothing recent either.
+    pub fn is_everybody_stale(&mut self, now: Duration) -> bool {
+        self.stale.retain(|_, at| now < *at + STALE_MEMORY);
+        self.store_is_vain && self.stale.len() >= STALE_OTHERS
+    }
+
     /// Takes in how old the view is that `own` got from the store in the time `reading` that it has read it. Where that is too old, the others are asked, those behind in rank too.
     pub fn on_store(
         &mut self,
@@ -133,6 +156,10 @@
         view_age: Option<Duration>,
     ) {
         let is_recent = view_age.is_some_and(|age| age <= LONGEST_VIEW_AGE);
+        self.store_is_vain = !is_recent;
+        if is_recent {
+            self.stale.clear();
+        }
         if !is_recent && reading >= STORE_PATIENCE {
             self.passed_over.insert(own.to_owned(), now + PASS_OVER);
         }
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -213,6 +213,9 @@
                 let reading = state.now().saturating_sub(state.peers.reader_since.get());
                 let own = &state.peers.own.name;
                 chooser.on_store(state.now(), own, reading, state.peers.view_age());
+                if chooser.is_everybody_stale(state.now()) {
+                    state.weights.borrow_mut().store_is_down(Instant::now());
+                }
                 false
             }
         };
@@ -321,6 +324,7 @@
         };
         let now = state.now();
         let mut known = state.lease.borrow_mut();
+        known.on_store_revision(now, answer.store_revision);
         known.on_list(now, Some((lease.revision, record)));
     } else {
         state.lease.borrow_mut().on_list(state.now(), None);
@@ -404,6 +408,7 @@
         nonce: question.nonce,
         proof_age_ms: age.map(to_ms_up),
         view_age_ms: state.peers.view_age().map(to_ms_up),
+        store_revision: state.store_revision.get(),
         configuration: configuration.as_ref().map_or(0, |known| known.version),
         weights: weights
             .into_iter()
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -121,6 +121,9 @@
                 Ok(Some(Attempt { opened, choice }))
             }
             Verdict::NotRun => {
+                if meta.is_misdirected && meta.replica.as_ref() == Some(&choice.replica.id) {
+                    self.learn_weights(&choice);
+                }
                 let status = opened.answer.status().as_u16();
                 let detail = format!("status {status}, misdirected {}", meta.is_misdirected);
                 self.not_run(&choice, peer, &detail)?;
@@ -133,6 +136,17 @@
         }
     }
 
+    /// Takes in that the right replica has other weights than believed: it has been brought to newer ones.
+    fn learn_weights(&self, choice: &Choice) {
+        let Some(prompt) = self.context.prompt() else {
+            return;
+        };
+        let newest = self.state.weights.borrow().newest(&prompt.model);
+        if let Some(newest) = newest {
+            choice.replica.note_version(&prompt.model, newest);
+        }
+    }
+
     /// Whether a request that failed at a replica goes to another one instead of passing the failure on.
     fn tries_failed_again(&mut self, choice: &Choice) -> bool {
         let is_possible = self.may_run_again()
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -132,7 +132,12 @@
 
 fn has_usable_weights(state: &GatewayState, context: &RequestContext, replica: &Replica) -> bool {
     let deadline = state.settings.times.weights_deadline;
-    outdated_for(state, context, replica).is_none_or(|age| age + WEIGHTS_MARGIN < deadline)
+    let overdue_for = context.prompt().and_then(|prompt| {
+        let version = replica.version_of(&prompt.model)?;
+        let weights = state.weights.borrow();
+        weights.overdue_for(&prompt.model, version, Instant::now())
+    });
+    overdue_for.is_none_or(|age| age + WEIGHTS_MARGIN < deadline)
 }
 
 /// Whether an answer with the replica's weights is worth less.
@@ -170,7 +175,9 @@
     let scope = cache_scope(context, version)?;
     let is_kept = |store: &&KvStore| {
         let parts = context.shared_parts();
-        state.cached.keeps(store.address, &scope, parts, Instant::now())
+        state
+            .cached
+            .keeps(store.address, &scope, parts, Instant::now())
     };
     let fetching = store
         .filter(is_kept)
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -84,6 +84,8 @@
     pub is_misdirected: bool,
     /// The version of its weights.
     pub weights_version: Option<u64>,
+    /// The id of the replica that answered, where it says so.
+    pub replica: Option<String>,
     /// Whether the head names the replica's signature.
     pub is_signed: bool,
 }
--- a/crates/gateway/src/replicas/health.rs
+++ b/crates/gateway/src/replicas/health.rs
@@ -64,6 +64,7 @@
     /// Whether it should get no requests at `now`.
     pub fn is_suspect(&self, now: Instant) -> bool {
         let is_before = |until: Instant| now < until;
-        self.suspect_until.get().is_some_and(is_before) || self.full_until.get().is_some_and(is_before)
+        self.suspect_until.get().is_some_and(is_before)
+            || self.full_until.get().is_some_and(is_before)
     }
 }
--- a/crates/gateway/src/replicas/placement.rs
+++ b/crates/gateway/src/replicas/placement.rs
@@ -89,7 +89,11 @@
 
 /// What a request waits for at a candidate, in milliseconds; what makes it worse counts as waiting too.
 fn load_ms(candidate: &Candidate) -> f64 {
-    let outdated = if candidate.is_outdated { OUTDATED_MS } else { 0.0 };
+    let outdated = if candidate.is_outdated {
+        OUTDATED_MS
+    } else {
+        0.0
+    };
     candidate.reading.as_secs_f64() * 1000.0
         + OPEN_REQUEST_MS * f64::from(candidate.open_requests)
         + FAILURE_MS * candidate.failure_share
--- a/crates/gateway/src/rollout/lease.rs
+++ b/crates/gateway/src/rollout/lease.rs
@@ -9,6 +9,7 @@
 //!
 //! Times are of one steady clock, as durations since any fixed moment.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::protocol::{LeaseRecord, WriteAnswer};
@@ -63,6 +64,8 @@
     wanted_since: Option<Duration>,
     retry_at: Duration,
     is_fenced: bool,
+    failures_in_row: u32,
+    reached: VecDeque<(Duration, u64)>,
 }
 
 impl OrderLease {
@@ -79,6 +82,8 @@
             wanted_since: None,
             retry_at: Duration::ZERO,
             is_fenced: false,
+            failures_in_row: 0,
+            reached: VecDeque::new(),
         }
     }
 
@@ -90,6 +95,28 @@
         }
     }
 
+    /// Takes in that the store had reached `revision` by `now`: whatever has it or a lower one was written
+    /// before, even if it is seen later.
+    pub fn on_store_revision(&mut self, now: Duration, revision: u64) {
+        let is_news = self
+            .reached
+            .back()
+            .is_none_or(|(_, known)| *known < revision);
+        if is_news {
+            self.reached.push_back((now, revision));
+        }
+        while self.reached.len() > REMEMBERED_REVISIONS {
+            self.reached.pop_front();
+        }
+    }
+
+    /// The earliest time by which the store is known to have reached `revision`.
+    fn reached_at(&self, revision: u64) -> Option<Duration> {
+        let mut reached = self.reached.iter();
+        let first = reached.find(|(_, known)| *known >= revision)?;
+        Some(first.0)
+    }
+
     /// Takes in the object as seen; older revisions are ignored.
     pub fn on_seen(&mut self, now: Duration, revision: u64, record: LeaseRecord) {
         let is_older = self
@@ -102,10 +129,11 @@
         if !self.is_own(&record) {
             self.valid_until = None;
         }
+        let reached_at = self.reached_at(revision);
         self.seen = Some(Seen {
             revision,
             record,
-            first_seen: now,
+            first_seen: reached_at.map_or(now, |reached_at| reached_at.min(now)),
         });
     }
 
@@ -191,6 +219,7 @@
         match answer {
             WriteAnswer::Accepted(revision) => {
                 self.is_fenced = false;
+                self.failures_in_row = 0;
                 self.valid_until = Some(began + self.times.term);
                 self.renew_at = began + self.times.renewal;
                 self.seen = Some(Seen {
@@ -206,7 +235,9 @@
                 self.retry_at = ended + RETRY_PAUSE;
             }
             WriteAnswer::Conflict(None) | WriteAnswer::Busy | WriteAnswer::Unknown => {
-                self.retry_at = ended + RETRY_PAUSE;
+                let pause = RETRY_PAUSE.saturating_mul(1 << self.failures_in_row.min(4));
+                self.failures_in_row += 1;
+                self.retry_at = ended + pause;
             }
         }
     }
@@ -240,5 +271,8 @@
     }
 }
 
-/// The pause after a write that failed.
+/// The pause after the first write that failed; each further one in a row twice as long, up to 16 times.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
+
+/// Revisions of the store whose time is remembered.
+const REMEMBERED_REVISIONS: usize = 64;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -94,6 +94,8 @@
     pub callers: CallerConnections,
     /// The connections to the store.
     pub store: Rc<Pool>,
+    /// The highest revision of the store that is known.
+    pub store_revision: Cell<u64>,
     /// The lease under which orders are given.
     pub lease: RefCell<OrderLease>,
     /// Wakes the task that brings replicas to new weights.
@@ -134,6 +136,7 @@
             peers,
             cached: CachedParts::default(),
             callers: CallerConnections::default(),
+            store_revision: Cell::new(0),
             lease: RefCell::new(lease),
             rollout_wanted: Notify::new(),
             life,
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -52,6 +52,7 @@
             .platform
             .read_list(kind, &body)
             .map_err(StoreError::Unreadable)?;
+        note_revision(state, page.revision);
         // A watch goes on from the first page: what changed since is told again.
         let revision = *first_revision.get_or_insert(page.revision);
         let is_empty = page.items.is_empty();
@@ -75,10 +76,21 @@
 ) -> Result<WatchPage, StoreError> {
     let call = state.platform.watch(kind, revision, wait);
     let body = get(state, &call, wait + WATCH_MARGIN).await?;
-    state
+    let page = state
         .platform
         .read_watch(kind, &body)
-        .map_err(StoreError::Unreadable)
+        .map_err(StoreError::Unreadable)?;
+    note_revision(state, page.revision);
+    Ok(page)
+}
+
+/// Remembers when the store had reached a revision.
+fn note_revision(state: &GatewayState, revision: u64) {
+    let mut lease = state.lease.borrow_mut();
+    lease.on_store_revision(state.now(), revision);
+    state
+        .store_revision
+        .set(state.store_revision.get().max(revision));
 }
 
 /// Writes an object on condition of its revision.
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -28,6 +28,11 @@
 /// Follows `kind` whenever this daemon reads the store for its group. Whenever a watch ends otherwise than
 /// by an answer, the list is read anew, since changes may have been missed.
 pub async fn run(state: Rc<GatewayState>, kind: ObjectKind) {
+    if is_needed_at_once(&state, kind)
+        && let Ok((objects, _)) = list_all(&state, kind).await
+    {
+        take_list(&state, kind, objects);
+    }
     loop {
         state.peers.until_reader().await;
         let mut pause = PAUSE_AFTER_FAILURE;
@@ -52,6 +57,13 @@
     }
 }
 
+/// Whether `kind` is listed at the start, whoever reads the store for the group: callers come at once to a
+/// daemon that is restarted.
+fn is_needed_at_once(state: &GatewayState, kind: ObjectKind) -> bool {
+    let is_needed = matches!(kind, ObjectKind::Replicas | ObjectKind::Weights);
+    is_needed && !state.settings.is_first_start
+}
+
 /// Takes in whether this daemon follows `kind`; the others may rely on what it tells while it follows replicas.
 fn note_following(state: &GatewayState, kind: ObjectKind, is_following: bool) {
     if kind != ObjectKind::Replicas {
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -19,9 +19,12 @@
 ///
 /// Each version counts from the time it was named: where one is followed by the next before it is
 /// everywhere, replicas with still older weights are out of use by the time of the first.
+///
+/// While the store is down nobody can be ordered to load anything, so that time does not count.
 #[derive(Debug, Default)]
 pub struct WantedWeights {
     by_model: HashMap<String, Vec<Named>>,
+    down_until: Option<Instant>,
 }
 
 impl WantedWeights {
@@ -59,6 +62,20 @@
         Some(now.saturating_duration_since(newer.since))
     }
 
+    /// The same, without the time up to which the store was last known to be down for all.
+    pub fn overdue_for(&self, model: &str, version: u64, now: Instant) -> Option<Duration> {
+        let outdated_for = self.outdated_for(model, version, now)?;
+        let since_down = self
+            .down_until
+            .map(|down| now.saturating_duration_since(down));
+        Some(since_down.map_or(outdated_for, |since| since.min(outdated_for)))
+    }
+
+    /// Takes in that the store is down for all at `now`.
+    pub fn store_is_down(&mut self, now: Instant) {
+        self.down_until = Some(now);
+    }
+
     /// The newest version of every model, with its age.
     pub fn all(&self, now: Instant) -> Vec<(ModelVersion, Duration)> {
         let newest = |(model, named): (&String, &Vec<Named>)| {
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -142,6 +142,23 @@
     assert_eq!(wanted.newest("model"), Some(5));
 }
 
+#[test]
+fn the_time_in_which_the_store_was_down_for_all_makes_nothing_overdue() {
+    let start = Instant::now();
+    let mut wanted = WantedWeights::default();
+    wanted.name(&weights(2), start);
+    wanted.store_is_down(start + Duration::from_secs(6));
+    let now = start + Duration::from_secs(7);
+    assert_eq!(
+        wanted.overdue_for("model", 1, now),
+        Some(Duration::from_secs(1))
+    );
+    assert_eq!(
+        wanted.outdated_for("model", 1, now),
+        Some(Duration::from_secs(7))
+    );
+}
+
 #[test]
 fn many_versions_are_remembered_no_younger_than_they_are() {
     let start = Instant::now();
--- a/crates/gateway/tests/order_lease.rs
+++ b/crates/gateway/tests/order_lease.rs
@@ -85,6 +85,19 @@
     assert_eq!(acquire(&mut other, &mut store, free_at), Some(2));
 }
 
+#[test]
+fn a_write_that_is_seen_late_counts_from_when_the_store_had_reached_it() {
+    let (mut store, mut one, mut other) = (Store::default(), daemon("one"), daemon("other"));
+    acquire(&mut one, &mut store, at(0));
+    other.on_store_revision(at(40), 1);
+    let (revision, record) = store.object.clone().expect("written");
+    other.on_seen(at(4000), revision, record);
+    let times = lease_times(DISTANCE);
+    let free_at = at(40) + times.term + times.distance;
+    assert_eq!(acquire(&mut other, &mut store, free_at - at(1)), None);
+    assert_eq!(acquire(&mut other, &mut store, free_at), Some(2));
+}
+
 #[test]
 fn one_that_was_given_back_is_free_after_the_distance() {
     let (mut store, mut one, mut other) = (Store::default(), daemon("one"), daemon("other"));
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -208,3 +208,26 @@
     assert_eq!(Message::decode(&bytes[..bytes.len() - 1]), None);
     assert_eq!(Message::decode(b"not a datagram"), None);
 }
+
+#[test]
+fn the_store_counts_as_down_for_all_only_where_others_know_nothing_recent_either() {
+    let group = group();
+    let mut chooser = SourceChooser::default();
+    let now = Duration::from_secs(10);
+    let old = Some(Duration::from_secs(3));
+    chooser.on_store(now, &group[0].name, Duration::from_secs(9), old);
+    assert!(!chooser.is_everybody_stale(now));
+    for _ in 0..2 {
+        assert!(choose(&mut chooser, 10_000, &group, 0).is_some());
+        chooser.on_answer(now, old);
+    }
+    assert!(chooser.is_everybody_stale(now));
+    assert!(!chooser.is_everybody_stale(now + Duration::from_secs(5)));
+    chooser.on_store(
+        now,
+        &group[0].name,
+        Duration::from_secs(9),
+        Some(Duration::ZERO),
+    );
+    assert!(!chooser.is_everybody_stale(now));
+}
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -68,6 +68,8 @@
     pub listen: GatewayListen,
     /// The address of the object store.
     pub store: SocketAddr,
+    /// Whether the whole system starts for the first time, so that nobody is served yet.
+    pub is_first_start: bool,
     /// Addresses of machines that run other gateways; only their IP counts, since every gateway listens for
     /// others at the same port.
     pub seeds: Vec<SocketAddr>,
@@ -122,6 +124,7 @@
     let name = root.required("name", "this gateway's unique name", values::name);
     let zone = root.required("zone", "the name of this gateway's zone", values::name);
     let store = root.required("store", ADDRESS_EXPECTED, values::address);
+    let is_first_start = root.or_default("first_start", false, values::boolean);
     let seeds = root.list("seeds", values::address);
     let listen = read_listen(root.section("listen"));
     let times = read_times(root.section("times"));
@@ -133,6 +136,7 @@
         zone: zone?,
         listen: listen?,
         store: store?,
+        is_first_start,
         seeds,
         times,
         retries,
