--- a/crates/gateway/tests/order_lease.rs
+++ b/crates/gateway/tests/order_lease.rs
@@ -94,6 +94,7 @@
     other.on_seen(at(4000), revision, record);
     let times = lease_times(DISTANCE);
     let free_at = at(40) + times.term + times.distance;
+    assert_eq!(acquire(&mut other, &mut store, at(4100)), None);
     assert_eq!(acquire(&mut other, &mut store, free_at - at(1)), None);
     assert_eq!(acquire(&mut other, &mut store, free_at), Some(2));
 }
