--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -18,6 +18,10 @@
 /// Shared tokens from which a prompt is worth copying to a store; fewer are read again in no time.
 const WORTH_KEEPING: u64 = 512;
 
+/// A prompt is copied only if its own part has at most the shared tokens divided by this: the own part goes
+/// along, and drives out what others need.
+const MOST_OWN: u64 = 1;
+
 /// How much a fetch counts against its time on an idle link, since others use the link too.
 const FETCH_WEIGHT: f64 = 3.0;
 
@@ -91,7 +95,10 @@
     scope: Option<&str>,
 ) -> bool {
     let shared = context.shared_parts();
-    let Some(scope) = scope.filter(|_| context.shared_tokens() >= WORTH_KEEPING) else {
+    let shared_tokens = context.shared_tokens();
+    let own_tokens = tokens_to_read(context, Some(store), true);
+    let is_worth_it = shared_tokens >= WORTH_KEEPING && own_tokens <= shared_tokens / MOST_OWN;
+    let Some(scope) = scope.filter(|_| is_worth_it) else {
         return false;
     };
     state
--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -114,11 +114,12 @@
     state.status.metrics.sent.inc();
     log_event!(
         gateway::REQUEST_SENT,
-        "request={} route={} replica={} address={} home={} candidates={} open={} reading={:?} tokens={} version={:?} fetch={:?} save={} configuration={} proof_age={:?} left={:?} reused={}",
+        "request={} route={} replica={} address={} key={:?} home={} candidates={} open={} reading={:?} tokens={} version={:?} fetch={:?} save={} configuration={} proof_age={:?} left={:?} reused={}",
         context.id,
         context.route.name,
         choice.replica.id,
         connection.peer,
+        context.placement_key().map(|key| key.0),
         choice.is_home,
         choice.candidates,
         choice.replica.open_requests(),
