--- a/crates/driftctl/src/command_line.rs
+++ b/crates/driftctl/src/command_line.rs
@@ -7,7 +7,8 @@
 xflags::xflags! {
     /// Asks and orders driftspring daemons. Without a statement and a file, statements are read from standard input.
     cmd driftctl {
-        /// A statement, such as: show routes. Its words are joined by spaces.
+        /// A statement, such as: show routes. Its words are joined by spaces. With "explain REQUEST-ID" log lines
+        /// are read from standard input, and what they tell of the request is written.
         repeated statement: String
         /// The operators' address of a daemon; further ones are tried in turn. Default: 127.0.0.1:8081.
         repeated -s, --server address: SocketAddr
--- /dev/null
+++ b/crates/driftctl/src/explain.rs
@@ -0,0 +1,171 @@
+//! `driftctl explain REQUEST-ID`: from log lines on standard input to what became of a request, and why.
+
+use std::io::BufRead;
+
+use serde::Deserialize;
+
+/// Lines told of what went on around the request, at the most.
+const MAX_SURROUNDINGS: usize = 12;
+
+/// Events that tell how a request ended: refused, answered, left by its caller, cut.
+const ENDS: [&str; 4] = [
+    "REQUEST_ENDED",
+    "REQUEST_REFUSED",
+    "CALLER_LEFT",
+    "STREAM_CUT",
+];
+
+/// Events of the process that may be the cause of what befell a request.
+const SURROUNDINGS: [&str; 14] = [
+    "GATEWAY_STARTED",
+    "GATEWAY_STOPPING",
+    "GATEWAY_STOPPED",
+    "CONFIGURATION_TAKEN",
+    "STORE_LOST",
+    "STORE_REGAINED",
+    "CURRENCY_LOST",
+    "SOURCE_CHANGED",
+    "REPLICA_GONE",
+    "REPLICA_SUSPECT",
+    "WEIGHTS_WANTED",
+    "LEASE_LOST",
+    "OBJECT_REJECTED",
+    "LOG_LINES_DROPPED",
+];
+
+/// One log line of a gateway.
+#[derive(Debug, Clone, Deserialize)]
+struct LogLine {
+    time: String,
+    name: Option<String>,
+    message: String,
+}
+
+/// What the log lines tell of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Explanation {
+    /// The story, line by line.
+    pub lines: Vec<String>,
+    /// Whether the lines tell how the request ended.
+    pub is_complete: bool,
+}
+
+/// Reads log lines and picks those that concern the request `id`. Lines that are no log lines are passed
+/// over; a prefix before the JSON object, such as a machine's name, is allowed.
+///
+/// # Errors
+///
+/// The lines can't be read.
+pub fn explain(id: &str, input: impl BufRead) -> std::io::Result<Explanation> {
+    let mut own: Vec<LogLine> = Vec::new();
+    let mut around: Vec<LogLine> = Vec::new();
+    for line in input.lines() {
+        let Some(line) = parse(&line?) else {
+            continue;
+        };
+        if names_request(&line.message, id) {
+            own.push(line);
+        } else if line
+            .name
+            .as_deref()
+            .is_some_and(|name| SURROUNDINGS.contains(&name))
+        {
+            around.push(line);
+        }
+    }
+    Ok(tell(id, &own, around))
+}
+
+fn parse(line: &str) -> Option<LogLine> {
+    let start = line.find('{')?;
+    serde_json::from_str(&line[start..]).ok()
+}
+
+fn names_request(message: &str, id: &str) -> bool {
+    let mut words = message.split(' ');
+    words.any(|word| word.strip_prefix("request=") == Some(id))
+}
+
+fn tell(id: &str, own: &[LogLine], around: Vec<LogLine>) -> Explanation {
+    let Some(first) = own.first() else {
+        return Explanation {
+            lines: vec![format!(
+                "no line names request {id}: it reached another gateway, or lines are missing"
+            )],
+            is_complete: false,
+        };
+    };
+    let mut lines: Vec<String> = own.iter().map(render).collect();
+    let end = own.iter().rev().find(|line| is_end(line));
+    let last = end.map_or(&own[own.len() - 1].time, |end| &end.time);
+    let relevant = |line: &LogLine| {
+        let names_replica = own.iter().any(|own| shares_replica(own, line));
+        let is_general = !line.message.contains("replica=");
+        line.time <= *last && (names_replica || (is_general && line.time >= first.time))
+    };
+    let mut surroundings: Vec<LogLine> = around.into_iter().filter(|line| relevant(line)).collect();
+    let skipped = surroundings.len().saturating_sub(MAX_SURROUNDINGS);
+    surroundings.drain(..skipped);
+    if !surroundings.is_empty() {
+        lines.push("around it:".to_owned());
+        lines.extend(surroundings.iter().map(render));
+    }
+    lines.push(match end {
+        Some(end) => format!("so: {}", conclusion(end)),
+        None => "so: no line tells how it ended: the process ended first, or lines are missing"
+            .to_owned(),
+    });
+    Explanation {
+        lines,
+        is_complete: end.is_some(),
+    }
+}
+
+fn is_end(line: &LogLine) -> bool {
+    line.name
+        .as_deref()
+        .is_some_and(|name| ENDS.contains(&name))
+}
+
+fn render(line: &LogLine) -> String {
+    let name = line.name.as_deref().unwrap_or("");
+    format!("{} {name} {}", line.time, line.message)
+}
+
+/// Whether both lines name the same replica.
+fn shares_replica(own: &LogLine, line: &LogLine) -> bool {
+    let replica = field(&line.message, "replica");
+    replica.is_some() && replica == field(&own.message, "replica")
+}
+
+/// The value of `name=value` in a message.
+fn field<'a>(message: &'a str, name: &str) -> Option<&'a str> {
+    let mut words = message.split(' ');
+    words.find_map(|word| word.strip_prefix(name)?.strip_prefix('='))
+}
+
+/// What the last line means.
+fn conclusion(end: &LogLine) -> String {
+    let reason = field(&end.message, "reason").unwrap_or("");
+    match (end.name.as_deref().unwrap_or(""), reason) {
+        ("REQUEST_ENDED", _) => "a replica's whole answer was passed on".to_owned(),
+        ("CALLER_LEFT", _) => {
+            "the caller closed its connection before the answer was whole".to_owned()
+        }
+        ("STREAM_CUT", _) => {
+            "the stream broke and could not go on, so the caller's connection was closed".to_owned()
+        }
+        (_, "NotInformed") => {
+            "refused as not run: no configuration was known to be current; look for STORE_LOST"
+                .to_owned()
+        }
+        (_, "NoReplica") => "refused as not run: no replica could serve; see the detail".to_owned(),
+        (_, "NotRun") => {
+            "refused as not run: the replicas that were asked did not take it".to_owned()
+        }
+        (_, "Stopping") => "refused as not run: the gateway was about to end".to_owned(),
+        (_, "Unknown") => "a replica may have run it, and no usable answer came".to_owned(),
+        (_, "TimedOut") => "its time was over before an answer came".to_owned(),
+        (_, other) => format!("refused: {other}"),
+    }
+}
--- a/crates/driftctl/src/lib.rs
+++ b/crates/driftctl/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 mod command_line;
 mod exit;
+pub mod explain;
 mod output;
 mod program;
 mod session;
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -21,8 +21,8 @@
 /// The budgets of all services.
 #[derive(Debug)]
 pub struct RetryBudgets {
-    ratio: f64,
-    slack: f64,
+    ratio: Cell<f64>,
+    slack: Cell<f64>,
     daemons: Cell<f64>,
     saved: RefCell<HashMap<String, f64>>,
 }
@@ -31,13 +31,19 @@
     /// Budgets under `settings`.
     pub fn new(settings: &GatewayRetries) -> Self {
         Self {
-            ratio: settings.ratio * RATIO_USED,
-            slack: f64::from(settings.slack) * SLACK_USED,
+            ratio: Cell::new(settings.ratio * RATIO_USED),
+            slack: Cell::new(f64::from(settings.slack) * SLACK_USED),
             daemons: Cell::new(LEAST_DAEMONS),
             saved: RefCell::new(HashMap::new()),
         }
     }
 
+    /// Puts other settings into force.
+    pub fn reload(&self, settings: &GatewayRetries) {
+        self.ratio.set(settings.ratio * RATIO_USED);
+        self.slack.set(f64::from(settings.slack) * SLACK_USED);
+    }
+
     /// Takes in how many daemons share the budget.
     pub fn set_daemons(&self, daemons: usize) {
         self.daemons.set((daemons as f64).max(LEAST_DAEMONS));
@@ -48,7 +54,7 @@
         let limit = self.limit();
         let mut saved = self.saved.borrow_mut();
         match saved.get_mut(service) {
-            Some(saved) => *saved = (*saved + self.ratio).min(limit),
+            Some(saved) => *saved = (*saved + self.ratio.get()).min(limit),
             None => {
                 saved.insert(service.to_owned(), limit);
             }
@@ -69,6 +75,6 @@
 
     /// Repeats that may be saved up.
     fn limit(&self) -> f64 {
-        (self.slack / self.daemons.get()).max(1.0)
+        (self.slack.get() / self.daemons.get()).max(1.0)
     }
 }
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -201,6 +201,7 @@
 async fn ask(state: Rc<GatewayState>, socket: Rc<tokio::net::UdpSocket>, mut answers: Answers) {
     let mut chooser = SourceChooser::default();
     loop {
+        state.take_reloaded();
         state.budgets.set_daemons(state.peers.daemons().len());
         let group = state.peers.group();
         let source = chooser.choose(state.now(), &group, &state.peers.own.name);
--- a/crates/gateway/src/pipeline/authenticate.rs
+++ b/crates/gateway/src/pipeline/authenticate.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::find_route::{DENIAL_CURRENCY, DENIAL_PATIENCE};
+use super::find_route::{DENIAL_PATIENCE, denial_currency};
 use super::refusal::{Reason, Refusal, Step};
 use crate::configuration::{Route, Tenant};
 use crate::state::GatewayState;
@@ -37,7 +37,7 @@
     }
     let is_confirmed = state
         .currency
-        .confirm(DENIAL_CURRENCY, DENIAL_PATIENCE)
+        .confirm(denial_currency(state), DENIAL_PATIENCE)
         .await;
     match (look_up(), is_confirmed) {
         (Some(tenant), _) => Ok(Some(tenant)),
@@ -48,7 +48,7 @@
 
 /// A key may have been taken away since the configuration was last known to be current.
 async fn check_currency(state: &GatewayState) -> Result<(), Refusal> {
-    let Some(allowed) = state.settings.times.key_currency else {
+    let Some(allowed) = state.times.get().key_currency else {
         return Ok(());
     };
     let allowed = allowed.saturating_sub(CURRENCY_MARGIN);
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -138,7 +138,7 @@
 }
 
 fn has_usable_weights(state: &GatewayState, context: &RequestContext, replica: &Replica) -> bool {
-    let deadline = state.settings.times.weights_deadline;
+    let deadline = state.times.get().weights_deadline;
     let overdue_for = context.prompt().and_then(|prompt| {
         let version = replica.version_of(&prompt.model)?;
         let weights = state.weights.borrow();
--- a/crates/gateway/src/pipeline/find_route.rs
+++ b/crates/gateway/src/pipeline/find_route.rs
@@ -8,12 +8,18 @@
 use crate::configuration::{Configuration, Route};
 use crate::state::GatewayState;
 
-/// How fresh the proof has to be on which a request is turned away for good.
-pub const DENIAL_CURRENCY: Duration = Duration::from_millis(700);
+/// The share of the time in which a configuration must be in force that the proof may be old on which a
+/// request is turned away for good.
+const DENIAL_SHARE: f64 = 0.4;
 
 /// How long a request waits for such a proof.
 pub const DENIAL_PATIENCE: Duration = Duration::from_millis(600);
 
+/// How fresh the proof has to be on which a request is turned away for good.
+pub fn denial_currency(state: &GatewayState) -> Duration {
+    state.times.get().configuration_lag.mul_f64(DENIAL_SHARE)
+}
+
 /// The configuration in force and the request's route. A missing route is believed only where the
 /// configuration has just been read, since the route may be new.
 pub async fn find_route(
@@ -31,7 +37,7 @@
     }
     let is_confirmed = state
         .currency
-        .confirm(DENIAL_CURRENCY, DENIAL_PATIENCE)
+        .confirm(denial_currency(state), DENIAL_PATIENCE)
         .await;
     let is_known = state.configuration.load().is_some();
     look_up().ok_or_else(|| match is_confirmed && is_known {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
-use driftspring_settings::GatewaySettings;
+use driftspring_settings::{GatewaySettings, GatewayTimes};
 use rand::Rng;
 use tokio::sync::Notify;
 
@@ -70,6 +70,8 @@
 pub struct GatewayState {
     /// The settings.
     pub settings: GatewaySettings,
+    /// The times in force; a reload of the settings changes them.
+    pub times: Cell<GatewayTimes>,
     /// How the platform speaks.
     pub platform: Arc<dyn Platform>,
     /// What other threads see.
@@ -123,6 +125,7 @@
         let times = lease_times(settings.times.lease_term);
         let lease = OrderLease::new(&settings.name, life, times);
         Rc::new(Self {
+            times: Cell::new(settings.times),
             settings,
             platform,
             status,
@@ -199,6 +202,16 @@
             .store(is_informed, Ordering::Release);
     }
 
+    /// Puts settings that were read again into force: times, repeats. What listens and where the store is
+    /// stay as they are until the next start.
+    pub fn take_reloaded(&self) {
+        let reloaded = self.status.reloaded.lock();
+        if let Some(settings) = reloaded.ok().and_then(|mut reloaded| reloaded.take()) {
+            self.times.set(settings.times);
+            self.budgets.reload(&settings.retries);
+        }
+    }
+
     /// A number that differs from call to call.
     pub fn draw(&self) -> u64 {
         let draw = self.draws.get().wrapping_add(1);
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -205,7 +205,7 @@
 /// Takes in the first list of wanted weights since the start. They may be wanted for any time: they count as
 /// old, but for the time in which a daemon that has just started is not yet held to them.
 fn take_first_weights(state: &GatewayState, objects: Vec<StoredObject>) {
-    let deadline = state.settings.times.weights_deadline;
+    let deadline = state.times.get().weights_deadline;
     let age = deadline.saturating_sub(FIRST_WEIGHTS_GRACE);
     for object in objects {
         if let Ok(ObjectContent::Weights(weights)) = object.content {
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -115,6 +115,21 @@
     assert!(budget.try_spend("other"));
 }
 
+#[test]
+fn a_reload_changes_what_may_be_spent() {
+    let budget = budgets(0.2, 400);
+    budget.reload(&GatewayRetries {
+        ratio: 0.2,
+        slack: 0,
+        window: Duration::from_secs(10),
+    });
+    assert!(budget.try_spend("service"));
+    assert!(
+        !budget.try_spend("service"),
+        "one is always allowed, no more without slack"
+    );
+}
+
 fn weights(version: u64) -> ModelVersion {
     ModelVersion {
         model: "model".to_owned(),
--- a/crates/telemetry/tests/log_lines.rs
+++ b/crates/telemetry/tests/log_lines.rs
@@ -83,3 +83,52 @@
     assert!(written.ends_with("line 499\n"));
     assert_eq!(writer.dropped_lines(), 0);
 }
+
+/// An output that nobody reads: the first write never ends.
+struct Unread(std::sync::mpsc::Receiver<()>);
+
+impl Write for Unread {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let _ = self.0.recv();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn write_to(writer: &QueuedWriter, text: &str) {
+    let arguments = format_args!("{text}");
+    let record = Record::builder().level(Level::Info).args(arguments).build();
+    writer
+        .write(&mut DeferredNow::new(), &record)
+        .expect("never fails");
+}
+
+#[test]
+fn an_output_that_nobody_reads_stops_no_writer_and_lines_are_counted() {
+    const LINES: u64 = 20_000;
+    let (reader, blocked) = std::sync::mpsc::channel();
+    let writer = QueuedWriter::start(LogFormat::Text, Unread(blocked)).expect("a thread");
+    (0..LINES).for_each(|_| write_to(&writer, "a line"));
+    assert!(
+        writer.dropped_lines() > LINES / 2,
+        "{}",
+        writer.dropped_lines()
+    );
+    drop(reader);
+}
+
+#[test]
+fn lines_beyond_the_bound_are_dropped_and_told_of() {
+    let output = SharedOutput::default();
+    let writer = QueuedWriter::start(LogFormat::Text, output.clone()).expect("a thread");
+    let text = "x".repeat(1024 * 1024);
+    (0..8).for_each(|_| write_to(&writer, &text));
+    let dropped = writer.dropped_lines();
+    assert!(dropped >= 4, "{dropped}");
+    writer.flush().expect("written");
+    let written = String::from_utf8(output.0.lock().expect("not poisoned").clone()).expect("text");
+    assert!(written.contains("LOG_LINES_DROPPED dropped="), "not told");
+}
