--- a/crates/driftctl/src/explain.rs
+++ b/crates/driftctl/src/explain.rs
@@ -10,7 +10,7 @@
 /// Events that tell how a request ended: refused, answered, left by its caller, cut.
 const ENDS: [&str; 4] = [
     "REQUEST_ENDED",
-    "REQUEST_REFUSED",
+    "CALLER_REFUSED",
     "CALLER_LEFT",
     "STREAM_CUT",
 ];
@@ -28,8 +28,8 @@
     "REPLICA_GONE",
     "REPLICA_SUSPECT",
     "WEIGHTS_WANTED",
-    "LEASE_LOST",
-    "OBJECT_REJECTED",
+    "ORDER_LEASE_LOST",
+    "ENTRY_REJECTED",
     "LOG_LINES_DROPPED",
 ];
 
--- a/crates/gateway/src/pipeline/refusal.rs
+++ b/crates/gateway/src/pipeline/refusal.rs
@@ -123,7 +123,7 @@
         let status = self.reason.status();
         let retry_after = self.reason.retry_after();
         log_event!(
-            gateway::REQUEST_REFUSED,
+            gateway::CALLER_REFUSED,
             "request={} route={} status={} step={:?} reason={:?} peer={:?} retry_after={:?} elapsed={:?} detail={:?}",
             account.id(),
             account.route(),
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -110,7 +110,7 @@
         )
         .await;
         log_event!(
-            gateway::LEASE_LOST,
+            gateway::ORDER_LEASE_LOST,
             "lease={LEASE_NAME} given_back={answer:?}"
         );
     }
@@ -160,7 +160,7 @@
             let had_token = lease.token_at(began);
             if !matches!(answer, WriteAnswer::Accepted(_)) {
                 log_event!(
-                    gateway::LEASE_NOT_ACQUIRED,
+                    gateway::ORDER_LEASE_NOT_ACQUIRED,
                     "lease={LEASE_NAME} token={} renewal={} expected={expected:?} answer={answer:?}",
                     record.token,
                     record.renewal
@@ -169,7 +169,10 @@
             lease.on_write(record, began, state.now(), answer);
             let token = lease.token_at(state.now());
             if let Some(token) = token.filter(|_| had_token.is_none()) {
-                log_event!(gateway::LEASE_ACQUIRED, "lease={LEASE_NAME} token={token}");
+                log_event!(
+                    gateway::ORDER_LEASE_ACQUIRED,
+                    "lease={LEASE_NAME} token={token}"
+                );
             }
             token
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,6 +11,8 @@
 
 use arc_swap::ArcSwapOption;
 use driftspring_settings::{GatewaySettings, GatewayTimes};
+use driftspring_telemetry::events::gateway;
+use driftspring_telemetry::log_event;
 use rand::Rng;
 use tokio::sync::Notify;
 
@@ -197,9 +199,13 @@
         let is_informed = self.configuration.load().is_some()
             && !self.registry.is_empty()
             && self.currency.is_within(READY_CURRENCY);
-        self.status
-            .is_informed
-            .store(is_informed, Ordering::Release);
+        let was_informed = self.status.is_informed.swap(is_informed, Ordering::AcqRel);
+        let age = self.currency.age();
+        match (was_informed, is_informed) {
+            (true, false) => log_event!(gateway::CURRENCY_LOST, "proof_age={age:?}"),
+            (false, true) => log_event!(gateway::CALLERS_WELCOME, "proof_age={age:?}"),
+            _ => {}
+        }
     }
 
     /// Puts settings that were read again into force: times, repeats. What listens and where the store is
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -232,5 +232,5 @@
 }
 
 fn log_rejected(name: &str, error: &str) {
-    log_event!(gateway::OBJECT_REJECTED, "object={name} error={error:?}");
+    log_event!(gateway::ENTRY_REJECTED, "object={name} error={error:?}");
 }
