--- a/crates/gateway/src/peers/source.rs
+++ b/crates/gateway/src/peers/source.rs
@@ -76,7 +76,7 @@
     unanswered: u32,
     asked: Option<String>,
     stale: HashMap<String, Duration>,
-    store_is_vain: bool,
+    read_in_vain_at: Option<Duration>,
 }
 
 impl SourceChooser {
@@ -119,6 +119,7 @@
         match view_age {
             Some(age) if age <= LONGEST_VIEW_AGE => {
                 self.unanswered = 0;
+                self.read_in_vain_at = None;
                 self.stale.clear();
                 true
             }
@@ -144,7 +145,10 @@
     /// know nothing recent either.
     pub fn is_everybody_stale(&mut self, now: Duration) -> bool {
         self.stale.retain(|_, at| now < *at + STALE_MEMORY);
-        self.store_is_vain && self.stale.len() >= STALE_OTHERS
+        let is_vain = self
+            .read_in_vain_at
+            .is_some_and(|at| now < at + STALE_MEMORY);
+        is_vain && self.stale.len() >= STALE_OTHERS
     }
 
     /// Takes in how old the view is that `own` got from the store in the time `reading` that it has read it. Where that is too old, the others are asked, those behind in rank too.
@@ -156,11 +160,11 @@
         view_age: Option<Duration>,
     ) {
         let is_recent = view_age.is_some_and(|age| age <= LONGEST_VIEW_AGE);
-        self.store_is_vain = !is_recent;
         if is_recent {
+            self.read_in_vain_at = None;
             self.stale.clear();
-        }
-        if !is_recent && reading >= STORE_PATIENCE {
+        } else if reading >= STORE_PATIENCE {
+            self.read_in_vain_at = Some(now);
             self.passed_over.insert(own.to_owned(), now + PASS_OVER);
         }
     }
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -215,6 +215,11 @@
                 let own = &state.peers.own.name;
                 chooser.on_store(state.now(), own, reading, state.peers.view_age());
                 if chooser.is_everybody_stale(state.now()) {
+                    log_event!(
+                        gateway::STORE_DOWN_FOR_ALL,
+                        "reading={reading:?} view_age={:?}",
+                        state.peers.view_age()
+                    );
                     state.weights.borrow_mut().store_is_down(Instant::now());
                 }
                 false
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -231,3 +231,17 @@
     );
     assert!(!chooser.is_everybody_stale(now));
 }
+
+#[test]
+fn a_daemon_that_has_just_begun_to_read_the_store_does_not_take_it_for_down() {
+    let group = group();
+    let mut chooser = SourceChooser::default();
+    let now = Duration::from_secs(10);
+    let old = Some(Duration::from_secs(3));
+    for _ in 0..2 {
+        assert!(choose(&mut chooser, 10_000, &group, 2).is_some());
+        chooser.on_answer(now, old);
+    }
+    chooser.on_store(now, &group[2].name, Duration::from_micros(19), old);
+    assert!(!chooser.is_everybody_stale(now));
+}
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -21,6 +21,7 @@
     STORE_REGAINED = 6203, Info, "The store answers again.";
     CURRENCY_LOST = 6204, Warn, "The configuration is not known to be current any more: requests that need a key are refused until it is.";
     CALLERS_WELCOME = 6206, Info, "The configuration and the replicas are known and current: callers may come.";
+    STORE_DOWN_FOR_ALL = 6207, Warn, "The store seems to be down for every daemon of the group: the time until it is back does not count against replicas with older weights.";
     WEIGHTS_WANTED = 6205, Info, "The operator named new weights.";
     REPLICA_SEEN = 6300, Info, "A replica is listed for the first time.";
     REPLICA_CHANGED = 6301, Info, "The entry of a replica has changed.";
