--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -1,7 +1,7 @@
 //! Asks the source, answers others, and passes news on.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -64,7 +64,7 @@
     followers: RefCell<HashMap<SocketAddr, Instant>>,
     source_log: Cell<u64>,
     source_sequence: Cell<u64>,
-    unmentioned: RefCell<Vec<ItemKey>>,
+    unmentioned: RefCell<HashSet<ItemKey>>,
     nonce: Cell<u64>,
     ask_now: Notify,
     outbox: RefCell<Vec<Loading>>,
@@ -88,7 +88,7 @@
             followers: RefCell::new(HashMap::new()),
             source_log: Cell::new(0),
             source_sequence: Cell::new(0),
-            unmentioned: RefCell::new(Vec::new()),
+            unmentioned: RefCell::new(HashSet::new()),
             nonce: Cell::new(life << 20),
             ask_now: Notify::new(),
             outbox: RefCell::new(Vec::new()),
@@ -352,7 +352,7 @@
             Change::Put(item) => item.key(),
             Change::Gone(key) => key.clone(),
         };
-        peers.unmentioned.borrow_mut().retain(|known| *known != key);
+        peers.unmentioned.borrow_mut().remove(&key);
         state.apply(change.clone());
     }
     peers.source_log.set(answer.log);
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -48,8 +48,6 @@
     /// The other end.
     pub peer: SocketAddr,
     usable_until: Instant,
-    /// When it was last used.
-    pub last_used: Instant,
     /// Whether it has carried a request before.
     pub is_reused: bool,
 }
@@ -83,7 +81,6 @@
             driver: driver.abort_handle(),
             peer,
             usable_until: now + DEFAULT_IDLE,
-            last_used: now,
             is_reused: false,
         })
     }
@@ -109,7 +106,6 @@
     ) -> Result<Response<Incoming>, SendFailure> {
         let peer = self.peer;
         let sent = self.sender.try_send_request(request).await;
-        self.last_used = Instant::now();
         sent.map_err(|mut error| {
             let was_sent = error.take_message().is_none();
             let cause = describe(error.error());
@@ -127,8 +123,7 @@
             None => DEFAULT_IDLE,
         };
         self.is_reused = true;
-        self.last_used = Instant::now();
-        self.usable_until = self.last_used + idle;
+        self.usable_until = Instant::now() + idle;
     }
 }
 
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -1,6 +1,6 @@
 //! The connections to one peer.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
@@ -16,7 +16,6 @@
 pub struct Pool {
     peer: SocketAddr,
     idle: RefCell<Vec<Connection>>,
-    opened: Cell<u64>,
 }
 
 impl Pool {
@@ -25,7 +24,6 @@
         Rc::new(Self {
             peer,
             idle: RefCell::new(Vec::new()),
-            opened: Cell::new(0),
         })
     }
 
@@ -34,11 +32,6 @@
         self.peer
     }
 
-    /// Connections opened so far.
-    pub fn opened(&self) -> u64 {
-        self.opened.get()
-    }
-
     /// A connection that is ready, if there is one.
     pub fn take_idle(&self) -> Option<Connection> {
         let now = Instant::now();
@@ -56,7 +49,6 @@
     ///
     /// The peer can't be reached.
     pub async fn open(&self) -> Result<Connection, ConnectError> {
-        self.opened.set(self.opened.get() + 1);
         Connection::open(self.peer).await
     }
 
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -5,11 +5,10 @@
 use std::path::Path;
 use std::time::Duration;
 
-use toml::de::DeTable;
-
-use crate::document::{Document, Section};
-use crate::error::{LoadError, Problem, SettingError};
+use crate::document::Section;
+use crate::error::{LoadError, SettingError};
 use crate::flags::Overrides;
+use crate::load::check_document;
 use crate::model::LogSettings;
 use crate::values::{self, RawValue, Refusal};
 
@@ -100,23 +99,7 @@
 ///
 /// Every fault.
 pub fn check_gateway(text: &str) -> Result<GatewaySettings, Vec<SettingError>> {
-    let overrides = Overrides::none();
-    let document = Document::new(text, &overrides);
-    let (table, syntax_errors) = DeTable::parse_recoverable(text);
-    for error in &syntax_errors {
-        let origin = document.place(&error.span().unwrap_or_default());
-        let problem = Problem::Syntax(error.message().to_owned());
-        document.report(origin, "(file)", problem);
-    }
-    if !syntax_errors.is_empty() {
-        return Err(document.into_errors());
-    }
-    let settings = read_settings(Section::root(&document, table.get_ref()));
-    let errors = document.into_errors();
-    match settings {
-        Some(settings) if errors.is_empty() => Ok(settings),
-        _ => Err(errors),
-    }
+    check_document(text, &Overrides::none(), read_settings)
 }
 
 /// Reads every section, so that all faults are found.
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -65,6 +65,15 @@
 
 /// Checks the text of a settings file together with flags, which go before it.
 pub fn check_with(text: &str, overrides: &Overrides) -> Result<Settings, Vec<SettingError>> {
+    check_document(text, overrides, read_settings)
+}
+
+/// Checks a text whose settings `read` reads; faults of its syntax go before all others.
+pub(crate) fn check_document<T>(
+    text: &str,
+    overrides: &Overrides,
+    read: impl FnOnce(Section<'_>) -> Option<T>,
+) -> Result<T, Vec<SettingError>> {
     let document = Document::new(text, overrides);
     let (table, syntax_errors) = DeTable::parse_recoverable(text);
     for error in &syntax_errors {
@@ -75,7 +84,7 @@
     if !syntax_errors.is_empty() {
         return Err(document.into_errors());
     }
-    let settings = read_settings(Section::root(&document, table.get_ref()));
+    let settings = read(Section::root(&document, table.get_ref()));
     let errors = document.into_errors();
     match settings {
         Some(settings) if errors.is_empty() => Ok(settings),
