--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -8,6 +8,10 @@
 /// Versions of one model whose age is remembered; older ones count as wanted since the oldest of these.
 const REMEMBERED_VERSIONS: usize = 16;
 
+/// How long before the newest version an older one must have been followed to be forgotten; well over the
+/// time within which all replicas must have new weights.
+const REMEMBERED_FOR: Duration = Duration::from_secs(60);
+
 /// A version that is or was wanted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Named {
@@ -28,25 +32,26 @@
 }
 
 impl WantedWeights {
-    /// Takes in that `weights` are wanted since `since`; true where they are the newest.
+    /// Takes in that `weights` are wanted since `since`; true where they are the newest. What is known of a
+    /// version stays; one that was passed over, since a newer one was told first, takes its place.
     pub fn name(&mut self, weights: &ModelVersion, since: Instant) -> bool {
         let named = self.by_model.entry(weights.model.clone()).or_default();
+        let place = named.partition_point(|known| known.version < weights.version);
         if named
-            .last()
-            .is_some_and(|last| last.version >= weights.version)
+            .get(place)
+            .is_some_and(|known| known.version == weights.version)
         {
             return false;
         }
-        named.push(Named {
-            version: weights.version,
-            since,
-        });
-        if named.len() > REMEMBERED_VERSIONS {
-            // The second oldest is taken for older than it is, which is the safe side.
-            let oldest = named.remove(0);
-            named[0].since = oldest.since;
-        }
-        true
+        let since = match named.get(place) {
+            Some(next) => since.min(next.since),
+            None => since,
+        };
+        let version = weights.version;
+        named.insert(place, Named { version, since });
+        let is_newest = place + 1 == named.len();
+        forget_what_matters_no_more(named);
+        is_newest
     }
 
     /// The newest version of a model's weights.
@@ -76,16 +81,33 @@
         self.down_until = Some(now);
     }
 
-    /// The newest version of every model, with its age.
+    /// The versions of every model that are remembered, with their ages, older ones first.
     pub fn all(&self, now: Instant) -> Vec<(ModelVersion, Duration)> {
-        let newest = |(model, named): (&String, &Vec<Named>)| {
-            let last = named.last()?;
+        let with_age = |model: &str, named: &Named| {
             let weights = ModelVersion {
-                model: model.clone(),
-                version: last.version,
+                model: model.to_owned(),
+                version: named.version,
             };
-            Some((weights, now.saturating_duration_since(last.since)))
+            (weights, now.saturating_duration_since(named.since))
         };
-        self.by_model.iter().filter_map(newest).collect()
+        self.by_model
+            .iter()
+            .flat_map(|(model, named)| named.iter().map(|named| with_age(model, named)))
+            .collect()
+    }
+}
+
+/// Forgets versions that were followed long before the newest was named, and those beyond the bound.
+fn forget_what_matters_no_more(named: &mut Vec<Named>) {
+    let Some(newest) = named.last().map(|newest| newest.since) else {
+        return;
+    };
+    while named.len() > 1 && newest.saturating_duration_since(named[1].since) > REMEMBERED_FOR {
+        named.remove(0);
+    }
+    if named.len() > REMEMBERED_VERSIONS {
+        // The second oldest is taken for older than it is, which is the safe side.
+        let oldest = named.remove(0);
+        named[0].since = oldest.since;
     }
 }
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -186,6 +186,72 @@
     assert!(age >= Duration::from_secs(98), "{age:?}");
 }
 
+#[test]
+fn whoever_is_told_all_that_is_remembered_counts_like_the_teller() {
+    let start = Instant::now();
+    let mut teller = WantedWeights::default();
+    teller.name(&weights(3), start);
+    teller.name(&weights(4), start + Duration::from_secs(4));
+    let now = start + Duration::from_secs(5);
+    let mut restarted = WantedWeights::default();
+    for (named, age) in teller.all(now) {
+        restarted.name(&named, now - age);
+    }
+    for version in [1, 2, 3, 4] {
+        assert_eq!(
+            restarted.outdated_for("model", version, now),
+            teller.outdated_for("model", version, now),
+            "weights {version}"
+        );
+    }
+}
+
+#[test]
+fn an_older_version_that_is_told_later_counts_from_its_own_naming() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(8);
+    let mut wanted = WantedWeights::default();
+    wanted.name(&weights(4), start + Duration::from_secs(4));
+    assert!(!wanted.name(&weights(3), start), "it is not the newest");
+    assert_eq!(
+        wanted.outdated_for("model", 2, now),
+        Some(Duration::from_secs(8))
+    );
+    assert_eq!(
+        wanted.outdated_for("model", 3, now),
+        Some(Duration::from_secs(4))
+    );
+}
+
+#[test]
+fn a_version_is_no_younger_than_the_ones_that_followed_it() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(8);
+    let mut wanted = WantedWeights::default();
+    wanted.name(&weights(4), start + Duration::from_secs(2));
+    wanted.name(&weights(3), start + Duration::from_secs(6));
+    assert_eq!(
+        wanted.outdated_for("model", 2, now),
+        Some(Duration::from_secs(6))
+    );
+}
+
+#[test]
+fn versions_that_matter_no_more_are_not_told() {
+    let start = Instant::now();
+    let mut wanted = WantedWeights::default();
+    wanted.name(&weights(1), start);
+    wanted.name(&weights(2), start + Duration::from_secs(1));
+    wanted.name(&weights(3), start + Duration::from_secs(200));
+    let now = start + Duration::from_secs(201);
+    let told: Vec<u64> = wanted
+        .all(now)
+        .iter()
+        .map(|(named, _)| named.version)
+        .collect();
+    assert_eq!(told, [2, 3]);
+}
+
 fn planned(id: &str, zone: &str, version: Option<u64>, is_loading: bool) -> PlannedReplica {
     PlannedReplica {
         id: id.to_owned(),
