--- a/crates/driftctl/src/explain.rs
+++ b/crates/driftctl/src/explain.rs
@@ -33,12 +33,27 @@
     "LOG_LINES_DROPPED",
 ];
 
+/// What a gateway writes first; a start without a stop before it tells that the process was killed.
+const START: &str = "GATEWAY_STARTED";
+
+/// What a gateway writes when a planned stop begins.
+const STOP: &str = "GATEWAY_STOPPING";
+
 /// One log line of a gateway.
 #[derive(Debug, Clone, Deserialize)]
 struct LogLine {
     time: String,
     name: Option<String>,
     message: String,
+    /// The word before the JSON object: the machine, where whoever collected the lines wrote it there.
+    #[serde(skip)]
+    source: String,
+}
+
+impl LogLine {
+    fn is(&self, name: &str) -> bool {
+        self.name.as_deref() == Some(name)
+    }
 }
 
 /// What the log lines tell of a request.
@@ -78,7 +93,10 @@
 
 fn parse(line: &str) -> Option<LogLine> {
     let start = line.find('{')?;
-    serde_json::from_str(&line[start..]).ok()
+    let mut parsed: LogLine = serde_json::from_str(&line[start..]).ok()?;
+    let source = line[..start].split_whitespace().last();
+    parsed.source = source.unwrap_or("").to_owned();
+    Some(parsed)
 }
 
 fn names_request(message: &str, id: &str) -> bool {
@@ -97,11 +115,14 @@
     };
     let mut lines: Vec<String> = own.iter().map(render).collect();
     let end = own.iter().rev().find(|line| is_end(line));
+    let without_end = without_end(own, &around);
     let last = end.map_or(&own[own.len() - 1].time, |end| &end.time);
     let relevant = |line: &LogLine| {
+        let is_own = line.source == first.source;
         let names_replica = own.iter().any(|own| shares_replica(own, line));
         let is_general = !line.message.contains("replica=");
-        line.time <= *last && (names_replica || (is_general && line.time >= first.time))
+        let is_in_time = line.time <= *last;
+        is_own && is_in_time && (names_replica || (is_general && line.time >= first.time))
     };
     let mut surroundings: Vec<LogLine> = around.into_iter().filter(|line| relevant(line)).collect();
     let skipped = surroundings.len().saturating_sub(MAX_SURROUNDINGS);
@@ -112,8 +133,7 @@
     }
     lines.push(match end {
         Some(end) => format!("so: {}", conclusion(end)),
-        None => "so: no line tells how it ended: the process ended first, or lines are missing"
-            .to_owned(),
+        None => format!("so: {without_end}"),
     });
     Explanation {
         lines,
@@ -121,6 +141,30 @@
     }
 }
 
+/// Why no line tells how a request ended: its gateway was started anew, or lines are missing.
+fn without_end(own: &[LogLine], around: &[LogLine]) -> String {
+    let last = &own[own.len() - 1];
+    let later = |line: &&LogLine| line.source == last.source && line.time >= last.time;
+    let Some(start) = around.iter().filter(later).find(|line| line.is(START)) else {
+        return "no line tells how it ended: lines are missing, or it was open when they end"
+            .to_owned();
+    };
+    let is_planned = around
+        .iter()
+        .filter(later)
+        .any(|line| line.is(STOP) && line.time <= start.time);
+    match is_planned {
+        true => format!(
+            "it was open when its gateway was told to stop, and not ended when it was started anew at {}",
+            start.time
+        ),
+        false => format!(
+            "its gateway was killed: it was started anew at {} without a planned stop before",
+            start.time
+        ),
+    }
+}
+
 fn is_end(line: &LogLine) -> bool {
     line.name
         .as_deref()
@@ -147,7 +191,11 @@
 /// What the last line means.
 fn conclusion(end: &LogLine) -> String {
     let reason = field(&end.message, "reason").unwrap_or("");
+    let status = field(&end.message, "status").unwrap_or("");
     match (end.name.as_deref().unwrap_or(""), reason) {
+        ("REQUEST_ENDED", _) if status.starts_with('5') => {
+            format!("the replica itself answered {status}, which was passed on")
+        }
         ("REQUEST_ENDED", _) => "a replica's whole answer was passed on".to_owned(),
         ("CALLER_LEFT", _) => {
             "the caller closed its connection before the answer was whole".to_owned()
--- a/crates/gateway/src/peers/change_log.rs
+++ b/crates/gateway/src/peers/change_log.rs
@@ -20,6 +20,7 @@
     sequence_by_key: HashMap<ItemKey, u64>,
     tombstones: BTreeMap<u64, ItemKey>,
     forgotten: u64,
+    content: u64,
 }
 
 /// A part of a log.
@@ -45,6 +46,7 @@
             sequence_by_key: HashMap::new(),
             tombstones: BTreeMap::new(),
             forgotten: 0,
+            content: 0,
         }
     }
 
@@ -58,6 +60,11 @@
         self.sequence
     }
 
+    /// A digest of all items, whatever order they came in: two logs with the same one have the same items.
+    pub fn content(&self) -> u64 {
+        self.content
+    }
+
     /// The item with this key.
     pub fn get(&self, key: &ItemKey) -> Option<&Item> {
         match self.changes.get(self.sequence_by_key.get(key)?) {
@@ -77,18 +84,25 @@
     /// Takes in an item; true where it is new or has changed.
     pub fn put(&mut self, item: Item) -> bool {
         let key = item.key();
-        if self.get(&key) == Some(&item) {
+        let known = self.get(&key);
+        if known == Some(&item) {
             return false;
         }
+        let before = known.map_or(0, Item::digest);
+        self.content = self
+            .content
+            .wrapping_sub(before)
+            .wrapping_add(item.digest());
         self.record(key, Change::Put(item));
         true
     }
 
     /// Takes in that an item is gone; true where it was there.
     pub fn remove(&mut self, key: &ItemKey) -> bool {
-        if self.get(key).is_none() {
+        let Some(known) = self.get(key) else {
             return false;
-        }
+        };
+        self.content = self.content.wrapping_sub(known.digest());
         self.record(key.clone(), Change::Gone(key.clone()));
         self.tombstones.insert(self.sequence, key.clone());
         while self.tombstones.len() > MAX_TOMBSTONES {
@@ -126,6 +140,16 @@
         page
     }
 
+    /// The page for whoever has every item already.
+    pub fn no_changes(&self) -> LogPage {
+        LogPage {
+            changes: Vec::new(),
+            sequence: self.sequence,
+            is_from_start: false,
+            has_more: false,
+        }
+    }
+
     fn record(&mut self, key: ItemKey, change: Change) {
         if let Some(earlier) = self.sequence_by_key.remove(&key) {
             self.changes.remove(&earlier);
--- /dev/null
+++ b/crates/gateway/src/peers/followed_log.rs
@@ -0,0 +1,62 @@
+//! Where a daemon stands in the change log of the daemon that it asks.
+//!
+//! What it learns elsewhere, from its own lists of the store or from another daemon, is not in that log; so
+//! it then starts anew. Where both have the same items by then, as their digests show, nothing is sent.
+
+use std::collections::HashSet;
+
+use super::change_log::ChangeLog;
+use super::message::{Change, Item, ItemKey, Tell};
+
+/// The place in the log of the daemon that is asked.
+#[derive(Debug, Default)]
+pub struct FollowedLog {
+    log: u64,
+    sequence: u64,
+    asked_with: Option<u64>,
+    unmentioned: HashSet<ItemKey>,
+}
+
+impl FollowedLog {
+    /// Starts anew with the next question.
+    pub fn start_anew(&mut self) {
+        *self = Self::default();
+    }
+
+    /// What is said in a question of a daemon whose own items are `own`: the log, the last change that is
+    /// known of it, the digest of its items.
+    pub fn question(&mut self, own: &ChangeLog) -> (u64, u64, u64) {
+        self.asked_with = Some(own.content());
+        (self.log, self.sequence, own.content())
+    }
+
+    /// The changes that follow from an answer for a daemon whose own items are `own`.
+    pub fn take(&mut self, answer: &Tell, own: &ChangeLog) -> Vec<Change> {
+        if answer.is_same {
+            if self.asked_with == Some(own.content()) {
+                self.stand_at(answer);
+                self.unmentioned.clear();
+            }
+            return Vec::new();
+        }
+        if answer.is_from_start {
+            self.unmentioned = own.items().map(Item::key).collect();
+        } else if answer.log != self.log {
+            return Vec::new();
+        }
+        self.stand_at(answer);
+        for change in &answer.changes {
+            self.unmentioned.remove(&change.key());
+        }
+        let mut changes = answer.changes.clone();
+        if !answer.has_more {
+            changes.extend(self.unmentioned.drain().map(Change::Gone));
+        }
+        changes
+    }
+
+    fn stand_at(&mut self, answer: &Tell) {
+        self.log = answer.log;
+        self.sequence = answer.sequence;
+    }
+}
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,6 +1,7 @@
 //! The datagrams between daemons, in musli's `wire` encoding, which bears added fields.
 
 use musli::{Decode, Encode};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The largest datagram that is sent, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 1200;
@@ -32,6 +33,9 @@
     pub log: u64,
     /// The last change that it has.
     pub sequence: u64,
+    /// The digest of all items that it has, see [`super::change_log::ChangeLog::content`].
+    #[musli(default)]
+    pub content: u64,
 }
 
 /// An answer.
@@ -61,6 +65,9 @@
     pub has_more: bool,
     /// Changes, in order.
     pub changes: Vec<Change>,
+    /// Whether whoever asked has all items of this log already, as its digest shows.
+    #[musli(default)]
+    pub is_same: bool,
 }
 
 /// Wanted weights.
@@ -98,6 +105,40 @@
     Gone(ItemKey),
 }
 
+impl Change {
+    /// What it is about.
+    pub fn key(&self) -> ItemKey {
+        match self {
+            Self::Put(item) => item.key(),
+            Self::Gone(key) => key.clone(),
+        }
+    }
+
+    /// About its size in a datagram, in bytes.
+    pub fn wire_size(&self) -> usize {
+        const FIELDS: usize = 40;
+        let of_texts = |texts: &[&String]| texts.iter().map(|text| text.len()).sum::<usize>();
+        let content = match self {
+            Self::Put(Item::Replica(replica)) => {
+                let names = [
+                    &replica.id,
+                    &replica.service,
+                    &replica.address,
+                    &replica.zone,
+                ];
+                let models = replica.models.iter();
+                let of_models: usize = models.map(|(model, _)| model.len() + 12).sum();
+                of_models + of_texts(&names)
+            }
+            Self::Put(Item::Daemon(daemon)) => {
+                of_texts(&[&daemon.name, &daemon.peers, &daemon.zone])
+            }
+            Self::Gone(ItemKey::Replica(name) | ItemKey::Daemon(name)) => name.len(),
+        };
+        FIELDS + content
+    }
+}
+
 /// What an item is called.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Encode, Decode)]
 pub enum ItemKey {
@@ -124,6 +165,11 @@
             Self::Daemon(daemon) => ItemKey::Daemon(daemon.name.clone()),
         }
     }
+
+    /// A digest of all its fields; 0 where it does not encode.
+    pub fn digest(&self) -> u64 {
+        musli::wire::to_vec(self).map_or(0, |bytes| xxh3_64(&bytes))
+    }
 }
 
 /// A replica.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -11,11 +11,13 @@
 //!
 //! - [`message`]: the datagrams.
 //! - [`change_log`]: replicas and daemons in the order in which they changed, so that only news are sent.
+//! - [`followed_log`]: where a daemon stands in the log of the one that it asks.
 //! - [`source`]: whom to ask.
 //! - [`task`]: does it.
 
 pub mod change_log;
 mod convert;
+pub mod followed_log;
 pub mod message;
 pub mod source;
 mod task;
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -1,7 +1,7 @@
 //! Asks the source, answers others, and passes news on.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -10,10 +10,11 @@
 use driftspring_telemetry::log_event;
 use tokio::sync::Notify;
 
-use super::change_log::{ChangeLog, LogPage};
+use super::change_log::ChangeLog;
+use super::followed_log::FollowedLog;
 use super::message::{
-    Ask, Change, Item, ItemKey, Loading, MAX_DATAGRAM_BYTES, Message, RECEIVE_BYTES, Tell,
-    WireDaemon, WireLease, WireWeights,
+    Ask, Change, Item, Loading, MAX_DATAGRAM_BYTES, Message, RECEIVE_BYTES, Tell, WireDaemon,
+    WireLease, WireWeights,
 };
 use super::source::{Source, SourceChooser, other_groups_first, ranked_group};
 use crate::protocol::{LeaseRecord, ModelVersion};
@@ -62,9 +63,7 @@
     seeds: Vec<WireDaemon>,
     own: WireDaemon,
     followers: RefCell<HashMap<SocketAddr, Instant>>,
-    source_log: Cell<u64>,
-    source_sequence: Cell<u64>,
-    unmentioned: RefCell<HashSet<ItemKey>>,
+    followed: RefCell<FollowedLog>,
     nonce: Cell<u64>,
     ask_now: Notify,
     outbox: RefCell<Vec<Loading>>,
@@ -86,9 +85,7 @@
             reader_changed: Notify::new(),
             own,
             followers: RefCell::new(HashMap::new()),
-            source_log: Cell::new(0),
-            source_sequence: Cell::new(0),
-            unmentioned: RefCell::new(HashSet::new()),
+            followed: RefCell::default(),
             nonce: Cell::new(life << 20),
             ask_now: Notify::new(),
             outbox: RefCell::new(Vec::new()),
@@ -171,6 +168,11 @@
         }
     }
 
+    /// Takes in that this daemon learnt of replicas or daemons otherwise than from the one that it asks.
+    pub fn learnt_elsewhere(&self) {
+        self.followed.borrow_mut().start_anew();
+    }
+
     /// Tells those who ask this daemon that there are news.
     pub fn nudge(&self) {
         self.nudges.set(true);
@@ -242,6 +244,7 @@
     if state.peers.is_reader.replace(is_reader) != is_reader {
         log_event!(gateway::SOURCE_CHANGED, "source={source:?}");
         state.peers.reader_since.set(state.now());
+        state.peers.learnt_elsewhere();
         state.peers.reader_changed.notify_waiters();
     }
 }
@@ -257,10 +260,12 @@
     let peers = &state.peers;
     let nonce = peers.nonce.get() + 1;
     peers.nonce.set(nonce);
+    let (log, sequence, content) = peers.followed.borrow_mut().question(&peers.log.borrow());
     let question = Message::Ask(Ask {
         nonce,
-        log: peers.source_log.get(),
-        sequence: peers.source_sequence.get(),
+        log,
+        sequence,
+        content,
     });
     let sent_at = Instant::now();
     send(socket, &question, &daemon.peers).await;
@@ -338,30 +343,14 @@
 }
 
 fn take_changes(state: &GatewayState, answer: &Tell) {
-    let peers = &state.peers;
-    let continues = answer.log == peers.source_log.get() && !answer.is_from_start;
-    if answer.is_from_start {
-        let log = peers.log.borrow();
-        let known = log.items().map(Item::key);
-        *peers.unmentioned.borrow_mut() = known.collect();
-    } else if !continues {
-        return;
-    }
-    for change in &answer.changes {
-        let key = match change {
-            Change::Put(item) => item.key(),
-            Change::Gone(key) => key.clone(),
-        };
-        peers.unmentioned.borrow_mut().remove(&key);
-        state.apply(change.clone());
+    let changes = {
+        let own = state.peers.log.borrow();
+        state.peers.followed.borrow_mut().take(answer, &own)
+    };
+    for change in changes {
+        state.apply(change);
     }
-    peers.source_log.set(answer.log);
-    peers.source_sequence.set(answer.sequence);
     if !answer.has_more {
-        let unmentioned = std::mem::take(&mut *peers.unmentioned.borrow_mut());
-        for key in unmentioned {
-            state.apply(Change::Gone(key));
-        }
         state.registry_changed();
     }
 }
@@ -403,7 +392,11 @@
 /// The answer to a question.
 fn tell(state: &GatewayState, question: &Ask) -> Tell {
     let log = state.peers.log.borrow();
-    let page: LogPage = log.page(question.log, question.sequence, fits);
+    let is_same = question.content != 0 && question.content == log.content();
+    let page = match is_same {
+        true => log.no_changes(),
+        false => log.page(question.log, question.sequence, fits),
+    };
     let configuration = state.configuration.load();
     let age = state.currency.age();
     let to_ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
@@ -440,38 +433,14 @@
         is_from_start: page.is_from_start,
         has_more: page.has_more,
         changes: page.changes,
+        is_same,
     }
 }
 
 /// Whether one more change fits into a datagram.
 fn fits(changes: &[Change], next: &Change) -> bool {
-    let size: usize = changes.iter().map(wire_size).sum();
-    size + wire_size(next) <= PAGE_BYTES
-}
-
-/// About the size of a change in a datagram, in bytes.
-fn wire_size(change: &Change) -> usize {
-    const FIELDS: usize = 40;
-    match change {
-        Change::Put(Item::Replica(replica)) => {
-            let models: usize = replica
-                .models
-                .iter()
-                .map(|(model, _)| model.len() + 12)
-                .sum();
-            let texts = [
-                &replica.id,
-                &replica.service,
-                &replica.address,
-                &replica.zone,
-            ];
-            FIELDS + models + texts.iter().map(|text| text.len()).sum::<usize>()
-        }
-        Change::Put(Item::Daemon(daemon)) => {
-            FIELDS + daemon.name.len() + daemon.peers.len() + daemon.zone.len()
-        }
-        Change::Gone(ItemKey::Replica(name) | ItemKey::Daemon(name)) => FIELDS + name.len(),
-    }
+    let size: usize = changes.iter().map(Change::wire_size).sum();
+    size + next.wire_size() <= PAGE_BYTES
 }
 
 /// Tells followers that there are news, and all daemons how loads go, for ever.
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -114,6 +114,7 @@
 
 /// Takes in the whole list of replicas or daemons: what is not in it is gone.
 pub fn take_items(state: &GatewayState, kind: ObjectKind, objects: Vec<StoredObject>) {
+    state.peers.learnt_elsewhere();
     let listed: HashSet<ItemKey> = objects
         .iter()
         .filter_map(|object| item_key(kind, &object.name))
