--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -13,6 +13,7 @@
 //! - [`change_log`]: replicas and daemons in the order in which they changed, so that only news are sent.
 //! - [`followed_log`]: where a daemon stands in the log of the one that it asks.
 //! - [`source`]: whom to ask.
+//! - [`view`]: how recent all that is.
 //! - [`task`]: does it.
 
 pub mod change_log;
@@ -21,5 +22,6 @@
 pub mod message;
 pub mod source;
 mod task;
+pub mod view;
 
 pub use task::{Peers, run};
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -17,6 +17,7 @@
     WireLease, WireWeights,
 };
 use super::source::{Source, SourceChooser, other_groups_first, ranked_group};
+use super::view::View;
 use crate::protocol::{LeaseRecord, ModelVersion};
 use crate::state::GatewayState;
 use crate::store::{self, name_weights};
@@ -58,7 +59,7 @@
     pub reader_changed: Notify,
     /// Whether this daemon, as the reader, follows the replicas.
     pub follows_replicas: Cell<bool>,
-    view_proved_at: Cell<Option<Instant>>,
+    view: View,
     reader_since: Cell<Duration>,
     seeds: Vec<WireDaemon>,
     own: WireDaemon,
@@ -79,7 +80,7 @@
             news: Notify::new(),
             is_reader: Cell::new(false),
             follows_replicas: Cell::new(false),
-            view_proved_at: Cell::new(None),
+            view: View::default(),
             reader_since: Cell::new(Duration::ZERO),
             seeds,
             reader_changed: Notify::new(),
@@ -126,14 +127,17 @@
 
     /// Takes in that all that is known here was known to a reader of the whole store at `moment`.
     pub fn prove_view(&self, moment: Instant) {
-        if self.view_proved_at.get().is_none_or(|known| known < moment) {
-            self.view_proved_at.set(Some(moment));
-        }
+        self.view.prove(moment, Instant::now());
     }
 
     /// How long ago all that is known here was known to a reader of the whole store.
     pub fn view_age(&self) -> Option<Duration> {
-        self.view_proved_at.get().map(|moment| moment.elapsed())
+        self.view.age(Instant::now())
+    }
+
+    /// Until when a replica whose entry is gone by now stays in use, see [`View::keep_until`].
+    pub fn keep_until(&self) -> Option<Instant> {
+        self.view.keep_until(Instant::now())
     }
 
     /// Waits until this daemon has to read the store itself.
@@ -205,6 +209,7 @@
     loop {
         state.take_reloaded();
         state.budgets.set_daemons(state.peers.daemons().len());
+        state.forget_lapsed();
         let group = state.peers.group();
         let source = chooser.choose(state.now(), &group, &state.peers.own.name);
         set_reader(&state, &source);
--- /dev/null
+++ b/crates/gateway/src/peers/view.rs
@@ -0,0 +1,57 @@
+//! How recent a daemon's view of the replicas is, and what it does with entries that are gone after an outage.
+//!
+//! While the store is down replicas can't renew their entries, so after it many are gone that come back with
+//! the next heartbeat. A replica whose entry is gone then stays in use for a while; if it is gone for good,
+//! its address refuses, and a request names the replica it expects there.
+
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+
+/// The age of a view from which on entries may have lapsed for want of a store.
+const OUTAGE: Duration = Duration::from_millis(2500);
+
+/// How long after the end of an outage replicas without an entry stay in use; within the time for which
+/// machines are not held to the bounds after a disturbance (`contactMs`, 3 s).
+const KEPT_AFTER_OUTAGE: Duration = Duration::from_millis(2500);
+
+/// The age of what a daemon knows of replicas and other daemons.
+#[derive(Debug, Default)]
+pub struct View {
+    proved_at: Cell<Option<Instant>>,
+    outage_ended_at: Cell<Option<Instant>>,
+}
+
+impl View {
+    /// Takes in at `now` that all that is known here was known to a reader of the whole store at `moment`.
+    pub fn prove(&self, moment: Instant, now: Instant) {
+        let before = self.proved_at.get();
+        if before.is_some_and(|before| moment <= before) {
+            return;
+        }
+        if self.is_outage(now) {
+            self.outage_ended_at.set(Some(now));
+        }
+        self.proved_at.set(Some(moment));
+    }
+
+    /// How long before `now` a reader of the whole store knew all that is known here.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let proved_at = self.proved_at.get()?;
+        Some(now.saturating_duration_since(proved_at))
+    }
+
+    /// Until when a replica stays in use whose entry is found to be gone at `now`; nothing where the store
+    /// was there all the time, so that the replica itself has left.
+    pub fn keep_until(&self, now: Instant) -> Option<Instant> {
+        let ended_at = match self.is_outage(now) {
+            true => now,
+            false => self.outage_ended_at.get()?,
+        };
+        let until = ended_at + KEPT_AFTER_OUTAGE;
+        (until > now).then_some(until)
+    }
+
+    fn is_outage(&self, now: Instant) -> bool {
+        self.age(now).is_some_and(|age| age >= OUTAGE)
+    }
+}
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -114,11 +114,11 @@
     tried: &[String],
 ) -> Result<Vec<Rc<Replica>>, Refusal> {
     let listed = state.registry.of_service(&context.service);
-    let mut staying: Vec<Rc<Replica>> = listed
-        .iter()
-        .filter(|replica| !replica.entry().is_draining && !tried.contains(&replica.id))
-        .cloned()
-        .collect();
+    let now = Instant::now();
+    let is_staying = |replica: &&Rc<Replica>| {
+        !replica.entry().is_draining && !replica.has_lapsed(now) && !tried.contains(&replica.id)
+    };
+    let mut staying: Vec<Rc<Replica>> = listed.iter().filter(is_staying).cloned().collect();
     if staying.is_empty() {
         return Err(no_replica("all are leaving, tried or unknown"));
     }
@@ -126,7 +126,6 @@
     if staying.is_empty() {
         return Err(no_replica("none has weights that may be used"));
     }
-    let now = Instant::now();
     let is_well = |replica: &&Rc<Replica>| {
         !replica.health.is_suspect(now) && replica.loading_since().is_none()
     };
--- a/crates/gateway/src/replicas/registry.rs
+++ b/crates/gateway/src/replicas/registry.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Instant;
 
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
@@ -49,9 +50,28 @@
         self.put_one(entry);
     }
 
-    /// Takes in that an entry is gone; it counts from [`Registry::index`] on.
-    pub fn remove(&self, id: &str) {
-        self.remove_one(id);
+    /// Takes in that an entry is gone; it counts from [`Registry::index`] on. Where `keep_until` is given,
+    /// the entry may come back, and its replica stays in use until then, unless it was leaving.
+    pub fn remove(&self, id: &str, keep_until: Option<Instant>) {
+        let known = self.get(id).filter(|known| !known.entry().is_draining);
+        match (known, keep_until) {
+            (Some(known), Some(until)) => {
+                log_event!(gateway::REPLICA_LAPSED, "replica={id}");
+                known.set_lapses_at(Some(until));
+            }
+            _ => self.remove_one(id),
+        }
+    }
+
+    /// Removes the replicas whose entries have not come back by `now`; true where there are any. It counts
+    /// from [`Registry::index`] on.
+    pub fn forget_lapsed(&self, now: Instant) -> bool {
+        let mut lapsed = self.all();
+        lapsed.retain(|replica| replica.has_lapsed(now));
+        for replica in &lapsed {
+            self.remove_one(&replica.id);
+        }
+        !lapsed.is_empty()
     }
 
     /// Puts what was taken in into force.
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -25,6 +25,7 @@
     reading_until: Cell<Option<Instant>>,
     loading_since: Cell<Option<Instant>>,
     order_sequence: Cell<Option<u64>>,
+    lapses_at: Cell<Option<Instant>>,
 }
 
 impl Replica {
@@ -35,6 +36,7 @@
             pool: Pool::new(entry.address),
             health: Health::default(),
             order_sequence: Cell::new(None),
+            lapses_at: Cell::new(None),
             entry: RefCell::new(entry),
             open_requests: Cell::new(0),
             reading_until: Cell::new(None),
@@ -55,6 +57,17 @@
             }
         }
         *self.entry.borrow_mut() = entry;
+        self.lapses_at.set(None);
+    }
+
+    /// Takes in until when it stays in use though its entry is gone.
+    pub fn set_lapses_at(&self, until: Option<Instant>) {
+        self.lapses_at.set(until);
+    }
+
+    /// Whether its entry is gone and has not come back in time.
+    pub fn has_lapsed(&self, now: Instant) -> bool {
+        self.lapses_at.get().is_some_and(|until| until <= now)
     }
 
     /// The version of the weights of `model` that it is believed to have.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -174,13 +174,21 @@
             Change::Gone(key) => {
                 log.remove(&key);
                 if let ItemKey::Replica(id) = &key {
-                    self.registry.remove(id);
+                    self.registry.remove(id, self.peers.keep_until());
                 }
             }
         }
         self.has_changes.set(true);
     }
 
+    /// Forgets replicas whose entries have not come back after an outage of the store.
+    pub fn forget_lapsed(&self) {
+        if self.registry.forget_lapsed(Instant::now()) {
+            self.has_changes.set(true);
+            self.registry_changed();
+        }
+    }
+
     /// Puts the changes taken in since the last call into force, and tells others of them.
     pub fn registry_changed(&self) {
         if !self.has_changes.replace(false) {
--- /dev/null
+++ b/crates/gateway/tests/replicas.rs
@@ -0,0 +1,88 @@
+//! Replicas whose entries come, change, go and come back.
+
+use std::time::{Duration, Instant};
+
+use driftspring_gateway::peers::view::View;
+use driftspring_gateway::protocol::ReplicaEntry;
+use driftspring_gateway::replicas::Registry;
+
+fn entry(id: &str, is_draining: bool) -> ReplicaEntry {
+    ReplicaEntry {
+        id: id.to_owned(),
+        service: "service".to_owned(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: "a".to_owned(),
+        slots: 4,
+        is_draining,
+        cold_remaining: Duration::ZERO,
+        models: Vec::new(),
+    }
+}
+
+fn ids(registry: &Registry) -> Vec<String> {
+    registry.index();
+    let replicas = registry.of_service("service");
+    replicas.iter().map(|replica| replica.id.clone()).collect()
+}
+
+const fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+#[test]
+fn a_replica_that_leaves_is_out_of_use_at_once() {
+    let start = Instant::now();
+    let view = View::default();
+    assert_eq!(view.keep_until(start), None, "nothing was known before");
+    view.prove(start, start);
+    view.prove(start + ms(500), start + ms(600));
+    assert_eq!(view.keep_until(start + ms(1100)), None);
+}
+
+#[test]
+fn entries_that_are_gone_after_an_outage_are_given_time_to_come_back() {
+    let start = Instant::now();
+    let view = View::default();
+    view.prove(start, start);
+    let back = start + ms(5000);
+    assert_eq!(view.keep_until(back), Some(back + ms(2500)));
+    view.prove(back, back);
+    let later = back + ms(1000);
+    assert_eq!(view.keep_until(later), Some(back + ms(2500)));
+    view.prove(later, later);
+    assert_eq!(view.keep_until(back + ms(2500)), None);
+}
+
+#[test]
+fn a_replica_without_entry_is_kept_until_its_time_is_over() {
+    let now = Instant::now();
+    let registry = Registry::default();
+    registry.put(entry("r1", false));
+    registry.put(entry("r2", false));
+    registry.remove("r1", Some(now + ms(1000)));
+    assert!(!registry.forget_lapsed(now + ms(999)));
+    assert_eq!(ids(&registry), ["r1", "r2"]);
+    assert!(registry.forget_lapsed(now + ms(1000)));
+    assert_eq!(ids(&registry), ["r2"]);
+}
+
+#[test]
+fn a_replica_whose_entry_comes_back_stays() {
+    let now = Instant::now();
+    let registry = Registry::default();
+    registry.put(entry("r1", false));
+    let before = registry.get("r1").expect("listed");
+    registry.remove("r1", Some(now + ms(1000)));
+    registry.put(entry("r1", false));
+    assert!(!registry.forget_lapsed(now + ms(2000)));
+    let after = registry.get("r1").expect("listed");
+    assert!(std::rc::Rc::ptr_eq(&before, &after), "its connections stay");
+}
+
+#[test]
+fn a_replica_that_was_leaving_is_not_kept() {
+    let registry = Registry::default();
+    registry.put(entry("r1", true));
+    registry.remove("r1", Some(Instant::now() + ms(1000)));
+    assert!(ids(&registry).is_empty());
+}
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -28,6 +28,7 @@
     REPLICA_GONE = 6302, Info, "The entry of a replica is gone; it gets no new requests.";
     REPLICA_SUSPECT = 6303, Warn, "A replica could not be reached or broke off; it gets no requests for the time given.";
     REPLICA_WELL = 6304, Info, "A replica that was suspect has answered.";
+    REPLICA_LAPSED = 6305, Info, "The entry of a replica is gone after an outage of the store; it stays in use for a while, since it may come back.";
     ORDER_LEASE_ACQUIRED = 6400, Info, "This daemon may give orders, under the token given.";
     ORDER_LEASE_NOT_ACQUIRED = 6401, Info, "Another daemon holds the lease, or the store did not say; it is tried again.";
     ORDER_LEASE_LOST = 6402, Warn, "This daemon may not give orders any more.";
