--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -122,7 +122,7 @@
             }
             Verdict::NotRun => {
                 if meta.is_misdirected && meta.replica.as_ref() == Some(&choice.replica.id) {
-                    self.learn_weights(&choice);
+                    self.correct_weights(&choice);
                 }
                 let status = opened.answer.status().as_u16();
                 let detail = format!("status {status}, misdirected {}", meta.is_misdirected);
@@ -136,15 +136,15 @@
         }
     }
 
-    /// Takes in that the right replica has other weights than believed: it has been brought to newer ones.
-    fn learn_weights(&self, choice: &Choice) {
-        let Some(prompt) = self.context.prompt() else {
+    /// Takes in that the right replica has other weights than it was sent to for.
+    fn correct_weights(&self, choice: &Choice) {
+        let Some((prompt, sent_for)) = self.context.prompt().zip(choice.weights_version) else {
             return;
         };
-        let newest = self.state.weights.borrow().newest(&prompt.model);
-        if let Some(newest) = newest {
-            choice.replica.note_version(&prompt.model, newest);
-        }
+        let wanted = self.state.weights.borrow();
+        choice
+            .replica
+            .correct_version(&prompt.model, sent_for, &wanted);
     }
 
     /// Whether a request that failed at a replica goes to another one instead of passing the failure on.
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -7,6 +7,7 @@
 use super::health::Health;
 use crate::protocol::{ModelVersion, ReplicaEntry};
 use crate::upstream::Pool;
+use crate::weights::WantedWeights;
 
 /// How long a replica is believed to load weights where nobody tells that it has ended.
 const LONGEST_LOAD: Duration = Duration::from_secs(4);
@@ -21,6 +22,7 @@
     /// Whether it can be reached.
     pub health: Health,
     entry: RefCell<ReplicaEntry>,
+    listed_models: RefCell<Vec<ModelVersion>>,
     open_requests: Cell<u32>,
     reading_until: Cell<Option<Instant>>,
     loading_since: Cell<Option<Instant>>,
@@ -37,6 +39,7 @@
             health: Health::default(),
             order_sequence: Cell::new(None),
             lapses_at: Cell::new(None),
+            listed_models: RefCell::new(entry.models.clone()),
             entry: RefCell::new(entry),
             open_requests: Cell::new(0),
             reading_until: Cell::new(None),
@@ -51,6 +54,7 @@
 
     /// Takes in a newer entry; versions of weights never go back, since entries lag.
     pub fn update(&self, mut entry: ReplicaEntry) {
+        self.listed_models.replace(entry.models.clone());
         for model in &mut entry.models {
             if let Some(known) = self.version_of(&model.model) {
                 model.version = model.version.max(known);
@@ -90,6 +94,27 @@
         }
     }
 
+    /// Takes in that it does not have the weights `refused` of `model`, for which a request came: it is
+    /// believed to have the next ones that were wanted, or, where none were, those of its entry.
+    pub fn correct_version(&self, model: &str, refused: u64, wanted: &WantedWeights) {
+        if self.version_of(model) != Some(refused) {
+            return;
+        }
+        let listed = || {
+            let listed_models = self.listed_models.borrow();
+            let of_model = listed_models.iter().find(|listed| listed.model == model);
+            of_model.map(|listed| listed.version)
+        };
+        let Some(version) = wanted.next_after(model, refused).or_else(listed) else {
+            return;
+        };
+        let mut entry = self.entry.borrow_mut();
+        let mut models = entry.models.iter_mut();
+        if let Some(believed) = models.find(|believed| believed.model == model) {
+            believed.version = version;
+        }
+    }
+
     /// Takes in the weights that it says it has.
     pub fn take_models(&self, models: &[ModelVersion]) {
         for model in models {
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -60,6 +60,13 @@
         named.last().map(|last| last.version)
     }
 
+    /// The oldest version newer than `version` that is remembered.
+    pub fn next_after(&self, model: &str, version: u64) -> Option<u64> {
+        let named = self.by_model.get(model)?;
+        let newer = named.iter().find(|named| named.version > version)?;
+        Some(newer.version)
+    }
+
     /// For how long a version newer than `version` has been wanted.
     pub fn outdated_for(&self, model: &str, version: u64, now: Instant) -> Option<Duration> {
         let named = self.by_model.get(model)?;
--- a/crates/gateway/tests/replicas.rs
+++ b/crates/gateway/tests/replicas.rs
@@ -3,8 +3,9 @@
 use std::time::{Duration, Instant};
 
 use driftspring_gateway::peers::view::View;
-use driftspring_gateway::protocol::ReplicaEntry;
-use driftspring_gateway::replicas::Registry;
+use driftspring_gateway::protocol::{ModelVersion, ReplicaEntry};
+use driftspring_gateway::replicas::{Registry, Replica};
+use driftspring_gateway::weights::WantedWeights;
 
 fn entry(id: &str, is_draining: bool) -> ReplicaEntry {
     ReplicaEntry {
@@ -86,3 +87,50 @@
     registry.remove("r1", Some(Instant::now() + ms(1000)));
     assert!(ids(&registry).is_empty());
 }
+
+fn weights(version: u64) -> ModelVersion {
+    ModelVersion {
+        model: "model".to_owned(),
+        version,
+    }
+}
+
+fn wanted(versions: &[u64]) -> WantedWeights {
+    let mut wanted = WantedWeights::default();
+    for version in versions {
+        wanted.name(&weights(*version), Instant::now());
+    }
+    wanted
+}
+
+#[test]
+fn a_replica_that_refuses_a_version_is_believed_to_have_the_next() {
+    let wanted = wanted(&[2, 4, 5]);
+    let replica = Replica::new(ReplicaEntry {
+        models: vec![weights(1)],
+        ..entry("r1", false)
+    });
+    replica.correct_version("model", 1, &wanted);
+    assert_eq!(replica.version_of("model"), Some(2));
+    replica.correct_version("model", 1, &wanted);
+    assert_eq!(replica.version_of("model"), Some(2), "an older answer");
+    replica.correct_version("model", 2, &wanted);
+    assert_eq!(replica.version_of("model"), Some(4));
+}
+
+#[test]
+fn a_replica_that_refuses_the_newest_version_is_believed_its_entry() {
+    let wanted = wanted(&[2, 4]);
+    let replica = Replica::new(ReplicaEntry {
+        models: vec![weights(1)],
+        ..entry("r1", false)
+    });
+    replica.note_version("model", 4);
+    replica.update(ReplicaEntry {
+        models: vec![weights(2)],
+        ..entry("r1", false)
+    });
+    assert_eq!(replica.version_of("model"), Some(4), "entries lag");
+    replica.correct_version("model", 4, &wanted);
+    assert_eq!(replica.version_of("model"), Some(2));
+}
