--- a/crates/gateway-program/src/main.rs
+++ b/crates/gateway-program/src/main.rs
@@ -1,71 +1,7 @@
-//! The `driftspring-gateway` program: the gateway on the operator's platform.
+//! The program `driftspring-gateway`.
 
-mod command_line;
-
-use std::path::Path;
 use std::process::ExitCode;
-use std::sync::Arc;
-
-use anyhow::Context;
-use command_line::{DriftspringGateway, DriftspringGatewayCmd};
-use driftspring_gateway::Gateway;
-use driftspring_platform::OperatorPlatform;
-use driftspring_settings::load_gateway;
-use driftspring_telemetry::logging::{self, LogFormat};
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-use signal_hook::iterator::Signals;
-
-/// The exit code for faulty settings.
-const FAULTY_SETTINGS: u8 = 2;
 
 fn main() -> anyhow::Result<ExitCode> {
-    match DriftspringGateway::from_env_or_exit().subcommand {
-        DriftspringGatewayCmd::Run(flags) => run(&flags.file),
-        DriftspringGatewayCmd::CheckConfig(flags) => Ok(check_config(&flags.file)),
-    }
-}
-
-/// Serves until SIGTERM or SIGINT, then makes a planned stop.
-fn run(file: &Path) -> anyhow::Result<ExitCode> {
-    let settings = match load_gateway(file) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("{error}");
-            return Ok(ExitCode::from(FAULTY_SETTINGS));
-        }
-    };
-    let format = match settings.log.json {
-        true => LogFormat::Json,
-        false => LogFormat::Text,
-    };
-    let logs = logging::start_on_stdout(&settings.log.level, format)?;
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).context("waiting for signals")?;
-    let running = Gateway::start(settings, Arc::new(OperatorPlatform))?;
-    for signal in signals.forever() {
-        if signal == SIGHUP {
-            running.reload(file);
-            continue;
-        }
-        break;
-    }
-    running.stop()?;
-    logs.flush();
-    Ok(ExitCode::SUCCESS)
-}
-
-/// Checks a settings file; lists every fault on standard error.
-fn check_config(file: &Path) -> ExitCode {
-    match load_gateway(file) {
-        Ok(settings) => {
-            println!(
-                "valid: gateway {} in {}, callers on {}",
-                settings.name, settings.zone, settings.listen.callers
-            );
-            ExitCode::SUCCESS
-        }
-        Err(error) => {
-            eprintln!("{error}");
-            ExitCode::from(FAULTY_SETTINGS)
-        }
-    }
+    driftspring_gateway_program::main()
 }
