--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -42,10 +42,7 @@
             return Ok(ExitCode::from(FAULTY_SETTINGS));
         }
     };
-    let format = match settings.log.json {
-        true => LogFormat::Json,
-        false => LogFormat::Text,
-    };
+    let format = LogFormat::from_setting(settings.log.json);
     let logs = logging::start(&settings.log.level, format)?;
     let mut signals = Signals::new([SIGTERM, SIGINT]).context("waiting for signals")?;
     let running = Daemon::start(settings)?;
--- a/crates/gateway-program/src/lib.rs
+++ b/crates/gateway-program/src/lib.rs
@@ -40,10 +40,7 @@
             return Ok(ExitCode::from(FAULTY_SETTINGS));
         }
     };
-    let format = match settings.log.json {
-        true => LogFormat::Json,
-        false => LogFormat::Text,
-    };
+    let format = LogFormat::from_setting(settings.log.json);
     let logs = logging::start_on_stdout(&settings.log.level, format)?;
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).context("waiting for signals")?;
     let running = Gateway::start(settings, Arc::new(OperatorPlatform))?;
--- a/crates/gateway/src/cache/follow.rs
+++ b/crates/gateway/src/cache/follow.rs
@@ -57,18 +57,11 @@
         false => state.platform.cache_list(),
     };
     let answer = upstream::call(pool, &call, WAIT + MARGIN).await;
-    let body = match answer {
-        Ok((status, body)) if status.is_success() => body,
-        _ => {
-            state.cached.with(store, |kept| kept.forget());
-            return false;
-        }
-    };
-    let page = match is_informed {
-        true => state.platform.read_cache_events(&body),
-        false => state.platform.read_cache_list(&body),
-    };
-    let Ok(page) = page else {
+    let page = answer
+        .ok()
+        .filter(|(status, _)| status.is_success())
+        .and_then(|(_, body)| read_page(state, &body, is_informed));
+    let Some(page) = page else {
         state.cached.with(store, |kept| kept.forget());
         return false;
     };
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -20,6 +20,16 @@
     Json,
 }
 
+impl LogFormat {
+    /// What the setting `log.json` asks for.
+    pub fn from_setting(is_json: bool) -> Self {
+        match is_json {
+            true => Self::Json,
+            false => Self::Text,
+        }
+    }
+}
+
 /// Why logs could not be set up.
 #[derive(Debug, thiserror::Error)]
 pub enum LogSetupError {
