--- a/crates/gateway/src/cache/follow.rs
+++ b/crates/gateway/src/cache/follow.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::protocol::CachePage;
 use crate::state::GatewayState;
 use crate::upstream::{self, Pool};
 
@@ -47,6 +48,15 @@
     state.kv_store(&configuration).map(|store| store.address)
 }
 
+/// What an answer tells; nothing where it can't be read.
+fn read_page(state: &GatewayState, body: &[u8], is_informed: bool) -> Option<CachePage> {
+    let page = match is_informed {
+        true => state.platform.read_cache_events(body),
+        false => state.platform.read_cache_list(body),
+    };
+    page.ok()
+}
+
 /// One call; false where it failed, and what is kept is not known any more.
 async fn follow_once(state: &GatewayState, pool: &Rc<Pool>, store: SocketAddr) -> bool {
     let (is_informed, since) = state
