--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -126,7 +126,8 @@
 async fn take_answer(state: &Rc<GatewayState>, answer: Tell, sent_at: Instant) -> bool {
     take_weights_and_lease(state, &answer);
     take_changes(state, &answer);
-    if let Some(moment) = moment_before(sent_at, answer.view_age_ms) {
+    let knows_all = state.peers.followed.borrow().knows_all();
+    if let Some(moment) = moment_before(sent_at, answer.view_age_ms).filter(|_| knows_all) {
         state.peers.prove_view(moment);
     }
     let configuration = state.configuration.load();
--- a/crates/gateway/src/peers/followed_log.rs
+++ b/crates/gateway/src/peers/followed_log.rs
@@ -14,6 +14,7 @@
     log: u64,
     sequence: u64,
     asked_with: Option<u64>,
+    knows_all: bool,
     unmentioned: HashSet<ItemKey>,
 }
 
@@ -30,10 +31,18 @@
         (self.log, self.sequence, own.content())
     }
 
+    /// Whether the last answer left nothing out: what its teller knew is known here. Before the last page of a
+    /// transfer it is not, and others must not be told what is here as if it were all.
+    pub fn knows_all(&self) -> bool {
+        self.knows_all
+    }
+
     /// The changes that follow from an answer for a daemon whose own items are `own`.
     pub fn take(&mut self, answer: &Tell, own: &ChangeLog) -> Vec<Change> {
+        self.knows_all = false;
         if answer.is_same {
             if self.asked_with == Some(own.content()) {
+                self.knows_all = true;
                 self.stand_at(answer);
                 self.unmentioned.clear();
             }
@@ -45,6 +54,7 @@
             return Vec::new();
         }
         self.stand_at(answer);
+        self.knows_all = !answer.has_more;
         for change in &answer.changes {
             self.unmentioned.remove(&change.key());
         }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -176,6 +176,22 @@
     assert_eq!(follower.items(), items(&log));
 }
 
+#[test]
+fn before_the_last_page_not_all_is_known() {
+    let mut log = ChangeLog::new(77);
+    let mut follower = Follower::new();
+    for id in 0..7 {
+        log.put(replica(id, 1));
+    }
+    let mut known = Vec::new();
+    for _ in 0..3 {
+        let question = follower.ask();
+        follower.take(&answer(&log, &question));
+        known.push(follower.place.knows_all());
+    }
+    assert_eq!(known, [false, false, true], "three changes a page");
+}
+
 #[test]
 fn an_answer_that_no_longer_fits_ones_own_items_is_not_trusted() {
     let mut log = ChangeLog::new(77);
@@ -187,7 +203,9 @@
     let answer = answer(&log, &question);
     assert!(answer.is_same);
     follower.take(&answer);
+    assert!(!follower.place.knows_all());
     follower.catch_up(&log);
+    assert!(follower.place.knows_all());
     assert_eq!(follower.items(), items(&log));
 }
 
