--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -52,11 +52,7 @@
 /// The answer to a question.
 fn tell(state: &GatewayState, question: &Ask) -> Tell {
     let log = state.peers.log.borrow();
-    let is_same = question.content != 0 && question.content == log.content();
-    let page = match is_same {
-        true => log.no_changes(),
-        false => log.page(question.log, question.sequence, fits),
-    };
+    let page = log.page(question, fits);
     let configuration = state.configuration.load();
     let age = state.currency.age();
     let to_ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
@@ -93,7 +89,7 @@
         is_from_start: page.is_from_start,
         has_more: page.has_more,
         changes: page.changes,
-        is_same,
+        is_same: page.is_same,
     }
 }
 
--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -33,9 +33,10 @@
     let mut chooser = SourceChooser::default();
     loop {
         state.take_reloaded();
-        state.budgets.set_daemons(state.peers.daemons().len());
         state.forget_lapsed();
-        let group = state.peers.group();
+        let daemons = state.peers.daemons();
+        state.budgets.set_daemons(daemons.len());
+        let group = state.peers.group(&daemons);
         let source = chooser.choose(state.now(), &group, &state.peers.own.name);
         set_reader(&state, &source);
         let has_more = match source {
--- a/crates/gateway/src/peers/change_log.rs
+++ b/crates/gateway/src/peers/change_log.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use super::message::{Change, Item, ItemKey};
+use super::message::{Ask, Change, Item, ItemKey};
 
 /// Tombstones that are kept.
 const MAX_TOMBSTONES: usize = 256;
@@ -34,6 +34,8 @@
     pub is_from_start: bool,
     /// Whether more follow.
     pub has_more: bool,
+    /// Whether whoever asked has every item already, whatever log it followed.
+    pub is_same: bool,
 }
 
 impl ChangeLog {
@@ -111,22 +113,22 @@
         true
     }
 
-    /// The changes of this log after `sequence`, as many as `fits` allows. It is asked with the page so
-    /// far and the next change, and says whether that still fits.
-    pub fn page(
-        &self,
-        log: u64,
-        sequence: u64,
-        fits: impl Fn(&[Change], &Change) -> bool,
-    ) -> LogPage {
-        let knows_enough =
-            log == self.id && sequence >= self.forgotten && sequence <= self.sequence;
-        let after = if knows_enough { sequence } else { 0 };
+    /// The changes of this log that whoever asked lacks, as many as `fits` allows. It is asked with the page
+    /// so far and the next change, and says whether that still fits.
+    pub fn page(&self, question: &Ask, fits: impl Fn(&[Change], &Change) -> bool) -> LogPage {
+        if question.content != 0 && question.content == self.content {
+            return self.no_changes();
+        }
+        let knows_enough = question.log == self.id
+            && question.sequence >= self.forgotten
+            && question.sequence <= self.sequence;
+        let after = if knows_enough { question.sequence } else { 0 };
         let mut page = LogPage {
             changes: Vec::new(),
             sequence: after,
             is_from_start: after == 0,
             has_more: false,
+            is_same: false,
         };
         for (number, change) in self.changes.range(after + 1..) {
             if !page.changes.is_empty() && !fits(&page.changes, change) {
@@ -140,13 +142,13 @@
         page
     }
 
-    /// The page for whoever has every item already.
-    pub fn no_changes(&self) -> LogPage {
+    fn no_changes(&self) -> LogPage {
         LogPage {
             changes: Vec::new(),
             sequence: self.sequence,
             is_from_start: false,
             has_more: false,
+            is_same: true,
         }
     }
 
--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/known.rs
@@ -85,16 +85,15 @@
         daemons
     }
 
-    /// Those who may be asked: the daemons known, or else the seeds.
-    pub(super) fn group(&self) -> Vec<WireDaemon> {
-        let daemons = self.daemons();
+    /// Those who may be asked: of the `daemons` known the own group, or else the seeds.
+    pub(super) fn group(&self, daemons: &[WireDaemon]) -> Vec<WireDaemon> {
         match daemons.len() {
             1 if !self.seeds.is_empty() => {
                 let mut group = self.seeds.clone();
                 group.push(self.own.clone());
                 group
             }
-            _ => ranked_group(&daemons, &self.own),
+            _ => ranked_group(daemons, &self.own),
         }
     }
 
--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -64,10 +64,7 @@
 
 async fn connect(choice: &Choice) -> Result<Connection, SendFailure> {
     let pool = &choice.replica.pool;
-    if let Some(connection) = pool.take_idle() {
-        return Ok(connection);
-    }
-    pool.open().await.map_err(|error| SendFailure::NotSent {
+    pool.take().await.map_err(|error| SendFailure::NotSent {
         peer: pool.peer(),
         cause: error.to_string(),
     })
--- a/crates/gateway/src/replicas/registry.rs
+++ b/crates/gateway/src/replicas/registry.rs
@@ -1,7 +1,7 @@
 //! All replicas that the store lists.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -16,6 +16,8 @@
 pub struct Registry {
     by_id: RefCell<HashMap<String, Rc<Replica>>>,
     by_service: RefCell<HashMap<String, Rc<Vec<Rc<Replica>>>>>,
+    /// The ids of those that lost their entry and are in use for a while.
+    without_entry: RefCell<HashSet<String>>,
 }
 
 impl Registry {
@@ -47,7 +49,27 @@
 
     /// Takes in one entry; it counts from [`Registry::index`] on.
     pub fn put(&self, entry: ReplicaEntry) {
-        self.put_one(entry);
+        let known = self.get(&entry.id);
+        match known.filter(|known| known.pool.peer() == entry.address) {
+            Some(known) => {
+                log_change(&known, &entry);
+                known.update(entry);
+            }
+            None => {
+                log_event!(
+                    gateway::REPLICA_SEEN,
+                    "replica={} service={} address={} zone={} models={:?}",
+                    entry.id,
+                    entry.service,
+                    entry.address,
+                    entry.zone,
+                    entry.models
+                );
+                let replica = Replica::new(entry);
+                let mut by_id = self.by_id.borrow_mut();
+                by_id.insert(replica.id.clone(), replica);
+            }
+        }
     }
 
     /// Takes in that an entry is gone; it counts from [`Registry::index`] on. Where `keep_until` is given,
@@ -57,7 +79,8 @@
         match (known, keep_until) {
             (Some(known), Some(until)) => {
                 log_event!(gateway::REPLICA_LAPSED, "replica={id}");
-                known.set_lapses_at(Some(until));
+                known.keep_until(until);
+                self.without_entry.borrow_mut().insert(id.to_owned());
             }
             _ => self.remove_one(id),
         }
@@ -66,12 +89,18 @@
     /// Removes the replicas whose entries have not come back by `now`; true where there are any. It counts
     /// from [`Registry::index`] on.
     pub fn forget_lapsed(&self, now: Instant) -> bool {
-        let mut lapsed = self.all();
-        lapsed.retain(|replica| replica.has_lapsed(now));
-        for replica in &lapsed {
-            self.remove_one(&replica.id);
-        }
-        !lapsed.is_empty()
+        let mut without_entry = self.without_entry.borrow_mut();
+        let mut has_any = false;
+        without_entry.retain(|id| {
+            let known = self.get(id).filter(|known| known.is_without_entry());
+            let has_lapsed = known.as_ref().is_some_and(|known| known.has_lapsed(now));
+            if has_lapsed {
+                self.remove_one(id);
+                has_any = true;
+            }
+            known.is_some() && !has_lapsed
+        });
+        has_any
     }
 
     /// Puts what was taken in into force.
@@ -89,30 +118,6 @@
         *self.by_service.borrow_mut() = shared.collect();
     }
 
-    fn put_one(&self, entry: ReplicaEntry) {
-        let known = self.get(&entry.id);
-        match known.filter(|known| known.pool.peer() == entry.address) {
-            Some(known) => {
-                log_change(&known, &entry);
-                known.update(entry);
-            }
-            None => {
-                log_event!(
-                    gateway::REPLICA_SEEN,
-                    "replica={} service={} address={} zone={} models={:?}",
-                    entry.id,
-                    entry.service,
-                    entry.address,
-                    entry.zone,
-                    entry.models
-                );
-                let replica = Replica::new(entry);
-                let mut by_id = self.by_id.borrow_mut();
-                by_id.insert(replica.id.clone(), replica);
-            }
-        }
-    }
-
     fn remove_one(&self, id: &str) {
         if let Some(replica) = self.by_id.borrow_mut().remove(id) {
             replica.pool.clear();
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -64,9 +64,14 @@
         self.lapses_at.set(None);
     }
 
-    /// Takes in until when it stays in use though its entry is gone.
-    pub fn set_lapses_at(&self, until: Option<Instant>) {
-        self.lapses_at.set(until);
+    /// Takes in that its entry is gone, and that it stays in use until `until`, or an entry comes.
+    pub fn keep_until(&self, until: Instant) {
+        self.lapses_at.set(Some(until));
+    }
+
+    /// Whether its entry is gone.
+    pub fn is_without_entry(&self) -> bool {
+        self.lapses_at.get().is_some()
     }
 
     /// Whether its entry is gone and has not come back in time.
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -46,13 +46,8 @@
 
 async fn exchange(pool: &Rc<Pool>, call: &Call) -> Result<(StatusCode, Bytes), CallError> {
     let request = build(pool, call).map_err(|error| CallError::NotSent(error.to_string()))?;
-    let mut connection = match pool.take_idle() {
-        Some(connection) => connection,
-        None => pool
-            .open()
-            .await
-            .map_err(|error| CallError::NotSent(error.to_string()))?,
-    };
+    let connection = pool.take().await;
+    let mut connection = connection.map_err(|error| CallError::NotSent(error.to_string()))?;
     let response = connection.send(request).await;
     let response = response.map_err(|failure| CallError::Lost(failure.to_string()))?;
     let mut answer = Answer::new(response, connection, Rc::clone(pool));
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -32,8 +32,19 @@
         self.peer
     }
 
-    /// A connection that is ready, if there is one.
-    pub fn take_idle(&self) -> Option<Connection> {
+    /// A connection that is ready, or a new one.
+    ///
+    /// # Errors
+    ///
+    /// None is ready, and the peer can't be reached.
+    pub async fn take(&self) -> Result<Connection, ConnectError> {
+        match self.take_idle() {
+            Some(connection) => Ok(connection),
+            None => Connection::open(self.peer).await,
+        }
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         idle.retain(|connection| !connection.is_over(now));
@@ -43,15 +54,6 @@
         Some(idle.remove(position))
     }
 
-    /// Opens a connection.
-    ///
-    /// # Errors
-    ///
-    /// The peer can't be reached.
-    pub async fn open(&self) -> Result<Connection, ConnectError> {
-        Connection::open(self.peer).await
-    }
-
     /// Keeps a connection whose last answer has ended.
     pub fn put(&self, connection: Connection) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/gateway/tests/replicas.rs
+++ b/crates/gateway/tests/replicas.rs
@@ -80,6 +80,20 @@
     assert!(std::rc::Rc::ptr_eq(&before, &after), "its connections stay");
 }
 
+#[test]
+fn a_replica_that_comes_back_at_another_address_stays() {
+    let now = Instant::now();
+    let registry = Registry::default();
+    registry.put(entry("r1", false));
+    registry.remove("r1", Some(now + ms(1000)));
+    registry.put(ReplicaEntry {
+        address: "10.0.0.2:80".parse().expect("an address"),
+        ..entry("r1", false)
+    });
+    assert!(!registry.forget_lapsed(now + ms(2000)));
+    assert_eq!(ids(&registry), ["r1"]);
+}
+
 #[test]
 fn a_replica_that_was_leaving_is_not_kept() {
     let registry = Registry::default();
