--- a/crates/system-tests/src/lib.rs
+++ b/crates/system-tests/src/lib.rs
@@ -26,7 +26,7 @@
 pub use engine::{EngineHost, EngineOptions};
 pub use finished::FinishedRun;
 pub use load::{Load, LoadOptions};
-pub use process::{ChildProcess, Programs};
+pub use process::{ChildProcess, Programs, send_signal};
 pub use prompts::{NestedPrompt, long_prompt};
 pub use settings_file::{bearer_key, tenant};
 pub use standin::Standin;
--- a/crates/system-tests/src/process.rs
+++ b/crates/system-tests/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
@@ -122,18 +122,27 @@
         }
     }
 
-    /// Sends a signal by the system's `kill` command: the standard library knows SIGKILL only.
     fn signal(&self, name: &str) -> anyhow::Result<()> {
-        let status = Command::new("kill")
-            .arg(format!("-{name}"))
-            .arg(self.child.id().to_string())
-            .status()
-            .context("run kill")?;
+        let status = send_signal(self.child.id(), name)?;
         ensure!(status.success(), "kill -{name} failed with {status}");
         Ok(())
     }
 }
 
+/// Sends the signal `name`, such as `STOP`, to the process `id` by the system's `kill` command: the standard
+/// library knows SIGKILL only. The command fails where there is no such process any more.
+///
+/// # Errors
+///
+/// The command can't be run.
+pub fn send_signal(id: u32, name: &str) -> anyhow::Result<ExitStatus> {
+    Command::new("kill")
+        .arg(format!("-{name}"))
+        .arg(id.to_string())
+        .status()
+        .context("run kill")
+}
+
 impl Drop for ChildProcess {
     fn drop(&mut self) {
         // It may have ended already.
