--- a/crates/daemon/src/state/gossip.rs
+++ b/crates/daemon/src/state/gossip.rs
@@ -4,7 +4,7 @@
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::sync::{Mutex, PoisonError};
 
-use driftspring_types::{EngineHealth, EngineId, EngineRecord};
+use driftspring_types::{EngineHealth, EngineId, EngineRecord, Incarnation};
 use tokio::sync::oneshot;
 
 /// Commands that may wait; further ones are dropped, since each is repeated by its sender's next
@@ -20,6 +20,8 @@
     EngineHealth {
         /// The engine.
         id: EngineId,
+        /// The only life that is meant; whichever there is where none is named.
+        life: Option<Incarnation>,
         /// Its health.
         health: EngineHealth,
     },
--- a/crates/daemon/src/sync/gossip.rs
+++ b/crates/daemon/src/sync/gossip.rs
@@ -160,8 +160,8 @@
         let now = self.now();
         let actions = match command {
             GossipCommand::EngineObserved(record) => self.membership.observe_engine(now, &record),
-            GossipCommand::EngineHealth { id, health } => {
-                self.membership.set_engine_health(now, &id, health)
+            GossipCommand::EngineHealth { id, life, health } => {
+                self.membership.set_engine_health(now, &id, life, health)
             }
             GossipCommand::Contacts(contacts) => {
                 self.membership.set_contacts(contacts);
--- a/crates/daemon/src/sync/machines.rs
+++ b/crates/daemon/src/sync/machines.rs
@@ -80,7 +80,7 @@
             let health = EngineHealth::Leaving;
             state
                 .gossip
-                .send(GossipCommand::EngineHealth { id, health });
+                .send(GossipCommand::EngineHealth { id, life, health });
         }
     }
 }
--- a/crates/daemon/src/sync/observe.rs
+++ b/crates/daemon/src/sync/observe.rs
@@ -160,9 +160,11 @@
             Ok(_) | Err(_) => {
                 if self.end(&id, false) >= FAILURES_UNTIL_UNREACHABLE {
                     let health = EngineHealth::Unreachable;
-                    self.state
-                        .gossip
-                        .send(GossipCommand::EngineHealth { id, health });
+                    self.state.gossip.send(GossipCommand::EngineHealth {
+                        id,
+                        life: None,
+                        health,
+                    });
                 }
             }
         }
--- a/crates/membership/src/engine_table.rs
+++ b/crates/membership/src/engine_table.rs
@@ -130,14 +130,17 @@
         outcome
     }
 
-    /// Gives the engine `id` another health within its present life and report.
+    /// Gives the engine `id` another health within its present life and report. Where `life` is named and is
+    /// not the present one, nothing changes: the word was about an earlier life.
     pub fn set_health(
         &mut self,
         now: Duration,
         id: &EngineId,
+        life: Option<Incarnation>,
         health: EngineHealth,
     ) -> EngineMerge {
-        let Some(known) = self.get(id) else {
+        let is_meant = |known: &&EngineRecord| life.is_none_or(|life| life == known.incarnation);
+        let Some(known) = self.get(id).filter(is_meant) else {
             return EngineMerge::Known;
         };
         let mut record = known.clone();
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -15,7 +15,8 @@
 use std::time::Duration;
 
 use driftspring_types::{
-    DaemonId, EngineHealth, EngineId, EngineRecord, MemberRecord, MemberState, Revision,
+    DaemonId, EngineHealth, EngineId, EngineRecord, Incarnation, MemberRecord, MemberState,
+    Revision,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -174,14 +175,15 @@
     }
 
     /// Gives an engine another health within its present life: unreachable, or leaving by the
-    /// word of the machine list.
+    /// word of the machine list. Where `life` is named and is not the present one, nothing changes.
     pub fn set_engine_health(
         &mut self,
         now: Duration,
         id: &EngineId,
+        life: Option<Incarnation>,
         health: EngineHealth,
     ) -> Vec<Action> {
-        let outcome = self.engines.set_health(now, id, health);
+        let outcome = self.engines.set_health(now, id, life, health);
         self.engine_actions(outcome, id)
     }
 
