--- a/crates/gateway/src/pipeline/account.rs
+++ b/crates/gateway/src/pipeline/account.rs
@@ -10,6 +10,7 @@
 use ntex::io::{Id, IoRef};
 use ntex::web::HttpResponse;
 
+use super::pace::Pace;
 use crate::configuration::Route;
 use crate::state::GatewayState;
 
@@ -20,6 +21,7 @@
     started: Instant,
     id: String,
     route: String,
+    pace: Pace,
     is_settled: bool,
 }
 
@@ -36,6 +38,7 @@
             started,
             id: String::new(),
             route: String::new(),
+            pace: Pace::default(),
             is_settled: false,
         }
     }
@@ -74,6 +77,11 @@
             .observe(self.started.elapsed());
     }
 
+    /// Events of a stream are passed on.
+    pub fn passed_on(&mut self) {
+        self.pace.note_events(self.started, Instant::now());
+    }
+
     /// The answer was whole.
     pub fn completed(&mut self, replica: &str, status: u16) {
         self.is_settled = true;
@@ -82,9 +90,11 @@
         self.state.status.metrics.request_duration.observe(elapsed);
         log_event!(
             gateway::REQUEST_ENDED,
-            "request={} route={} replica={replica} status={status} elapsed={elapsed:?}",
+            "request={} route={} replica={replica} status={status} elapsed={elapsed:?} first_event={:?} longest_pause={:?}",
             self.id,
-            self.route
+            self.route,
+            self.pace.first_after(),
+            self.pace.longest_pause()
         );
     }
 
@@ -100,10 +110,11 @@
         self.state.status.metrics.cut.inc();
         log_event!(
             gateway::STREAM_CUT,
-            "request={} route={} elapsed={:?} reason={reason:?}",
+            "request={} route={} elapsed={:?} first_event={:?} reason={reason:?}",
             self.id,
             self.route,
-            self.started.elapsed()
+            self.started.elapsed(),
+            self.pace.first_after()
         );
     }
 
@@ -119,6 +130,7 @@
             started: self.started,
             id: self.id.clone(),
             route: self.route.clone(),
+            pace: self.pace,
             is_settled: false,
         };
         self.is_settled = true;
@@ -139,10 +151,11 @@
             self.state.status.metrics.abandoned.inc();
             log_event!(
                 gateway::CALLER_LEFT,
-                "request={} route={} elapsed={:?}",
+                "request={} route={} elapsed={:?} first_event={:?}",
                 self.id,
                 self.route,
-                self.started.elapsed()
+                self.started.elapsed(),
+                self.pace.first_after()
             );
         }
     }
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -16,6 +16,7 @@
 mod event_splitter;
 mod find_route;
 mod judge;
+mod pace;
 mod read_body;
 mod refusal;
 mod relay;
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -139,7 +139,10 @@
                 None => self.read_before_deadline().await,
             };
             match piece {
-                Ok(Piece::Events(events)) => return Some(events),
+                Ok(Piece::Events(events)) => {
+                    self.account.passed_on();
+                    return Some(events);
+                }
                 Ok(Piece::End) => {
                     self.end();
                     return None;
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -9,7 +9,7 @@
     LOG_LINES_DROPPED = 6005, Warn, "Log lines were dropped since more came than may be written; the field counts them.";
     REQUEST_SENT = 6100, Info, "A request was sent to a replica; the fields give the route, the configuration's version, the age of its proof, and why the replica was chosen.";
     ATTEMPT_ENDED = 6101, Info, "A replica did not serve a request; the fields tell what its answer was taken for.";
-    REQUEST_ENDED = 6102, Info, "A request got its whole answer from a replica.";
+    REQUEST_ENDED = 6102, Info, "A request got its whole answer from a replica; for a stream the fields give the time to its first event and the longest pause.";
     CALLER_REFUSED = 6103, Info, "A request got an answer of the gateway's own; the fields give the step, the peer, the reason and the time to come back.";
     CALLER_LEFT = 6104, Info, "A caller closed its connection before its answer was whole; its replica's work is cancelled.";
     STREAM_MOVED = 6105, Info, "A broken stream goes on at another replica after the last event that was passed on.";
