--- a/crates/gateway/src/pipeline/authenticate.rs
+++ b/crates/gateway/src/pipeline/authenticate.rs
@@ -27,7 +27,7 @@
     if !needs_key() {
         return Ok(None);
     }
-    check_currency(state).await?;
+    check_currency(state, route).await?;
     let look_up = || {
         let configuration = state.configuration.load_full()?;
         configuration.tenant(key?).cloned()
@@ -46,8 +46,13 @@
     }
 }
 
+/// The share of the route's objective for which a request waits for a proof at a daemon whose own is too old.
+/// Such a daemon has tried to renew it for seconds, so another one serves the caller sooner; a refusal within
+/// a quarter of the objective leaves the caller time for that.
+const LOST_PROOF_SHARE: f64 = 0.2;
+
 /// A key may have been taken away since the configuration was last known to be current.
-async fn check_currency(state: &GatewayState) -> Result<(), Refusal> {
+async fn check_currency(state: &GatewayState, route: &Route) -> Result<(), Refusal> {
     let Some(allowed) = state.times.get().key_currency else {
         return Ok(());
     };
@@ -55,7 +60,8 @@
     if state.currency.is_within(allowed) {
         return Ok(());
     }
-    match state.currency.confirm(allowed, DENIAL_PATIENCE).await {
+    let patience = proof_patience(state.currency.age().is_some(), route.objective);
+    match state.currency.confirm(allowed, patience).await {
         true => Ok(()),
         false => Err(refused(
             Reason::NotInformed,
@@ -64,6 +70,15 @@
     }
 }
 
+/// How long a request waits for a proof of the configuration: a daemon that has had one lost it, a daemon
+/// that has had none yet has just started and reads the store for the first time.
+fn proof_patience(had_proof: bool, objective: Duration) -> Duration {
+    match had_proof && !objective.is_zero() {
+        true => DENIAL_PATIENCE.min(objective.mul_f64(LOST_PROOF_SHARE)),
+        false => DENIAL_PATIENCE,
+    }
+}
+
 fn refused(reason: Reason, detail: &str) -> Refusal {
     Refusal::new(Step::Authenticate, reason, detail)
 }
--- a/crates/gateway/src/pipeline/refusal.rs
+++ b/crates/gateway/src/pipeline/refusal.rs
@@ -58,6 +58,10 @@
     TimedOut,
 }
 
+/// When a caller should come back that this daemon can't serve for want of a proof: at once, since its next
+/// connection goes to another daemon, which most often has one.
+const NOT_INFORMED_RETRY: Duration = Duration::from_millis(10);
+
 impl Reason {
     /// The status that callers see. 429, 503, 408 and 421 promise that the request never runs.
     fn status(self) -> StatusCode {
@@ -78,7 +82,7 @@
     fn retry_after(self) -> Option<Duration> {
         match self {
             Self::Stopping => Some(Duration::ZERO),
-            Self::NotInformed => Some(Duration::from_millis(300)),
+            Self::NotInformed => Some(NOT_INFORMED_RETRY),
             Self::NoReplica => Some(Duration::from_millis(250)),
             Self::NotRun => Some(Duration::from_millis(120)),
             _ => None,
@@ -118,6 +122,15 @@
         }
     }
 
+    /// Whether the caller should use another connection: the rest of the body can't be skipped, or the next
+    /// request on this one would be refused too.
+    fn closes_connection(&self) -> bool {
+        matches!(
+            self.reason,
+            Reason::BrokenBody | Reason::BodyTooLarge | Reason::NotInformed
+        )
+    }
+
     /// The answer; settles the account.
     pub fn into_response(self, state: &GatewayState, account: &mut Account) -> HttpResponse {
         let status = self.reason.status();
@@ -144,7 +157,7 @@
         if let Some(time) = retry_after {
             builder.header("retry-after", format!("{:.3}", time.as_secs_f64()));
         }
-        if self.reason == Reason::BrokenBody || self.reason == Reason::BodyTooLarge {
+        if self.closes_connection() {
             builder.force_close();
         }
         builder.finish()
