--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -12,9 +12,6 @@
 use crate::replicas::{Candidate, Replica, SharedPrompt, place, reading_time};
 use crate::state::GatewayState;
 
-/// How much sooner than allowed no request is sent to older weights, for its way and its wait there.
-const WEIGHTS_MARGIN: Duration = Duration::from_millis(1500);
-
 /// Shared tokens from which a prompt is worth copying to a store; fewer are read again in no time.
 const WORTH_KEEPING: u64 = 512;
 
@@ -138,12 +135,13 @@
 
 fn has_usable_weights(state: &GatewayState, context: &RequestContext, replica: &Replica) -> bool {
     let deadline = state.times.get().weights_deadline;
-    let overdue_for = context.prompt().and_then(|prompt| {
-        let version = replica.version_of(&prompt.model)?;
+    let Some(prompt) = context.prompt() else {
+        return true;
+    };
+    replica.version_of(&prompt.model).is_none_or(|version| {
         let weights = state.weights.borrow();
-        weights.overdue_for(&prompt.model, version, Instant::now())
-    });
-    overdue_for.is_none_or(|age| age + WEIGHTS_MARGIN < deadline)
+        weights.may_serve(&prompt.model, version, Instant::now(), deadline)
+    })
 }
 
 /// Whether an answer with the replica's weights is worth less.
--- a/crates/gateway/src/rollout/plan.rs
+++ b/crates/gateway/src/rollout/plan.rs
@@ -17,30 +17,35 @@
     pub open_requests: u32,
     /// How long it is left alone after an order that failed.
     pub pause: Duration,
+    /// Whether its weights are so old that it gets no requests.
+    pub is_out_of_use: bool,
 }
 
 /// One in so many replicas of a service loads at once: the store of weights serves about so many at full
 /// speed, and the others have to bear the traffic meanwhile.
 const REPLICAS_PER_LOAD: usize = 5;
 
-/// How many replicas of a service may load at once.
+/// How many replicas of a service may load at once; rounded half up.
 pub fn parallel_loads(replicas: usize) -> usize {
-    (replicas / REPLICAS_PER_LOAD).max(1)
+    ((2 * replicas + REPLICAS_PER_LOAD) / (2 * REPLICAS_PER_LOAD)).max(1)
 }
 
-/// The replicas that should be told to load now: those with the oldest weights first, then no two of one
-/// zone before every zone has one, then those with the fewest open requests.
+/// The replicas that should load now: all that are out of use until they do, even beyond the number that
+/// may load at once, since nobody misses them meanwhile; then those with the oldest weights, no two of one
+/// zone before every zone has one, and those with the fewest open requests first.
 pub fn next_loads(replicas: &[PlannedReplica]) -> Vec<String> {
     let loading = replicas.iter().filter(|replica| replica.is_loading);
     let mut zones: Vec<&str> = loading.map(|replica| replica.zone.as_str()).collect();
     let free = parallel_loads(replicas.len()).saturating_sub(zones.len());
-    let mut waiting: Vec<&PlannedReplica> = replicas
+    let due = replicas.iter().filter(|replica| {
+        replica.outdated_version.is_some() && !replica.is_loading && replica.pause.is_zero()
+    });
+    let (out_of_use, mut waiting): (Vec<&PlannedReplica>, Vec<&PlannedReplica>) =
+        due.partition(|replica| replica.is_out_of_use);
+    let mut chosen: Vec<String> = out_of_use
         .iter()
-        .filter(|replica| {
-            replica.outdated_version.is_some() && !replica.is_loading && replica.pause.is_zero()
-        })
+        .map(|replica| replica.id.clone())
         .collect();
-    let mut chosen = Vec::new();
     while chosen.len() < free && !waiting.is_empty() {
         let in_zone =
             |replica: &&PlannedReplica| zones.iter().filter(|zone| **zone == replica.zone).count();
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -191,7 +191,7 @@
         .iter()
         .filter(|replica| !replica.entry().is_draining);
     let planned: Vec<PlannedReplica> = staying
-        .map(|replica| planned(progress, replica, wanted, now))
+        .map(|replica| planned(state, progress, replica, wanted, now))
         .collect();
     for id in next_loads(&planned) {
         let Some(replica) = state.registry.get(&id) else {
@@ -216,6 +216,7 @@
 }
 
 fn planned(
+    state: &GatewayState,
     progress: &Progress,
     replica: &Replica,
     wanted: &ModelVersion,
@@ -224,7 +225,11 @@
     let by_replica = progress.by_replica.borrow();
     let own = by_replica.get(&replica.id).copied().unwrap_or_default();
     let version = replica.version_of(&wanted.model);
+    let deadline = state.times.get().weights_deadline;
+    let weights = state.weights.borrow();
     PlannedReplica {
+        is_out_of_use: version
+            .is_some_and(|version| !weights.may_serve(&wanted.model, version, now, deadline)),
         id: replica.id.clone(),
         zone: replica.entry().zone.clone(),
         outdated_version: version.filter(|version| *version < wanted.version),
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -12,6 +12,9 @@
 /// time within which all replicas must have new weights.
 const REMEMBERED_FOR: Duration = Duration::from_secs(60);
 
+/// How much sooner than allowed no request is sent to older weights, for its way and its wait there.
+const SENDING_MARGIN: Duration = Duration::from_millis(1500);
+
 /// A version that is or was wanted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Named {
@@ -83,6 +86,13 @@
         Some(since_down.map_or(outdated_for, |since| since.min(outdated_for)))
     }
 
+    /// Whether requests may still be sent to a replica with `version`, where `deadline` after the naming of a
+    /// newer one none may begin on it.
+    pub fn may_serve(&self, model: &str, version: u64, now: Instant, deadline: Duration) -> bool {
+        self.overdue_for(model, version, now)
+            .is_none_or(|age| age + SENDING_MARGIN < deadline)
+    }
+
     /// Takes in that the store is down for all at `now`.
     pub fn store_is_down(&mut self, now: Instant) {
         self.down_until = Some(now);
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -260,9 +260,34 @@
         is_loading,
         open_requests: 0,
         pause: Duration::ZERO,
+        is_out_of_use: false,
     }
 }
 
+#[test]
+fn a_fifth_of_the_replicas_load_at_once_rounded_half_up() {
+    let loads = [1, 7, 8, 9, 12, 13, 90].map(parallel_loads);
+    assert_eq!(loads, [1, 1, 2, 2, 2, 3, 18]);
+}
+
+#[test]
+fn replicas_that_may_not_serve_load_at_once_beyond_the_limit() {
+    let mut replicas: Vec<PlannedReplica> = (0..10)
+        .map(|number| planned(&format!("r{number}"), "a", Some(3), false))
+        .collect();
+    for number in [2, 5, 7] {
+        replicas[number].outdated_version = Some(1);
+        replicas[number].is_out_of_use = true;
+    }
+    assert_eq!(next_loads(&replicas), ["r2", "r5", "r7"]);
+    replicas[5].pause = Duration::from_millis(1);
+    assert_eq!(
+        next_loads(&replicas),
+        ["r2", "r7"],
+        "its order has just failed"
+    );
+}
+
 #[test]
 fn the_oldest_weights_load_first_and_zones_take_turns() {
     let mut replicas: Vec<PlannedReplica> = (0..10)
