--- a/crates/gateway/src/cache/mod.rs
+++ b/crates/gateway/src/cache/mod.rs
@@ -5,7 +5,9 @@
 //! something from it.
 
 mod follow;
+mod holders;
 mod kept;
 
 pub use follow::run;
+pub use holders::{Prefix, PrefixKey, PromptHolders, prefixes};
 pub use kept::{CachedParts, KeptParts};
--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -4,9 +4,11 @@
 use std::time::{Duration, Instant};
 
 use super::message::{
-    Ask, Change, Loading, MAX_DATAGRAM_BYTES, Message, RECEIVE_BYTES, Tell, WireLease, WireWeights,
+    Ask, Change, Loading, MAX_DATAGRAM_BYTES, Message, RECEIVE_BYTES, Tell, WireLease, WirePrompt,
+    WireWeights,
 };
 use super::send::{send_to, send_to_group};
+use crate::cache::PrefixKey;
 use crate::state::GatewayState;
 
 /// The pause after a datagram could not be received.
@@ -42,7 +44,7 @@
                 let _ = answers.send(answer);
             }
             Some(Message::Nudge) => state.peers.ask_now.notify_one(),
-            Some(Message::Work(work)) => take_work(&state, &work),
+            Some(Message::Prompts(prompts)) => take_prompts(&state, &prompts),
             Some(Message::Loading(loading)) => take_loading(&state, &socket, loading).await,
             None => log::debug!("datagram of {from} does not decode"),
         }
@@ -99,11 +101,14 @@
     size + next.wire_size() <= PAGE_BYTES
 }
 
-fn take_work(state: &GatewayState, work: &[(String, u64)]) {
+fn take_prompts(state: &GatewayState, prompts: &[WirePrompt]) {
     let now = Instant::now();
-    for (id, tokens) in work {
-        if let Some(replica) = state.registry.get(id) {
-            replica.note_prompt(*tokens, now);
+    for prompt in prompts {
+        if let Some(replica) = state.registry.get(&prompt.replica) {
+            replica.note_prompt(prompt.tokens, now);
+            let ready_at = now + replica.reading(now);
+            let prefixes = prompt.prefixes.iter().map(|key| PrefixKey(*key));
+            state.holders.note(prefixes, &replica, ready_at, now);
         }
     }
 }
--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/known.rs
@@ -9,15 +9,15 @@
 
 use super::change_log::ChangeLog;
 use super::followed_log::FollowedLog;
-use super::message::{Item, Loading, WireDaemon};
+use super::message::{Item, Loading, WireDaemon, WirePrompt};
 use super::source::ranked_group;
 use super::view::View;
 
 /// Tokens from which others are told what a replica was given to read.
 const WORTH_TELLING: u64 = 1200;
 
-/// Prompts that are told of at once; more are left out.
-const MOST_WORK: usize = 24;
+/// Prompts that are told of in one datagram, so that it stays below its bound; more are left out.
+const MOST_PROMPTS: usize = 18;
 
 /// What a daemon knows through its peers, and whom it tells.
 #[derive(Debug)]
@@ -41,7 +41,7 @@
     pub(super) nonce: Cell<u64>,
     pub(super) ask_now: Notify,
     pub(super) outbox: RefCell<Vec<Loading>>,
-    pub(super) work: RefCell<Vec<(String, u64)>>,
+    pub(super) prompts: RefCell<Vec<WirePrompt>>,
     pub(super) nudges: Cell<bool>,
 }
 
@@ -63,7 +63,7 @@
             nonce: Cell::new(life << 20),
             ask_now: Notify::new(),
             outbox: RefCell::new(Vec::new()),
-            work: RefCell::new(Vec::new()),
+            prompts: RefCell::new(Vec::new()),
             nudges: Cell::new(false),
         }
     }
@@ -132,14 +132,14 @@
         self.news.notify_one();
     }
 
-    /// Tells the daemons of the group what a replica was given to read, where that is much.
-    pub fn tell_work(&self, replica: &str, tokens: u64) {
-        if tokens < WORTH_TELLING {
+    /// Tells the daemons of the group which prompt a replica was given, where it has much to read or to keep.
+    pub fn tell_prompt(&self, prompt: WirePrompt) {
+        if prompt.tokens < WORTH_TELLING && prompt.prefixes.is_empty() {
             return;
         }
-        let mut work = self.work.borrow_mut();
-        if work.len() < MOST_WORK {
-            work.push((replica.to_owned(), tokens));
+        let mut prompts = self.prompts.borrow_mut();
+        if prompts.len() < MOST_PROMPTS {
+            prompts.push(prompt);
             self.news.notify_one();
         }
     }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -20,8 +20,8 @@
     Nudge,
     /// Tells how a replica's loading of weights goes.
     Loading(Loading),
-    /// Tells what replicas were given to read: their ids with tokens.
-    Work(Vec<(String, u64)>),
+    /// Tells which prompts replicas were given.
+    Prompts(Vec<WirePrompt>),
 }
 
 /// A question.
@@ -202,6 +202,17 @@
     pub zone: String,
 }
 
+/// A prompt that a replica was given.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct WirePrompt {
+    /// The replica's id.
+    pub replica: String,
+    /// Tokens that it probably has to read.
+    pub tokens: u64,
+    /// The keys of the prompt's shared prefixes, see [`crate::cache::PrefixKey`].
+    pub prefixes: Vec<u64>,
+}
+
 /// How a replica's loading of weights goes.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub struct Loading {
--- a/crates/gateway/src/peers/news.rs
+++ b/crates/gateway/src/peers/news.rs
@@ -25,10 +25,10 @@
         for loading in loadings {
             spread_loading(&state, &socket, loading).await;
         }
-        let work = std::mem::take(&mut *state.peers.work.borrow_mut());
-        if !work.is_empty() {
+        let prompts = std::mem::take(&mut *state.peers.prompts.borrow_mut());
+        if !prompts.is_empty() {
             let daemons = state.peers.daemons();
-            send_to_group(&state, &socket, &daemons, &Message::Work(work)).await;
+            send_to_group(&state, &socket, &daemons, &Message::Prompts(prompts)).await;
         }
         if state.peers.nudges.replace(false) {
             for follower in recent_followers(&state.peers) {
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -179,6 +179,7 @@
     fn not_run(&mut self, choice: &Choice, peer: SocketAddr, detail: &str) -> Result<(), Refusal> {
         self.log_attempt(choice, "not_run", detail);
         choice.replica.health.note_full(Instant::now());
+        self.state.holders.forget(&choice.prefixes, &choice.replica);
         self.tried.push(choice.replica.id.clone());
         self.vain_sends += 1;
         match self.vain_sends >= MAX_VAIN_SENDS {
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -4,12 +4,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use xxhash_rust::xxh3::xxh3_64;
-
 use super::context::RequestContext;
+use super::prompt_sources::{PromptSources, Supply};
 use super::refusal::{Reason, Refusal, Step};
-use crate::configuration::KvStore;
-use crate::replicas::{Candidate, Replica, SharedPrompt, place, reading_time};
+use crate::cache::Prefix;
+use crate::replicas::{Candidate, Replica, place};
 use crate::state::GatewayState;
 
 /// Shared tokens from which a prompt is worth copying to a store; fewer are read again in no time.
@@ -19,12 +18,6 @@
 /// along, and drives out what others need.
 const MOST_OWN: u64 = 1;
 
-/// How much a fetch counts against its time on an idle link, since others use the link too.
-const FETCH_WEIGHT: f64 = 3.0;
-
-/// How much reading shared parts again counts against its time: it keeps others waiting, and is paid for.
-const READING_WEIGHT: f64 = 2.0;
-
 /// After this time answers with older weights are worth less.
 const WORTH_LESS_AFTER: Duration = Duration::from_millis(1400);
 
@@ -41,6 +34,10 @@
     pub fetch_from: Option<SocketAddr>,
     /// Where to copy cached prompt work to.
     pub save_to: Option<SocketAddr>,
+    /// The shared prefixes of the prompt, under the replica's weights.
+    pub prefixes: Vec<Prefix>,
+    /// Tokens of the prompt that it probably keeps.
+    pub held_tokens: u64,
     /// Tokens of the prompt that it probably has to read.
     pub tokens_to_read: u64,
     /// Whether the prompt's shared parts belong there.
@@ -56,27 +53,35 @@
     tried: &[String],
 ) -> Result<Choice, Refusal> {
     let candidates = eligible(state, context, tried)?;
-    let views: Vec<Candidate> = candidates
-        .iter()
-        .map(|replica| view(state, context, replica))
-        .collect();
     let store = match context.shared_tokens() {
         0 => None,
         _ => state.kv_store(&context.configuration),
     };
-    let shared = shared_prompt(state, context, store.as_ref(), &candidates);
-    let (position, home) =
-        place(&views, shared, state.draw()).ok_or_else(|| no_replica("none is listed"))?;
+    let mut sources = PromptSources::new(state, context, store.clone());
+    let supplies: Vec<Supply> = candidates
+        .iter()
+        .map(|replica| sources.supply(replica))
+        .collect();
+    let views: Vec<Candidate> = candidates
+        .iter()
+        .zip(&supplies)
+        .map(|(replica, supply)| view(state, context, replica, supply))
+        .collect();
+    let (position, home) = place(&views, context.placement_key(), state.draw())
+        .ok_or_else(|| no_replica("none is listed"))?;
     let replica = Rc::clone(&candidates[position]);
+    let supply = supplies[position];
     let store = store.map(|store| store.address);
-    let weights_version = version_of(context, &replica);
-    let cache_scope = cache_scope(context, weights_version);
+    let weights_version = context.version_of(&replica);
+    let cache_scope = context.cache_scope(weights_version);
     let save_to = store.filter(|store| wants_copy(state, context, *store, cache_scope.as_deref()));
     Ok(Choice {
-        tokens_to_read: tokens_to_read(context, store, position == home),
+        tokens_to_read: tokens_to_read(context, &supply),
+        prefixes: sources.prefixes(&replica),
         weights_version,
         cache_scope,
-        fetch_from: store,
+        held_tokens: supply.held_tokens,
+        fetch_from: supply.source.map(|source| source.address).or(store),
         save_to,
         is_home: position == home,
         candidates: candidates.len(),
@@ -93,7 +98,7 @@
 ) -> bool {
     let shared = context.shared_parts();
     let shared_tokens = context.shared_tokens();
-    let own_tokens = tokens_to_read(context, Some(store), true);
+    let own_tokens = context.input_tokens().saturating_sub(shared_tokens);
     let is_worth_it = shared_tokens >= WORTH_KEEPING && own_tokens <= shared_tokens / MOST_OWN;
     let Some(scope) = scope.filter(|_| is_worth_it) else {
         return false;
@@ -161,78 +166,31 @@
     weights.outdated_for(&prompt.model, version, Instant::now())
 }
 
-/// What the shared parts cost where they are not kept: the way from the store, if they are known to be
-/// there under the newest weights, else reading them, which is also paid for.
-fn shared_prompt(
-    state: &GatewayState,
-    context: &RequestContext,
-    store: Option<&KvStore>,
-    candidates: &[Rc<Replica>],
-) -> Option<SharedPrompt> {
-    let key = context.placement_key()?;
-    let tokens = context.shared_tokens();
-    let reading = reading_time(tokens).mul_f64(READING_WEIGHT);
-    let version = candidates
-        .iter()
-        .filter_map(|replica| version_of(context, replica))
-        .max();
-    let scope = cache_scope(context, version)?;
-    let is_kept = |store: &&KvStore| {
-        let parts = context.shared_parts();
-        state
-            .cached
-            .keeps(store.address, &scope, parts, Instant::now())
-    };
-    let fetching = store
-        .filter(is_kept)
-        .map(|store| fetching_time(context, store, tokens));
-    let miss = fetching.map_or(reading, |fetching| fetching.min(reading));
-    Some(SharedPrompt { key, miss })
-}
-
-/// The time in which so many tokens come from the store.
-fn fetching_time(context: &RequestContext, store: &KvStore, tokens: u64) -> Duration {
-    let service = context.configuration.service(&context.service);
-    let bytes_per_token = service
-        .and_then(|service| service.engine.as_ref())
-        .map_or(0, |engine| engine.bytes_per_token);
-    let bits = (tokens * bytes_per_token * 8) as f64;
-    let bits_per_second = store.link_megabits.max(1.0) * 1e6;
-    Duration::from_secs_f64(FETCH_WEIGHT * bits / bits_per_second)
+/// Tokens that the replica has to read: all but those that it keeps or fetches.
+fn tokens_to_read(context: &RequestContext, supply: &Supply) -> u64 {
+    let fetched = supply.source.map_or(0, |source| source.tokens);
+    let known = supply.held_tokens.max(fetched);
+    context.input_tokens().saturating_sub(known)
 }
 
-/// Tokens that the replica has to read: all but those that its home keeps, or that come from the store.
-fn tokens_to_read(context: &RequestContext, store: Option<SocketAddr>, is_home: bool) -> u64 {
-    let all = u64::from(context.prompt().map_or(0, |prompt| prompt.input_tokens));
-    match is_home || store.is_some() {
-        true => all.saturating_sub(context.shared_tokens()),
-        false => all,
-    }
-}
-
-fn view(state: &GatewayState, context: &RequestContext, replica: &Replica) -> Candidate {
+fn view(
+    state: &GatewayState,
+    context: &RequestContext,
+    replica: &Replica,
+    supply: &Supply,
+) -> Candidate {
     Candidate {
-        id_hash: xxh3_64(replica.id.as_bytes()),
+        id_hash: replica.id_hash,
         open_requests: replica.open_requests(),
         reading: replica.reading(Instant::now()),
         is_outdated: is_worth_less(state, context, replica),
         failure_share: replica.health.failure_share(),
         is_near: replica.entry().zone == state.settings.zone,
+        fetching: supply.fetching,
+        reading_again: supply.reading,
     }
 }
 
-fn version_of(context: &RequestContext, replica: &Replica) -> Option<u64> {
-    replica.version_of(&context.prompt()?.model)
-}
-
-/// Cached prompt work is kept apart by tenant, where that is isolated, and by the version of the weights
-/// that made it.
-fn cache_scope(context: &RequestContext, weights_version: Option<u64>) -> Option<String> {
-    context.prompt()?;
-    let version = weights_version.unwrap_or(0);
-    Some(format!("{version}/{}", context.wall()))
-}
-
 fn no_replica(detail: &str) -> Refusal {
     Refusal::new(Step::Choose, Reason::NoReplica, detail)
 }
--- a/crates/gateway/src/pipeline/context.rs
+++ b/crates/gateway/src/pipeline/context.rs
@@ -8,9 +8,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::decode::Decoded;
-use crate::configuration::{Configuration, Route, Tenant};
+use crate::configuration::{Configuration, EngineLimits, Route, Tenant};
 use crate::protocol::{Prompt, PromptPart, RequestMeta};
-use crate::replicas::PlacementKey;
+use crate::replicas::{PlacementKey, Replica};
 
 /// How long a request is held where neither caller nor route say so.
 const LONGEST_HOLD: Duration = Duration::from_secs(600);
@@ -94,6 +94,12 @@
         }
     }
 
+    /// Tokens of the whole prompt.
+    pub fn input_tokens(&self) -> u64 {
+        self.prompt()
+            .map_or(0, |prompt| u64::from(prompt.input_tokens))
+    }
+
     /// All parts of the prompt but the last, which nobody shares.
     pub fn shared_parts(&self) -> &[PromptPart] {
         let parts = self.prompt().map_or(&[][..], |prompt| &prompt.parts);
@@ -121,6 +127,24 @@
         Some(PlacementKey(xxh3_64(text.as_bytes())))
     }
 
+    /// The version of the weights of the prompt's model that `replica` is believed to have.
+    pub fn version_of(&self, replica: &Replica) -> Option<u64> {
+        replica.version_of(&self.prompt()?.model)
+    }
+
+    /// The name under which cached prompt work is kept and found: apart by tenant, where that is isolated, and
+    /// by the version of the weights that made it.
+    pub fn cache_scope(&self, weights_version: Option<u64>) -> Option<String> {
+        self.prompt()?;
+        let version = weights_version.unwrap_or(0);
+        Some(format!("{version}/{}", self.wall()))
+    }
+
+    /// What a replica of the service can do, where that is known.
+    pub fn engine(&self) -> Option<&EngineLimits> {
+        self.configuration.service(&self.service)?.engine.as_ref()
+    }
+
     /// The rank among a replica's requests; 0 goes first.
     pub fn priority(&self) -> u8 {
         let of_tenant = self.tenant.as_ref().and_then(|tenant| tenant.priority);
--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -12,6 +12,7 @@
 
 use super::choose_replica::Choice;
 use super::context::RequestContext;
+use crate::peers::message::WirePrompt;
 use crate::protocol::Dispatch;
 use crate::replicas::OpenWork;
 use crate::state::GatewayState;
@@ -36,14 +37,7 @@
 ) -> Result<Opened, SendFailure> {
     let pool = &choice.replica.pool;
     let work = OpenWork::begin(&choice.replica);
-    if choice.tokens_to_read > 0 {
-        choice
-            .replica
-            .note_prompt(choice.tokens_to_read, Instant::now());
-        state
-            .peers
-            .tell_work(&choice.replica.id, choice.tokens_to_read);
-    }
+    note_prompt(state, choice);
     loop {
         let mut connection = connect(choice).await?;
         let request = build(state, context, choice, last_event_id)?;
@@ -62,6 +56,24 @@
     }
 }
 
+/// Takes in what the replica has to read and keeps from now on, and tells the group.
+fn note_prompt(state: &GatewayState, choice: &Choice) {
+    if choice.tokens_to_read == 0 {
+        return;
+    }
+    let now = Instant::now();
+    let replica = &choice.replica;
+    replica.note_prompt(choice.tokens_to_read, now);
+    let ready_at = now + replica.reading(now);
+    let prefixes = choice.prefixes.iter().map(|prefix| prefix.key);
+    state.holders.note(prefixes.clone(), replica, ready_at, now);
+    state.peers.tell_prompt(WirePrompt {
+        replica: replica.id.clone(),
+        tokens: choice.tokens_to_read,
+        prefixes: prefixes.map(|key| key.0).collect(),
+    });
+}
+
 async fn connect(choice: &Choice) -> Result<Connection, SendFailure> {
     let pool = &choice.replica.pool;
     pool.take().await.map_err(|error| SendFailure::NotSent {
@@ -111,7 +123,7 @@
     state.status.metrics.sent.inc();
     log_event!(
         gateway::REQUEST_SENT,
-        "request={} route={} replica={} address={} key={:?} home={} candidates={} open={} reading={:?} tokens={} version={:?} fetch={:?} save={} configuration={} proof_age={:?} left={:?} reused={}",
+        "request={} route={} replica={} address={} key={:?} home={} candidates={} open={} reading={:?} held={} tokens={} version={:?} fetch={:?} save={} configuration={} proof_age={:?} left={:?} reused={}",
         context.id,
         context.route.name,
         choice.replica.id,
@@ -121,6 +133,7 @@
         choice.candidates,
         choice.replica.open_requests(),
         choice.replica.reading(Instant::now()),
+        choice.held_tokens,
         choice.tokens_to_read,
         choice.weights_version,
         choice.fetch_from,
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -17,6 +17,7 @@
 mod find_route;
 mod judge;
 mod pace;
+mod prompt_sources;
 mod read_body;
 mod refusal;
 mod relay;
--- /dev/null
+++ b/crates/gateway/src/pipeline/prompt_sources.rs
@@ -0,0 +1,210 @@
+//! What each candidate keeps of a prompt's shared parts, and where it can take the rest from.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use super::context::RequestContext;
+use crate::cache::{Prefix, prefixes};
+use crate::configuration::KvStore;
+use crate::replicas::{Replica, reading_time};
+use crate::state::GatewayState;
+
+/// How much a fetch counts against its time on an idle link, since others use the link too.
+const FETCH_WEIGHT: f64 = 3.0;
+
+/// What a fetch costs besides the time on the link: asking the source, and what it puts out of memory.
+const FETCH_OVERHEAD: Duration = Duration::from_millis(8);
+
+/// How much reading shared parts again counts against its time: it keeps others waiting, and is paid for.
+const READING_WEIGHT: f64 = 2.0;
+
+/// The share of a replica's memory that keeps what no request uses, where it is about half busy.
+const KEPT_SHARE: f64 = 0.6;
+
+/// Where a candidate takes missing parts from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Source {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Tokens of the prompt that it probably has.
+    pub tokens: u64,
+    /// Whether it is another replica, else the KV store.
+    pub is_replica: bool,
+}
+
+/// What one candidate needs before it has the shared parts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Supply {
+    /// Tokens of the prompt that it probably keeps.
+    pub held_tokens: u64,
+    /// Where it takes more from.
+    pub source: Option<Source>,
+    /// What that costs.
+    pub fetching: Duration,
+    /// What it costs to read the rest.
+    pub reading: Duration,
+}
+
+/// The supply of each candidate for one prompt.
+pub struct PromptSources<'a> {
+    state: &'a GatewayState,
+    context: &'a RequestContext,
+    store: Option<KvStore>,
+    now: Instant,
+    by_version: HashMap<Option<u64>, SourcesOfVersion>,
+}
+
+/// What is known of the prompt under one version of the weights.
+struct SourcesOfVersion {
+    prefixes: Vec<Prefix>,
+    replicas: Vec<(Rc<Replica>, u64)>,
+    is_in_store: bool,
+}
+
+impl<'a> PromptSources<'a> {
+    /// The sources of the prompt of `context`; `store` where it may be fetched from there.
+    pub fn new(
+        state: &'a GatewayState,
+        context: &'a RequestContext,
+        store: Option<KvStore>,
+    ) -> Self {
+        Self {
+            state,
+            context,
+            store,
+            now: Instant::now(),
+            by_version: HashMap::new(),
+        }
+    }
+
+    /// What `candidate` needs.
+    pub fn supply(&mut self, candidate: &Rc<Replica>) -> Supply {
+        let version = self.context.version_of(candidate);
+        if !self.by_version.contains_key(&version) {
+            let sources = self.sources_of(version);
+            self.by_version.insert(version, sources);
+        }
+        let sources = &self.by_version[&version];
+        let held_tokens = self.held(&sources.prefixes, candidate, false);
+        let all = self.context.shared_tokens();
+        let source = match held_tokens < all {
+            true => self.source_for(sources, candidate, held_tokens),
+            false => None,
+        };
+        let known_source = source.filter(|source| source.tokens > held_tokens);
+        let fetched = known_source.map_or(0, |source| source.tokens - held_tokens);
+        let fetching = known_source.map_or(Duration::ZERO, |source| {
+            self.fetching_time(&source, fetched)
+        });
+        let unread = all.saturating_sub(held_tokens + fetched);
+        Supply {
+            held_tokens,
+            source,
+            fetching,
+            reading: reading_time(unread).mul_f64(READING_WEIGHT),
+        }
+    }
+
+    /// The prefixes of the prompt for `candidate`'s weights.
+    pub fn prefixes(&self, candidate: &Replica) -> Vec<Prefix> {
+        let version = self.context.version_of(candidate);
+        let sources = self.by_version.get(&version);
+        sources.map_or_else(Vec::new, |sources| sources.prefixes.clone())
+    }
+
+    fn sources_of(&self, version: Option<u64>) -> SourcesOfVersion {
+        let parts = self.context.shared_parts();
+        let Some(scope) = self
+            .context
+            .cache_scope(version)
+            .filter(|_| !parts.is_empty())
+        else {
+            return SourcesOfVersion {
+                prefixes: Vec::new(),
+                replicas: Vec::new(),
+                is_in_store: false,
+            };
+        };
+        let prefixes = prefixes(&scope, parts);
+        let listed = self.state.registry.of_service(&self.context.service);
+        let is_usable = |replica: &&Rc<Replica>| {
+            self.context.version_of(replica) == version
+                && replica.loading_since().is_none()
+                && !replica.health.is_unreachable(self.now)
+        };
+        let held = |replica: &Rc<Replica>| {
+            let tokens = self.held(&prefixes, replica, true);
+            (tokens > 0).then(|| (Rc::clone(replica), tokens))
+        };
+        let replicas = listed.iter().filter(is_usable).filter_map(held).collect();
+        let is_in_store = self.store.as_ref().is_some_and(|store| {
+            self.state
+                .cached
+                .keeps(store.address, &scope, parts, self.now)
+        });
+        SourcesOfVersion {
+            prefixes,
+            replicas,
+            is_in_store,
+        }
+    }
+
+    fn held(&self, prefixes: &[Prefix], replica: &Replica, is_read: bool) -> u64 {
+        let engine = self.context.engine();
+        let capacity = engine.map_or(0, |engine| engine.capacity_tokens);
+        let kept_tokens = (capacity as f64 * KEPT_SHARE) as u64;
+        let holders = &self.state.holders;
+        holders.held_tokens(prefixes, replica, kept_tokens, is_read, self.now)
+    }
+
+    /// Where most of the prompt is: of the replicas that have more than `candidate` the nearest and least busy
+    /// one, or the store.
+    fn source_for(
+        &self,
+        sources: &SourcesOfVersion,
+        candidate: &Replica,
+        held_tokens: u64,
+    ) -> Option<Source> {
+        let zone = candidate.entry().zone.clone();
+        let others = sources.replicas.iter().filter(|(replica, tokens)| {
+            replica.id_hash != candidate.id_hash && *tokens > held_tokens
+        });
+        let best = others.max_by_key(|(replica, tokens)| {
+            let is_near = replica.entry().zone == zone;
+            (*tokens, is_near, std::cmp::Reverse(replica.open_requests()))
+        });
+        let replica = best.map(|(replica, tokens)| Source {
+            address: replica.pool.peer(),
+            tokens: *tokens,
+            is_replica: true,
+        });
+        let store = self.store.as_ref().map(|store| Source {
+            address: store.address,
+            tokens: match sources.is_in_store {
+                true => self.context.shared_tokens(),
+                false => 0,
+            },
+            is_replica: false,
+        });
+        // Of equal ones the replica: its link carries more than the store's.
+        store
+            .into_iter()
+            .chain(replica)
+            .max_by_key(|source| source.tokens)
+    }
+
+    /// The time in which so many tokens come from the source.
+    fn fetching_time(&self, source: &Source, tokens: u64) -> Duration {
+        let engine = self.context.engine();
+        let bytes_per_token = engine.map_or(0, |engine| engine.bytes_per_token);
+        let link_megabits = match source.is_replica {
+            true => engine.map_or(0.0, |engine| engine.link_megabits),
+            false => self.store.as_ref().map_or(0.0, |store| store.link_megabits),
+        };
+        let bits = (tokens * bytes_per_token * 8) as f64;
+        let bits_per_second = link_megabits.max(1.0) * 1e6;
+        FETCH_OVERHEAD + Duration::from_secs_f64(FETCH_WEIGHT * bits / bits_per_second)
+    }
+}
--- a/crates/gateway/src/replicas/health.rs
+++ b/crates/gateway/src/replicas/health.rs
@@ -61,6 +61,11 @@
         self.failure_share.get()
     }
 
+    /// Whether it could not be reached lately.
+    pub fn is_unreachable(&self, now: Instant) -> bool {
+        self.suspect_until.get().is_some_and(|until| now < until)
+    }
+
     /// Whether it should get no requests at `now`.
     pub fn is_suspect(&self, now: Instant) -> bool {
         let is_before = |until: Instant| now < until;
--- a/crates/gateway/src/replicas/mod.rs
+++ b/crates/gateway/src/replicas/mod.rs
@@ -6,6 +6,6 @@
 mod replica;
 
 pub use health::Health;
-pub use placement::{Candidate, PlacementKey, SharedPrompt, place};
+pub use placement::{Candidate, PlacementKey, place};
 pub use registry::Registry;
 pub use replica::{OpenWork, Replica, reading_time};
--- a/crates/gateway/src/replicas/placement.rs
+++ b/crates/gateway/src/replicas/placement.rs
@@ -28,15 +28,10 @@
     pub is_outdated: bool,
     /// Whether it is in this daemon's zone.
     pub is_near: bool,
-}
-
-/// What a request shares, and what that costs elsewhere than at its home.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct SharedPrompt {
-    /// Ranks the replicas.
-    pub key: PlacementKey,
-    /// The time to bring or read the shared parts where they are not kept.
-    pub miss: Duration,
+    /// What it costs to bring shared parts that others keep.
+    pub fetching: Duration,
+    /// What it costs to read the shared parts that are kept nowhere, unless this is their home.
+    pub reading_again: Duration,
 }
 
 /// Milliseconds that one open request counts as: it shares its replica's steps.
@@ -54,29 +49,37 @@
 /// Milliseconds that each rank counts as, so that daemons that know the same choose the same.
 const RANK_MS: f64 = 1.0;
 
-/// The position of the candidate that takes the request, and that of its home. Without a shared prompt the
-/// least loaded candidate takes it. `tie` settles what is equal.
+/// The position of the candidate that takes the request, and that of its home. Without a key, which a prompt
+/// has that shares parts, the least loaded candidate takes it. `tie` settles what is equal.
 pub fn place(
     candidates: &[Candidate],
-    shared: Option<SharedPrompt>,
+    key: Option<PlacementKey>,
     tie: u64,
 ) -> Option<(usize, usize)> {
-    let Some(shared) = shared else {
+    let Some(key) = key else {
         let least = least_loaded(candidates, tie)?;
         return Some((least, least));
     };
-    let order = ranked(candidates, shared.key);
+    let order = ranked(candidates, key);
     let home = *order.first()?;
-    let miss_ms = shared.miss.as_secs_f64() * 1000.0;
     let cost = |(rank, index): &(usize, usize)| {
-        let miss = if *rank == 0 { 0.0 } else { miss_ms };
-        load_ms(&candidates[*index]) + miss + RANK_MS * *rank as f64
+        let candidate = &candidates[*index];
+        let reading_again = match rank {
+            0 => Duration::ZERO,
+            _ => candidate.reading_again,
+        };
+        let miss = candidate.fetching + reading_again;
+        load_ms(candidate) + milliseconds(miss) + RANK_MS * *rank as f64
     };
     let ranks = order.iter().copied().enumerate();
     let cheapest = ranks.min_by(|one, other| cost(one).total_cmp(&cost(other)))?;
     Some((cheapest.1, home))
 }
 
+fn milliseconds(time: Duration) -> f64 {
+    time.as_secs_f64() * 1000.0
+}
+
 /// The positions of the candidates, by their claim to `key`.
 fn ranked(candidates: &[Candidate], key: PlacementKey) -> Vec<usize> {
     let mut order: Vec<usize> = (0..candidates.len()).collect();
@@ -94,7 +97,7 @@
     } else {
         0.0
     };
-    candidate.reading.as_secs_f64() * 1000.0
+    milliseconds(candidate.reading)
         + OPEN_REQUEST_MS * f64::from(candidate.open_requests)
         + FAILURE_MS * candidate.failure_share
         + outdated
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::health::Health;
 use crate::protocol::{ModelVersion, ReplicaEntry};
 use crate::upstream::Pool;
@@ -17,6 +19,8 @@
 pub struct Replica {
     /// The id of this life.
     pub id: String,
+    /// The digest of its id.
+    pub id_hash: u64,
     /// The connections to it.
     pub pool: Rc<Pool>,
     /// Whether it can be reached.
@@ -25,6 +29,7 @@
     listed_models: RefCell<Vec<ModelVersion>>,
     open_requests: Cell<u32>,
     reading_until: Cell<Option<Instant>>,
+    given_tokens: Cell<u64>,
     loading_since: Cell<Option<Instant>>,
     order_sequence: Cell<Option<u64>>,
     lapses_at: Cell<Option<Instant>>,
@@ -34,6 +39,7 @@
     /// The replica of a new entry.
     pub fn new(entry: ReplicaEntry) -> Rc<Self> {
         Rc::new(Self {
+            id_hash: xxh3_64(entry.id.as_bytes()),
             id: entry.id.clone(),
             pool: Pool::new(entry.address),
             health: Health::default(),
@@ -43,6 +49,7 @@
             entry: RefCell::new(entry),
             open_requests: Cell::new(0),
             reading_until: Cell::new(None),
+            given_tokens: Cell::new(0),
             loading_since: Cell::new(None),
         })
     }
@@ -164,6 +171,12 @@
         let time = reading_time(tokens);
         let begins = self.reading_until.get().map_or(now, |until| until.max(now));
         self.reading_until.set(Some(begins + time));
+        self.given_tokens.set(self.given_tokens.get() + tokens);
+    }
+
+    /// Tokens that it was given to read so far, as far as daemons told each other.
+    pub fn given_tokens(&self) -> u64 {
+        self.given_tokens.get()
     }
 
     /// How long it is still reading prompts, as far as daemons told each other.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,7 +17,7 @@
 use tokio::sync::Notify;
 
 use crate::budget::RetryBudgets;
-use crate::cache::CachedParts;
+use crate::cache::{CachedParts, PromptHolders};
 use crate::configuration::{Configuration, KvStore};
 use crate::connections::CallerConnections;
 use crate::currency::Currency;
@@ -94,6 +94,8 @@
     pub peers: Peers,
     /// What stores of cached prompt work keep.
     pub cached: CachedParts,
+    /// Which replicas keep which prompts.
+    pub holders: PromptHolders,
     /// The callers' connections.
     pub callers: CallerConnections,
     /// The connections to the store.
@@ -140,6 +142,7 @@
             store,
             peers,
             cached: CachedParts::default(),
+            holders: PromptHolders::default(),
             callers: CallerConnections::default(),
             store_revision: Cell::new(0),
             lease: RefCell::new(lease),
