--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -44,7 +44,18 @@
                 let _ = answers.send(answer);
             }
             Some(Message::Nudge) => state.peers.ask_now.notify_one(),
-            Some(Message::Prompts(prompts)) => take_prompts(&state, &prompts),
+            Some(Message::Prompts(prompts)) => {
+                take_prompts(&state, &prompts);
+                for prompt in &prompts {
+                    state.peers.far.gather(prompt);
+                }
+            }
+            Some(Message::FarPrompts(far)) => {
+                take_prompts(&state, &far.prompts);
+                if far.pass_on {
+                    state.peers.far.pass_on(&far.prompts);
+                }
+            }
             Some(Message::Loading(loading)) => take_loading(&state, &socket, loading).await,
             None => log::debug!("datagram of {from} does not decode"),
         }
--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/known.rs
@@ -8,16 +8,17 @@
 use tokio::sync::Notify;
 
 use super::change_log::ChangeLog;
+use super::far::FarExchange;
 use super::followed_log::FollowedLog;
 use super::message::{Item, Loading, WireDaemon, WirePrompt};
 use super::source::ranked_group;
 use super::view::View;
 
 /// Tokens from which others are told what a replica was given to read.
-const WORTH_TELLING: u64 = 1200;
+pub(super) const WORTH_TELLING: u64 = 1200;
 
 /// Prompts that are told of in one datagram, so that it stays below its bound; more are left out.
-const MOST_PROMPTS: usize = 18;
+pub const MOST_PROMPTS: usize = 18;
 
 /// What a daemon knows through its peers, and whom it tells.
 #[derive(Debug)]
@@ -42,6 +43,7 @@
     pub(super) ask_now: Notify,
     pub(super) outbox: RefCell<Vec<Loading>>,
     pub(super) prompts: RefCell<Vec<WirePrompt>>,
+    pub(super) far: FarExchange,
     pub(super) nudges: Cell<bool>,
 }
 
@@ -64,6 +66,7 @@
             ask_now: Notify::new(),
             outbox: RefCell::new(Vec::new()),
             prompts: RefCell::new(Vec::new()),
+            far: FarExchange::default(),
             nudges: Cell::new(false),
         }
     }
@@ -137,6 +140,7 @@
         if prompt.tokens < WORTH_TELLING && prompt.prefixes.is_empty() {
             return;
         }
+        self.far.gather(&prompt);
         let mut prompts = self.prompts.borrow_mut();
         if prompts.len() < MOST_PROMPTS {
             prompts.push(prompt);
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -22,6 +22,8 @@
     Loading(Loading),
     /// Tells which prompts replicas were given.
     Prompts(Vec<WirePrompt>),
+    /// Tells which prompts replicas were given by daemons of other groups.
+    FarPrompts(FarPrompts),
 }
 
 /// A question.
@@ -213,6 +215,15 @@
     pub prefixes: Vec<u64>,
 }
 
+/// Prompts that daemons of one group sent, for another group.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct FarPrompts {
+    /// The prompts.
+    pub prompts: Vec<WirePrompt>,
+    /// Whether the receiver passes them on to its group.
+    pub pass_on: bool,
+}
+
 /// How a replica's loading of weights goes.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub struct Loading {
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -8,6 +8,7 @@
 
 use super::answer::listen;
 use super::ask::ask;
+use super::far;
 use super::news::tell_news;
 use crate::state::GatewayState;
 use crate::store;
@@ -26,5 +27,6 @@
     let (answers, answered) = tokio::sync::mpsc::unbounded_channel();
     ntex::rt::spawn(listen(Rc::clone(&state), Rc::clone(&socket), answers));
     ntex::rt::spawn(tell_news(Rc::clone(&state), Rc::clone(&socket)));
+    ntex::rt::spawn(far::run(Rc::clone(&state), Rc::clone(&socket)));
     ask(state, socket, answered).await;
 }
