--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -22,6 +22,11 @@
 /// The pause between two watches of daemons, which come in crowds and don't matter at once.
 const DAEMONS_PAUSE: Duration = Duration::from_millis(600);
 
+/// The pause between two watches of replicas: while new weights are loaded an entry changes every few ten
+/// milliseconds, and each watch that returns is paid for. A tenth of the time in which a replica that is
+/// leaving may still get requests (`drainMs`, 2 s).
+const REPLICAS_PAUSE: Duration = Duration::from_millis(200);
+
 /// How long a daemon that has just started may still use older weights.
 const FIRST_WEIGHTS_GRACE: Duration = Duration::from_millis(4500);
 
@@ -85,8 +90,8 @@
                 }
                 state.registry_changed();
                 revision = revision.max(page.revision);
-                if kind == ObjectKind::Daemons {
-                    tokio::time::sleep(DAEMONS_PAUSE).await;
+                if let Some(pause) = pause_between_watches(kind) {
+                    tokio::time::sleep(pause).await;
                 }
             }
             Err(error) => return error,
@@ -94,6 +99,15 @@
     }
 }
 
+/// How long changes of a kind gather before the next watch asks for them.
+fn pause_between_watches(kind: ObjectKind) -> Option<Duration> {
+    match kind {
+        ObjectKind::Daemons => Some(DAEMONS_PAUSE),
+        ObjectKind::Replicas => Some(REPLICAS_PAUSE),
+        ObjectKind::Configuration | ObjectKind::Weights | ObjectKind::Leases => None,
+    }
+}
+
 fn take_list(state: &GatewayState, kind: ObjectKind, objects: Vec<StoredObject>) {
     if kind == ObjectKind::Leases {
         take_lease_list(state, objects);
