--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use super::message::{
-    Ask, Change, Loading, MAX_DATAGRAM_BYTES, Message, RECEIVE_BYTES, Tell, WireLease, WirePrompt,
-    WireWeights,
+    Ask, Change, Loading, MAX_DATAGRAM_BYTES, Message, RECEIVE_BYTES, StoreAnswers, Tell,
+    WireLease, WirePrompt, WireWeights,
 };
 use super::send::{send_to, send_to_group};
 use crate::cache::PrefixKey;
@@ -44,6 +44,14 @@
                 let _ = answers.send(answer);
             }
             Some(Message::Nudge) => state.peers.ask_now.notify_one(),
+            Some(Message::StoreAnswers(news)) => {
+                state.store_outage.is_over();
+                if news.pass_on {
+                    let daemons = state.peers.daemons();
+                    let message = Message::StoreAnswers(StoreAnswers { pass_on: false });
+                    send_to_group(&state, &socket, &daemons, &message).await;
+                }
+            }
             Some(Message::Prompts(prompts)) => {
                 take_prompts(&state, &prompts);
                 for prompt in &prompts {
--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/known.rs
@@ -45,6 +45,7 @@
     pub(super) prompts: RefCell<Vec<WirePrompt>>,
     pub(super) far: FarExchange,
     pub(super) nudges: Cell<bool>,
+    pub(super) store_answers: Cell<bool>,
 }
 
 impl Peers {
@@ -68,6 +69,7 @@
             prompts: RefCell::new(Vec::new()),
             far: FarExchange::default(),
             nudges: Cell::new(false),
+            store_answers: Cell::new(false),
         }
     }
 
@@ -153,6 +155,12 @@
         self.followed.borrow_mut().start_anew();
     }
 
+    /// Tells every daemon that the store answers again.
+    pub fn tell_store_answers(&self) {
+        self.store_answers.set(true);
+        self.news.notify_one();
+    }
+
     /// Tells those who ask this daemon that there are news.
     pub fn nudge(&self) {
         self.nudges.set(true);
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -18,6 +18,8 @@
     Tell(Tell),
     /// There is something new: ask.
     Nudge,
+    /// The store answers again, as the sender found after it had failed.
+    StoreAnswers(StoreAnswers),
     /// Tells how a replica's loading of weights goes.
     Loading(Loading),
     /// Tells which prompts replicas were given.
@@ -204,6 +206,13 @@
     pub zone: String,
 }
 
+/// The store answers again.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct StoreAnswers {
+    /// Whether the receiver passes it on to its group.
+    pub pass_on: bool,
+}
+
 /// A prompt that a replica was given.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub struct WirePrompt {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -27,6 +27,7 @@
 use crate::protocol::Platform;
 use crate::replicas::Registry;
 use crate::rollout::{OrderLease, lease_times};
+use crate::store::StoreOutage;
 use crate::upstream::Pool;
 use crate::weights::WantedWeights;
 
@@ -100,6 +101,8 @@
     pub callers: CallerConnections,
     /// The connections to the store.
     pub store: Rc<Pool>,
+    /// Ends the waits for a store that is down.
+    pub store_outage: StoreOutage,
     /// The highest revision of the store that is known.
     pub store_revision: Cell<u64>,
     /// The lease under which orders are given.
@@ -144,6 +147,7 @@
             cached: CachedParts::default(),
             holders: PromptHolders::default(),
             callers: CallerConnections::default(),
+            store_outage: StoreOutage::default(),
             store_revision: Cell::new(0),
             lease: RefCell::new(lease),
             rollout_wanted: Notify::new(),
--- a/crates/gateway/src/store/configuration_reader.rs
+++ b/crates/gateway/src/store/configuration_reader.rs
@@ -10,33 +10,29 @@
 
 use super::client::list_all;
 use super::follow::take_configuration;
+use super::outage::pause_after;
 use crate::protocol::ObjectKind;
 use crate::state::GatewayState;
 
 /// The time between two reads of a daemon that reads for others.
 const INTERVAL: Duration = Duration::from_millis(1100);
 
-/// The time after the first read that failed; each further one in a row twice as long.
-const FIRST_PAUSE: Duration = Duration::from_millis(200);
-
-/// The longest such time.
-const LONGEST_PAUSE: Duration = Duration::from_millis(900);
-
 /// Reads the configuration for ever: again and again while this daemon reads the store for its group, else
 /// only where a proof is wanted.
 pub async fn run(state: Rc<GatewayState>) {
     let mut is_reachable = true;
-    let mut pause = FIRST_PAUSE;
+    let mut failures = 0;
     loop {
         let has_read = read(&state, &mut is_reachable).await;
         state.refresh_readiness();
-        pause = match has_read {
-            true => FIRST_PAUSE,
-            false => (pause * 2).min(LONGEST_PAUSE),
-        };
-        let interval = if has_read { INTERVAL } else { pause };
+        if !has_read {
+            failures += 1;
+            state.store_outage.wait(pause_after(failures)).await;
+            continue;
+        }
+        failures = 0;
         tokio::select! {
-            () = due(&state, interval) => {}
+            () = due(&state, INTERVAL) => {}
             () = state.currency.wanted() => {}
         }
     }
@@ -50,7 +46,8 @@
 
 async fn read(state: &Rc<GatewayState>, is_reachable: &mut bool) -> bool {
     let began = Instant::now();
-    match list_all(state, ObjectKind::Configuration).await {
+    let listing = || list_all(state, ObjectKind::Configuration);
+    match state.store_outage.call(listing).await {
         Ok((objects, _)) => {
             for object in objects {
                 take_configuration(state, object);
@@ -59,7 +56,7 @@
             if state.peers.is_reader.get() && state.peers.follows_replicas.get() {
                 state.peers.prove_view(began);
             }
-            log_regained(is_reachable);
+            note_regained(state, is_reachable);
             true
         }
         Err(error) => {
@@ -78,8 +75,10 @@
     }
 }
 
-fn log_regained(is_reachable: &mut bool) {
+fn note_regained(state: &GatewayState, is_reachable: &mut bool) {
     if !std::mem::replace(is_reachable, true) {
         log_event!(gateway::STORE_REGAINED, "task=configuration_reader");
+        state.store_outage.is_over();
+        state.peers.tell_store_answers();
     }
 }
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -8,6 +8,7 @@
 use driftspring_telemetry::log_event;
 
 use super::client::{StoreError, list_all, watch};
+use super::outage::pause_after;
 use crate::peers::message::{Change, Item, ItemKey, WireDaemon, WireReplica};
 use crate::protocol::{ModelVersion, ObjectContent, ObjectKind, StoredObject};
 use crate::rollout::LEASE_NAME;
@@ -16,8 +17,8 @@
 /// How long one watch waits for a change.
 const WATCH_WAIT: Duration = Duration::from_secs(15);
 
-/// The pause after a call that failed.
-const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(200);
+/// The pause between a watch that ended and the next list.
+const PAUSE_AFTER_WATCH: Duration = Duration::from_millis(200);
 
 /// The pause between two watches of daemons, which come in crowds and don't matter at once.
 const DAEMONS_PAUSE: Duration = Duration::from_millis(600);
@@ -38,11 +39,12 @@
     {
         take_list(&state, kind, objects);
     }
+    let mut failures = 0;
     loop {
         state.peers.until_reader().await;
-        let mut pause = PAUSE_AFTER_FAILURE;
-        match list_all(&state, kind).await {
+        match state.store_outage.call(|| list_all(&state, kind)).await {
             Ok((objects, revision)) => {
+                failures = 0;
                 take_list(&state, kind, objects);
                 note_following(&state, kind, true);
                 tokio::select! {
@@ -52,13 +54,14 @@
                     () = state.peers.until_follower() => {}
                 }
                 note_following(&state, kind, false);
+                tokio::time::sleep(PAUSE_AFTER_WATCH).await;
             }
             Err(error) => {
+                failures += 1;
                 log::debug!("list of {kind:?} failed: {error}");
-                pause = PAUSE_AFTER_FAILURE * 3;
+                state.store_outage.wait(pause_after(failures)).await;
             }
         }
-        tokio::time::sleep(pause).await;
     }
 }
 
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -4,10 +4,12 @@
 mod configuration_reader;
 mod follow;
 mod join;
+mod outage;
 
 pub use client::{StoreError, list_all, watch, write};
 pub use follow::name_weights;
 pub use join::join_daemons;
+pub use outage::{StoreOutage, pause_after};
 
 use std::rc::Rc;
 
