--- a/crates/gateway/src/cache/follow.rs
+++ b/crates/gateway/src/cache/follow.rs
@@ -1,5 +1,7 @@
 //! Follows what a store of cached prompt work keeps.
 
+use std::cell::RefCell;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,32 +22,45 @@
 /// The pause after a call that failed.
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(500);
 
-/// How often it is looked for a store while there is none.
+/// How often it is looked for new stores.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Follows the store that serves this daemon's zone, for ever.
+/// Follows every store that the configuration names, for ever.
 pub async fn run(state: Rc<GatewayState>) {
+    let followed: Rc<RefCell<HashSet<SocketAddr>>> = Rc::default();
     loop {
-        let Some(store) = present_store(&state) else {
-            tokio::time::sleep(LOOK_INTERVAL).await;
-            continue;
-        };
-        let pool = Pool::new(store);
-        while present_store(&state) == Some(store) {
-            let is_done = follow_once(&state, &pool, store).await;
-            tokio::time::sleep(if is_done {
-                GATHERING
-            } else {
-                PAUSE_AFTER_FAILURE
-            })
-            .await;
+        for store in stores(&state) {
+            if followed.borrow_mut().insert(store) {
+                let (state, followed) = (Rc::clone(&state), Rc::clone(&followed));
+                ntex::rt::spawn(async move {
+                    follow(&state, store).await;
+                    followed.borrow_mut().remove(&store);
+                });
+            }
         }
+        tokio::time::sleep(LOOK_INTERVAL).await;
     }
 }
 
-fn present_store(state: &GatewayState) -> Option<SocketAddr> {
-    let configuration = state.configuration.load_full()?;
-    state.kv_store(&configuration).map(|store| store.address)
+fn stores(state: &GatewayState) -> Vec<SocketAddr> {
+    let configuration = state.configuration.load_full();
+    configuration.map_or_else(Vec::new, |configuration| {
+        let stores = configuration.kv_stores();
+        stores.map(|store| store.address).collect()
+    })
+}
+
+/// Follows one store for as long as the configuration names it.
+async fn follow(state: &GatewayState, store: SocketAddr) {
+    let pool = Pool::new(store);
+    while stores(state).contains(&store) {
+        let is_done = follow_once(state, &pool, store).await;
+        let pause = match is_done {
+            true => GATHERING,
+            false => PAUSE_AFTER_FAILURE,
+        };
+        tokio::time::sleep(pause).await;
+    }
 }
 
 /// What an answer tells; nothing where it can't be read.
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 /// What may be done with a request again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteKind {
@@ -176,6 +178,16 @@
         self.services.get(name)
     }
 
+    /// The store of cached prompt work that keeps the prompts with this placement digest: the same one for
+    /// every daemon, so that together the stores keep each prompt once.
+    pub fn kv_store(&self, digest: u64) -> Option<&KvStore> {
+        let claim = |store: &&KvStore| {
+            let address = store.address.to_string();
+            (xxh3_64_with_seed(address.as_bytes(), digest), store.address)
+        };
+        self.kv_stores().max_by_key(claim)
+    }
+
     /// Every store of cached prompt work.
     pub fn kv_stores(&self) -> impl Iterator<Item = &KvStore> {
         self.services
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -53,10 +53,10 @@
     tried: &[String],
 ) -> Result<Choice, Refusal> {
     let candidates = eligible(state, context, tried)?;
-    let store = match context.shared_tokens() {
-        0 => None,
-        _ => state.kv_store(&context.configuration),
-    };
+    let store = context
+        .placement_key()
+        .and_then(|key| context.configuration.kv_store(key.0))
+        .cloned();
     let mut sources = PromptSources::new(state, context, store.clone());
     let supplies: Vec<Supply> = candidates
         .iter()
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,7 +18,7 @@
 
 use crate::budget::RetryBudgets;
 use crate::cache::{CachedParts, PromptHolders};
-use crate::configuration::{Configuration, KvStore};
+use crate::configuration::Configuration;
 use crate::connections::CallerConnections;
 use crate::currency::Currency;
 use crate::metrics::GatewayMetrics;
@@ -239,13 +239,6 @@
         self.draws.set(draw);
         draw ^ self.life
     }
-
-    /// The store of cached prompt work that serves this daemon's zone best.
-    pub fn kv_store(&self, configuration: &Configuration) -> Option<KvStore> {
-        let mut stores: Vec<&KvStore> = configuration.kv_stores().collect();
-        stores.sort_by_key(|store| (store.zone != self.settings.zone, store.address));
-        stores.first().map(|store| (*store).clone())
-    }
 }
 
 fn own_daemon(settings: &GatewaySettings) -> WireDaemon {
