--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
@@ -21,6 +21,10 @@
 /// Replicas that can't be reached before the request is refused.
 const MAX_UNREACHABLE: usize = 4;
 
+/// How long a request waits at a daemon that has just started for its first list of replicas; a call to the
+/// store takes a few milliseconds, and a slow one is waited for as long as a proof of the configuration is.
+const FIRST_LIST_PATIENCE: Duration = Duration::from_millis(600);
+
 /// The attempts of one request.
 pub struct Attempts {
     state: Rc<GatewayState>,
@@ -58,6 +62,9 @@
 
     /// Sends the request until a replica's answer has begun. `last_event_id` goes on with a stream.
     pub async fn next(&mut self, last_event_id: Option<&str>) -> Result<Attempt, Refusal> {
+        let patience = FIRST_LIST_PATIENCE.min(self.context.time_left());
+        let service = &self.context.service;
+        self.state.until_replicas_known(service, patience).await;
         loop {
             if self.context.time_left().is_zero() {
                 return Err(self.give_up(Reason::TimedOut, None, "no time left"));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -35,6 +35,10 @@
 /// badly at a daemon that has not heard of the store for longer.
 const READY_CURRENCY: Duration = Duration::from_millis(2800);
 
+/// For how long after its start a daemon may not have listed the replicas yet; a start while the store is slow
+/// (60 times 4 ms an answer, in two pages) stays well below it.
+const JUST_STARTED: Duration = Duration::from_secs(3);
+
 /// What the threads of a gateway share.
 #[derive(Debug, Default)]
 pub struct SharedStatus {
@@ -93,6 +97,8 @@
     pub budgets: RetryBudgets,
     /// What other daemons tell, and are told.
     pub peers: Peers,
+    /// Wakes requests that wait for the first list of replicas.
+    replicas_known: Notify,
     /// What stores of cached prompt work keep.
     pub cached: CachedParts,
     /// Which replicas keep which prompts.
@@ -153,6 +159,7 @@
             rollout_wanted: Notify::new(),
             life,
             division: RefCell::new(HashMap::new()),
+            replicas_known: Notify::new(),
             has_changes: Cell::new(false),
             draws: Cell::new(0),
             began: Instant::now(),
@@ -202,6 +209,7 @@
             return;
         }
         self.registry.index();
+        self.replicas_known.notify_waiters();
         let count = i64::try_from(self.registry.len()).unwrap_or(i64::MAX);
         self.status.metrics.replicas.set(count);
         self.refresh_readiness();
@@ -209,6 +217,22 @@
         self.peers.nudge();
     }
 
+    /// Waits up to `patience` for a replica of `service` where this daemon has just started: callers come to it
+    /// at once, and its first list of replicas is a few milliseconds away.
+    pub async fn until_replicas_known(&self, service: &str, patience: Duration) {
+        if self.now() > JUST_STARTED || !self.registry.of_service(service).is_empty() {
+            return;
+        }
+        let known = async {
+            while self.registry.of_service(service).is_empty() {
+                self.replicas_known.notified().await;
+            }
+        };
+        if tokio::time::timeout(patience, known).await.is_err() {
+            log::debug!("no replica of {service} is known after {patience:?}");
+        }
+    }
+
     /// Tells other threads whether the configuration and the replicas are known and current.
     pub fn refresh_readiness(&self) {
         let is_informed = self.configuration.load().is_some()
