--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,4 +1,4 @@
-//! Load, experiments, plots and scale runs for driftspring.
+//! Load, experiments and plots for driftspring.
 //!
 //! - [`workload`]: seeded traces of requests with deeply nested prefixes.
 //! - [`demo`]: a small system in one process, with one engine killed midway.
@@ -6,9 +6,9 @@
 //! - [`overhead`]: what the router costs compared with calling the engine directly.
 //! - [`compare`]: routing policies against each other in virtual time.
 //! - [`decision`]: the time and memory of one routing decision.
-//! - [`scale`]: membership and configuration over hundreds of daemons in one process.
 //! - [`embedded`]: a whole system within this process.
 //! - [`load`], [`caller`]: open-loop load and the callers that time and check each stream.
+//! - [`worth`]: where the worth of the operator's days goes.
 //! - [`report`]: tables, JSON and HTML with plots.
 
 pub mod caller;
@@ -21,5 +21,5 @@
 pub mod load;
 pub mod overhead;
 pub mod report;
-pub mod scale;
 pub mod workload;
+pub mod worth;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,4 +1,4 @@
-//! The `driftspring-bench` command: demo, load, experiments and scale runs.
+//! The `driftspring-bench` command: demo, load and experiments.
 
 use std::process::ExitCode;
 
@@ -28,6 +28,6 @@
         }
         DriftspringBenchCmd::Compare(options) => driftspring_bench::compare::run(&options),
         DriftspringBenchCmd::Decision(options) => driftspring_bench::decision::run(&options),
-        DriftspringBenchCmd::Scale(options) => driftspring_bench::scale::run(&options),
+        DriftspringBenchCmd::Worth(options) => driftspring_bench::worth::run(&options),
     }
 }
