--- a/crates/gateway/src/store/configuration_reader.rs
+++ b/crates/gateway/src/store/configuration_reader.rs
@@ -27,21 +27,25 @@
         state.refresh_readiness();
         if !has_read {
             failures += 1;
+            state.store_outage.begin();
             state.store_outage.wait(pause_after(failures)).await;
+            needed(&state).await;
             continue;
         }
         failures = 0;
         tokio::select! {
-            () = due(&state, INTERVAL) => {}
+            () = tokio::time::sleep(INTERVAL) => needed(&state).await,
             () = state.currency.wanted() => {}
         }
     }
 }
 
-/// Ends when the next read of a reader is due.
-async fn due(state: &GatewayState, interval: Duration) {
-    tokio::time::sleep(interval).await;
-    state.peers.until_reader().await;
+/// Ends when this daemon reads for others, or a proof is wanted.
+async fn needed(state: &GatewayState) {
+    tokio::select! {
+        () = state.peers.until_reader() => {}
+        () = state.currency.wanted() => {}
+    }
 }
 
 async fn read(state: &Rc<GatewayState>, is_reachable: &mut bool) -> bool {
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -8,7 +8,6 @@
 use driftspring_telemetry::log_event;
 
 use super::client::{StoreError, list_all, watch};
-use super::outage::pause_after;
 use crate::peers::message::{Change, Item, ItemKey, WireDaemon, WireReplica};
 use crate::protocol::{ModelVersion, ObjectContent, ObjectKind, StoredObject};
 use crate::rollout::LEASE_NAME;
@@ -59,7 +58,8 @@
             Err(error) => {
                 failures += 1;
                 log::debug!("list of {kind:?} failed: {error}");
-                state.store_outage.wait(pause_after(failures)).await;
+                let pause = state.store_outage.follower_pause(failures);
+                state.store_outage.wait(pause).await;
             }
         }
     }
--- a/crates/gateway/src/store/outage.rs
+++ b/crates/gateway/src/store/outage.rs
@@ -4,6 +4,7 @@
 //! it answers again tells all others, so that these wait no longer: neither in a pause nor for the answer of
 //! a call that was sent before.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use tokio::sync::Notify;
@@ -22,18 +23,37 @@
         .min(LONGEST_PAUSE)
 }
 
-/// Wakes the tasks that wait for a store that is down.
+/// How long a task waits that follows objects, while the reader of the configuration finds the store down: that
+/// one alone looks whether it answers again, which ends this pause.
+const FOLLOWER_PAUSE: Duration = Duration::from_secs(4);
+
+/// Whether the store is down, and the tasks that wait for it.
 #[derive(Debug, Default)]
 pub struct StoreOutage {
+    is_on: Cell<bool>,
     answers: Notify,
 }
 
 impl StoreOutage {
-    /// The store answers again: every wait ends.
+    /// The configuration could not be read.
+    pub fn begin(&self) {
+        self.is_on.set(true);
+    }
+
+    /// The configuration was read, or another daemon tells that the store answers: every wait ends.
     pub fn is_over(&self) {
+        self.is_on.set(false);
         self.answers.notify_waiters();
     }
 
+    /// The pause of a task that follows objects after so many lists in a row that failed.
+    pub fn follower_pause(&self, failures: u32) -> Duration {
+        match self.is_on.get() {
+            true => FOLLOWER_PAUSE,
+            false => pause_after(failures),
+        }
+    }
+
     /// Waits for a while, or until the store answers again.
     pub async fn wait(&self, pause: Duration) {
         tokio::select! {
--- a/crates/gateway/tests/store_outage.rs
+++ b/crates/gateway/tests/store_outage.rs
@@ -25,6 +25,20 @@
     assert_eq!(pause_after(u32::MAX), pause_after(6));
 }
 
+#[test]
+fn followers_leave_it_to_the_reader_of_the_configuration_to_find_the_store() {
+    let outage = StoreOutage::default();
+    assert_eq!(
+        outage.follower_pause(1),
+        pause_after(1),
+        "only their own list failed"
+    );
+    outage.begin();
+    assert!(outage.follower_pause(1) > pause_after(u32::MAX));
+    outage.is_over();
+    assert_eq!(outage.follower_pause(2), pause_after(2));
+}
+
 #[test]
 fn a_pause_ends_once_the_store_answers_again() {
     run(async {
