--- a/crates/gateway/src/peers/news.rs
+++ b/crates/gateway/src/peers/news.rs
@@ -23,7 +23,11 @@
         tokio::time::sleep(NEWS_GATHERING).await;
         let loadings = std::mem::take(&mut *state.peers.outbox.borrow_mut());
         for loading in loadings {
-            spread_loading(&state, &socket, loading).await;
+            let message = |pass_on| {
+                let loading = loading.clone();
+                Message::Loading(Loading { pass_on, ..loading })
+            };
+            broadcast(&state, &socket, message).await;
         }
         let prompts = std::mem::take(&mut *state.peers.prompts.borrow_mut());
         if !prompts.is_empty() {
@@ -31,7 +35,8 @@
             send_to_group(&state, &socket, &daemons, &Message::Prompts(prompts)).await;
         }
         if state.peers.store_recovered.replace(false) {
-            broadcast_store_recovered(&state, &socket).await;
+            let message = |pass_on| Message::StoreRecovered(StoreRecovered { pass_on });
+            broadcast(&state, &socket, message).await;
         }
         if state.peers.nudges.replace(false) {
             for follower in recent_followers(&state.peers) {
@@ -47,28 +52,16 @@
     followers.keys().copied().collect()
 }
 
-/// Sends to the own group, and to the first of each other group, which passes it on.
-async fn broadcast_store_recovered(state: &GatewayState, socket: &tokio::net::UdpSocket) {
-    let daemons = state.peers.daemons();
-    let message = |pass_on| Message::StoreRecovered(StoreRecovered { pass_on });
-    send_to_group(state, socket, &daemons, &message(false)).await;
-    for first in other_groups_first(&daemons, &state.peers.own) {
-        send(socket, &message(true), &first.peers).await;
-    }
-}
-
-/// Sends to the own group, and to the first of each other group, which passes it on.
-async fn spread_loading(
+/// Sends a message to the own group, and to the first of each other group, which passes it on: `message` is
+/// made with whether the receiver does that.
+async fn broadcast(
     state: &GatewayState,
     socket: &tokio::net::UdpSocket,
-    mut loading: Loading,
+    message: impl Fn(bool) -> Message,
 ) {
     let daemons = state.peers.daemons();
-    loading.pass_on = false;
-    let message = Message::Loading(loading.clone());
-    send_to_group(state, socket, &daemons, &message).await;
-    loading.pass_on = true;
+    send_to_group(state, socket, &daemons, &message(false)).await;
     for first in other_groups_first(&daemons, &state.peers.own) {
-        send(socket, &Message::Loading(loading.clone()), &first.peers).await;
+        send(socket, &message(true), &first.peers).await;
     }
 }
