--- a/crates/gateway/tests/order_lease.rs
+++ b/crates/gateway/tests/order_lease.rs
@@ -116,6 +116,15 @@
     assert_eq!(acquire(&mut other, &mut store, at(100) + distance), Some(2));
 }
 
+#[test]
+fn a_process_that_was_started_again_takes_up_the_lease_of_its_machine_at_once() {
+    let (mut store, mut before) = (Store::default(), daemon("one"));
+    acquire(&mut before, &mut store, at(0));
+    let mut after = OrderLease::new("one", 2, lease_times(DISTANCE));
+    after.on_list(at(700), store.object.clone());
+    assert_eq!(acquire(&mut after, &mut store, at(700)), Some(2));
+}
+
 #[test]
 fn a_fenced_holder_raises_its_token_before_it_orders_again() {
     let (mut store, mut one) = (Store::default(), daemon("one"));
