--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,6 +9,8 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::replicas::Begun;
+
 /// The numbers of one gateway. Counting is one atomic addition.
 pub struct GatewayMetrics {
     /// Requests that got a replica's whole answer.
@@ -31,6 +33,16 @@
     pub time_to_answer: DurationHistogram,
     /// From the arrival of a request to the end of its answer.
     pub request_duration: DurationHistogram,
+    /// From the sending of a request to a replica to its begin there.
+    pub begin_wait: DurationHistogram,
+    /// How much longer than expected requests waited at replicas.
+    pub begin_wait_excess: DurationHistogram,
+    /// How much shorter than expected requests waited at replicas.
+    pub begin_wait_shortfall: DurationHistogram,
+    /// For how long newer weights had been wanted when a request began on older ones.
+    pub outdated_begin: DurationHistogram,
+    /// Requests withdrawn from a replica, where they waited, since its weights became too old.
+    pub withdrawn: Counter,
     /// The version of the configuration in force.
     pub configuration_version: Gauge,
     /// Replicas listed.
@@ -57,6 +69,11 @@
             store_calls: Counter::default(),
             time_to_answer: DurationHistogram::default(),
             request_duration: DurationHistogram::default(),
+            begin_wait: DurationHistogram::default(),
+            begin_wait_excess: DurationHistogram::default(),
+            begin_wait_shortfall: DurationHistogram::default(),
+            outdated_begin: DurationHistogram::default(),
+            withdrawn: Counter::default(),
             configuration_version: Gauge::default(),
             replicas: Gauge::default(),
             registry: Mutex::new(Registry::with_prefix("driftspring_gateway")),
@@ -92,22 +109,50 @@
                 &self.moved,
             ),
             ("store_calls", "Calls to the store", &self.store_calls),
+            (
+                "requests_withdrawn",
+                "Requests withdrawn from replicas whose weights became too old",
+                &self.withdrawn,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
         }
-        registry.register_with_unit(
-            "time_to_answer",
-            "From a request's arrival to the head of its answer",
-            Unit::Seconds,
-            self.time_to_answer.clone(),
-        );
-        registry.register_with_unit(
-            "request_duration",
-            "From a request's arrival to the end of its answer",
-            Unit::Seconds,
-            self.request_duration.clone(),
-        );
+        let durations = [
+            (
+                "time_to_answer",
+                "From a request's arrival to the head of its answer",
+                &self.time_to_answer,
+            ),
+            (
+                "request_duration",
+                "From a request's arrival to the end of its answer",
+                &self.request_duration,
+            ),
+            (
+                "begin_wait",
+                "From the sending of a request to a replica to its begin there",
+                &self.begin_wait,
+            ),
+            (
+                "begin_wait_excess",
+                "How much longer than expected requests waited at replicas",
+                &self.begin_wait_excess,
+            ),
+            (
+                "begin_wait_shortfall",
+                "How much shorter than expected requests waited at replicas",
+                &self.begin_wait_shortfall,
+            ),
+            (
+                "outdated_begin",
+                "Age of the newer weights when a request began on older ones",
+                &self.outdated_begin,
+            ),
+        ];
+        for (name, help, histogram) in durations {
+            registry.register_with_unit(name, help, Unit::Seconds, histogram.clone());
+        }
         registry.register(
             "configuration_version",
             "The version of the configuration in force",
@@ -116,6 +161,17 @@
         registry.register("replicas", "Replicas listed", self.replicas.clone());
     }
 
+    /// Takes in how long a request waited at its replica, against what was expected.
+    pub fn note_begun(&self, begun: &Begun) {
+        self.begin_wait.observe(begun.wait);
+        match begun.wait.checked_sub(begun.expected) {
+            Some(excess) => self.begin_wait_excess.observe(excess),
+            None => self
+                .begin_wait_shortfall
+                .observe(begun.expected - begun.wait),
+        }
+    }
+
     /// The page of all numbers.
     pub fn page(&self) -> String {
         let mut page = String::new();
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -12,6 +12,7 @@
 use super::dispatch::{Opened, send};
 use super::judge::{Verdict, judge};
 use super::refusal::{Reason, Refusal, Step};
+use super::withdrawal::until_too_old;
 use crate::state::GatewayState;
 use crate::upstream::SendFailure;
 
@@ -25,6 +26,9 @@
 /// store takes a few milliseconds, and a slow one is waited for as long as a proof of the configuration is.
 const FIRST_LIST_PATIENCE: Duration = Duration::from_millis(600);
 
+/// Why a request is withdrawn.
+const TOO_OLD: &str = "it had not begun when the weights of its replica became too old";
+
 /// The attempts of one request.
 pub struct Attempts {
     state: Rc<GatewayState>,
@@ -36,6 +40,33 @@
     sends: u32,
 }
 
+/// Why a request that goes to a replica gets no head of an answer.
+enum Unanswered {
+    /// It could not be sent, or its answer was lost.
+    Failed(SendFailure),
+    /// It waited until the replica's weights became too old.
+    Withdrawn,
+}
+
+/// Why an answer that had begun is not read to its end.
+#[derive(Debug)]
+pub enum Break {
+    /// It broke off, for this cause.
+    BrokeOff(String),
+    /// Its head had come, but the request had not begun when the replica's weights became too old.
+    Withdrawn,
+}
+
+impl Break {
+    /// The cause in words.
+    pub fn cause(&self) -> &str {
+        match self {
+            Self::BrokeOff(cause) => cause,
+            Self::Withdrawn => TOO_OLD,
+        }
+    }
+}
+
 /// A replica's answer whose head has come.
 #[derive(Debug)]
 pub struct Attempt {
@@ -76,22 +107,39 @@
             if self.sends > 0 && !self.spend() {
                 return Err(self.give_up(Reason::NotRun, None, "the budget is spent"));
             }
-            let sent = send(&self.state, &self.context, &choice, last_event_id).await;
-            match sent {
+            match self.send(&choice, last_event_id).await {
                 Ok(opened) => {
                     self.sends += 1;
                     if let Some(attempt) = self.take_answer(opened, choice)? {
                         return Ok(attempt);
                     }
                 }
-                Err(SendFailure::NotSent { peer, cause }) => {
+                Err(Unanswered::Failed(SendFailure::NotSent { peer, cause })) => {
                     self.not_sent(&choice, peer, &cause)?;
                 }
-                Err(SendFailure::Lost { peer, cause }) => {
+                Err(Unanswered::Failed(SendFailure::Lost { peer, cause })) => {
                     self.sends += 1;
                     self.lost(&choice, peer, &cause)?;
                 }
+                Err(Unanswered::Withdrawn) => {
+                    self.sends += 1;
+                    self.withdrawn(&choice)?;
+                }
+            }
+        }
+    }
+
+    /// Sends the request once, and waits for the head of the answer as long as it may begin there.
+    async fn send(
+        &self,
+        choice: &Choice,
+        last_event_id: Option<&str>,
+    ) -> Result<Opened, Unanswered> {
+        tokio::select! {
+            sent = send(&self.state, &self.context, choice, last_event_id) => {
+                sent.map_err(Unanswered::Failed)
             }
+            () = until_too_old(&self.state, &self.context, choice) => Err(Unanswered::Withdrawn),
         }
     }
 
@@ -100,12 +148,15 @@
         self.context.route.is_repeatable() && self.runs < self.context.route.max_attempts
     }
 
-    /// Takes in that an answer that had begun broke off; an error where the request can't be sent again.
-    pub fn broke_off(&mut self, choice: &Choice, cause: &str) -> Result<(), Refusal> {
-        let peer = choice.replica.pool.peer();
+    /// Takes in that an answer whose head had come is not read to its end; an error where the request can't be
+    /// sent again.
+    pub fn broke_off(&mut self, choice: &Choice, why: &Break) -> Result<(), Refusal> {
         // It counted as a run when its head came.
         self.runs -= 1;
-        self.lost(choice, peer, cause)
+        match why {
+            Break::BrokeOff(cause) => self.lost(choice, choice.replica.pool.peer(), cause),
+            Break::Withdrawn => self.withdrawn(choice),
+        }
     }
 
     fn take_answer(&mut self, opened: Opened, choice: Choice) -> Result<Option<Attempt>, Refusal> {
@@ -207,6 +258,29 @@
         }
     }
 
+    /// Takes in that the request was withdrawn from a replica. It may have begun unseen, so it counts as a run;
+    /// the replica is none the worse for it.
+    fn withdrawn(&mut self, choice: &Choice) -> Result<(), Refusal> {
+        self.runs += 1;
+        self.state.status.metrics.withdrawn.inc();
+        log_event!(
+            gateway::REQUEST_WITHDRAWN,
+            "request={} replica={} version={:?} elapsed={:?}",
+            self.context.id,
+            choice.replica.id,
+            choice.weights_version,
+            self.context.started.elapsed()
+        );
+        self.tried.push(choice.replica.id.clone());
+        match self.may_run_again() {
+            true => Ok(()),
+            false => {
+                let peer = Some(choice.replica.pool.peer());
+                Err(self.give_up(Reason::Unknown, peer, TOO_OLD))
+            }
+        }
+    }
+
     fn note_failure(&self, choice: &Choice, cause: &str) {
         let pause = choice.replica.health.note_failure(Instant::now());
         log_event!(
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -143,9 +143,11 @@
     let Some(prompt) = context.prompt() else {
         return true;
     };
+    let now = Instant::now();
+    let expected_wait = replica.waits.expected(context.priority(), now);
     replica.version_of(&prompt.model).is_none_or(|version| {
         let weights = state.weights.borrow();
-        weights.may_serve(&prompt.model, version, Instant::now(), deadline)
+        weights.may_serve(&prompt.model, version, now, deadline, expected_wait)
     })
 }
 
--- a/crates/gateway/src/pipeline/collect.rs
+++ b/crates/gateway/src/pipeline/collect.rs
@@ -10,7 +10,7 @@
 use ntex::web::HttpResponse;
 
 use super::account::Account;
-use super::attempts::{Attempt, Attempts};
+use super::attempts::{Attempt, Attempts, Break};
 use super::context::RequestContext;
 use super::decode::is_hop_by_hop;
 use super::refusal::{Reason, Refusal, Step};
@@ -56,6 +56,7 @@
     let mut attempts = Attempts::new(state, context);
     loop {
         let Attempt { mut opened, choice } = attempts.next(None).await?;
+        opened.note_begun(state, context, &choice);
         match opened.answer.collect(MAX_ANSWER_BYTES).await {
             Ok(body) => {
                 return Ok(Whole {
@@ -65,7 +66,10 @@
                     body,
                 });
             }
-            Err(error) => attempts.broke_off(&choice, &error.to_string())?,
+            Err(error) => {
+                let why = Break::BrokeOff(error.to_string());
+                attempts.broke_off(&choice, &why)?;
+            }
         }
     }
 }
--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -1,7 +1,7 @@
 //! Filter: sends a request to one replica.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use driftspring_telemetry::events::gateway;
@@ -14,7 +14,7 @@
 use super::context::RequestContext;
 use crate::peers::message::WirePrompt;
 use crate::protocol::Dispatch;
-use crate::replicas::OpenWork;
+use crate::replicas::{OpenWork, Waiting};
 use crate::state::GatewayState;
 use crate::upstream::{Answer, Connection, SendFailure};
 
@@ -25,6 +25,31 @@
     pub answer: Answer,
     /// Counts the request at its replica for as long as the answer is open.
     pub _work: OpenWork,
+    /// Its wait at the replica, as long as it has not begun.
+    waiting: Option<Waiting>,
+}
+
+impl Opened {
+    /// Whether the replica has begun to answer: of a stream an event has come, of others the head.
+    pub fn has_begun(&self) -> bool {
+        self.waiting.is_none()
+    }
+
+    /// Takes in that it has; later calls change nothing.
+    pub fn note_begun(&mut self, state: &GatewayState, context: &RequestContext, choice: &Choice) {
+        let Some(waiting) = self.waiting.take() else {
+            return;
+        };
+        let now = Instant::now();
+        let metrics = &state.status.metrics;
+        metrics.note_begun(&waiting.began(now));
+        if let Some((prompt, version)) = context.prompt().zip(choice.weights_version) {
+            let wanted = state.weights.borrow();
+            if let Some(age) = wanted.outdated_for(&prompt.model, version, now) {
+                metrics.outdated_begin.observe(age);
+            }
+        }
+    }
 }
 
 /// Sends the request and waits for the head of the answer. A kept connection that turns out to be closed
@@ -41,13 +66,16 @@
     loop {
         let mut connection = connect(choice).await?;
         let request = build(state, context, choice, last_event_id)?;
-        log_sent(state, context, choice, &connection);
+        let waits = &choice.replica.waits;
+        let waiting = Waiting::begin(waits, context.priority(), Instant::now());
+        log_sent(state, context, choice, &connection, waiting.expected());
         match connection.send(request).await {
             Ok(response) => {
                 let answer = Answer::new(response, connection, Rc::clone(pool));
                 return Ok(Opened {
                     answer,
                     _work: work,
+                    waiting: Some(waiting),
                 });
             }
             Err(SendFailure::NotSent { .. }) if connection.is_reused => {}
@@ -119,11 +147,12 @@
     context: &RequestContext,
     choice: &Choice,
     connection: &Connection,
+    expected_wait: Duration,
 ) {
     state.status.metrics.sent.inc();
     log_event!(
         gateway::REQUEST_SENT,
-        "request={} route={} replica={} address={} key={:?} home={} candidates={} open={} reading={:?} held={} tokens={} version={:?} fetch={:?} save={} configuration={} proof_age={:?} left={:?} reused={}",
+        "request={} route={} replica={} address={} key={:?} home={} candidates={} open={} reading={:?} expected_wait={expected_wait:?} held={} tokens={} version={:?} fetch={:?} save={} configuration={} proof_age={:?} left={:?} reused={}",
         context.id,
         context.route.name,
         choice.replica.id,
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -21,6 +21,7 @@
 mod read_body;
 mod refusal;
 mod relay;
+mod withdrawal;
 
 use std::rc::Rc;
 use std::time::Instant;
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -17,15 +17,18 @@
 use ntex::web::{HttpRequest, HttpResponse};
 
 use super::account::Account;
-use super::attempts::{Attempt, Attempts};
+use super::attempts::{Attempt, Attempts, Break};
 use super::collect::{LAST_WORD, copy_headers};
 use super::context::RequestContext;
+use super::dispatch::Opened;
 use super::event_splitter::EventSplitter;
 use super::refusal::{Reason, Refusal, Step};
+use super::withdrawal::until_too_old;
 use crate::state::GatewayState;
 
 /// A stream on its way.
 struct Relay {
+    state: Rc<GatewayState>,
     context: Rc<RequestContext>,
     attempts: Attempts,
     attempt: Attempt,
@@ -65,6 +68,7 @@
     let mut builder = ResponseBuilder::new(attempt.opened.answer.status());
     copy_headers(attempt.opened.answer.headers(), &mut builder);
     let relay = Relay {
+        state: Rc::clone(state),
         context,
         attempts,
         attempt,
@@ -86,20 +90,38 @@
     loop {
         let mut attempt = attempts.next(None).await?;
         let mut splitter = EventSplitter::after(context.meta.last_event_id.clone());
-        match read_piece(&mut attempt, &mut splitter).await {
+        match read_from_begin(state, context, &mut attempt, &mut splitter).await {
             Ok(first) => {
                 return Ok((attempts, attempt, splitter, first));
             }
-            Err(cause) => attempts.broke_off(&attempt.choice, &cause)?,
+            Err(why) => attempts.broke_off(&attempt.choice, &why)?,
         }
     }
 }
 
+/// Reads the next piece. Where none has come of this attempt yet, the request waits at its replica, and is
+/// withdrawn once the weights there are too old for it to begin.
+async fn read_from_begin(
+    state: &GatewayState,
+    context: &RequestContext,
+    attempt: &mut Attempt,
+    splitter: &mut EventSplitter,
+) -> Result<Piece, Break> {
+    let Attempt { opened, choice } = attempt;
+    let has_begun = opened.has_begun();
+    let piece = tokio::select! {
+        piece = read_piece(opened, splitter) => piece.map_err(Break::BrokeOff)?,
+        () = until_too_old(state, context, choice), if !has_begun => return Err(Break::Withdrawn),
+    };
+    opened.note_begun(state, context, choice);
+    Ok(piece)
+}
+
 /// Reads until there are whole events, or the end.
-async fn read_piece(attempt: &mut Attempt, splitter: &mut EventSplitter) -> Result<Piece, String> {
-    let is_stream = attempt.opened.answer.status().is_success();
+async fn read_piece(opened: &mut Opened, splitter: &mut EventSplitter) -> Result<Piece, String> {
+    let is_stream = opened.answer.status().is_success();
     loop {
-        let next = attempt.opened.answer.next().await;
+        let next = opened.answer.next().await;
         match next.map_err(|error| error.to_string())? {
             Some(bytes) if !is_stream => return Ok(Piece::Events(bytes)),
             Some(bytes) => {
@@ -147,8 +169,8 @@
                     self.end();
                     return None;
                 }
-                Err(cause) => {
-                    if !self.go_on_elsewhere(&cause).await {
+                Err(why) => {
+                    if !self.go_on_elsewhere(&why).await {
                         return None;
                     }
                 }
@@ -156,16 +178,22 @@
         }
     }
 
-    async fn read_before_deadline(&mut self) -> Result<Piece, String> {
+    async fn read_before_deadline(&mut self) -> Result<Piece, Break> {
         let left = self.time_left();
         let caller = self.caller.clone();
-        let reading = read_piece(&mut self.attempt, &mut self.splitter);
+        let broke_off = |cause: &str| Err(Break::BrokeOff(cause.to_owned()));
+        let reading = read_from_begin(
+            &self.state,
+            &self.context,
+            &mut self.attempt,
+            &mut self.splitter,
+        );
         tokio::select! {
             piece = tokio::time::timeout(left, reading) => match piece {
                 Ok(piece) => piece,
-                Err(_) => Err("the request's time is over".to_owned()),
+                Err(_) => broke_off("the request's time is over"),
             },
-            () = caller_gone(caller) => Err("the caller has left".to_owned()),
+            () = caller_gone(caller) => broke_off("the caller has left"),
         }
     }
 
@@ -175,18 +203,14 @@
     }
 
     /// Goes on at another replica after the last event; false where the stream is cut.
-    async fn go_on_elsewhere(&mut self, cause: &str) -> bool {
+    async fn go_on_elsewhere(&mut self, why: &Break) -> bool {
+        let cause = why.cause();
         if self.caller.as_ref().is_some_and(IoRef::is_closed) {
             self.cut("the caller has left");
             return false;
         }
         let is_over = self.time_left() <= LAST_WORD;
-        if is_over
-            || self
-                .attempts
-                .broke_off(&self.attempt.choice, cause)
-                .is_err()
-        {
+        if is_over || self.attempts.broke_off(&self.attempt.choice, why).is_err() {
             self.cut(cause);
             return false;
         }
--- /dev/null
+++ b/crates/gateway/src/replicas/begin_wait.rs
@@ -0,0 +1,209 @@
+//! How long a request will wait at a replica before it begins, estimated from those sent before.
+//!
+//! Two things are known. Requests that began tell how long they had waited; the mean of these waits and
+//! their mean deviation are kept as TCP keeps its round trip time (RFC 6298), so that one sample alone
+//! moves the estimate by a part only. Requests that still wait tell a lower bound: the estimate is not
+//! below what the second oldest of them has waited by now, so it also grows where a replica falls silent.
+//! What was learnt fades while nothing is sent.
+//!
+//! A replica begins urgent requests first. So a request waits at least as long as more urgent ones did,
+//! and nothing follows for it from those that are less urgent.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How much one sample weighs in the mean and in the deviation. A gateway sees about one begin a second of
+/// each replica, and as many from each peer (operator's sheets); with a quarter the last four count most.
+const SAMPLE_WEIGHT: f64 = 0.25;
+
+/// How many deviations beyond the mean are expected: the wait that few requests exceed.
+const DEVIATIONS: f64 = 2.0;
+
+/// The time in which what was learnt loses half of its weight. A waiting line of seconds is worked off in
+/// seconds, as the overload days of `bench/days` show.
+const HALF_LIFE: Duration = Duration::from_millis(1500);
+
+/// The waits of requests of one urgency.
+#[derive(Debug, Clone, Copy)]
+struct Learnt {
+    mean_s: f64,
+    deviation_s: f64,
+    at: Instant,
+}
+
+impl Learnt {
+    /// Nothing but no wait at all.
+    fn nothing(now: Instant) -> Self {
+        Self {
+            mean_s: 0.0,
+            deviation_s: 0.0,
+            at: now,
+        }
+    }
+
+    /// What is left of it at `now`.
+    fn faded(self, now: Instant) -> Self {
+        let silence = now.saturating_duration_since(self.at);
+        let left = 0.5_f64.powf(silence.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        Self {
+            mean_s: self.mean_s * left,
+            deviation_s: self.deviation_s * left,
+            at: now,
+        }
+    }
+
+    /// Takes in one wait. What was learnt has not faded for that: the sample itself is newer knowledge.
+    fn take(&mut self, wait: Duration, now: Instant) {
+        let error_s = wait.as_secs_f64() - self.mean_s;
+        self.deviation_s += SAMPLE_WEIGHT * (error_s.abs() - self.deviation_s);
+        self.mean_s += SAMPLE_WEIGHT * error_s;
+        self.at = now;
+    }
+
+    /// The wait that few requests exceed.
+    fn expected(self) -> Duration {
+        Duration::from_secs_f64(self.mean_s + DEVIATIONS * self.deviation_s)
+    }
+}
+
+/// The waits at one replica.
+#[derive(Debug, Default)]
+pub struct BeginWait {
+    inner: RefCell<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    /// By urgency; 0 goes first.
+    learnt: BTreeMap<u8, Learnt>,
+    /// Requests that wait, by urgency and the order in which they were sent.
+    waiting: BTreeMap<u8, BTreeMap<u64, Instant>>,
+    sent: u64,
+}
+
+impl BeginWait {
+    /// How long a request of this urgency will wait that is sent at `now`.
+    pub fn expected(&self, urgency: u8, now: Instant) -> Duration {
+        let inner = self.inner.borrow();
+        let learnt = inner.learnt.range(..=urgency);
+        let learnt = learnt.map(|(_, learnt)| learnt.faded(now).expected()).max();
+        let waiting = inner.waiting.range(..=urgency);
+        let waiting = waiting.filter_map(|(_, sent)| corroborated_age(sent, now));
+        learnt
+            .unwrap_or_default()
+            .max(waiting.max().unwrap_or_default())
+    }
+
+    /// Takes in that a request of this urgency began after `wait`, at this gateway or at another one.
+    pub fn note(&self, urgency: u8, wait: Duration, now: Instant) {
+        let mut inner = self.inner.borrow_mut();
+        let learnt = inner.learnt.entry(urgency);
+        let learnt = learnt.or_insert_with(|| Learnt::nothing(now));
+        learnt.take(wait, now);
+    }
+
+    /// Forgets what was learnt of requests that began: the replica is in another state by now.
+    pub fn forget(&self) {
+        self.inner.borrow_mut().learnt.clear();
+    }
+
+    fn enter(&self, urgency: u8, now: Instant) -> u64 {
+        let mut inner = self.inner.borrow_mut();
+        inner.sent += 1;
+        let number = inner.sent;
+        let waiting = inner.waiting.entry(urgency).or_default();
+        waiting.insert(number, now);
+        number
+    }
+
+    fn leave(&self, urgency: u8, number: u64) {
+        let mut inner = self.inner.borrow_mut();
+        if let Some(waiting) = inner.waiting.get_mut(&urgency) {
+            waiting.remove(&number);
+        }
+    }
+}
+
+/// How long the second oldest of the requests that wait has done so: one alone may be lost.
+fn corroborated_age(sent: &BTreeMap<u64, Instant>, now: Instant) -> Option<Duration> {
+    let second = sent.values().nth(1)?;
+    Some(now.saturating_duration_since(*second))
+}
+
+/// A request that waits at a replica, until it begins or is dropped. One that is dropped before it began, for
+/// whatever reason, tells that it would have waited longer.
+#[derive(Debug)]
+pub struct Waiting {
+    waits: Rc<BeginWait>,
+    urgency: u8,
+    number: u64,
+    since: Instant,
+    /// What was expected when it was sent.
+    expected: Duration,
+    has_ended: bool,
+}
+
+impl Waiting {
+    /// A request that is sent at `now`.
+    pub fn begin(waits: &Rc<BeginWait>, urgency: u8, now: Instant) -> Self {
+        let expected = waits.expected(urgency, now);
+        Self {
+            number: waits.enter(urgency, now),
+            waits: Rc::clone(waits),
+            urgency,
+            since: now,
+            expected,
+            has_ended: false,
+        }
+    }
+
+    /// What was expected when it was sent.
+    pub fn expected(&self) -> Duration {
+        self.expected
+    }
+
+    /// Takes in that it has begun; returns what became of the estimate.
+    pub fn began(mut self, now: Instant) -> Begun {
+        self.has_ended = true;
+        let wait = now.saturating_duration_since(self.since);
+        self.waits.note(self.urgency, wait, now);
+        Begun {
+            wait,
+            expected: self.expected,
+        }
+    }
+
+    /// Takes in that it was given up at `now` before it had begun. Only where it had waited longer than was
+    /// expected something is learnt.
+    pub fn gave_up(mut self, now: Instant) {
+        self.end_before_begin(now);
+    }
+
+    fn end_before_begin(&mut self, now: Instant) {
+        if std::mem::replace(&mut self.has_ended, true) {
+            return;
+        }
+        let wait = now.saturating_duration_since(self.since);
+        if wait > self.expected {
+            self.waits.note(self.urgency, wait, now);
+        }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.end_before_begin(Instant::now());
+        self.waits.leave(self.urgency, self.number);
+    }
+}
+
+/// A request that has begun.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Begun {
+    /// How long it waited.
+    pub wait: Duration,
+    /// How long that was expected to take when it was sent.
+    pub expected: Duration,
+}
--- a/crates/gateway/src/replicas/mod.rs
+++ b/crates/gateway/src/replicas/mod.rs
@@ -1,10 +1,12 @@
 //! What is believed of each replica, and the choice of one.
 
+mod begin_wait;
 mod health;
 mod placement;
 mod registry;
 mod replica;
 
+pub use begin_wait::{BeginWait, Begun, Waiting};
 pub use health::Health;
 pub use placement::{Candidate, PlacementKey, place};
 pub use registry::Registry;
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -6,6 +6,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::begin_wait::BeginWait;
 use super::health::Health;
 use crate::protocol::{ModelVersion, ReplicaEntry};
 use crate::upstream::Pool;
@@ -25,6 +26,8 @@
     pub pool: Rc<Pool>,
     /// Whether it can be reached.
     pub health: Health,
+    /// How long requests wait there before they begin.
+    pub waits: Rc<BeginWait>,
     entry: RefCell<ReplicaEntry>,
     listed_models: RefCell<Vec<ModelVersion>>,
     open_requests: Cell<u32>,
@@ -43,6 +46,7 @@
             id: entry.id.clone(),
             pool: Pool::new(entry.address),
             health: Health::default(),
+            waits: Rc::default(),
             order_sequence: Cell::new(None),
             lapses_at: Cell::new(None),
             listed_models: RefCell::new(entry.models.clone()),
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -45,6 +45,9 @@
 /// Orders without an answer after which a replica is left alone for a while.
 const MAX_LOST_ORDERS: u32 = 12;
 
+/// The urgency of requests that go before all others: a replica that may not even serve those is out of use.
+const MOST_URGENT: u8 = 0;
+
 /// The longest random wait that sets daemons apart.
 const LONGEST_JITTER_MS: u64 = 250;
 
@@ -227,9 +230,11 @@
     let version = replica.version_of(&wanted.model);
     let deadline = state.times.get().weights_deadline;
     let weights = state.weights.borrow();
+    let expected_wait = replica.waits.expected(MOST_URGENT, now);
+    let may_serve =
+        |version| weights.may_serve(&wanted.model, version, now, deadline, expected_wait);
     PlannedReplica {
-        is_out_of_use: version
-            .is_some_and(|version| !weights.may_serve(&wanted.model, version, now, deadline)),
+        is_out_of_use: version.is_some_and(|version| !may_serve(version)),
         id: replica.id.clone(),
         zone: replica.entry().zone.clone(),
         outdated_version: version.filter(|version| *version < wanted.version),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -91,6 +91,8 @@
     pub registry: Registry,
     /// The wanted weights.
     pub weights: RefCell<WantedWeights>,
+    /// Wakes requests that wait at replicas, when a version of weights becomes known.
+    pub weights_named: Notify,
     /// Whether the wanted weights were listed since the start.
     pub has_listed_weights: Cell<bool>,
     /// How often requests may be sent again.
@@ -146,6 +148,7 @@
             currency: Currency::new(),
             registry: Registry::default(),
             weights: RefCell::default(),
+            weights_named: Notify::new(),
             has_listed_weights: Cell::new(false),
             budgets,
             store,
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -236,7 +236,9 @@
 pub fn name_weights(state: &GatewayState, weights: &ModelVersion, age: Duration) {
     let now = Instant::now();
     let since = now.checked_sub(age).unwrap_or(now);
-    if !state.weights.borrow_mut().name(weights, since) {
+    let is_newest = state.weights.borrow_mut().name(weights, since);
+    state.weights_named.notify_waiters();
+    if !is_newest {
         return;
     }
     log_event!(
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -12,8 +12,12 @@
 /// time within which all replicas must have new weights.
 const REMEMBERED_FOR: Duration = Duration::from_secs(60);
 
-/// How much sooner than allowed no request is sent to older weights, for its way and its wait there.
-const SENDING_MARGIN: Duration = Duration::from_millis(1500);
+/// How much sooner than allowed no request is sent to older weights, where no longer wait there is expected.
+const LEAST_SENDING_MARGIN: Duration = Duration::from_millis(1500);
+
+/// How much sooner than allowed a request that waits at a replica with older weights is withdrawn: the close
+/// of its connection has to reach the replica, over a link that may lose a packet (resent after 200 ms).
+const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(400);
 
 /// A version that is or was wanted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -87,10 +91,31 @@
     }
 
     /// Whether requests may still be sent to a replica with `version`, where `deadline` after the naming of a
-    /// newer one none may begin on it.
-    pub fn may_serve(&self, model: &str, version: u64, now: Instant, deadline: Duration) -> bool {
+    /// newer one none may begin on it, and where they will wait for `expected_wait` before they begin.
+    pub fn may_serve(
+        &self,
+        model: &str,
+        version: u64,
+        now: Instant,
+        deadline: Duration,
+        expected_wait: Duration,
+    ) -> bool {
+        let margin = LEAST_SENDING_MARGIN.max(expected_wait + WITHDRAWAL_MARGIN);
         self.overdue_for(model, version, now)
-            .is_none_or(|age| age + SENDING_MARGIN < deadline)
+            .is_none_or(|age| age + margin < deadline)
+    }
+
+    /// How much longer a request may wait at a replica with `version` before it is withdrawn, where `deadline`
+    /// after the naming of a newer one none may begin on it; nothing where no newer one is named.
+    pub fn waiting_time_left(
+        &self,
+        model: &str,
+        version: u64,
+        now: Instant,
+        deadline: Duration,
+    ) -> Option<Duration> {
+        let age = self.overdue_for(model, version, now)?;
+        Some(deadline.saturating_sub(age + WITHDRAWAL_MARGIN))
     }
 
     /// Takes in that the store is down for all at `now`.
--- /dev/null
+++ b/crates/gateway/tests/begin_wait.rs
@@ -0,0 +1,108 @@
+//! The estimate of the time that a request waits at a replica before it begins.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use driftspring_gateway::replicas::{BeginWait, Waiting};
+use quickcheck::quickcheck;
+
+const URGENT: u8 = 0;
+const USUAL: u8 = 1;
+
+fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+#[test]
+fn nothing_is_expected_where_nothing_was_seen() {
+    let waits = BeginWait::default();
+    assert_eq!(waits.expected(USUAL, Instant::now()), Duration::ZERO);
+}
+
+#[test]
+fn equal_waits_are_expected_again() {
+    let (waits, now) = (BeginWait::default(), Instant::now());
+    (0..40).for_each(|_| waits.note(USUAL, ms(2000), now));
+    let expected = waits.expected(USUAL, now);
+    assert!(expected >= ms(1990) && expected < ms(2200), "{expected:?}");
+}
+
+#[test]
+fn one_sample_alone_is_not_believed() {
+    let (waits, now) = (BeginWait::default(), Instant::now());
+    (0..20).for_each(|_| waits.note(USUAL, ms(50), now));
+    waits.note(USUAL, ms(2000), now);
+    let expected = waits.expected(USUAL, now);
+    assert!(expected < ms(1700), "{expected:?}");
+    let waits = BeginWait::default();
+    waits.note(USUAL, ms(2000), now);
+    assert!(waits.expected(USUAL, now) < ms(2000));
+}
+
+#[test]
+fn what_was_learnt_fades_while_nothing_is_sent() {
+    let (waits, now) = (BeginWait::default(), Instant::now());
+    (0..40).for_each(|_| waits.note(USUAL, ms(2000), now));
+    assert!(waits.expected(USUAL, now + ms(1500)) < ms(1200));
+    assert!(waits.expected(USUAL, now + ms(15_000)) < ms(10));
+}
+
+#[test]
+fn requests_that_still_wait_count_also_where_the_replica_is_silent() {
+    let (waits, now) = (Rc::new(BeginWait::default()), Instant::now());
+    let first = Waiting::begin(&waits, USUAL, now);
+    assert_eq!(
+        waits.expected(USUAL, now + ms(3000)),
+        Duration::ZERO,
+        "one may be lost"
+    );
+    let second = Waiting::begin(&waits, USUAL, now + ms(100));
+    assert_eq!(waits.expected(USUAL, now + ms(3000)), ms(2900));
+    first.gave_up(now);
+    second.gave_up(now);
+    assert_eq!(waits.expected(USUAL, now + ms(3000)), Duration::ZERO);
+}
+
+#[test]
+fn urgent_requests_say_what_others_wait_at_least_and_not_the_other_way_round() {
+    let (waits, now) = (BeginWait::default(), Instant::now());
+    (0..40).for_each(|_| waits.note(USUAL, ms(2000), now));
+    assert_eq!(waits.expected(URGENT, now), Duration::ZERO);
+    let waits = BeginWait::default();
+    (0..40).for_each(|_| waits.note(URGENT, ms(2000), now));
+    assert!(waits.expected(USUAL, now) >= ms(1990));
+}
+
+#[test]
+fn a_request_that_was_given_up_tells_that_the_wait_is_longer() {
+    let (waits, now) = (Rc::new(BeginWait::default()), Instant::now());
+    for number in 0..20 {
+        let at = now + ms(number);
+        Waiting::begin(&waits, USUAL, at).gave_up(at + ms(1500));
+    }
+    assert!(waits.expected(USUAL, now + ms(1600)) > ms(1000));
+    let learnt = waits.expected(USUAL, now + ms(1600));
+    Waiting::begin(&waits, USUAL, now + ms(1600)).gave_up(now + ms(1601));
+    assert_eq!(
+        waits.expected(USUAL, now + ms(1600)),
+        learnt,
+        "one that left at once tells nothing"
+    );
+}
+
+#[test]
+fn whoever_has_begun_tells_wait_and_estimate() {
+    let (waits, now) = (Rc::new(BeginWait::default()), Instant::now());
+    let begun = Waiting::begin(&waits, USUAL, now).began(now + ms(80));
+    assert_eq!((begun.wait, begun.expected), (ms(80), Duration::ZERO));
+    assert!(waits.expected(USUAL, now + ms(80)) > Duration::ZERO);
+}
+
+quickcheck! {
+    fn the_estimate_is_never_beyond_thrice_the_longest_wait(waits_ms: Vec<u16>) -> bool {
+        let (waits, now) = (BeginWait::default(), Instant::now());
+        waits_ms.iter().for_each(|wait| waits.note(USUAL, ms(u64::from(*wait)), now));
+        let longest = waits_ms.iter().max().copied().unwrap_or_default();
+        waits.expected(USUAL, now) <= ms(3 * u64::from(longest) + 1)
+    }
+}
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -262,6 +262,49 @@
     assert_eq!(told, [2, 3]);
 }
 
+const DEADLINE: Duration = Duration::from_secs(8);
+
+#[test]
+fn the_longer_a_request_will_wait_the_sooner_none_is_sent_to_older_weights() {
+    let (mut wanted, start) = (WantedWeights::default(), Instant::now());
+    wanted.name(&weights(2), start);
+    let may_serve = |after_ms, wait_ms| {
+        let now = start + Duration::from_millis(after_ms);
+        let wait = Duration::from_millis(wait_ms);
+        wanted.may_serve("model", 1, now, DEADLINE, wait)
+    };
+    assert!(may_serve(6499, 0), "where no wait is known 1.5 s are left");
+    assert!(!may_serve(6500, 0));
+    assert!(may_serve(5599, 2000), "2 s, and 0.4 s to withdraw it");
+    assert!(!may_serve(5600, 2000));
+    assert!(!may_serve(0, 8000));
+    let now = start + DEADLINE;
+    let endless = Duration::from_secs(100);
+    assert!(
+        wanted.may_serve("model", 2, now, DEADLINE, endless),
+        "nothing is newer"
+    );
+}
+
+#[test]
+fn a_request_that_waits_at_older_weights_has_time_until_shortly_before_the_deadline() {
+    let (mut wanted, start) = (WantedWeights::default(), Instant::now());
+    let left = |wanted: &WantedWeights, after_ms| {
+        let now = start + Duration::from_millis(after_ms);
+        wanted.waiting_time_left("model", 1, now, DEADLINE)
+    };
+    assert_eq!(left(&wanted, 0), None, "nothing newer is named");
+    wanted.name(&weights(2), start);
+    assert_eq!(left(&wanted, 100), Some(Duration::from_millis(7500)));
+    assert_eq!(left(&wanted, 7600), Some(Duration::ZERO));
+    wanted.store_is_down(start + Duration::from_millis(1000));
+    assert_eq!(
+        left(&wanted, 1100),
+        Some(Duration::from_millis(7500)),
+        "while the store is down the time does not count"
+    );
+}
+
 fn planned(id: &str, zone: &str, version: Option<u64>, is_loading: bool) -> PlannedReplica {
     PlannedReplica {
         id: id.to_owned(),
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -15,6 +15,7 @@
     STREAM_MOVED = 6105, Info, "A broken stream goes on at another replica after the last event that was passed on.";
     STREAM_CUT = 6106, Warn, "A stream broke and can't go on; its caller's connection is closed without the end of the answer.";
     BUDGET_SPENT = 6107, Warn, "A request was not sent again since the budget of its service is spent.";
+    REQUEST_WITHDRAWN = 6108, Warn, "A request had not begun at its replica when the weights there became too old; its connection was closed, and it goes to another replica where it may run again.";
     CONFIGURATION_TAKEN = 6200, Info, "A newer configuration is in force.";
     ENTRY_REJECTED = 6201, Error, "An object of the store can't be read; what was in force before it stays.";
     STORE_LOST = 6202, Warn, "The store does not answer; the field tells which task noticed it.";
