--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -171,9 +171,9 @@
 /// The lease of a task that one daemon does at a time.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LeaseRecord {
-    /// The daemon that holds it.
+    /// The machine that holds it; empty where it was given back.
     pub holder: String,
-    /// The life of that daemon.
+    /// The life of the daemon on it.
     pub life: u64,
     /// The fencing token, which rises with each acquisition.
     pub token: u64,
--- a/crates/gateway/src/rollout/lease.rs
+++ b/crates/gateway/src/rollout/lease.rs
@@ -7,6 +7,9 @@
 //! [`LeaseTimes::distance`], so that orders of two holders lie at least the distance apart, whatever
 //! became of messages. Tokens rise by one with each acquisition, so none is used twice.
 //!
+//! A process that was started again takes up the lease of the process before it, under the next token and
+//! without a wait: a machine runs one gateway at a time, so the earlier one has ended and gives no more orders.
+//!
 //! Times are of one steady clock, as durations since any fixed moment.
 
 use std::collections::VecDeque;
@@ -54,7 +57,7 @@
 /// What a daemon knows of the lease.
 #[derive(Debug)]
 pub struct OrderLease {
-    name: String,
+    machine: String,
     life: u64,
     times: LeaseTimes,
     seen: Option<Seen>,
@@ -69,10 +72,10 @@
 }
 
 impl OrderLease {
-    /// A daemon that knows nothing of the lease yet.
-    pub fn new(name: &str, life: u64, times: LeaseTimes) -> Self {
+    /// What a process on `machine` knows that knows nothing of the lease yet; `life` tells it from others there.
+    pub fn new(machine: &str, life: u64, times: LeaseTimes) -> Self {
         Self {
-            name: name.to_owned(),
+            machine: machine.to_owned(),
             life,
             times,
             seen: None,
@@ -198,6 +201,9 @@
         if self.is_own(&seen.record) {
             return self.write(Some(seen.clone()), self.is_fenced);
         }
+        if seen.record.holder == self.machine {
+            return self.write(Some(seen.clone()), true);
+        }
         let (term, deference) = match seen.record.holder.is_empty() {
             true => (Duration::ZERO, Duration::ZERO),
             false => (self.times.term, self.times.deference),
@@ -243,7 +249,7 @@
     }
 
     fn is_own(&self, record: &LeaseRecord) -> bool {
-        record.holder == self.name && record.life == self.life
+        record.holder == self.machine && record.life == self.life
     }
 
     fn after_wait(&self, at: Duration, now: Duration, seen: Option<Seen>) -> LeaseAction {
@@ -261,7 +267,7 @@
         };
         LeaseAction::Write {
             record: LeaseRecord {
-                holder: self.name.clone(),
+                holder: self.machine.clone(),
                 life: self.life,
                 token,
                 renewal,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -138,7 +138,7 @@
         let life = u64::from(rand::rng().random::<u32>());
         let peers = Peers::new(own_daemon(&settings), seeds(&settings), life);
         let times = lease_times(settings.times.lease_term);
-        let lease = OrderLease::new(&settings.name, life, times);
+        let lease = OrderLease::new(&machine(&settings), life, times);
         Rc::new(Self {
             times: Cell::new(settings.times),
             settings,
@@ -268,6 +268,12 @@
     }
 }
 
+/// What holds a lease: a machine, whichever process runs on it. One that takes the place of another at a new
+/// address is another machine, even under the same name.
+fn machine(settings: &GatewaySettings) -> String {
+    format!("{}@{}", settings.name, settings.listen.peers.ip())
+}
+
 fn own_daemon(settings: &GatewaySettings) -> WireDaemon {
     WireDaemon {
         name: settings.name.clone(),
