--- a/crates/gateway/src/rollout/plan.rs
+++ b/crates/gateway/src/rollout/plan.rs
@@ -19,6 +19,8 @@
     pub pause: Duration,
     /// Whether its weights are so old that it gets no requests.
     pub is_out_of_use: bool,
+    /// Whether it could not be reached lately, by requests or by orders.
+    pub is_unreachable: bool,
 }
 
 /// One in so many replicas of a service loads at once: the store of weights serves about so many at full
@@ -31,8 +33,9 @@
 }
 
 /// The replicas that should load now: all that are out of use until they do, even beyond the number that
-/// may load at once, since nobody misses them meanwhile; then those with the oldest weights, no two of one
-/// zone before every zone has one, and those with the fewest open requests first.
+/// may load at once, since nobody misses them meanwhile; then those that can be reached before the others, the
+/// oldest weights first, no two of one zone before every zone has one, and those with the fewest open requests
+/// first.
 pub fn next_loads(replicas: &[PlannedReplica]) -> Vec<String> {
     let loading = replicas.iter().filter(|replica| replica.is_loading);
     let mut zones: Vec<&str> = loading.map(|replica| replica.zone.as_str()).collect();
@@ -52,6 +55,7 @@
         waiting.sort_by_key(|replica| {
             let version = replica.outdated_version;
             (
+                replica.is_unreachable,
                 version,
                 in_zone(replica),
                 replica.open_requests,
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -39,9 +39,12 @@
 /// How long a replica may load before it counts as failed.
 const LONGEST_LOAD: Duration = Duration::from_secs(6);
 
-/// How long a replica is left alone after an order that failed.
+/// How long a replica is left alone after an order that failed; each further one in a row twice as long.
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(250);
 
+/// The longest such pause: a replica that is back has to load within the seconds in which its weights may serve.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+
 /// Orders without an answer after which a replica is left alone for a while.
 const MAX_LOST_ORDERS: u32 = 12;
 
@@ -72,6 +75,22 @@
 struct ReplicaProgress {
     is_driven: bool,
     paused_until: Option<Instant>,
+    failures_in_row: u32,
+}
+
+impl ReplicaProgress {
+    /// Takes in that loading has ended.
+    fn note_end(&mut self, is_done: bool, now: Instant) {
+        self.is_driven = false;
+        if is_done {
+            self.failures_in_row = 0;
+            self.paused_until = None;
+            return;
+        }
+        let pause = PAUSE_AFTER_FAILURE.saturating_mul(1 << self.failures_in_row.min(8));
+        self.failures_in_row += 1;
+        self.paused_until = Some(now + pause.min(LONGEST_PAUSE));
+    }
 }
 
 /// Looks for outdated replicas for ever, and brings them up to date.
@@ -211,8 +230,7 @@
             let is_done = drive(&state, &replica, wanted).await;
             let mut by_replica = progress.by_replica.borrow_mut();
             let own = by_replica.entry(replica.id.clone()).or_default();
-            own.is_driven = false;
-            own.paused_until = (!is_done).then(|| Instant::now() + PAUSE_AFTER_FAILURE);
+            own.note_end(is_done, Instant::now());
             state.rollout_wanted.notify_one();
         });
     }
@@ -239,6 +257,7 @@
         zone: replica.entry().zone.clone(),
         outdated_version: version.filter(|version| *version < wanted.version),
         is_loading: own.is_driven,
+        is_unreachable: own.failures_in_row > 0 || replica.health.is_unreachable(now),
         open_requests: replica.open_requests(),
         pause: own
             .paused_until
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -314,9 +314,28 @@
         open_requests: 0,
         pause: Duration::ZERO,
         is_out_of_use: false,
+        is_unreachable: false,
     }
 }
 
+#[test]
+fn a_replica_that_can_not_be_reached_holds_up_no_other() {
+    let mut replicas: Vec<PlannedReplica> = (0..10)
+        .map(|number| planned(&format!("r{number}"), "a", Some(2), false))
+        .collect();
+    replicas[0].is_unreachable = true;
+    replicas[0].outdated_version = Some(1);
+    assert_eq!(next_loads(&replicas), ["r1", "r2"]);
+    replicas[1..]
+        .iter_mut()
+        .for_each(|replica| replica.outdated_version = None);
+    assert_eq!(
+        next_loads(&replicas),
+        ["r0"],
+        "it is tried once the others are done"
+    );
+}
+
 #[test]
 fn a_fifth_of_the_replicas_load_at_once_rounded_half_up() {
     let loads = [1, 7, 8, 9, 12, 13, 90].map(parallel_loads);
