--- a/crates/gateway/src/store/configuration_reader.rs
+++ b/crates/gateway/src/store/configuration_reader.rs
@@ -57,10 +57,11 @@
                 take_configuration(state, object);
             }
             state.currency.prove(began);
-            if state.peers.is_reader.get() && state.peers.follows_replicas.get() {
+            let was_lost = note_regained(state, is_reachable);
+            // After an outage the replicas are listed anew, which proves the view: watches from before may be deaf.
+            if !was_lost && state.peers.is_reader.get() && state.peers.follows_replicas.get() {
                 state.peers.prove_view(began);
             }
-            note_regained(state, is_reachable);
             true
         }
         Err(error) => {
@@ -79,10 +80,13 @@
     }
 }
 
-fn note_regained(state: &GatewayState, is_reachable: &mut bool) {
-    if !std::mem::replace(is_reachable, true) {
+/// Announces that the store answers again where it did not before; true in that case.
+fn note_regained(state: &GatewayState, is_reachable: &mut bool) -> bool {
+    let was_lost = !std::mem::replace(is_reachable, true);
+    if was_lost {
         log_event!(gateway::STORE_REGAINED, "task=configuration_reader");
         state.store_outage.is_over();
         state.peers.announce_store();
     }
+    was_lost
 }
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -31,7 +31,8 @@
 const FIRST_WEIGHTS_GRACE: Duration = Duration::from_millis(4500);
 
 /// Follows `kind` whenever this daemon reads the store for its group. Whenever a watch ends otherwise than
-/// by an answer, the list is read anew, since changes may have been missed.
+/// by an answer, the list is read anew, since changes may have been missed. So is it after trouble at the store:
+/// a watch from before may be deaf.
 pub async fn run(state: Rc<GatewayState>, kind: ObjectKind) {
     if is_needed_at_once(&state, kind)
         && let Ok((objects, _)) = list_all(&state, kind).await
@@ -51,6 +52,7 @@
                         log::debug!("watch of {kind:?} ended: {error}");
                     }
                     () = state.peers.until_follower() => {}
+                    () = state.store_outage.ended() => {}
                 }
                 note_following(&state, kind, false);
                 tokio::time::sleep(PAUSE_AFTER_WATCH).await;
--- a/crates/gateway/src/store/outage.rs
+++ b/crates/gateway/src/store/outage.rs
@@ -32,6 +32,7 @@
 pub struct StoreOutage {
     is_on: Cell<bool>,
     answers: Notify,
+    ended: Notify,
 }
 
 impl StoreOutage {
@@ -42,10 +43,18 @@
 
     /// The configuration was read, or another daemon announced that the store answers: every wait ends.
     pub fn is_over(&self) {
-        self.is_on.set(false);
+        if self.is_on.replace(false) {
+            self.ended.notify_waiters();
+        }
         self.answers.notify_waiters();
     }
 
+    /// Waits until an outage ends that this daemon has seen itself. What was asked before and still waits may
+    /// never be answered: a connection on which an answer was lost says nothing more.
+    pub async fn ended(&self) {
+        self.ended.notified().await;
+    }
+
     /// The pause of a task that follows objects after so many lists in a row that failed.
     pub fn follower_pause(&self, failures: u32) -> Duration {
         match self.is_on.get() {
--- a/crates/gateway/tests/store_outage.rs
+++ b/crates/gateway/tests/store_outage.rs
@@ -71,3 +71,29 @@
         assert_eq!(answer, 2);
     });
 }
+
+/// Whether a wait is over at its first look.
+fn is_over_at_once(wait: impl Future<Output = ()>) -> bool {
+    let mut context = std::task::Context::from_waker(std::task::Waker::noop());
+    std::pin::pin!(wait).as_mut().poll(&mut context).is_ready()
+}
+
+#[test]
+fn what_waited_since_before_an_outage_is_ended_once_by_its_end() {
+    run(async {
+        let outage = StoreOutage::default();
+        let announced = async {
+            tokio::task::yield_now().await;
+            outage.is_over();
+        };
+        let calm = tokio::time::timeout(Duration::from_millis(5), outage.ended());
+        let (ended, ()) = tokio::join!(calm, announced);
+        assert!(ended.is_err(), "this daemon has seen no outage");
+        outage.begin();
+        tokio::join!(outage.ended(), async {
+            tokio::task::yield_now().await;
+            outage.is_over();
+        });
+        assert!(!is_over_at_once(outage.ended()), "its end is told once");
+    });
+}
