--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -1,6 +1,6 @@
 //! Calls to the object store.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::StatusCode;
 
@@ -110,10 +110,24 @@
     }
 }
 
+/// Makes a reading call, and remembers when one failed.
 async fn get(
     state: &GatewayState,
     call: &Call,
     timeout: Duration,
+) -> Result<bytes::Bytes, StoreError> {
+    let began = Instant::now();
+    let result = get_once(state, call, timeout).await;
+    if matches!(result, Err(StoreError::Call(_) | StoreError::Status(_))) {
+        state.store_outage.note_failure(began);
+    }
+    result
+}
+
+async fn get_once(
+    state: &GatewayState,
+    call: &Call,
+    timeout: Duration,
 ) -> Result<bytes::Bytes, StoreError> {
     state.status.metrics.store_calls.inc();
     let (status, body) = upstream::call(&state.store, call, timeout).await?;
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -27,6 +27,11 @@
 /// leaving may still get requests (`drainMs`, 2 s).
 const REPLICAS_PAUSE: Duration = Duration::from_millis(200);
 
+/// How often a watch looks whether the store has changed without it. With a read of the configuration each
+/// 1.1 s, which tells the store's revision, an answer that was lost is asked for again within 1.6 s; a replica
+/// that leaves may get requests for 2 s (`drainMs`).
+const LOST_ANSWER_LOOK: Duration = Duration::from_millis(500);
+
 /// How long a daemon that has just started may still use older weights.
 const FIRST_WEIGHTS_GRACE: Duration = Duration::from_millis(4500);
 
@@ -88,7 +93,11 @@
 /// Takes in changes until a watch fails.
 async fn watch_from(state: &Rc<GatewayState>, kind: ObjectKind, mut revision: u64) -> StoreError {
     loop {
-        match watch(state, kind, revision, WATCH_WAIT).await {
+        let page = tokio::select! {
+            page = watch(state, kind, revision, WATCH_WAIT) => page,
+            () = until_overtaken(state, kind) => continue,
+        };
+        match page {
             Ok(page) => {
                 for event in page.events {
                     take_event(state, kind, event.object, event.is_deleted);
@@ -104,6 +113,23 @@
     }
 }
 
+/// Ends when the answer of a watch that begins now may be lost: the store was in trouble lately, and has
+/// changed since. The change may be one of another kind, so the watch is asked again from where it stood, once
+/// for each look. Only for kinds whose changes must be known within a bound, and of which nothing else tells.
+async fn until_overtaken(state: &GatewayState, kind: ObjectKind) {
+    if !matches!(kind, ObjectKind::Replicas | ObjectKind::Weights) {
+        return std::future::pending().await;
+    }
+    let revision = state.store_revision.get();
+    loop {
+        tokio::time::sleep(LOST_ANSWER_LOOK).await;
+        let has_changed = state.store_revision.get() > revision;
+        if has_changed && state.store_outage.was_lately(Instant::now()) {
+            return;
+        }
+    }
+}
+
 /// How long changes of a kind gather before the next watch asks for them.
 fn pause_between_watches(kind: ObjectKind) -> Option<Duration> {
     match kind {
--- a/crates/gateway/src/store/outage.rs
+++ b/crates/gateway/src/store/outage.rs
@@ -5,7 +5,7 @@
 //! before and still wait for an answer.
 
 use std::cell::Cell;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::Notify;
 
@@ -27,12 +27,17 @@
 /// one alone looks whether it answers again, which ends this pause.
 const FOLLOWER_PAUSE: Duration = Duration::from_secs(4);
 
+/// For how long after a call that failed an answer of the store may be lost that still is waited for: a little
+/// longer than a watch waits (16.5 s).
+const TROUBLE_MEMORY: Duration = Duration::from_secs(18);
+
 /// Whether the store is down, and the tasks that wait for it.
 #[derive(Debug, Default)]
 pub struct StoreOutage {
     is_on: Cell<bool>,
     answers: Notify,
     ended: Notify,
+    failed_call_began: Cell<Option<Instant>>,
 }
 
 impl StoreOutage {
@@ -55,6 +60,18 @@
         self.ended.notified().await;
     }
 
+    /// Takes in that a call failed which began at `began`.
+    pub fn note_failure(&self, began: Instant) {
+        let latest = self.failed_call_began.get().max(Some(began));
+        self.failed_call_began.set(latest);
+    }
+
+    /// Whether a call failed so lately that answers may be lost which are still waited for.
+    pub fn was_lately(&self, now: Instant) -> bool {
+        let began = self.failed_call_began.get();
+        began.is_some_and(|began| now.saturating_duration_since(began) < TROUBLE_MEMORY)
+    }
+
     /// The pause of a task that follows objects after so many lists in a row that failed.
     pub fn follower_pause(&self, failures: u32) -> Duration {
         match self.is_on.get() {
