--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -53,7 +53,10 @@
                         "reading={reading:?} view_age={:?}",
                         state.peers.view_age()
                     );
-                    state.weights.borrow_mut().store_is_down(Instant::now());
+                    let was_down_at = state.store_outage.was_down_at(Instant::now());
+                    if let Some(at) = was_down_at {
+                        state.weights.borrow_mut().store_is_down(at);
+                    }
                 }
                 false
             }
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -11,7 +11,7 @@
 use crate::upstream;
 
 /// How long a call may take. The store may be slow: an answer in this time is worth waiting for.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// How much longer than asked for the answer of a watch may take.
 const WATCH_MARGIN: Duration = Duration::from_millis(1500);
--- a/crates/gateway/src/store/configuration_reader.rs
+++ b/crates/gateway/src/store/configuration_reader.rs
@@ -10,7 +10,7 @@
 
 use super::client::list_all;
 use super::follow::take_configuration;
-use super::outage::pause_after;
+use super::outage::pause_after_call;
 use crate::protocol::ObjectKind;
 use crate::state::GatewayState;
 
@@ -23,12 +23,14 @@
     let mut is_reachable = true;
     let mut failures = 0;
     loop {
+        let began = Instant::now();
         let has_read = read(&state, &mut is_reachable).await;
         state.refresh_readiness();
         if !has_read {
             failures += 1;
             state.store_outage.begin();
-            state.store_outage.wait(pause_after(failures)).await;
+            let pause = pause_after_call(failures, began.elapsed());
+            state.store_outage.wait(pause).await;
             needed(&state).await;
             continue;
         }
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -252,7 +252,7 @@
 /// old, but for the time in which a daemon that has just started is not yet held to them.
 fn take_first_weights(state: &GatewayState, objects: Vec<StoredObject>) {
     let deadline = state.times.get().weights_deadline;
-    let age = deadline.saturating_sub(FIRST_WEIGHTS_GRACE);
+    let age = first_weights_age(deadline, state.now());
     for object in objects {
         if let Ok(ObjectContent::Weights(weights)) = object.content {
             name_weights(state, &weights, age);
@@ -260,6 +260,11 @@
     }
 }
 
+/// The age at which weights count that are listed for the first time, by a daemon that has run for `running`.
+pub fn first_weights_age(deadline: Duration, _running: Duration) -> Duration {
+    deadline.saturating_sub(FIRST_WEIGHTS_GRACE)
+}
+
 /// Takes in weights that have been wanted for `age`.
 pub fn name_weights(state: &GatewayState, weights: &ModelVersion, age: Duration) {
     let now = Instant::now();
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -6,10 +6,10 @@
 mod join;
 mod outage;
 
-pub use client::{StoreError, list_all, watch, write};
-pub use follow::name_weights;
+pub use client::{CALL_TIMEOUT, StoreError, list_all, watch, write};
+pub use follow::{first_weights_age, name_weights};
 pub use join::join_daemons;
-pub use outage::{StoreOutage, pause_after};
+pub use outage::{StoreOutage, pause_after, pause_after_call};
 
 use std::rc::Rc;
 
--- a/crates/gateway/src/store/outage.rs
+++ b/crates/gateway/src/store/outage.rs
@@ -23,6 +23,11 @@
         .min(LONGEST_PAUSE)
 }
 
+/// The pause after so many calls in a row that failed, the last of which `took` so long.
+pub fn pause_after_call(failures: u32, _took: Duration) -> Duration {
+    pause_after(failures)
+}
+
 /// How long a task waits that follows objects, while the reader of the configuration finds the store down: that
 /// one alone looks whether it answers again, which ends this pause.
 const FOLLOWER_PAUSE: Duration = Duration::from_secs(4);
@@ -54,6 +59,11 @@
         self.answers.notify_waiters();
     }
 
+    /// When the store is known to have been down last, at `now`, where this daemon has seen no end of that yet.
+    pub fn was_down_at(&self, now: Instant) -> Option<Instant> {
+        Some(now)
+    }
+
     /// Waits until an outage ends that this daemon has seen itself. What was asked before and still waits may
     /// never be answered: a connection on which an answer was lost says nothing more.
     pub async fn ended(&self) {
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -6,6 +6,7 @@
 use driftspring_gateway::protocol::ModelVersion;
 use driftspring_gateway::replicas::{Candidate, Health, PlacementKey, place};
 use driftspring_gateway::rollout::plan::{PlannedReplica, next_loads, parallel_loads};
+use driftspring_gateway::store::first_weights_age;
 use driftspring_gateway::weights::WantedWeights;
 use driftspring_settings::GatewayRetries;
 use quickcheck::quickcheck;
@@ -184,6 +185,43 @@
     );
 }
 
+#[test]
+fn repeated_outages_count_from_their_own_ends_and_never_from_a_later_moment() {
+    let start = Instant::now();
+    let mut wanted = WantedWeights::default();
+    wanted.name(&weights(2), start);
+    wanted.store_is_down(start + Duration::from_secs(6));
+    // Another daemon's older news, or an older call that failed later, shorten nothing and lengthen nothing.
+    wanted.store_is_down(start + Duration::from_secs(4));
+    let now = start + Duration::from_secs(9);
+    assert_eq!(
+        wanted.overdue_for("model", 1, now),
+        Some(Duration::from_secs(3))
+    );
+}
+
+#[test]
+fn a_daemon_that_has_just_started_may_use_older_weights_until_it_is_in_touch_and_no_longer() {
+    const CONTACT: Duration = Duration::from_millis(3000);
+    const DEADLINE: Duration = Duration::from_secs(8);
+    // How much sooner than at the deadline the last request is sent to older weights, at the least.
+    const SENDING_MARGIN: Duration = Duration::from_millis(1500);
+    let start = Instant::now();
+    for listed_after in [0, 50, 500, 1500].map(Duration::from_millis) {
+        let mut wanted = WantedWeights::default();
+        let age = first_weights_age(DEADLINE, listed_after);
+        let listed_at = start + Duration::from_secs(60) + listed_after;
+        wanted.name(&weights(2), listed_at - age);
+        let in_touch_at = start + Duration::from_secs(60) + CONTACT;
+        let age_at = |now| wanted.overdue_for("model", 1, now).expect("outdated");
+        assert!(
+            age_at(in_touch_at) + SENDING_MARGIN >= DEADLINE,
+            "listed {listed_after:?} after the start"
+        );
+        assert!(age_at(in_touch_at - CONTACT / 2) + SENDING_MARGIN < DEADLINE);
+    }
+}
+
 #[test]
 fn many_versions_are_remembered_no_younger_than_they_are() {
     let start = Instant::now();
--- a/crates/gateway/tests/replicas.rs
+++ b/crates/gateway/tests/replicas.rs
@@ -148,3 +148,26 @@
     replica.correct_version("model", 4, &wanted);
     assert_eq!(replica.version_of("model"), Some(2));
 }
+
+#[test]
+fn the_time_of_a_replica_without_entry_counts_from_what_was_known_not_from_when_it_was_told() {
+    let start = Instant::now();
+    let view = View::default();
+    view.prove(start, start);
+    // The source knew at 5.0 s that the store is back; this daemon learns it 0.8 s later.
+    let known_at = start + ms(5000);
+    let told_at = known_at + ms(800);
+    view.prove(known_at, told_at);
+    assert_eq!(view.keep_until(told_at), Some(known_at + ms(2500)));
+}
+
+#[test]
+fn a_replica_whose_entry_is_told_to_be_gone_again_is_kept_no_longer() {
+    let now = Instant::now();
+    let registry = Registry::default();
+    registry.put(entry("r1", false));
+    registry.remove("r1", Some(now + ms(1000)));
+    registry.remove("r1", Some(now + ms(3000)));
+    assert!(registry.forget_lapsed(now + ms(1000)));
+    assert!(ids(&registry).is_empty());
+}
--- a/crates/gateway/tests/store_outage.rs
+++ b/crates/gateway/tests/store_outage.rs
@@ -1,9 +1,9 @@
 //! How a daemon waits for a store that is down.
 
 use std::cell::Cell;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use driftspring_gateway::store::{StoreOutage, pause_after};
+use driftspring_gateway::store::{CALL_TIMEOUT, StoreOutage, pause_after, pause_after_call};
 
 /// Longer than any test may take; a wait that is not ended runs into the test runner's own limit.
 const FOR_EVER: Duration = Duration::from_secs(3600);
@@ -97,3 +97,47 @@
         assert!(!is_over_at_once(outage.ended()), "its end is told once");
     });
 }
+
+/// How long after the end of trouble at the store a daemon may still be behind (`contactMs` of the rules).
+const CONTACT: Duration = Duration::from_millis(3000);
+
+/// How long a daemon needs once the store answers: its lists, and what the others ask (each 0.5 s) and are told.
+const CATCHING_UP: Duration = Duration::from_millis(1000);
+
+#[test]
+fn a_daemon_that_nobody_tells_finds_the_store_in_time_to_be_in_touch() {
+    for took in [Duration::ZERO, CALL_TIMEOUT / 3, CALL_TIMEOUT] {
+        for failures in [1, 2, 3, 4, 5, u32::MAX] {
+            // The call began just before the store came back, which it never answers.
+            let next_call = took + pause_after_call(failures, took);
+            assert!(
+                next_call + CATCHING_UP <= CONTACT,
+                "{failures} failures, the last one after {took:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_store_that_is_silent_is_not_asked_without_a_pause() {
+    for failures in [1, 2, 3, 4, 5, u32::MAX] {
+        assert!(pause_after_call(failures, CALL_TIMEOUT) >= pause_after(1));
+    }
+}
+
+#[test]
+fn the_store_was_last_down_when_the_last_call_that_failed_began() {
+    let start = Instant::now();
+    let outage = StoreOutage::default();
+    let later = start + CONTACT;
+    assert_eq!(outage.was_down_at(later), None, "no call has failed");
+    outage.note_failure(start);
+    assert_eq!(outage.was_down_at(later), None, "one call, and no read");
+    outage.begin();
+    assert_eq!(outage.was_down_at(later), Some(start));
+    outage.note_failure(start + CALL_TIMEOUT);
+    outage.note_failure(start);
+    assert_eq!(outage.was_down_at(later), Some(start + CALL_TIMEOUT));
+    outage.is_over();
+    assert_eq!(outage.was_down_at(later), None, "it answers again");
+}
