--- a/crates/gateway/src/store/outage.rs
+++ b/crates/gateway/src/store/outage.rs
@@ -12,7 +12,8 @@
 /// The pause after the first call that failed; each further one in a row twice as long.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 
-/// The longest pause: within it a daemon that the others can't reach finds out for itself.
+/// The longest time from the beginning of one call to that of the next: within it a daemon that the others can't
+/// reach finds out for itself, with a second left to catch up before it is in touch again (`contactMs`, 3 s).
 const LONGEST_PAUSE: Duration = Duration::from_millis(1800);
 
 /// The pause after so many calls in a row that failed.
@@ -23,9 +24,10 @@
         .min(LONGEST_PAUSE)
 }
 
-/// The pause after so many calls in a row that failed, the last of which `took` so long.
-pub fn pause_after_call(failures: u32, _took: Duration) -> Duration {
-    pause_after(failures)
+/// The pause after so many calls in a row that failed, the last of which `took` so long. The time that a call
+/// hung is part of the pause: a store that came back just after the call began never answers it.
+pub fn pause_after_call(failures: u32, took: Duration) -> Duration {
+    pause_after(failures).saturating_sub(took).max(FIRST_PAUSE)
 }
 
 /// How long a task waits that follows objects, while the reader of the configuration finds the store down: that
