--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -53,9 +53,8 @@
                         "reading={reading:?} view_age={:?}",
                         state.peers.view_age()
                     );
-                    let was_down_at = state.store_outage.was_down_at(Instant::now());
-                    if let Some(at) = was_down_at {
-                        state.weights.borrow_mut().store_is_down(at);
+                    if let Some(at) = state.store_outage.was_down_at() {
+                        state.weights.borrow_mut().store_was_down(at);
                     }
                 }
                 false
--- a/crates/gateway/src/store/outage.rs
+++ b/crates/gateway/src/store/outage.rs
@@ -61,9 +61,11 @@
         self.answers.notify_waiters();
     }
 
-    /// When the store is known to have been down last, at `now`, where this daemon has seen no end of that yet.
-    pub fn was_down_at(&self, now: Instant) -> Option<Instant> {
-        Some(now)
+    /// When the store was last seen to be down, where this daemon has seen no end of that yet: as the last call
+    /// began that failed. Such a call may hang on after the store is back, and prove nothing later.
+    pub fn was_down_at(&self) -> Option<Instant> {
+        let failed_call_began = self.failed_call_began.get();
+        failed_call_began.filter(|_| self.is_on.get())
     }
 
     /// Waits until an outage ends that this daemon has seen itself. What was asked before and still waits may
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -93,9 +93,9 @@
             .is_none_or(|age| age + SENDING_MARGIN < deadline)
     }
 
-    /// Takes in that the store is down for all at `now`.
-    pub fn store_is_down(&mut self, now: Instant) {
-        self.down_until = Some(now);
+    /// Takes in that the store was down for all at `at`.
+    pub fn store_was_down(&mut self, at: Instant) {
+        self.down_until = self.down_until.max(Some(at));
     }
 
     /// The versions of every model that are remembered, with their ages, older ones first.
