--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -37,7 +37,7 @@
 
 /// For how long after its start a daemon may not have listed the replicas yet; a start while the store is slow
 /// (60 times 4 ms an answer, in two pages) stays well below it.
-const JUST_STARTED: Duration = Duration::from_secs(3);
+pub(crate) const JUST_STARTED: Duration = Duration::from_secs(3);
 
 /// What the threads of a gateway share.
 #[derive(Debug, Default)]
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -11,7 +11,7 @@
 use crate::peers::message::{Change, Item, ItemKey, WireDaemon, WireReplica};
 use crate::protocol::{ModelVersion, ObjectContent, ObjectKind, StoredObject};
 use crate::rollout::LEASE_NAME;
-use crate::state::GatewayState;
+use crate::state::{GatewayState, JUST_STARTED};
 
 /// How long one watch waits for a change.
 const WATCH_WAIT: Duration = Duration::from_secs(15);
@@ -32,7 +32,8 @@
 /// that leaves may get requests for 2 s (`drainMs`).
 const LOST_ANSWER_LOOK: Duration = Duration::from_millis(500);
 
-/// How long a daemon that has just started may still use older weights.
+/// How much of the time for new weights a daemon has that has just started, whatever their age: it may use older
+/// ones until it is in touch, 3 s (`contactMs`) after its start, and sends none to them in the last 1.5 s.
 const FIRST_WEIGHTS_GRACE: Duration = Duration::from_millis(4500);
 
 /// Follows `kind` whenever this daemon reads the store for its group. Whenever a watch ends otherwise than
@@ -252,7 +253,14 @@
 /// old, but for the time in which a daemon that has just started is not yet held to them.
 fn take_first_weights(state: &GatewayState, objects: Vec<StoredObject>) {
     let deadline = state.times.get().weights_deadline;
-    let age = first_weights_age(deadline, state.now());
+    // Where the store did not answer at first, nobody could load anything before it did; and whoever lists them
+    // late in its life has known of weights from others.
+    let was_in_trouble = state.store_outage.was_lately(Instant::now());
+    let since = match was_in_trouble || state.now() > JUST_STARTED {
+        true => Duration::ZERO,
+        false => state.now(),
+    };
+    let age = first_weights_age(deadline, since);
     for object in objects {
         if let Ok(ObjectContent::Weights(weights)) = object.content {
             name_weights(state, &weights, age);
@@ -260,9 +268,10 @@
     }
 }
 
-/// The age at which weights count that are listed for the first time, by a daemon that has run for `running`.
-pub fn first_weights_age(deadline: Duration, _running: Duration) -> Duration {
-    deadline.saturating_sub(FIRST_WEIGHTS_GRACE)
+/// The age at which weights count that are listed for the first time, by a daemon that could have listed them
+/// `since` so long.
+pub fn first_weights_age(deadline: Duration, since: Duration) -> Duration {
+    deadline.saturating_sub(FIRST_WEIGHTS_GRACE.saturating_sub(since))
 }
 
 /// Takes in weights that have been wanted for `age`.
