--- a/crates/gateway/src/peers/view.rs
+++ b/crates/gateway/src/peers/view.rs
@@ -29,7 +29,8 @@
             return;
         }
         if self.is_outage(now) {
-            self.outage_ended_at.set(Some(now));
+            // Not `now`: whoever is told of it later counts from the same moment as the reader.
+            self.outage_ended_at.set(Some(moment));
         }
         self.proved_at.set(Some(moment));
     }
--- a/crates/gateway/src/store/configuration_reader.rs
+++ b/crates/gateway/src/store/configuration_reader.rs
@@ -51,9 +51,9 @@
 }
 
 async fn read(state: &Rc<GatewayState>, is_reachable: &mut bool) -> bool {
-    let began = Instant::now();
     let listing = || list_all(state, ObjectKind::Configuration);
-    match state.store_outage.call(listing).await {
+    let (began, result) = state.store_outage.call(listing).await;
+    match result {
         Ok((objects, _)) => {
             for object in objects {
                 take_configuration(state, object);
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -48,11 +48,13 @@
     let mut failures = 0;
     loop {
         state.peers.until_reader().await;
-        match state.store_outage.call(|| list_all(&state, kind)).await {
+        let listing = || list_all(&state, kind);
+        let (began, result) = state.store_outage.call(listing).await;
+        match result {
             Ok((objects, revision)) => {
                 failures = 0;
                 take_list(&state, kind, objects);
-                note_following(&state, kind, true);
+                note_following(&state, kind, Some(began));
                 tokio::select! {
                     error = watch_from(&state, kind, revision) => {
                         log::debug!("watch of {kind:?} ended: {error}");
@@ -60,7 +62,7 @@
                     () = state.peers.until_follower() => {}
                     () = state.store_outage.ended() => {}
                 }
-                note_following(&state, kind, false);
+                note_following(&state, kind, None);
                 tokio::time::sleep(PAUSE_AFTER_WATCH).await;
             }
             Err(error) => {
@@ -80,14 +82,15 @@
     is_needed && !state.settings.is_first_start
 }
 
-/// Takes in whether this daemon follows `kind`; the others may rely on what it tells while it follows replicas.
-fn note_following(state: &GatewayState, kind: ObjectKind, is_following: bool) {
+/// Takes in that this daemon follows `kind` from a list that was read at `listed_at`, or does not any more; the
+/// others may rely on what it tells while it follows replicas.
+fn note_following(state: &GatewayState, kind: ObjectKind, listed_at: Option<Instant>) {
     if kind != ObjectKind::Replicas {
         return;
     }
-    state.peers.follows_replicas.set(is_following);
-    if is_following && state.peers.is_reader.get() {
-        state.peers.prove_view(Instant::now());
+    state.peers.follows_replicas.set(listed_at.is_some());
+    if let Some(listed_at) = listed_at.filter(|_| state.peers.is_reader.get()) {
+        state.peers.prove_view(listed_at);
     }
 }
 
--- a/crates/gateway/src/store/outage.rs
+++ b/crates/gateway/src/store/outage.rs
@@ -103,11 +103,12 @@
     }
 
     /// Makes a call, and makes it anew where the store answers again meanwhile: the first one may have been
-    /// sent to a store that was down, which never answers it.
-    pub async fn call<R, F: Future<Output = R>>(&self, call: impl Fn() -> F) -> R {
+    /// sent to a store that was down, which never answers it. Returns when the one began whose result it is.
+    pub async fn call<R, F: Future<Output = R>>(&self, call: impl Fn() -> F) -> (Instant, R) {
+        let began = Instant::now();
         tokio::select! {
-            result = call() => result,
-            () = self.answers.notified() => call().await,
+            result = call() => (began, result),
+            () = self.answers.notified() => (Instant::now(), call().await),
         }
     }
 }
