--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -71,9 +71,11 @@
         self.lapses_at.set(None);
     }
 
-    /// Takes in that its entry is gone, and that it stays in use until `until`, or an entry comes.
+    /// Takes in that its entry is gone, and that it stays in use until `until`, or an entry comes. Whoever hears
+    /// that again, from another daemon or after another outage, keeps it no longer.
     pub fn keep_until(&self, until: Instant) {
-        self.lapses_at.set(Some(until));
+        let earlier = self.lapses_at.get().unwrap_or(until);
+        self.lapses_at.set(Some(earlier.min(until)));
     }
 
     /// Whether its entry is gone.
