--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -60,10 +60,9 @@
                 false
             }
         };
-        let pause = if has_more {
-            Duration::ZERO
-        } else {
-            ASK_INTERVAL
+        let pause = match has_more {
+            true => Duration::ZERO,
+            false => pause_until_work(&state),
         };
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
@@ -72,6 +71,13 @@
     }
 }
 
+/// The time until the next question, or until a replica goes out of use whose entry has not come back.
+fn pause_until_work(state: &GatewayState) -> Duration {
+    let next_lapse = state.registry.next_lapse();
+    let until_lapse = next_lapse.map(|at| at.saturating_duration_since(Instant::now()));
+    until_lapse.map_or(ASK_INTERVAL, |until| until.min(ASK_INTERVAL))
+}
+
 fn set_reader(state: &GatewayState, source: &Source) {
     let is_reader = *source == Source::Store;
     if state.peers.is_reader.replace(is_reader) != is_reader {
--- a/crates/gateway/src/replicas/registry.rs
+++ b/crates/gateway/src/replicas/registry.rs
@@ -103,6 +103,15 @@
         has_any
     }
 
+    /// When the next replica goes out of use whose entry does not come back.
+    pub fn next_lapse(&self) -> Option<Instant> {
+        let without_entry = self.without_entry.borrow();
+        let lapses = without_entry
+            .iter()
+            .filter_map(|id| self.get(id)?.lapses_at());
+        lapses.min()
+    }
+
     /// Puts what was taken in into force.
     pub fn index(&self) {
         let mut by_service: HashMap<String, Vec<Rc<Replica>>> = HashMap::new();
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -78,6 +78,11 @@
         self.lapses_at.set(Some(earlier.min(until)));
     }
 
+    /// Until when it stays in use without an entry.
+    pub fn lapses_at(&self) -> Option<Instant> {
+        self.lapses_at.get()
+    }
+
     /// Whether its entry is gone.
     pub fn is_without_entry(&self) -> bool {
         self.lapses_at.get().is_some()
--- a/crates/gateway/tests/replicas.rs
+++ b/crates/gateway/tests/replicas.rs
@@ -171,3 +171,20 @@
     assert!(registry.forget_lapsed(now + ms(1000)));
     assert!(ids(&registry).is_empty());
 }
+
+#[test]
+fn the_next_replica_to_lapse_is_known_so_that_none_is_kept_until_the_next_look() {
+    let now = Instant::now();
+    let registry = Registry::default();
+    for id in ["r1", "r2", "r3"] {
+        registry.put(entry(id, false));
+    }
+    assert_eq!(registry.next_lapse(), None);
+    registry.remove("r1", Some(now + ms(2000)));
+    registry.remove("r2", Some(now + ms(1000)));
+    assert_eq!(registry.next_lapse(), Some(now + ms(1000)));
+    registry.put(entry("r2", false));
+    assert_eq!(registry.next_lapse(), Some(now + ms(2000)));
+    registry.forget_lapsed(now + ms(2000));
+    assert_eq!(registry.next_lapse(), None);
+}
