--- a/crates/gateway/src/peers/view.rs
+++ b/crates/gateway/src/peers/view.rs
@@ -10,9 +10,10 @@
 /// The age of a view from which on entries may have lapsed for want of a store.
 const OUTAGE: Duration = Duration::from_millis(2500);
 
-/// How long after the end of an outage replicas without an entry stay in use; within the time for which
-/// machines are not held to the bounds after a disturbance (`contactMs`, 3 s).
-const KEPT_AFTER_OUTAGE: Duration = Duration::from_millis(2500);
+/// How long after a read that showed the end of an outage replicas without an entry stay in use: the pages give
+/// them about two seconds to come back, and a reader learns of that up to 0.2 s later. With up to 0.8 s from the
+/// store's return to that read this ends as machines are in touch again (`contactMs`, 3 s).
+const KEPT_AFTER_OUTAGE: Duration = Duration::from_millis(2200);
 
 /// The age of what a daemon knows of replicas and other daemons.
 #[derive(Debug, Default)]
