--- a/crates/gateway/tests/order_lease.rs
+++ b/crates/gateway/tests/order_lease.rs
@@ -197,3 +197,38 @@
         true
     }
 }
+
+/// How long after the end of trouble at the store a daemon may still be behind (`contactMs` of the rules).
+const CONTACT: Duration = Duration::from_millis(3000);
+
+#[test]
+fn an_outage_of_the_store_counts_towards_the_wait_for_another_holder() {
+    let (mut store, mut one, mut other) = (Store::default(), daemon("one"), daemon("other"));
+    acquire(&mut one, &mut store, at(0));
+    other.on_list(at(100), store.object.clone());
+    // The store is away from 1 s to 20 s; what is listed then is what was known before.
+    let back = at(20_000);
+    other.on_list(back, store.object.clone());
+    let wait = match other.next(back, NO_JITTER) {
+        LeaseAction::Wait(wait) => wait,
+        action => panic!("it defers to the last holder first, not {action:?}"),
+    };
+    assert!(wait < CONTACT / 4, "{wait:?}");
+    assert!(acquire(&mut other, &mut store, back + wait).is_some());
+}
+
+#[test]
+fn writes_that_fail_again_and_again_are_tried_within_a_second() {
+    let mut lease = daemon("one");
+    let mut now = at(0);
+    for _ in 0..12 {
+        let LeaseAction::Write { record, .. } = lease.next(now, NO_JITTER) else {
+            panic!("nobody holds it");
+        };
+        lease.on_write(record, now, now, WriteAnswer::Busy);
+        if let LeaseAction::Wait(wait) = lease.next(now, NO_JITTER) {
+            assert!(wait <= CONTACT / 3, "{wait:?}");
+            now += wait;
+        }
+    }
+}
