--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -53,15 +53,16 @@
                         "reading={reading:?} view_age={:?}",
                         state.peers.view_age()
                     );
-                    state.weights.borrow_mut().store_is_down(Instant::now());
+                    if let Some(at) = state.store_outage.was_down_at() {
+                        state.weights.borrow_mut().store_was_down(at);
+                    }
                 }
                 false
             }
         };
-        let pause = if has_more {
-            Duration::ZERO
-        } else {
-            ASK_INTERVAL
+        let pause = match has_more {
+            true => Duration::ZERO,
+            false => pause_until_work(&state),
         };
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
@@ -70,6 +71,13 @@
     }
 }
 
+/// The time until the next question, or until a replica goes out of use whose entry has not come back.
+fn pause_until_work(state: &GatewayState) -> Duration {
+    let next_lapse = state.registry.next_lapse();
+    let until_lapse = next_lapse.map(|at| at.saturating_duration_since(Instant::now()));
+    until_lapse.map_or(ASK_INTERVAL, |until| until.min(ASK_INTERVAL))
+}
+
 fn set_reader(state: &GatewayState, source: &Source) {
     let is_reader = *source == Source::Store;
     if state.peers.is_reader.replace(is_reader) != is_reader {
--- a/crates/gateway/src/store/configuration_reader.rs
+++ b/crates/gateway/src/store/configuration_reader.rs
@@ -10,7 +10,7 @@
 
 use super::client::list_all;
 use super::follow::take_configuration;
-use super::outage::pause_after;
+use super::outage::pause_after_call;
 use crate::protocol::ObjectKind;
 use crate::state::GatewayState;
 
@@ -23,12 +23,14 @@
     let mut is_reachable = true;
     let mut failures = 0;
     loop {
+        let began = Instant::now();
         let has_read = read(&state, &mut is_reachable).await;
         state.refresh_readiness();
         if !has_read {
             failures += 1;
             state.store_outage.begin();
-            state.store_outage.wait(pause_after(failures)).await;
+            let pause = pause_after_call(failures, began.elapsed());
+            state.store_outage.wait(pause).await;
             needed(&state).await;
             continue;
         }
@@ -49,18 +51,19 @@
 }
 
 async fn read(state: &Rc<GatewayState>, is_reachable: &mut bool) -> bool {
-    let began = Instant::now();
     let listing = || list_all(state, ObjectKind::Configuration);
-    match state.store_outage.call(listing).await {
+    let (began, result) = state.store_outage.call(listing).await;
+    match result {
         Ok((objects, _)) => {
             for object in objects {
                 take_configuration(state, object);
             }
             state.currency.prove(began);
-            if state.peers.is_reader.get() && state.peers.follows_replicas.get() {
+            let was_lost = note_regained(state, is_reachable);
+            // After an outage the replicas are listed anew, which proves the view: watches from before may be deaf.
+            if !was_lost && state.peers.is_reader.get() && state.peers.follows_replicas.get() {
                 state.peers.prove_view(began);
             }
-            note_regained(state, is_reachable);
             true
         }
         Err(error) => {
@@ -79,10 +82,13 @@
     }
 }
 
-fn note_regained(state: &GatewayState, is_reachable: &mut bool) {
-    if !std::mem::replace(is_reachable, true) {
+/// Announces that the store answers again where it did not before; true in that case.
+fn note_regained(state: &GatewayState, is_reachable: &mut bool) -> bool {
+    let was_lost = !std::mem::replace(is_reachable, true);
+    if was_lost {
         log_event!(gateway::STORE_REGAINED, "task=configuration_reader");
         state.store_outage.is_over();
         state.peers.announce_store();
     }
+    was_lost
 }
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -11,7 +11,7 @@
 use crate::peers::message::{Change, Item, ItemKey, WireDaemon, WireReplica};
 use crate::protocol::{ModelVersion, ObjectContent, ObjectKind, StoredObject};
 use crate::rollout::LEASE_NAME;
-use crate::state::GatewayState;
+use crate::state::{GatewayState, JUST_STARTED};
 
 /// How long one watch waits for a change.
 const WATCH_WAIT: Duration = Duration::from_secs(15);
@@ -27,11 +27,19 @@
 /// leaving may still get requests (`drainMs`, 2 s).
 const REPLICAS_PAUSE: Duration = Duration::from_millis(200);
 
-/// How long a daemon that has just started may still use older weights.
-const FIRST_WEIGHTS_GRACE: Duration = Duration::from_millis(4500);
+/// How often a watch looks whether the store has changed without it. With a read of the configuration each
+/// 1.1 s, which tells the store's revision, an answer that was lost is asked for again within 1.6 s; a replica
+/// that leaves may get requests for 2 s (`drainMs`).
+const LOST_ANSWER_LOOK: Duration = Duration::from_millis(500);
+
+/// How much of the time for new weights a daemon has that has just started, whatever their age. It may use older
+/// ones until it is in touch, 3 s (`contactMs`) after the start of its process; that lies up to 0.3 s before that
+/// of its own clock; and it sends none to them in the last 1.5 s: 3 - 0.3 + 1.5.
+const FIRST_WEIGHTS_GRACE: Duration = Duration::from_millis(4200);
 
 /// Follows `kind` whenever this daemon reads the store for its group. Whenever a watch ends otherwise than
-/// by an answer, the list is read anew, since changes may have been missed.
+/// by an answer, the list is read anew, since changes may have been missed. So is it after trouble at the store:
+/// a watch from before may be deaf.
 pub async fn run(state: Rc<GatewayState>, kind: ObjectKind) {
     if is_needed_at_once(&state, kind)
         && let Ok((objects, _)) = list_all(&state, kind).await
@@ -41,18 +49,21 @@
     let mut failures = 0;
     loop {
         state.peers.until_reader().await;
-        match state.store_outage.call(|| list_all(&state, kind)).await {
+        let listing = || list_all(&state, kind);
+        let (began, result) = state.store_outage.call(listing).await;
+        match result {
             Ok((objects, revision)) => {
                 failures = 0;
                 take_list(&state, kind, objects);
-                note_following(&state, kind, true);
+                note_following(&state, kind, Some(began));
                 tokio::select! {
                     error = watch_from(&state, kind, revision) => {
                         log::debug!("watch of {kind:?} ended: {error}");
                     }
                     () = state.peers.until_follower() => {}
+                    () = state.store_outage.ended() => {}
                 }
-                note_following(&state, kind, false);
+                note_following(&state, kind, None);
                 tokio::time::sleep(PAUSE_AFTER_WATCH).await;
             }
             Err(error) => {
@@ -72,21 +83,26 @@
     is_needed && !state.settings.is_first_start
 }
 
-/// Takes in whether this daemon follows `kind`; the others may rely on what it tells while it follows replicas.
-fn note_following(state: &GatewayState, kind: ObjectKind, is_following: bool) {
+/// Takes in that this daemon follows `kind` from a list that was read at `listed_at`, or does not any more; the
+/// others may rely on what it tells while it follows replicas.
+fn note_following(state: &GatewayState, kind: ObjectKind, listed_at: Option<Instant>) {
     if kind != ObjectKind::Replicas {
         return;
     }
-    state.peers.follows_replicas.set(is_following);
-    if is_following && state.peers.is_reader.get() {
-        state.peers.prove_view(Instant::now());
+    state.peers.follows_replicas.set(listed_at.is_some());
+    if let Some(listed_at) = listed_at.filter(|_| state.peers.is_reader.get()) {
+        state.peers.prove_view(listed_at);
     }
 }
 
 /// Takes in changes until a watch fails.
 async fn watch_from(state: &Rc<GatewayState>, kind: ObjectKind, mut revision: u64) -> StoreError {
     loop {
-        match watch(state, kind, revision, WATCH_WAIT).await {
+        let page = tokio::select! {
+            page = watch(state, kind, revision, WATCH_WAIT) => page,
+            () = until_overtaken(state, kind) => continue,
+        };
+        match page {
             Ok(page) => {
                 for event in page.events {
                     take_event(state, kind, event.object, event.is_deleted);
@@ -102,6 +118,23 @@
     }
 }
 
+/// Ends when the answer of a watch that begins now may be lost: the store was in trouble lately, and has
+/// changed since. The change may be one of another kind, so the watch is asked again from where it stood, once
+/// for each look. Only for kinds whose changes must be known within a bound, and of which nothing else tells.
+async fn until_overtaken(state: &GatewayState, kind: ObjectKind) {
+    if !matches!(kind, ObjectKind::Replicas | ObjectKind::Weights) {
+        return std::future::pending().await;
+    }
+    let revision = state.store_revision.get();
+    loop {
+        tokio::time::sleep(LOST_ANSWER_LOOK).await;
+        let has_changed = state.store_revision.get() > revision;
+        if has_changed && state.store_outage.was_lately(Instant::now()) {
+            return;
+        }
+    }
+}
+
 /// How long changes of a kind gather before the next watch asks for them.
 fn pause_between_watches(kind: ObjectKind) -> Option<Duration> {
     match kind {
@@ -224,7 +257,14 @@
 /// old, but for the time in which a daemon that has just started is not yet held to them.
 fn take_first_weights(state: &GatewayState, objects: Vec<StoredObject>) {
     let deadline = state.times.get().weights_deadline;
-    let age = deadline.saturating_sub(FIRST_WEIGHTS_GRACE);
+    // Where the store did not answer at first, nobody could load anything before it did; and whoever lists them
+    // late in its life has known of weights from others.
+    let was_in_trouble = state.store_outage.was_lately(Instant::now());
+    let since = match was_in_trouble || state.now() > JUST_STARTED {
+        true => Duration::ZERO,
+        false => state.now(),
+    };
+    let age = first_weights_age(deadline, since);
     for object in objects {
         if let Ok(ObjectContent::Weights(weights)) = object.content {
             name_weights(state, &weights, age);
@@ -232,6 +272,12 @@
     }
 }
 
+/// The age at which weights count that are listed for the first time, by a daemon that could have listed them
+/// `since` so long.
+pub fn first_weights_age(deadline: Duration, since: Duration) -> Duration {
+    deadline.saturating_sub(FIRST_WEIGHTS_GRACE.saturating_sub(since))
+}
+
 /// Takes in weights that have been wanted for `age`.
 pub fn name_weights(state: &GatewayState, weights: &ModelVersion, age: Duration) {
     let now = Instant::now();
--- a/crates/gateway/src/store/outage.rs
+++ b/crates/gateway/src/store/outage.rs
@@ -5,14 +5,15 @@
 //! before and still wait for an answer.
 
 use std::cell::Cell;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::Notify;
 
 /// The pause after the first call that failed; each further one in a row twice as long.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 
-/// The longest pause: within it a daemon that the others can't reach finds out for itself.
+/// The longest time from the beginning of one call to that of the next: within it a daemon that the others can't
+/// reach finds out for itself, with a second left to catch up before it is in touch again (`contactMs`, 3 s).
 const LONGEST_PAUSE: Duration = Duration::from_millis(1800);
 
 /// The pause after so many calls in a row that failed.
@@ -23,15 +24,27 @@
         .min(LONGEST_PAUSE)
 }
 
+/// The pause after so many calls in a row that failed, the last of which `took` so long. The time that a call
+/// hung is part of the pause: a store that came back just after the call began never answers it.
+pub fn pause_after_call(failures: u32, took: Duration) -> Duration {
+    pause_after(failures).saturating_sub(took).max(FIRST_PAUSE)
+}
+
 /// How long a task waits that follows objects, while the reader of the configuration finds the store down: that
 /// one alone looks whether it answers again, which ends this pause.
 const FOLLOWER_PAUSE: Duration = Duration::from_secs(4);
 
+/// For how long after a call that failed an answer of the store may be lost that still is waited for: a little
+/// longer than a watch waits (16.5 s).
+const TROUBLE_MEMORY: Duration = Duration::from_secs(18);
+
 /// Whether the store is down, and the tasks that wait for it.
 #[derive(Debug, Default)]
 pub struct StoreOutage {
     is_on: Cell<bool>,
     answers: Notify,
+    ended: Notify,
+    failed_call_began: Cell<Option<Instant>>,
 }
 
 impl StoreOutage {
@@ -42,10 +55,37 @@
 
     /// The configuration was read, or another daemon announced that the store answers: every wait ends.
     pub fn is_over(&self) {
-        self.is_on.set(false);
+        if self.is_on.replace(false) {
+            self.ended.notify_waiters();
+        }
         self.answers.notify_waiters();
     }
 
+    /// When the store was last seen to be down, where this daemon has seen no end of that yet: as the last call
+    /// began that failed. Such a call may hang on after the store is back, and prove nothing later.
+    pub fn was_down_at(&self) -> Option<Instant> {
+        let failed_call_began = self.failed_call_began.get();
+        failed_call_began.filter(|_| self.is_on.get())
+    }
+
+    /// Waits until an outage ends that this daemon has seen itself. What was asked before and still waits may
+    /// never be answered: a connection on which an answer was lost says nothing more.
+    pub async fn ended(&self) {
+        self.ended.notified().await;
+    }
+
+    /// Takes in that a call failed which began at `began`.
+    pub fn note_failure(&self, began: Instant) {
+        let latest = self.failed_call_began.get().max(Some(began));
+        self.failed_call_began.set(latest);
+    }
+
+    /// Whether a call failed so lately that answers may be lost which are still waited for.
+    pub fn was_lately(&self, now: Instant) -> bool {
+        let began = self.failed_call_began.get();
+        began.is_some_and(|began| now.saturating_duration_since(began) < TROUBLE_MEMORY)
+    }
+
     /// The pause of a task that follows objects after so many lists in a row that failed.
     pub fn follower_pause(&self, failures: u32) -> Duration {
         match self.is_on.get() {
@@ -63,11 +103,12 @@
     }
 
     /// Makes a call, and makes it anew where the store answers again meanwhile: the first one may have been
-    /// sent to a store that was down, which never answers it.
-    pub async fn call<R, F: Future<Output = R>>(&self, call: impl Fn() -> F) -> R {
+    /// sent to a store that was down, which never answers it. Returns when the one began whose result it is.
+    pub async fn call<R, F: Future<Output = R>>(&self, call: impl Fn() -> F) -> (Instant, R) {
+        let began = Instant::now();
         tokio::select! {
-            result = call() => result,
-            () = self.answers.notified() => call().await,
+            result = call() => (began, result),
+            () = self.answers.notified() => (Instant::now(), call().await),
         }
     }
 }
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -118,9 +118,9 @@
         Some(deadline.saturating_sub(age + WITHDRAWAL_MARGIN))
     }
 
-    /// Takes in that the store is down for all at `now`.
-    pub fn store_is_down(&mut self, now: Instant) {
-        self.down_until = Some(now);
+    /// Takes in that the store was down for all at `at`.
+    pub fn store_was_down(&mut self, at: Instant) {
+        self.down_until = self.down_until.max(Some(at));
     }
 
     /// The versions of every model that are remembered, with their ages, older ones first.
