--- a/crates/gateway/src/replicas/begin_wait.rs
+++ b/crates/gateway/src/replicas/begin_wait.rs
@@ -22,8 +22,8 @@
 const DEVIATIONS: f64 = 2.0;
 
 /// The time in which what was learnt loses half of its weight. A waiting line of seconds is worked off in
-/// seconds, as the overload days of `bench/days` show.
-const HALF_LIFE: Duration = Duration::from_millis(1500);
+/// seconds; and between two samples, about a second, no more than a fifth is lost.
+const HALF_LIFE: Duration = Duration::from_secs(3);
 
 /// The waits of requests of one urgency.
 #[derive(Debug, Clone, Copy)]
@@ -54,8 +54,9 @@
         }
     }
 
-    /// Takes in one wait. What was learnt has not faded for that: the sample itself is newer knowledge.
+    /// Takes in one wait; what was learnt before has faded by then.
     fn take(&mut self, wait: Duration, now: Instant) {
+        *self = self.faded(now);
         let error_s = wait.as_secs_f64() - self.mean_s;
         self.deviation_s += SAMPLE_WEIGHT * (error_s.abs() - self.deviation_s);
         self.mean_s += SAMPLE_WEIGHT * error_s;
@@ -104,11 +105,6 @@
         learnt.take(wait, now);
     }
 
-    /// Forgets what was learnt of requests that began: the replica is in another state by now.
-    pub fn forget(&self) {
-        self.inner.borrow_mut().learnt.clear();
-    }
-
     fn enter(&self, urgency: u8, now: Instant) -> u64 {
         let mut inner = self.inner.borrow_mut();
         inner.sent += 1;
