--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -110,6 +110,7 @@
     let Attempt { opened, choice } = attempt;
     let has_begun = opened.has_begun();
     let piece = tokio::select! {
+        biased;
         piece = read_piece(opened, splitter) => piece.map_err(Break::BrokeOff)?,
         () = until_too_old(state, context, choice), if !has_begun => return Err(Break::Withdrawn),
     };
@@ -217,7 +218,7 @@
         self.attempt.opened.answer.close();
         self.splitter.discard_part();
         let last_id = self.splitter.last_id().map(str::to_owned);
-        match self.attempts.next(last_id.as_deref()).await {
+        match self.next_attempt(last_id.as_deref()).await {
             Ok(attempt) if attempt.opened.answer.status().is_success() => {
                 log_event!(
                     gateway::STREAM_MOVED,
@@ -240,6 +241,20 @@
         }
     }
 
+    /// The next attempt, as long as the request has time and its caller is there.
+    async fn next_attempt(&mut self, last_event_id: Option<&str>) -> Result<Attempt, Refusal> {
+        let left = self.time_left();
+        let caller = self.caller.clone();
+        let next = self.attempts.next(last_event_id);
+        let ended = |detail| Err(Refusal::new(Step::Answer, Reason::TimedOut, detail));
+        tokio::select! {
+            next = tokio::time::timeout(left, next) => {
+                next.unwrap_or_else(|_| ended("the request's time is over"))
+            }
+            () = caller_gone(caller) => ended("the caller has left"),
+        }
+    }
+
     fn end(&mut self) {
         self.has_ended = true;
         let status = self.attempt.opened.answer.status().as_u16();
