--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -77,7 +77,7 @@
     let configuration = state.configuration.load();
     let age = state.currency.age();
     let to_ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-    // Rounded up: a proof may look older than it is, never newer.
+    // Rounded up: a proof, or newly named weights, may look older than they are, never newer.
     let to_ms_up = |time: Duration| to_ms(time) + 1;
     let weights = state.weights.borrow().all(Instant::now());
     Tell {
@@ -91,7 +91,7 @@
             .map(|(weights, age)| WireWeights {
                 model: weights.model,
                 version: weights.version,
-                age_ms: to_ms(age),
+                age_ms: to_ms_up(age),
             })
             .collect(),
         lease: state
--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -133,7 +133,11 @@
 
 /// Takes in an answer; true where more is to come.
 async fn take_answer(state: &Rc<GatewayState>, answer: Tell, sent_at: Instant) -> bool {
-    take_weights_and_lease(state, &answer);
+    if let Some(proved_at) = moment_before(sent_at, answer.proof_age_ms) {
+        let mut progress = state.store_progress.borrow_mut();
+        progress.note(proved_at, answer.store_revision);
+    }
+    take_weights_and_lease(state, &answer, sent_at);
     take_changes(state, &answer);
     let knows_all = state.peers.followed.borrow().knows_all();
     if let Some(moment) = moment_before(sent_at, answer.view_age_ms).filter(|_| knows_all) {
@@ -158,13 +162,15 @@
     sent_at.checked_sub(Duration::from_millis(age_ms?))
 }
 
-fn take_weights_and_lease(state: &GatewayState, answer: &Tell) {
+fn take_weights_and_lease(state: &GatewayState, answer: &Tell, sent_at: Instant) {
     for weights in &answer.weights {
         let named = ModelVersion {
             model: weights.model.clone(),
             version: weights.version,
         };
-        name_weights(state, &named, Duration::from_millis(weights.age_ms));
+        // Its age grew on the way of the answer; that of the question counts as well, which is the safe side.
+        let since = moment_before(sent_at, Some(weights.age_ms));
+        name_weights(state, &named, since.unwrap_or(sent_at));
     }
     if let Some(lease) = &answer.lease {
         let record = LeaseRecord {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -27,7 +27,7 @@
 use crate::protocol::Platform;
 use crate::replicas::Registry;
 use crate::rollout::{OrderLease, lease_times};
-use crate::store::StoreOutage;
+use crate::store::{StoreOutage, StoreProgress};
 use crate::upstream::Pool;
 use crate::weights::WantedWeights;
 
@@ -111,6 +111,8 @@
     pub store: Rc<Pool>,
     /// Ends the waits for a store that is down.
     pub store_outage: StoreOutage,
+    /// How far the store had come when.
+    pub store_progress: RefCell<StoreProgress>,
     /// The highest revision of the store that is known.
     pub store_revision: Cell<u64>,
     /// The lease under which orders are given.
@@ -157,6 +159,7 @@
             holders: PromptHolders::default(),
             callers: CallerConnections::default(),
             store_outage: StoreOutage::default(),
+            store_progress: RefCell::default(),
             store_revision: Cell::new(0),
             lease: RefCell::new(lease),
             rollout_wanted: Notify::new(),
@@ -257,6 +260,8 @@
         if let Some(settings) = reloaded.ok().and_then(|mut reloaded| reloaded.take()) {
             self.times.set(settings.times);
             self.budgets.reload(&settings.retries);
+            // Requests that wait at replicas may have less time now.
+            self.weights_named.notify_waiters();
         }
     }
 
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -47,12 +47,16 @@
     loop {
         let after = objects.last().map(|object| object.name.as_str());
         let call = state.platform.list(kind, after);
+        let began = Instant::now();
         let body = get(state, &call, CALL_TIMEOUT).await?;
         let page: ListPage = state
             .platform
             .read_list(kind, &body)
             .map_err(StoreError::Unreadable)?;
         note_revision(state, page.revision);
+        let mut progress = state.store_progress.borrow_mut();
+        progress.note(began, page.revision);
+        drop(progress);
         // A watch goes on from the first page: what changed since is told again.
         let revision = *first_revision.get_or_insert(page.revision);
         let is_empty = page.items.is_empty();
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -205,7 +205,10 @@
         Ok(ObjectContent::Replica(entry)) => {
             state.apply(Change::Put(Item::Replica(WireReplica::from(&entry))));
         }
-        Ok(ObjectContent::Weights(weights)) => name_weights(state, &weights, Duration::ZERO),
+        Ok(ObjectContent::Weights(weights)) => {
+            let since = named_after(state, object.revision);
+            name_weights(state, &weights, since.unwrap_or_else(Instant::now));
+        }
         Ok(ObjectContent::Lease(record)) => {
             let mut lease = state.lease.borrow_mut();
             lease.on_seen(state.now(), object.revision, record);
@@ -264,24 +267,30 @@
         true => Duration::ZERO,
         false => state.now(),
     };
-    let age = first_weights_age(deadline, since);
+    let now = Instant::now();
+    let unknown = now.checked_sub(first_weights_age(deadline, since));
     for object in objects {
         if let Ok(ObjectContent::Weights(weights)) = object.content {
-            name_weights(state, &weights, age);
+            let since = named_after(state, object.revision).or(unknown);
+            name_weights(state, &weights, since.unwrap_or(now));
         }
     }
 }
 
+/// The moment after which an object got its revision, as far as that is known: they may be heard of late.
+fn named_after(state: &GatewayState, revision: u64) -> Option<Instant> {
+    state.store_progress.borrow().not_before(revision)
+}
+
 /// The age at which weights count that are listed for the first time, by a daemon that could have listed them
 /// `since` so long.
 pub fn first_weights_age(deadline: Duration, since: Duration) -> Duration {
     deadline.saturating_sub(FIRST_WEIGHTS_GRACE.saturating_sub(since))
 }
 
-/// Takes in weights that have been wanted for `age`.
-pub fn name_weights(state: &GatewayState, weights: &ModelVersion, age: Duration) {
-    let now = Instant::now();
-    let since = now.checked_sub(age).unwrap_or(now);
+/// Takes in weights that are wanted since `since`.
+pub fn name_weights(state: &GatewayState, weights: &ModelVersion, since: Instant) {
+    let age = since.elapsed();
     let is_newest = state.weights.borrow_mut().name(weights, since);
     state.weights_named.notify_waiters();
     if !is_newest {
