--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -9,10 +9,9 @@
 
 use super::choose_replica::{Choice, choose};
 use super::context::RequestContext;
-use super::dispatch::{Opened, send};
+use super::dispatch::{Opened, Unanswered, send};
 use super::judge::{Verdict, judge};
 use super::refusal::{Reason, Refusal, Step};
-use super::withdrawal::until_too_old;
 use crate::state::GatewayState;
 use crate::upstream::SendFailure;
 
@@ -40,14 +39,6 @@
     sends: u32,
 }
 
-/// Why a request that goes to a replica gets no head of an answer.
-enum Unanswered {
-    /// It could not be sent, or its answer was lost.
-    Failed(SendFailure),
-    /// It waited until the replica's weights became too old.
-    Withdrawn,
-}
-
 /// Why an answer that had begun is not read to its end.
 #[derive(Debug)]
 pub enum Break {
@@ -107,7 +98,7 @@
             if self.sends > 0 && !self.spend() {
                 return Err(self.give_up(Reason::NotRun, None, "the budget is spent"));
             }
-            match self.send(&choice, last_event_id).await {
+            match send(&self.state, &self.context, &choice, last_event_id).await {
                 Ok(opened) => {
                     self.sends += 1;
                     if let Some(attempt) = self.take_answer(opened, choice)? {
@@ -129,20 +120,6 @@
         }
     }
 
-    /// Sends the request once, and waits for the head of the answer as long as it may begin there.
-    async fn send(
-        &self,
-        choice: &Choice,
-        last_event_id: Option<&str>,
-    ) -> Result<Opened, Unanswered> {
-        tokio::select! {
-            sent = send(&self.state, &self.context, choice, last_event_id) => {
-                sent.map_err(Unanswered::Failed)
-            }
-            () = until_too_old(&self.state, &self.context, choice) => Err(Unanswered::Withdrawn),
-        }
-    }
-
     /// Whether a request that a replica has run, or may have run, may go to another one.
     pub fn may_run_again(&self) -> bool {
         self.context.route.is_repeatable() && self.runs < self.context.route.max_attempts
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -117,9 +117,8 @@
 ) -> Result<Vec<Rc<Replica>>, Refusal> {
     let listed = state.registry.of_service(&context.service);
     let now = Instant::now();
-    let is_staying = |replica: &&Rc<Replica>| {
-        !replica.entry().is_draining && !replica.has_lapsed(now) && !tried.contains(&replica.id)
-    };
+    let is_staying =
+        |replica: &&Rc<Replica>| replica.is_staying(now) && !tried.contains(&replica.id);
     let mut staying: Vec<Rc<Replica>> = listed.iter().filter(is_staying).cloned().collect();
     if staying.is_empty() {
         return Err(no_replica("all are leaving, tried or unknown"));
--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -12,6 +12,7 @@
 
 use super::choose_replica::Choice;
 use super::context::RequestContext;
+use super::withdrawal::until_too_old;
 use crate::peers::message::WirePrompt;
 use crate::protocol::Dispatch;
 use crate::replicas::{OpenWork, Waiting};
@@ -52,24 +53,37 @@
     }
 }
 
-/// Sends the request and waits for the head of the answer. A kept connection that turns out to be closed
-/// before a byte was sent is replaced.
+/// Why a request that goes to a replica gets no head of an answer.
+pub enum Unanswered {
+    /// It could not be sent, or its answer was lost.
+    Failed(SendFailure),
+    /// It waited until the replica's weights became too old.
+    Withdrawn,
+}
+
+/// Sends the request and waits for the head of the answer as long as it may begin there. A kept connection that
+/// turns out to be closed before a byte was sent is replaced.
 pub async fn send(
     state: &GatewayState,
     context: &RequestContext,
     choice: &Choice,
     last_event_id: Option<&str>,
-) -> Result<Opened, SendFailure> {
+) -> Result<Opened, Unanswered> {
     let pool = &choice.replica.pool;
     let work = OpenWork::begin(&choice.replica);
     note_prompt(state, choice);
     loop {
-        let mut connection = connect(choice).await?;
-        let request = build(state, context, choice, last_event_id)?;
+        let mut connection = connect(state, choice).await.map_err(Unanswered::Failed)?;
+        let request = build(state, context, choice, last_event_id).map_err(Unanswered::Failed)?;
         let waits = &choice.replica.waits;
         let waiting = Waiting::begin(waits, context.priority(), Instant::now());
         log_sent(state, context, choice, &connection, waiting.expected());
-        match connection.send(request).await {
+        let answer = tokio::select! {
+            biased;
+            answer = connection.send(request) => answer,
+            () = until_too_old(state, context, choice) => return Err(Unanswered::Withdrawn),
+        };
+        match answer {
             Ok(response) => {
                 let answer = Answer::new(response, connection, Rc::clone(pool));
                 return Ok(Opened {
@@ -79,7 +93,7 @@
                 });
             }
             Err(SendFailure::NotSent { .. }) if connection.is_reused => {}
-            Err(failure) => return Err(failure),
+            Err(failure) => return Err(Unanswered::Failed(failure)),
         }
     }
 }
@@ -102,12 +116,20 @@
     });
 }
 
-async fn connect(choice: &Choice) -> Result<Connection, SendFailure> {
+/// A connection to the replica. While one comes up the replica may have begun to leave: it is then not used.
+async fn connect(state: &GatewayState, choice: &Choice) -> Result<Connection, SendFailure> {
     let pool = &choice.replica.pool;
-    pool.take().await.map_err(|error| SendFailure::NotSent {
+    let not_sent = |cause: String| SendFailure::NotSent {
         peer: pool.peer(),
-        cause: error.to_string(),
-    })
+        cause,
+    };
+    let connection = pool.take().await;
+    let connection = connection.map_err(|error| not_sent(error.to_string()))?;
+    let is_listed = state.registry.get(&choice.replica.id).is_some();
+    match is_listed && choice.replica.is_staying(Instant::now()) {
+        true => Ok(connection),
+        false => Err(not_sent("it is leaving by now".to_owned())),
+    }
 }
 
 fn build(
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -97,6 +97,11 @@
         self.lapses_at.get().is_some_and(|until| until <= now)
     }
 
+    /// Whether it is neither leaving nor without entry for too long.
+    pub fn is_staying(&self, now: Instant) -> bool {
+        !self.entry().is_draining && !self.has_lapsed(now)
+    }
+
     /// The version of the weights of `model` that it is believed to have.
     pub fn version_of(&self, model: &str) -> Option<u64> {
         let entry = self.entry.borrow();
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -48,9 +48,6 @@
 /// Orders without an answer after which a replica is left alone for a while.
 const MAX_LOST_ORDERS: u32 = 12;
 
-/// The urgency of requests that go before all others: a replica that may not even serve those is out of use.
-const MOST_URGENT: u8 = 0;
-
 /// The longest random wait that sets daemons apart.
 const LONGEST_JITTER_MS: u64 = 250;
 
@@ -70,6 +67,15 @@
     by_replica: RefCell<HashMap<String, ReplicaProgress>>,
 }
 
+/// Why a replica has not got the weights.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LoadFailure {
+    /// It could not be reached, did not take the order or did not load.
+    AtReplica,
+    /// This daemon may not give orders any more.
+    MayNotOrder,
+}
+
 /// What is known of one replica's orders.
 #[derive(Debug, Clone, Copy, Default)]
 struct ReplicaProgress {
@@ -80,9 +86,9 @@
 
 impl ReplicaProgress {
     /// Takes in that loading has ended.
-    fn note_end(&mut self, is_done: bool, now: Instant) {
+    fn note_end(&mut self, end: Result<(), LoadFailure>, now: Instant) {
         self.is_driven = false;
-        if is_done {
+        if end != Err(LoadFailure::AtReplica) {
             self.failures_in_row = 0;
             self.paused_until = None;
             return;
@@ -227,10 +233,10 @@
             .is_driven = true;
         let (state, progress, wanted) = (Rc::clone(state), Rc::clone(progress), wanted.clone());
         ntex::rt::spawn(async move {
-            let is_done = drive(&state, &replica, wanted).await;
+            let end = drive(&state, &replica, wanted).await;
             let mut by_replica = progress.by_replica.borrow_mut();
             let own = by_replica.entry(replica.id.clone()).or_default();
-            own.note_end(is_done, Instant::now());
+            own.note_end(end, Instant::now());
             state.rollout_wanted.notify_one();
         });
     }
@@ -248,9 +254,9 @@
     let version = replica.version_of(&wanted.model);
     let deadline = state.times.get().weights_deadline;
     let weights = state.weights.borrow();
-    let expected_wait = replica.waits.expected(MOST_URGENT, now);
+    // However long requests wait: else all replicas could load at once just when they are overloaded.
     let may_serve =
-        |version| weights.may_serve(&wanted.model, version, now, deadline, expected_wait);
+        |version| weights.may_serve(&wanted.model, version, now, deadline, Duration::ZERO);
     PlannedReplica {
         is_out_of_use: version.is_some_and(|version| !may_serve(version)),
         id: replica.id.clone(),
@@ -265,15 +271,30 @@
     }
 }
 
-/// Orders one replica to load and waits until it has the weights; false where it failed.
-async fn drive(state: &Rc<GatewayState>, replica: &Rc<Replica>, wanted: ModelVersion) -> bool {
+/// Orders one replica to load and waits until it has the weights.
+async fn drive(
+    state: &Rc<GatewayState>,
+    replica: &Rc<Replica>,
+    wanted: ModelVersion,
+) -> Result<(), LoadFailure> {
     replica.set_loading(Some(Instant::now()));
     tell(state, replica, &wanted, false, false);
-    let is_done = order_until_taken(state, replica, &wanted).await
-        && wait_until_loaded(state, replica, &wanted).await;
+    let end = load(state, replica, &wanted).await;
     replica.set_loading(None);
-    tell(state, replica, &wanted, is_done, !is_done);
-    is_done
+    tell(state, replica, &wanted, end.is_ok(), end.is_err());
+    end
+}
+
+async fn load(
+    state: &Rc<GatewayState>,
+    replica: &Rc<Replica>,
+    wanted: &ModelVersion,
+) -> Result<(), LoadFailure> {
+    order_until_taken(state, replica, wanted).await?;
+    match wait_until_loaded(state, replica, wanted).await {
+        true => Ok(()),
+        false => Err(LoadFailure::AtReplica),
+    }
 }
 
 /// Tells the other daemons, so that they send no requests to a replica that is loading.
@@ -299,16 +320,17 @@
     state: &Rc<GatewayState>,
     replica: &Rc<Replica>,
     wanted: &ModelVersion,
-) -> bool {
+) -> Result<(), LoadFailure> {
     if replica.order_sequence().is_none() && !learn_state(state, replica).await {
-        return false;
+        return Err(LoadFailure::AtReplica);
     }
     for _ in 0..MAX_LOST_ORDERS {
-        let Some(token) = state.lease.borrow().token_at(state.now()) else {
-            return false;
+        // It must not run out before the order has been sent: a connection may have to come up first.
+        let Some(token) = state.lease.borrow().token_at(state.now() + ORDER_TIMEOUT) else {
+            return Err(LoadFailure::MayNotOrder);
         };
         if state.status.is_stopping() {
-            return false;
+            return Err(LoadFailure::MayNotOrder);
         }
         let order = WeightsOrder {
             replica: replica.id.clone(),
@@ -325,27 +347,29 @@
         match answer {
             Ok(OrderAnswer::Accepted) => {
                 replica.count_order();
-                return true;
+                return Ok(());
             }
             Ok(OrderAnswer::Holds) => {
                 note_loaded(replica, wanted);
-                return true;
+                return Ok(());
             }
             Ok(OrderAnswer::Conflict) => {
                 if !learn_sequence(state, replica, wanted).await {
-                    return false;
+                    return Err(LoadFailure::AtReplica);
                 }
             }
             Ok(OrderAnswer::Fenced) => {
                 state.lease.borrow_mut().on_fenced();
-                return false;
+                return Err(LoadFailure::MayNotOrder);
             }
-            Ok(OrderAnswer::Misdirected | OrderAnswer::Refused) => return false,
-            Err(CallError::NotSent(_)) => return false,
+            Ok(OrderAnswer::Misdirected | OrderAnswer::Refused) => {
+                return Err(LoadFailure::AtReplica);
+            }
+            Err(CallError::NotSent(_)) => return Err(LoadFailure::AtReplica),
             Err(CallError::Lost(_) | CallError::TimedOut(_)) => {}
         }
     }
-    false
+    Err(LoadFailure::AtReplica)
 }
 
 /// After a conflict: the replica is doing something else, or was ordered by another daemon before.
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -15,6 +15,10 @@
 /// How much sooner than allowed no request is sent to older weights, where no longer wait there is expected.
 const LEAST_SENDING_MARGIN: Duration = Duration::from_millis(1500);
 
+/// The same where the longest waits are expected, as a part of the time allowed: replicas with older weights have
+/// to bear the traffic while others load, and a request that does wait so long is withdrawn.
+const LONGEST_SENDING_MARGIN: f64 = 0.5;
+
 /// How much sooner than allowed a request that waits at a replica with older weights is withdrawn: the close
 /// of its connection has to reach the replica, over a link that may lose a packet (resent after 200 ms).
 const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(400);
@@ -100,7 +104,9 @@
         deadline: Duration,
         expected_wait: Duration,
     ) -> bool {
-        let margin = LEAST_SENDING_MARGIN.max(expected_wait + WITHDRAWAL_MARGIN);
+        let longest_margin = deadline.mul_f64(LONGEST_SENDING_MARGIN);
+        let margin = (expected_wait + WITHDRAWAL_MARGIN).min(longest_margin);
+        let margin = margin.max(LEAST_SENDING_MARGIN);
         self.overdue_for(model, version, now)
             .is_none_or(|age| age + margin < deadline)
     }
