--- a/crates/standin/src/engine/control_calls.rs
+++ b/crates/standin/src/engine/control_calls.rs
@@ -172,7 +172,8 @@
     HttpResponse::Ok().json(&json!({"accepted": true}))
 }
 
-async fn crash(engine: SharedEngine) -> HttpResponse {
+/// Takes the body too, as [`leave`] does.
+async fn crash(engine: SharedEngine, _body: Bytes) -> HttpResponse {
     engine.crash();
     HttpResponse::Ok().json(&json!({"incarnation": engine.incarnation()}))
 }
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -78,7 +78,8 @@
         self.core().model.totals()
     }
 
-    /// Comes back empty, under the same address, with a higher incarnation. All connections drop.
+    /// Comes back empty, under the same address, with a higher incarnation. All connections drop but
+    /// that of a control call in hand, which asked for this.
     pub fn crash(&self) {
         let now = self.now();
         self.core().crash(now);
--- a/crates/standin/src/gate.rs
+++ b/crates/standin/src/gate.rs
@@ -11,10 +11,11 @@
 
 use crate::faults::{FaultSwitches, FaultUpdate};
 
-/// Paths below this one are the switches themselves; faults don't touch them.
+/// Paths below this one are the switches themselves: faults don't touch them, nor the connections that ask for
+/// them, which could not be answered otherwise.
 const SWITCHES_PATH: &str = "/standin/";
 
-/// The open connections of one worker thread.
+/// The open connections of one worker thread that faults may drop.
 #[derive(Clone, Default)]
 pub(crate) struct Connections {
     open: Rc<RefCell<Vec<IoRef>>>,
@@ -29,6 +30,11 @@
         }
     }
 
+    /// Spares the connection from the drops that come before its next ordinary call.
+    fn spare(&self, connection: &IoRef) {
+        self.open.borrow_mut().retain(|known| known != connection);
+    }
+
     fn drop_all(&self) {
         for connection in self.open.borrow_mut().drain(..) {
             connection.terminate();
@@ -96,10 +102,13 @@
         request: WebRequest<E>,
         context: ServiceCtx<'_, Self>,
     ) -> Result<Self::Response, Self::Error> {
+        let connection = request.io().cloned();
         if request.path().starts_with(SWITCHES_PATH) {
+            if let Some(connection) = &connection {
+                self.connections.spare(connection);
+            }
             return context.call(&self.service, request).await;
         }
-        let connection = request.io().cloned();
         if let Some(connection) = &connection {
             self.connections.add(connection);
         }
--- a/crates/standin/tests/fault_tests.rs
+++ b/crates/standin/tests/fault_tests.rs
@@ -33,6 +33,39 @@
     assert_eq!(status, StatusCode::NOT_FOUND);
 }
 
+#[test]
+fn a_crash_whose_body_comes_late_is_answered() {
+    let engine = start(small_engine());
+    let mut connection = RawConnection::open(engine.server.address);
+    for _ in 0..3 {
+        let before = engine.state.incarnation();
+        connection
+            .send("POST /standin/crash HTTP/1.1\r\nhost: engine\r\ncontent-length: 2\r\n\r\n");
+        std::thread::sleep(Duration::from_millis(50));
+        connection.send("{}");
+        assert_eq!(connection.read_status(), "HTTP/1.1 200 OK");
+        assert!(engine.state.incarnation() > before);
+    }
+}
+
+#[test]
+fn crashes_and_cuts_spare_the_connection_that_asks_for_them() {
+    let engine = start(small_engine());
+    let mut connection = RawConnection::open(engine.server.address);
+    for _ in 0..50 {
+        let before = engine.state.incarnation();
+        assert_eq!(connection.get("/status"), "HTTP/1.1 200 OK");
+        let status = connection.post("/standin/crash", "{}");
+        assert_eq!(status, "HTTP/1.1 200 OK");
+        assert!(engine.state.incarnation() > before);
+        assert_eq!(connection.get("/status"), "HTTP/1.1 200 OK");
+        for cut in [r#"{"cut": true}"#, r#"{"cut": false}"#] {
+            let status = connection.post("/standin/faults", cut);
+            assert_eq!(status, "HTTP/1.1 200 OK");
+        }
+    }
+}
+
 #[ntex::test]
 async fn a_frozen_engine_stalls_streams_and_calls_until_it_thaws() {
     let engine = start(small_engine());
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -2,7 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses some of the helpers")]
 
-use std::net::SocketAddr;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
 use driftspring_standin::engine::{self, EngineStandinOptions, RunningEngine};
@@ -151,6 +152,68 @@
     }
 }
 
+/// One connection, on which a test decides what is sent when.
+pub struct RawConnection(BufReader<TcpStream>);
+
+impl RawConnection {
+    /// Connects to `address`.
+    pub fn open(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).expect("a connection");
+        stream
+            .set_read_timeout(Some(DEADLINE))
+            .expect("a read timeout");
+        Self(BufReader::new(stream))
+    }
+
+    /// Sends bytes as they are.
+    pub fn send(&mut self, text: &str) {
+        let sent = self.0.get_mut().write_all(text.as_bytes());
+        sent.expect("the connection is open");
+    }
+
+    /// Gets `path` and returns the answer's status line.
+    pub fn get(&mut self, path: &str) -> String {
+        self.send(&format!("GET {path} HTTP/1.1\r\nhost: standin\r\n\r\n"));
+        self.read_status()
+    }
+
+    /// Posts a body and returns the answer's status line.
+    pub fn post(&mut self, path: &str, body: &str) -> String {
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: standin\r\n\
+             content-type: application/json\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        self.send(&(head + body));
+        self.read_status()
+    }
+
+    /// Reads an answer to its end and returns its status line.
+    pub fn read_status(&mut self) -> String {
+        let status = self.read_line();
+        let mut length = 0;
+        loop {
+            let header = self.read_line().to_lowercase();
+            if header.is_empty() {
+                break;
+            }
+            if let Some(value) = header.strip_prefix("content-length:") {
+                length = value.trim().parse().expect("a length");
+            }
+        }
+        let mut body = vec![0; length];
+        self.0.read_exact(&mut body).expect("a whole body");
+        status
+    }
+
+    fn read_line(&mut self) -> String {
+        let mut line = String::new();
+        self.0.read_line(&mut line).expect("a line");
+        assert!(line.ends_with("\r\n"), "the connection ended");
+        line.trim_end().to_owned()
+    }
+}
+
 /// Waits until `holds`, with the deadline.
 pub async fn eventually(what: &str, mut holds: impl AsyncFnMut() -> bool) {
     let reached = async {
--- a/crates/system-tests/src/engine.rs
+++ b/crates/system-tests/src/engine.rs
@@ -87,8 +87,7 @@
     pub(crate) async fn crash(&self, control: &HttpControl) -> anyhow::Result<()> {
         let before = self.incarnation(control).await?;
         let path = "/standin/crash";
-        // The crash may drop the connection of this call too, before its answer.
-        let _ = control.post(self.address(), path, &json!({})).await;
+        control.post(self.address(), path, &json!({})).await?;
         wait_until("the engine's new life", CRASH_PATIENCE, async || {
             let present = self.incarnation(control).await;
             present.is_ok_and(|present| present > before)
