--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -8,7 +8,7 @@
 
 use super::message::{Ask, Message, Tell, WireDaemon};
 use super::send::send;
-use super::source::{Source, SourceChooser};
+use super::source::{Source, SourceChooser, is_relay};
 use crate::protocol::{LeaseRecord, ModelVersion};
 use crate::state::GatewayState;
 use crate::store::name_weights;
@@ -37,6 +37,8 @@
         let daemons = state.peers.daemons();
         state.budgets.set_daemons(daemons.len());
         let group = state.peers.group(&daemons);
+        let is_relay = is_relay(&daemons, &group, &state.peers.own);
+        state.peers.far.set_relay(is_relay);
         let source = chooser.choose(state.now(), &group, &state.peers.own.name);
         set_reader(&state, &source);
         let has_more = match source {
--- a/crates/gateway/src/peers/far.rs
+++ b/crates/gateway/src/peers/far.rs
@@ -9,10 +9,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::sync::Notify;
+
 use super::known::{LEAST_REPORTED_TOKENS, MAX_PROMPTS};
-use super::message::{FarPrompts, Message, WirePrompt};
+use super::message::{FarPrompts, Message, WireDaemon, WirePrompt};
 use super::send::{send, send_to_group};
-use super::source::{other_groups_first, ranked_group};
+use super::source::other_groups_first;
 use crate::state::GatewayState;
 
 /// How long prompts are gathered into a batch. They also show how busy replicas are, so this is short against
@@ -24,60 +26,100 @@
 
 /// The batches of a relay.
 #[derive(Debug, Default)]
-pub(super) struct FarExchange {
+pub struct FarExchange {
     is_relay: Cell<bool>,
+    /// Wakes the task that sends the batches.
+    gathered: Notify,
     /// Prompts of the own group, for the other groups.
     outgoing: RefCell<Vec<WirePrompt>>,
     /// Prompts of other groups, for the own group.
     incoming: RefCell<Vec<WirePrompt>>,
 }
 
+/// Prompts that were gathered.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Batch {
+    /// For the other groups.
+    pub outgoing: Vec<WirePrompt>,
+    /// For the members of the own group.
+    pub incoming: Vec<WirePrompt>,
+}
+
 impl FarExchange {
+    /// Takes in whether this daemon is the relay of its group.
+    pub fn set_relay(&self, is_relay: bool) {
+        self.is_relay.set(is_relay);
+    }
+
     /// Adds a prompt of the own group to the next batch, where this daemon is the relay.
-    pub(super) fn gather(&self, prompt: &WirePrompt) {
+    pub fn gather(&self, prompt: &WirePrompt) {
         if self.is_relay.get() && prompt.tokens >= LEAST_REPORTED_TOKENS {
-            push(&self.outgoing, prompt);
+            self.push(&self.outgoing, prompt);
         }
     }
 
     /// Adds prompts of another group to the next batch for the members of the own group.
-    pub(super) fn pass_on(&self, prompts: &[WirePrompt]) {
+    pub fn pass_on(&self, prompts: &[WirePrompt]) {
         for prompt in prompts {
-            push(&self.incoming, prompt);
+            self.push(&self.incoming, prompt);
         }
     }
-}
 
-fn push(batch: &RefCell<Vec<WirePrompt>>, prompt: &WirePrompt) {
-    let mut batch = batch.borrow_mut();
-    if batch.len() < MAX_PROMPTS * MAX_DATAGRAMS {
-        batch.push(prompt.clone());
+    /// The next batch, once prompts have come and more had time to.
+    pub async fn next_batch(&self) -> Batch {
+        self.gathered.notified().await;
+        tokio::time::sleep(GATHERING).await;
+        Batch {
+            outgoing: self.outgoing.take(),
+            incoming: self.incoming.take(),
+        }
+    }
+
+    fn push(&self, batch: &RefCell<Vec<WirePrompt>>, prompt: &WirePrompt) {
+        let mut batch = batch.borrow_mut();
+        if batch.len() < MAX_PROMPTS * MAX_DATAGRAMS {
+            batch.push(prompt.clone());
+            self.gathered.notify_one();
+        }
     }
 }
 
 /// Sends the batches, for ever.
 pub(super) async fn run(state: Rc<GatewayState>, socket: Rc<tokio::net::UdpSocket>) {
     loop {
-        tokio::time::sleep(GATHERING).await;
-        let peers = &state.peers;
-        let daemons = peers.daemons();
-        let firsts = other_groups_first(&daemons, &peers.own);
-        let group = ranked_group(&daemons, &peers.own);
-        let is_first = group
-            .first()
-            .is_some_and(|first| first.name == peers.own.name);
-        peers.far.is_relay.set(is_first && !firsts.is_empty());
-        let incoming = std::mem::take(&mut *peers.far.incoming.borrow_mut());
-        for prompts in incoming.chunks(MAX_PROMPTS) {
-            let message = message(prompts, false);
-            send_to_group(&state, &socket, &daemons, &message).await;
+        let batch = state.peers.far.next_batch().await;
+        let daemons = state.peers.daemons();
+        if !batch.incoming.is_empty() {
+            send_to_members(&state, &socket, &daemons, &batch.incoming).await;
+        }
+        if !batch.outgoing.is_empty() {
+            send_to_relays(&state, &socket, &daemons, &batch.outgoing).await;
         }
-        let outgoing = std::mem::take(&mut *peers.far.outgoing.borrow_mut());
-        for prompts in outgoing.chunks(MAX_PROMPTS) {
-            let message = message(prompts, true);
-            for first in &firsts {
-                send(&socket, &message, &first.peers).await;
-            }
+    }
+}
+
+async fn send_to_members(
+    state: &GatewayState,
+    socket: &tokio::net::UdpSocket,
+    daemons: &[WireDaemon],
+    prompts: &[WirePrompt],
+) {
+    for prompts in prompts.chunks(MAX_PROMPTS) {
+        send_to_group(state, socket, daemons, &message(prompts, false)).await;
+    }
+}
+
+async fn send_to_relays(
+    state: &GatewayState,
+    socket: &tokio::net::UdpSocket,
+    daemons: &[WireDaemon],
+    prompts: &[WirePrompt],
+) {
+    let relays = other_groups_first(daemons, &state.peers.own);
+    for prompts in prompts.chunks(MAX_PROMPTS) {
+        let message = message(prompts, true);
+        for relay in &relays {
+            send(socket, &message, &relay.peers).await;
         }
     }
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -15,14 +15,14 @@
 //! - [`source`]: whom to ask.
 //! - [`view`]: how recent all that is.
 //! - [`known`]: what is known through peers.
-//! - `far`: which prompts other groups sent where.
+//! - [`far`]: which prompts other groups sent where.
 //! - [`task`]: does it all for ever: `ask` asks the source, `answer` answers others, `news` tells unasked.
 
 mod answer;
 mod ask;
 pub mod change_log;
 mod convert;
-mod far;
+pub mod far;
 pub mod followed_log;
 pub mod known;
 pub mod message;
--- a/crates/gateway/src/peers/source.rs
+++ b/crates/gateway/src/peers/source.rs
@@ -60,6 +60,16 @@
     first_by_zone.into_values().cloned().collect()
 }
 
+/// Whether `own` is the relay of its `ranked_group`: the first of it, where there are other groups.
+pub fn is_relay(daemons: &[WireDaemon], ranked_group: &[WireDaemon], own: &WireDaemon) -> bool {
+    let is_first = ranked_group
+        .first()
+        .is_some_and(|first| first.name == own.name);
+    let has_other_groups =
+        daemons.len() > ONE_GROUP && daemons.iter().any(|daemon| daemon.zone != own.zone);
+    is_first && has_other_groups
+}
+
 /// Where a daemon learns what is in force.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Source {
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -10,7 +10,9 @@
     Ask, Change, FarPrompts, Item, ItemKey, Message, RECEIVE_BYTES, Tell, WireDaemon, WirePrompt,
     WireReplica,
 };
-use driftspring_gateway::peers::source::{Source, SourceChooser, ranked_group};
+use driftspring_gateway::peers::source::{
+    Source, SourceChooser, is_relay, other_groups_first, ranked_group,
+};
 use quickcheck::quickcheck;
 
 fn replica(id: u8, slots: u32) -> Item {
@@ -250,6 +252,35 @@
     assert_eq!(ranked_group(&daemons, &daemons[2]), group);
 }
 
+/// The daemons that take themselves for the relay of their group.
+fn relays(daemons: &[WireDaemon]) -> Vec<&WireDaemon> {
+    let is_relay = |own: &&WireDaemon| is_relay(daemons, &ranked_group(daemons, own), own);
+    daemons.iter().filter(is_relay).collect()
+}
+
+#[test]
+fn the_relay_of_each_group_is_the_one_that_the_other_groups_send_to() {
+    let in_zones = |count: usize, zones: &[&str]| -> Vec<WireDaemon> {
+        (0..count)
+            .map(|number| daemon(&format!("d{number}"), zones[number % zones.len()]))
+            .collect()
+    };
+    let daemons = in_zones(40, &["a", "b"]);
+    for relay in relays(&daemons) {
+        let other = relays(&daemons)
+            .into_iter()
+            .find(|other| other.zone != relay.zone)
+            .expect("one of each group");
+        assert_eq!(
+            other_groups_first(&daemons, relay),
+            std::slice::from_ref(other)
+        );
+    }
+    assert_eq!(relays(&daemons).len(), 2);
+    assert!(relays(&in_zones(16, &["a", "b"])).is_empty(), "one group");
+    assert!(relays(&in_zones(40, &["a"])).is_empty(), "one zone");
+}
+
 fn choose(
     chooser: &mut SourceChooser,
     now: u64,
