--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -102,6 +102,14 @@
     pub link_megabits: f64,
 }
 
+/// A store of cached prompt work with the name by which prompts are shared out among the stores.
+#[derive(Debug, Clone, PartialEq)]
+struct NamedKvStore {
+    /// The text of its address, made once rather than for each request.
+    name: String,
+    store: KvStore,
+}
+
 /// A service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
@@ -131,6 +139,7 @@
     pub version: u64,
     routes_by_host: HashMap<String, Vec<Arc<Route>>>,
     services: HashMap<String, Service>,
+    kv_stores: Vec<NamedKvStore>,
     tenants_by_key: Option<HashMap<String, Arc<Tenant>>>,
     /// What callers may send.
     pub limits: CallerLimits,
@@ -146,10 +155,12 @@
         limits: CallerLimits,
     ) -> Self {
         let named = |service: Service| (service.name.clone(), service);
+        let services: HashMap<String, Service> = services.into_iter().map(named).collect();
         Self {
             version,
             routes_by_host: index_routes(routes),
-            services: services.into_iter().map(named).collect(),
+            kv_stores: name_kv_stores(&services),
+            services,
             tenants_by_key: tenants.map(index_tenants),
             limits,
         }
@@ -181,21 +192,35 @@
     /// The store of cached prompt work that keeps the prompts with this placement digest: the same one for
     /// every daemon, so that together the stores keep each prompt once.
     pub fn kv_store(&self, digest: u64) -> Option<&KvStore> {
-        let claim = |store: &&KvStore| {
-            let address = store.address.to_string();
-            (xxh3_64_with_seed(address.as_bytes(), digest), store.address)
+        let claim = |named: &&NamedKvStore| {
+            let weight = xxh3_64_with_seed(named.name.as_bytes(), digest);
+            (weight, named.store.address)
         };
-        self.kv_stores().max_by_key(claim)
+        let named = self.kv_stores.iter().max_by_key(claim);
+        named.map(|named| &named.store)
     }
 
     /// Every store of cached prompt work.
     pub fn kv_stores(&self) -> impl Iterator<Item = &KvStore> {
-        self.services
-            .values()
-            .filter_map(|service| service.kv_store.as_ref())
+        self.kv_stores.iter().map(|named| &named.store)
     }
 }
 
+/// The stores of these services, in the order of the services' names.
+fn name_kv_stores(services: &HashMap<String, Service>) -> Vec<NamedKvStore> {
+    let mut services: Vec<&Service> = services.values().collect();
+    services.sort_by_key(|service| &service.name);
+    let stores = services
+        .into_iter()
+        .filter_map(|service| service.kv_store.clone());
+    stores
+        .map(|store| NamedKvStore {
+            name: store.address.to_string(),
+            store,
+        })
+        .collect()
+}
+
 /// Routes by host, those with the longest prefix first.
 fn index_routes(routes: Vec<Route>) -> HashMap<String, Vec<Arc<Route>>> {
     let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
