--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -45,7 +45,7 @@
             }
             Some(Message::Nudge) => state.peers.ask_now.notify_one(),
             Some(Message::StoreRecovered(news)) => {
-                state.store_outage.is_over();
+                state.store_outage.end();
                 if news.pass_on {
                     let daemons = state.peers.daemons();
                     let message = Message::StoreRecovered(StoreRecovered { pass_on: false });
--- a/crates/gateway/src/store/configuration_reader.rs
+++ b/crates/gateway/src/store/configuration_reader.rs
@@ -82,7 +82,7 @@
 fn note_regained(state: &GatewayState, is_reachable: &mut bool) {
     if !std::mem::replace(is_reachable, true) {
         log_event!(gateway::STORE_REGAINED, "task=configuration_reader");
-        state.store_outage.is_over();
+        state.store_outage.end();
         state.peers.announce_store();
     }
 }
--- a/crates/gateway/src/store/outage.rs
+++ b/crates/gateway/src/store/outage.rs
@@ -41,7 +41,7 @@
     }
 
     /// The configuration was read, or another daemon announced that the store answers: every wait ends.
-    pub fn is_over(&self) {
+    pub fn end(&self) {
         self.is_on.set(false);
         self.answers.notify_waiters();
     }
