--- a/crates/bench/src/workload/prompt.rs
+++ b/crates/bench/src/workload/prompt.rs
@@ -1,4 +1,4 @@
-//! The text of a prompt: nested shared segments, then a short text of its own.
+//! The text of a prompt: nested shared segments, then a short unique text.
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
--- a/crates/bench/src/workload/trace.rs
+++ b/crates/bench/src/workload/trace.rs
@@ -1,7 +1,7 @@
 //! Draws the requests of a run.
 //!
 //! Requests come in sessions (a truck under inspection, a sheet under revision): the sessions arrive as a
-//! Poisson process, each draws a path through the shared levels and a text of its own on the last
+//! Poisson process, each draws a path through the shared levels and a unique text on the last
 //! level, and its requests follow one another at random gaps. A share of the requests goes instead to
 //! the few prefixes that are hot at the time.
 
--- a/crates/control/src/lease/machine.rs
+++ b/crates/control/src/lease/machine.rs
@@ -33,7 +33,7 @@
 /// The share of a term that a candidate waits longer, for clocks that run at different rates.
 const CLOCK_RATE_MARGIN: f64 = 0.1;
 
-/// What the candidate does next. Times are of its own monotonic clock, since any fixed moment.
+/// What the candidate does next. Times are of the candidate's monotonic clock, since any fixed moment.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LeaseStep {
     /// Nothing until this time.
--- a/crates/daemon/src/sync/duties.rs
+++ b/crates/daemon/src/sync/duties.rs
@@ -21,7 +21,7 @@
 }
 
 /// This daemon's place among the owners of `engine`, 0 for the first; nothing where it is no owner.
-/// Whoever asks often, and for every engine, keeps an [`OwnershipCache`].
+/// A caller that asks often, and for every engine, keeps an [`OwnershipCache`].
 pub fn ownership(
     state: &DaemonState,
     members: &[MemberRecord],
--- a/crates/daemon/tests/engine_choice_tests.rs
+++ b/crates/daemon/tests/engine_choice_tests.rs
@@ -15,7 +15,7 @@
 const TOKENS: u32 = 2;
 const BLOCKS: usize = 20;
 
-/// A prompt of whole shared blocks and a text of its own.
+/// A prompt of whole shared blocks and the text `tail`.
 fn prompt(tail: &str) -> String {
     prompt_of("band 4: 2 to 8 degrees; ", tail)
 }
--- a/crates/daemon/tests/operator_drain_tests.rs
+++ b/crates/daemon/tests/operator_drain_tests.rs
@@ -28,7 +28,7 @@
     );
 }
 
-/// The engine that answers a prompt of its own.
+/// The engine that answers the prompt of this number.
 fn engine_of(daemon: &TestDaemon, number: usize) -> String {
     let prompt = format!("band 4; depot {number}; log:").repeat(20);
     let answer = daemon.caller().stream(&[], &prompt, TOKENS);
--- a/crates/driftctl/src/explain.rs
+++ b/crates/driftctl/src/explain.rs
@@ -45,7 +45,7 @@
     time: String,
     name: Option<String>,
     message: String,
-    /// The word before the JSON object: the machine, where whoever collected the lines wrote it there.
+    /// The word before the JSON object: the machine, where the collector of the lines wrote it there.
     #[serde(skip)]
     source: String,
 }
--- a/crates/external/src/engine/generate.rs
+++ b/crates/external/src/engine/generate.rs
@@ -50,7 +50,7 @@
     pub tenant: &'a TenantId,
     /// The JSON body.
     pub body: Bytes,
-    /// Whether a connection of its own is opened, so that a reused one that the engine has just
+    /// Whether a new connection is opened, so that a reused one that the engine has just
     /// closed can't leave open whether the request ran.
     pub fresh_connection: bool,
 }
--- a/crates/external/src/legacy.rs
+++ b/crates/external/src/legacy.rs
@@ -63,7 +63,7 @@
         Ok(Self { http })
     }
 
-    /// Sends a request on as it came. A connection of its own tells a request that was never
+    /// Sends a request on as it came. A new connection tells a request that was never
     /// seen from one that may have run.
     pub async fn forward(
         &self,
--- a/crates/external/src/object_store/mod.rs
+++ b/crates/external/src/object_store/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Every write carries a `write_id` and the revision that it replaces, by which a writer whose answer was
 //! lost finds out what became of it ([`ObjectStore::write_settled`]). A deletion is written as a marker, so
-//! that it has a revision of its own and shows in lists.
+//! that it has a revision and shows in lists.
 
 mod client;
 mod messages;
--- a/crates/gateway-program/src/lib.rs
+++ b/crates/gateway-program/src/lib.rs
@@ -1,5 +1,5 @@
 //! The `driftspring-gateway` program: the gateway on the operator's platform. A library, so that the fault
-//! soak can run the same program as processes of its own.
+//! soak can run the same program as separate processes.
 
 mod command_line;
 
--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -40,7 +40,7 @@
                 send_to(&socket, &answer, from).await;
             }
             Some(Message::Tell(answer)) => {
-                // Whoever asked may have given up meanwhile.
+                // The task that asked may have given up meanwhile.
                 let _ = answers.send(answer);
             }
             Some(Message::Nudge) => state.peers.ask_now.notify_one(),
--- a/crates/gateway/src/peers/change_log.rs
+++ b/crates/gateway/src/peers/change_log.rs
@@ -1,8 +1,8 @@
 //! Replicas and daemons in the order in which they changed.
 //!
 //! Each item stands once, at its last change, so the log is never longer than what it describes and the
-//! tombstones of what is gone, of which only the newest are kept. Whoever has the changes up to some
-//! number gets those after it; whoever has another log, or has missed tombstones, gets everything.
+//! tombstones of what is gone, of which only the newest are kept. A daemon that has the changes
+//! up to some number gets those after it; one that has another log, or has missed tombstones, gets everything.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -34,7 +34,7 @@
     pub is_from_start: bool,
     /// Whether more follow.
     pub has_more: bool,
-    /// Whether whoever asked has every item already, whatever log it followed.
+    /// Whether the asking daemon has every item already, whatever log it followed.
     pub is_same: bool,
 }
 
@@ -113,8 +113,8 @@
         true
     }
 
-    /// The changes of this log that whoever asked lacks, as many as `fits` allows. It is asked with the page
-    /// so far and the next change, and says whether that still fits.
+    /// The changes of this log that the asking daemon lacks, as many as `fits` allows. `fits` is asked with the
+    /// page so far and the next change, and says whether that still fits.
     pub fn page(&self, question: &Ask, fits: impl Fn(&[Change], &Change) -> bool) -> LogPage {
         if question.content != 0 && question.content == self.content {
             return self.no_changes();
--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/known.rs
@@ -26,7 +26,7 @@
 pub struct Peers {
     /// Replicas and daemons.
     pub log: RefCell<ChangeLog>,
-    /// Wakes whoever tells others of news.
+    /// Wakes the task that tells others of news.
     pub news: Notify,
     /// Whether this daemon reads the store itself.
     pub is_reader: Cell<bool>,
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -69,7 +69,7 @@
     pub has_more: bool,
     /// Changes, in order.
     pub changes: Vec<Change>,
-    /// Whether whoever asked has all items of this log already, as its digest shows.
+    /// Whether the asking daemon has all items of this log already, as its digest shows.
     #[musli(default)]
     pub is_same: bool,
 }
--- a/crates/gateway/src/pipeline/account.rs
+++ b/crates/gateway/src/pipeline/account.rs
@@ -98,7 +98,7 @@
         );
     }
 
-    /// The gateway gives an answer of its own.
+    /// The gateway itself answers, not a replica.
     pub fn refused(&mut self) {
         self.is_settled = true;
         self.state.status.metrics.refused.inc();
--- a/crates/gateway/src/pipeline/context.rs
+++ b/crates/gateway/src/pipeline/context.rs
@@ -87,7 +87,7 @@
     }
 
     /// Whose cached prompt work may be shared: an isolated tenant's own, or everybody's else.
-    pub fn wall(&self) -> &str {
+    pub fn cache_partition(&self) -> &str {
         match &self.tenant {
             Some(tenant) if tenant.is_isolated => &tenant.name,
             _ => "",
@@ -116,7 +116,7 @@
     pub fn placement_key(&self) -> Option<PlacementKey> {
         let prompt = self.prompt()?;
         let shared = self.shared_parts();
-        let mut text = format!("{}\n{}\n", self.wall(), prompt.model);
+        let mut text = format!("{}\n{}\n", self.cache_partition(), prompt.model);
         for part in shared {
             text.push_str(&part.id);
             text.push(',');
@@ -137,7 +137,7 @@
     pub fn cache_scope(&self, weights_version: Option<u64>) -> Option<String> {
         self.prompt()?;
         let version = weights_version.unwrap_or(0);
-        Some(format!("{version}/{}", self.wall()))
+        Some(format!("{version}/{}", self.cache_partition()))
     }
 
     /// What a replica of the service can do, where that is known.
--- a/crates/gateway/src/server/stop.rs
+++ b/crates/gateway/src/server/stop.rs
@@ -6,7 +6,7 @@
 
 use crate::state::{GatewayState, SharedStatus};
 
-/// How long new requests may still come: whoever sends callers here asks each second, and believes the
+/// How long new requests may still come: what sends callers here asks each second, and believes the
 /// second answer.
 const CALLERS_TURN_AWAY: Duration = Duration::from_millis(2600);
 
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -65,7 +65,7 @@
     }
 }
 
-/// Whether `kind` is listed at the start, whoever reads the store for the group: callers come at once to a
+/// Whether `kind` is listed at the start, whichever daemon reads the store for the group: callers come at once to a
 /// daemon that is restarted.
 fn is_needed_at_once(state: &GatewayState, kind: ObjectKind) -> bool {
     let is_needed = matches!(kind, ObjectKind::Replicas | ObjectKind::Weights);
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -3,7 +3,7 @@
 //! The client of the HTTP library `ntex` keeps its pool to itself: nobody can ask it whether a request
 //! was sent at all, whether bytes nobody asked for wait on a kept connection, or close the connection of
 //! one request at once. These decide what a caller may be told, so this module uses `hyper`'s client of
-//! single connections, the nearest kin, with a pool of its own.
+//! single connections, the nearest kin, with a separate pool.
 
 mod answer;
 mod call;
--- a/crates/membership/src/membership/probing.rs
+++ b/crates/membership/src/membership/probing.rs
@@ -109,7 +109,7 @@
     }
 
     /// Asks suspected members some times before declaring them dead; the question tells them of the
-    /// suspicion, and so whoever missed the refutation hears it from the member itself.
+    /// suspicion, and so a member that missed the refutation hears it from the member itself.
     pub(super) fn check_suspects(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let due: Vec<DaemonId> = self
             .suspicions
--- a/crates/membership/src/sync.rs
+++ b/crates/membership/src/sync.rs
@@ -155,7 +155,7 @@
         }
     }
 
-    /// Puts part of an oversized bucket into a page of its own; the bucket is then in no page whole.
+    /// Puts part of an oversized bucket into a separate page; the bucket is then in no page whole.
     fn close_with(&mut self, fill: impl FnOnce(&mut SyncPage)) {
         self.close();
         fill(&mut self.open);
--- a/crates/routing/src/cost.rs
+++ b/crates/routing/src/cost.rs
@@ -17,7 +17,7 @@
 }
 
 impl Default for CostWeights {
-    /// Missing tokens count twice: they also delay whoever comes next. In the comparison this lowers
+    /// Missing tokens count twice: they also delay the requests that come next. In the comparison this lowers
     /// the recomputation *and* the tail, so both users are served by the same weights.
     fn default() -> Self {
         Self {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,7 +7,7 @@
 //! - [`scheduler`]: the choice itself.
 //! - [`baselines`]: simpler policies that the full scheme is measured against.
 //!
-//! Nothing here reads a clock or keeps a random generator of its own: both are arguments.
+//! Nothing here reads a clock or keeps a random generator: both are arguments.
 
 pub mod baselines;
 pub mod candidate;
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -90,7 +90,7 @@
     }
 }
 
-/// The switches, shared by the threads of a stand-in and whoever turns them.
+/// The switches, shared by the threads of a stand-in and the callers that turn them.
 #[derive(Debug)]
 pub struct FaultSwitches {
     faults: Mutex<Faults>,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,6 +1,6 @@
 //! Small stand-ins for the systems around driftspring, with fault switches.
 //!
-//! Each one serves its part of `docs/PROTOCOLS.md` on loopback from a thread of its own, so that tests
+//! Each one serves its part of `docs/PROTOCOLS.md` on loopback from a separate thread, so that tests
 //! and experiments start whole systems within one process. They keep everything in memory.
 
 mod faults;
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -1,4 +1,4 @@
-//! Runs a stand-in's HTTP server on threads of its own.
+//! Runs a stand-in's HTTP server on separate threads.
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
--- a/crates/system-tests/src/caller.rs
+++ b/crates/system-tests/src/caller.rs
@@ -115,7 +115,7 @@
     pub tokens: usize,
 }
 
-/// A caller. Each request has a connection of its own, so that no pooled connection which a daemon
+/// A caller. Each request opens a new connection, so that no pooled connection which a daemon
 /// has just closed is mistaken for a cut request.
 #[derive(Clone)]
 pub struct Caller {
--- a/crates/system-tests/src/control.rs
+++ b/crates/system-tests/src/control.rs
@@ -15,7 +15,7 @@
 /// The largest answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
-/// An HTTP client for control calls; each call has a connection of its own.
+/// An HTTP client for control calls; each call opens a new connection.
 #[derive(Clone)]
 pub struct HttpControl {
     client: Client,
--- a/crates/system-tests/src/daemon.rs
+++ b/crates/system-tests/src/daemon.rs
@@ -212,11 +212,14 @@
     ///
     /// # Errors
     ///
-    /// It does not run in a process of its own.
+    /// It does not run in a separate process.
     pub(crate) fn process(&self) -> anyhow::Result<&ChildProcess> {
         match &self.life {
             Some(Life::Process(process)) => Ok(process),
-            _ => bail!("daemon {} has no process of its own", self.options.id),
+            _ => bail!(
+                "daemon {} does not run in a separate process",
+                self.options.id
+            ),
         }
     }
 }
--- a/crates/system-tests/src/faults.rs
+++ b/crates/system-tests/src/faults.rs
@@ -174,7 +174,7 @@
     ///
     /// # Errors
     ///
-    /// The daemon has no process of its own.
+    /// The daemon does not run in a separate process.
     pub fn freeze_daemon(&self, id: &str) -> anyhow::Result<()> {
         self.inject(FaultTarget::Daemon(id.into()), Fault::Freeze);
         self.daemon(id)?.process()?.freeze()
@@ -184,7 +184,7 @@
     ///
     /// # Errors
     ///
-    /// The daemon has no process of its own.
+    /// The daemon does not run in a separate process.
     pub fn thaw_daemon(&self, id: &str) -> anyhow::Result<()> {
         self.daemon(id)?.process()?.thaw()?;
         self.recorder.record(Event::FaultHealed {
--- a/crates/system-tests/src/standin.rs
+++ b/crates/system-tests/src/standin.rs
@@ -1,4 +1,4 @@
-//! A stand-in under test, in a thread or in a process of its own.
+//! A stand-in under test, in a thread or in a separate process.
 
 use std::net::SocketAddr;
 
@@ -18,7 +18,7 @@
 enum StandinHost {
     /// Threads of this process, held by whatever ends them when dropped.
     Threads(Box<dyn Send>),
-    /// A process of its own.
+    /// A separate process.
     Process(ChildProcess),
 }
 
--- a/crates/system-tests/src/wait.rs
+++ b/crates/system-tests/src/wait.rs
@@ -8,7 +8,7 @@
 /// How often a condition is looked at.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Runs `test` on an ntex system of its own.
+/// Runs `test` on a new ntex system.
 pub fn run<T: 'static>(test: impl Future<Output = T> + 'static) -> T {
     System::new("system-test", DefaultRuntime).block_on(test)
 }
--- a/crates/system-tests/tests/at_most_once.rs
+++ b/crates/system-tests/tests/at_most_once.rs
@@ -72,7 +72,7 @@
     .await
 }
 
-/// A request under a key of its own.
+/// A request under a new key.
 fn fresh_call() -> Call {
     let key = Uuid::now_v7().to_string();
     Call::new("moreton", format!("order {key}")).at_most_once(&key)
--- a/crates/system-tests/tests/not_run.rs
+++ b/crates/system-tests/tests/not_run.rs
@@ -65,7 +65,7 @@
     join_all(calling).await.into_iter().collect()
 }
 
-/// A request of its own; every second one may not be repeated.
+/// A request under a new key; every second one may not be repeated.
 fn call(number: usize) -> Call {
     let key = Uuid::now_v7().to_string();
     let call = Call::new("moreton", format!("sheet {key}")).with_tokens(24);
--- a/crates/telemetry/src/log_writer.rs
+++ b/crates/telemetry/src/log_writer.rs
@@ -1,4 +1,4 @@
-//! Writes log lines on a thread of its own, so that no thread that serves callers waits for a slow
+//! Writes log lines on a separate thread, so that no thread that serves callers waits for a slow
 //! reader of the output. Lines that find the queue full, or that come faster than [`MAX_LINES`] and
 //! [`MAX_BYTES`] a second allow, are dropped, counted, and told of in a line of their own.
 
