--- a/crates/standin/src/engine/calls.rs
+++ b/crates/standin/src/engine/calls.rs
@@ -148,7 +148,8 @@
         .ok_or_else(|| core.refusal(RefusalKind::Unknown))
 }
 
-async fn cancel(engine: SharedEngine, id: web::types::Path<Uuid>) -> HttpResponse {
+/// Takes the body too: an answer before the caller has sent it would break the connection off.
+async fn cancel(engine: SharedEngine, id: web::types::Path<Uuid>, _body: Bytes) -> HttpResponse {
     engine.change(|core, now| core.cancel(now, *id));
     HttpResponse::Ok().json(&json!({"cancelled": true}))
 }
--- a/crates/standin/src/kv_store.rs
+++ b/crates/standin/src/kv_store.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use ntex::util::Bytes;
 use ntex::web::{self, HttpResponse};
 use serde::{Deserialize, Serialize};
 
@@ -72,9 +73,11 @@
     HttpResponse::Ok().json(&serde_json::json!({"accepted": true}))
 }
 
+/// Takes the body too: an answer before the caller has sent it would break the connection off.
 async fn delete_kept(
     store: web::types::State<Arc<KvStore>>,
     hash: web::types::Path<u64>,
+    _body: Bytes,
 ) -> HttpResponse {
     match store.kept().remove(&hash) {
         Some(_) => HttpResponse::Ok().json(&serde_json::json!({"accepted": true})),
--- a/crates/standin/src/object_store/handlers.rs
+++ b/crates/standin/src/object_store/handlers.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use ntex::util::Bytes;
 use ntex::web::{self, HttpResponse};
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -81,10 +82,12 @@
     write_response(store.write(&key_of(&path), query.expect, value))
 }
 
+/// Takes the body too: an answer before the caller has sent it would break the connection off.
 async fn delete_object(
     store: SharedStore,
     path: ObjectPath,
     query: web::types::Query<WriteQuery>,
+    _body: Bytes,
 ) -> HttpResponse {
     store.counters.writes.fetch_add(1, Ordering::Relaxed);
     write_response(store.write(&key_of(&path), query.expect, None))
--- a/crates/standin/src/weight_store.rs
+++ b/crates/standin/src/weight_store.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
+use ntex::util::Bytes;
 use ntex::web::{self, HttpResponse};
 
 use crate::server::{Running, end_channel, launch};
@@ -78,9 +79,11 @@
     )
 }
 
+/// Takes the body too: an answer before the caller has sent it would break the connection off.
 async fn load(
     store: web::types::State<Arc<WeightStore>>,
     path: web::types::Path<(String, u64)>,
+    _body: Bytes,
 ) -> HttpResponse {
     let (model, version) = path.into_inner();
     let running = RunningLoad::begin(&store);
--- a/crates/standin/tests/engine_tests.rs
+++ b/crates/standin/tests/engine_tests.rs
@@ -129,6 +129,17 @@
     assert!(run_log.iter().all(|run| run.ended == RunEnd::Completed));
 }
 
+#[test]
+fn a_cancel_whose_body_comes_late_is_answered() {
+    let engine = start(small_engine());
+    let mut connection = RawConnection::open(engine.server.address);
+    let path = format!("/v1/requests/{}/cancel", Uuid::now_v7());
+    for _ in 0..2 {
+        let status = connection.call_with_late_body("POST", &path);
+        assert_eq!(status, "HTTP/1.1 200 OK");
+    }
+}
+
 #[ntex::test]
 async fn a_cancelled_stream_breaks_off() {
     let engine = start(small_engine());
--- a/crates/standin/tests/object_store_tests.rs
+++ b/crates/standin/tests/object_store_tests.rs
@@ -26,6 +26,16 @@
     Lines::of(&response)
 }
 
+#[test]
+fn a_deletion_whose_body_comes_late_is_answered() {
+    let store = object_store::start(FREE_PORT).unwrap();
+    let mut connection = RawConnection::open(store.server.address);
+    for _ in 0..2 {
+        let status = connection.call_with_late_body("DELETE", "/objects/a/b?expect=7");
+        assert_eq!(status, "HTTP/1.1 409 Conflict");
+    }
+}
+
 #[ntex::test]
 async fn writes_are_ordered_and_a_stale_one_is_refused() {
     let running = object_store::start(FREE_PORT).unwrap();
--- a/crates/standin/tests/platform_tests.rs
+++ b/crates/standin/tests/platform_tests.rs
@@ -56,6 +56,31 @@
     assert_eq!(times, [Some(200), Some(400)]);
 }
 
+#[test]
+fn a_load_whose_body_comes_late_is_answered() {
+    let store = weight_store::start(WeightStoreOptions {
+        address: FREE_PORT,
+        load_time: Duration::from_millis(1),
+        rated_loads: 1,
+    })
+    .unwrap();
+    let mut connection = RawConnection::open(store.address);
+    for _ in 0..2 {
+        let status = connection.call_with_late_body("POST", "/weights/model/2/load");
+        assert_eq!(status, "HTTP/1.1 200 OK");
+    }
+}
+
+#[test]
+fn a_removal_whose_body_comes_late_is_answered() {
+    let store = kv_store::start(FREE_PORT).unwrap();
+    let mut connection = RawConnection::open(store.address);
+    for _ in 0..2 {
+        let status = connection.call_with_late_body("DELETE", "/kept/1");
+        assert_eq!(status, "HTTP/1.1 404 Not Found");
+    }
+}
+
 #[ntex::test]
 async fn kept_prefixes_come_back_until_removed() {
     let store = kv_store::start(FREE_PORT).unwrap();
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -188,6 +188,16 @@
         self.read_status()
     }
 
+    /// Sends an empty JSON object well after its head and returns the answer's status line.
+    pub fn call_with_late_body(&mut self, method: &str, path: &str) -> String {
+        self.send(&format!(
+            "{method} {path} HTTP/1.1\r\nhost: standin\r\ncontent-length: 2\r\n\r\n"
+        ));
+        std::thread::sleep(Duration::from_millis(50));
+        self.send("{}");
+        self.read_status()
+    }
+
     /// Reads an answer to its end and returns its status line.
     pub fn read_status(&mut self) -> String {
         let status = self.read_line();
