--- a/crates/membership/src/merge.rs
+++ b/crates/membership/src/merge.rs
@@ -3,28 +3,31 @@
 //! Both merges are commutative, associative and idempotent, so that daemons which have heard the
 //! same records agree whatever the order and number of times in which they heard them.
 
+use std::cmp::Ordering;
+
 use driftspring_types::{EngineHealth, EngineRecord, MemberRecord};
 
 /// The merged knowledge of one member: the later life wins, within a life the higher refutation
 /// number, then the worse state. The replicated revision only rises within a life.
 pub fn merge_members(left: &MemberRecord, right: &MemberRecord) -> MemberRecord {
-    if left.incarnation != right.incarnation {
-        let later = if left.incarnation > right.incarnation {
-            left
-        } else {
-            right
-        };
-        return later.clone();
+    let lives = left.incarnation.cmp(&right.incarnation);
+    if lives != Ordering::Equal {
+        return greater(left, right, lives);
     }
-    let mut merged = if member_order(left) >= member_order(right) {
-        left.clone()
-    } else {
-        right.clone()
-    };
+    let order = member_order(left).cmp(&member_order(right));
+    let mut merged = greater(left, right, order);
     merged.complete_to = left.complete_to.max(right.complete_to);
     merged
 }
 
+/// A copy of the greater of two records, where `order` is that of `left` to `right`.
+fn greater<Record: Clone>(left: &Record, right: &Record, order: Ordering) -> Record {
+    match order {
+        Ordering::Less => right.clone(),
+        Ordering::Equal | Ordering::Greater => left.clone(),
+    }
+}
+
 /// The order within one life; addresses and zone only break ties between two daemons that were
 /// wrongly given one name.
 fn member_order(record: &MemberRecord) -> impl Ord + '_ {
@@ -41,19 +44,12 @@
 /// The merged knowledge of one engine: the later life wins, within a life the higher report
 /// sequence, except that leaving is final.
 pub fn merge_engines(left: &EngineRecord, right: &EngineRecord) -> EngineRecord {
-    if left.incarnation != right.incarnation {
-        let later = if left.incarnation > right.incarnation {
-            left
-        } else {
-            right
-        };
-        return later.clone();
+    let lives = left.incarnation.cmp(&right.incarnation);
+    if lives != Ordering::Equal {
+        return greater(left, right, lives);
     }
-    let mut merged = if engine_order(left) >= engine_order(right) {
-        left.clone()
-    } else {
-        right.clone()
-    };
+    let order = engine_order(left).cmp(&engine_order(right));
+    let mut merged = greater(left, right, order);
     let leaving = [left, right]
         .iter()
         .any(|record| record.health == EngineHealth::Leaving);
--- a/crates/standin/src/engine/calls.rs
+++ b/crates/standin/src/engine/calls.rs
@@ -55,7 +55,7 @@
         return cancelled_response(false);
     }
     if streamed {
-        return stream_response(engine, reader, answer.first_sequence);
+        return stream_response(engine, reader, answer.start.first_sequence);
     }
     let ended = answer.wait_for(|progress| progress.end.is_some()).await;
     if ended.end == Some(AnswerEnd::Broken) {
@@ -99,7 +99,7 @@
     );
     let mut response = HttpResponse::Ok();
     response
-        .header("x-request-id", answer.request_id.to_string())
+        .header("x-request-id", answer.start.request_id.to_string())
         .header("x-engine-incarnation", core.incarnation.to_string())
         .header("x-weights-version", core.weights_version.to_string())
         .header("x-cached-tokens", cached_tokens.to_string())
--- a/crates/standin/src/engine/chunks.rs
+++ b/crates/standin/src/engine/chunks.rs
@@ -83,7 +83,7 @@
 
 /// The event of the token `sequence`, whose text is `text`.
 pub(crate) fn token_event(answer: &Answer, sequence: u64, text: &str) -> Vec<u8> {
-    let content = match answer.api {
+    let content = match answer.start.api {
         ApiKind::Completion => ChunkContent::Text(text),
         ApiKind::Chat => ChunkContent::Delta(Delta {
             content: Some(text),
@@ -94,7 +94,7 @@
 
 /// The event that says how the answer ended.
 pub(crate) fn last_event(answer: &Answer) -> Vec<u8> {
-    let content = match answer.api {
+    let content = match answer.start.api {
         ApiKind::Completion => ChunkContent::Text(""),
         ApiKind::Chat => ChunkContent::Delta(Delta { content: None }),
     };
@@ -106,10 +106,10 @@
 
 /// The whole answer of a request that is not streamed.
 pub(crate) fn whole_answer(answer: &Answer) -> WholeAnswer<'_> {
-    let text: String = (answer.first_sequence..answer.next_sequence())
+    let text: String = (answer.start.first_sequence..answer.next_sequence())
         .map(|sequence| answer.token(sequence))
         .collect();
-    let (object, content) = match answer.api {
+    let (object, content) = match answer.start.api {
         ApiKind::Completion => ("text_completion", WholeContent::Text(text)),
         ApiKind::Chat => (
             "chat.completion",
@@ -122,42 +122,42 @@
     WholeAnswer {
         id: answer_id(answer),
         object,
-        created: answer.created,
-        model: &answer.model,
+        created: answer.start.created,
+        model: &answer.start.model,
         choices: [WholeChoice {
             index: 0,
             content,
             finish_reason: FINISH_REASON,
         }],
         usage: usage(answer),
-        request_id: answer.request_id,
+        request_id: answer.start.request_id,
     }
 }
 
 fn chunk<'a>(answer: &'a Answer, sequence: u64, content: ChunkContent<'a>) -> Chunk<'a> {
     Chunk {
         id: answer_id(answer),
-        object: match answer.api {
+        object: match answer.start.api {
             ApiKind::Completion => "text_completion",
             ApiKind::Chat => "chat.completion.chunk",
         },
-        created: answer.created,
-        model: &answer.model,
+        created: answer.start.created,
+        model: &answer.start.model,
         choices: [ChunkChoice {
             index: 0,
             content,
             finish_reason: None,
         }],
         sequence,
-        request_id: answer.request_id,
+        request_id: answer.start.request_id,
         usage: None,
     }
 }
 
 fn answer_id(answer: &Answer) -> String {
-    match answer.api {
-        ApiKind::Completion => format!("cmpl-{}", answer.request_id),
-        ApiKind::Chat => format!("chatcmpl-{}", answer.request_id),
+    match answer.start.api {
+        ApiKind::Completion => format!("cmpl-{}", answer.start.request_id),
+        ApiKind::Chat => format!("chatcmpl-{}", answer.start.request_id),
     }
 }
 
@@ -168,9 +168,9 @@
         ..
     } = answer.progress();
     Usage {
-        prompt_tokens: answer.prompt_tokens,
+        prompt_tokens: answer.start.prompt_tokens,
         completion_tokens: produced,
-        total_tokens: answer.prompt_tokens + produced,
+        total_tokens: answer.start.prompt_tokens + produced,
         cached_tokens: cached_tokens.unwrap_or(0),
     }
 }
--- a/crates/standin/src/engine/core/mod.rs
+++ b/crates/standin/src/engine/core/mod.rs
@@ -132,7 +132,8 @@
             run_log_index: None,
         };
         self.open.insert(id, open);
-        self.answers.insert(answer.request_id, Arc::clone(&answer));
+        self.answers
+            .insert(answer.start.request_id, Arc::clone(&answer));
         Ok(answer)
     }
 
@@ -189,9 +190,9 @@
             weights_version: self.weights_version,
             started_ms: 0,
             cached_tokens: 0,
-            prompt_tokens: answer.prompt_tokens,
+            prompt_tokens: answer.start.prompt_tokens,
             tokens: 0,
-            first_sequence: answer.first_sequence,
+            first_sequence: answer.start.first_sequence,
             ended: RunEnd::Running,
         }
     }
@@ -204,7 +205,7 @@
     /// Stops the work on the request `id`.
     pub(crate) fn cancel(&mut self, now: ModelTime, id: Uuid) {
         let mut open = self.open.iter();
-        let found = open.find(|(_, request)| request.answer.request_id == id);
+        let found = open.find(|(_, request)| request.answer.start.request_id == id);
         if let Some(sequence) = found.map(|(sequence, _)| *sequence) {
             self.model.cancel(now, sequence);
         }
--- a/crates/standin/src/engine/stream.rs
+++ b/crates/standin/src/engine/stream.rs
@@ -37,7 +37,7 @@
     pub(crate) fn new(reader: Reader, faults: Arc<FaultSwitches>, from: u64) -> Self {
         Self {
             cut_after_tokens: faults.take_cut_after_tokens(),
-            next_sequence: from.max(reader.answer.first_sequence),
+            next_sequence: from.max(reader.answer.start.first_sequence),
             reader,
             faults,
             tokens_sent: 0,
@@ -51,7 +51,7 @@
         let wanted = self.next_sequence;
         let reached = answer
             .wait_for(|progress| {
-                let produced = answer.first_sequence + u64::from(progress.produced);
+                let produced = answer.start.first_sequence + u64::from(progress.produced);
                 produced > wanted || progress.end.is_some()
             })
             .await;
@@ -104,12 +104,12 @@
 fn foreign_event(answer: &Answer, sequence: u64) -> Vec<u8> {
     let foreign = Answer::new(AnswerStart {
         request_id: Uuid::new_v4(),
-        api: answer.api,
-        model: answer.model.clone(),
+        api: answer.start.api,
+        model: answer.start.model.clone(),
         prompt: Arc::from(FOREIGN_PROMPT),
         first_sequence: 0,
         prompt_tokens: 0,
-        created: answer.created,
+        created: answer.start.created,
     });
     token_event(&foreign, sequence, &token_text(FOREIGN_PROMPT, sequence))
 }
