--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -40,12 +40,12 @@
                 send_to(&socket, &answer, from).await;
             }
             Some(Message::Tell(answer)) => {
-                // Whoever asked may have given up meanwhile.
+                // The task that asked may have given up meanwhile.
                 let _ = answers.send(answer);
             }
             Some(Message::Nudge) => state.peers.ask_now.notify_one(),
             Some(Message::StoreRecovered(news)) => {
-                state.store_outage.is_over();
+                state.store_outage.end();
                 if news.pass_on {
                     let daemons = state.peers.daemons();
                     let message = Message::StoreRecovered(StoreRecovered { pass_on: false });
--- a/crates/gateway/src/store/configuration_reader.rs
+++ b/crates/gateway/src/store/configuration_reader.rs
@@ -87,7 +87,7 @@
     let was_lost = !std::mem::replace(is_reachable, true);
     if was_lost {
         log_event!(gateway::STORE_REGAINED, "task=configuration_reader");
-        state.store_outage.is_over();
+        state.store_outage.end();
         state.peers.announce_store();
     }
     was_lost
--- a/crates/gateway/src/store/outage.rs
+++ b/crates/gateway/src/store/outage.rs
@@ -54,7 +54,7 @@
     }
 
     /// The configuration was read, or another daemon announced that the store answers: every wait ends.
-    pub fn is_over(&self) {
+    pub fn end(&self) {
         if self.is_on.replace(false) {
             self.ended.notify_waiters();
         }
