--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -79,7 +79,7 @@
     let to_ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     // Rounded up: a proof, or newly named weights, may look older than they are, never newer.
     let to_ms_up = |time: Duration| to_ms(time) + 1;
-    let weights = state.weights.borrow().all(Instant::now());
+    let weights = state.weights.borrow().all();
     Tell {
         nonce: question.nonce,
         proof_age_ms: age.map(to_ms_up),
@@ -88,10 +88,11 @@
         configuration: configuration.as_ref().map_or(0, |known| known.version),
         weights: weights
             .into_iter()
-            .map(|(weights, age)| WireWeights {
+            .map(|(weights, since)| WireWeights {
                 model: weights.model,
                 version: weights.version,
-                age_ms: to_ms_up(age),
+                age_ms: to_ms_up(since.moment().elapsed()),
+                is_assumed: since.is_assumed(),
             })
             .collect(),
         lease: state
--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -12,6 +12,7 @@
 use crate::protocol::{LeaseRecord, ModelVersion};
 use crate::state::GatewayState;
 use crate::store::name_weights;
+use crate::weights::Since;
 
 /// Time between two questions.
 const ASK_INTERVAL: Duration = Duration::from_millis(500);
@@ -171,8 +172,12 @@
             version: weights.version,
         };
         // Its age grew on the way of the answer; that of the question counts as well, which is the safe side.
-        let since = moment_before(sent_at, Some(weights.age_ms));
-        name_weights(state, &named, since.unwrap_or(sent_at));
+        let since = moment_before(sent_at, Some(weights.age_ms)).unwrap_or(sent_at);
+        let since = match weights.is_assumed {
+            true => Since::Assumed(since),
+            false => Since::Known(since),
+        };
+        name_weights(state, &named, since);
     }
     if let Some(lease) = &answer.lease {
         let record = LeaseRecord {
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -83,6 +83,9 @@
     pub version: u64,
     /// For how long they have been wanted, in milliseconds.
     pub age_ms: u64,
+    /// Whether that is assumed, since nobody knows when they were named.
+    #[musli(default)]
+    pub is_assumed: bool,
 }
 
 /// The lease for orders.
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -12,6 +12,7 @@
 use crate::protocol::{ModelVersion, ObjectContent, ObjectKind, StoredObject};
 use crate::rollout::LEASE_NAME;
 use crate::state::{GatewayState, JUST_STARTED};
+use crate::weights::Since;
 
 /// How long one watch waits for a change.
 const WATCH_WAIT: Duration = Duration::from_secs(15);
@@ -149,8 +150,12 @@
         take_lease_list(state, objects);
         return;
     }
-    if kind == ObjectKind::Weights && !state.has_listed_weights.replace(true) {
-        take_first_weights(state, objects);
+    if kind == ObjectKind::Weights {
+        let unknown = match state.has_listed_weights.replace(true) {
+            true => Since::Known(Instant::now()),
+            false => first_weights_since(state),
+        };
+        take_weights_list(state, objects, unknown);
         return;
     }
     if matches!(kind, ObjectKind::Replicas | ObjectKind::Daemons) {
@@ -206,8 +211,11 @@
             state.apply(Change::Put(Item::Replica(WireReplica::from(&entry))));
         }
         Ok(ObjectContent::Weights(weights)) => {
-            let since = named_after(state, object.revision);
-            name_weights(state, &weights, since.unwrap_or_else(Instant::now));
+            let now = Instant::now();
+            // A watch tells at once, unless its answer was lost before.
+            let is_late = state.store_outage.was_lately(now);
+            let since = named_after(state, object.revision).filter(|_| is_late);
+            name_weights(state, &weights, Since::Known(since.unwrap_or(now)));
         }
         Ok(ObjectContent::Lease(record)) => {
             let mut lease = state.lease.borrow_mut();
@@ -256,27 +264,32 @@
     state.peers.nudge();
 }
 
-/// Takes in the first list of wanted weights since the start. They may be wanted for any time: they count as
-/// old, but for the time in which a daemon that has just started is not yet held to them.
-fn take_first_weights(state: &GatewayState, objects: Vec<StoredObject>) {
-    let deadline = state.times.get().weights_deadline;
-    // Where the store did not answer at first, nobody could load anything before it did; and whoever lists them
-    // late in its life has known of weights from others.
-    let was_in_trouble = state.store_outage.was_lately(Instant::now());
-    let since = match was_in_trouble || state.now() > JUST_STARTED {
-        true => Duration::ZERO,
-        false => state.now(),
-    };
-    let now = Instant::now();
-    let unknown = now.checked_sub(first_weights_age(deadline, since));
+/// Takes in a list of wanted weights; `unknown` is since when those count of which it is not known.
+fn take_weights_list(state: &GatewayState, objects: Vec<StoredObject>, unknown: Since) {
     for object in objects {
         if let Ok(ObjectContent::Weights(weights)) = object.content {
-            let since = named_after(state, object.revision).or(unknown);
-            name_weights(state, &weights, since.unwrap_or(now));
+            let known = named_after(state, object.revision).map(Since::Known);
+            name_weights(state, &weights, known.unwrap_or(unknown));
         }
     }
 }
 
+/// Since when weights count that are listed for the first time since the start. They may be wanted for any time:
+/// they count as old, but for the time in which a daemon that has just started is not yet held to them.
+fn first_weights_since(state: &GatewayState) -> Since {
+    let deadline = state.times.get().weights_deadline;
+    // Where the store did not answer at first, nobody could load anything before it did; and a daemon that lists
+    // them late in its life has known of weights from others.
+    let now = Instant::now();
+    let was_in_trouble = state.store_outage.was_lately(now);
+    let listing_possible_for = match was_in_trouble || state.now() > JUST_STARTED {
+        true => Duration::ZERO,
+        false => state.now(),
+    };
+    let age = first_weights_age(deadline, listing_possible_for);
+    Since::Assumed(now.checked_sub(age).unwrap_or(now))
+}
+
 /// The moment after which an object got its revision, as far as that is known: they may be heard of late.
 fn named_after(state: &GatewayState, revision: u64) -> Option<Instant> {
     state.store_progress.borrow().not_before(revision)
@@ -289,8 +302,8 @@
 }
 
 /// Takes in weights that are wanted since `since`.
-pub fn name_weights(state: &GatewayState, weights: &ModelVersion, since: Instant) {
-    let age = since.elapsed();
+pub fn name_weights(state: &GatewayState, weights: &ModelVersion, since: Since) {
+    let age = since.moment().elapsed();
     let is_newest = state.weights.borrow_mut().name(weights, since);
     state.weights_named.notify_waiters();
     if !is_newest {
@@ -298,9 +311,10 @@
     }
     log_event!(
         gateway::WEIGHTS_WANTED,
-        "model={} version={} age={age:?}",
+        "model={} version={} age={age:?} assumed={}",
         weights.model,
-        weights.version
+        weights.version,
+        since.is_assumed()
     );
     state.peers.nudge();
     state.rollout_wanted.notify_one();
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -23,11 +23,49 @@
 /// of its connection has to reach the replica, over a link that may lose a packet (resent after 200 ms).
 const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(400);
 
+/// Since when a version is wanted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Since {
+    /// It was named at this moment, or later.
+    Known(Instant),
+    /// It was named at an unknown time before this daemon's start, and counts from this moment until somebody
+    /// tells when it was.
+    Assumed(Instant),
+}
+
+impl Since {
+    /// The moment from which it counts.
+    pub fn moment(self) -> Instant {
+        match self {
+            Self::Known(moment) | Self::Assumed(moment) => moment,
+        }
+    }
+
+    /// Whether the time is unknown.
+    pub fn is_assumed(self) -> bool {
+        matches!(self, Self::Assumed(_))
+    }
+
+    /// The same as of an earlier moment, if `moment` is one.
+    fn no_later_than(self, moment: Instant) -> Self {
+        match self {
+            Self::Known(known) => Self::Known(known.min(moment)),
+            Self::Assumed(assumed) => Self::Assumed(assumed.min(moment)),
+        }
+    }
+}
+
 /// A version that is or was wanted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Named {
     version: u64,
-    since: Instant,
+    since: Since,
+}
+
+impl Named {
+    fn moment(self) -> Instant {
+        self.since.moment()
+    }
 }
 
 /// The wanted weights of all models.
@@ -44,20 +82,24 @@
 
 impl WantedWeights {
     /// Takes in that `weights` are wanted since `since`; true where they are the newest. What is known of a
-    /// version stays; one that was passed over, since a newer one was told first, takes its place.
-    pub fn name(&mut self, weights: &ModelVersion, since: Instant) -> bool {
+    /// version stays, and takes the place of what was assumed; one that was passed over, since a newer one was
+    /// told first, takes its place.
+    pub fn name(&mut self, weights: &ModelVersion, since: Since) -> bool {
         let named = self.by_model.entry(weights.model.clone()).or_default();
         let place = named.partition_point(|known| known.version < weights.version);
-        if named
+        let own = named
             .get(place)
-            .is_some_and(|known| known.version == weights.version)
-        {
+            .filter(|own| own.version == weights.version);
+        let is_known = own.is_some();
+        if own.is_some_and(|own| !own.since.is_assumed() || since.is_assumed()) {
+            return false;
+        }
+        let next = named.get(place + usize::from(is_known));
+        let since = next.map_or(since, |next| since.no_later_than(next.moment()));
+        if is_known {
+            named[place].since = since;
             return false;
         }
-        let since = match named.get(place) {
-            Some(next) => since.min(next.since),
-            None => since,
-        };
         let version = weights.version;
         named.insert(place, Named { version, since });
         let is_newest = place + 1 == named.len();
@@ -82,7 +124,7 @@
     pub fn outdated_for(&self, model: &str, version: u64, now: Instant) -> Option<Duration> {
         let named = self.by_model.get(model)?;
         let newer = named.iter().find(|named| named.version > version)?;
-        Some(now.saturating_duration_since(newer.since))
+        Some(now.saturating_duration_since(newer.moment()))
     }
 
     /// The same, without the time up to which the store was last known to be down for all.
@@ -129,33 +171,33 @@
         self.down_until = self.down_until.max(Some(at));
     }
 
-    /// The versions of every model that are remembered, with their ages, older ones first.
-    pub fn all(&self, now: Instant) -> Vec<(ModelVersion, Duration)> {
-        let with_age = |model: &str, named: &Named| {
+    /// The versions of every model that are remembered, with since when they are wanted, older ones first.
+    pub fn all(&self) -> Vec<(ModelVersion, Since)> {
+        let of_model = |model: &str, named: &Named| {
             let weights = ModelVersion {
                 model: model.to_owned(),
                 version: named.version,
             };
-            (weights, now.saturating_duration_since(named.since))
+            (weights, named.since)
         };
         self.by_model
             .iter()
-            .flat_map(|(model, named)| named.iter().map(|named| with_age(model, named)))
+            .flat_map(|(model, named)| named.iter().map(|named| of_model(model, named)))
             .collect()
     }
 }
 
 /// Forgets versions that were followed long before the newest was named, and those beyond the bound.
 fn forget_what_matters_no_more(named: &mut Vec<Named>) {
-    let Some(newest) = named.last().map(|newest| newest.since) else {
+    let Some(newest) = named.last().map(|newest| newest.moment()) else {
         return;
     };
-    while named.len() > 1 && newest.saturating_duration_since(named[1].since) > REMEMBERED_FOR {
+    while named.len() > 1 && newest.saturating_duration_since(named[1].moment()) > REMEMBERED_FOR {
         named.remove(0);
     }
     if named.len() > REMEMBERED_VERSIONS {
         // The second oldest is taken for older than it is, which is the safe side.
         let oldest = named.remove(0);
-        named[0].since = oldest.since;
+        named[0].since = named[0].since.no_later_than(oldest.moment());
     }
 }
