--- a/crates/gateway/src/peers/view.rs
+++ b/crates/gateway/src/peers/view.rs
@@ -30,7 +30,7 @@
             return;
         }
         if self.is_outage(now) {
-            // Not `now`: whoever is told of it later counts from the same moment as the reader.
+            // Not `now`: a daemon that is told of it later counts from the same moment as the reader.
             self.outage_ended_at.set(Some(moment));
         }
         self.proved_at.set(Some(moment));
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -75,7 +75,7 @@
         self.lapses_at.set(None);
     }
 
-    /// Takes in that its entry is gone, and that it stays in use until `until`, or an entry comes. Whoever hears
+    /// Takes in that its entry is gone, and that it stays in use until `until`, or an entry comes. Hearing
     /// that again, from another daemon or after another outage, keeps it no longer.
     pub fn keep_until(&self, until: Instant) {
         let earlier = self.lapses_at.get().unwrap_or(until);
--- /dev/null
+++ b/crates/gateway/src/rollout/load.rs
@@ -0,0 +1,251 @@
+//! Brings one replica to the wanted weights: orders until it has taken the order, and waits until it has loaded.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use driftspring_telemetry::events::gateway;
+use driftspring_telemetry::log_event;
+
+use crate::peers::message::Loading;
+use crate::protocol::{LoadMethod, ModelVersion, OrderAnswer, ReplicaReport, WeightsOrder};
+use crate::replicas::Replica;
+use crate::state::GatewayState;
+use crate::upstream::{self, CallError};
+
+/// How long an order's answer is waited for.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// How long a replica's description is waited for.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// The time between two descriptions of a replica that loads.
+const REPORT_INTERVAL: Duration = Duration::from_millis(120);
+
+/// How long a replica may load before it counts as failed.
+const LONGEST_LOAD: Duration = Duration::from_secs(6);
+
+/// Orders without an answer after which a replica is left alone for a while.
+const MAX_LOST_ORDERS: u32 = 12;
+
+/// A report that is not busy tells nothing before an order has had time to show.
+const REPORT_LAG: Duration = Duration::from_millis(900);
+
+/// Why a replica has not got the weights.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum LoadFailure {
+    /// It could not be reached, did not take the order or did not load.
+    AtReplica,
+    /// This daemon may not give orders any more.
+    MayNotOrder,
+}
+
+/// Orders one replica to load and waits until it has the weights.
+pub(super) async fn bring_up_to_date(
+    state: &Rc<GatewayState>,
+    replica: &Rc<Replica>,
+    wanted: ModelVersion,
+) -> Result<(), LoadFailure> {
+    replica.set_loading(Some(Instant::now()));
+    tell(state, replica, &wanted, false, false);
+    let end = load(state, replica, &wanted).await;
+    replica.set_loading(None);
+    tell(state, replica, &wanted, end.is_ok(), end.is_err());
+    end
+}
+
+async fn load(
+    state: &Rc<GatewayState>,
+    replica: &Rc<Replica>,
+    wanted: &ModelVersion,
+) -> Result<(), LoadFailure> {
+    order_until_taken(state, replica, wanted).await?;
+    match wait_until_loaded(state, replica, wanted).await {
+        true => Ok(()),
+        false => Err(LoadFailure::AtReplica),
+    }
+}
+
+/// Tells the other daemons, so that they send no requests to a replica that is loading.
+fn tell(
+    state: &GatewayState,
+    replica: &Replica,
+    wanted: &ModelVersion,
+    is_done: bool,
+    has_failed: bool,
+) {
+    state.peers.tell_loading(Loading {
+        replica: replica.id.clone(),
+        model: wanted.model.clone(),
+        version: wanted.version,
+        is_done,
+        has_failed,
+        pass_on: false,
+    });
+}
+
+/// Gives the order until the replica has taken it.
+async fn order_until_taken(
+    state: &Rc<GatewayState>,
+    replica: &Rc<Replica>,
+    wanted: &ModelVersion,
+) -> Result<(), LoadFailure> {
+    if replica.order_sequence().is_none() && !learn_state(state, replica).await {
+        return Err(LoadFailure::AtReplica);
+    }
+    for _ in 0..MAX_LOST_ORDERS {
+        // It must not run out before the order has been sent: a connection may have to come up first.
+        let Some(token) = state.lease.borrow().token_at(state.now() + ORDER_TIMEOUT) else {
+            return Err(LoadFailure::MayNotOrder);
+        };
+        if state.status.is_stopping() {
+            return Err(LoadFailure::MayNotOrder);
+        }
+        let order = WeightsOrder {
+            replica: replica.id.clone(),
+            weights: wanted.clone(),
+            method: LoadMethod::Retain,
+            holder: state.settings.name.clone(),
+            token,
+            expected_sequence: replica.order_sequence(),
+        };
+        let call = state.platform.order(&order);
+        let answer = upstream::call(&replica.pool, &call, ORDER_TIMEOUT).await;
+        let answer = answer.map(|(status, _)| state.platform.read_order(status));
+        log_order(replica, &order, &answer);
+        match answer {
+            Ok(OrderAnswer::Accepted) => {
+                replica.count_order();
+                return Ok(());
+            }
+            Ok(OrderAnswer::Holds) => {
+                note_loaded(replica, wanted);
+                return Ok(());
+            }
+            Ok(OrderAnswer::Conflict) => {
+                if !learn_sequence(state, replica, wanted).await {
+                    return Err(LoadFailure::AtReplica);
+                }
+            }
+            Ok(OrderAnswer::Fenced) => {
+                state.lease.borrow_mut().on_fenced();
+                return Err(LoadFailure::MayNotOrder);
+            }
+            Ok(OrderAnswer::Misdirected | OrderAnswer::Refused) => {
+                return Err(LoadFailure::AtReplica);
+            }
+            Err(CallError::NotSent(_)) => return Err(LoadFailure::AtReplica),
+            Err(CallError::Lost(_) | CallError::TimedOut(_)) => {}
+        }
+    }
+    Err(LoadFailure::AtReplica)
+}
+
+/// After a conflict: the replica is doing something else, or was ordered by another daemon before.
+async fn learn_sequence(
+    state: &Rc<GatewayState>,
+    replica: &Rc<Replica>,
+    wanted: &ModelVersion,
+) -> bool {
+    tokio::time::sleep(REPORT_INTERVAL).await;
+    let Some(report) = report(state, replica).await else {
+        return false;
+    };
+    take_report(replica, &report);
+    if report.is_busy {
+        return wait_until_loaded(state, replica, wanted).await;
+    }
+    true
+}
+
+/// Learns how many orders a replica has taken; false where it does not say.
+async fn learn_state(state: &Rc<GatewayState>, replica: &Rc<Replica>) -> bool {
+    let Some(report) = report(state, replica).await else {
+        return false;
+    };
+    take_report(replica, &report);
+    true
+}
+
+fn take_report(replica: &Replica, report: &ReplicaReport) {
+    replica.set_order_sequence(report.order_sequence);
+    replica.take_models(&report.models);
+}
+
+/// Waits until the replica reports the weights.
+async fn wait_until_loaded(
+    state: &Rc<GatewayState>,
+    replica: &Rc<Replica>,
+    wanted: &ModelVersion,
+) -> bool {
+    let began = Instant::now();
+    let mut silent = 0;
+    while began.elapsed() < LONGEST_LOAD {
+        if replica.version_of(&wanted.model) >= Some(wanted.version) {
+            return true;
+        }
+        tokio::time::sleep(REPORT_INTERVAL).await;
+        match report(state, replica).await {
+            Some(report) => {
+                silent = 0;
+                replica.take_models(&report.models);
+                let has_ended = !report.is_busy && began.elapsed() > REPORT_LAG;
+                if replica.version_of(&wanted.model) >= Some(wanted.version) {
+                    note_loaded(replica, wanted);
+                } else if has_ended {
+                    return false;
+                }
+            }
+            None => {
+                silent += 1;
+                if silent > 3 || state.registry.get(&replica.id).is_none() {
+                    return false;
+                }
+            }
+        }
+    }
+    false
+}
+
+async fn report(state: &Rc<GatewayState>, replica: &Rc<Replica>) -> Option<ReplicaReport> {
+    let call = state.platform.report();
+    let answer = upstream::call(&replica.pool, &call, REPORT_TIMEOUT).await;
+    let (status, body) = answer.ok()?;
+    if !status.is_success() {
+        return None;
+    }
+    state.platform.read_report(&body).ok()
+}
+
+fn note_loaded(replica: &Replica, wanted: &ModelVersion) {
+    replica.note_version(&wanted.model, wanted.version);
+    log_event!(
+        gateway::WEIGHTS_LOADED,
+        "replica={} model={} version={} after={:?}",
+        replica.id,
+        wanted.model,
+        wanted.version,
+        replica.loading_since().map(|since| since.elapsed())
+    );
+}
+
+fn log_order(replica: &Replica, order: &WeightsOrder, answer: &Result<OrderAnswer, CallError>) {
+    match answer {
+        Ok(answer) => log_event!(
+            gateway::ORDER_ANSWERED,
+            "replica={} version={} token={} sequence={:?} answer={answer:?}",
+            replica.id,
+            order.weights.version,
+            order.token,
+            order.expected_sequence
+        ),
+        Err(error) => log_event!(
+            gateway::ORDER_LOST,
+            "replica={} version={} token={} sequence={:?} error={:?}",
+            replica.id,
+            order.weights.version,
+            order.token,
+            order.expected_sequence,
+            error.to_string()
+        ),
+    }
+}
--- a/crates/gateway/src/rollout/mod.rs
+++ b/crates/gateway/src/rollout/mod.rs
@@ -1,10 +1,12 @@
 //! New weights, ordered by one daemon at a time.
 //!
 //! - [`lease`]: which daemon may give orders, and until when.
+//! - [`load`]: brings one replica to the wanted weights.
 //! - [`plan`]: which replicas load next.
 //! - [`task`]: does it.
 
 pub mod lease;
+mod load;
 pub mod plan;
 mod task;
 
