--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -42,6 +42,9 @@
     pub timeout: Duration,
     /// The time in which an answer should begin.
     pub objective: Duration,
+    /// How long callers wait for the first event of a stream before they give it up; nothing where no such bound
+    /// is known.
+    pub first_event_patience: Option<Duration>,
     /// Its rank; 0 is the most urgent.
     pub priority: u8,
     /// How many replicas may run one request.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -43,6 +43,8 @@
     pub outdated_begin: DurationHistogram,
     /// Requests withdrawn from a replica, where they waited, since its weights became too old.
     pub withdrawn: Counter,
+    /// Requests refused at once, since they would begin at no replica in the time of their callers.
+    pub overloaded: Counter,
     /// The version of the configuration in force.
     pub configuration_version: Gauge,
     /// Replicas listed.
@@ -74,6 +76,7 @@
             begin_wait_shortfall: DurationHistogram::default(),
             outdated_begin: DurationHistogram::default(),
             withdrawn: Counter::default(),
+            overloaded: Counter::default(),
             configuration_version: Gauge::default(),
             replicas: Gauge::default(),
             registry: Mutex::new(Registry::with_prefix("driftspring_gateway")),
@@ -114,6 +117,11 @@
                 "Requests withdrawn from replicas whose weights became too old",
                 &self.withdrawn,
             ),
+            (
+                "requests_overloaded",
+                "Requests refused at once, since they would begin at no replica in time",
+                &self.overloaded,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -7,6 +7,7 @@
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
 
+use super::admission::Progress;
 use super::choose_replica::{Choice, choose};
 use super::context::RequestContext;
 use super::dispatch::{Opened, Unanswered, send};
@@ -86,12 +87,16 @@
     pub async fn next(&mut self, last_event_id: Option<&str>) -> Result<Attempt, Refusal> {
         let patience = FIRST_LIST_PATIENCE.min(self.context.time_left());
         let service = &self.context.service;
+        let progress = match last_event_id {
+            Some(_) => Progress::GoingOn,
+            None => Progress::New,
+        };
         self.state.until_replicas_known(service, patience).await;
         loop {
             if self.context.time_left().is_zero() {
                 return Err(self.give_up(Reason::TimedOut, None, "no time left"));
             }
-            let choice = match choose(&self.state, &self.context, &self.tried) {
+            let choice = match choose(&self.state, &self.context, &self.tried, progress) {
                 Ok(choice) => choice,
                 Err(refusal) => return Err(self.without_replica(refusal)),
             };
@@ -186,7 +191,13 @@
     fn tries_failed_again(&mut self, choice: &Choice) -> bool {
         let is_possible = self.may_run_again()
             && !self.context.time_left().is_zero()
-            && choose(&self.state, &self.context, &self.tried_with(choice)).is_ok();
+            && choose(
+                &self.state,
+                &self.context,
+                &self.tried_with(choice),
+                Progress::New,
+            )
+            .is_ok();
         if is_possible {
             self.log_attempt(choice, "failed", "the replica answered with a failure");
             self.tried.push(choice.replica.id.clone());
@@ -303,6 +314,7 @@
             reason,
             peer,
             detail: detail.to_owned(),
+            retry_after: None,
         }
     }
 
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use super::admission::{Progress, admit};
 use super::context::RequestContext;
 use super::prompt_sources::{PromptSources, Supply};
 use super::refusal::{Reason, Refusal, Step};
@@ -46,13 +47,16 @@
     pub candidates: usize,
 }
 
-/// Chooses among the replicas that were not `tried`.
+/// Chooses among the replicas that were not `tried`, where the request will begin at one of them in its caller's
+/// time.
 pub fn choose(
     state: &GatewayState,
     context: &RequestContext,
     tried: &[String],
+    progress: Progress,
 ) -> Result<Choice, Refusal> {
     let candidates = eligible(state, context, tried)?;
+    admit(state, context, progress, &candidates)?;
     let store = context
         .placement_key()
         .and_then(|key| context.configuration.kv_store(key.0))
--- a/crates/gateway/src/pipeline/context.rs
+++ b/crates/gateway/src/pipeline/context.rs
@@ -81,6 +81,19 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// How long its caller waits for it to begin, from its arrival.
+    pub fn patience(&self) -> Duration {
+        let hold = self.deadline.saturating_duration_since(self.started);
+        let patience = self.route.first_event_patience;
+        patience.map_or(hold, |patience| patience.min(hold))
+    }
+
+    /// How much longer its caller waits at `now` for it to begin.
+    pub fn patience_left(&self, now: Instant) -> Duration {
+        let elapsed = now.saturating_duration_since(self.started);
+        self.patience().saturating_sub(elapsed)
+    }
+
     /// The prompt, where there is one.
     pub fn prompt(&self) -> Option<&Prompt> {
         self.meta.prompt.as_ref()
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -5,6 +5,7 @@
 //! of a request is held by its [`Account`] and by guards in its answer.
 
 mod account;
+mod admission;
 mod attempts;
 mod authenticate;
 mod choose_backend;
@@ -21,6 +22,7 @@
 mod read_body;
 mod refusal;
 mod relay;
+mod retry_after;
 mod withdrawal;
 
 use std::rc::Rc;
@@ -35,7 +37,9 @@
 use context::RequestContext;
 use refusal::Refusal;
 
+pub use admission::is_of_use;
 pub use event_splitter::EventSplitter;
+pub use retry_after::retry_after;
 
 /// Serves one request and turns a refusal into its answer.
 pub async fn respond(
--- a/crates/gateway/src/pipeline/refusal.rs
+++ b/crates/gateway/src/pipeline/refusal.rs
@@ -50,6 +50,8 @@
     Stopping,
     /// The route has no replica that could serve.
     NoReplica,
+    /// It would begin at no replica before its caller gives it up.
+    Overloaded,
     /// The replicas asked are full or leaving, and have not run it.
     NotRun,
     /// It may have run.
@@ -70,9 +72,11 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NotInformed | Self::Stopping | Self::NoReplica | Self::NotRun => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotInformed
+            | Self::Stopping
+            | Self::NoReplica
+            | Self::Overloaded
+            | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -109,6 +113,8 @@
     pub peer: Option<SocketAddr>,
     /// More for the logs.
     pub detail: String,
+    /// When the caller should come back, where that was estimated; else the reason tells it.
+    pub retry_after: Option<Duration>,
 }
 
 impl Refusal {
@@ -119,6 +125,7 @@
             reason,
             peer: None,
             detail: detail.into(),
+            retry_after: None,
         }
     }
 
@@ -134,7 +141,7 @@
     /// The answer; settles the account.
     pub fn into_response(self, state: &GatewayState, account: &mut Account) -> HttpResponse {
         let status = self.reason.status();
-        let retry_after = self.reason.retry_after();
+        let retry_after = self.retry_after.or(self.reason.retry_after());
         log_event!(
             gateway::CALLER_REFUSED,
             "request={} route={} status={} step={:?} reason={:?} peer={:?} retry_after={:?} elapsed={:?} detail={:?}",
@@ -149,6 +156,9 @@
             self.detail
         );
         account.refused();
+        if self.reason == Reason::Overloaded {
+            state.status.metrics.overloaded.inc();
+        }
         let mut builder = ResponseBuilder::new(status);
         if !account.id().is_empty() {
             let header = state.platform.request_id_header();
--- /dev/null
+++ b/crates/gateway/src/pipeline/retry_after.rs
@@ -0,0 +1,34 @@
+//! When a caller should come back that was refused since lines are too long.
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The earliest return: sooner, the same line is met again.
+const EARLIEST_RETURN: Duration = Duration::from_millis(100);
+
+/// The window over which those refused at one time are spread, as a share of the wait that was expected: over it
+/// the line is worked off.
+const SPREAD_SHARE: f64 = 0.5;
+
+/// The share of the time that callers have left up to which they obey (operator's page of the protocol).
+const OBEYED_SHARE: f64 = 1.0 / 3.0;
+
+/// When a caller should come back with `patience` for its next request, where a wait of `wait` is expected now
+/// and it has `time_left` in all. A line that nobody joins gets shorter by as much time as goes by, so that is
+/// when `patience` will do. `draw` spreads returns, so that they don't come as one wave; what is beyond the time
+/// that callers obey is drawn from the whole of it.
+pub fn retry_after(wait: Duration, patience: Duration, time_left: Duration, draw: u64) -> Duration {
+    let latest = time_left.mul_f64(OBEYED_SHARE);
+    let begins = wait.saturating_sub(patience).max(EARLIEST_RETURN);
+    let spread = wait.mul_f64(SPREAD_SHARE);
+    let begins = begins.min(latest.saturating_sub(spread)).min(latest);
+    let ends = (begins + spread).min(latest);
+    begins + (ends - begins).mul_f64(share(draw))
+}
+
+/// A share from 0 to 1 that looks random over successive draws.
+fn share(draw: u64) -> f64 {
+    let hash = xxh3_64(&draw.to_le_bytes());
+    hash as f64 / u64::MAX as f64
+}
--- a/crates/gateway/src/replicas/begin_wait.rs
+++ b/crates/gateway/src/replicas/begin_wait.rs
@@ -63,6 +63,11 @@
         self.at = now;
     }
 
+    /// The wait that about half of the requests exceed.
+    fn typical(self) -> Duration {
+        Duration::from_secs_f64(self.mean_s)
+    }
+
     /// The wait that few requests exceed.
     fn expected(self) -> Duration {
         Duration::from_secs_f64(self.mean_s + DEVIATIONS * self.deviation_s)
@@ -85,11 +90,20 @@
 }
 
 impl BeginWait {
-    /// How long a request of this urgency will wait that is sent at `now`.
+    /// How long a request of this urgency that is sent at `now` will wait at the most, but for few.
     pub fn expected(&self, urgency: u8, now: Instant) -> Duration {
+        self.estimate(urgency, now, Learnt::expected)
+    }
+
+    /// How long about half of the requests of this urgency will wait that are sent at `now`.
+    pub fn typical(&self, urgency: u8, now: Instant) -> Duration {
+        self.estimate(urgency, now, Learnt::typical)
+    }
+
+    fn estimate(&self, urgency: u8, now: Instant, of: fn(Learnt) -> Duration) -> Duration {
         let inner = self.inner.borrow();
         let learnt = inner.learnt.range(..=urgency);
-        let learnt = learnt.map(|(_, learnt)| learnt.faded(now).expected()).max();
+        let learnt = learnt.map(|(_, learnt)| of(learnt.faded(now))).max();
         let waiting = inner.waiting.range(..=urgency);
         let waiting = waiting.filter_map(|(_, sent)| corroborated_age(sent, now));
         learnt
--- a/crates/gateway/tests/begin_wait.rs
+++ b/crates/gateway/tests/begin_wait.rs
@@ -27,6 +27,23 @@
     assert!(expected >= ms(1990) && expected < ms(2200), "{expected:?}");
 }
 
+#[test]
+fn the_typical_wait_lies_in_the_middle_and_the_expected_one_above_nearly_all() {
+    let (waits, now) = (BeginWait::default(), Instant::now());
+    (0..60).for_each(|number| waits.note(USUAL, ms(500 + 1000 * (number % 2)), now));
+    let typical = waits.typical(USUAL, now);
+    assert!(typical > ms(800) && typical < ms(1200), "{typical:?}");
+    let expected = waits.expected(USUAL, now);
+    assert!(expected > ms(1500), "{expected:?}");
+}
+
+#[test]
+fn those_that_still_wait_count_for_the_typical_wait_too() {
+    let (waits, now) = (Rc::new(BeginWait::default()), Instant::now());
+    let _held: Vec<Waiting> = (0..2).map(|_| Waiting::begin(&waits, USUAL, now)).collect();
+    assert_eq!(waits.typical(USUAL, now + ms(3000)), ms(3000));
+}
+
 #[test]
 fn one_sample_alone_is_not_believed() {
     let (waits, now) = (BeginWait::default(), Instant::now());
