--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -93,8 +93,6 @@
     pub weights: RefCell<WantedWeights>,
     /// Wakes requests that wait at replicas, when a version of weights becomes known.
     pub weights_named: Notify,
-    /// Whether the wanted weights were listed since the start.
-    pub has_listed_weights: Cell<bool>,
     /// How often requests may be sent again.
     pub budgets: RetryBudgets,
     /// What other daemons tell, and are told.
@@ -151,7 +149,6 @@
             registry: Registry::default(),
             weights: RefCell::default(),
             weights_named: Notify::new(),
-            has_listed_weights: Cell::new(false),
             budgets,
             store,
             peers,
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -151,11 +151,7 @@
         return;
     }
     if kind == ObjectKind::Weights {
-        let unknown = match state.has_listed_weights.replace(true) {
-            true => Since::Known(Instant::now()),
-            false => first_weights_since(state),
-        };
-        take_weights_list(state, objects, unknown);
+        take_weights_list(state, objects);
         return;
     }
     if matches!(kind, ObjectKind::Replicas | ObjectKind::Daemons) {
@@ -211,6 +207,11 @@
             state.apply(Change::Put(Item::Replica(WireReplica::from(&entry))));
         }
         Ok(ObjectContent::Weights(weights)) => {
+            // A change of an object whose version is known is no naming.
+            let newest = state.weights.borrow().newest(&weights.model);
+            if newest >= Some(weights.version) {
+                return;
+            }
             let now = Instant::now();
             // A watch tells at once, unless its answer was lost before.
             let is_late = state.store_outage.was_lately(now);
@@ -264,8 +265,9 @@
     state.peers.nudge();
 }
 
-/// Takes in a list of wanted weights; `unknown` is since when those count of which it is not known.
-fn take_weights_list(state: &GatewayState, objects: Vec<StoredObject>, unknown: Since) {
+/// Takes in a list of wanted weights.
+fn take_weights_list(state: &GatewayState, objects: Vec<StoredObject>) {
+    let unknown = listed_weights_since(state);
     for object in objects {
         if let Ok(ObjectContent::Weights(weights)) = object.content {
             let known = named_after(state, object.revision).map(Since::Known);
@@ -274,9 +276,10 @@
     }
 }
 
-/// Since when weights count that are listed for the first time since the start. They may be wanted for any time:
-/// they count as old, but for the time in which a daemon that has just started is not yet held to them.
-fn first_weights_since(state: &GatewayState) -> Since {
+/// Since when weights count that are listed and of which no read before their naming is known. They may be wanted
+/// for any time: they count as old, but for the time in which a daemon that has just started is not yet held to
+/// them.
+fn listed_weights_since(state: &GatewayState) -> Since {
     let deadline = state.times.get().weights_deadline;
     // Where the store did not answer at first, nobody could load anything before it did; and a daemon that lists
     // them late in its life has known of weights from others.
