--- a/crates/gateway/src/pipeline/admission.rs
+++ b/crates/gateway/src/pipeline/admission.rs
@@ -1,7 +1,8 @@
-//! Filter: whether a request may go to a replica now.
+//! Filter: whether a request may go to a replica now, and under which rank.
 //!
 //! Where requests come faster than replicas work, lines grow until callers give up before their requests begin.
-//! A request that will be late is still of use and is sent. One that would begin at no replica before its caller
+//! So a request keeps its rank where it will begin within its objective. One that will be late at every replica is
+//! still of use and is sent, but behind those that can be answered in time. One that would begin at no replica before its caller
 //! gives it up is refused at once: it has not run, and the caller learns when to come back instead of waiting in
 //! vain.
 //!
@@ -23,6 +24,13 @@
 /// a request that its caller gives up teaches no longer wait than that patience, and that fades.
 const PATIENCE_USED: f64 = 0.8;
 
+/// How many ranks a request is sent behind its own that will be late: beyond all ranks in use, so that late
+/// requests of an urgent kind don't go before punctual ones of another (operator's sheets: ranks 0 to 3).
+const RANKS_BEHIND: u8 = 5;
+
+/// The last rank.
+const LAST_RANK: u8 = 9;
+
 /// Whether a request begins, or goes on after events that its caller has had.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Progress {
@@ -38,24 +46,57 @@
     typical_wait < patience_left.mul_f64(PATIENCE_USED)
 }
 
-/// Refuses a request that would begin at none of `candidates` before its caller gives it up. Only prompts are
-/// regulated, and no stream that goes on: its caller has a part of the answer.
+/// Whether a request is still punctual that will wait for `expected_wait` where `objective_left` is left of the
+/// time in which its answer should begin.
+pub fn is_in_time(expected_wait: Duration, objective_left: Duration) -> bool {
+    expected_wait <= objective_left
+}
+
+/// The rank of a request that will be late, behind that of those that will not.
+pub fn rank_behind(rank: u8) -> u8 {
+    rank.saturating_add(RANKS_BEHIND).min(LAST_RANK)
+}
+
+/// The replicas among which an admitted request is placed, and its rank.
+#[derive(Debug)]
+pub struct Admitted {
+    /// The replicas.
+    pub candidates: Vec<Rc<Replica>>,
+    /// The rank; 0 goes first.
+    pub rank: u8,
+}
+
+/// Admits a request to the replicas that `eligible` tells for its rank, or refuses it. Only prompts are regulated,
+/// and no stream that goes on: its caller has a part of the answer.
 pub fn admit(
     state: &GatewayState,
     context: &RequestContext,
     progress: Progress,
-    candidates: &[Rc<Replica>],
-) -> Result<(), Refusal> {
-    if context.prompt().is_none() || progress == Progress::GoingOn {
-        return Ok(());
-    }
+    eligible: impl Fn(u8) -> Result<Vec<Rc<Replica>>, Refusal>,
+) -> Result<Admitted, Refusal> {
+    let rank = context.priority();
+    let candidates = eligible(rank)?;
     let now = Instant::now();
+    let is_regulated = context.prompt().is_some() && progress == Progress::New;
+    let expected_at = |replica: &Rc<Replica>| replica.waits.expected(rank, now);
+    let expected_wait = candidates.iter().map(expected_at).min().unwrap_or_default();
+    if !is_regulated || is_in_time(expected_wait, context.objective_left(now)) {
+        return Ok(Admitted { candidates, rank });
+    }
+    let behind = rank_behind(rank);
+    let typical_at = |replica: &Rc<Replica>| replica.waits.typical(behind, now);
+    let typical_wait = candidates.iter().map(typical_at).min().unwrap_or_default();
     let patience_left = context.patience_left(now);
-    let wait_at = |replica: &Rc<Replica>| replica.waits.typical(context.priority(), now);
-    let shortest = candidates.iter().map(wait_at).min().unwrap_or_default();
-    match is_of_use(shortest, patience_left) {
-        true => Ok(()),
-        false => Err(overloaded(state, context, shortest, patience_left)),
+    if !is_of_use(typical_wait, patience_left) {
+        return Err(overloaded(state, context, typical_wait, patience_left));
+    }
+    // Where older weights leave no time for the longer wait behind, it goes with its own rank.
+    match eligible(behind) {
+        Ok(candidates) => Ok(Admitted {
+            candidates,
+            rank: behind,
+        }),
+        Err(_) => Ok(Admitted { candidates, rank }),
     }
 }
 
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use super::admission::{Progress, admit};
+use super::admission::{Admitted, Progress, admit};
 use super::context::RequestContext;
 use super::prompt_sources::{PromptSources, Supply};
 use super::refusal::{Reason, Refusal, Step};
@@ -43,6 +43,8 @@
     pub tokens_to_read: u64,
     /// Whether the prompt's shared parts belong there.
     pub is_home: bool,
+    /// The rank under which it is sent; 0 goes first.
+    pub rank: u8,
     /// Replicas among which it was chosen.
     pub candidates: usize,
 }
@@ -55,8 +57,8 @@
     tried: &[String],
     progress: Progress,
 ) -> Result<Choice, Refusal> {
-    let candidates = eligible(state, context, tried)?;
-    admit(state, context, progress, &candidates)?;
+    let eligible_for = |rank| eligible(state, context, tried, rank);
+    let Admitted { candidates, rank } = admit(state, context, progress, eligible_for)?;
     let store = context
         .placement_key()
         .and_then(|key| context.configuration.kv_store(key.0))
@@ -88,6 +90,7 @@
         fetch_from: supply.source.map(|source| source.address).or(store),
         save_to,
         is_home: position == home,
+        rank,
         candidates: candidates.len(),
         replica,
     })
@@ -118,6 +121,7 @@
     state: &GatewayState,
     context: &RequestContext,
     tried: &[String],
+    rank: u8,
 ) -> Result<Vec<Rc<Replica>>, Refusal> {
     let listed = state.registry.of_service(&context.service);
     let now = Instant::now();
@@ -127,7 +131,7 @@
     if staying.is_empty() {
         return Err(no_replica("all are leaving, tried or unknown"));
     }
-    staying.retain(|replica| has_usable_weights(state, context, replica));
+    staying.retain(|replica| has_usable_weights(state, context, replica, rank));
     if staying.is_empty() {
         return Err(no_replica("none has weights that may be used"));
     }
@@ -141,13 +145,18 @@
     }
 }
 
-fn has_usable_weights(state: &GatewayState, context: &RequestContext, replica: &Replica) -> bool {
+fn has_usable_weights(
+    state: &GatewayState,
+    context: &RequestContext,
+    replica: &Replica,
+    rank: u8,
+) -> bool {
     let deadline = state.times.get().weights_deadline;
     let Some(prompt) = context.prompt() else {
         return true;
     };
     let now = Instant::now();
-    let expected_wait = replica.waits.expected(context.priority(), now);
+    let expected_wait = replica.waits.expected(rank, now);
     replica.version_of(&prompt.model).is_none_or(|version| {
         let weights = state.weights.borrow();
         weights.may_serve(&prompt.model, version, now, deadline, expected_wait)
--- a/crates/gateway/src/pipeline/context.rs
+++ b/crates/gateway/src/pipeline/context.rs
@@ -81,6 +81,17 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// What is left at `now` of the time in which its answer should begin; without an objective, all the time that
+    /// its caller waits.
+    pub fn objective_left(&self, now: Instant) -> Duration {
+        let elapsed = now.saturating_duration_since(self.started);
+        let objective = match self.route.objective {
+            Duration::ZERO => self.patience(),
+            objective => objective,
+        };
+        objective.saturating_sub(elapsed)
+    }
+
     /// How long its caller waits for it to begin, from its arrival.
     pub fn patience(&self) -> Duration {
         let hold = self.deadline.saturating_duration_since(self.started);
--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -76,7 +76,7 @@
         let mut connection = connect(state, choice).await.map_err(Unanswered::Failed)?;
         let request = build(state, context, choice, last_event_id).map_err(Unanswered::Failed)?;
         let waits = &choice.replica.waits;
-        let waiting = Waiting::begin(waits, context.priority(), Instant::now());
+        let waiting = Waiting::begin(waits, choice.rank, Instant::now());
         log_sent(state, context, choice, &connection, waiting.expected());
         let answer = tokio::select! {
             biased;
@@ -142,7 +142,7 @@
         replica: choice.replica.id.clone(),
         deadline: context.time_left(),
         tenant: context.tenant.as_ref().map(|tenant| tenant.name.clone()),
-        priority: context.prompt().map(|_| context.priority()),
+        priority: context.prompt().map(|_| choice.rank),
         weights_version: choice.weights_version,
         cache_scope: choice.cache_scope.clone(),
         fetch_from: choice.fetch_from,
@@ -174,7 +174,7 @@
     state.status.metrics.sent.inc();
     log_event!(
         gateway::REQUEST_SENT,
-        "request={} route={} replica={} address={} key={:?} home={} candidates={} open={} reading={:?} expected_wait={expected_wait:?} held={} tokens={} version={:?} fetch={:?} save={} configuration={} proof_age={:?} left={:?} reused={}",
+        "request={} route={} replica={} address={} key={:?} home={} candidates={} open={} reading={:?} rank={} expected_wait={expected_wait:?} held={} tokens={} version={:?} fetch={:?} save={} configuration={} proof_age={:?} left={:?} reused={}",
         context.id,
         context.route.name,
         choice.replica.id,
@@ -184,6 +184,7 @@
         choice.candidates,
         choice.replica.open_requests(),
         choice.replica.reading(Instant::now()),
+        choice.rank,
         choice.held_tokens,
         choice.tokens_to_read,
         choice.weights_version,
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -37,7 +37,7 @@
 use context::RequestContext;
 use refusal::Refusal;
 
-pub use admission::is_of_use;
+pub use admission::{is_in_time, is_of_use, rank_behind};
 pub use event_splitter::EventSplitter;
 pub use retry_after::retry_after;
 
--- a/crates/gateway/tests/admission.rs
+++ b/crates/gateway/tests/admission.rs
@@ -2,13 +2,26 @@
 
 use std::time::Duration;
 
-use driftspring_gateway::pipeline::{is_of_use, retry_after};
+use driftspring_gateway::pipeline::{is_in_time, is_of_use, rank_behind, retry_after};
 use quickcheck::quickcheck;
 
 fn ms(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
 }
 
+#[test]
+fn what_begins_within_its_objective_is_in_time() {
+    assert!(is_in_time(ms(500), ms(500)));
+    assert!(!is_in_time(ms(501), ms(500)));
+    assert!(is_in_time(Duration::ZERO, Duration::ZERO));
+}
+
+#[test]
+fn late_requests_go_behind_all_ranks_of_routes_and_keep_their_order() {
+    let behind: Vec<u8> = (0..=9).map(rank_behind).collect();
+    assert_eq!(behind, [5, 6, 7, 8, 9, 9, 9, 9, 9, 9]);
+}
+
 #[test]
 fn what_is_late_is_still_of_use() {
     assert!(is_of_use(Duration::ZERO, ms(4000)));
