--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -47,6 +47,8 @@
     pub overloaded: Counter,
     /// Requests refused since they were beyond their tenants' limits.
     pub over_quota: Counter,
+    /// Replicas kept in use for a while without an entry.
+    pub replicas_lapsed: Counter,
     /// The version of the configuration in force.
     pub configuration_version: Gauge,
     /// Replicas listed.
@@ -80,6 +82,7 @@
             withdrawn: Counter::default(),
             overloaded: Counter::default(),
             over_quota: Counter::default(),
+            replicas_lapsed: Counter::default(),
             configuration_version: Gauge::default(),
             replicas: Gauge::default(),
             registry: Mutex::new(Registry::with_prefix("driftspring_gateway")),
@@ -130,6 +133,11 @@
                 "Requests refused since they were beyond their tenants' limits",
                 &self.over_quota,
             ),
+            (
+                "replicas_lapsed",
+                "Replicas kept in use for a while without an entry",
+                &self.replicas_lapsed,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -101,7 +101,12 @@
 fn set_source(state: &GatewayState, source: &Source) {
     let is_reader = *source == Source::Store;
     if state.peers.is_reader.replace(is_reader) != is_reader {
-        log_event!(gateway::SOURCE_CHANGED, "source={source:?}");
+        log_event!(
+            gateway::SOURCE_CHANGED,
+            "source={source:?} view_age={:?} store_failed_ago={:?}",
+            state.peers.view_age(),
+            state.store_outage.failed_ago(Instant::now())
+        );
         state.peers.reader_since.set(state.now());
         state.peers.learnt_elsewhere();
         state.peers.reader_changed.notify_waiters();
--- a/crates/gateway/src/peers/cached.rs
+++ b/crates/gateway/src/peers/cached.rs
@@ -129,7 +129,7 @@
 ) {
     let mut after = None;
     loop {
-        let Some(source) = state.peers.source.borrow().clone() else {
+        let Some(source) = state.peers.source_address() else {
             return;
         };
         let nonce = state.peers.next_nonce();
--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/known.rs
@@ -202,6 +202,11 @@
         }
     }
 
+    /// The address of the daemon that this one asks; none where it reads the store itself.
+    pub fn source_address(&self) -> Option<String> {
+        self.source.borrow().clone()
+    }
+
     /// A number that differs from report to report.
     pub(super) fn next_turn(&self) -> u32 {
         let turn = self.turns.get().wrapping_add(1);
--- a/crates/gateway/src/replicas/registry.rs
+++ b/crates/gateway/src/replicas/registry.rs
@@ -73,16 +73,19 @@
     }
 
     /// Takes in that an entry is gone; it counts from [`Registry::index`] on. Where `keep_until` is given,
-    /// the entry may come back, and its replica stays in use until then, unless it was leaving.
-    pub fn remove(&self, id: &str, keep_until: Option<Instant>) {
+    /// the entry may come back, and its replica stays in use until then, unless it was leaving. True where it stays.
+    pub fn remove(&self, id: &str, keep_until: Option<Instant>) -> bool {
         let known = self.get(id).filter(|known| !known.entry().is_draining);
         match (known, keep_until) {
             (Some(known), Some(until)) => {
-                log_event!(gateway::REPLICA_LAPSED, "replica={id}");
                 known.keep_until(until);
                 self.without_entry.borrow_mut().insert(id.to_owned());
+                true
+            }
+            _ => {
+                self.remove_one(id, GoneReason::Left);
+                false
             }
-            _ => self.remove_one(id),
         }
     }
 
@@ -95,7 +98,7 @@
             let known = self.get(id).filter(|known| known.is_without_entry());
             let has_lapsed = known.as_ref().is_some_and(|known| known.has_lapsed(now));
             if has_lapsed {
-                self.remove_one(id);
+                self.remove_one(id, GoneReason::NotBack);
                 has_any = true;
             }
             known.is_some() && !has_lapsed
@@ -127,14 +130,23 @@
         *self.by_service.borrow_mut() = shared.collect();
     }
 
-    fn remove_one(&self, id: &str) {
+    fn remove_one(&self, id: &str, reason: GoneReason) {
         if let Some(replica) = self.by_id.borrow_mut().remove(id) {
             replica.pool.clear();
-            log_event!(gateway::REPLICA_GONE, "replica={id}");
+            log_event!(gateway::REPLICA_GONE, "replica={id} reason={reason:?}");
         }
     }
 }
 
+/// Why a replica is out of use for good.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum GoneReason {
+    /// Its entry is gone while the store was there.
+    Left,
+    /// Its entry lapsed, and has not come back in time.
+    NotBack,
+}
+
 /// Logs a change that matters for the choice; the count of orders alone does not.
 fn log_change(known: &Replica, entry: &ReplicaEntry) {
     let old = known.entry();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -197,13 +197,31 @@
             Change::Gone(key) => {
                 log.remove(&key);
                 if let ItemKey::Replica(id) = &key {
-                    self.registry.remove(id, self.peers.keep_until());
+                    self.take_missing_entry(id);
                 }
             }
         }
         self.has_changes.set(true);
     }
 
+    /// Takes in that the entry of a replica is gone.
+    fn take_missing_entry(&self, id: &str) {
+        let now = Instant::now();
+        let keep_until = self.peers.keep_until();
+        if !self.registry.remove(id, keep_until) {
+            return;
+        }
+        self.status.metrics.replicas_lapsed.inc();
+        log_event!(
+            gateway::REPLICA_LAPSED,
+            "replica={id} kept_for={:?} view_age={:?} store_failed_ago={:?} source={:?}",
+            keep_until.map(|until| until.saturating_duration_since(now)),
+            self.peers.view_age(),
+            self.store_outage.failed_ago(now),
+            self.peers.source_address()
+        );
+    }
+
     /// Forgets replicas whose entries have not come back after an outage of the store.
     pub fn forget_lapsed(&self) {
         if self.registry.forget_lapsed(Instant::now()) {
--- a/crates/gateway/src/store/outage.rs
+++ b/crates/gateway/src/store/outage.rs
@@ -80,6 +80,12 @@
         self.failed_call_began.set(latest);
     }
 
+    /// How long ago the last call began that failed.
+    pub fn failed_ago(&self, now: Instant) -> Option<Duration> {
+        let began = self.failed_call_began.get()?;
+        Some(now.saturating_duration_since(began))
+    }
+
     /// Whether a call failed so lately that answers may be lost which are still waited for.
     pub fn was_lately(&self, now: Instant) -> bool {
         let began = self.failed_call_began.get();
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -26,10 +26,10 @@
     WEIGHTS_WANTED = 6205, Info, "The operator named new weights.";
     REPLICA_SEEN = 6300, Info, "A replica is listed for the first time.";
     REPLICA_CHANGED = 6301, Info, "The entry of a replica has changed.";
-    REPLICA_GONE = 6302, Info, "The entry of a replica is gone; it gets no new requests.";
+    REPLICA_GONE = 6302, Info, "The entry of a replica is gone; it gets no new requests. The reason tells whether it left, or lapsed and has not come back.";
     REPLICA_SUSPECT = 6303, Warn, "A replica could not be reached or broke off; it gets no requests for the time given.";
     REPLICA_WELL = 6304, Info, "A replica that was suspect has answered.";
-    REPLICA_LAPSED = 6305, Info, "The entry of a replica is gone after an outage of the store; it stays in use for a while, since it may come back.";
+    REPLICA_LAPSED = 6305, Info, "The entry of a replica is gone after an outage of the store; it stays in use for a while, since it may come back. The fields tell how old the view of the replicas was, how long ago the last call began that the store failed this daemon itself, and whom it asks.";
     ORDER_LEASE_ACQUIRED = 6400, Info, "This daemon may give orders, under the token given.";
     ORDER_LEASE_NOT_ACQUIRED = 6401, Info, "Another daemon holds the lease, or the store did not say; it is tried again.";
     ORDER_LEASE_LOST = 6402, Warn, "This daemon may not give orders any more.";
