--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -105,7 +105,7 @@
             gateway::SOURCE_CHANGED,
             "source={source:?} view_age={:?} store_failed_ago={:?}",
             state.peers.view_age(),
-            state.store_outage.failed_ago(Instant::now())
+            state.store_outage.list_failed_at().map(|at| at.elapsed())
         );
         state.peers.reader_since.set(state.now());
         state.peers.learnt_elsewhere();
--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/known.rs
@@ -171,9 +171,9 @@
         self.view.age(Instant::now())
     }
 
-    /// Until when a replica whose entry is gone by now stays in use, see [`View::keep_until`].
-    pub fn keep_until(&self) -> Option<Instant> {
-        self.view.keep_until(Instant::now())
+    /// Until when a replica whose entry is gone at `now` stays in use, see [`View::keep_until`].
+    pub fn keep_until(&self, now: Instant, failed_at: Option<Instant>) -> Option<Instant> {
+        self.view.keep_until(now, failed_at)
     }
 
     /// Waits until this daemon has to read the store itself.
--- a/crates/gateway/src/peers/view.rs
+++ b/crates/gateway/src/peers/view.rs
@@ -3,6 +3,10 @@
 //! While the store is down replicas can't renew their entries, so after it many are gone that come back with
 //! the next heartbeat. A replica whose entry is gone then stays in use for a while; if it is gone for good,
 //! its address refuses, and a request names the replica it expects there.
+//!
+//! An old view alone is no sign of an outage: the daemon that is asked may be cut off from a store that is there for
+//! all others, and an entry that is gone then tells of a replica that has left. So an outage counts only at a daemon
+//! that the store has failed itself, and only for as long after that as this daemon is not yet in touch again.
 
 use std::cell::Cell;
 use std::time::{Duration, Instant};
@@ -15,6 +19,11 @@
 /// store's return to that read this ends as machines are in touch again (`contactMs`, 3 s).
 const KEPT_AFTER_OUTAGE: Duration = Duration::from_millis(2200);
 
+/// How long after a call of its own that the store failed a daemon may use replicas without an entry: it is in touch
+/// again no sooner than 3 s after the trouble that the call met (`contactMs`), and from then on it is bound to use no
+/// replica that has left. The last 0.2 s are for requests that are on their way.
+const KEPT_AFTER_FAILURE: Duration = Duration::from_millis(2800);
+
 /// The age of what a daemon knows of replicas and other daemons.
 #[derive(Debug, Default)]
 pub struct View {
@@ -42,14 +51,15 @@
         Some(now.saturating_duration_since(proved_at))
     }
 
-    /// Until when a replica stays in use whose entry is found to be gone at `now`; nothing where the store
-    /// was there all the time, so that the replica itself has left.
-    pub fn keep_until(&self, now: Instant) -> Option<Instant> {
+    /// Until when a replica stays in use whose entry is found to be gone at `now`, by a daemon whose last call that
+    /// the store failed began at `failed_at`; nothing where the store was there all the time, so that the replica
+    /// itself has left.
+    pub fn keep_until(&self, now: Instant, failed_at: Option<Instant>) -> Option<Instant> {
         let ended_at = match self.is_outage(now) {
             true => now,
             false => self.outage_ended_at.get()?,
         };
-        let until = ended_at + KEPT_AFTER_OUTAGE;
+        let until = (ended_at + KEPT_AFTER_OUTAGE).min(failed_at? + KEPT_AFTER_FAILURE);
         (until > now).then_some(until)
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -207,7 +207,8 @@
     /// Takes in that the entry of a replica is gone.
     fn take_missing_entry(&self, id: &str) {
         let now = Instant::now();
-        let keep_until = self.peers.keep_until();
+        let failed_at = self.store_outage.list_failed_at();
+        let keep_until = self.peers.keep_until(now, failed_at);
         if !self.registry.remove(id, keep_until) {
             return;
         }
@@ -217,7 +218,7 @@
             "replica={id} kept_for={:?} view_age={:?} store_failed_ago={:?} source={:?}",
             keep_until.map(|until| until.saturating_duration_since(now)),
             self.peers.view_age(),
-            self.store_outage.failed_ago(now),
+            failed_at.map(|at| now.saturating_duration_since(at)),
             self.peers.source_address()
         );
     }
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -33,6 +33,18 @@
     Unreadable(String),
 }
 
+impl StoreError {
+    /// Whether it shows that the store, or the way to it, is in trouble: not where it refuses calls beyond its rate,
+    /// or has answered.
+    fn is_trouble(&self) -> bool {
+        match self {
+            Self::Call(_) => true,
+            Self::Status(status) => *status != StatusCode::TOO_MANY_REQUESTS,
+            Self::HistoryGone | Self::Unreadable(_) => false,
+        }
+    }
+}
+
 /// Every object of a kind, with the revision of the store that a watch can go on from.
 ///
 /// # Errors
@@ -69,7 +81,11 @@
         let after = objects.last().map(|object| object.name.as_str());
         let call = state.platform.list(kind, after, freshness);
         let began = Instant::now();
-        let body = get(state, &call, CALL_TIMEOUT).await?;
+        let answer = get(state, &call, CALL_TIMEOUT).await;
+        if answer.as_ref().is_err_and(StoreError::is_trouble) {
+            state.store_outage.note_failed_list(began);
+        }
+        let body = answer?;
         let page: ListPage = state
             .platform
             .read_list(kind, &body)
--- a/crates/gateway/src/store/outage.rs
+++ b/crates/gateway/src/store/outage.rs
@@ -45,6 +45,7 @@
     answers: Notify,
     ended: Notify,
     failed_call_began: Cell<Option<Instant>>,
+    failed_list_began: Cell<Option<Instant>>,
 }
 
 impl StoreOutage {
@@ -80,10 +81,16 @@
         self.failed_call_began.set(latest);
     }
 
-    /// How long ago the last call began that failed.
-    pub fn failed_ago(&self, now: Instant) -> Option<Duration> {
-        let began = self.failed_call_began.get()?;
-        Some(now.saturating_duration_since(began))
+    /// When the last list began that the store failed this daemon itself. Other calls say less: a watch may be cut
+    /// at any time, and a store that is there refuses calls beyond its rate.
+    pub fn list_failed_at(&self) -> Option<Instant> {
+        self.failed_list_began.get()
+    }
+
+    /// Takes in that a list failed which began at `began`.
+    pub fn note_failed_list(&self, began: Instant) {
+        let latest = self.failed_list_began.get().max(Some(began));
+        self.failed_list_began.set(latest);
     }
 
     /// Whether a call failed so lately that answers may be lost which are still waited for.
