--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -64,7 +64,7 @@
                 let reading = state.now().saturating_sub(state.peers.reader_since.get());
                 let own = &state.peers.own.name;
                 chooser.on_store(state.now(), own, reading, state.peers.view_age());
-                if chooser.is_everybody_stale(state.now()) {
+                if chooser.is_everybody_stale(state.now(), state.peers.view_age()) {
                     log_event!(
                         gateway::STORE_DOWN_FOR_ALL,
                         "reading={reading:?} view_age={:?}",
@@ -79,7 +79,7 @@
         };
         let pause = match has_more {
             true => Duration::ZERO,
-            false => pause_until_work(&state),
+            false => pause_until_work(&state, chooser.longest_view_age()),
         };
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
@@ -88,11 +88,18 @@
     }
 }
 
-/// The time until the next question, or until a replica goes out of use whose entry has not come back.
-fn pause_until_work(state: &GatewayState) -> Duration {
+/// The time until the next question, until the view is too old, or until a replica goes out of use whose entry has not
+/// come back.
+fn pause_until_work(state: &GatewayState, longest_view_age: Duration) -> Duration {
     let next_lapse = state.registry.next_lapse();
     let until_lapse = next_lapse.map(|at| at.saturating_duration_since(Instant::now()));
-    until_lapse.map_or(ASK_INTERVAL, |until| until.min(ASK_INTERVAL))
+    let until_too_old = state
+        .peers
+        .view_age()
+        .and_then(|age| longest_view_age.checked_sub(age))
+        .map(|left| left + SHORTEST_INTERVAL);
+    let soonest = until_lapse.into_iter().chain(until_too_old).min();
+    soonest.map_or(ASK_INTERVAL, |until| until.min(ASK_INTERVAL))
 }
 
 /// Takes in where this daemon learns what is in force. It reads the store until another daemon has answered with
@@ -135,6 +142,7 @@
     let answer = tokio::time::timeout(ANSWER_TIMEOUT, matching(answers, nonce)).await;
     let Ok(Some(answer)) = answer else {
         chooser.on_silence(state.now());
+        chooser.on_useless(peers.view_age());
         peers.ask_now.notify_one();
         return false;
     };
@@ -144,6 +152,7 @@
     }
     let proof_age = answer.proof_age_ms.map(Duration::from_millis);
     if !chooser.on_answer(state.now(), view_age, proof_age) {
+        chooser.on_useless(peers.view_age());
         if !chooser.is_last_resort() {
             peers.ask_now.notify_one();
         } else if !state.currency.is_within(LONGEST_UNPROVED) {
--- a/crates/gateway/src/peers/source.rs
+++ b/crates/gateway/src/peers/source.rs
@@ -35,14 +35,19 @@
 /// refused by the store, all four of a group are in one of 80 such outages.
 const MOST_READERS: usize = 4;
 
-/// How old what a source tells may be.
-const LONGEST_VIEW_AGE: Duration = Duration::from_millis(2200);
+/// How old what a source tells may be. A replica that is leaving may get requests for 2 s (`drainMs`), and a daemon whose
+/// source is cut off needs up to 0.4 s more to find that out where others are silent too, and a list. A source that is
+/// well proves its view each 0.9 s, or 1.4 s where each answer of the store takes 0.24 s.
+const LONGEST_VIEW_AGE: Duration = Duration::from_millis(1400);
 
 /// The same where only a few may read the store: the others learn of a reader that is cut off one round of questions
-/// later than the next reader does, and a replica that is leaving may get requests for 3 s. A view is proved each
-/// 1.1 s.
+/// later than the next reader does, and a replica that is leaving may get requests for 3 s.
 const LONGEST_VIEW_AGE_OF_READERS: Duration = Duration::from_millis(1700);
 
+/// The age of the own view from which on the store may be down for all. By then daemons that asked this one have read
+/// the store themselves where it is there for them; before, they know no more than this one has told them.
+const LEAST_AGE_OF_OUTAGE: Duration = Duration::from_millis(2500);
+
 /// Where a daemon learns what is in force.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Source {
@@ -73,6 +78,9 @@
     stale: HashMap<String, Duration>,
     read_in_vain_at: Option<Duration>,
     is_last_resort: bool,
+    is_store_next: bool,
+    /// Those who could be asked, when the source was chosen last.
+    others: Vec<String>,
     may_read: bool,
     has_other_groups: bool,
 }
@@ -94,17 +102,36 @@
         self.has_other_groups = !other_groups.is_empty();
         let others = other_groups.iter().filter(|_| may_read);
         let candidates = readers.iter().copied().chain(others);
+        let others = candidates.clone().filter(|daemon| daemon.name != own);
+        self.others = others.map(|daemon| daemon.name.clone()).collect();
         let mut usable = candidates.filter(|daemon| !self.passed_over.contains_key(&daemon.name));
         let chosen = usable.next();
         self.is_last_resort = chosen.is_none();
-        let source = match chosen.or_else(|| self.next_tried(&readers).filter(|_| !may_read)) {
-            Some(daemon) if daemon.name != own => Source::Daemon(daemon.clone()),
+        let tried = || self.next_tried(&readers).filter(|_| !may_read);
+        let turns_to_store = self.is_store_next && may_read && !self.passed_over.contains_key(own);
+        let source = match chosen.or_else(tried) {
+            Some(daemon) if daemon.name != own && !turns_to_store => Source::Daemon(daemon.clone()),
             _ => Source::Store,
         };
+        self.is_store_next = false;
         self.note_asked(&source);
         source
     }
 
+    /// How old what is known here may be before another source is needed.
+    pub fn longest_view_age(&self) -> Duration {
+        match self.has_other_groups {
+            true => LONGEST_VIEW_AGE_OF_READERS,
+            false => LONGEST_VIEW_AGE,
+        }
+    }
+
+    /// Takes in how old the own view is after a question that brought nothing of use. One that is too old by now is read
+    /// from the store at once, where this daemon may call it: each further one that is asked may be silent too.
+    pub fn on_useless(&mut self, own_view_age: Option<Duration>) {
+        self.is_store_next = own_view_age.is_some_and(|age| age > self.longest_view_age());
+    }
+
     /// Those of `group` that may read the store: the first in rank, but for those that are silent.
     fn readers<'a>(&self, group: &'a [WireDaemon], has_other_groups: bool) -> Vec<&'a WireDaemon> {
         let most = match has_other_groups {
@@ -177,12 +204,8 @@
         {
             self.silent.remove(asked);
         }
-        let longest = match self.has_other_groups {
-            true => LONGEST_VIEW_AGE_OF_READERS,
-            false => LONGEST_VIEW_AGE,
-        };
         match age {
-            Some(age) if age <= longest => {
+            Some(age) if age <= self.longest_view_age() => {
                 self.unanswered = 0;
                 self.read_in_vain_at = None;
                 self.stale.clear();
@@ -206,17 +229,22 @@
         }
     }
 
-    /// Whether the store seems to be down for all: this daemon reads it in vain, and others that answered
-    /// know nothing recent either.
-    pub fn is_everybody_stale(&mut self, now: Duration) -> bool {
+    /// Whether the store seems to be down for all: this daemon, whose view is `own_view_age` old, reads it in vain,
+    /// others that answered know nothing recent either, and nobody is left who may know more.
+    pub fn is_everybody_stale(&mut self, now: Duration, own_view_age: Option<Duration>) -> bool {
         self.stale.retain(|_, at| now < *at + STALE_MEMORY);
         let is_vain = self
             .read_in_vain_at
             .is_some_and(|at| now < at + STALE_MEMORY);
-        is_vain && self.stale.len() >= STALE_OTHERS
+        let is_long = own_view_age.is_none_or(|age| age >= LEAST_AGE_OF_OUTAGE);
+        let is_useless =
+            |name: &String| self.stale.contains_key(name) || self.silent.contains(name);
+        let is_nobody_left = self.others.iter().all(is_useless);
+        is_vain && is_long && is_nobody_left && self.stale.len() >= STALE_OTHERS
     }
 
-    /// Takes in how old the view is that `own` got from the store in the time `reading` that it has read it. Where that is too old, the others are asked, those behind in rank too.
+    /// Takes in how old the view is that `own` got from the store in the time `reading` that it has read it. Where
+    /// that is too old, the others are asked, those behind in rank too.
     pub fn on_store(
         &mut self,
         now: Duration,
@@ -224,7 +252,7 @@
         reading: Duration,
         view_age: Option<Duration>,
     ) {
-        let is_recent = view_age.is_some_and(|age| age <= LONGEST_VIEW_AGE);
+        let is_recent = view_age.is_some_and(|age| age <= self.longest_view_age());
         if is_recent {
             self.read_in_vain_at = None;
             self.stale.clear();
--- a/crates/gateway/src/pipeline/find_route.rs
+++ b/crates/gateway/src/pipeline/find_route.rs
@@ -10,7 +10,7 @@
 
 /// The share of the time in which a configuration must be in force that the proof may be old on which a
 /// request is turned away for good. A proof within that whole time would do: what was acknowledged before it
-/// is known. Those that followers get are up to 1.6 s old (a read each 1.1 s, a question each 0.5 s), so that
+/// is known. Those that followers get are up to 1.4 s old (a read each 0.9 s, a question each 0.5 s), so that
 /// with a share of 0.4 (0.8 s) most refusals cost a call to the store.
 const DENIAL_SHARE: f64 = 0.75;
 
--- a/crates/gateway/src/store/configuration_reader.rs
+++ b/crates/gateway/src/store/configuration_reader.rs
@@ -14,8 +14,9 @@
 use crate::protocol::ObjectKind;
 use crate::state::GatewayState;
 
-/// The time between two reads of a daemon that reads for others.
-const INTERVAL: Duration = Duration::from_millis(1100);
+/// The time between two reads of a daemon that reads for others. They tell how recent its view is; others leave it
+/// where that is older than 1.4 s, so that they hear in time of replicas that leave while it is cut off.
+const INTERVAL: Duration = Duration::from_millis(900);
 
 /// For how long after the store was last known to be down for all it is taken for down: as long as a reader remembers
 /// that others know nothing recent either.
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -29,7 +29,7 @@
 const REPLICAS_PAUSE: Duration = Duration::from_millis(200);
 
 /// How often a watch looks whether the store has changed without it. With a read of the configuration each
-/// 1.1 s, which tells the store's revision, an answer that was lost is asked for again within 1.6 s; a replica
+/// 0.9 s, which tells the store's revision, an answer that was lost is asked for again within 1.4 s; a replica
 /// that leaves may get requests for 2 s (`drainMs`).
 const LOST_ANSWER_LOOK: Duration = Duration::from_millis(500);
 
--- a/crates/gateway/src/store/progress.rs
+++ b/crates/gateway/src/store/progress.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 use std::time::Instant;
 
-/// Reads that are remembered; with one each 1.1 s those of the last half minute.
+/// Reads that are remembered; with one each 0.9 s those of the last half minute.
 const REMEMBERED_READS: usize = 32;
 
 /// What reads of the store have told, older ones first.
