--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -160,6 +160,10 @@
         }
         return false;
     }
+    if peers.followed.borrow().is_behind(&answer, peers.view_age()) {
+        log::debug!("{} is behind: its view is {view_age:?} old", daemon.name);
+        return false;
+    }
     set_source(state, &Source::Daemon(daemon.clone()));
     take_answer(state, answer, sent_at).await
 }
--- a/crates/gateway/src/peers/followed_log.rs
+++ b/crates/gateway/src/peers/followed_log.rs
@@ -4,10 +4,14 @@
 //! it then starts anew. Where both have the same items by then, as their digests show, nothing is sent.
 
 use std::collections::HashSet;
+use std::time::Duration;
 
 use super::change_log::ChangeLog;
 use super::message::{Change, Item, ItemKey, Tell};
 
+/// By how much the age of one and the same view may differ between its teller and one who was told: ages are rounded up.
+const AGE_ROUNDING: Duration = Duration::from_millis(2);
+
 /// The place in the log of the daemon that is asked.
 #[derive(Debug, Default)]
 pub struct FollowedLog {
@@ -31,6 +35,16 @@
         (self.log, self.sequence, own.content())
     }
 
+    /// Whether a daemon whose own view is `own_view_age` old would go back to an older one with the answer of a daemon that
+    /// it does not follow yet, and so use replicas again that it knows to have left: one that was cut off may tell what
+    /// others told it before. One that has the same items is not behind, however old its proof.
+    pub fn is_behind(&self, answer: &Tell, own_view_age: Option<Duration>) -> bool {
+        let told_age = answer.view_age_ms.map(Duration::from_millis);
+        let ages = told_age.zip(own_view_age);
+        let is_older = ages.is_some_and(|(told, own)| told > own + AGE_ROUNDING);
+        is_older && !answer.is_same && answer.log != self.log
+    }
+
     /// Whether the last answer left nothing out: what its teller knew is known here. Before the last page of a
     /// transfer it is not, and others must not be told what is here as if it were all.
     pub fn knows_all(&self) -> bool {
--- a/crates/gateway/src/replicas/registry.rs
+++ b/crates/gateway/src/replicas/registry.rs
@@ -47,11 +47,13 @@
         self.by_id.borrow().is_empty()
     }
 
-    /// Takes in one entry; it counts from [`Registry::index`] on.
-    pub fn put(&self, entry: ReplicaEntry) {
+    /// Takes in one entry; it counts from [`Registry::index`] on. A replica that has said that it is leaving never
+    /// stays after all: an entry that says otherwise is older.
+    pub fn put(&self, mut entry: ReplicaEntry) {
         let known = self.get(&entry.id);
         match known.filter(|known| known.pool.peer() == entry.address) {
             Some(known) => {
+                entry.is_draining |= known.entry().is_draining;
                 log_change(&known, &entry);
                 known.update(entry);
             }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -207,6 +207,38 @@
     assert_eq!(follower.items(), items(&log));
 }
 
+#[test]
+fn a_daemon_does_not_go_back_to_the_older_view_of_one_that_it_did_not_follow() {
+    let mut log = ChangeLog::new(77);
+    log.put(replica(1, 8));
+    let mut follower = Follower::new();
+    let told = |follower: &mut Follower, log: &ChangeLog, age_ms: u64| Tell {
+        view_age_ms: Some(age_ms),
+        ..answer(log, &follower.ask())
+    };
+    let own = Some(Duration::from_millis(500));
+    let (older, same_age) = (
+        told(&mut follower, &log, 900),
+        told(&mut follower, &log, 502),
+    );
+    assert!(follower.place.is_behind(&older, own));
+    assert!(!follower.place.is_behind(&same_age, own));
+    assert!(!follower.place.is_behind(&older, None), "nothing is known");
+    follower.catch_up(&log);
+    let same_items = told(&mut Follower::new(), &ChangeLog::new(78), 900);
+    let same_items = Tell {
+        is_same: true,
+        ..same_items
+    };
+    assert!(!follower.place.is_behind(&same_items, own));
+    log.put(replica(2, 8));
+    let news = told(&mut follower, &log, 900);
+    assert!(
+        !follower.place.is_behind(&news, own),
+        "it is followed already"
+    );
+}
+
 #[test]
 fn a_follower_that_missed_forgotten_tombstones_gets_everything() {
     let mut log = ChangeLog::new(1);
