--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -127,9 +127,9 @@
     }
 }
 
-/// Ends when the answer of a watch that begins now may be lost: the store was in trouble lately, and has
-/// changed since. The change may be one of another kind, so the watch is asked again from where it stood, once
-/// for each look. Only for kinds whose changes must be known within a bound, and of which nothing else tells.
+/// Ends when the answer of a watch that begins now may be lost, since the store has changed without it: an answer can
+/// be lost without a call that fails. The change may be one of another kind, so the watch is asked again from where it
+/// stood, once for each look. Only for kinds whose changes must be known within a bound, and of which nothing else tells.
 async fn until_overtaken(state: &GatewayState, kind: ObjectKind) {
     if !matches!(kind, ObjectKind::Replicas | ObjectKind::Weights) {
         return std::future::pending().await;
@@ -137,8 +137,7 @@
     let revision = state.store_revision.get();
     loop {
         tokio::time::sleep(LOST_ANSWER_LOOK).await;
-        let has_changed = state.store_revision.get() > revision;
-        if has_changed && state.store_outage.was_lately(Instant::now()) {
+        if state.store_revision.get() > revision {
             return;
         }
     }
