--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/known.rs
@@ -172,8 +172,8 @@
     }
 
     /// Until when a replica whose entry is gone at `now` stays in use, see [`View::keep_until`].
-    pub fn keep_until(&self, now: Instant, failed_at: Option<Instant>) -> Option<Instant> {
-        self.view.keep_until(now, failed_at)
+    pub fn keep_until(&self, now: Instant, in_touch_at: Option<Instant>) -> Option<Instant> {
+        self.view.keep_until(now, in_touch_at)
     }
 
     /// Waits until this daemon has to read the store itself.
--- a/crates/gateway/src/peers/view.rs
+++ b/crates/gateway/src/peers/view.rs
@@ -19,10 +19,9 @@
 /// store's return to that read this ends as machines are in touch again (`contactMs`, 3 s).
 const KEPT_AFTER_OUTAGE: Duration = Duration::from_millis(2200);
 
-/// How long after a call of its own that the store failed a daemon may use replicas without an entry: it is in touch
-/// again no sooner than 3 s after the trouble that the call met (`contactMs`), and from then on it is bound to use no
-/// replica that has left. The last 0.2 s are for requests that are on their way.
-const KEPT_AFTER_FAILURE: Duration = Duration::from_millis(2800);
+/// How long before it is in touch again a daemon stops using replicas without an entry, for requests that are on their
+/// way: from then on it is bound to use no replica that has left.
+const MARGIN_BEFORE_CONTACT: Duration = Duration::from_millis(200);
 
 /// The age of what a daemon knows of replicas and other daemons.
 #[derive(Debug, Default)]
@@ -51,15 +50,16 @@
         Some(now.saturating_duration_since(proved_at))
     }
 
-    /// Until when a replica stays in use whose entry is found to be gone at `now`, by a daemon whose last call that
-    /// the store failed began at `failed_at`; nothing where the store was there all the time, so that the replica
-    /// itself has left.
-    pub fn keep_until(&self, now: Instant, failed_at: Option<Instant>) -> Option<Instant> {
+    /// Until when a replica stays in use whose entry is found to be gone at `now`, by a daemon that is in touch again
+    /// no sooner than `in_touch_at`, after a call that the store failed it; nothing where the store was there all the
+    /// time, so that the replica itself has left.
+    pub fn keep_until(&self, now: Instant, in_touch_at: Option<Instant>) -> Option<Instant> {
         let ended_at = match self.is_outage(now) {
             true => now,
             false => self.outage_ended_at.get()?,
         };
-        let until = (ended_at + KEPT_AFTER_OUTAGE).min(failed_at? + KEPT_AFTER_FAILURE);
+        let bound_from = in_touch_at?.checked_sub(MARGIN_BEFORE_CONTACT)?;
+        let until = (ended_at + KEPT_AFTER_OUTAGE).min(bound_from);
         (until > now).then_some(until)
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -208,7 +208,8 @@
     fn take_missing_entry(&self, id: &str) {
         let now = Instant::now();
         let failed_at = self.store_outage.list_failed_at();
-        let keep_until = self.peers.keep_until(now, failed_at);
+        let in_touch_at = failed_at.map(|at| at + self.times.get().contact);
+        let keep_until = self.peers.keep_until(now, in_touch_at);
         if !self.registry.remove(id, keep_until) {
             return;
         }
--- a/crates/gateway/src/store/configuration_reader.rs
+++ b/crates/gateway/src/store/configuration_reader.rs
@@ -22,6 +22,11 @@
 /// that others know nothing recent either.
 const DOWN_MEMORY: Duration = Duration::from_secs(4);
 
+/// The shortest time between two looks for a store that is down for all, by a daemon that leaves the proof to others. It
+/// may keep replicas whose entries lapse in the outage only for a while after a look that failed (`contact_seconds` less
+/// 0.2 s): with 4 s that is two seconds from the store's return on, in which entries come back.
+const LOOK_INTERVAL: Duration = Duration::from_millis(1800);
+
 /// The pause after the source was asked for a proof, in which its answer comes.
 const PROOF_PAUSE: Duration = Duration::from_millis(100);
 
@@ -30,6 +35,7 @@
 pub async fn run(state: Rc<GatewayState>) {
     let mut is_reachable = true;
     let mut failures = 0;
+    let mut looked_at = None;
     if state.settings.is_first_start {
         // Nobody calls yet, and most daemons learn from others what is in force.
         needed(&state).await;
@@ -42,6 +48,7 @@
             continue;
         }
         if newer == Newer::Unwanted && is_left_to_others(&state) {
+            look_for_store(&state, &mut looked_at).await;
             state.peers.ask_now();
             tokio::time::sleep(PROOF_PAUSE).await;
             needed(&state).await;
@@ -118,6 +125,19 @@
     !reads && down_at.is_some_and(|at| at.elapsed() < DOWN_MEMORY)
 }
 
+/// Looks whether the store fails this daemon too, by a read that costs the store a tenth. Others tell when it is back,
+/// so only a failure matters, which is remembered with the lists that failed.
+async fn look_for_store(state: &GatewayState, looked_at: &mut Option<Instant>) {
+    if looked_at.is_some_and(|at| at.elapsed() < LOOK_INTERVAL) {
+        return;
+    }
+    *looked_at = Some(Instant::now());
+    let listing = || list_recent(state, ObjectKind::Configuration);
+    if let (_, Err(error)) = state.store_outage.call(listing).await {
+        log::debug!("the store fails this daemon too: {error}");
+    }
+}
+
 /// Ends when this daemon reads for others, or a proof is wanted.
 async fn needed(state: &GatewayState) {
     tokio::select! {
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -43,6 +43,8 @@
     pub lease_term: Duration,
     /// How soon no request may begin on older weights.
     pub weights_deadline: Duration,
+    /// For how long after trouble on its way to the store a gateway is not held to what the store tells.
+    pub contact: Duration,
 }
 
 /// How often requests may be sent again.
@@ -175,6 +177,7 @@
         stop_grace: time("stop_grace_seconds", 8.0),
         lease_term: time("lease_term_seconds", 3.0),
         weights_deadline: time("weights_deadline_seconds", 8.0),
+        contact: time("contact_seconds", 3.0),
     };
     section.finish();
     times
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -29,6 +29,7 @@
     assert_eq!(settings.times.key_currency, Some(Duration::from_secs(5)));
     assert_eq!(settings.times.stop_grace, Duration::from_secs(8));
     assert_eq!(settings.times.lease_term, Duration::from_secs(3));
+    assert_eq!(settings.times.contact, Duration::from_secs(3));
     assert_eq!(settings.retries.slack, 54);
     assert_eq!(settings.seeds.len(), 1);
 }
