--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -162,6 +162,8 @@
     }
     if peers.followed.borrow().is_behind(&answer, peers.view_age()) {
         log::debug!("{} is behind: its view is {view_age:?} old", daemon.name);
+        chooser.on_behind(state.now());
+        peers.ask_now.notify_one();
         return false;
     }
     set_source(state, &Source::Daemon(daemon.clone()));
--- a/crates/gateway/src/peers/source.rs
+++ b/crates/gateway/src/peers/source.rs
@@ -14,10 +14,9 @@
 /// How long a source is passed over after it was silent or knew nothing recent.
 const PASS_OVER: Duration = Duration::from_millis(2500);
 
-/// The same where it knew nothing recent and only a few may read the store: another of them may know more within a
-/// moment, and the others of the group have nobody else to ask. Shorter than the time between two rounds of
-/// questions, so that each round asks all of them.
-const PASS_OVER_READER: Duration = Duration::from_millis(400);
+/// The same where it knew nothing recent and only a few may read the store, or where it knew less than this daemon:
+/// it may know more within a moment. Shorter than the time between two rounds of questions, so that each round asks it.
+const PASS_OVER_SHORTLY: Duration = Duration::from_millis(400);
 
 /// Questions in a row without an answer after which a source is passed over.
 const SILENT_QUESTIONS: u32 = 2;
@@ -223,6 +222,11 @@
         }
     }
 
+    /// Takes in that an answer would have led back to an older view: the next one is asked.
+    pub fn on_behind(&mut self, now: Duration) {
+        self.pass_over_for(now, PASS_OVER_SHORTLY);
+    }
+
     fn note_stale(&mut self, now: Duration) {
         if let Some(asked) = &self.asked {
             self.stale.insert(asked.clone(), now);
@@ -268,7 +272,7 @@
 
     fn pass_over_stale(&mut self, now: Duration) {
         let time = match self.has_other_groups {
-            true => PASS_OVER_READER,
+            true => PASS_OVER_SHORTLY,
             false => PASS_OVER,
         };
         self.pass_over_for(now, time);
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -538,6 +538,19 @@
     }
 }
 
+#[test]
+fn one_that_is_behind_is_passed_over_until_the_next_round_of_questions() {
+    let group = group();
+    let mut chooser = SourceChooser::default();
+    let first = choose(&mut chooser, 0, &group, 2);
+    chooser.on_behind(Duration::ZERO);
+    assert_eq!(
+        choose(&mut chooser, 25, &group, 2),
+        Some(group[1].name.clone())
+    );
+    assert_eq!(choose(&mut chooser, 500, &group, 2), first);
+}
+
 #[test]
 fn the_store_is_not_down_for_all_while_somebody_was_not_asked_or_may_not_have_noticed_yet() {
     let daemons: Vec<WireDaemon> = ["w", "x", "y", "z"]
