--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`protocol`]: what a platform's adapter has to supply.
 //! - [`pipeline`]: the path of a request, one file per filter, the list in one place.
 //! - [`peers`]: what daemons tell each other.
+//! - [`quarantine`]: requests that end the replicas that run them.
 //! - [`replicas`]: what is believed of each replica, and the choice of one.
 //! - [`upstream`]: connections to replicas and to the store.
 //! - [`store`]: calls to the object store and the tasks that follow it.
@@ -25,6 +26,7 @@
 pub mod peers;
 pub mod pipeline;
 pub mod protocol;
+pub mod quarantine;
 pub mod quota;
 pub mod replicas;
 pub mod rollout;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -49,6 +49,8 @@
     pub over_quota: Counter,
     /// Replicas kept in use for a while without an entry.
     pub replicas_lapsed: Counter,
+    /// Replicas that ended while requests of this gateway were open there.
+    pub replicas_ended: Counter,
     /// The version of the configuration in force.
     pub configuration_version: Gauge,
     /// Replicas listed.
@@ -83,6 +85,7 @@
             overloaded: Counter::default(),
             over_quota: Counter::default(),
             replicas_lapsed: Counter::default(),
+            replicas_ended: Counter::default(),
             configuration_version: Gauge::default(),
             replicas: Gauge::default(),
             registry: Mutex::new(Registry::with_prefix("driftspring_gateway")),
@@ -138,6 +141,11 @@
                 "Replicas kept in use for a while without an entry",
                 &self.replicas_lapsed,
             ),
+            (
+                "replicas_ended",
+                "Replicas that ended while requests were open there",
+                &self.replicas_ended,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -13,6 +13,7 @@
 use super::dispatch::{Opened, Unanswered, send};
 use super::judge::{Verdict, judge};
 use super::refusal::{Reason, Refusal, Step};
+use crate::quarantine::note_loss;
 use crate::state::GatewayState;
 use crate::upstream::SendFailure;
 
@@ -238,7 +239,13 @@
         self.runs += 1;
         self.note_failure(choice, cause);
         choice.replica.health.note_outcome(true);
-        self.log_attempt(choice, "lost", cause);
+        let fingerprint = self.context.fingerprint();
+        self.log_attempt(
+            choice,
+            "lost",
+            &format!("fingerprint={fingerprint} {cause}"),
+        );
+        note_loss(&self.state, &choice.replica, fingerprint);
         self.tried.push(choice.replica.id.clone());
         match self.may_run_again() {
             true => Ok(()),
--- a/crates/gateway/src/pipeline/context.rs
+++ b/crates/gateway/src/pipeline/context.rs
@@ -1,15 +1,18 @@
 //! What is known of a request once it may be sent.
 
+use std::cell::OnceCell;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use http::header::HOST;
 use http::{HeaderMap, Method};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::decode::Decoded;
 use crate::configuration::{Configuration, EngineLimits, Route, Tenant};
 use crate::protocol::{Prompt, PromptPart, RequestMeta};
+use crate::quarantine::Fingerprint;
 use crate::replicas::{PlacementKey, Replica};
 
 /// How long a request is held where neither caller nor route say so.
@@ -42,6 +45,7 @@
     pub started: Instant,
     /// When its caller or its route gives it up.
     pub deadline: Instant,
+    fingerprint: OnceCell<Fingerprint>,
 }
 
 impl RequestContext {
@@ -73,9 +77,25 @@
             service,
             started,
             deadline: started + wait.min(hold),
+            fingerprint: OnceCell::new(),
         }
     }
 
+    /// What makes its tries the same request; hashed when it is first asked for, which few requests need.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let host = self.headers.get(HOST).and_then(|host| host.to_str().ok());
+        let caller = self.tenant.as_ref().map_or("", |tenant| &tenant.name);
+        *self.fingerprint.get_or_init(|| {
+            Fingerprint::new(
+                &self.method,
+                host.unwrap_or(""),
+                &self.path,
+                caller,
+                &self.body,
+            )
+        })
+    }
+
     /// The time left.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- /dev/null
+++ b/crates/gateway/src/quarantine/ends.rs
@@ -0,0 +1,78 @@
+//! Finds out whether a replica has ended or only broke off an answer.
+//!
+//! An answer that breaks off says little: replicas reset connections and spoil answers, links fail, machines of ours
+//! stand still. A process that has ended shows at its address: nobody listens there, and the connection is refused.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use driftspring_telemetry::events::gateway;
+use driftspring_telemetry::log_event;
+
+use super::Fingerprint;
+use crate::replicas::Replica;
+use crate::state::GatewayState;
+use crate::upstream::is_refused;
+
+/// How long losses at one replica are gathered before its address is tried. When a replica ended, its connections
+/// broke off within 2 ms of each other at seven gateways (logs of an incident); a replica is back after seconds.
+const GATHERING: Duration = Duration::from_millis(5);
+
+/// Losses at one replica that are remembered until its address was tried; a replica serves fewer requests of one
+/// gateway at once.
+const MAX_LOSSES: usize = 256;
+
+/// Fingerprints that a log line names.
+const MAX_LOGGED: usize = 24;
+
+/// Answers that broke off, by replica, until it is known whether the replica has ended.
+#[derive(Debug, Default)]
+pub struct Losses(RefCell<HashMap<String, Vec<Fingerprint>>>);
+
+impl Losses {
+    /// Adds a loss; true where it is the first one at this replica.
+    fn add(&self, replica: &str, fingerprint: Fingerprint) -> bool {
+        let mut by_replica = self.0.borrow_mut();
+        let losses = by_replica.entry(replica.to_owned()).or_default();
+        if losses.len() < MAX_LOSSES {
+            losses.push(fingerprint);
+        }
+        losses.len() == 1
+    }
+
+    fn take(&self, replica: &str) -> Vec<Fingerprint> {
+        self.0.borrow_mut().remove(replica).unwrap_or_default()
+    }
+}
+
+/// Takes in that an answer of `replica` to the request with this fingerprint was lost, and finds out whether the
+/// replica has ended. One that is leaving may end: that is no crash.
+pub fn note_loss(state: &Rc<GatewayState>, replica: &Rc<Replica>, fingerprint: Fingerprint) {
+    let is_listed = state.registry.get(&replica.id).is_some();
+    if !is_listed || replica.entry().is_draining {
+        return;
+    }
+    if state.losses.add(&replica.id, fingerprint) {
+        ntex::rt::spawn(find_out(Rc::clone(state), Rc::clone(replica)));
+    }
+}
+
+async fn find_out(state: Rc<GatewayState>, replica: Rc<Replica>) {
+    tokio::time::sleep(GATHERING).await;
+    let has_ended = is_refused(replica.pool.peer()).await;
+    let lost = state.losses.take(&replica.id);
+    if !has_ended {
+        return;
+    }
+    state.status.metrics.replicas_ended.inc();
+    log_event!(
+        gateway::REPLICA_ENDED,
+        "replica={} address={} open={} fingerprints={:?}",
+        replica.id,
+        replica.pool.peer(),
+        lost.len(),
+        &lost[..lost.len().min(MAX_LOGGED)]
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/quarantine/fingerprint.rs
@@ -0,0 +1,70 @@
+//! What makes two tries the same request.
+
+use std::fmt;
+use std::str::FromStr;
+
+use http::Method;
+
+/// The bytes of a fingerprint. Of 128 bits of a cryptographic hash no caller can find a second request with the
+/// same ones, so none can bring another caller's request into disrepute.
+const BYTES: usize = 16;
+
+/// A digest of a request's method, host, path, caller and body. Its id and its other headers don't count: a caller
+/// that comes again has a new id.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Fingerprint([u8; BYTES]);
+
+impl Fingerprint {
+    /// The fingerprint of a request; `caller` is the tenant, empty where there is none.
+    pub fn new(method: &Method, host: &str, path: &str, caller: &str, body: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for field in [method.as_str(), host, path, caller] {
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field.as_bytes());
+        }
+        hasher.update(body);
+        let mut bytes = [0; BYTES];
+        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..BYTES]);
+        Self(bytes)
+    }
+
+    /// The fingerprint with this number, as daemons tell it to each other.
+    pub fn from_number(number: u128) -> Self {
+        Self(number.to_be_bytes())
+    }
+
+    /// Its number.
+    pub fn number(self) -> u128 {
+        u128::from_be_bytes(self.0)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}", self.number())
+    }
+}
+
+impl fmt::Debug for Fingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, formatter)
+    }
+}
+
+/// A text is no fingerprint.
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+#[error("{0:?} is no fingerprint: 32 hexadecimal digits are expected")]
+pub struct NoFingerprint(String);
+
+impl FromStr for Fingerprint {
+    type Err = NoFingerprint;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let is_well_formed = text.len() == BYTES * 2 && !text.starts_with('+');
+        let number = u128::from_str_radix(text, 16).ok();
+        number
+            .filter(|_| is_well_formed)
+            .map(Self::from_number)
+            .ok_or_else(|| NoFingerprint(text.to_owned()))
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -26,6 +26,7 @@
 use crate::peers::Peers;
 use crate::peers::message::{Change, Item, ItemKey, WireDaemon};
 use crate::protocol::Platform;
+use crate::quarantine::Losses;
 use crate::quota::{Quotas, Tolerance};
 use crate::replicas::Registry;
 use crate::rollout::{OrderLease, lease_times};
@@ -95,6 +96,8 @@
     pub weights: RefCell<WantedWeights>,
     /// Wakes requests that wait at replicas, when a version of weights becomes known.
     pub weights_named: Notify,
+    /// Answers that broke off, until it is known whether their replica has ended.
+    pub losses: Losses,
     /// How often requests may be sent again.
     pub budgets: RetryBudgets,
     /// The limits of tenants.
@@ -154,6 +157,7 @@
             registry: Registry::default(),
             weights: RefCell::default(),
             weights_named: Notify::new(),
+            losses: Losses::default(),
             budgets,
             quotas,
             store,
--- a/crates/gateway/src/upstream/connector.rs
+++ b/crates/gateway/src/upstream/connector.rs
@@ -53,6 +53,14 @@
     Ok(stream)
 }
 
+/// Whether nobody listens at `peer`: it refuses a connection. One that says nothing may be cut off.
+pub async fn is_refused(peer: SocketAddr) -> bool {
+    match connect(peer).await {
+        Ok(_) | Err(ConnectError::Silent { .. }) => false,
+        Err(ConnectError::Failed { cause, .. }) => cause.kind() == io::ErrorKind::ConnectionRefused,
+    }
+}
+
 /// Notices a peer that is gone without a word, and sends small messages at once.
 pub fn set_options(socket: &SockRef<'_>) -> io::Result<()> {
     let keepalive = TcpKeepalive::new()
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -14,5 +14,5 @@
 pub use answer::{Answer, AnswerError};
 pub use call::{CallError, call};
 pub use connection::{Connection, SendFailure};
-pub use connector::{ConnectError, set_options};
+pub use connector::{ConnectError, is_refused, set_options};
 pub use pool::Pool;
