--- /dev/null
+++ b/crates/clock/tests/clock.rs
@@ -0,0 +1,34 @@
+//! The steady clock never goes back, and counts while the machine is suspended.
+
+use std::time::Duration;
+
+use driftspring_clock::{Instant, suspend};
+use quickcheck::quickcheck;
+
+#[test]
+fn it_counts_a_suspension_and_the_time_beside_it() {
+    let before = Instant::now();
+    let standard = std::time::Instant::now();
+    suspend(Duration::from_secs(8));
+    std::thread::sleep(Duration::from_millis(20));
+    let elapsed = before.elapsed();
+    assert!(elapsed >= Duration::from_millis(8020), "{elapsed:?}");
+    assert!(elapsed <= Duration::from_secs(8) + standard.elapsed() + Duration::from_millis(1));
+}
+
+quickcheck! {
+    fn moments_add_and_subtract_like_times(steps: Vec<u16>) -> bool {
+        let began = Instant::now();
+        let mut moment = began;
+        let mut sum = Duration::ZERO;
+        for step in steps {
+            let step = Duration::from_millis(u64::from(step));
+            moment += step;
+            sum += step;
+        }
+        moment - began == sum
+            && moment.checked_sub(sum) == Some(began)
+            && began.saturating_duration_since(moment).is_zero()
+            && began + sum == moment
+    }
+}
