--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -96,6 +96,7 @@
     faults: Mutex<Faults>,
     changes: watch::Sender<u64>,
     drops: watch::Sender<u64>,
+    held_writes: Mutex<Vec<String>>,
 }
 
 impl Default for FaultSwitches {
@@ -104,6 +105,7 @@
             faults: Mutex::default(),
             changes: watch::Sender::new(0),
             drops: watch::Sender::new(0),
+            held_writes: Mutex::default(),
         }
     }
 }
@@ -133,6 +135,26 @@
         self.drops.subscribe()
     }
 
+    /// The paths of the writes that came while the stand-in was frozen, and wait until it is not.
+    pub fn held_writes(&self) -> Vec<String> {
+        let held = self.held_writes.lock();
+        held.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Waits until the stand-in is not frozen, with a write to `path`.
+    pub(crate) async fn thawed_for_write(&self, path: &str) {
+        if !self.lock().freeze {
+            return;
+        }
+        let held = || {
+            let held = self.held_writes.lock();
+            held.unwrap_or_else(PoisonError::into_inner)
+        };
+        held().push(path.to_owned());
+        self.thawed().await;
+        held().retain(|known| known != path);
+    }
+
     /// Waits until the stand-in is not frozen.
     pub(crate) async fn thawed(&self) {
         if !self.lock().freeze {
--- a/crates/standin/src/gate.rs
+++ b/crates/standin/src/gate.rs
@@ -115,7 +115,11 @@
         if self.faults.current().cut {
             terminate(connection.as_ref());
         }
-        self.faults.thawed().await;
+        let has_effect = request.method() != Method::GET;
+        match has_effect {
+            true => self.faults.thawed_for_write(request.path()).await,
+            false => self.faults.thawed().await,
+        }
         let delay = self.faults.answer_delay();
         if !delay.is_zero() {
             tokio::time::sleep(delay).await;
@@ -123,7 +127,6 @@
         if self.faults.current().down {
             return Ok(request.into_response(HttpResponse::ServiceUnavailable().finish()));
         }
-        let has_effect = request.method() != Method::GET;
         let response = context.call(&self.service, request).await?;
         if has_effect && self.faults.take_lost_answer() {
             terminate(connection.as_ref());
