--- a/crates/driftctl/src/explain.rs
+++ b/crates/driftctl/src/explain.rs
@@ -16,7 +16,7 @@
 ];
 
 /// Events of the process that may be the cause of what befell a request.
-const SURROUNDINGS: [&str; 14] = [
+const SURROUNDINGS: [&str; 17] = [
     "GATEWAY_STARTED",
     "GATEWAY_STOPPING",
     "GATEWAY_STOPPED",
@@ -27,6 +27,9 @@
     "SOURCE_CHANGED",
     "REPLICA_GONE",
     "REPLICA_SUSPECT",
+    "REPLICA_ENDED",
+    "REQUEST_QUARANTINED",
+    "REQUEST_RELEASED",
     "WEIGHTS_WANTED",
     "ORDER_LEASE_LOST",
     "ENTRY_REJECTED",
@@ -122,7 +125,9 @@
         let names_replica = own.iter().any(|own| shares_replica(own, line));
         let is_general = !line.message.contains("replica=");
         let is_in_time = line.time <= *last;
-        is_own && is_in_time && (names_replica || (is_general && line.time >= first.time))
+        let names_request = own.iter().any(|own| shares_fingerprint(own, line));
+        let is_about_it = names_replica || names_request;
+        is_own && is_in_time && (is_about_it || (is_general && line.time >= first.time))
     };
     let mut surroundings: Vec<LogLine> = around.into_iter().filter(|line| relevant(line)).collect();
     let skipped = surroundings.len().saturating_sub(MAX_SURROUNDINGS);
@@ -182,6 +187,16 @@
     replica.is_some() && replica == field(&own.message, "replica")
 }
 
+/// Whether both lines name the same request by what stays the same from try to try.
+fn shares_fingerprint(own: &LogLine, line: &LogLine) -> bool {
+    let of = |line: &LogLine| {
+        let value = field(&line.message, "fingerprint")?;
+        Some(value.trim_matches('"').to_owned())
+    };
+    let fingerprint = of(own);
+    fingerprint.is_some() && fingerprint == of(line)
+}
+
 /// The value of `name=value` in a message.
 fn field<'a>(message: &'a str, name: &str) -> Option<&'a str> {
     let mut words = message.split(' ');
@@ -211,6 +226,10 @@
         (_, "NotRun") => {
             "refused as not run: the replicas that were asked did not take it".to_owned()
         }
+        (_, "Quarantined") => {
+            "refused as not run: replicas that ran the same request have ended; look for REQUEST_QUARANTINED with its fingerprint"
+                .to_owned()
+        }
         (_, "Stopping") => "refused as not run: the gateway was about to end".to_owned(),
         (_, "Unknown") => "a replica may have run it, and no usable answer came".to_owned(),
         (_, "TimedOut") => "its time was over before an answer came".to_owned(),
--- a/crates/driftctl/tests/explain.rs
+++ b/crates/driftctl/tests/explain.rs
@@ -126,3 +126,33 @@
     let told = explain("r1", [sent, suspect, end].concat().as_bytes()).expect("readable");
     assert!(!told.lines.join("\n").contains("seen=there"));
 }
+
+#[test]
+fn a_request_in_quarantine_is_told_with_what_brought_it_there() {
+    let log = [
+        line(
+            "10:00:01",
+            "REQUEST_QUARANTINED",
+            "fingerprint=aa count=3 told_by=Peer",
+        ),
+        line(
+            "10:00:01",
+            "REQUEST_QUARANTINED",
+            "fingerprint=bb count=3 told_by=Own",
+        ),
+        line(
+            "10:00:05",
+            "CALLER_REFUSED",
+            "request=r1 route=a status=503 step=Dispatch reason=Quarantined detail=\"quarantined fingerprint=aa\"",
+        ),
+    ];
+    let told = explain("r1", log.concat().as_bytes()).expect("readable");
+    assert!(told.is_complete);
+    let text = told.lines.join("\n");
+    assert!(text.contains("fingerprint=aa count=3"), "{text}");
+    assert!(!text.contains("fingerprint=bb"), "{text}");
+    assert!(
+        text.contains("replicas that ran the same request have ended"),
+        "{text}"
+    );
+}
--- a/crates/gateway-program/src/command_line.rs
+++ b/crates/gateway-program/src/command_line.rs
@@ -15,5 +15,12 @@
             /// The settings file (TOML).
             required file: PathBuf
         }
+        /// Lists the requests that ended replicas, as the store keeps them: fingerprint, ends, whether quarantined.
+        cmd quarantine {
+            /// The settings file (TOML), for the address of the store.
+            required file: PathBuf
+            /// Takes the request with this fingerprint out of quarantine; every gateway then sends it again.
+            optional --release fingerprint: String
+        }
     }
 }
--- a/crates/gateway-program/src/lib.rs
+++ b/crates/gateway-program/src/lib.rs
@@ -2,6 +2,7 @@
 //! soak can run the same program as separate processes.
 
 mod command_line;
+mod quarantine;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -28,6 +29,9 @@
     match DriftspringGateway::from_env_or_exit().subcommand {
         DriftspringGatewayCmd::Run(flags) => run(&flags.file),
         DriftspringGatewayCmd::CheckConfig(flags) => Ok(check_config(&flags.file)),
+        DriftspringGatewayCmd::Quarantine(flags) => {
+            quarantine::run(&flags.file, flags.release.as_deref())
+        }
     }
 }
 
--- a/crates/gateway/src/replicas/registry.rs
+++ b/crates/gateway/src/replicas/registry.rs
@@ -36,6 +36,13 @@
         self.by_id.borrow().get(id).cloned()
     }
 
+    /// Whether another replica is listed at the address of this one: it has ended.
+    pub fn is_replaced(&self, replica: &Replica) -> bool {
+        let by_id = self.by_id.borrow();
+        let mut listed = by_id.values();
+        listed.any(|other| other.id != replica.id && other.pool.peer() == replica.pool.peer())
+    }
+
     /// How many replicas are listed.
     pub fn len(&self) -> usize {
         self.by_id.borrow().len()
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -13,6 +13,7 @@
 pub use join::join_daemons;
 pub use outage::{StoreOutage, pause_after, pause_after_call};
 pub use progress::StoreProgress;
+pub use quarantine::{QuarantineObject, delete_quarantined, list_quarantined};
 
 use std::rc::Rc;
 
--- a/crates/gateway/src/store/quarantine.rs
+++ b/crates/gateway/src/store/quarantine.rs
@@ -4,16 +4,21 @@
 //! request by deleting its object.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
+use http::StatusCode;
 
-use super::client::{remove, write};
-use crate::protocol::{ObjectContent, ObjectKind, QuarantineRecord, StoredObject, WriteAnswer};
+use super::client::{CALL_TIMEOUT, StoreError, remove, write};
+use crate::protocol::{
+    Freshness, ObjectContent, ObjectKind, Platform, QuarantineRecord, StoredObject, WriteAnswer,
+};
 use crate::quarantine::{Fingerprint, Record, Removal, Stored, Strike, Teller, homes, role};
 use crate::state::GatewayState;
+use crate::upstream::{self, Pool};
 
 /// How long after it came up a record is left to the daemons before this one in rank to be written: one of them that is
 /// there writes it, and tells all, within some ten milliseconds.
@@ -28,6 +33,56 @@
 /// How far apart strikes are taken to have been that are known from the store, which tells no times.
 const APART: Duration = Duration::from_secs(1);
 
+/// An object of the quarantine.
+pub type QuarantineObject = StoredObject;
+
+/// Lists the records of requests that ended replicas, for an operator.
+///
+/// # Errors
+///
+/// The store did not answer, refused, or its answer can't be read.
+pub async fn list_quarantined(
+    platform: &dyn Platform,
+    store: SocketAddr,
+) -> Result<Vec<QuarantineObject>, StoreError> {
+    let pool = Pool::new(store);
+    let mut objects: Vec<StoredObject> = Vec::new();
+    loop {
+        let after = objects.last().map(|object| object.name.as_str());
+        let call = platform.list(ObjectKind::Quarantine, after, Freshness::Newest);
+        let (status, body) = upstream::call(&pool, &call, CALL_TIMEOUT).await?;
+        if status != StatusCode::OK {
+            return Err(StoreError::Status(status));
+        }
+        let page = platform
+            .read_list(ObjectKind::Quarantine, &body)
+            .map_err(StoreError::Unreadable)?;
+        let is_empty = page.items.is_empty();
+        objects.extend(page.items);
+        if !page.has_more || is_empty {
+            return Ok(objects);
+        }
+    }
+}
+
+/// Deletes one of these objects, which releases its request at every daemon.
+///
+/// # Errors
+///
+/// The store did not answer, refused, or the object has changed.
+pub async fn delete_quarantined(
+    platform: &dyn Platform,
+    store: SocketAddr,
+    object: &QuarantineObject,
+) -> Result<(), StoreError> {
+    let call = platform.remove(ObjectKind::Quarantine, &object.name, object.revision);
+    let (status, _) = upstream::call(&Pool::new(store), &call, CALL_TIMEOUT).await?;
+    match status.is_success() {
+        true => Ok(()),
+        false => Err(StoreError::Status(status)),
+    }
+}
+
 /// Keeps the records in the store, for ever.
 pub(super) async fn keep(state: Rc<GatewayState>) {
     let mut unstored: HashMap<Fingerprint, Duration> = HashMap::new();
