--- a/crates/gateway/src/peers/records.rs
+++ b/crates/gateway/src/peers/records.rs
@@ -13,16 +13,13 @@
 use super::news::tell_other_groups;
 use super::send::{send, send_to};
 use super::spread::spread;
-use crate::quarantine::shared::Outbox;
+use crate::quarantine::shared::{BETWEEN_TELLINGS, Outbox};
 use crate::quarantine::{Fingerprint, Record, Stored, Strike, Teller, homes, role};
 use crate::state::GatewayState;
 
 /// How long news are gathered: a replica that ends strikes some dozen requests at once.
 const GATHERING: Duration = Duration::from_millis(2);
 
-/// The time between two tellings of the same news; three of them end well before others must know (`contact_seconds`).
-const BETWEEN_TELLINGS: Duration = Duration::from_millis(350);
-
 /// Strikes, and fingerprints, of one datagram, which so stays below 1,200 bytes: each takes up to 48 of them.
 const MAX_STRIKES: usize = 24;
 
@@ -47,7 +44,7 @@
         tell_homes(&state, &socket, &outbox).await;
         let news: Vec<WireRecord> = outbox
             .news
-            .keys()
+            .iter()
             .filter_map(|fingerprint| own_record(&state, *fingerprint))
             .collect();
         for records in news.chunks(MAX_RECORDS) {
@@ -122,8 +119,9 @@
     let known = state.quarantine.read(|ledger| {
         let known = ledger.known_to_all();
         let known = known.map(|(fingerprint, record)| wire(state, fingerprint, record));
-        known.take(MAX_SENT).collect::<Vec<WireRecord>>()
+        known.collect::<Vec<WireRecord>>()
     });
+    let known = part(known, state.peers.next_turn());
     for records in known.chunks(MAX_RECORDS) {
         let message = Message::Records(WireRecords {
             records: records.to_vec(),
@@ -133,6 +131,15 @@
     }
 }
 
+/// As many records as are sent to one daemon, others at each turn.
+fn part(mut records: Vec<WireRecord>, turn: u32) -> Vec<WireRecord> {
+    let first = (turn as usize * MAX_SENT) % records.len().max(1);
+    records.sort_by_key(|record| record.fingerprint);
+    records.rotate_left(first);
+    records.truncate(MAX_SENT);
+    records
+}
+
 /// The digest of what is known here.
 pub(super) fn digest(state: &GatewayState) -> u64 {
     state.quarantine.read(|ledger| ledger.digest())
--- a/crates/gateway/src/quarantine/ledger.rs
+++ b/crates/gateway/src/quarantine/ledger.rs
@@ -135,7 +135,7 @@
     told: HashMap<Fingerprint, u64>,
     /// The sum of these digests.
     digest: u64,
-    /// Those that must not be sent like any other request.
+    /// Those with which requests are compared before they are sent, and when they end well.
     suspects: HashSet<Fingerprint>,
     last_strike: Option<Duration>,
     /// Replicas that ended, and when, the latest last.
@@ -287,7 +287,7 @@
         known.filter(|(_, record)| record.is_quarantined)
     }
 
-    /// Whether a request must be looked up before it is sent: some are suspicious or quarantined.
+    /// Whether a request must be looked up before it is sent: some were open at more than one replica that ended.
     pub fn has_suspects(&self) -> bool {
         !self.suspects.is_empty()
     }
@@ -395,7 +395,7 @@
         let record = self.records.get(&fingerprint);
         let told = record.filter(|record| record.is_known_to_all());
         let digest = told.map(|record| record.digest(fingerprint));
-        let is_suspect = record.is_some_and(Record::is_suspect);
+        let is_suspect = record.is_some_and(Record::is_to_be_compared);
         let before = match digest {
             Some(digest) => self.told.insert(fingerprint, digest),
             None => self.told.remove(&fingerprint),
@@ -461,6 +461,11 @@
         self.is_quarantined || self.generation > 0 || self.strikes.len() >= SUSPICIOUS
     }
 
+    /// Whether requests are compared with it: it may have to be refused, or cleared.
+    fn is_to_be_compared(&self) -> bool {
+        self.is_quarantined || self.strikes.len() >= SUSPICIOUS
+    }
+
     /// Whether it must not be sent like any other request.
     pub fn is_suspect(&self) -> bool {
         self.is_quarantined || self.weight(|strike| strike.is_coincident) >= SUSPICIOUS * WEIGHT
--- a/crates/gateway/src/quarantine/shared.rs
+++ b/crates/gateway/src/quarantine/shared.rs
@@ -16,11 +16,14 @@
 /// How often news are told: a datagram may be lost, and those that are told twice know it already.
 const TELLINGS: u8 = 3;
 
+/// The time between two tellings of the same news; three of them end well before others must know (`contact_seconds`).
+pub const BETWEEN_TELLINGS: Duration = Duration::from_millis(350);
+
 /// Where the clock of the records begins, so that moments before the start of this daemon have a place on it, which others
 /// tell it of. Longer than anything is remembered.
 const CLOCK_BEGIN: Duration = Duration::from_secs(30 * 24 * 3600);
 
-/// What of a request concerns the store.
+/// An object of the store that is to be removed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Removal {
     /// The request.
@@ -36,8 +39,15 @@
     pub strikes: Vec<(Fingerprint, Strike)>,
     /// Requests that ended well, for the same daemons.
     pub cleared: Vec<Fingerprint>,
-    /// Requests whose records all are to know, and how often they are still told.
-    pub news: HashMap<Fingerprint, u8>,
+    /// Requests whose records all are to know.
+    pub news: Vec<Fingerprint>,
+}
+
+/// News that are told more than once.
+#[derive(Debug, Clone, Copy)]
+struct Telling {
+    left: u8,
+    next_at: Duration,
 }
 
 /// The records of this daemon.
@@ -48,6 +58,7 @@
     pub(super) losses: Losses,
     ledger: RefCell<Ledger>,
     outbox: RefCell<Outbox>,
+    tellings: RefCell<HashMap<Fingerprint, Telling>>,
     removals: RefCell<Vec<Removal>>,
     /// Wakes the task that tells others.
     pub told: Notify,
@@ -73,6 +84,7 @@
             losses: Losses::default(),
             ledger: RefCell::default(),
             outbox: RefCell::default(),
+            tellings: RefCell::default(),
             removals: RefCell::default(),
             told: Notify::new(),
             kept: Notify::new(),
@@ -243,37 +255,36 @@
         self.removals.take()
     }
 
-    /// Forgets what is too old to count.
-    pub fn forget_old(&self) {
+    /// Forgets what is too old to count; what of it the store keeps.
+    pub fn forget_old(&self) -> Vec<Removal> {
         let kept_in_store = self.ledger.borrow_mut().forget_old(self.now());
-        for (fingerprint, revision) in kept_in_store {
-            self.remove(Removal {
-                fingerprint,
-                revision,
-            });
-        }
+        let removals = kept_in_store.into_iter();
+        let removals = removals.map(|(fingerprint, revision)| Removal {
+            fingerprint,
+            revision,
+        });
+        removals.collect()
     }
 
-    /// What is to be told now. News that were not told often enough stay for the next time.
+    /// What is to be told now.
     pub fn take_outbox(&self) -> Outbox {
-        let mut outbox = self.outbox.borrow_mut();
-        let strikes = std::mem::take(&mut outbox.strikes);
-        let cleared = std::mem::take(&mut outbox.cleared);
-        let news = outbox.news.clone();
-        for tellings in outbox.news.values_mut() {
-            *tellings -= 1;
-        }
-        outbox.news.retain(|_, tellings| *tellings > 0);
-        Outbox {
-            strikes,
-            cleared,
-            news,
+        let now = self.now();
+        let mut outbox = self.outbox.take();
+        let mut tellings = self.tellings.borrow_mut();
+        for (fingerprint, telling) in tellings.iter_mut() {
+            if telling.next_at <= now {
+                outbox.news.push(*fingerprint);
+                telling.left -= 1;
+                telling.next_at = now + BETWEEN_TELLINGS;
+            }
         }
+        tellings.retain(|_, telling| telling.left > 0);
+        outbox
     }
 
     /// Whether news are to be told once more.
     pub fn has_news(&self) -> bool {
-        !self.outbox.borrow().news.is_empty()
+        !self.tellings.borrow().is_empty()
     }
 
     fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
@@ -300,7 +311,11 @@
     }
 
     fn tell_all(&self, fingerprint: Fingerprint) {
-        self.outbox.borrow_mut().news.insert(fingerprint, TELLINGS);
+        let telling = Telling {
+            left: TELLINGS,
+            next_at: Duration::ZERO,
+        };
+        self.tellings.borrow_mut().insert(fingerprint, telling);
         self.told.notify_one();
         self.kept.notify_one();
     }
--- a/crates/gateway/src/store/quarantine.rs
+++ b/crates/gateway/src/store/quarantine.rs
@@ -24,10 +24,13 @@
 /// there writes it, and tells all, within some ten milliseconds.
 const TURN: Duration = Duration::from_millis(700);
 
-/// The time between two tries to write or remove records, and after which old ones are looked for.
+/// The time between two tries to write or remove records, doubled after each one in a row that failed.
 const RETRY: Duration = Duration::from_millis(1000);
 
-/// The same while nothing is to be done.
+/// How often it is doubled: a store that is down for long is called each 8 s by three daemons for each record.
+const RETRY_DOUBLINGS: u32 = 3;
+
+/// The time after which old records are looked for while nothing else is to be done.
 const IDLE: Duration = Duration::from_secs(60);
 
 /// How far apart strikes are taken to have been that are known from the store, which tells no times.
@@ -86,26 +89,39 @@
 /// Keeps the records in the store, for ever.
 pub(super) async fn keep(state: Rc<GatewayState>) {
     let mut unstored: HashMap<Fingerprint, Duration> = HashMap::new();
+    let mut failures = 0;
     let mut pause = IDLE;
     loop {
         // Ends early when there is something to keep.
         let _ = tokio::time::timeout(pause, state.quarantine.kept.notified()).await;
-        state.quarantine.forget_old();
-        let has_removed_all = remove_all(&state).await;
-        let due = note_unstored(&state, &mut unstored);
-        for fingerprint in due {
-            store_one(&state, fingerprint).await;
+        forget_old(&state);
+        let mut has_failed = !remove_all(&state).await;
+        for fingerprint in note_unstored(&state, &mut unstored) {
+            has_failed |= !store_one(&state, fingerprint).await;
         }
         let count = state.quarantine.read(|ledger| ledger.quarantined().count());
         let count = i64::try_from(count).unwrap_or(i64::MAX);
         state.status.metrics.fingerprints_quarantined.set(count);
-        pause = match has_removed_all && unstored.is_empty() {
-            true => IDLE,
-            false => RETRY,
+        failures = if has_failed { failures + 1 } else { 0 };
+        pause = match has_failed || !unstored.is_empty() {
+            true => RETRY * (1 << failures.min(RETRY_DOUBLINGS)),
+            false => IDLE,
         };
     }
 }
 
+/// Forgets old records; what the store keeps of them is removed by the first of the daemons that count for them.
+fn forget_old(state: &GatewayState) {
+    let directory = state.peers.directory();
+    for removal in state.quarantine.forget_old() {
+        let homes = homes(&directory, removal.fingerprint);
+        let first = homes.first();
+        if first.is_some_and(|home| home.name == state.peers.own().name) {
+            state.quarantine.remove(removal);
+        }
+    }
+}
+
 /// Brings the list of what the store does not keep yet up to date; those that it is this daemon's turn to write.
 fn note_unstored(
     state: &GatewayState,
@@ -136,13 +152,13 @@
     due.map(|(fingerprint, _)| *fingerprint).collect()
 }
 
-/// Writes the record of one request, in the place of an earlier one.
-async fn store_one(state: &GatewayState, fingerprint: Fingerprint) {
+/// Writes the record of one request, in the place of an earlier one; false where it is not known to be kept.
+async fn store_one(state: &GatewayState, fingerprint: Fingerprint) -> bool {
     let record = state
         .quarantine
         .read(|ledger| ledger.get(fingerprint).cloned());
     let Some(record) = record else {
-        return;
+        return true;
     };
     let expected = Some(record.stored.revision).filter(|revision| *revision > 0);
     let name = fingerprint.to_string();
@@ -158,11 +174,15 @@
             state
                 .quarantine
                 .note_stored(fingerprint, revision, is_quarantined);
+            true
+        }
+        answer => {
+            log_event!(
+                gateway::QUARANTINE_NOT_KEPT,
+                "fingerprint={fingerprint} answer={answer:?}"
+            );
+            false
         }
-        answer => log_event!(
-            gateway::QUARANTINE_NOT_KEPT,
-            "fingerprint={fingerprint} answer={answer:?}"
-        ),
     }
 }
 
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -193,6 +193,29 @@
     assert!(ledger.may_clear(at(30.0)) && !ledger.may_clear(at(90.0)));
 }
 
+#[test]
+fn one_that_was_open_at_two_replicas_which_ended_together_is_cleared_by_any_daemon() {
+    // Told to a daemon that lost no answer itself, and long after: it must still see that the request ends well.
+    let mut ledger = Ledger::default();
+    let strike = |replica: u64| Strike {
+        replica,
+        at: at(0.0),
+        is_coincident: true,
+    };
+    let told = Record {
+        strikes: vec![strike(1), strike(2)],
+        ..Record::default()
+    };
+    ledger.merge(fingerprint(1), told, Role::Other, at(300.0));
+    assert_eq!(ledger.verdict(fingerprint(1), at(300.0)), Verdict::Clear);
+    assert!(ledger.may_clear(at(300.0)));
+    assert!(
+        ledger
+            .clear(fingerprint(1), at(300.0))
+            .is_some_and(|cleared| cleared.is_for_all)
+    );
+}
+
 #[test]
 fn memory_is_bounded_and_the_quarantined_stay() {
     let mut ledger = struck(1, &[0.0, 1.0, 2.0]);
