--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -5,7 +5,7 @@
 //! as before. This clock counts that time (`CLOCK_BOOTTIME`). Like the other one it never goes back.
 //!
 //! Timers of the runtime stand still too: what waits goes on to wait after a suspension for as long as it had left. So
-//! whoever acts on an age looks at it then, and not only when a timer ends.
+//! an age is looked at when something is done that depends on it, not only when a timer ends.
 
 use std::ops::{Add, AddAssign, Sub, SubAssign};
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/crates/gateway/src/peers/records.rs
+++ b/crates/gateway/src/peers/records.rs
@@ -2,7 +2,7 @@
 //!
 //! Strikes go to the few daemons that count for a request; what all are to know goes through the tree of each group, and
 //! to one daemon of every other group. Who missed that learns it from the next question or answer: both bear a digest
-//! of what is known, and whoever finds that the other's differs sends what it knows.
+//! of what is known, and a daemon that finds the other's to differ sends what it knows.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/gateway/src/quarantine/ends.rs
+++ b/crates/gateway/src/quarantine/ends.rs
@@ -62,7 +62,7 @@
 async fn find_out(state: Rc<GatewayState>, replica: Rc<Replica>) {
     let ended_at = state.quarantine.now();
     tokio::time::sleep(GATHERING).await;
-    // Whoever stood still as the replica ended may find the next one at its address.
+    // A daemon that stood still as the replica ended may find the next one at its address.
     let has_ended = state.registry.is_replaced(&replica) || is_refused(replica.pool.peer()).await;
     let lost = state.quarantine.losses.take(&replica.id);
     if !has_ended {
--- a/crates/gateway/src/quarantine/ledger.rs
+++ b/crates/gateway/src/quarantine/ledger.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 
 use super::Fingerprint;
+use super::record::{ONE_CRASH, Record, Stored, Strike, WEIGHT};
 
 /// Strikes after which a request is quarantined. The operator allows three ends, and three more sends.
 pub const MAX_STRIKES: usize = 3;
@@ -27,82 +28,21 @@
 /// matters to one that the others can't reach.
 const MAX_STRIKES_ELSEWHERE: usize = 5;
 
-/// Strikes from which on a request is suspicious, and every daemon knows of it.
-const SUSPICIOUS: usize = 2;
-
-/// What a strike weighs, so that half of one is a whole number.
-const WEIGHT: usize = 2;
-
-/// How long after the end of a replica it is known which others ended with it: within that time whoever was not frozen has
-/// told.
+/// How long after the end of a replica it is known which others ended with it: within that time every daemon that was not
+/// frozen has told.
 const SETTLED: Duration = Duration::from_millis(300);
 
 /// Ends of replicas that are remembered, to know which ended together: 16 bytes each, four crashes of a seventh of 3,000
 /// replicas.
 const MAX_ENDS: usize = 2048;
 
-/// Replicas that end within this time count as one strike. When 15 in 100 crash at once their connections break off
-/// within some ten milliseconds at all daemons (logs of an incident: 2 ms).
-const ONE_CRASH: Duration = Duration::from_millis(100);
-
-/// How long a strike counts. Requests that come again seldom than that end a replica now and then.
-const STRIKE_MEMORY: Duration = Duration::from_secs(15 * 60);
-
-/// How long a request stays in quarantine before one daemon tries it again, in case that the replicas were mended;
-/// after each such trial that ends a replica twice as long.
-const QUARANTINE: Duration = Duration::from_secs(3600);
-
-/// Trials; then only an operator can release it. With them it ends two replicas beside the first three, where three are
-/// allowed.
-const MAX_TRIALS: u32 = 2;
-
 /// For how long after the last strike answers that come whole are looked at whether they clear a request that only
 /// its home and this daemon know of. Nothing is hashed after that.
 const CLEARING: Duration = Duration::from_secs(60);
 
-/// Strikes of one request that are kept.
-const KEPT_STRIKES: usize = 6;
-
 /// Records that are kept, about 100 bytes each; quarantined ones go last.
 const MAX_RECORDS: usize = 2048;
 
-/// One strike.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Strike {
-    /// The digest of the id of the replica's life.
-    pub replica: u64,
-    /// When it ended.
-    pub at: Duration,
-    /// Whether others ended at the same time where the request was not open.
-    pub is_coincident: bool,
-}
-
-/// How the store keeps a record.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Stored {
-    /// The revision of its object; 0 for none.
-    pub revision: u64,
-    /// Whether it says that the request is quarantined.
-    pub is_quarantined: bool,
-}
-
-/// What is known of one request.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Record {
-    /// How often it was cleared or released; strikes of earlier generations are void.
-    pub generation: u32,
-    /// Its strikes, each replica once, in the order of time.
-    pub strikes: Vec<Strike>,
-    /// Whether it is quarantined.
-    pub is_quarantined: bool,
-    /// How often it was tried in quarantine.
-    pub trials: u32,
-    /// How the store keeps this generation of it.
-    pub stored: Stored,
-    /// When it was last cleared.
-    pub cleared_at: Duration,
-}
-
 /// What is to be done with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -427,118 +367,3 @@
         }
     }
 }
-
-impl Record {
-    /// Whether the store is to keep it otherwise than it does.
-    pub fn is_to_be_stored(&self) -> bool {
-        let is_kept = self.stored.revision > 0 && self.stored.is_quarantined == self.is_quarantined;
-        self.is_suspect() && !is_kept
-    }
-
-    /// How many ends of replicas count against it. Those that came together count once, and half where others came with
-    /// them.
-    pub fn count(&self) -> f64 {
-        self.weight(|strike| strike.is_coincident) as f64 / WEIGHT as f64
-    }
-
-    fn weight(&self, coincides: impl Fn(&Strike) -> bool) -> usize {
-        let mut weight = 0;
-        let mut counted_until = None;
-        for strike in &self.strikes {
-            if counted_until.is_none_or(|until| strike.at >= until) {
-                counted_until = Some(strike.at + ONE_CRASH);
-                weight += match coincides(strike) {
-                    true => WEIGHT / 2,
-                    false => WEIGHT,
-                };
-            }
-        }
-        weight
-    }
-
-    /// Whether every daemon is to know it.
-    pub fn is_known_to_all(&self) -> bool {
-        self.is_quarantined || self.generation > 0 || self.strikes.len() >= SUSPICIOUS
-    }
-
-    /// Whether requests are compared with it: it may have to be refused, or cleared.
-    fn is_to_be_compared(&self) -> bool {
-        self.is_quarantined || self.strikes.len() >= SUSPICIOUS
-    }
-
-    /// Whether it must not be sent like any other request.
-    pub fn is_suspect(&self) -> bool {
-        self.is_quarantined || self.weight(|strike| strike.is_coincident) >= SUSPICIOUS * WEIGHT
-    }
-
-    /// When it is tried in quarantine; nothing where only an operator can release it.
-    pub fn due_at(&self) -> Option<Duration> {
-        let term = QUARANTINE.saturating_mul(1 << self.trials);
-        (self.trials < MAX_TRIALS).then(|| self.last_at().saturating_add(term))
-    }
-
-    /// Takes in what another daemon knows.
-    fn merge(&mut self, told: Self) {
-        if told.generation < self.generation {
-            return;
-        }
-        if told.generation > self.generation {
-            *self = told;
-        } else {
-            for strike in told.strikes {
-                self.add(strike);
-            }
-            self.is_quarantined |= told.is_quarantined;
-            self.trials = self.trials.max(told.trials);
-            self.stored = self.stored.max(told.stored);
-            self.cleared_at = self.cleared_at.max(told.cleared_at);
-        }
-        self.strikes
-            .sort_by_key(|strike| (strike.at, strike.replica));
-        let surplus = self.strikes.len().saturating_sub(KEPT_STRIKES);
-        self.strikes.drain(..surplus);
-    }
-
-    /// Adds a strike; the end of one replica counts once, from when it was seen first.
-    fn add(&mut self, strike: Strike) {
-        match self
-            .strikes
-            .iter_mut()
-            .find(|known| known.replica == strike.replica)
-        {
-            Some(known) => {
-                known.at = known.at.min(strike.at);
-                known.is_coincident |= strike.is_coincident;
-            }
-            None => self.strikes.push(strike),
-        }
-    }
-
-    fn has_ended(&self, replica: u64) -> bool {
-        self.strikes.iter().any(|strike| strike.replica == replica)
-    }
-
-    fn last_at(&self) -> Duration {
-        let last = self
-            .strikes
-            .last()
-            .map_or(Duration::ZERO, |strike| strike.at);
-        last.max(self.cleared_at)
-    }
-
-    fn is_due(&self, now: Duration) -> bool {
-        self.due_at().is_some_and(|due| now >= due)
-    }
-
-    fn is_recent(&self, now: Duration) -> bool {
-        now.saturating_sub(self.last_at()) < STRIKE_MEMORY
-    }
-
-    fn digest(&self, fingerprint: Fingerprint) -> u64 {
-        let mut bytes = fingerprint.number().to_le_bytes().to_vec();
-        bytes.extend(self.generation.to_le_bytes());
-        bytes.extend(self.trials.to_le_bytes());
-        bytes.push(u8::from(self.is_quarantined));
-        xxhash_rust::xxh3::xxh3_64(&bytes)
-    }
-}
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -6,7 +6,8 @@
 //!
 //! - [`fingerprint`]: what makes two tries the same request.
 //! - [`ends`]: whether a replica has ended, or only broke off an answer.
-//! - [`ledger`]: what is known of requests; the decision.
+//! - [`record`]: what is known of one request.
+//! - [`ledger`]: what is known of all; the decision.
 //! - [`homes`]: which daemons count for a request.
 //! - [`shared`]: the records of this daemon, and what it has to tell.
 //!
@@ -16,10 +17,12 @@
 pub mod fingerprint;
 pub mod homes;
 pub mod ledger;
+pub mod record;
 pub mod shared;
 
 pub use ends::note_loss;
 pub use fingerprint::Fingerprint;
 pub use homes::{homes, role};
-pub use ledger::{Record, Role, Stored, Strike, Verdict};
+pub use ledger::{Role, Verdict};
+pub use record::{Record, Stored, Strike};
 pub use shared::{Quarantine, Removal, Teller};
--- a/crates/gateway/src/quarantine/shared.rs
+++ b/crates/gateway/src/quarantine/shared.rs
@@ -11,7 +11,8 @@
 
 use super::Fingerprint;
 use super::ends::Losses;
-use super::ledger::{Cleared, Ledger, News, Record, Role, Strike, Verdict};
+use super::ledger::{Cleared, Ledger, News, Role, Verdict};
+use super::record::{Record, Strike};
 
 /// How often news are told: a datagram may be lost, and those that are told twice know it already.
 const TELLINGS: u8 = 3;
