--- a/crates/gateway/src/quarantine/record.rs
+++ b/crates/gateway/src/quarantine/record.rs
@@ -14,7 +14,7 @@
 /// within some ten milliseconds at all daemons (logs of an incident: 2 ms).
 pub(super) const ONE_CRASH: Duration = Duration::from_millis(100);
 
-/// How long a strike counts. Requests that come again seldom than that end a replica now and then.
+/// How long a strike counts. Requests that come again more seldom than that end a replica now and then.
 const STRIKE_MEMORY: Duration = Duration::from_secs(15 * 60);
 
 /// How long a request stays in quarantine before one daemon tries it again, in case that the replicas were mended;
