--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -32,7 +32,7 @@
     pub fn new(settings: &GatewayRetries) -> Self {
         Self {
             ratio: Cell::new(settings.ratio * RATIO_USED),
-            slack: Cell::new(f64::from(settings.slack) * SLACK_USED),
+            slack: Cell::new(settings.slack * SLACK_USED),
             daemons: Cell::new(LEAST_DAEMONS),
             saved: RefCell::new(HashMap::new()),
         }
@@ -41,7 +41,7 @@
     /// Puts other settings into force.
     pub fn reload(&self, settings: &GatewayRetries) {
         self.ratio.set(settings.ratio * RATIO_USED);
-        self.slack.set(f64::from(settings.slack) * SLACK_USED);
+        self.slack.set(settings.slack * SLACK_USED);
     }
 
     /// Takes in how many daemons share the budget.
--- a/crates/gateway/src/cache/follow.rs
+++ b/crates/gateway/src/cache/follow.rs
@@ -9,8 +9,9 @@
 use bytes::Bytes;
 
 use super::kept::{CachedNews, KeptChange};
-use crate::protocol::{CachePage, Call};
+use crate::protocol::{CachePage, Call, UnreadableReason};
 use crate::state::GatewayState;
+use crate::store::Rejected;
 use crate::upstream::{self, Pool};
 
 /// How long one call waits for changes.
@@ -102,13 +103,25 @@
 async fn events(state: &GatewayState, pool: &Rc<Pool>, since: u64) -> Option<CachePage> {
     let call = state.platform.cache_events(since, WAIT);
     let body = body_of(pool, &call).await?;
-    state.platform.read_cache_events(&body).ok()
+    readable(state, pool, state.platform.read_cache_events(&body))
 }
 
 /// All that is kept; nothing where it can't be had.
 async fn list(state: &GatewayState, pool: &Rc<Pool>) -> Option<CachePage> {
     let body = body_of(pool, &state.platform.cache_list()).await?;
-    state.platform.read_cache_list(&body).ok()
+    readable(state, pool, state.platform.read_cache_list(&body))
+}
+
+fn readable(
+    state: &GatewayState,
+    pool: &Pool,
+    page: Result<CachePage, String>,
+) -> Option<CachePage> {
+    let reject = |error: &String| {
+        let (name, reason) = (pool.peer().to_string(), UnreadableReason::Fields);
+        state.reject(Rejected::CachePage, &name, reason, error.clone());
+    };
+    page.inspect_err(reject).ok()
 }
 
 async fn body_of(pool: &Rc<Pool>, call: &Call) -> Option<Bytes> {
--- a/crates/gateway/src/cache/holders.rs
+++ b/crates/gateway/src/cache/holders.rs
@@ -54,7 +54,7 @@
 /// That a replica was given a prefix.
 #[derive(Debug, Clone, Copy)]
 struct Holding {
-    /// The digest of the replica's id.
+    /// The digest of the replica's life.
     replica: u64,
     /// When the replica has probably read it.
     ready_at: Instant,
@@ -88,7 +88,7 @@
             holdings.retain(|holding| holding.is_fresh(now));
             let known = holdings
                 .iter_mut()
-                .find(|holding| holding.replica == replica.id_hash);
+                .find(|holding| holding.replica == replica.life_hash);
             match known {
                 Some(known) => {
                     known.used_at = now;
@@ -96,7 +96,7 @@
                     known.ready_at = known.ready_at.min(ready_at);
                 }
                 None => holdings.push(Holding {
-                    replica: replica.id_hash,
+                    replica: replica.life_hash,
                     ready_at,
                     used_at: now,
                     given_then: replica.given_tokens(),
@@ -110,7 +110,7 @@
         let mut by_prefix = self.by_prefix.borrow_mut();
         for prefix in prefixes {
             if let Some(holdings) = by_prefix.get_mut(&prefix.key) {
-                holdings.retain(|holding| holding.replica != replica.id_hash);
+                holdings.retain(|holding| holding.replica != replica.life_hash);
             }
         }
     }
@@ -130,7 +130,7 @@
             let holdings = by_prefix.get(&prefix.key).map_or(&[][..], Vec::as_slice);
             let mut of_replica = holdings
                 .iter()
-                .filter(|holding| holding.replica == replica.id_hash);
+                .filter(|holding| holding.replica == replica.life_hash);
             of_replica.any(|holding| {
                 let given_since = replica.given_tokens().saturating_sub(holding.given_then);
                 holding.is_fresh(now)
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -4,13 +4,23 @@
 use std::sync::Mutex;
 
 use driftspring_telemetry::metrics::DurationHistogram;
-use prometheus_client::encoding::text;
+use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::{Registry, Unit};
 
 use crate::replicas::Begun;
 
+/// Under what something is counted that could not be read.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RejectedLabels {
+    /// Its kind, see [`crate::store::Rejected`].
+    pub kind: String,
+    /// What is wrong with it, see [`crate::protocol::UnreadableReason`].
+    pub reason: String,
+}
+
 /// The numbers of one gateway. Counting is one atomic addition.
 pub struct GatewayMetrics {
     /// Requests that got a replica's whole answer.
@@ -53,6 +63,8 @@
     pub replicas_ended: Counter,
     /// Requests refused since they ended the replicas that ran them.
     pub quarantined: Counter,
+    /// What others said that could not be read, by kind and reason, each time.
+    pub rejected: Family<RejectedLabels, Counter>,
     /// The version of the configuration in force.
     pub configuration_version: Gauge,
     /// Different requests that are quarantined.
@@ -91,6 +103,7 @@
             replicas_lapsed: Counter::default(),
             replicas_ended: Counter::default(),
             quarantined: Counter::default(),
+            rejected: Family::default(),
             fingerprints_quarantined: Gauge::default(),
             configuration_version: Gauge::default(),
             replicas: Gauge::default(),
@@ -201,6 +214,11 @@
             "The version of the configuration in force",
             self.configuration_version.clone(),
         );
+        registry.register(
+            "rejected",
+            "Objects, reports and datagrams that could not be read, each time",
+            self.rejected.clone(),
+        );
         registry.register("replicas", "Replicas listed", self.replicas.clone());
         registry.register(
             "fingerprints_quarantined",
--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -16,7 +16,9 @@
 use super::send::send_to;
 use super::spread::{self, spread};
 use crate::cache::PrefixKey;
+use crate::protocol::UnreadableReason;
 use crate::state::GatewayState;
+use crate::store::Rejected;
 
 /// The pause after a datagram could not be received.
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(25);
@@ -118,7 +120,15 @@
                 take_loading(&state, &loading);
                 spread(&state, &socket, Report::Loading(loading)).await;
             }
-            None => log::debug!("datagram of {from} does not decode"),
+            None => {
+                let (name, reason) = (from.to_string(), UnreadableReason::Bytes);
+                state.reject(
+                    Rejected::Datagram,
+                    &name,
+                    reason,
+                    "it does not decode".to_owned(),
+                );
+            }
         }
     }
 }
@@ -185,7 +195,7 @@
     let now = Instant::now();
     let own = short_digest(&state.peers.own().name);
     for prompt in prompts.iter().filter(|prompt| prompt.sender != own) {
-        if let Some(replica) = state.registry.get(&prompt.replica) {
+        if let Some(replica) = state.registry.current(&prompt.life()) {
             replica.note_prompt(prompt.tokens, now);
             let ready_at = now + replica.reading(now);
             let prefixes = prompt.prefixes.iter().map(|key| PrefixKey(*key));
@@ -196,7 +206,7 @@
 
 /// Takes in how a replica's loading of weights goes.
 pub(super) fn take_loading(state: &GatewayState, loading: &Loading) {
-    if let Some(replica) = state.registry.get(&loading.replica) {
+    if let Some(replica) = state.registry.current(&loading.life()) {
         let has_ended = loading.is_done || loading.has_failed;
         replica.set_loading((!has_ended).then(Instant::now));
         if loading.is_done {
--- a/crates/gateway/src/peers/convert.rs
+++ b/crates/gateway/src/peers/convert.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use super::message::{WireDaemon, WireReplica};
-use crate::protocol::{DaemonRecord, ModelVersion, ReplicaEntry};
+use crate::protocol::{DaemonRecord, ModelVersion, ReplicaEntry, ReplicaLife};
 
 impl From<&ReplicaEntry> for WireReplica {
     fn from(entry: &ReplicaEntry) -> Self {
         let models = entry.models.iter();
         Self {
-            id: entry.id.clone(),
+            id: entry.life.id.clone(),
+            born: entry.life.born,
             service: entry.service.clone(),
             address: entry.address.to_string(),
             zone: entry.zone.clone(),
@@ -27,7 +28,10 @@
     pub fn to_entry(&self) -> Option<ReplicaEntry> {
         let models = self.models.iter();
         Some(ReplicaEntry {
-            id: self.id.clone(),
+            life: ReplicaLife {
+                id: self.id.clone(),
+                born: self.born,
+            },
             service: self.service.clone(),
             address: self.address.parse().ok()?,
             zone: self.zone.clone(),
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -3,6 +3,8 @@
 use musli::{Decode, Encode};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::protocol::ReplicaLife;
+
 /// The largest datagram that is sent, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 1200;
 
@@ -328,6 +330,9 @@
 pub struct WireReplica {
     /// Its id.
     pub id: String,
+    /// Which of its lives, see [`ReplicaLife::born`].
+    #[musli(default)]
+    pub born: Option<u64>,
     /// Its service.
     pub service: String,
     /// Its address.
@@ -342,6 +347,27 @@
     pub models: Vec<(String, u64)>,
 }
 
+impl WirePrompt {
+    /// The life that was given the prompt.
+    pub fn life(&self) -> ReplicaLife {
+        life(&self.replica, self.born)
+    }
+}
+
+impl Loading {
+    /// The life that loads.
+    pub fn life(&self) -> ReplicaLife {
+        life(&self.replica, self.born)
+    }
+}
+
+fn life(id: &str, born: Option<u64>) -> ReplicaLife {
+    ReplicaLife {
+        id: id.to_owned(),
+        born,
+    }
+}
+
 /// A daemon.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub struct WireDaemon {
@@ -362,6 +388,9 @@
 pub struct WirePrompt {
     /// The replica's id.
     pub replica: String,
+    /// Which of its lives, see [`ReplicaLife::born`].
+    #[musli(default)]
+    pub born: Option<u64>,
     /// Tokens that it probably has to read.
     pub tokens: u64,
     /// The keys of the prompt's shared prefixes, see [`crate::cache::PrefixKey`].
@@ -429,6 +458,9 @@
 pub struct Loading {
     /// The replica's id.
     pub replica: String,
+    /// Which of its lives, see [`ReplicaLife::born`].
+    #[musli(default)]
+    pub born: Option<u64>,
     /// The model.
     pub model: String,
     /// The version.
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -15,6 +15,7 @@
 use super::dispatch::{Opened, Unanswered, send};
 use super::judge::{Verdict, judge};
 use super::refusal::{Reason, Refusal, Step};
+use crate::protocol::ReplicaLife;
 use crate::quarantine::note_loss;
 use crate::state::GatewayState;
 use crate::upstream::SendFailure;
@@ -36,7 +37,7 @@
 pub struct Attempts {
     state: Rc<GatewayState>,
     context: Rc<RequestContext>,
-    tried: Vec<String>,
+    tried: Vec<ReplicaLife>,
     runs: u32,
     vain_sends: usize,
     unreachable: usize,
@@ -152,7 +153,7 @@
         let (verdict, meta) = judge(&*self.state.platform, &self.context, &opened.answer);
         let peer = choice.replica.pool.peer();
         if choice.replica.health.note_answer() {
-            log_event!(gateway::REPLICA_WELL, "replica={}", choice.replica.id);
+            log_event!(gateway::REPLICA_WELL, "replica={}", choice.replica.id());
         }
         if let (Some(version), Some(prompt)) = (meta.weights_version, self.context.prompt()) {
             choice.replica.note_version(&prompt.model, version);
@@ -168,7 +169,7 @@
                 Ok(Some(Attempt { opened, choice }))
             }
             Verdict::NotRun => {
-                if meta.is_misdirected && meta.replica.as_ref() == Some(&choice.replica.id) {
+                if meta.is_misdirected && meta.replica.as_deref() == Some(choice.replica.id()) {
                     self.correct_weights(&choice);
                 }
                 let status = opened.answer.status().as_u16();
@@ -207,21 +208,21 @@
             .is_ok();
         if is_possible {
             self.log_attempt(choice, "failed", "the replica answered with a failure");
-            self.tried.push(choice.replica.id.clone());
+            self.tried.push(choice.replica.life.clone());
         }
         is_possible
     }
 
-    fn tried_with(&self, choice: &Choice) -> Vec<String> {
+    fn tried_with(&self, choice: &Choice) -> Vec<ReplicaLife> {
         let mut tried = self.tried.clone();
-        tried.push(choice.replica.id.clone());
+        tried.push(choice.replica.life.clone());
         tried
     }
 
     fn not_sent(&mut self, choice: &Choice, peer: SocketAddr, cause: &str) -> Result<(), Refusal> {
         self.note_failure(choice, cause);
         self.log_attempt(choice, "not_sent", cause);
-        self.tried.push(choice.replica.id.clone());
+        self.tried.push(choice.replica.life.clone());
         self.unreachable += 1;
         match self.unreachable >= MAX_UNREACHABLE {
             true => Err(self.give_up(Reason::NotRun, Some(peer), cause)),
@@ -233,7 +234,7 @@
         self.log_attempt(choice, "not_run", detail);
         choice.replica.health.note_full(Instant::now());
         self.state.holders.forget(&choice.prefixes, &choice.replica);
-        self.tried.push(choice.replica.id.clone());
+        self.tried.push(choice.replica.life.clone());
         self.vain_sends += 1;
         match self.vain_sends >= MAX_VAIN_SENDS {
             true => Err(self.give_up(Reason::NotRun, Some(peer), detail)),
@@ -252,7 +253,7 @@
             &format!("fingerprint={fingerprint} {cause}"),
         );
         note_loss(&self.state, &choice.replica, fingerprint);
-        self.tried.push(choice.replica.id.clone());
+        self.tried.push(choice.replica.life.clone());
         match self.may_run_again() {
             true => Ok(()),
             false => Err(self.give_up(Reason::Unknown, Some(peer), cause)),
@@ -268,11 +269,11 @@
             gateway::REQUEST_WITHDRAWN,
             "request={} replica={} version={:?} elapsed={:?}",
             self.context.id,
-            choice.replica.id,
+            choice.replica.id(),
             choice.weights_version,
             self.context.started.elapsed()
         );
-        self.tried.push(choice.replica.id.clone());
+        self.tried.push(choice.replica.life.clone());
         match self.may_run_again() {
             true => Ok(()),
             false => {
@@ -287,7 +288,7 @@
         log_event!(
             gateway::REPLICA_SUSPECT,
             "replica={} pause={pause:?} cause={cause:?}",
-            choice.replica.id
+            choice.replica.id()
         );
     }
 
@@ -336,7 +337,7 @@
             gateway::ATTEMPT_ENDED,
             "request={} replica={} taken_for={taken_for} elapsed={:?} detail={detail:?}",
             self.context.id,
-            choice.replica.id,
+            choice.replica.id(),
             self.context.started.elapsed()
         );
     }
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -11,6 +11,7 @@
 use super::prompt_sources::{PromptSources, Supply};
 use super::refusal::{Reason, Refusal, Step};
 use crate::cache::Prefix;
+use crate::protocol::ReplicaLife;
 use crate::replicas::{Candidate, Replica, place};
 use crate::state::GatewayState;
 
@@ -56,7 +57,7 @@
 pub fn choose(
     state: &GatewayState,
     context: &RequestContext,
-    tried: &[String],
+    tried: &[ReplicaLife],
     progress: Progress,
 ) -> Result<Choice, Refusal> {
     let eligible_for = |rank| eligible(state, context, tried, rank);
@@ -122,13 +123,13 @@
 fn eligible(
     state: &GatewayState,
     context: &RequestContext,
-    tried: &[String],
+    tried: &[ReplicaLife],
     rank: u8,
 ) -> Result<Vec<Rc<Replica>>, Refusal> {
     let listed = state.registry.of_service(&context.service);
     let now = Instant::now();
     let is_staying =
-        |replica: &&Rc<Replica>| replica.is_staying(now) && !tried.contains(&replica.id);
+        |replica: &&Rc<Replica>| replica.is_staying(now) && !tried.contains(&replica.life);
     let mut staying: Vec<Rc<Replica>> = listed.iter().filter(is_staying).cloned().collect();
     if staying.is_empty() {
         return Err(no_replica("all are leaving, tried or unknown"));
@@ -157,6 +158,10 @@
     let Some(prompt) = context.prompt() else {
         return true;
     };
+    // An entry that names no weights is not that of a replica that runs models.
+    if replica.entry().models.is_empty() {
+        return false;
+    }
     let now = Instant::now();
     let expected_wait = replica.waits.expected(rank, now);
     replica.version_of(&prompt.model).is_none_or(|version| {
--- a/crates/gateway/src/pipeline/collect.rs
+++ b/crates/gateway/src/pipeline/collect.rs
@@ -62,7 +62,7 @@
         match opened.answer.collect(MAX_ANSWER_BYTES).await {
             Ok(body) => {
                 return Ok(Whole {
-                    replica: choice.replica.id.clone(),
+                    replica: choice.replica.id().to_owned(),
                     status: opened.answer.status(),
                     headers: opened.answer.headers().clone(),
                     body,
--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -111,7 +111,8 @@
     let prefixes = choice.prefixes.iter().map(|prefix| prefix.key);
     state.holders.note(prefixes.clone(), replica, ready_at, now);
     state.peers.report_prompt(WirePrompt {
-        replica: replica.id.clone(),
+        replica: replica.id().to_owned(),
+        born: replica.life.born,
         tokens: choice.tokens_to_read,
         prefixes: prefixes.map(|key| key.0).collect(),
         sender: 0,
@@ -127,7 +128,7 @@
     };
     let connection = pool.take().await;
     let connection = connection.map_err(|error| not_sent(error.to_string()))?;
-    let is_listed = state.registry.get(&choice.replica.id).is_some();
+    let is_listed = state.registry.is_current(&choice.replica.life);
     match is_listed && choice.replica.is_staying(Instant::now()) {
         true => Ok(connection),
         false => Err(not_sent("it is leaving by now".to_owned())),
@@ -141,7 +142,7 @@
     last_event_id: Option<&str>,
 ) -> Result<Request<Full<Bytes>>, SendFailure> {
     let dispatch = Dispatch {
-        replica: choice.replica.id.clone(),
+        replica: choice.replica.id().to_owned(),
         deadline: context.time_left(),
         tenant: context.tenant.as_ref().map(|tenant| tenant.name.clone()),
         priority: context.prompt().map(|_| choice.rank),
@@ -179,7 +180,7 @@
         "request={} route={} replica={} address={} key={:?} home={} candidates={} open={} reading={:?} rank={} expected_wait={expected_wait:?} held={} tokens={} version={:?} fetch={:?} save={} configuration={} proof_age={:?} left={:?} reused={}",
         context.id,
         context.route.name,
-        choice.replica.id,
+        choice.replica.id(),
         connection.peer,
         context.placement_key().map(|key| key.0),
         choice.is_home,
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -226,8 +226,8 @@
                     gateway::STREAM_MOVED,
                     "request={} from={} to={} after={last_id:?} cause={cause:?}",
                     self.context.id,
-                    self.attempt.choice.replica.id,
-                    attempt.choice.replica.id
+                    self.attempt.choice.replica.id(),
+                    attempt.choice.replica.id()
                 );
                 self.attempt = attempt;
                 true
@@ -262,7 +262,7 @@
         note_survived(&self.state, &self.context);
         let status = self.attempt.opened.answer.status().as_u16();
         self.account
-            .completed(&self.attempt.choice.replica.id, status);
+            .completed(self.attempt.choice.replica.id(), status);
     }
 
     /// Closes the caller's connection without the end of the answer.
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -3,11 +3,13 @@
 //! An adapter translates and decides nothing. Every call is built here as bytes of HTTP/1.1 and every
 //! answer is read from them, so that the rest of the gateway knows typed messages only.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Method, StatusCode};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::configuration::Configuration;
 
@@ -53,7 +55,7 @@
 /// What a replica is told beside the caller's own head.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Dispatch {
-    /// The only life of a replica that may run the request.
+    /// The id of the only replica that may run the request.
     pub replica: String,
     /// How long the replica may work.
     pub deadline: Duration,
@@ -158,11 +160,33 @@
     pub version: u64,
 }
 
+/// One life of a replica. A replica that starts again may keep its id; it holds and knows nothing of before.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct ReplicaLife {
+    /// The replica's id.
+    pub id: String,
+    /// When the life began, in milliseconds of Unix time by the replica's clock; none where replicas don't say. Only
+    /// compared with that of another life of the same id, never with a clock.
+    pub born: Option<u64>,
+}
+
+impl ReplicaLife {
+    /// Whether `other`, of the same id, began later.
+    pub fn is_before(&self, other: &Self) -> bool {
+        self.id == other.id && self.born < other.born
+    }
+
+    /// A digest that no other life has.
+    pub fn digest(&self) -> u64 {
+        xxh3_64_with_seed(self.id.as_bytes(), self.born.unwrap_or(0))
+    }
+}
+
 /// A replica as the store lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReplicaEntry {
-    /// The id of this life of the replica.
-    pub id: String,
+    /// The life that wrote the entry.
+    pub life: ReplicaLife,
     /// Its service.
     pub service: String,
     /// Its address.
@@ -238,12 +262,44 @@
 /// An object as the store keeps it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct StoredObject {
-    /// Its name.
+    /// Its name; empty where it can't be read.
     pub name: String,
     /// The revision of its last change.
     pub revision: u64,
-    /// Its content, or what is wrong with it.
-    pub content: Result<ObjectContent, String>,
+    /// Its content, or why it has none: anybody may write to the store.
+    pub content: Result<ObjectContent, Unreadable>,
+}
+
+/// Why an object can't be read. It costs nothing but that object: a replica's entry names no replica to use, a
+/// configuration, a version of weights or a record leaves what was known in force, and a lease counts as held by another.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{reason}: {detail}")]
+pub struct Unreadable {
+    /// What is wrong, in short.
+    pub reason: UnreadableReason,
+    /// The same in words.
+    pub detail: String,
+}
+
+/// What is wrong with an object.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum UnreadableReason {
+    /// Its bytes are no text.
+    Bytes,
+    /// Its text is no document.
+    Syntax,
+    /// A field is missing or of another type, or has a value that is not known.
+    Fields,
+}
+
+impl fmt::Display for UnreadableReason {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Bytes => "bytes",
+            Self::Syntax => "syntax",
+            Self::Fields => "fields",
+        })
+    }
 }
 
 /// One page of a list.
@@ -328,7 +384,7 @@
 /// An order to load weights.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WeightsOrder {
-    /// The life of the replica that may take it.
+    /// The id of the replica that may take it.
     pub replica: String,
     /// The weights.
     pub weights: ModelVersion,
@@ -362,6 +418,8 @@
 /// A replica as it describes itself, some hundred milliseconds late.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReplicaReport {
+    /// When the life began that answers, where it says so, see [`ReplicaLife::born`].
+    pub born: Option<u64>,
     /// Its weights.
     pub models: Vec<ModelVersion>,
     /// Whether an order is under way.
--- a/crates/gateway/src/quarantine/ends.rs
+++ b/crates/gateway/src/quarantine/ends.rs
@@ -12,6 +12,7 @@
 use driftspring_telemetry::log_event;
 
 use super::{Fingerprint, Strike, role};
+use crate::protocol::ReplicaLife;
 use crate::replicas::Replica;
 use crate::state::GatewayState;
 use crate::upstream::is_refused;
@@ -29,20 +30,20 @@
 
 /// Answers that broke off, by replica, until it is known whether the replica has ended.
 #[derive(Debug, Default)]
-pub struct Losses(RefCell<HashMap<String, Vec<Fingerprint>>>);
+pub struct Losses(RefCell<HashMap<ReplicaLife, Vec<Fingerprint>>>);
 
 impl Losses {
     /// Adds a loss; true where it is the first one at this replica.
-    fn add(&self, replica: &str, fingerprint: Fingerprint) -> bool {
+    fn add(&self, replica: &ReplicaLife, fingerprint: Fingerprint) -> bool {
         let mut by_replica = self.0.borrow_mut();
-        let losses = by_replica.entry(replica.to_owned()).or_default();
+        let losses = by_replica.entry(replica.clone()).or_default();
         if losses.len() < MAX_LOSSES {
             losses.push(fingerprint);
         }
         losses.len() == 1
     }
 
-    fn take(&self, replica: &str) -> Vec<Fingerprint> {
+    fn take(&self, replica: &ReplicaLife) -> Vec<Fingerprint> {
         self.0.borrow_mut().remove(replica).unwrap_or_default()
     }
 }
@@ -50,11 +51,11 @@
 /// Takes in that an answer of `replica` to the request with this fingerprint was lost, and finds out whether the
 /// replica has ended. One that is leaving may end: that is no crash.
 pub fn note_loss(state: &Rc<GatewayState>, replica: &Rc<Replica>, fingerprint: Fingerprint) {
-    let is_listed = state.registry.get(&replica.id).is_some();
+    let is_listed = state.registry.get(replica.id()).is_some();
     if !is_listed || replica.entry().is_draining {
         return;
     }
-    if state.quarantine.losses.add(&replica.id, fingerprint) {
+    if state.quarantine.losses.add(&replica.life, fingerprint) {
         ntex::rt::spawn(find_out(Rc::clone(state), Rc::clone(replica)));
     }
 }
@@ -64,7 +65,7 @@
     tokio::time::sleep(GATHERING).await;
     // A daemon that stood still as the replica ended may find the next one at its address.
     let has_ended = state.registry.is_replaced(&replica) || is_refused(replica.pool.peer()).await;
-    let lost = state.quarantine.losses.take(&replica.id);
+    let lost = state.quarantine.losses.take(&replica.life);
     if !has_ended {
         return;
     }
@@ -72,14 +73,14 @@
     log_event!(
         gateway::REPLICA_ENDED,
         "replica={} digest={:016x} address={} open={} fingerprints={:?}",
-        replica.id,
-        replica.id_hash,
+        replica.id(),
+        replica.life_hash,
         replica.pool.peer(),
         lost.len(),
         &lost[..lost.len().min(MAX_LOGGED)]
     );
     let strike = Strike {
-        replica: replica.id_hash,
+        replica: replica.life_hash,
         at: ended_at,
         is_coincident: false,
     };
--- a/crates/gateway/src/replicas/registry.rs
+++ b/crates/gateway/src/replicas/registry.rs
@@ -1,6 +1,7 @@
 //! All replicas that the store lists.
 
 use driftspring_clock::Instant;
+use driftspring_settings::Births;
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
 use std::cell::RefCell;
@@ -8,11 +9,18 @@
 use std::rc::Rc;
 
 use super::replica::Replica;
-use crate::protocol::ReplicaEntry;
+use crate::protocol::{ReplicaEntry, ReplicaLife};
+
+/// Services of which it is remembered that their replicas say when their lives began; more than that a configuration
+/// has. Entries of other writers may name any.
+const MAX_SERVICES_WITH_BIRTHS: usize = 1024;
 
 /// The replicas listed now.
 #[derive(Debug, Default)]
 pub struct Registry {
+    births: Births,
+    /// The services whose replicas say when their lives began, as far as that was seen.
+    services_with_births: RefCell<HashSet<String>>,
     by_id: RefCell<HashMap<String, Rc<Replica>>>,
     by_service: RefCell<HashMap<String, Rc<Vec<Rc<Replica>>>>>,
     /// The ids of those that lost their entry and are in use for a while.
@@ -20,27 +28,50 @@
 }
 
 impl Registry {
+    /// An empty registry; `births` says what is asked of entries.
+    pub fn new(births: Births) -> Self {
+        Self {
+            births,
+            ..Self::default()
+        }
+    }
+
     /// The replicas of a service, by id; one snapshot, which later changes don't touch.
     pub fn of_service(&self, service: &str) -> Rc<Vec<Rc<Replica>>> {
         let by_service = self.by_service.borrow();
         by_service.get(service).cloned().unwrap_or_default()
     }
 
-    /// Every replica.
+    /// Every replica that may be used.
     pub fn all(&self) -> Vec<Rc<Replica>> {
-        self.by_id.borrow().values().cloned().collect()
+        let by_service = self.by_service.borrow();
+        let replicas = by_service.values().flat_map(|replicas| replicas.iter());
+        replicas.cloned().collect()
     }
 
-    /// The replica with this id.
+    /// The latest life of the replica with this id.
     pub fn get(&self, id: &str) -> Option<Rc<Replica>> {
         self.by_id.borrow().get(id).cloned()
     }
 
-    /// Whether another replica is listed at the address of this one: it has ended.
+    /// The replica in this life, unless another life of it is listed.
+    pub fn current(&self, life: &ReplicaLife) -> Option<Rc<Replica>> {
+        self.get(&life.id).filter(|known| known.life == *life)
+    }
+
+    /// Whether this life is listed.
+    pub fn is_current(&self, life: &ReplicaLife) -> bool {
+        self.current(life).is_some()
+    }
+
+    /// Whether another replica is listed at the address of this one, or a later life of it: it has ended.
     pub fn is_replaced(&self, replica: &Replica) -> bool {
         let by_id = self.by_id.borrow();
-        let mut listed = by_id.values();
-        listed.any(|other| other.id != replica.id && other.pool.peer() == replica.pool.peer())
+        let is_successor = |other: &Rc<Replica>| {
+            let is_other = other.id() != replica.id() && other.pool.peer() == replica.pool.peer();
+            is_other || replica.life.is_before(&other.life)
+        };
+        by_id.values().any(is_successor)
     }
 
     /// How many replicas are listed.
@@ -53,30 +84,44 @@
         self.by_id.borrow().is_empty()
     }
 
-    /// Takes in one entry; it counts from [`Registry::index`] on. A replica that has said that it is leaving never
-    /// stays after all: an entry that says otherwise is older.
+    /// Takes in one entry; it counts from [`Registry::index`] on. A life that has said that it is leaving never stays
+    /// after all: an entry that says otherwise is older. So is one of an earlier life.
     pub fn put(&self, mut entry: ReplicaEntry) {
-        let known = self.get(&entry.id);
-        match known.filter(|known| known.pool.peer() == entry.address) {
+        let known = self.get(&entry.life.id);
+        if known
+            .as_ref()
+            .is_some_and(|known| entry.life.is_before(&known.life))
+        {
+            return;
+        }
+        let is_same =
+            |known: &Rc<Replica>| known.life == entry.life && known.pool.peer() == entry.address;
+        match known.filter(is_same) {
             Some(known) => {
                 entry.is_draining |= known.entry().is_draining;
                 log_change(&known, &entry);
                 known.update(entry);
             }
-            None => {
-                log_event!(
-                    gateway::REPLICA_SEEN,
-                    "replica={} service={} address={} zone={} models={:?}",
-                    entry.id,
-                    entry.service,
-                    entry.address,
-                    entry.zone,
-                    entry.models
-                );
-                let replica = Replica::new(entry);
-                let mut by_id = self.by_id.borrow_mut();
-                by_id.insert(replica.id.clone(), replica);
-            }
+            None => self.begin_life(entry),
+        }
+    }
+
+    /// Takes in the first entry of a life; nothing of an earlier one of the same replica holds for it.
+    fn begin_life(&self, entry: ReplicaEntry) {
+        log_event!(
+            gateway::REPLICA_SEEN,
+            "replica={} born={:?} service={} address={} zone={} models={:?}",
+            entry.life.id,
+            entry.life.born,
+            entry.service,
+            entry.address,
+            entry.zone,
+            entry.models
+        );
+        let replica = Replica::new(entry);
+        let mut by_id = self.by_id.borrow_mut();
+        if let Some(earlier) = by_id.insert(replica.id().to_owned(), replica) {
+            earlier.pool.clear();
         }
     }
 
@@ -125,19 +170,43 @@
 
     /// Puts what was taken in into force.
     pub fn index(&self) {
+        let by_id = self.by_id.borrow();
+        self.note_births(by_id.values());
         let mut by_service: HashMap<String, Vec<Rc<Replica>>> = HashMap::new();
-        for replica in self.by_id.borrow().values() {
+        for replica in by_id.values().filter(|replica| self.may_be_used(replica)) {
             let service = replica.entry().service.clone();
             let of_service = by_service.entry(service).or_default();
             of_service.push(Rc::clone(replica));
         }
         let shared = by_service.into_iter().map(|(service, mut replicas)| {
-            replicas.sort_by(|one, other| one.id.cmp(&other.id));
+            replicas.sort_by(|one, other| one.id().cmp(other.id()));
             (service, Rc::new(replicas))
         });
         *self.by_service.borrow_mut() = shared.collect();
     }
 
+    /// Remembers which services have replicas that say when their lives began.
+    fn note_births<'a>(&self, replicas: impl Iterator<Item = &'a Rc<Replica>>) {
+        let mut services = self.services_with_births.borrow_mut();
+        for replica in replicas.filter(|replica| replica.life.born.is_some()) {
+            let service = &replica.entry().service;
+            if services.len() < MAX_SERVICES_WITH_BIRTHS && !services.contains(service) {
+                services.insert(service.clone());
+            }
+        }
+    }
+
+    /// Whether the entry of a replica says of its life what is asked for; else another writer may have written it.
+    fn may_be_used(&self, replica: &Replica) -> bool {
+        let service = &replica.entry().service;
+        replica.life.born.is_some()
+            || match self.births {
+                Births::Required => false,
+                Births::Optional => true,
+                Births::Observed => !self.services_with_births.borrow().contains(service),
+            }
+    }
+
     fn remove_one(&self, id: &str, reason: GoneReason) {
         if let Some(replica) = self.by_id.borrow_mut().remove(id) {
             replica.pool.clear();
@@ -163,7 +232,7 @@
         log_event!(
             gateway::REPLICA_CHANGED,
             "replica={} draining={} models={:?}",
-            entry.id,
+            entry.life.id,
             entry.is_draining,
             entry.models
         );
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -9,7 +9,7 @@
 
 use super::begin_wait::BeginWait;
 use super::health::Health;
-use crate::protocol::{ModelVersion, ReplicaEntry};
+use crate::protocol::{ModelVersion, ReplicaEntry, ReplicaLife};
 use crate::upstream::Pool;
 use crate::weights::WantedWeights;
 
@@ -19,10 +19,12 @@
 /// One life of a replica.
 #[derive(Debug)]
 pub struct Replica {
-    /// The id of this life.
-    pub id: String,
-    /// The digest of its id.
+    /// Which life it is.
+    pub life: ReplicaLife,
+    /// The digest of its id, alike for all of its lives: prompts come home to the same place.
     pub id_hash: u64,
+    /// The digest of its life: what an earlier life kept or did is not this one's.
+    pub life_hash: u64,
     /// The connections to it.
     pub pool: Rc<Pool>,
     /// Whether it can be reached.
@@ -43,8 +45,9 @@
     /// The replica of a new entry.
     pub fn new(entry: ReplicaEntry) -> Rc<Self> {
         Rc::new(Self {
-            id_hash: xxh3_64(entry.id.as_bytes()),
-            id: entry.id.clone(),
+            id_hash: xxh3_64(entry.life.id.as_bytes()),
+            life_hash: entry.life.digest(),
+            life: entry.life.clone(),
             pool: Pool::new(entry.address),
             health: Health::default(),
             waits: Rc::default(),
@@ -59,6 +62,11 @@
         })
     }
 
+    /// Its id.
+    pub fn id(&self) -> &str {
+        &self.life.id
+    }
+
     /// Its entry in the store.
     pub fn entry(&self) -> Ref<'_, ReplicaEntry> {
         self.entry.borrow()
--- a/crates/gateway/src/rollout/lease.rs
+++ b/crates/gateway/src/rollout/lease.rs
@@ -15,7 +15,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::protocol::{LeaseRecord, WriteAnswer};
+use crate::protocol::{LeaseRecord, ObjectContent, StoredObject, WriteAnswer};
 
 /// The times of the lease; all daemons must have the same.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -235,9 +235,7 @@
                 });
             }
             WriteAnswer::Conflict(Some(object)) => {
-                if let Ok(crate::protocol::ObjectContent::Lease(record)) = object.content {
-                    self.on_seen(ended, object.revision, record);
-                }
+                self.on_seen(ended, object.revision, record_in(&object));
                 self.retry_at = ended + RETRY_PAUSE;
             }
             WriteAnswer::Conflict(None) | WriteAnswer::Busy | WriteAnswer::Unknown => {
@@ -277,6 +275,23 @@
     }
 }
 
+/// The record in the lease's object. One that can't be read counts as held by another: nobody knows who wrote it. No token
+/// so far is higher than its revision, since each was given by a write, so the next one is higher than all of them.
+pub fn record_in(object: &StoredObject) -> LeaseRecord {
+    match &object.content {
+        Ok(ObjectContent::Lease(record)) => record.clone(),
+        _ => LeaseRecord {
+            holder: UNKNOWN_HOLDER.to_owned(),
+            life: 0,
+            token: object.revision,
+            renewal: 0,
+        },
+    }
+}
+
+/// Who holds a lease that can't be read; no machine has this name.
+const UNKNOWN_HOLDER: &str = "?";
+
 /// The pause after the first write that failed; each further one in a row twice as long, up to 16 times.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
--- a/crates/gateway/src/rollout/load.rs
+++ b/crates/gateway/src/rollout/load.rs
@@ -8,9 +8,12 @@
 use driftspring_telemetry::log_event;
 
 use crate::peers::message::Loading;
-use crate::protocol::{LoadMethod, ModelVersion, OrderAnswer, ReplicaReport, WeightsOrder};
+use crate::protocol::{
+    LoadMethod, ModelVersion, OrderAnswer, ReplicaReport, UnreadableReason, WeightsOrder,
+};
 use crate::replicas::Replica;
 use crate::state::GatewayState;
+use crate::store::Rejected;
 use crate::upstream::{self, CallError};
 
 /// How long an order's answer is waited for.
@@ -75,7 +78,8 @@
     has_failed: bool,
 ) {
     state.peers.tell_loading(Loading {
-        replica: replica.id.clone(),
+        replica: replica.id().to_owned(),
+        born: replica.life.born,
         model: wanted.model.clone(),
         version: wanted.version,
         is_done,
@@ -101,7 +105,7 @@
             return Err(LoadFailure::MayNotOrder);
         }
         let order = WeightsOrder {
-            replica: replica.id.clone(),
+            replica: replica.id().to_owned(),
             weights: wanted.clone(),
             method: LoadMethod::Retain,
             holder: state.settings.name.clone(),
@@ -197,7 +201,7 @@
             }
             None => {
                 silent += 1;
-                if silent > 3 || state.registry.get(&replica.id).is_none() {
+                if silent > 3 || !state.registry.is_current(&replica.life) {
                     return false;
                 }
             }
@@ -213,7 +217,23 @@
     if !status.is_success() {
         return None;
     }
-    state.platform.read_report(&body).ok()
+    match state.platform.read_report(&body) {
+        Ok(report) if is_of_life(&report, replica) => Some(report),
+        Ok(report) => {
+            log::debug!("report of {:?}, not of {:?}", report.born, replica.life);
+            None
+        }
+        Err(error) => {
+            let reason = UnreadableReason::Fields;
+            state.reject(Rejected::Report, replica.id(), reason, error);
+            None
+        }
+    }
+}
+
+/// Whether a report is not that of another life, which has taken other orders and may have other weights.
+fn is_of_life(report: &ReplicaReport, replica: &Replica) -> bool {
+    report.born.is_none() || report.born == replica.life.born
 }
 
 fn note_loaded(replica: &Replica, wanted: &ModelVersion) {
@@ -221,7 +241,7 @@
     log_event!(
         gateway::WEIGHTS_LOADED,
         "replica={} model={} version={} after={:?}",
-        replica.id,
+        replica.id(),
         wanted.model,
         wanted.version,
         replica.loading_since().map(|since| since.elapsed())
@@ -233,7 +253,7 @@
         Ok(answer) => log_event!(
             gateway::ORDER_ANSWERED,
             "replica={} version={} token={} sequence={:?} answer={answer:?}",
-            replica.id,
+            replica.id(),
             order.weights.version,
             order.token,
             order.expected_sequence
@@ -241,7 +261,7 @@
         Err(error) => log_event!(
             gateway::ORDER_LOST,
             "replica={} version={} token={} sequence={:?} error={:?}",
-            replica.id,
+            replica.id(),
             order.weights.version,
             order.token,
             order.expected_sequence,
--- a/crates/gateway/src/rollout/mod.rs
+++ b/crates/gateway/src/rollout/mod.rs
@@ -10,5 +10,5 @@
 pub mod plan;
 mod task;
 
-pub use lease::{LeaseAction, LeaseTimes, OrderLease};
+pub use lease::{LeaseAction, LeaseTimes, OrderLease, record_in};
 pub use task::{LEASE_NAME, lease_times, run};
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -13,7 +13,9 @@
 use super::lease::{LeaseAction, LeaseTimes};
 use super::load::{LoadFailure, bring_up_to_date};
 use super::plan::{PlannedReplica, next_loads};
-use crate::protocol::{ModelVersion, ObjectContent, ObjectKind, WriteAnswer};
+use crate::protocol::{
+    ModelVersion, ObjectContent, ObjectKind, ReplicaEntry, ReplicaLife, WriteAnswer,
+};
 use crate::replicas::Replica;
 use crate::state::GatewayState;
 use crate::store;
@@ -51,7 +53,7 @@
 /// What the task keeps of each replica.
 #[derive(Debug, Default)]
 struct Progress {
-    by_replica: RefCell<HashMap<String, ReplicaProgress>>,
+    by_replica: RefCell<HashMap<ReplicaLife, ReplicaProgress>>,
 }
 
 /// What is known of one replica's orders.
@@ -132,8 +134,16 @@
 fn outdated_by_model(state: &GatewayState) -> Vec<(String, ModelVersion)> {
     let mut found: Vec<(String, ModelVersion)> = Vec::new();
     let weights = state.weights.borrow();
+    let configuration = state.configuration.load();
+    let is_of_service = |entry: &ReplicaEntry| {
+        let configuration = configuration.as_ref();
+        configuration.is_some_and(|known| known.service(&entry.service).is_some())
+    };
     for replica in state.registry.all() {
         let entry = replica.entry();
+        if !is_of_service(&entry) {
+            continue;
+        }
         for model in &entry.models {
             let Some(wanted) = weights.newest(&model.model) else {
                 continue;
@@ -210,17 +220,15 @@
         let Some(replica) = state.registry.get(&id) else {
             continue;
         };
-        progress
-            .by_replica
-            .borrow_mut()
-            .entry(id)
-            .or_default()
-            .is_driven = true;
+        let life = replica.life.clone();
+        let mut by_replica = progress.by_replica.borrow_mut();
+        by_replica.entry(life).or_default().is_driven = true;
+        drop(by_replica);
         let (state, progress, wanted) = (Rc::clone(state), Rc::clone(progress), wanted.clone());
         ntex::rt::spawn(async move {
             let end = bring_up_to_date(&state, &replica, wanted).await;
             let mut by_replica = progress.by_replica.borrow_mut();
-            let own = by_replica.entry(replica.id.clone()).or_default();
+            let own = by_replica.entry(replica.life.clone()).or_default();
             own.note_end(end, Instant::now());
             state.rollout_wanted.notify_one();
         });
@@ -235,7 +243,7 @@
     now: Instant,
 ) -> PlannedReplica {
     let by_replica = progress.by_replica.borrow();
-    let own = by_replica.get(&replica.id).copied().unwrap_or_default();
+    let own = by_replica.get(&replica.life).copied().unwrap_or_default();
     let version = replica.version_of(&wanted.model);
     let deadline = state.times.get().weights_deadline;
     let weights = state.weights.borrow();
@@ -244,7 +252,7 @@
         |version| weights.may_serve(&wanted.model, version, now, deadline, Duration::ZERO);
     PlannedReplica {
         is_out_of_use: version.is_some_and(|version| !may_serve(version)),
-        id: replica.id.clone(),
+        id: replica.id().to_owned(),
         zone: replica.entry().zone.clone(),
         outdated_version: version.filter(|version| *version < wanted.version),
         is_loading: own.is_driven,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -26,12 +26,12 @@
 use crate::metrics::GatewayMetrics;
 use crate::peers::Peers;
 use crate::peers::message::{Change, Item, ItemKey, WireDaemon};
-use crate::protocol::Platform;
+use crate::protocol::{Platform, Unreadable, UnreadableReason};
 use crate::quarantine::Quarantine;
 use crate::quota::{Quotas, Tolerance};
 use crate::replicas::Registry;
 use crate::rollout::{OrderLease, lease_times};
-use crate::store::{StoreOutage, StoreProgress};
+use crate::store::{Rejected, Rejections, StoreOutage, StoreProgress};
 use crate::upstream::Pool;
 use crate::weights::WantedWeights;
 
@@ -117,6 +117,8 @@
     pub store: Rc<Pool>,
     /// Ends the waits for a store that is down.
     pub store_outage: StoreOutage,
+    /// What others say that can't be read.
+    pub rejections: Rejections,
     /// How far the store had come when.
     pub store_progress: RefCell<StoreProgress>,
     /// The highest revision of the store that is known.
@@ -150,12 +152,12 @@
         let lease = OrderLease::new(&machine(&settings), life, times);
         Rc::new(Self {
             times: Cell::new(settings.times),
+            registry: Registry::new(settings.births),
             settings,
             platform,
             status,
             configuration: ArcSwapOption::empty(),
             currency: Currency::new(),
-            registry: Registry::default(),
             weights: RefCell::default(),
             weights_named: Notify::new(),
             quarantine: Quarantine::default(),
@@ -167,6 +169,7 @@
             holders: PromptHolders::default(),
             callers: CallerConnections::default(),
             store_outage: StoreOutage::default(),
+            rejections: Rejections::default(),
             store_progress: RefCell::default(),
             store_revision: Cell::new(0),
             lease: RefCell::new(lease),
@@ -187,6 +190,9 @@
 
     /// Takes in a change of a replica or a daemon; see [`GatewayState::registry_changed`].
     pub fn apply(&self, change: Change) {
+        let Some(change) = self.without_earlier_lives(change) else {
+            return;
+        };
         let mut log = self.peers.log.borrow_mut();
         match change {
             Change::Put(item) => {
@@ -209,6 +215,25 @@
         self.has_changes.set(true);
     }
 
+    /// What a change means where a later life of the same replica is known: an entry of an earlier one is old news. One
+    /// that says nothing of its life is that of another writer, who wrote over the replica's.
+    fn without_earlier_lives(&self, change: Change) -> Option<Change> {
+        let Change::Put(Item::Replica(told)) = &change else {
+            return Some(change);
+        };
+        let key = ItemKey::Replica(told.id.clone());
+        let log = self.peers.log.borrow();
+        let known = match log.get(&key) {
+            Some(Item::Replica(known)) => known,
+            _ => return Some(change),
+        };
+        match (known.born, told.born) {
+            (Some(_), None) => Some(Change::Gone(key)),
+            (known, told) if told < known => None,
+            _ => Some(change),
+        }
+    }
+
     /// Takes in that the entry of a replica is gone.
     fn take_missing_entry(&self, id: &str) {
         let now = Instant::now();
@@ -237,6 +262,13 @@
         }
     }
 
+    /// Takes in that what goes by this name can't be read.
+    pub fn reject(&self, kind: Rejected, name: &str, reason: UnreadableReason, detail: String) {
+        let unreadable = Unreadable { reason, detail };
+        let metrics = &self.status.metrics;
+        self.rejections.note(kind, name, &unreadable, metrics);
+    }
+
     /// Puts the changes taken in since the last call into force, and tells others of them.
     pub fn registry_changed(&self) {
         if !self.has_changes.replace(false) {
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -79,7 +79,7 @@
     let mut objects: Vec<StoredObject> = Vec::new();
     let mut first_revision = None;
     loop {
-        let after = objects.last().map(|object| object.name.as_str());
+        let after = last_name(&objects);
         let call = state.platform.list(kind, after, freshness);
         let began = Instant::now();
         let answer = get(state, &call, CALL_TIMEOUT).await;
@@ -99,14 +99,20 @@
         }
         // A watch goes on from the first page: what changed since is told again.
         let revision = *first_revision.get_or_insert(page.revision);
-        let is_empty = page.items.is_empty();
+        let is_last = !page.has_more || last_name(&page.items).is_none();
         objects.extend(page.items);
-        if !page.has_more || is_empty {
+        if is_last {
             return Ok((objects, revision));
         }
     }
 }
 
+/// The name after which the next page of a list begins.
+pub(super) fn last_name(objects: &[StoredObject]) -> Option<&str> {
+    let names = objects.iter().rev().map(|object| object.name.as_str());
+    names.into_iter().find(|name| !name.is_empty())
+}
+
 /// The changes after `revision`; waits for the first one, up to `wait`.
 ///
 /// # Errors
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -10,9 +10,10 @@
 
 use super::client::{StoreError, list_all, list_recent, watch};
 use super::quarantine;
+use super::rejections::Rejected;
 use crate::peers::message::{Change, Item, ItemKey, WireDaemon, WireReplica};
 use crate::protocol::{ModelVersion, ObjectContent, ObjectKind, StoredObject};
-use crate::rollout::LEASE_NAME;
+use crate::rollout::{LEASE_NAME, record_in};
 use crate::state::{GatewayState, JUST_STARTED};
 use crate::weights::Since;
 
@@ -205,6 +206,7 @@
     }
     let listed: HashSet<ItemKey> = objects
         .iter()
+        .filter(|object| object.content.is_ok())
         .filter_map(|object| item_key(kind, &object.name))
         .collect();
     let is_of_kind =
@@ -241,6 +243,13 @@
         }
         return;
     }
+    if kind == ObjectKind::Leases {
+        if object.name == LEASE_NAME {
+            let mut lease = state.lease.borrow_mut();
+            lease.on_seen(state.now(), object.revision, record_in(&object));
+        }
+        return note_unreadable(state, kind, &object);
+    }
     match object.content {
         Ok(ObjectContent::Configuration(_)) => take_configuration(state, object),
         Ok(ObjectContent::Replica(entry)) => {
@@ -258,27 +267,30 @@
             let since = named_after(state, object.revision).filter(|_| is_late);
             name_weights(state, &weights, Since::Known(since.unwrap_or(now)));
         }
-        Ok(ObjectContent::Lease(record)) => {
-            let mut lease = state.lease.borrow_mut();
-            lease.on_seen(state.now(), object.revision, record);
-        }
+        Ok(ObjectContent::Lease(_)) => {}
         Ok(ObjectContent::Daemon(daemon)) => {
             state.apply(Change::Put(Item::Daemon(WireDaemon::from(&daemon))));
         }
         Ok(ObjectContent::Quarantine(record)) => {
             quarantine::take_record(state, &object.name, object.revision, record);
         }
-        Err(error) => log_rejected(&object.name, &error),
+        Err(_) => {
+            note_unreadable(state, kind, &object);
+            // Whatever its name meant before, it names no replica and no daemon now.
+            if let Some(key) = item_key(kind, &object.name) {
+                state.apply(Change::Gone(key));
+            }
+        }
     }
 }
 
 fn take_lease_list(state: &GatewayState, objects: Vec<StoredObject>) {
-    let object = objects.into_iter().find(|object| object.name == LEASE_NAME);
-    let known = object.and_then(|object| match object.content {
-        Ok(ObjectContent::Lease(record)) => Some((object.revision, record)),
-        _ => None,
-    });
+    let lease = objects.iter().find(|object| object.name == LEASE_NAME);
+    let known = lease.map(|object| (object.revision, record_in(object)));
     state.lease.borrow_mut().on_list(state.now(), known);
+    for object in &objects {
+        note_unreadable(state, ObjectKind::Leases, object);
+    }
 }
 
 /// Puts a configuration in force, unless a newer one is.
@@ -286,7 +298,7 @@
     let configuration = match object.content {
         Ok(ObjectContent::Configuration(configuration)) => configuration,
         Ok(_) => return,
-        Err(error) => return log_rejected(&object.name, &error),
+        Err(_) => return note_unreadable(state, ObjectKind::Configuration, &object),
     };
     let known = state.configuration.load();
     let is_newer = known
@@ -315,6 +327,7 @@
 fn take_weights_list(state: &GatewayState, objects: Vec<StoredObject>) {
     let unknown = listed_weights_since(state);
     for object in objects {
+        note_unreadable(state, ObjectKind::Weights, &object);
         if let Ok(ObjectContent::Weights(weights)) = object.content {
             let known = named_after(state, object.revision).map(Since::Known);
             name_weights(state, &weights, known.unwrap_or(unknown));
@@ -369,6 +382,10 @@
     state.rollout_wanted.notify_one();
 }
 
-fn log_rejected(name: &str, error: &str) {
-    log_event!(gateway::ENTRY_REJECTED, "object={name} error={error:?}");
+fn note_unreadable(state: &GatewayState, kind: ObjectKind, object: &StoredObject) {
+    if let Err(unreadable) = &object.content {
+        let (kind, metrics) = (Rejected::Object(kind), &state.status.metrics);
+        let rejections = &state.rejections;
+        rejections.note(kind, &object.name, unreadable, metrics);
+    }
 }
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -7,6 +7,7 @@
 mod outage;
 mod progress;
 mod quarantine;
+mod rejections;
 
 pub use client::{CALL_TIMEOUT, StoreError, list_all, list_recent, watch, write};
 pub use follow::{first_weights_age, name_weights};
@@ -14,6 +15,7 @@
 pub use outage::{StoreOutage, pause_after, pause_after_call};
 pub use progress::StoreProgress;
 pub use quarantine::{QuarantineObject, delete_quarantined, list_quarantined};
+pub use rejections::{Rejected, Rejections};
 
 use std::rc::Rc;
 
--- a/crates/gateway/src/store/quarantine.rs
+++ b/crates/gateway/src/store/quarantine.rs
@@ -12,7 +12,7 @@
 use driftspring_telemetry::log_event;
 use http::StatusCode;
 
-use super::client::{CALL_TIMEOUT, StoreError, remove, write};
+use super::client::{CALL_TIMEOUT, StoreError, last_name, remove, write};
 use crate::protocol::{
     Freshness, ObjectContent, ObjectKind, Platform, QuarantineRecord, StoredObject, WriteAnswer,
 };
@@ -51,7 +51,7 @@
     let pool = Pool::new(store);
     let mut objects: Vec<StoredObject> = Vec::new();
     loop {
-        let after = objects.last().map(|object| object.name.as_str());
+        let after = last_name(&objects);
         let call = platform.list(ObjectKind::Quarantine, after, Freshness::Newest);
         let (status, body) = upstream::call(&pool, &call, CALL_TIMEOUT).await?;
         if status != StatusCode::OK {
@@ -60,9 +60,9 @@
         let page = platform
             .read_list(ObjectKind::Quarantine, &body)
             .map_err(StoreError::Unreadable)?;
-        let is_empty = page.items.is_empty();
+        let is_last = !page.has_more || last_name(&page.items).is_none();
         objects.extend(page.items);
-        if !page.has_more || is_empty {
+        if is_last {
             return Ok(objects);
         }
     }
--- a/crates/gateway/tests/far_prompts.rs
+++ b/crates/gateway/tests/far_prompts.rs
@@ -11,6 +11,7 @@
 fn prompt(tokens: u64) -> WirePrompt {
     WirePrompt {
         replica: "replica".to_owned(),
+        born: None,
         tokens,
         prefixes: Vec::new(),
         sender: 0,
--- a/crates/gateway/tests/holders.rs
+++ b/crates/gateway/tests/holders.rs
@@ -5,14 +5,21 @@
 
 use driftspring_clock::Instant;
 use driftspring_gateway::cache::{Prefix, PromptHolders, prefixes};
-use driftspring_gateway::protocol::{PromptPart, ReplicaEntry};
+use driftspring_gateway::protocol::{PromptPart, ReplicaEntry, ReplicaLife};
 use driftspring_gateway::replicas::Replica;
 
 const KEPT_TOKENS: u64 = 10_000;
 
 fn replica(id: &str) -> Rc<Replica> {
+    replica_born(id, None)
+}
+
+fn replica_born(id: &str, born: Option<u64>) -> Rc<Replica> {
     Replica::new(ReplicaEntry {
-        id: id.to_owned(),
+        life: ReplicaLife {
+            id: id.to_owned(),
+            born,
+        },
         service: "service".to_owned(),
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: "a".to_owned(),
@@ -91,3 +98,15 @@
     holders.forget(&prompt, &one);
     assert_eq!(held(true, read_at), 0, "it has not run the request");
 }
+
+#[test]
+fn a_later_life_of_a_replica_keeps_nothing_of_what_the_earlier_one_read() {
+    let now = Instant::now();
+    let holders = PromptHolders::default();
+    let prompt = prompt("1/", &["a", "b"]);
+    let (earlier, later) = (replica_born("r1", Some(100)), replica_born("r1", Some(101)));
+    holders.note(prompt.iter().map(|prefix| prefix.key), &earlier, now, now);
+    let held = |replica: &Replica| holders.held_tokens(&prompt, replica, KEPT_TOKENS, false, now);
+    assert_eq!(held(&earlier), 2000);
+    assert_eq!(held(&later), 0);
+}
--- /dev/null
+++ b/crates/gateway/tests/lives.rs
@@ -0,0 +1,128 @@
+//! Replicas that start again under their ids, and entries that say nothing of the life that wrote them.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use driftspring_clock::Instant;
+use driftspring_gateway::protocol::{ModelVersion, ReplicaEntry, ReplicaLife};
+use driftspring_gateway::replicas::Registry;
+use driftspring_settings::Births;
+use quickcheck::quickcheck;
+
+fn entry(id: &str, born: Option<u64>) -> ReplicaEntry {
+    ReplicaEntry {
+        life: ReplicaLife {
+            id: id.to_owned(),
+            born,
+        },
+        service: "service".to_owned(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: "a".to_owned(),
+        slots: 4,
+        is_draining: false,
+        cold_remaining: Duration::ZERO,
+        models: vec![ModelVersion {
+            model: "model".to_owned(),
+            version: 3,
+        }],
+    }
+}
+
+fn used(registry: &Registry) -> Vec<String> {
+    registry.index();
+    let replicas = registry.of_service("service");
+    replicas
+        .iter()
+        .map(|replica| replica.id().to_owned())
+        .collect()
+}
+
+#[test]
+fn a_later_life_inherits_nothing() {
+    let registry = Registry::default();
+    registry.put(ReplicaEntry {
+        is_draining: true,
+        ..entry("r1", Some(100))
+    });
+    let before = registry.get("r1").expect("listed");
+    before.set_order_sequence(5);
+    before.note_version("model", 9);
+    before.note_prompt(100_000, Instant::now());
+    before.health.note_failure(Instant::now());
+    before.set_loading(Some(Instant::now()));
+    registry.put(entry("r1", Some(101)));
+    let after = registry.get("r1").expect("listed");
+    let now = Instant::now();
+    assert!(!Rc::ptr_eq(&before, &after), "its connections are new");
+    assert!(after.is_staying(now));
+    assert!(!after.health.is_suspect(now));
+    assert_eq!(after.order_sequence(), None);
+    assert_eq!(after.version_of("model"), Some(3));
+    assert_eq!(after.reading(now), Duration::ZERO);
+    assert_eq!(after.given_tokens(), 0);
+    assert_eq!(after.loading_since(), None);
+    assert_ne!(before.life_hash, after.life_hash);
+    assert_eq!(before.id_hash, after.id_hash, "prompts come home to it");
+    assert!(registry.is_replaced(&before));
+    assert!(!registry.is_replaced(&after));
+    assert!(!registry.is_current(&before.life));
+    assert!(registry.is_current(&after.life));
+}
+
+#[test]
+fn a_later_life_of_a_replica_without_an_entry_is_in_use() {
+    let registry = Registry::default();
+    let now = Instant::now();
+    registry.put(entry("r1", Some(100)));
+    registry.remove("r1", Some(now + Duration::from_secs(1)));
+    registry.put(entry("r1", Some(101)));
+    assert!(!registry.forget_lapsed(now + Duration::from_secs(2)));
+    assert_eq!(used(&registry), ["r1"]);
+}
+
+#[test]
+fn an_entry_that_says_nothing_of_its_life_is_not_used_beside_those_that_do() {
+    for is_first in [false, true] {
+        let registry = Registry::default();
+        let foreign = || registry.put(entry("foreign", None));
+        if is_first {
+            foreign();
+            assert_eq!(used(&registry), ["foreign"]);
+        }
+        registry.put(entry("r1", Some(100)));
+        if !is_first {
+            foreign();
+        }
+        assert_eq!(used(&registry), ["r1"]);
+        assert!(registry.all().iter().all(|replica| replica.id() == "r1"));
+        // Not even when it alone is left.
+        registry.remove("r1", None);
+        assert!(used(&registry).is_empty());
+    }
+}
+
+#[test]
+fn what_is_asked_of_entries_can_be_set() {
+    let both = |births| {
+        let registry = Registry::new(births);
+        registry.put(entry("r1", Some(100)));
+        registry.put(entry("r2", None));
+        used(&registry)
+    };
+    assert_eq!(both(Births::Observed), ["r1"]);
+    assert_eq!(both(Births::Optional), ["r1", "r2"]);
+    let registry = Registry::new(Births::Required);
+    registry.put(entry("r1", None));
+    assert!(used(&registry).is_empty());
+}
+
+quickcheck! {
+    fn the_latest_life_stands_whatever_the_order_of_the_news(births: Vec<u8>) -> bool {
+        let registry = Registry::default();
+        for born in &births {
+            registry.put(entry("r1", Some(u64::from(*born))));
+        }
+        let stands = registry.get("r1").and_then(|replica| replica.life.born);
+        stands == births.iter().max().map(|born| u64::from(*born))
+    }
+}
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -17,6 +17,7 @@
 fn replica(id: u8, slots: u32) -> Item {
     Item::Replica(WireReplica {
         id: format!("r{id}"),
+        born: Some(7),
         service: "service".to_owned(),
         address: "10.0.0.1:80".to_owned(),
         zone: "a".to_owned(),
@@ -651,6 +652,7 @@
 fn as_many_prompts_as_are_sent_at_once_fit_into_a_datagram() {
     let prompt = |number: usize| WirePrompt {
         replica: format!("engine-of-the-service-{number:010}"),
+        born: Some(u64::MAX),
         tokens: u64::MAX >> number,
         prefixes: vec![u64::MAX; 3],
         sender: u32::MAX,
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -52,8 +52,8 @@
 pub struct GatewayRetries {
     /// Repeats for each request, over all gateways.
     pub ratio: f64,
-    /// Repeats beyond that in each window, over all gateways.
-    pub slack: u32,
+    /// Repeats beyond that in each window, over all gateways; a deployment that is a scaled one has a fraction.
+    pub slack: f64,
     /// The window.
     pub window: Duration,
 }
@@ -76,6 +76,19 @@
     pub slack: f64,
 }
 
+/// What is asked of the entries of replicas about the begin of their lives; an entry without what is asked for may be
+/// that of another writer, and is not used.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Births {
+    /// It is asked for as soon as another replica of the same service has said when its life began.
+    #[default]
+    Observed,
+    /// It is always asked for.
+    Required,
+    /// It is never asked for.
+    Optional,
+}
+
 /// All settings of a gateway.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
@@ -98,6 +111,8 @@
     pub retries: GatewayRetries,
     /// Limits of tenants.
     pub quotas: GatewayQuotas,
+    /// What is asked of the entries of replicas.
+    pub births: Births,
     /// The machine.
     pub machine: GatewayMachine,
     /// Logs.
@@ -137,6 +152,7 @@
     let times = read_times(root.section("times"));
     let retries = read_retries(root.section("retries"));
     let quotas = read_quotas(root.section("quotas"));
+    let births = read_births(root.section("replicas"));
     let machine = read_machine(root.section("machine"));
     let log = read_log(root.section("log"));
     root.finish();
@@ -150,6 +166,7 @@
         times,
         retries,
         quotas,
+        births,
         machine,
         log,
     })
@@ -186,15 +203,26 @@
 fn read_retries(section: Section<'_>) -> GatewayRetries {
     let retries = GatewayRetries {
         ratio: section.or_default("ratio", 0.2, |raw| values::number(raw, 0.0..=10.0)),
-        slack: section.or_default("slack", 20, |raw| {
-            values::integer(raw, 0..=1_000_000).map(|number| number as u32)
-        }),
+        slack: section.or_default("slack", 20.0, |raw| values::number(raw, 0.0..=1e6)),
         window: section.or_default("window_seconds", Duration::from_secs(10), seconds),
     };
     section.finish();
     retries
 }
 
+fn read_births(section: Section<'_>) -> Births {
+    let words = [
+        ("observed", Births::Observed),
+        ("required", Births::Required),
+        ("optional", Births::Optional),
+    ];
+    let births = section.or_default("births", Births::default(), |raw| {
+        values::one_of(raw, &words)
+    });
+    section.finish();
+    births
+}
+
 fn read_quotas(section: Section<'_>) -> GatewayQuotas {
     let quotas = GatewayQuotas {
         overshoot: section.or_default("overshoot", 0.0, |raw| values::number(raw, 0.0..=10.0)),
