--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -7,6 +7,7 @@
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
 
+use super::directory::name_digest;
 use super::message::{Ask, Message, Tell, WireDaemon};
 use super::records;
 use super::send::send;
@@ -54,7 +55,10 @@
             set_source(&state, &source);
         }
         state.peers.may_read.set(chooser.may_read());
-        state.peers.set_leader(chooser.leader(&group));
+        let leader = chooser.leader(&group);
+        state.peers.set_leader(leader);
+        let leader = leader.map(|leader| name_digest(&leader.name));
+        state.quotas.set_leader(leader.unwrap_or_default());
         let is_relay = state.peers.is_leader.get() && !others.is_empty();
         state.peers.far.set_relay(is_relay);
         state.peers.source.replace(source.address());
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -137,7 +137,7 @@
     pub asked: u64,
     /// What of that was admitted.
     pub admitted: u64,
-    /// What had been asked for some time ago, from where one counts who was not told before.
+    /// What had been asked for by the moment from which one counts who was not told before.
     pub asked_before: u64,
     /// What had been admitted by then.
     pub admitted_before: u64,
@@ -152,6 +152,9 @@
     pub life: u64,
     /// The totals.
     pub totals: Vec<WireTotals>,
+    /// When they were told, in milliseconds since some moment of that life.
+    #[musli(default)]
+    pub sent_ms: Option<u64>,
 }
 
 /// What tenants used in one group, as its leader has counted since it began to.
@@ -163,6 +166,12 @@
     pub life: u64,
     /// The totals.
     pub totals: Vec<WireTotals>,
+    /// The digest of its leader's name.
+    #[musli(default)]
+    pub leader: u64,
+    /// When they were told, in milliseconds since some moment of the leader's life.
+    #[musli(default)]
+    pub sent_ms: Option<u64>,
 }
 
 /// A question.
--- a/crates/gateway/src/peers/usage.rs
+++ b/crates/gateway/src/peers/usage.rs
@@ -61,6 +61,7 @@
         daemon: name_digest(&state.peers.own().name),
         life: state.life,
         totals: totals.to_vec(),
+        sent_ms: Some(state.quotas.now_ms(Instant::now())),
     }
 }
 
@@ -79,6 +80,8 @@
             group: state.peers.directory().group_name.clone(),
             life: state.life,
             totals: totals.to_vec(),
+            leader: name_digest(&state.peers.own().name),
+            sent_ms: Some(state.quotas.now_ms(now)),
         };
         tell_other_groups(state, socket, &Message::GroupUsage(usage.clone())).await;
         state.quotas.take_group(&usage, now);
--- a/crates/gateway/src/quota/limit.rs
+++ b/crates/gateway/src/quota/limit.rs
@@ -5,24 +5,14 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use super::usage::Totals;
+use super::group_use::{ASSUMED_FOR, AVERAGING, GroupReport, GroupUse, SILENCE};
+use super::usage::COUNTED_BACK;
 use crate::configuration::Quota;
 use crate::peers::message::WireTotals;
 
-/// The time over which use is averaged, and over which what is left in the bucket is given out. It is well over the
-/// time in which daemons hear of each other's use (some 100 ms), so that they don't swing.
-const AVERAGING: Duration = Duration::from_secs(1);
-
 /// After this time what this daemon admitted is in the sums that it is told: two reports on the way, each gathered
 /// for 50 ms, and the links.
-const TOLD_AFTER: Duration = Duration::from_millis(250);
-
-/// For how long a group that is not heard of is taken to use what it did. A machine that is cut off for longer can't
-/// know that the keys of its tenants are still valid.
-const ASSUMED_FOR: Duration = Duration::from_secs(8);
-
-/// The silence of a group from which on its use is assumed: its leader tells each 200 ms at the least.
-const SILENCE: Duration = Duration::from_millis(500);
+pub const TOLD_AFTER: Duration = Duration::from_millis(250);
 
 /// The share of the allowed overshoot by which the rate is exceeded; the rest is for what is admitted before the
 /// daemons hear of a tenant that suddenly asks for more.
@@ -56,67 +46,6 @@
     ForGood,
 }
 
-/// What a group's tenant used, as its leader told last.
-#[derive(Debug, Default)]
-struct GroupUse {
-    life: u64,
-    totals: Totals,
-    heard_at: Duration,
-    /// Tokens a second that were asked for, averaged.
-    asked_rate: f64,
-    /// The same of what was admitted.
-    admitted_rate: f64,
-    /// What was taken to be admitted while nothing was heard, and up to when.
-    assumed: f64,
-    assumed_until: Duration,
-}
-
-impl GroupUse {
-    /// Takes in totals at `now`, and those from which one counts who did not hear of that life before; returns what
-    /// was admitted beyond what is known.
-    fn hear(&mut self, now: Duration, life: u64, totals: Totals, before: Totals) -> f64 {
-        let is_same_life = self.life == life;
-        let earlier = match is_same_life {
-            true => self.totals,
-            false => before,
-        };
-        let more = totals.since(&earlier);
-        let (asked, admitted) = (more.asked as f64, more.admitted as f64);
-        let faded = fade(now.saturating_sub(self.heard_at));
-        self.asked_rate = self.asked_rate * faded + asked / AVERAGING.as_secs_f64();
-        self.admitted_rate = self.admitted_rate * faded + admitted / AVERAGING.as_secs_f64();
-        let news = match is_same_life {
-            true => admitted - self.assumed,
-            false => admitted,
-        };
-        self.life = life;
-        self.totals = totals;
-        self.heard_at = now;
-        self.assumed = 0.0;
-        self.assumed_until = now;
-        news
-    }
-
-    /// What is taken to have been admitted since the last call, where the group is silent at `now`.
-    fn assume(&mut self, now: Duration) -> f64 {
-        let last = self.heard_at + ASSUMED_FOR;
-        let from = self.assumed_until.max(self.heard_at + SILENCE);
-        let until = now.min(last);
-        if until <= from {
-            return 0.0;
-        }
-        let assumed = self.admitted_rate * (until - from).as_secs_f64();
-        self.assumed_until = until;
-        self.assumed += assumed;
-        assumed
-    }
-}
-
-/// What is left of an average after a time.
-fn fade(time: Duration) -> f64 {
-    (-time.as_secs_f64() / AVERAGING.as_secs_f64()).exp()
-}
-
 /// The copy of one tenant's bucket.
 #[derive(Debug)]
 pub struct TenantLimit {
@@ -165,37 +94,24 @@
         self.quota.burst + self.tolerance.slack * SLACK_USED
     }
 
-    /// Takes in what a group used, as its leader of the life `life` tells at `now`.
+    /// Takes in what a group used, as its leader tells at `now`; nothing where it told of other tenants only.
     pub fn hear(
         &mut self,
         now: Duration,
         own_group: u64,
-        group: u64,
-        life: u64,
-        totals: &WireTotals,
+        report: GroupReport,
+        totals: Option<&WireTotals>,
     ) {
         self.own_group = own_group;
         self.fill(now);
-        let is_own = group == own_group;
-        let group = self.groups.entry(group).or_default();
-        let is_same_life = group.life == life;
-        self.level -= group.hear(now, life, totals.totals(), totals.before());
-        if is_own {
-            let taken = std::mem::take(&mut self.taken);
-            self.level += if is_same_life { taken } else { 0.0 };
-        }
-    }
-
-    /// Takes in at `now` that a group told of other tenants only: this one used nothing more there.
-    pub fn hear_nothing(&mut self, now: Duration, group: u64, life: u64) {
-        self.fill(now);
-        if let Some(known) = self
-            .groups
-            .get_mut(&group)
-            .filter(|known| known.life == life)
-        {
-            let totals = known.totals;
-            self.level -= known.hear(now, life, totals, totals);
+        let is_early = now < self.began + COUNTED_BACK;
+        let group = self.groups.entry(report.group).or_default();
+        let is_first = group.is_unheard();
+        let news = group.hear(now, &report, totals);
+        // What was used before the bucket was there is not taken out of it.
+        self.level -= if is_first && is_early { 0.0 } else { news };
+        if report.group == own_group {
+            self.level += std::mem::take(&mut self.taken);
         }
     }
 
@@ -205,10 +121,10 @@
         self.filled_at = self.filled_at.max(now);
         // What is not told yet is not taken out yet: it does not keep the bucket from being filled.
         let full = self.burst() + self.untold_sum();
-        self.level = (self.level + passed * self.rate()).min(full);
-        for group in self.groups.values_mut() {
-            self.level -= group.assume(now);
-        }
+        // Both went on at the same time: a daemon that stood still would else find the bucket full, then empty.
+        let groups = self.groups.values_mut();
+        let assumed: f64 = groups.map(|group| group.assume(now)).sum();
+        self.level = (self.level + passed * self.rate() - assumed).min(full);
         self.forget_told(now);
     }
 
@@ -220,7 +136,7 @@
     /// is taken out of the bucket here.
     fn forget_told(&mut self, now: Duration) {
         let own_group = self.groups.get(&self.own_group);
-        let heard_at = own_group.map_or(Duration::ZERO, |group| group.heard_at);
+        let heard_at = own_group.map_or(Duration::ZERO, GroupUse::heard_at);
         while let Some((at, cost)) = self.untold.front().copied() {
             if heard_at < at + TOLD_AFTER {
                 if now < at + SILENCE {
@@ -248,13 +164,7 @@
         let left = self.level - self.untold_sum();
         let bearable = self.rate() + left / AVERAGING.as_secs_f64();
         let bearable = bearable * self.heard_share(now, known_groups);
-        let rates = self
-            .groups
-            .values()
-            .map(|group| match now < group.heard_at + ASSUMED_FOR {
-                true => group.asked_rate,
-                false => 0.0,
-            });
+        let rates = self.groups.values().map(|group| group.asked_rate(now));
         (bearable, rates.sum())
     }
 
@@ -294,7 +204,7 @@
     /// What logs tell of the decision at `now`.
     pub fn describe(&mut self, now: Duration, known_groups: usize) -> String {
         let (bearable, asked) = self.bearing(now, known_groups);
-        let heard = self.groups.values().map(|group| group.heard_at).min();
+        let heard = self.groups.values().map(GroupUse::heard_at).min();
         format!(
             "limit {}/s burst {}, asked {asked:.0}/s, bearable {bearable:.0}/s, oldest report {:?}",
             self.quota.per_second,
--- a/crates/gateway/src/quota/mod.rs
+++ b/crates/gateway/src/quota/mod.rs
@@ -11,10 +11,12 @@
 //!
 //! While nothing is heard of a group its tenants are taken to use what they did.
 //!
+//! - [`group_use`]: what a group used, as its leaders tell.
 //! - [`limit`]: the copy of one tenant's bucket, and the decision.
 //! - [`usage`]: what was used, in totals that survive the loss of a report.
 //! - [`shared`]: all tenants of this daemon.
 
+pub mod group_use;
 pub mod limit;
 pub mod shared;
 pub mod usage;
--- a/crates/gateway/src/quota/shared.rs
+++ b/crates/gateway/src/quota/shared.rs
@@ -7,8 +7,9 @@
 use driftspring_clock::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::limit::{Refused, TenantLimit, Tolerance};
-use super::usage::{GroupUsage, TenantTotals, Totals};
+use super::group_use::GroupReport;
+use super::limit::{Refused, TOLD_AFTER, TenantLimit, Tolerance};
+use super::usage::{COUNTED_BACK, GroupUsage, TenantTotals, Totals};
 use crate::configuration::Tenant;
 use crate::peers::message::{WireGroupUsage, WireTotals, WireUsage};
 
@@ -22,6 +23,8 @@
     began: Instant,
     own_group: Cell<u64>,
     known_groups: Cell<usize>,
+    /// The digest of the name of the daemon that sums up what this daemon's group uses.
+    leader: Cell<u64>,
     tolerance: RefCell<Tolerance>,
     limits: RefCell<HashMap<u64, TenantLimit>>,
     /// What this daemon's requests used.
@@ -41,6 +44,7 @@
             began,
             own_group: Cell::new(0),
             known_groups: Cell::new(0),
+            leader: Cell::new(0),
             tolerance: RefCell::new(tolerance),
             limits: RefCell::default(),
             own: RefCell::default(),
@@ -61,6 +65,16 @@
         self.known_groups.set(known);
     }
 
+    /// Takes in who leads this daemon's group, by the digest of its name.
+    pub fn set_leader(&self, leader: u64) {
+        self.leader.set(leader);
+    }
+
+    /// The time of this daemon's reports, in milliseconds since the limits were set up.
+    pub fn now_ms(&self, now: Instant) -> u64 {
+        u64::try_from(self.since_begin(now).as_millis()).unwrap_or(u64::MAX)
+    }
+
     fn since_begin(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.began)
     }
@@ -159,16 +173,24 @@
         let now = self.since_begin(now);
         let group = xxh3_64(usage.group.as_bytes());
         let own = self.own_group.get();
+        if group == own && usage.leader == self.leader.get() {
+            // What it told before that is in these sums.
+            let told_until = now.saturating_sub(TOLD_AFTER);
+            self.own.borrow_mut().settle(told_until);
+        }
         let told: HashMap<u64, &WireTotals> = usage
             .totals
             .iter()
             .map(|totals| (totals.tenant, totals))
             .collect();
+        let report = GroupReport {
+            group,
+            leader: usage.life,
+            sent: usage.sent_ms.map(Duration::from_millis),
+        };
         for (tenant, limit) in self.limits.borrow_mut().iter_mut() {
-            match told.get(tenant) {
-                Some(totals) => limit.hear(now, own, group, usage.life, totals),
-                None => limit.hear_nothing(now, group, usage.life),
-            }
+            let totals = told.get(tenant).copied();
+            limit.hear(now, own, report, totals);
         }
     }
 
@@ -192,8 +214,10 @@
 
     /// What the group's tenants used lately, as its members told this daemon.
     pub fn group_usage(&self, now: Instant) -> Vec<WireTotals> {
-        let group = self.group.borrow();
-        group.sums.lately_changed(self.since_begin(now))
+        let now = self.since_begin(now);
+        let mut group = self.group.borrow_mut();
+        group.sums.settle(now.saturating_sub(COUNTED_BACK));
+        group.sums.lately_changed(now)
     }
 }
 
--- a/crates/gateway/tests/quotas.rs
+++ b/crates/gateway/tests/quotas.rs
@@ -185,6 +185,7 @@
                     daemon: daemon.life,
                     life: daemon.life,
                     totals: daemon.quotas.own_usage(now),
+                    sent_ms: Some(daemon.quotas.now_ms(now)),
                 };
                 daemons[daemon.zone].quotas.take_member(&usage, now);
             }
@@ -194,6 +195,8 @@
                     group: format!("zone-{zone}"),
                     life: leader.life,
                     totals: leader.quotas.group_usage(now),
+                    leader: 0,
+                    sent_ms: Some(leader.quotas.now_ms(now)),
                 };
                 last.push((zone, usage));
             }
