--- a/crates/gateway/src/quota/group_use.rs
+++ b/crates/gateway/src/quota/group_use.rs
@@ -86,6 +86,13 @@
 }
 
 impl LeaderUse {
+    /// Whether a report that was told at `sent` was told before one that is known. Reports overtake each other, and a
+    /// daemon that stood still passes on old ones: their totals are lower, and would make the next ones count again.
+    fn is_overtaken(&self, sent: Option<Duration>) -> bool {
+        let both = sent.zip(self.sent);
+        both.is_some_and(|(sent, known)| sent < known)
+    }
+
     /// Takes in totals that were told at `sent` and heard at `now`; what was admitted beyond those before. Rates are of the
     /// leader's time: reports that waited somewhere come together.
     fn hear(&mut self, now: Duration, sent: Option<Duration>, totals: Totals) -> f64 {
@@ -97,7 +104,7 @@
             |(sent, before)| sent.saturating_sub(before),
         );
         self.lately.add(passed, asked, admitted);
-        self.totals = totals;
+        self.totals = self.totals.later(&totals);
         self.sent = sent;
         self.heard_at = now;
         admitted
@@ -149,6 +156,10 @@
         report: &GroupReport,
         totals: Option<&WireTotals>,
     ) -> f64 {
+        let known = self.leaders.get(&report.leader);
+        if known.is_some_and(|leader| leader.is_overtaken(report.sent)) {
+            return 0.0;
+        }
         if now > self.heard_at + SILENCE {
             self.heard_again_at = now;
             self.is_made_up_for = true;
--- a/crates/gateway/src/quota/usage.rs
+++ b/crates/gateway/src/quota/usage.rs
@@ -44,7 +44,7 @@
     }
 
     /// The higher of both: totals only rise.
-    fn later(&self, other: &Self) -> Self {
+    pub(super) fn later(&self, other: &Self) -> Self {
         Self {
             asked: self.asked.max(other.asked),
             admitted: self.admitted.max(other.admitted),
@@ -200,8 +200,9 @@
         }
         for wire in &usage.totals {
             let told = wire.totals();
-            let known = member.totals.insert(wire.tenant, told);
-            let earlier = known.unwrap_or_default().later(&wire.before());
+            let known = member.totals.entry(wire.tenant).or_default();
+            let earlier = known.later(&wire.before());
+            *known = known.later(&told);
             let more = told.since(&earlier);
             if more != Totals::default() {
                 self.sums.add(wire.tenant, now, &more);
