--- a/crates/gateway/src/pipeline/check_quarantine.rs
+++ b/crates/gateway/src/pipeline/check_quarantine.rs
@@ -2,7 +2,7 @@
 
 use super::context::RequestContext;
 use super::refusal::{Reason, Refusal, Step};
-use crate::quarantine::{Fingerprint, Teller, Verdict, homes};
+use crate::quarantine::{Fingerprint, Teller, Verdict, is_first_home};
 use crate::state::GatewayState;
 
 /// Checks before each send whether the request may go to a replica; `may_have_run` says whether it was at one in this try.
@@ -20,7 +20,7 @@
             "suspected to have ended replicas",
         )),
         Verdict::Suspicious => Ok(()),
-        Verdict::Due if is_first_home(state, context.fingerprint()) => {
+        Verdict::Due if tries(state, context.fingerprint()) => {
             state.quarantine.begin_trial(context.fingerprint());
             Ok(())
         }
@@ -39,11 +39,8 @@
 }
 
 /// Whether this is the one daemon that tries the request in quarantine: all together would try it once each.
-fn is_first_home(state: &GatewayState, fingerprint: Fingerprint) -> bool {
-    let directory = state.peers.directory();
-    let homes = homes(&directory, fingerprint);
-    let first = homes.first();
-    first.is_some_and(|home| home.name == state.peers.own().name)
+fn tries(state: &GatewayState, fingerprint: Fingerprint) -> bool {
+    is_first_home(&state.peers.directory(), fingerprint, state.peers.own())
 }
 
 fn refusal(fingerprint: Fingerprint, why: &str) -> Refusal {
--- a/crates/gateway/src/quarantine/homes.rs
+++ b/crates/gateway/src/quarantine/homes.rs
@@ -17,17 +17,31 @@
 pub fn homes(directory: &Directory, fingerprint: Fingerprint) -> Vec<&WireDaemon> {
     let bytes = fingerprint.number().to_le_bytes();
     let weight = |daemon: &WireDaemon| xxh3_64_with_seed(&bytes, name_digest(&daemon.name));
-    let mut daemons: Vec<&WireDaemon> = directory.all().collect();
-    daemons.sort_by_cached_key(|daemon| std::cmp::Reverse(weight(daemon)));
-    daemons.truncate(HOMES);
-    daemons
+    let mut first: Vec<(u64, &WireDaemon)> = Vec::with_capacity(HOMES + 1);
+    for daemon in directory.all() {
+        let weight = weight(daemon);
+        let rank = first.partition_point(|(known, _)| *known >= weight);
+        first.insert(rank, (weight, daemon));
+        first.truncate(HOMES);
+    }
+    first.into_iter().map(|(_, daemon)| daemon).collect()
+}
+
+/// The place of the daemon `own` among those that count for a request; 0 is the first.
+pub fn place(directory: &Directory, fingerprint: Fingerprint, own: &WireDaemon) -> Option<usize> {
+    let homes = homes(directory, fingerprint);
+    homes.iter().position(|home| home.name == own.name)
+}
+
+/// Whether the daemon `own` is the first that counts for a request: what one of them is to do, it does.
+pub fn is_first_home(directory: &Directory, fingerprint: Fingerprint, own: &WireDaemon) -> bool {
+    place(directory, fingerprint, own) == Some(0)
 }
 
 /// Whether the daemon `own` counts for a request.
 pub fn role(directory: &Directory, fingerprint: Fingerprint, own: &WireDaemon) -> Role {
-    let homes = homes(directory, fingerprint);
-    match homes.iter().any(|home| home.name == own.name) {
-        true => Role::Home,
-        false => Role::Other,
+    match place(directory, fingerprint, own) {
+        Some(_) => Role::Home,
+        None => Role::Other,
     }
 }
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -22,7 +22,7 @@
 
 pub use ends::note_loss;
 pub use fingerprint::Fingerprint;
-pub use homes::{homes, role};
+pub use homes::{homes, is_first_home, place, role};
 pub use ledger::{Role, Verdict};
 pub use record::{Record, Stored, Strike};
 pub use shared::{Quarantine, Removal, Teller};
--- a/crates/gateway/src/store/quarantine.rs
+++ b/crates/gateway/src/store/quarantine.rs
@@ -13,10 +13,14 @@
 use http::StatusCode;
 
 use super::client::{CALL_TIMEOUT, StoreError, last_name, remove, write};
+use super::rejections::Rejected;
 use crate::protocol::{
-    Freshness, ObjectContent, ObjectKind, Platform, QuarantineRecord, StoredObject, WriteAnswer,
+    Freshness, ObjectContent, ObjectKind, Platform, QuarantineRecord, StoredObject,
+    UnreadableReason, WriteAnswer,
+};
+use crate::quarantine::{
+    Fingerprint, Record, Removal, Stored, Strike, Teller, is_first_home, place, role,
 };
-use crate::quarantine::{Fingerprint, Record, Removal, Stored, Strike, Teller, homes, role};
 use crate::state::GatewayState;
 use crate::upstream::{self, Pool};
 
@@ -114,9 +118,7 @@
 fn forget_old(state: &GatewayState) {
     let directory = state.peers.directory();
     for removal in state.quarantine.forget_old() {
-        let homes = homes(&directory, removal.fingerprint);
-        let first = homes.first();
-        if first.is_some_and(|home| home.name == state.peers.own().name) {
+        if is_first_home(&directory, removal.fingerprint, state.peers.own()) {
             state.quarantine.remove(removal);
         }
     }
@@ -140,11 +142,9 @@
         unstored.entry(fingerprint).or_insert(now);
     }
     let directory = state.peers.directory();
-    let own = &state.peers.own().name;
     let is_turn = |fingerprint: Fingerprint, since: Duration| {
-        let homes = homes(&directory, fingerprint);
-        let rank = homes.iter().position(|home| home.name == *own);
-        let turn = rank.and_then(|rank| u32::try_from(rank).ok());
+        let place = place(&directory, fingerprint, state.peers.own());
+        let turn = place.and_then(|place| u32::try_from(place).ok());
         turn.is_some_and(|turn| now >= since + TURN * turn)
     };
     let unstored = unstored.iter();
@@ -225,7 +225,7 @@
     revision: u64,
     content: QuarantineRecord,
 ) {
-    let Some(fingerprint) = fingerprint_of(name) else {
+    let Some(fingerprint) = fingerprint_of(state, name) else {
         return;
     };
     let known = state
@@ -270,7 +270,7 @@
 
 /// Takes in that an object was deleted.
 pub(super) fn take_deleted(state: &GatewayState, name: &str) {
-    if let Some(fingerprint) = fingerprint_of(name) {
+    if let Some(fingerprint) = fingerprint_of(state, name) {
         state.quarantine.release(fingerprint);
     }
 }
@@ -279,13 +279,17 @@
 pub(super) fn take_list(state: &GatewayState, objects: &[StoredObject], revision: u64) {
     let listed = objects
         .iter()
-        .filter_map(|object| fingerprint_of(&object.name));
+        .filter_map(|object| fingerprint_of(state, &object.name));
     let listed: Vec<Fingerprint> = listed.collect();
     state.quarantine.take_list(&listed, revision);
 }
 
-fn fingerprint_of(name: &str) -> Option<Fingerprint> {
-    name.parse()
-        .inspect_err(|error| log::warn!("an object of the quarantine: {error}"))
-        .ok()
+/// The request that an object is about; nothing where another writer named it.
+fn fingerprint_of(state: &GatewayState, name: &str) -> Option<Fingerprint> {
+    let fingerprint: Result<Fingerprint, _> = name.parse();
+    let fingerprint = fingerprint.inspect_err(|error| {
+        let kind = Rejected::Object(ObjectKind::Quarantine);
+        state.reject(kind, name, UnreadableReason::Fields, error.to_string());
+    });
+    fingerprint.ok()
 }
