--- a/crates/gateway/src/quota/group_use.rs
+++ b/crates/gateway/src/quota/group_use.rs
@@ -43,7 +43,8 @@
 /// What one leader told last, and when.
 #[derive(Debug, Clone, Copy, Default)]
 struct LeaderUse {
-    totals: Totals,
+    /// Nothing before it told of this tenant: what it has counted since it began is not known.
+    totals: Option<Totals>,
     sent: Option<Duration>,
     heard_at: Duration,
     lately: Lately,
@@ -93,10 +94,14 @@
         both.is_some_and(|(sent, known)| sent < known)
     }
 
-    /// Takes in totals that were told at `sent` and heard at `now`; what was admitted beyond those before. Rates are of the
-    /// leader's time: reports that waited somewhere come together.
-    fn hear(&mut self, now: Duration, sent: Option<Duration>, totals: Totals) -> f64 {
-        let more = totals.since(&self.totals);
+    /// Takes in totals that were told at `sent` and heard at `now`, or that nothing more was used; what was admitted beyond
+    /// those before. Rates are of the leader's time: reports that waited somewhere come together.
+    fn hear(&mut self, now: Duration, sent: Option<Duration>, told: Option<&WireTotals>) -> f64 {
+        let more = told.map_or_else(Totals::default, |told| {
+            let earlier = self.totals.unwrap_or_else(|| told.before());
+            self.totals = Some(earlier.later(&told.totals()));
+            told.totals().since(&earlier)
+        });
         let (asked, admitted) = (more.asked as f64, more.admitted as f64);
         let told_since = sent.zip(self.sent);
         let passed = told_since.map_or_else(
@@ -104,17 +109,16 @@
             |(sent, before)| sent.saturating_sub(before),
         );
         self.lately.add(passed, asked, admitted);
-        self.totals = self.totals.later(&totals);
         self.sent = sent;
         self.heard_at = now;
         admitted
     }
 
-    /// What counts from for one that was not heard before: as if it had told `before` some time ago. It has taken over the
-    /// members of another one, of whose use `lately` tells.
-    fn begin(now: Duration, sent: Option<Duration>, before: Totals, lately: Lately) -> Self {
+    /// One that was not heard before, as if it had told some time ago of what one counts from. It has taken over the members
+    /// of another one, of whose use `lately` tells.
+    fn begin(now: Duration, sent: Option<Duration>, lately: Lately) -> Self {
         Self {
-            totals: before,
+            totals: None,
             sent: sent.map(|sent| sent.saturating_sub(COUNTED_BACK)),
             heard_at: now.saturating_sub(COUNTED_BACK),
             lately,
@@ -150,12 +154,7 @@
     }
 
     /// Takes in totals at `now`, or that nothing more was used; returns what was admitted beyond what is known or was assumed.
-    pub fn hear(
-        &mut self,
-        now: Duration,
-        report: &GroupReport,
-        totals: Option<&WireTotals>,
-    ) -> f64 {
+    pub fn hear(&mut self, now: Duration, report: &GroupReport, told: Option<&WireTotals>) -> f64 {
         let known = self.leaders.get(&report.leader);
         if known.is_some_and(|leader| leader.is_overtaken(report.sent)) {
             return 0.0;
@@ -165,15 +164,13 @@
             self.is_made_up_for = true;
         }
         self.is_made_up_for &= self.leaders.contains_key(&report.leader);
-        let before = totals.map_or_else(Totals::default, WireTotals::before);
         if !self.leaders.contains_key(&report.leader) {
             let lately = self.take_over();
-            let leader = LeaderUse::begin(now, report.sent, before, lately);
+            let leader = LeaderUse::begin(now, report.sent, lately);
             self.leaders.insert(report.leader, leader);
         }
         let leader = self.leaders.entry(report.leader).or_default();
-        let totals = totals.map_or(leader.totals, WireTotals::totals);
-        let admitted = leader.hear(now, report.sent, totals);
+        let admitted = leader.hear(now, report.sent, told);
         self.leaders
             .retain(|_, leader| now < leader.heard_at + ASSUMED_FOR);
         self.heard_at = now;
--- a/crates/gateway/src/quota/shared.rs
+++ b/crates/gateway/src/quota/shared.rs
@@ -173,7 +173,9 @@
         let now = self.since_begin(now);
         let group = xxh3_64(usage.group.as_bytes());
         let own = self.own_group.get();
-        if group == own && usage.leader == self.leader.get() {
+        // A daemon of an earlier version does not say who it is.
+        let is_from_leader = usage.leader == 0 || usage.leader == self.leader.get();
+        if group == own && is_from_leader {
             // What it told before that is in these sums.
             let told_until = now.saturating_sub(TOLD_AFTER);
             self.own.borrow_mut().settle(told_until);
--- a/crates/gateway/tests/quotas.rs
+++ b/crates/gateway/tests/quotas.rs
@@ -5,7 +5,7 @@
 
 use driftspring_clock::Instant;
 use driftspring_gateway::configuration::{Quota, QuotaUnit, Tenant};
-use driftspring_gateway::peers::message::{WireGroupUsage, WireUsage};
+use driftspring_gateway::peers::message::{WireGroupUsage, WireTotals, WireUsage};
 use driftspring_gateway::quota::{Quotas, Refused, Tolerance};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -338,3 +338,61 @@
     assert_eq!(quotas.admit(&tenant, Some(1_000_000), 0.5, now), Ok(None));
     assert!(!quotas.are_in_force());
 }
+
+#[test]
+fn what_a_tenant_used_before_a_daemon_heard_of_a_leader_is_not_charged_when_it_comes_again() {
+    // A daemon that has just started hears a leader tell of other tenants only. Were that taken for totals of nothing, all that the
+    // tenant had used since the leader began would count as used at once when the leader next tells of it.
+    let began = Instant::now();
+    let quotas = Quotas::new(TOLERANCE, began);
+    let tenant = tenant(RATE);
+    quotas.set_tenants(std::iter::once(&tenant), began);
+    quotas.set_groups("zone-0", 1);
+    let at = |milliseconds| began + Duration::from_millis(milliseconds);
+    let told = |sent_ms, totals| WireGroupUsage {
+        group: "zone-0".to_owned(),
+        life: 7,
+        totals,
+        leader: 0,
+        sent_ms: Some(sent_ms),
+    };
+    for milliseconds in (0..5000).step_by(50) {
+        quotas.take_group(&told(900_000 + milliseconds, Vec::new()), at(milliseconds));
+    }
+    let of_tenant = |used: u64, before: u64| WireTotals {
+        tenant: xxhash_rust::xxh3::xxh3_64(b"tenant"),
+        asked: used,
+        admitted: used,
+        asked_before: before,
+        admitted_before: before,
+    };
+    let used = 100_000_000;
+    let news = vec![of_tenant(used + 3000, used)];
+    quotas.take_group(&told(905_000, news), at(5000));
+    assert!(quotas.admit(&tenant, Some(3000), 0.99, at(5010)).is_ok());
+}
+
+#[test]
+fn what_a_leader_of_an_earlier_version_tells_counts_as_told() {
+    // Else a later leader would count all that this daemon admitted since it began.
+    let began = Instant::now();
+    let quotas = Quotas::new(TOLERANCE, began);
+    let tenant = tenant(RATE);
+    quotas.set_tenants(std::iter::once(&tenant), began);
+    quotas.set_groups("zone-0", 1);
+    quotas.set_leader(5);
+    quotas
+        .admit(&tenant, Some(3000), 0.0, began)
+        .expect("below the limit");
+    let later = began + Duration::from_millis(900);
+    assert_eq!(quotas.own_usage(later)[0].admitted_before, 0);
+    let told = WireGroupUsage {
+        group: "zone-0".to_owned(),
+        life: 7,
+        totals: Vec::new(),
+        leader: 0,
+        sent_ms: None,
+    };
+    quotas.take_group(&told, later);
+    assert_eq!(quotas.own_usage(later)[0].admitted_before, 3000);
+}
