--- a/crates/gateway-program/src/lib.rs
+++ b/crates/gateway-program/src/lib.rs
@@ -37,6 +37,8 @@
 
 /// Serves until SIGTERM or SIGINT, then makes a planned stop.
 fn run(file: &Path) -> anyhow::Result<ExitCode> {
+    // Before all else: a reload that is ordered while the process starts would end it.
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).context("waiting for signals")?;
     let settings = match load_gateway(file) {
         Ok(settings) => settings,
         Err(error) => {
@@ -46,7 +48,6 @@
     };
     let format = LogFormat::from_setting(settings.log.json);
     let logs = logging::start_on_stdout(&settings.log.level, format)?;
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).context("waiting for signals")?;
     let running = Gateway::start(settings, Arc::new(OperatorPlatform))?;
     for signal in signals.forever() {
         if signal == SIGHUP {
