--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,8 +25,8 @@
 use crate::currency::Currency;
 use crate::metrics::GatewayMetrics;
 use crate::peers::Peers;
-use crate::peers::message::{Change, Item, ItemKey, WireDaemon};
-use crate::protocol::{Platform, Unreadable, UnreadableReason};
+use crate::peers::message::{Change, Item, ItemKey, WireDaemon, WireReplica};
+use crate::protocol::{Platform, ReplicaEntry, Unreadable, UnreadableReason};
 use crate::quarantine::Quarantine;
 use crate::quota::{Quotas, Tolerance};
 use crate::replicas::Registry;
@@ -190,9 +190,9 @@
 
     /// Takes in a change of a replica or a daemon; see [`GatewayState::registry_changed`].
     pub fn apply(&self, change: Change) {
-        let Some(change) = self.without_earlier_lives(change) else {
+        if self.is_of_earlier_life(&change) {
             return;
-        };
+        }
         let mut log = self.peers.log.borrow_mut();
         match change {
             Change::Put(item) => {
@@ -215,22 +215,32 @@
         self.has_changes.set(true);
     }
 
-    /// What a change means where a later life of the same replica is known: an entry of an earlier one is old news. One
-    /// that says nothing of its life is that of another writer, who wrote over the replica's.
-    fn without_earlier_lives(&self, change: Change) -> Option<Change> {
-        let Change::Put(Item::Replica(told)) = &change else {
-            return Some(change);
-        };
-        let key = ItemKey::Replica(told.id.clone());
+    /// Takes in an entry of a replica as the store has it. One that says nothing of its life, where the one before it did,
+    /// is that of another writer, who wrote over the replica's.
+    pub fn apply_stored(&self, entry: &ReplicaEntry) {
+        let told = WireReplica::from(entry);
+        let is_foreign = told.born.is_none() && self.known_birth(&told.id).is_some();
+        self.apply(match is_foreign {
+            true => Change::Gone(ItemKey::Replica(told.id)),
+            false => Change::Put(Item::Replica(told)),
+        });
+    }
+
+    /// Whether a change tells of an earlier life than the one known of the same replica: that is old news. A daemon of an
+    /// earlier version tells no births at all, and must not make this one forget its replicas.
+    fn is_of_earlier_life(&self, change: &Change) -> bool {
+        match change {
+            Change::Put(Item::Replica(told)) => told.born < self.known_birth(&told.id),
+            _ => false,
+        }
+    }
+
+    /// When the life began that is known of a replica, where its entry said so.
+    fn known_birth(&self, id: &str) -> Option<u64> {
         let log = self.peers.log.borrow();
-        let known = match log.get(&key) {
-            Some(Item::Replica(known)) => known,
-            _ => return Some(change),
-        };
-        match (known.born, told.born) {
-            (Some(_), None) => Some(Change::Gone(key)),
-            (known, told) if told < known => None,
-            _ => Some(change),
+        match log.get(&ItemKey::Replica(id.to_owned())) {
+            Some(Item::Replica(known)) => known.born,
+            _ => None,
         }
     }
 
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -11,7 +11,7 @@
 use super::client::{StoreError, list_all, list_recent, watch};
 use super::quarantine;
 use super::rejections::Rejected;
-use crate::peers::message::{Change, Item, ItemKey, WireDaemon, WireReplica};
+use crate::peers::message::{Change, Item, ItemKey, WireDaemon};
 use crate::protocol::{ModelVersion, ObjectContent, ObjectKind, StoredObject};
 use crate::rollout::{LEASE_NAME, record_in};
 use crate::state::{GatewayState, JUST_STARTED};
@@ -253,7 +253,7 @@
     match object.content {
         Ok(ObjectContent::Configuration(_)) => take_configuration(state, object),
         Ok(ObjectContent::Replica(entry)) => {
-            state.apply(Change::Put(Item::Replica(WireReplica::from(&entry))));
+            state.apply_stored(&entry);
         }
         Ok(ObjectContent::Weights(weights)) => {
             // A change of an object whose version is known is no naming.
