--- a/crates/gateway-program/src/lib.rs
+++ b/crates/gateway-program/src/lib.rs
@@ -56,9 +56,11 @@
         }
         break;
     }
-    running.stop()?;
+    running.finish();
     logs.flush();
-    Ok(ExitCode::SUCCESS)
+    // Not by a return: the HTTP library takes 0.3 s to end its servers, in which it keeps the connections and answers nothing. A
+    // caller whose request comes now is told at once that nobody has read it.
+    std::process::exit(0)
 }
 
 /// Checks a settings file; lists every fault on standard error.
--- a/crates/gateway-program/tests/signals.rs
+++ b/crates/gateway-program/tests/signals.rs
@@ -1,11 +1,17 @@
 //! Signals that come while the program starts.
 
 use std::fs::{File, OpenOptions};
-use std::io::Write;
+use std::io::{BufRead, BufReader, Write};
 use std::process::{Command, Stdio};
+use std::time::Duration;
 
+use driftspring_clock::Instant;
+use driftspring_platform_standin::store::Store;
 use driftspring_system_tests::TemporaryDirectory;
 
+/// The time that the HTTP library takes to end its servers.
+const LIBRARY_STOPS_FOR: Duration = Duration::from_millis(300);
+
 #[test]
 fn an_order_to_reload_does_not_end_a_process_that_is_reading_its_settings() {
     // A gateway was killed and started again, and told to reload 187 ms later on a busy machine: it had logged nothing yet and ended
@@ -35,3 +41,46 @@
     let ended = gateway.wait().expect("ended");
     assert_eq!(ended.code(), Some(2), "{ended}");
 }
+
+#[test]
+fn a_planned_stop_ends_the_process_as_soon_as_nothing_is_open() {
+    // A request came 3 ms after a gateway had logged that its stop is over. It was never read, and its connection ended with the process
+    // 357 ms later, while the HTTP library ended its servers. A caller can't tell that from an answer that was lost.
+    let store = Store::start().expect("a store");
+    let folder = TemporaryDirectory::create().expect("a folder");
+    let settings = folder.path().join("settings.toml");
+    let text = format!(
+        r#"
+        name = "gateway"
+        zone = "z"
+        store = "{}"
+        [listen]
+        callers = "127.0.0.1:0"
+        health = "127.0.0.1:0"
+        peers = "127.0.0.1:0"
+        [times]
+        stop_grace_seconds = 1
+        "#,
+        store.address()
+    );
+    std::fs::write(&settings, text).expect("a settings file");
+    let mut gateway = Command::new(env!("CARGO_BIN_EXE_driftspring-gateway"))
+        .arg("run")
+        .arg(&settings)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("started");
+    let log = BufReader::new(gateway.stdout.take().expect("its log"));
+    let mut lines = log.lines().map_while(Result::ok);
+    let mut until = |event: &str| lines.any(|line| line.contains(event));
+    assert!(until("GATEWAY_STARTED"));
+    let id = gateway.id().to_string();
+    let sent = Command::new("kill").args(["-TERM", &id]).status();
+    assert!(sent.expect("kill").success());
+    assert!(until("GATEWAY_STOPPED"));
+    let stopped_at = Instant::now();
+    let ended = gateway.wait().expect("ended");
+    let took = stopped_at.elapsed();
+    assert_eq!(ended.code(), Some(0), "{ended}");
+    assert!(took < LIBRARY_STOPS_FOR, "{took:?}");
+}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -122,6 +122,13 @@
     ///
     /// The gateway's thread failed.
     pub fn stop(mut self) -> anyhow::Result<()> {
+        self.finish();
+        self.end()
+    }
+
+    /// The first part of a planned stop: not ready any more, then open requests end. The process should end right after
+    /// it, see [`RunningGateway::stop`] for one that goes on.
+    pub fn finish(&self) {
         self.status.is_stopping.store(true, Ordering::Release);
         log_event!(
             gateway::GATEWAY_STOPPING,
@@ -134,7 +141,6 @@
             "open={}",
             self.status.open_requests.load(Ordering::Acquire)
         );
-        self.end()
     }
 
     /// Reads the settings file again. What listens stays as it is; faulty settings change nothing.
