--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -261,11 +261,11 @@
             if newest >= Some(weights.version) {
                 return;
             }
-            let now = Instant::now();
-            // A watch tells at once, unless its answer was lost before.
-            let is_late = state.store_outage.was_lately(now);
-            let since = named_after(state, object.revision).filter(|_| is_late);
-            name_weights(state, &weights, Since::Known(since.unwrap_or(now)));
+            // When a watch tells of it says nothing: its answer may have been lost before, or have waited for a process
+            // that stood still (8.5 s after a naming requests began on older weights, where 7 s are allowed).
+            let since = named_after(state, object.revision);
+            let since = since.unwrap_or_else(Instant::now);
+            name_weights(state, &weights, Since::Known(since));
         }
         Ok(ObjectContent::Lease(_)) => {}
         Ok(ObjectContent::Daemon(daemon)) => {
