--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -69,6 +69,10 @@
     pub configuration_version: Gauge,
     /// Different requests that are quarantined.
     pub fingerprints_quarantined: Gauge,
+    /// The latest era of the store that is known; 0 where it names none.
+    pub store_era: Gauge,
+    /// How often the store was found to have come back from a copy.
+    pub store_era_changes: Counter,
     /// Replicas listed.
     pub replicas: Gauge,
     registry: Mutex<Registry>,
@@ -105,6 +109,8 @@
             quarantined: Counter::default(),
             rejected: Family::default(),
             fingerprints_quarantined: Gauge::default(),
+            store_era: Gauge::default(),
+            store_era_changes: Counter::default(),
             configuration_version: Gauge::default(),
             replicas: Gauge::default(),
             registry: Mutex::new(Registry::with_prefix("driftspring_gateway")),
@@ -160,6 +166,11 @@
                 "Replicas kept in use for a while without an entry",
                 &self.replicas_lapsed,
             ),
+            (
+                "store_era_changes",
+                "How often the store was found to have come back from a copy",
+                &self.store_era_changes,
+            ),
             (
                 "replicas_ended",
                 "Replicas that ended while requests were open there",
@@ -220,6 +231,11 @@
             self.rejected.clone(),
         );
         registry.register("replicas", "Replicas listed", self.replicas.clone());
+        registry.register(
+            "store_era",
+            "The latest era of the store that is known; 0 where it names none",
+            self.store_era.clone(),
+        );
         registry.register(
             "fingerprints_quarantined",
             "Different requests that are quarantined",
--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -18,7 +18,7 @@
 use crate::cache::PrefixKey;
 use crate::protocol::UnreadableReason;
 use crate::state::GatewayState;
-use crate::store::Rejected;
+use crate::store::{Rejected, take_told_era};
 
 /// The pause after a datagram could not be received.
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(25);
@@ -48,6 +48,7 @@
         };
         match Message::decode(&buffer[..length]) {
             Some(Message::Ask(question)) => {
+                take_told_era(&state, question.store_era, &from.to_string());
                 state
                     .peers
                     .followers
@@ -143,11 +144,14 @@
     // Rounded up: a proof, or newly named weights, may look older than they are, never newer.
     let to_ms_up = |time: Duration| to_ms(time) + 1;
     let weights = state.weights.borrow().all();
+    let era = state.store_eras.known();
+    // Of an era that another daemon told, no position is known yet.
+    let position = Some(state.store_position.get()).filter(|known| known.era == era);
     Tell {
         nonce: question.nonce,
         proof_age_ms: age.map(to_ms_up),
         view_age_ms: state.peers.view_age().map(to_ms_up),
-        store_revision: state.store_revision.get(),
+        store_revision: position.map_or(0, |position| position.revision),
         configuration: configuration.as_ref().map_or(0, |known| known.version),
         weights: weights
             .into_iter()
@@ -162,12 +166,13 @@
             .lease
             .borrow()
             .seen()
-            .map(|(revision, record)| WireLease {
-                revision,
+            .map(|(position, record)| WireLease {
+                revision: position.revision,
                 holder: record.holder.clone(),
                 life: record.life,
                 token: record.token,
                 renewal: record.renewal,
+                era: position.era.number(),
             }),
         log: log.id(),
         sequence: page.sequence,
@@ -181,6 +186,7 @@
             .store_down_at()
             .map(|at| to_ms_up(at.elapsed())),
         quarantine: Some(records::digest(state)),
+        store_era: era.number(),
     }
 }
 
--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -15,7 +15,7 @@
 use crate::currency::NewerVersion;
 use crate::protocol::{LeaseRecord, ModelVersion};
 use crate::state::GatewayState;
-use crate::store::name_weights;
+use crate::store::{StoreEra, StorePosition, name_weights, take_told_era};
 use crate::weights::Since;
 
 /// Time between two questions.
@@ -143,6 +143,7 @@
         sequence,
         content,
         quarantine: Some(records::digest(state)),
+        store_era: state.store_eras.known().number(),
     });
     let sent_at = Instant::now();
     send(socket, &question, &daemon.peers).await;
@@ -153,6 +154,7 @@
         peers.ask_now.notify_one();
         return false;
     };
+    take_told_era(state, answer.store_era, &daemon.name);
     if let Ok(address) = daemon.peers.parse() {
         records::reconcile(state, socket, answer.quarantine, address).await;
     }
@@ -193,7 +195,7 @@
 async fn take_answer(state: &Rc<GatewayState>, answer: Tell, sent_at: Instant) -> bool {
     if let Some(proved_at) = moment_before(sent_at, answer.proof_age_ms) {
         let mut progress = state.store_progress.borrow_mut();
-        progress.note(proved_at, answer.store_revision);
+        progress.note(proved_at, position_in(&answer));
     }
     take_weights_and_lease(state, &answer, sent_at);
     take_changes(state, &answer);
@@ -226,6 +228,14 @@
     answer.has_more
 }
 
+/// How far the store has come, as an answer tells.
+fn position_in(answer: &Tell) -> StorePosition {
+    StorePosition {
+        era: StoreEra::told(answer.store_era),
+        revision: answer.store_revision,
+    }
+}
+
 fn moment_before(sent_at: Instant, age_ms: Option<u64>) -> Option<Instant> {
     sent_at.checked_sub(Duration::from_millis(age_ms?))
 }
@@ -253,8 +263,12 @@
         };
         let now = state.now();
         let mut known = state.lease.borrow_mut();
-        known.on_store_revision(now, answer.store_revision);
-        known.on_list(now, Some((lease.revision, record)));
+        known.on_store_position(now, position_in(answer));
+        let position = StorePosition {
+            era: StoreEra::told(lease.era),
+            revision: lease.revision,
+        };
+        known.on_list(now, Some((position, record)));
     } else {
         state.lease.borrow_mut().on_list(state.now(), None);
     }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -126,6 +126,9 @@
     pub is_stored_quarantined: bool,
     /// How long ago it was cleared, in milliseconds.
     pub cleared_age_ms: u64,
+    /// The era of [`WireRecord::stored_revision`]; none where the store names none.
+    #[musli(default)]
+    pub stored_era: Option<u64>,
 }
 
 /// What one tenant used since the begin of the life that tells it, in the unit of its limit.
@@ -189,6 +192,9 @@
     /// The digest of what is known of requests that end replicas, see [`crate::quarantine::ledger::Ledger::digest`].
     #[musli(default)]
     pub quarantine: Option<u64>,
+    /// The latest era of the store that is known, see [`crate::store::StoreEra`].
+    #[musli(default)]
+    pub store_era: Option<u64>,
 }
 
 /// An answer.
@@ -200,7 +206,7 @@
     pub proof_age_ms: Option<u64>,
     /// How long ago somebody who reads the whole store knew all that is told here, in milliseconds.
     pub view_age_ms: Option<u64>,
-    /// The highest revision of the store that is known.
+    /// The highest revision of the store that is known of [`Tell::store_era`].
     pub store_revision: u64,
     /// The version of the configuration in force.
     pub configuration: u64,
@@ -227,6 +233,9 @@
     /// As [`Ask::quarantine`].
     #[musli(default)]
     pub quarantine: Option<u64>,
+    /// As [`Ask::store_era`].
+    #[musli(default)]
+    pub store_era: Option<u64>,
 }
 
 /// Wanted weights.
@@ -256,6 +265,9 @@
     pub token: u64,
     /// The number of renewals.
     pub renewal: u64,
+    /// The era of [`WireLease::revision`]; none where the store names none.
+    #[musli(default)]
+    pub era: Option<u64>,
 }
 
 /// One change.
--- a/crates/gateway/src/peers/records.rs
+++ b/crates/gateway/src/peers/records.rs
@@ -16,6 +16,7 @@
 use crate::quarantine::shared::{BETWEEN_TELLINGS, Outbox};
 use crate::quarantine::{Fingerprint, Record, Stored, Strike, Teller, homes, role};
 use crate::state::GatewayState;
+use crate::store::{StoreEra, StorePosition};
 
 /// How long news are gathered: a replica that ends strikes some dozen requests at once.
 const GATHERING: Duration = Duration::from_millis(2);
@@ -190,7 +191,7 @@
             is_quarantined: told.is_quarantined,
             trials: told.trials,
             stored: Stored {
-                revision: told.stored_revision,
+                position: stored_position(told),
                 is_quarantined: told.is_stored_quarantined,
             },
             cleared_at: moment(now, told.cleared_age_ms),
@@ -214,6 +215,7 @@
 fn wire(state: &GatewayState, fingerprint: Fingerprint, record: &Record) -> WireRecord {
     let now = state.quarantine.now();
     let strikes = record.strikes.iter();
+    let stored = record.stored.position;
     WireRecord {
         fingerprint: fingerprint.number(),
         generation: record.generation,
@@ -226,12 +228,22 @@
             .collect(),
         is_quarantined: record.is_quarantined,
         trials: record.trials,
-        stored_revision: record.stored.revision,
+        stored_revision: stored.map_or(0, |stored| stored.revision),
         is_stored_quarantined: record.stored.is_quarantined,
         cleared_age_ms: age_ms(now, record.cleared_at),
+        stored_era: stored.and_then(|stored| stored.era.number()),
     }
 }
 
+/// Where the store keeps a record, as another daemon tells.
+fn stored_position(told: &WireRecord) -> Option<StorePosition> {
+    let position = StorePosition {
+        era: StoreEra::told(told.stored_era),
+        revision: told.stored_revision,
+    };
+    Some(position).filter(|position| position.revision > 0)
+}
+
 fn age_ms(now: Duration, at: Duration) -> u64 {
     u64::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -12,6 +12,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::configuration::Configuration;
+use crate::store::{StorePosition, ToldEra};
 
 /// One part of a prompt.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -264,8 +265,8 @@
 pub struct StoredObject {
     /// Its name; empty where it can't be read.
     pub name: String,
-    /// The revision of its last change.
-    pub revision: u64,
+    /// Where it was last changed.
+    pub position: StorePosition,
     /// Its content, or why it has none: anybody may write to the store.
     pub content: Result<ObjectContent, Unreadable>,
 }
@@ -309,8 +310,8 @@
     pub items: Vec<StoredObject>,
     /// Whether more follow after the last of them.
     pub has_more: bool,
-    /// The store's revision.
-    pub revision: u64,
+    /// How far the store has come.
+    pub position: StorePosition,
 }
 
 /// A change of one object.
@@ -327,15 +328,15 @@
 pub struct WatchPage {
     /// The changes, in order.
     pub events: Vec<ObjectEvent>,
-    /// The revision to go on from.
-    pub revision: u64,
+    /// Where to go on.
+    pub position: StorePosition,
 }
 
 /// What became of a conditional write.
 #[derive(Debug, Clone, PartialEq)]
 pub enum WriteAnswer {
-    /// It took effect at this revision.
-    Accepted(u64),
+    /// It took effect there.
+    Accepted(StorePosition),
     /// It had no effect: the object is another one by now, if it can be read.
     Conflict(Option<StoredObject>),
     /// It had no effect for now: the store is busy or throttles.
@@ -354,7 +355,9 @@
     fn write(&self, name: &str, content: &ObjectContent, expected: Option<u64>) -> Call;
     /// Removes an object that must have `expected` as its revision.
     fn remove(&self, kind: ObjectKind, name: &str, expected: u64) -> Call;
-    /// Reads one page of a list.
+    /// Reads which era an answer names.
+    fn read_era(&self, headers: &HeaderMap) -> ToldEra;
+    /// Reads one page of a list. Its positions, and all that are read below, name no era.
     ///
     /// # Errors
     ///
--- a/crates/gateway/src/quarantine/ledger.rs
+++ b/crates/gateway/src/quarantine/ledger.rs
@@ -20,6 +20,7 @@
 
 use super::Fingerprint;
 use super::record::{ONE_CRASH, Record, Stored, Strike, WEIGHT};
+use crate::store::StorePosition;
 
 /// Strikes after which a request is quarantined. The operator allows three ends, and three more sends.
 pub const MAX_STRIKES: usize = 3;
@@ -195,10 +196,15 @@
     }
 
     /// Takes in how the store keeps the record.
-    pub fn note_stored(&mut self, fingerprint: Fingerprint, revision: u64, is_quarantined: bool) {
+    pub fn note_stored(
+        &mut self,
+        fingerprint: Fingerprint,
+        position: StorePosition,
+        is_quarantined: bool,
+    ) {
         if let Some(record) = self.records.get_mut(&fingerprint) {
             let stored = Stored {
-                revision,
+                position: Some(position),
                 is_quarantined,
             };
             record.stored = record.stored.max(stored);
@@ -238,8 +244,8 @@
         self.last_strike.is_some_and(is_lately) || self.has_suspects()
     }
 
-    /// Forgets strikes that count no more; those forgotten that the store keeps, with their revisions.
-    pub fn forget_old(&mut self, now: Duration) -> Vec<(Fingerprint, u64)> {
+    /// Forgets strikes that count no more; those forgotten that the store keeps, with where they are.
+    pub fn forget_old(&mut self, now: Duration) -> Vec<(Fingerprint, StorePosition)> {
         let records = self.records.iter();
         let old = records.filter(|(_, record)| !record.is_quarantined && !record.is_recent(now));
         let old: Vec<Fingerprint> = old.map(|(fingerprint, _)| *fingerprint).collect();
@@ -247,8 +253,8 @@
         for fingerprint in old {
             let record = self.records.remove(&fingerprint);
             self.index(fingerprint);
-            if let Some(record) = record.filter(|record| record.stored.revision > 0) {
-                kept_in_store.push((fingerprint, record.stored.revision));
+            if let Some(position) = record.and_then(|record| record.stored.position) {
+                kept_in_store.push((fingerprint, position));
             }
         }
         kept_in_store
--- a/crates/gateway/src/quarantine/record.rs
+++ b/crates/gateway/src/quarantine/record.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::Fingerprint;
+use crate::store::{StoreEra, StorePosition};
 
 /// Strikes from which on a request is suspicious, and every daemon knows of it.
 pub(super) const SUSPICIOUS: usize = 2;
@@ -46,8 +47,8 @@
 /// How the store keeps a record.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Stored {
-    /// The revision of its object; 0 for none.
-    pub revision: u64,
+    /// Where its object was last changed; none where there is none.
+    pub position: Option<StorePosition>,
     /// Whether it says that the request is quarantined.
     pub is_quarantined: bool,
 }
@@ -70,9 +71,11 @@
 }
 
 impl Record {
-    /// Whether the store is to keep it otherwise than it does.
-    pub fn is_to_be_stored(&self) -> bool {
-        let is_kept = self.stored.revision > 0 && self.stored.is_quarantined == self.is_quarantined;
+    /// Whether a store of `era` is to keep it otherwise than it does, as far as is known: one that came back from a copy
+    /// may have lost it.
+    pub fn is_to_be_stored(&self, era: StoreEra) -> bool {
+        let is_in_store = self.stored.position.is_some_and(|stored| stored.era == era);
+        let is_kept = is_in_store && self.stored.is_quarantined == self.is_quarantined;
         self.is_suspect() && !is_kept
     }
 
--- a/crates/gateway/src/quarantine/shared.rs
+++ b/crates/gateway/src/quarantine/shared.rs
@@ -13,6 +13,7 @@
 use super::ends::Losses;
 use super::ledger::{Cleared, Ledger, News, Role, Verdict};
 use super::record::{Record, Strike};
+use crate::store::StorePosition;
 
 /// How often news are told: a datagram may be lost, and those that are told twice know it already.
 const TELLINGS: u8 = 3;
@@ -29,8 +30,8 @@
 pub struct Removal {
     /// The request.
     pub fingerprint: Fingerprint,
-    /// The revision of its object.
-    pub revision: u64,
+    /// Where its object was last changed.
+    pub position: StorePosition,
 }
 
 /// What is to be told to other daemons.
@@ -167,10 +168,10 @@
             cleared.before.count(),
             cleared.before.is_quarantined
         );
-        if cleared.before.stored.revision > 0 {
+        if let Some(position) = cleared.before.stored.position {
             self.remove(Removal {
                 fingerprint,
-                revision: cleared.before.stored.revision,
+                position,
             });
         }
         if !cleared.is_for_all && teller == Teller::Own {
@@ -191,13 +192,14 @@
         }
     }
 
-    /// Takes in the whole list of the store's records, read at `revision`: those are released that it kept before and
-    /// that are not in it any more.
-    pub fn take_list(&self, listed: &[Fingerprint], revision: u64) {
+    /// Takes in the whole list of the store's records, read at `position`: those are released that it kept before, in the
+    /// same era, and that are not in it any more. Those that it kept in an earlier one may be lost.
+    pub fn take_list(&self, listed: &[Fingerprint], position: StorePosition) {
         let ledger = self.ledger.borrow();
+        let is_in_list = |stored: StorePosition| stored.era == position.era && stored <= position;
         let stored = ledger
             .known_to_all()
-            .filter(|(_, record)| (1..=revision).contains(&record.stored.revision));
+            .filter(|(_, record)| record.stored.position.is_some_and(is_in_list));
         let gone = stored.map(|(fingerprint, _)| fingerprint);
         let gone: Vec<Fingerprint> = gone.filter(|gone| !listed.contains(gone)).collect();
         drop(ledger);
@@ -233,9 +235,14 @@
     }
 
     /// Takes in how the store keeps a record, and tells all daemons.
-    pub fn note_stored(&self, fingerprint: Fingerprint, revision: u64, is_quarantined: bool) {
+    pub fn note_stored(
+        &self,
+        fingerprint: Fingerprint,
+        position: StorePosition,
+        is_quarantined: bool,
+    ) {
         let mut ledger = self.ledger.borrow_mut();
-        ledger.note_stored(fingerprint, revision, is_quarantined);
+        ledger.note_stored(fingerprint, position, is_quarantined);
         drop(ledger);
         self.tell_all(fingerprint);
     }
@@ -260,9 +267,9 @@
     pub fn forget_old(&self) -> Vec<Removal> {
         let kept_in_store = self.ledger.borrow_mut().forget_old(self.now());
         let removals = kept_in_store.into_iter();
-        let removals = removals.map(|(fingerprint, revision)| Removal {
+        let removals = removals.map(|(fingerprint, position)| Removal {
             fingerprint,
-            revision,
+            position,
         });
         removals.collect()
     }
--- a/crates/gateway/src/rollout/lease.rs
+++ b/crates/gateway/src/rollout/lease.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 
 use crate::protocol::{LeaseRecord, ObjectContent, StoredObject, WriteAnswer};
+use crate::store::StorePosition;
 
 /// The times of the lease; all daemons must have the same.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,12 +36,12 @@
 pub enum LeaseAction {
     /// It may give orders under this token.
     Hold(u64),
-    /// Write this record on condition of this revision, then [`OrderLease::on_write`].
+    /// Write this record on condition of this position, then [`OrderLease::on_write`].
     Write {
         /// The record.
         record: LeaseRecord,
-        /// The revision that the object must have; none where it must not exist.
-        expected: Option<u64>,
+        /// The position that the object must have; none where it must not exist.
+        expected: Option<StorePosition>,
     },
     /// Nothing for so long.
     Wait(Duration),
@@ -49,7 +50,7 @@
 /// The object as last seen.
 #[derive(Debug, Clone)]
 struct Seen {
-    revision: u64,
+    position: StorePosition,
     record: LeaseRecord,
     first_seen: Duration,
 }
@@ -68,7 +69,7 @@
     retry_at: Duration,
     is_fenced: bool,
     failures_in_row: u32,
-    reached: VecDeque<(Duration, u64)>,
+    reached: VecDeque<(Duration, StorePosition)>,
 }
 
 impl OrderLease {
@@ -91,59 +92,59 @@
     }
 
     /// Takes in that the object, or its absence, was read from the store.
-    pub fn on_list(&mut self, now: Duration, object: Option<(u64, LeaseRecord)>) {
+    pub fn on_list(&mut self, now: Duration, object: Option<(StorePosition, LeaseRecord)>) {
         self.is_informed = true;
-        if let Some((revision, record)) = object {
-            self.on_seen(now, revision, record);
+        if let Some((position, record)) = object {
+            self.on_seen(now, position, record);
         }
     }
 
-    /// Takes in that the store had reached `revision` by `now`: whatever has it or a lower one was written
+    /// Takes in that the store had reached `position` by `now`: whatever has it or an earlier one was written
     /// before, even if it is seen later.
-    pub fn on_store_revision(&mut self, now: Duration, revision: u64) {
+    pub fn on_store_position(&mut self, now: Duration, position: StorePosition) {
         let is_news = self
             .reached
             .back()
-            .is_none_or(|(_, known)| *known < revision);
+            .is_none_or(|(_, known)| *known < position);
         if is_news {
-            self.reached.push_back((now, revision));
+            self.reached.push_back((now, position));
         }
-        while self.reached.len() > REMEMBERED_REVISIONS {
+        while self.reached.len() > REMEMBERED_POSITIONS {
             self.reached.pop_front();
         }
     }
 
-    /// The earliest time by which the store is known to have reached `revision`.
-    fn reached_at(&self, revision: u64) -> Option<Duration> {
+    /// The earliest time by which the store is known to have reached `position`.
+    fn reached_at(&self, position: StorePosition) -> Option<Duration> {
         let mut reached = self.reached.iter();
-        let first = reached.find(|(_, known)| *known >= revision)?;
+        let first = reached.find(|(_, known)| *known >= position)?;
         Some(first.0)
     }
 
-    /// Takes in the object as seen; older revisions are ignored.
-    pub fn on_seen(&mut self, now: Duration, revision: u64, record: LeaseRecord) {
+    /// Takes in the object as seen; earlier positions are ignored.
+    pub fn on_seen(&mut self, now: Duration, position: StorePosition, record: LeaseRecord) {
         let is_older = self
             .seen
             .as_ref()
-            .is_some_and(|seen| seen.revision >= revision);
+            .is_some_and(|seen| seen.position >= position);
         if is_older {
             return;
         }
         if !self.is_own(&record) {
             self.valid_until = None;
         }
-        let reached_at = self.reached_at(revision);
+        let reached_at = self.reached_at(position);
         self.seen = Some(Seen {
-            revision,
+            position,
             record,
             first_seen: reached_at.map_or(now, |reached_at| reached_at.min(now)),
         });
     }
 
-    /// The object as last seen, with its revision.
-    pub fn seen(&self) -> Option<(u64, &LeaseRecord)> {
+    /// The object as last seen, with its position.
+    pub fn seen(&self) -> Option<(StorePosition, &LeaseRecord)> {
         let seen = self.seen.as_ref()?;
-        Some((seen.revision, &seen.record))
+        Some((seen.position, &seen.record))
     }
 
     /// The token under which an order may be given at `now`.
@@ -164,9 +165,9 @@
         self.wanted_since = None;
     }
 
-    /// The record that gives the lease back, with the revision that the object must have; nothing where this
+    /// The record that gives the lease back, with the position that the object must have; nothing where this
     /// daemon does not hold it. It must give no order from now on.
-    pub fn give_back(&mut self) -> Option<(LeaseRecord, u64)> {
+    pub fn give_back(&mut self) -> Option<(LeaseRecord, StorePosition)> {
         self.valid_until = None;
         let seen = self
             .seen
@@ -178,7 +179,7 @@
             token: seen.record.token,
             renewal: seen.record.renewal + 1,
         };
-        Some((record, seen.revision))
+        Some((record, seen.position))
     }
 
     /// What to do at `now` in order to give orders; `jitter` sets daemons apart that begin together.
@@ -223,19 +224,19 @@
         answer: WriteAnswer,
     ) {
         match answer {
-            WriteAnswer::Accepted(revision) => {
+            WriteAnswer::Accepted(position) => {
                 self.is_fenced = false;
                 self.failures_in_row = 0;
                 self.valid_until = Some(began + self.times.term);
                 self.renew_at = began + self.times.renewal;
                 self.seen = Some(Seen {
-                    revision,
+                    position,
                     record,
                     first_seen: ended,
                 });
             }
             WriteAnswer::Conflict(Some(object)) => {
-                self.on_seen(ended, object.revision, record_in(&object));
+                self.on_seen(ended, object.position, record_in(&object));
                 self.retry_at = ended + RETRY_PAUSE;
             }
             WriteAnswer::Conflict(None) | WriteAnswer::Busy | WriteAnswer::Unknown => {
@@ -270,7 +271,7 @@
                 token,
                 renewal,
             },
-            expected: seen.map(|seen| seen.revision),
+            expected: seen.map(|seen| seen.position),
         }
     }
 }
@@ -283,7 +284,7 @@
         _ => LeaseRecord {
             holder: UNKNOWN_HOLDER.to_owned(),
             life: 0,
-            token: object.revision,
+            token: object.position.revision,
             renewal: 0,
         },
     }
@@ -295,5 +296,5 @@
 /// The pause after the first write that failed; each further one in a row twice as long, up to 16 times.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
-/// Revisions of the store whose time is remembered.
-const REMEMBERED_REVISIONS: usize = 64;
+/// Positions of the store whose time is remembered.
+const REMEMBERED_POSITIONS: usize = 64;
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -113,14 +113,14 @@
 /// Gives the lease back before a planned stop, so that another daemon need not wait for its end.
 async fn give_back(state: &Rc<GatewayState>) {
     let given_back = state.lease.borrow_mut().give_back();
-    if let Some((record, revision)) = given_back {
+    if let Some((record, position)) = given_back {
         let content = ObjectContent::Lease(record);
         let answer = store::write(
             state,
             ObjectKind::Leases,
             LEASE_NAME,
             &content,
-            Some(revision),
+            Some(position),
         )
         .await;
         log_event!(
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -31,7 +31,7 @@
 use crate::quota::{Quotas, Tolerance};
 use crate::replicas::Registry;
 use crate::rollout::{OrderLease, lease_times};
-use crate::store::{Rejected, Rejections, StoreOutage, StoreProgress};
+use crate::store::{Rejected, Rejections, StoreEras, StoreOutage, StorePosition, StoreProgress};
 use crate::upstream::Pool;
 use crate::weights::WantedWeights;
 
@@ -121,8 +121,10 @@
     pub rejections: Rejections,
     /// How far the store had come when.
     pub store_progress: RefCell<StoreProgress>,
-    /// The highest revision of the store that is known.
-    pub store_revision: Cell<u64>,
+    /// The latest era of the store that is known.
+    pub store_eras: StoreEras,
+    /// The latest position of the store that is known.
+    pub store_position: Cell<StorePosition>,
     /// The lease under which orders are given.
     pub lease: RefCell<OrderLease>,
     /// Wakes the task that brings replicas to new weights.
@@ -171,7 +173,8 @@
             store_outage: StoreOutage::default(),
             rejections: Rejections::default(),
             store_progress: RefCell::default(),
-            store_revision: Cell::new(0),
+            store_eras: StoreEras::new(Instant::now()),
+            store_position: Cell::default(),
             lease: RefCell::new(lease),
             rollout_wanted: Notify::new(),
             life,
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -2,14 +2,19 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use driftspring_clock::Instant;
+use driftspring_telemetry::events::gateway;
+use driftspring_telemetry::log_event;
 use http::StatusCode;
 
+use super::era::take_answered;
+use super::position::{StoreEra, StorePosition};
 use crate::protocol::{
     Call, Freshness, ListPage, ObjectContent, ObjectKind, StoredObject, WatchPage, WriteAnswer,
 };
 use crate::state::GatewayState;
-use crate::upstream;
+use crate::upstream::{self, CallAnswer, CallError};
 
 /// How long a call may take. The store may be slow: an answer in this time is worth waiting for.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -29,6 +34,9 @@
     /// The history that a watch would go on from is gone.
     #[error("the history is gone")]
     HistoryGone,
+    /// The answer is of an earlier era than is known, or the era has changed since what it goes on from.
+    #[error("the store has changed its era")]
+    OtherEra,
     /// The answer can't be read.
     #[error("unreadable answer: {0}")]
     Unreadable(String),
@@ -41,12 +49,16 @@
         match self {
             Self::Call(_) => true,
             Self::Status(status) => *status != StatusCode::TOO_MANY_REQUESTS,
-            Self::HistoryGone | Self::Unreadable(_) => false,
+            Self::HistoryGone | Self::OtherEra | Self::Unreadable(_) => false,
         }
     }
 }
 
-/// Every object of a kind, with the revision of the store that a watch can go on from.
+/// How often a reading call is made again at once that the change of the store's era ended, or that was answered out of an
+/// earlier era. The last try is made on a new connection, since all are closed at the change.
+const ERA_TRIES: u32 = 3;
+
+/// Every object of a kind, with the position of the store that a watch can go on from.
 ///
 /// # Errors
 ///
@@ -54,7 +66,7 @@
 pub async fn list_all(
     state: &GatewayState,
     kind: ObjectKind,
-) -> Result<(Vec<StoredObject>, u64), StoreError> {
+) -> Result<(Vec<StoredObject>, StorePosition), StoreError> {
     list_as(state, kind, Freshness::Newest).await
 }
 
@@ -75,9 +87,9 @@
     state: &GatewayState,
     kind: ObjectKind,
     freshness: Freshness,
-) -> Result<(Vec<StoredObject>, u64), StoreError> {
+) -> Result<(Vec<StoredObject>, StorePosition), StoreError> {
     let mut objects: Vec<StoredObject> = Vec::new();
-    let mut first_revision = None;
+    let mut first_position = None;
     loop {
         let after = last_name(&objects);
         let call = state.platform.list(kind, after, freshness);
@@ -86,23 +98,27 @@
         if answer.as_ref().is_err_and(StoreError::is_trouble) {
             state.store_outage.note_failed_list(began);
         }
-        let body = answer?;
+        let (era, body) = answer?;
         let page: ListPage = state
             .platform
             .read_list(kind, &body)
-            .map_err(StoreError::Unreadable)?;
+            .map_err(StoreError::Unreadable)?
+            .in_era(era);
         // The revision of an old answer says nothing of how far the store had come when it was given.
         if freshness == Freshness::Newest {
-            note_revision(state, page.revision);
+            note_position(state, page.position);
             let mut progress = state.store_progress.borrow_mut();
-            progress.note(began, page.revision);
+            progress.note(began, page.position);
         }
         // A watch goes on from the first page: what changed since is told again.
-        let revision = *first_revision.get_or_insert(page.revision);
+        let position = *first_position.get_or_insert(page.position);
+        if position.era != era {
+            return Err(StoreError::OtherEra);
+        }
         let is_last = !page.has_more || last_name(&page.items).is_none();
         objects.extend(page.items);
         if is_last {
-            return Ok((objects, revision));
+            return Ok((objects, position));
         }
     }
 }
@@ -113,59 +129,101 @@
     names.into_iter().find(|name| !name.is_empty())
 }
 
-/// The changes after `revision`; waits for the first one, up to `wait`.
+/// The changes after `position`; waits for the first one, up to `wait`.
 ///
 /// # Errors
 ///
-/// The store did not answer, refused, or its answer can't be read.
+/// The store did not answer, refused, has changed its era, or its answer can't be read.
 pub async fn watch(
     state: &GatewayState,
     kind: ObjectKind,
-    revision: u64,
+    position: StorePosition,
     wait: Duration,
 ) -> Result<WatchPage, StoreError> {
-    let call = state.platform.watch(kind, revision, wait);
-    let body = get(state, &call, wait + WATCH_MARGIN).await?;
+    if position.era != state.store_eras.known() {
+        return Err(StoreError::OtherEra);
+    }
+    let call = state.platform.watch(kind, position.revision, wait);
+    let changes = state.store_eras.changes();
+    let answer = tokio::select! {
+        biased;
+        answer = get_once(state, &call, wait + WATCH_MARGIN) => answer,
+        () = state.store_eras.changed_after(changes) => Err(StoreError::OtherEra),
+    };
+    let (era, body) = answer?;
+    if era != position.era {
+        return Err(StoreError::OtherEra);
+    }
     let page = state
         .platform
         .read_watch(kind, &body)
-        .map_err(StoreError::Unreadable)?;
-    note_revision(state, page.revision);
+        .map_err(StoreError::Unreadable)?
+        .in_era(era);
+    note_position(state, page.position);
     Ok(page)
 }
 
-/// Remembers when the store had reached a revision.
-fn note_revision(state: &GatewayState, revision: u64) {
+/// Remembers when the store had reached a position.
+fn note_position(state: &GatewayState, position: StorePosition) {
     let mut lease = state.lease.borrow_mut();
-    lease.on_store_revision(state.now(), revision);
-    state
-        .store_revision
-        .set(state.store_revision.get().max(revision));
+    lease.on_store_position(state.now(), position);
+    let before = state.store_position.get();
+    if position.era > before.era && before.revision > 0 {
+        log_event!(
+            gateway::STORE_READ_ANEW,
+            "position={position} before={before}"
+        );
+    }
+    state.store_position.set(before.max(position));
 }
 
-/// Writes an object on condition of its revision.
+/// Writes an object on condition of its position; none means that it must not exist.
+///
+/// Nothing is known of a write that was answered after the store had changed its era: the revision of its condition may be
+/// that of another change there.
 pub async fn write(
     state: &GatewayState,
     kind: ObjectKind,
     name: &str,
     content: &ObjectContent,
-    expected: Option<u64>,
+    expected: Option<StorePosition>,
 ) -> WriteAnswer {
+    if is_of_other_era(state, expected) {
+        log::debug!("{name} is not written on condition of {expected:?}, which is of another era");
+        return WriteAnswer::Busy;
+    }
+    let expected = expected.map(|expected| expected.revision);
     let call = state.platform.write(name, content, expected);
-    state.status.metrics.store_calls.inc();
-    match upstream::call(&state.store, &call, CALL_TIMEOUT).await {
-        Ok((status, body)) => state.platform.read_write(kind, status, &body),
-        Err(upstream::CallError::NotSent(_)) => WriteAnswer::Busy,
+    let changes = state.store_eras.changes();
+    let answer = match send(state, &call, CALL_TIMEOUT).await {
+        Ok((era, answer)) => {
+            let answer = state.platform.read_write(kind, answer.status, &answer.body);
+            answer.in_era(era)
+        }
+        Err(StoreError::Call(CallError::NotSent(_))) => WriteAnswer::Busy,
         Err(_) => WriteAnswer::Unknown,
+    };
+    let is_of_other_era = state.store_eras.changes() != changes;
+    match answer {
+        WriteAnswer::Accepted(_) if is_of_other_era => WriteAnswer::Unknown,
+        answer => answer,
     }
 }
 
-/// Removes an object on condition of its revision; true where it is not there any more, or is another one by now.
-pub async fn remove(state: &GatewayState, kind: ObjectKind, name: &str, expected: u64) -> bool {
-    let call = state.platform.remove(kind, name, expected);
-    state.status.metrics.store_calls.inc();
-    match upstream::call(&state.store, &call, CALL_TIMEOUT).await {
-        Ok((status, _)) => {
+/// Removes an object on condition of its position; true where it is not there any more, or is another one by now.
+pub async fn remove(
+    state: &GatewayState,
+    kind: ObjectKind,
+    name: &str,
+    expected: StorePosition,
+) -> bool {
+    if is_of_other_era(state, Some(expected)) {
+        log::debug!("{name} is not removed at {expected}, which is of another era");
+        return true;
+    }
+    let call = state.platform.remove(kind, name, expected.revision);
+    match send(state, &call, CALL_TIMEOUT).await {
+        Ok((_, CallAnswer { status, .. })) => {
             status.is_success() || matches!(status, StatusCode::NOT_FOUND | StatusCode::CONFLICT)
         }
         Err(error) => {
@@ -175,30 +233,69 @@
     }
 }
 
-/// Makes a reading call, and remembers when one failed.
+/// Whether a condition is of another era than the store is in, where the same revision is that of another change.
+fn is_of_other_era(state: &GatewayState, expected: Option<StorePosition>) -> bool {
+    expected.is_some_and(|expected| expected.era != state.store_eras.known())
+}
+
+/// Makes a reading call, and makes it anew where the store has changed its era meanwhile: the answer, or the connection,
+/// may be that of the copy before.
 async fn get(
     state: &GatewayState,
     call: &Call,
     timeout: Duration,
-) -> Result<bytes::Bytes, StoreError> {
+) -> Result<(StoreEra, Bytes), StoreError> {
+    let mut tries = 1;
+    loop {
+        let changes = state.store_eras.changes();
+        let result = tokio::select! {
+            biased;
+            result = get_once(state, call, timeout) => result,
+            () = state.store_eras.changed_after(changes) => Err(StoreError::OtherEra),
+        };
+        if !matches!(result, Err(StoreError::OtherEra)) || tries == ERA_TRIES {
+            return result;
+        }
+        tries += 1;
+    }
+}
+
+/// Makes a reading call, and remembers when it failed.
+async fn get_once(
+    state: &GatewayState,
+    call: &Call,
+    timeout: Duration,
+) -> Result<(StoreEra, Bytes), StoreError> {
     let began = Instant::now();
-    let result = get_once(state, call, timeout).await;
+    let result = read_once(state, call, timeout).await;
     if matches!(result, Err(StoreError::Call(_) | StoreError::Status(_))) {
         state.store_outage.note_failure(began);
     }
     result
 }
 
-async fn get_once(
+async fn read_once(
     state: &GatewayState,
     call: &Call,
     timeout: Duration,
-) -> Result<bytes::Bytes, StoreError> {
-    state.status.metrics.store_calls.inc();
-    let (status, body) = upstream::call(&state.store, call, timeout).await?;
-    match status {
-        StatusCode::OK => Ok(body),
+) -> Result<(StoreEra, Bytes), StoreError> {
+    let (era, answer) = send(state, call, timeout).await?;
+    match answer.status {
+        StatusCode::OK => Ok((era, answer.body)),
         StatusCode::GONE => Err(StoreError::HistoryGone),
         status => Err(StoreError::Status(status)),
     }
 }
+
+/// Makes a call; its answer with its era.
+async fn send(
+    state: &GatewayState,
+    call: &Call,
+    timeout: Duration,
+) -> Result<(StoreEra, CallAnswer), StoreError> {
+    state.status.metrics.store_calls.inc();
+    let answer = upstream::call_with_headers(&state.store, call, timeout).await?;
+    let told = state.platform.read_era(&answer.headers);
+    let era = take_answered(state, &told).ok_or(StoreError::OtherEra)?;
+    Ok((era, answer))
+}
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -8,6 +8,7 @@
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
 
+use super::StorePosition;
 use super::client::{StoreError, list_all, list_recent, watch};
 use super::quarantine;
 use super::rejections::Rejected;
@@ -47,15 +48,17 @@
 
 /// Follows `kind` whenever this daemon reads the store for its group. Whenever a watch ends otherwise than
 /// by an answer, the list is read anew, since changes may have been missed. So is it after trouble at the store:
-/// a watch from before may be deaf.
+/// a watch from before may be deaf. A watch also ends when the store changes its era, see [`super::era`].
 pub async fn run(state: Rc<GatewayState>, kind: ObjectKind) {
     if let Some(objects) = first_list(&state, kind).await {
-        take_list(&state, kind, objects, 0);
+        take_list(&state, kind, objects, StorePosition::default());
     }
     let mut failures = 0;
+    let mut listed_in = state.store_eras.changes();
     loop {
         state.peers.until_reader().await;
-        if is_unhurried(&state, kind) {
+        let is_of_other_era = state.store_eras.changes() != listed_in;
+        if is_unhurried(&state, kind) && !is_of_other_era {
             tokio::time::sleep(UNHURRIED_PAUSE).await;
             if !state.peers.is_reader.get() {
                 continue;
@@ -64,12 +67,13 @@
         let listing = || list_all(&state, kind);
         let (began, result) = state.store_outage.call(listing).await;
         match result {
-            Ok((objects, revision)) => {
+            Ok((objects, position)) => {
                 failures = 0;
-                take_list(&state, kind, objects, revision);
+                listed_in = state.store_eras.changes();
+                take_list(&state, kind, objects, position);
                 note_following(&state, kind, Some(began));
                 tokio::select! {
-                    error = watch_from(&state, kind, revision) => {
+                    error = watch_from(&state, kind, position) => {
                         log::debug!("watch of {kind:?} ended: {error}");
                     }
                     () = state.peers.until_follower() => {}
@@ -126,10 +130,14 @@
 }
 
 /// Takes in changes until a watch fails.
-async fn watch_from(state: &Rc<GatewayState>, kind: ObjectKind, mut revision: u64) -> StoreError {
+async fn watch_from(
+    state: &Rc<GatewayState>,
+    kind: ObjectKind,
+    mut position: StorePosition,
+) -> StoreError {
     loop {
         let page = tokio::select! {
-            page = watch(state, kind, revision, WATCH_WAIT) => page,
+            page = watch(state, kind, position, WATCH_WAIT) => page,
             () = until_overtaken(state, kind) => continue,
         };
         match page {
@@ -138,7 +146,7 @@
                     take_event(state, kind, event.object, event.is_deleted);
                 }
                 state.registry_changed();
-                revision = revision.max(page.revision);
+                position = position.max(page.position);
                 if let Some(pause) = pause_between_watches(kind) {
                     tokio::time::sleep(pause).await;
                 }
@@ -155,10 +163,10 @@
     if !matches!(kind, ObjectKind::Replicas | ObjectKind::Weights) {
         return std::future::pending().await;
     }
-    let revision = state.store_revision.get();
+    let position = state.store_position.get();
     loop {
         tokio::time::sleep(LOST_ANSWER_LOOK).await;
-        if state.store_revision.get() > revision {
+        if state.store_position.get() > position {
             return;
         }
     }
@@ -176,8 +184,13 @@
     }
 }
 
-/// Takes in the whole list of objects as it was at `revision`.
-fn take_list(state: &GatewayState, kind: ObjectKind, objects: Vec<StoredObject>, revision: u64) {
+/// Takes in the whole list of objects as it was at `position`.
+fn take_list(
+    state: &GatewayState,
+    kind: ObjectKind,
+    objects: Vec<StoredObject>,
+    position: StorePosition,
+) {
     if kind == ObjectKind::Leases {
         take_lease_list(state, objects);
         return;
@@ -191,7 +204,7 @@
         return;
     }
     if kind == ObjectKind::Quarantine {
-        quarantine::take_list(state, &objects, revision);
+        quarantine::take_list(state, &objects, position);
     }
     for object in objects {
         take_event(state, kind, object, false);
@@ -246,7 +259,7 @@
     if kind == ObjectKind::Leases {
         if object.name == LEASE_NAME {
             let mut lease = state.lease.borrow_mut();
-            lease.on_seen(state.now(), object.revision, record_in(&object));
+            lease.on_seen(state.now(), object.position, record_in(&object));
         }
         return note_unreadable(state, kind, &object);
     }
@@ -264,7 +277,7 @@
             let now = Instant::now();
             // A watch tells at once, unless its answer was lost before.
             let is_late = state.store_outage.was_lately(now);
-            let since = named_after(state, object.revision).filter(|_| is_late);
+            let since = named_after(state, object.position).filter(|_| is_late);
             name_weights(state, &weights, Since::Known(since.unwrap_or(now)));
         }
         Ok(ObjectContent::Lease(_)) => {}
@@ -272,7 +285,7 @@
             state.apply(Change::Put(Item::Daemon(WireDaemon::from(&daemon))));
         }
         Ok(ObjectContent::Quarantine(record)) => {
-            quarantine::take_record(state, &object.name, object.revision, record);
+            quarantine::take_record(state, &object.name, object.position, record);
         }
         Err(_) => {
             note_unreadable(state, kind, &object);
@@ -286,7 +299,7 @@
 
 fn take_lease_list(state: &GatewayState, objects: Vec<StoredObject>) {
     let lease = objects.iter().find(|object| object.name == LEASE_NAME);
-    let known = lease.map(|object| (object.revision, record_in(object)));
+    let known = lease.map(|object| (object.position, record_in(object)));
     state.lease.borrow_mut().on_list(state.now(), known);
     for object in &objects {
         note_unreadable(state, ObjectKind::Leases, object);
@@ -309,9 +322,9 @@
     }
     log_event!(
         gateway::CONFIGURATION_TAKEN,
-        "version={} revision={} before={:?}",
+        "version={} position={} before={:?}",
         configuration.version,
-        object.revision,
+        object.position,
         known.as_ref().map(|known| known.version)
     );
     let version = i64::try_from(configuration.version).unwrap_or(i64::MAX);
@@ -329,7 +342,7 @@
     for object in objects {
         note_unreadable(state, ObjectKind::Weights, &object);
         if let Ok(ObjectContent::Weights(weights)) = object.content {
-            let known = named_after(state, object.revision).map(Since::Known);
+            let known = named_after(state, object.position).map(Since::Known);
             name_weights(state, &weights, known.unwrap_or(unknown));
         }
     }
@@ -352,9 +365,9 @@
     Since::Assumed(now.checked_sub(age).unwrap_or(now))
 }
 
-/// The moment after which an object got its revision, as far as that is known: they may be heard of late.
-fn named_after(state: &GatewayState, revision: u64) -> Option<Instant> {
-    state.store_progress.borrow().not_before(revision)
+/// The moment after which an object got its position, as far as that is known: they may be heard of late.
+fn named_after(state: &GatewayState, position: StorePosition) -> Option<Instant> {
+    state.store_progress.borrow().not_before(position)
 }
 
 /// The age at which weights count that are listed for the first time, by a daemon that could have listed them
--- a/crates/gateway/src/store/join.rs
+++ b/crates/gateway/src/store/join.rs
@@ -5,6 +5,7 @@
 
 use rand::Rng;
 
+use super::StorePosition;
 use super::client::{list_recent, write};
 use super::follow::take_items;
 use crate::peers::message::ItemKey;
@@ -27,7 +28,7 @@
     };
     let is_listed = match earlier {
         Earlier::Same => true,
-        Earlier::Other(revision) => add_own(state, Some(revision)).await,
+        Earlier::Other(position) => add_own(state, Some(position)).await,
         Earlier::Unlisted => add_own(state, None).await,
         Earlier::Unknown => false,
     };
@@ -46,8 +47,8 @@
 enum Earlier {
     /// It is there, as it is now.
     Same,
-    /// Another daemon stands under its name, at this revision.
-    Other(u64),
+    /// Another daemon stands under its name, there.
+    Other(StorePosition),
     /// It is not there.
     Unlisted,
     /// The list could not be read.
@@ -67,27 +68,27 @@
     let earlier = objects.iter().find(|object| object.name == own.name);
     let earlier = match earlier {
         Some(object) if is_same(object, &own) => Earlier::Same,
-        Some(object) => Earlier::Other(object.revision),
+        Some(object) => Earlier::Other(object.position),
         None => Earlier::Unlisted,
     };
     take_items(state, ObjectKind::Daemons, objects);
     earlier
 }
 
-/// Writes this daemon's record, in the place of the one at revision `expected`; true where it is there.
-async fn add_own(state: &GatewayState, expected: Option<u64>) -> bool {
+/// Writes this daemon's record, in the place of the one at `expected`; true where it is there.
+async fn add_own(state: &GatewayState, expected: Option<StorePosition>) -> bool {
     match write_own(state, expected).await {
         WriteAnswer::Accepted(_) => true,
         WriteAnswer::Conflict(Some(object)) if is_same(&object, &own_record(state)) => true,
         WriteAnswer::Conflict(Some(object)) => {
-            let answer = write_own(state, Some(object.revision)).await;
+            let answer = write_own(state, Some(object.position)).await;
             matches!(answer, WriteAnswer::Accepted(_))
         }
         WriteAnswer::Conflict(None) | WriteAnswer::Busy | WriteAnswer::Unknown => false,
     }
 }
 
-async fn write_own(state: &GatewayState, expected: Option<u64>) -> WriteAnswer {
+async fn write_own(state: &GatewayState, expected: Option<StorePosition>) -> WriteAnswer {
     let own = own_record(state);
     let name = own.name.clone();
     let content = ObjectContent::Daemon(own);
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -2,17 +2,21 @@
 
 mod client;
 mod configuration_reader;
+mod era;
 mod follow;
 mod join;
 mod outage;
+mod position;
 mod progress;
 mod quarantine;
 mod rejections;
 
 pub use client::{CALL_TIMEOUT, StoreError, list_all, list_recent, watch, write};
+pub use era::{EraReading, LOWER_ERA_PATIENCE, StoreEras, ToldEra, read_era, take_told_era};
 pub use follow::{first_weights_age, name_weights};
 pub use join::join_daemons;
 pub use outage::{StoreOutage, pause_after, pause_after_call};
+pub use position::{StoreEra, StorePosition};
 pub use progress::StoreProgress;
 pub use quarantine::{QuarantineObject, delete_quarantined, list_quarantined};
 pub use rejections::{Rejected, Rejections};
--- a/crates/gateway/src/store/progress.rs
+++ b/crates/gateway/src/store/progress.rs
@@ -1,12 +1,15 @@
 //! How far the store had come when.
 //!
 //! A change is heard of late where a watch was cut, its answer was lost, or another daemon has just begun to read
-//! the store. What counts from the change itself must not count from then. Each read tells the store's revision:
-//! a change with a higher one was made after that read began.
+//! the store. What counts from the change itself must not count from then. Each read tells the store's position:
+//! a change with a higher revision of the same era was made after that read began. Of a change of another era it says
+//! nothing: a copy also brings back changes that were made long before its era.
 
 use driftspring_clock::Instant;
 use std::collections::VecDeque;
 
+use super::position::StorePosition;
+
 /// Reads that are remembered; with one each 0.9 s those of the last half minute.
 const REMEMBERED_READS: usize = 32;
 
@@ -20,24 +23,26 @@
 #[derive(Debug, Clone, Copy)]
 struct Read {
     began: Instant,
-    /// The store's revision when it was answered.
-    revision: u64,
+    /// The store's position when it was answered.
+    position: StorePosition,
 }
 
 impl StoreProgress {
-    /// Takes in that a read that began at `began` told the store's revision.
-    pub fn note(&mut self, began: Instant, revision: u64) {
+    /// Takes in that a read that began at `began` told the store's position.
+    pub fn note(&mut self, began: Instant, position: StorePosition) {
         let place = self.reads.partition_point(|read| read.began <= began);
-        self.reads.insert(place, Read { began, revision });
+        self.reads.insert(place, Read { began, position });
         while self.reads.len() > REMEMBERED_READS {
             self.reads.pop_front();
         }
     }
 
-    /// The latest moment at which the store is known not to have reached `revision`; nothing where none is known.
-    pub fn not_before(&self, revision: u64) -> Option<Instant> {
+    /// The latest moment at which the store is known not to have reached `position`; nothing where none is known.
+    pub fn not_before(&self, position: StorePosition) -> Option<Instant> {
         let before = self.reads.iter().rev();
-        let last = before.into_iter().find(|read| read.revision < revision)?;
+        let last = before
+            .into_iter()
+            .find(|read| read.position.is_before_in_era(position))?;
         Some(last.began)
     }
 }
--- a/crates/gateway/src/store/quarantine.rs
+++ b/crates/gateway/src/store/quarantine.rs
@@ -12,6 +12,7 @@
 use driftspring_telemetry::log_event;
 use http::StatusCode;
 
+use super::StorePosition;
 use super::client::{CALL_TIMEOUT, StoreError, last_name, remove, write};
 use super::rejections::Rejected;
 use crate::protocol::{
@@ -82,7 +83,11 @@
     store: SocketAddr,
     object: &QuarantineObject,
 ) -> Result<(), StoreError> {
-    let call = platform.remove(ObjectKind::Quarantine, &object.name, object.revision);
+    let call = platform.remove(
+        ObjectKind::Quarantine,
+        &object.name,
+        object.position.revision,
+    );
     let (status, _) = upstream::call(&Pool::new(store), &call, CALL_TIMEOUT).await?;
     match status.is_success() {
         true => Ok(()),
@@ -130,9 +135,10 @@
     unstored: &mut HashMap<Fingerprint, Duration>,
 ) -> Vec<Fingerprint> {
     let now = state.quarantine.now();
+    let era = state.store_eras.known();
     let wanted = state.quarantine.read(|ledger| {
         let wanted = ledger.known_to_all();
-        let wanted = wanted.filter(|(_, record)| record.is_to_be_stored());
+        let wanted = wanted.filter(|(_, record)| record.is_to_be_stored(era));
         wanted
             .map(|(fingerprint, _)| fingerprint)
             .collect::<Vec<_>>()
@@ -160,20 +166,21 @@
     let Some(record) = record else {
         return true;
     };
-    let expected = Some(record.stored.revision).filter(|revision| *revision > 0);
+    let era = state.store_eras.known();
+    let expected = record.stored.position.filter(|stored| stored.era == era);
     let name = fingerprint.to_string();
     let is_quarantined = record.is_quarantined;
     let content = ObjectContent::Quarantine(content_of(&record));
     let mut answer = write(state, ObjectKind::Quarantine, &name, &content, expected).await;
     if let WriteAnswer::Conflict(known) = &answer {
-        let revision = known.as_ref().map(|known| known.revision);
-        answer = write(state, ObjectKind::Quarantine, &name, &content, revision).await;
+        let position = known.as_ref().map(|known| known.position);
+        answer = write(state, ObjectKind::Quarantine, &name, &content, position).await;
     }
     match answer {
-        WriteAnswer::Accepted(revision) => {
+        WriteAnswer::Accepted(position) => {
             state
                 .quarantine
-                .note_stored(fingerprint, revision, is_quarantined);
+                .note_stored(fingerprint, position, is_quarantined);
             true
         }
         answer => {
@@ -203,14 +210,14 @@
     for removal in state.quarantine.take_removals() {
         let Removal {
             fingerprint,
-            revision,
+            position,
         } = removal;
         let name = fingerprint.to_string();
-        if !remove(state, ObjectKind::Quarantine, &name, revision).await {
+        if !remove(state, ObjectKind::Quarantine, &name, position).await {
             has_removed_all = false;
             log_event!(
                 gateway::QUARANTINE_NOT_KEPT,
-                "fingerprint={fingerprint} removal of revision {revision}"
+                "fingerprint={fingerprint} removal at {position}"
             );
             state.quarantine.put_back(removal);
         }
@@ -222,7 +229,7 @@
 pub(super) fn take_record(
     state: &GatewayState,
     name: &str,
-    revision: u64,
+    position: StorePosition,
     content: QuarantineRecord,
 ) {
     let Some(fingerprint) = fingerprint_of(state, name) else {
@@ -235,7 +242,7 @@
         // Whoever cleared it ended before it was removed.
         state.quarantine.remove(Removal {
             fingerprint,
-            revision,
+            position,
         });
         return;
     }
@@ -254,7 +261,7 @@
         is_quarantined: content.is_quarantined,
         trials: content.trials,
         stored: Stored {
-            revision,
+            position: Some(position),
             is_quarantined: content.is_quarantined,
         },
         ..Record::default()
@@ -276,12 +283,12 @@
 }
 
 /// Takes in which objects there are: those that are gone were deleted while nobody watched.
-pub(super) fn take_list(state: &GatewayState, objects: &[StoredObject], revision: u64) {
+pub(super) fn take_list(state: &GatewayState, objects: &[StoredObject], position: StorePosition) {
     let listed = objects
         .iter()
         .filter_map(|object| fingerprint_of(state, &object.name));
     let listed: Vec<Fingerprint> = listed.collect();
-    state.quarantine.take_list(&listed, revision);
+    state.quarantine.take_list(&listed, position);
 }
 
 /// The request that an object is about; nothing where another writer named it.
--- a/crates/gateway/src/store/rejections.rs
+++ b/crates/gateway/src/store/rejections.rs
@@ -26,6 +26,8 @@
     Report,
     /// What a store of cached prompt work says that it keeps.
     CachePage,
+    /// The era that an answer of the store names, or does not name.
+    StoreEra,
     /// What another daemon, or somebody else, sent here.
     Datagram,
 }
--- a/crates/gateway/src/upstream/answer.rs
+++ b/crates/gateway/src/upstream/answer.rs
@@ -49,6 +49,11 @@
         &self.head.headers
     }
 
+    /// The headers, which the answer has no more from then on.
+    pub fn take_headers(&mut self) -> HeaderMap {
+        std::mem::take(&mut self.head.headers)
+    }
+
     /// The length of the body, where the head tells it.
     pub fn content_length(&self) -> Option<u64> {
         self.body.size_hint().exact()
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST};
-use http::{HeaderValue, Request, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body_util::Full;
 
 use super::answer::Answer;
@@ -29,6 +29,17 @@
     TimedOut(Duration),
 }
 
+/// The whole answer to a call.
+#[derive(Debug)]
+pub struct CallAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
 /// Makes a call and waits for its whole answer.
 ///
 /// # Errors
@@ -39,12 +50,26 @@
     call: &Call,
     timeout: Duration,
 ) -> Result<(StatusCode, Bytes), CallError> {
+    let answer = call_with_headers(pool, call, timeout).await?;
+    Ok((answer.status, answer.body))
+}
+
+/// The same, with the headers of the answer.
+///
+/// # Errors
+///
+/// As of [`call`].
+pub async fn call_with_headers(
+    pool: &Rc<Pool>,
+    call: &Call,
+    timeout: Duration,
+) -> Result<CallAnswer, CallError> {
     tokio::time::timeout(timeout, exchange(pool, call))
         .await
         .map_err(|_| CallError::TimedOut(timeout))?
 }
 
-async fn exchange(pool: &Rc<Pool>, call: &Call) -> Result<(StatusCode, Bytes), CallError> {
+async fn exchange(pool: &Rc<Pool>, call: &Call) -> Result<CallAnswer, CallError> {
     let request = build(pool, call).map_err(|error| CallError::NotSent(error.to_string()))?;
     let connection = pool.take().await;
     let mut connection = connection.map_err(|error| CallError::NotSent(error.to_string()))?;
@@ -53,7 +78,11 @@
     let mut answer = Answer::new(response, connection, Rc::clone(pool));
     let body = answer.collect(MAX_ANSWER_BYTES).await;
     let body = body.map_err(|error| CallError::Lost(error.to_string()))?;
-    Ok((answer.status(), body))
+    Ok(CallAnswer {
+        status: answer.status(),
+        headers: answer.take_headers(),
+        body,
+    })
 }
 
 fn build(pool: &Pool, call: &Call) -> Result<Request<Full<Bytes>>, http::Error> {
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -51,6 +51,7 @@
             sequence,
             content,
             quarantine: None,
+            store_era: None,
         }
     }
 
@@ -103,6 +104,7 @@
         is_same: page.is_same,
         store_down_age_ms: None,
         quarantine: None,
+        store_era: None,
     }
 }
 
@@ -604,6 +606,7 @@
         sequence: 3,
         content: 3,
         quarantine: None,
+        store_era: None,
     });
     let bytes = message.encode().expect("encodes");
     assert_eq!(Message::decode(&bytes), Some(message));
--- /dev/null
+++ b/crates/gateway/tests/store_eras.rs
@@ -0,0 +1,190 @@
+//! A store that comes back from a copy: which era an answer is of, and which position is later.
+
+use std::time::Duration;
+
+use driftspring_clock::Instant;
+use driftspring_gateway::peers::message::{Ask, WireLease};
+use driftspring_gateway::store::{
+    EraReading, LOWER_ERA_PATIENCE, StoreEra, StoreEras, StorePosition, StoreProgress, ToldEra,
+    read_era,
+};
+use musli::{Decode, Encode};
+use quickcheck::quickcheck;
+
+fn named(era: u64) -> ToldEra {
+    ToldEra::Named(StoreEra::named(era))
+}
+
+fn position(era: u64, revision: u64) -> StorePosition {
+    StorePosition {
+        era: StoreEra::named(era),
+        revision,
+    }
+}
+
+quickcheck! {
+    /// The later era is later, whatever the revisions; only within one era do these tell.
+    fn a_later_era_is_later(one: (u64, u64), other: (u64, u64)) -> bool {
+        let (a, b) = (position(one.0, one.1), position(other.0, other.1));
+        let is_later = if one.0 == other.0 { one.1 > other.1 } else { one.0 > other.0 };
+        (a > b) == is_later && StorePosition::unnamed(one.1) < b
+    }
+
+    fn a_change_is_known_to_be_after_a_read_of_its_own_era_only(one: (u64, u64), other: (u64, u64)) -> bool {
+        let (a, b) = (position(one.0, one.1), position(other.0, other.1));
+        a.is_before_in_era(b) == (one.0 == other.0 && one.1 < other.1)
+    }
+
+    /// Whatever answers name, the known era never falls, and no answer that names a lower one counts as long as the store
+    /// names the known one.
+    fn the_known_era_never_falls(told: Vec<Option<u8>>) -> bool {
+        let began = Instant::now();
+        let eras = StoreEras::new(began);
+        let mut highest = StoreEra::UNNAMED;
+        for number in told {
+            let answer = number.map_or(ToldEra::Missing, |number| named(u64::from(number)));
+            let era = number.map_or(StoreEra::UNNAMED, |number| StoreEra::named(u64::from(number)));
+            let reading = eras.read(&answer, began);
+            let is_sound = match reading {
+                EraReading::Later(later) => later == era && era > highest,
+                EraReading::Current => era == highest,
+                EraReading::Earlier(earlier) => earlier == era && era < highest,
+                EraReading::Doubtful => era == StoreEra::UNNAMED && highest > era,
+            };
+            if let EraReading::Later(later) = reading {
+                eras.rise(later, began);
+            }
+            highest = highest.max(era);
+            if !is_sound || eras.known() != highest {
+                return false;
+            }
+        }
+        true
+    }
+}
+
+#[test]
+fn an_answer_without_a_readable_era_counts_as_of_the_known_one() {
+    let known = StoreEra::named(4);
+    let read = |told: &ToldEra| read_era(known, told, Duration::ZERO);
+    assert_eq!(read(&ToldEra::Missing), EraReading::Doubtful);
+    assert_eq!(
+        read(&ToldEra::Unreadable("x".to_owned())),
+        EraReading::Doubtful
+    );
+    let unnamed = read_era(StoreEra::UNNAMED, &ToldEra::Missing, Duration::ZERO);
+    assert_eq!(unnamed, EraReading::Current);
+}
+
+#[test]
+fn a_lower_era_is_refused_until_the_store_has_long_named_no_other() {
+    let known = StoreEra::named(4);
+    let lower = EraReading::Earlier(StoreEra::named(3));
+    assert_eq!(read_era(known, &named(3), Duration::ZERO), lower);
+    let almost = LOWER_ERA_PATIENCE - Duration::from_millis(1);
+    assert_eq!(read_era(known, &named(3), almost), lower);
+    assert_eq!(
+        read_era(known, &named(3), LOWER_ERA_PATIENCE),
+        EraReading::Doubtful
+    );
+}
+
+#[test]
+fn the_known_era_that_is_named_again_and_again_keeps_a_lower_one_refused() {
+    let began = Instant::now();
+    let eras = StoreEras::new(began);
+    eras.rise(StoreEra::named(5), began);
+    for second in 0..20 {
+        let now = began + Duration::from_secs(second);
+        assert_eq!(eras.read(&named(5), now), EraReading::Current);
+        let lower = eras.read(&named(4), now + Duration::from_millis(500));
+        assert_eq!(lower, EraReading::Earlier(StoreEra::named(4)));
+    }
+}
+
+#[test]
+fn the_first_era_that_is_named_is_no_change_unless_the_store_named_none_before() {
+    let began = Instant::now();
+    let eras = StoreEras::new(began);
+    assert!(!eras.rise(StoreEra::named(7), began));
+    assert_eq!((eras.known(), eras.changes()), (StoreEra::named(7), 0));
+    assert!(eras.rise(StoreEra::named(8), began));
+    assert!(!eras.rise(StoreEra::named(8), began));
+    assert!(!eras.rise(StoreEra::named(6), began));
+    assert_eq!((eras.known(), eras.changes()), (StoreEra::named(8), 1));
+
+    let unnamed_before = StoreEras::new(began);
+    unnamed_before.read(&ToldEra::Missing, began);
+    assert!(unnamed_before.rise(StoreEra::named(1), began));
+}
+
+#[test]
+fn a_read_of_another_era_says_nothing_of_when_a_change_was_made() {
+    let began = Instant::now();
+    let after = |seconds| began + Duration::from_secs(seconds);
+    let mut progress = StoreProgress::default();
+    progress.note(after(1), position(1, 100));
+    progress.note(after(2), position(1, 200));
+    progress.note(after(5), position(2, 150));
+    assert_eq!(progress.not_before(position(1, 150)), Some(after(1)));
+    // It may have come with the copy, from long before.
+    assert_eq!(progress.not_before(position(2, 150)), None);
+    assert_eq!(progress.not_before(position(2, 151)), Some(after(5)));
+    assert_eq!(progress.not_before(StorePosition::unnamed(500)), None);
+}
+
+/// A question as a gateway asks it that knows nothing of eras.
+#[derive(Debug, PartialEq, Eq, Encode, Decode)]
+struct EarlierAsk {
+    nonce: u64,
+    log: u64,
+    sequence: u64,
+    #[musli(default)]
+    content: u64,
+    #[musli(default)]
+    quarantine: Option<u64>,
+}
+
+/// A lease as such a gateway tells it.
+#[derive(Debug, PartialEq, Eq, Encode, Decode)]
+struct EarlierLease {
+    revision: u64,
+    holder: String,
+    life: u64,
+    token: u64,
+    renewal: u64,
+}
+
+#[test]
+fn gateways_that_know_nothing_of_eras_understand_and_are_understood() {
+    let earlier = EarlierAsk {
+        nonce: 1,
+        log: 2,
+        sequence: 3,
+        content: 4,
+        quarantine: Some(5),
+    };
+    let bytes = musli::wire::to_vec(&earlier).expect("encodes");
+    let mut ask: Ask = musli::wire::decode(&bytes[..]).expect("decodes");
+    assert_eq!(
+        (ask.nonce, ask.quarantine, ask.store_era),
+        (1, Some(5), None)
+    );
+    ask.store_era = Some(9);
+    let bytes = musli::wire::to_vec(&ask).expect("encodes");
+    assert_eq!(musli::wire::decode(&bytes[..]).ok(), Some(earlier));
+
+    let earlier = EarlierLease {
+        revision: 7,
+        holder: "d".to_owned(),
+        life: 1,
+        token: 2,
+        renewal: 3,
+    };
+    let bytes = musli::wire::to_vec(&earlier).expect("encodes");
+    let mut lease: WireLease = musli::wire::decode(&bytes[..]).expect("decodes");
+    assert_eq!((lease.token, lease.era), (2, None));
+    lease.era = Some(9);
+    let bytes = musli::wire::to_vec(&lease).expect("encodes");
+    assert_eq!(musli::wire::decode(&bytes[..]).ok(), Some(earlier));
+}
