--- /dev/null
+++ b/crates/gateway/tests/lease_eras.rs
@@ -0,0 +1,193 @@
+//! The lease for orders at a store that comes back from a copy: no token is given out twice, and two holders never order
+//! at once.
+
+mod lease_store;
+
+use driftspring_gateway::protocol::{ObjectContent, StoredObject, Unreadable, UnreadableReason};
+use driftspring_gateway::rollout::{LeaseAction, lease_times, record_in};
+use lease_store::{DISTANCE, Store, acquire, at, daemon, read, step};
+
+/// After how long a daemon that only knows the copy may order: whoever held the lease that was lost has stopped by then,
+/// and its orders lie the distance back.
+fn lost_holder_gone() -> std::time::Duration {
+    let times = lease_times(DISTANCE);
+    times.term + times.distance
+}
+
+#[test]
+fn a_token_that_was_lost_with_the_copy_is_not_given_out_again() {
+    // One held the lease under its first token when the copy was made. It stopped, and another took the lease under the
+    // next token. The copy knows nothing of that: whoever takes the lease from it would give orders under the same token.
+    let mut store = Store::new();
+    let mut one = daemon("one", 1, &store, at(0));
+    let (_, first) = acquire(&mut one, &mut store, at(0), at(6000)).expect("held");
+    let copy = store.revision;
+    let mut other = daemon("other", 1, &store, at(6000));
+    let (then, second) = acquire(&mut other, &mut store, at(6000), at(14_000)).expect("held");
+    assert!(second > first);
+    store.come_back(copy);
+    let mut third = daemon("third", 1, &store, then + at(100));
+    let taken = acquire(&mut third, &mut store, then + at(100), then + at(20_000));
+    let (_, token) = taken.expect("held");
+    assert!(token > second, "{token} after {second}");
+}
+
+#[test]
+fn a_machine_that_stands_in_the_copy_waits_for_whoever_took_the_lease_after_it() {
+    // The copy names a machine whose lease another one has taken since, and still orders under. The machine's process may
+    // not take up its old lease, neither the one that wrote it nor one that was started again.
+    for life in [1, 2] {
+        let mut store = Store::new();
+        let mut one = daemon("one", 1, &store, at(0));
+        acquire(&mut one, &mut store, at(0), at(6000)).expect("held");
+        let copy = store.revision;
+        let mut other = daemon("other", 1, &store, at(6000));
+        let (then, token) = acquire(&mut other, &mut store, at(6000), at(14_000)).expect("held");
+        store.come_back(copy);
+        let returned = then + at(200);
+        if life == 1 {
+            read(&mut one, &store, returned);
+        } else {
+            one = daemon("one", life, &store, returned);
+        }
+        assert_eq!(other.token_at(returned), Some(token));
+        let taken = acquire(&mut one, &mut store, returned, returned + at(20_000));
+        let (taken_at, _) = taken.expect("held");
+        let earliest = returned + lost_holder_gone();
+        assert!(
+            taken_at >= earliest,
+            "life {life}: {taken_at:?} before {earliest:?}"
+        );
+    }
+}
+
+#[test]
+fn a_lease_that_was_given_back_before_the_copy_is_not_free_at_once() {
+    let mut store = Store::new();
+    let mut one = daemon("one", 1, &store, at(0));
+    acquire(&mut one, &mut store, at(0), at(6000)).expect("held");
+    let (record, position) = one.give_back().expect("held");
+    store.write(&record, Some(position));
+    let copy = store.revision;
+    let mut other = daemon("other", 1, &store, at(6000));
+    let (then, _) = acquire(&mut other, &mut store, at(6000), at(14_000)).expect("held");
+    store.come_back(copy);
+    let returned = then + at(200);
+    let mut third = daemon("third", 1, &store, returned);
+    let taken = acquire(&mut third, &mut store, returned, returned + at(20_000));
+    let (taken_at, _) = taken.expect("held");
+    let earliest = returned + lost_holder_gone();
+    assert!(taken_at >= earliest, "{taken_at:?} before {earliest:?}");
+}
+
+#[test]
+fn a_lease_that_is_missing_in_a_new_era_is_not_free_at_once() {
+    let mut store = Store::new();
+    let mut other = daemon("other", 1, &store, at(0));
+    let mut one = daemon("one", 1, &store, at(0));
+    let copy = store.revision;
+    let (then, lost) = acquire(&mut one, &mut store, at(0), at(6000)).expect("held");
+    store.come_back(copy);
+    let returned = then + at(200);
+    read(&mut other, &store, returned);
+    let taken = acquire(&mut other, &mut store, returned, returned + at(20_000));
+    let (taken_at, token) = taken.expect("held");
+    let earliest = returned + lost_holder_gone();
+    assert!(taken_at >= earliest, "{taken_at:?} before {earliest:?}");
+    assert!(token > lost, "{token} after {lost}");
+}
+
+#[test]
+fn a_lease_that_cannot_be_read_in_a_new_era_gives_no_lower_token() {
+    // Tokens of a lease that can't be read were taken for no higher than its revision. After the store came back from a
+    // copy the revision is lower than tokens that were given out since.
+    let mut store = Store::new();
+    store.write_others(10);
+    let mut one = daemon("one", 1, &store, at(0));
+    let (mut then, mut lost) = acquire(&mut one, &mut store, at(0), at(6000)).expect("held");
+    for _ in 0..4 {
+        one.on_fenced();
+        let raised = acquire(&mut one, &mut store, then, then + at(1000));
+        (then, lost) = raised.expect("held");
+    }
+    store.come_back(2);
+    let broken = StoredObject {
+        name: "weights".to_owned(),
+        position: store.position(),
+        content: Err::<ObjectContent, _>(Unreadable {
+            reason: UnreadableReason::Syntax,
+            detail: "broken".to_owned(),
+        }),
+    };
+    let mut other = daemon("other", 1, &Store::new(), at(0));
+    other.on_store_position(then, store.position());
+    other.on_list(then, Some((store.position(), record_in(&broken))));
+    let free_at = then + lost_holder_gone();
+    assert!(matches!(
+        other.next(free_at - at(1), at(0)),
+        LeaseAction::Wait(_)
+    ));
+    let LeaseAction::Write { record, .. } = other.next(free_at + at(400), at(0)) else {
+        panic!("it is free");
+    };
+    assert!(record.token > lost, "{} after {lost}", record.token);
+    assert!(record.token > 2, "{}", record.token);
+}
+
+#[test]
+fn the_holder_goes_on_under_a_lease_that_is_written_anew_before_its_term_ends() {
+    let mut store = Store::new();
+    let mut one = daemon("one", 1, &store, at(0));
+    store.write_others(5);
+    let (then, lost) = acquire(&mut one, &mut store, at(0), at(6000)).expect("held");
+    store.come_back(3);
+    let returned = then + at(400);
+    read(&mut one, &store, returned);
+    let token = step(&mut one, &mut store, returned).expect("it goes on");
+    assert!(token > lost, "{token} after {lost}");
+    let term = lease_times(DISTANCE).term;
+    assert_eq!(one.token_at(returned + term - at(1)), Some(token));
+    assert_eq!(one.token_at(returned + term), None);
+}
+
+#[test]
+fn a_holder_that_does_not_reach_the_store_that_came_back_stops_at_the_end_of_its_term() {
+    let mut store = Store::new();
+    let mut one = daemon("one", 1, &store, at(0));
+    let (then, _) = acquire(&mut one, &mut store, at(0), at(6000)).expect("held");
+    store.come_back(0);
+    one.on_store_position(then + at(400), store.position());
+    let term = lease_times(DISTANCE).term;
+    assert!(one.token_at(then + term - at(1)).is_some());
+    assert_eq!(one.token_at(then + term), None);
+}
+
+#[test]
+fn a_write_of_an_earlier_era_that_takes_effect_in_a_later_one_makes_no_holder() {
+    // The holder's renewal was on its way as the store went. It came to the copy, where the revision of its condition had
+    // been given out again, for the lease of another holder.
+    let mut store = Store::new();
+    let mut one = daemon("one", 1, &store, at(0));
+    let (then, _) = acquire(&mut one, &mut store, at(0), at(6000)).expect("held");
+    let late_at = then + at(900);
+    let LeaseAction::Write { record, expected } = one.next(late_at, at(0)) else {
+        panic!("it renews");
+    };
+    store.come_back(0);
+    let returned = then + at(1000);
+    let mut other = daemon("other", 1, &store, returned);
+    let (held_at, token) =
+        acquire(&mut other, &mut store, returned, returned + at(20_000)).expect("held");
+    let answer = store.write(&record, expected);
+    one.on_write(record, late_at, held_at + at(10), answer);
+    assert_eq!(one.token_at(held_at + at(10)), None);
+    // Who reads it afterwards, or starts then, does not take it for its own either.
+    read(&mut one, &store, held_at + at(20));
+    assert_eq!(step(&mut one, &mut store, held_at + at(20)), None);
+    let mut later = daemon("one", 2, &store, held_at + at(20));
+    assert_eq!(step(&mut later, &mut store, held_at + at(20)), None);
+    // The holder goes on.
+    read(&mut other, &store, held_at + at(30));
+    let renewed = step(&mut other, &mut store, held_at + at(900)).expect("it goes on");
+    assert!(renewed >= token);
+}
--- /dev/null
+++ b/crates/gateway/tests/lease_store/mod.rs
@@ -0,0 +1,133 @@
+//! The lease's object in a store that can come back from a copy.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use driftspring_gateway::protocol::{LeaseRecord, ObjectContent, StoredObject, WriteAnswer};
+use driftspring_gateway::rollout::{LeaseAction, OrderLease, lease_times};
+use driftspring_gateway::store::{StoreEra, StorePosition};
+
+/// How far apart orders of two holders must lie.
+pub const DISTANCE: Duration = Duration::from_secs(3);
+
+/// A store with nothing but the lease's object; others write to it too.
+#[derive(Debug, Clone)]
+pub struct Store {
+    /// Its era.
+    pub era: u64,
+    /// Its revision.
+    pub revision: u64,
+    object: Option<(u64, LeaseRecord)>,
+    /// The object at each revision.
+    history: BTreeMap<u64, Option<(u64, LeaseRecord)>>,
+}
+
+impl Store {
+    /// An empty store in its first era.
+    pub fn new() -> Self {
+        Self {
+            era: 1,
+            revision: 0,
+            object: None,
+            history: BTreeMap::from([(0, None)]),
+        }
+    }
+
+    /// How far it has come.
+    pub fn position(&self) -> StorePosition {
+        self.at(self.revision)
+    }
+
+    fn at(&self, revision: u64) -> StorePosition {
+        StorePosition {
+            era: StoreEra::named(self.era),
+            revision,
+        }
+    }
+
+    /// The lease.
+    pub fn lease(&self) -> Option<(StorePosition, LeaseRecord)> {
+        let (revision, record) = self.object.clone()?;
+        Some((self.at(revision), record))
+    }
+
+    /// Writes the lease on condition of its revision, whatever the era of that is.
+    pub fn write(&mut self, record: &LeaseRecord, expected: Option<StorePosition>) -> WriteAnswer {
+        let known = self.object.as_ref().map(|(revision, _)| *revision);
+        if known != expected.map(|expected| expected.revision) {
+            let object = self.lease().map(|(position, record)| StoredObject {
+                name: "weights".to_owned(),
+                position,
+                content: Ok(ObjectContent::Lease(record)),
+            });
+            return WriteAnswer::Conflict(object);
+        }
+        self.revision += 1;
+        self.object = Some((self.revision, record.clone()));
+        self.history.insert(self.revision, self.object.clone());
+        WriteAnswer::Accepted(self.position())
+    }
+
+    /// Somebody writes something else, so many times.
+    pub fn write_others(&mut self, times: u64) {
+        for _ in 0..times {
+            self.revision += 1;
+            self.history.insert(self.revision, self.object.clone());
+        }
+    }
+
+    /// Comes back from a copy that was made at `revision`.
+    pub fn come_back(&mut self, revision: u64) {
+        self.history.retain(|known, _| *known <= revision);
+        self.object = self.history[&revision].clone();
+        self.revision = revision;
+        self.era += 1;
+    }
+}
+
+/// A daemon on `machine` that has read the lease at `now`.
+pub fn daemon(machine: &str, life: u64, store: &Store, now: Duration) -> OrderLease {
+    let mut lease = OrderLease::new(machine, life, lease_times(DISTANCE));
+    read(&mut lease, store, now);
+    lease
+}
+
+/// The daemon reads the lease at `now`.
+pub fn read(lease: &mut OrderLease, store: &Store, now: Duration) {
+    lease.on_store_position(now, store.position());
+    lease.on_list(now, store.lease());
+}
+
+/// The daemon takes a step towards the lease; the token where it holds it then.
+pub fn step(lease: &mut OrderLease, store: &mut Store, now: Duration) -> Option<u64> {
+    match lease.next(now, Duration::ZERO) {
+        LeaseAction::Hold(token) => Some(token),
+        LeaseAction::Wait(_) => None,
+        LeaseAction::Write { record, expected } => {
+            let answer = store.write(&record, expected);
+            lease.on_write(record, now, now, answer);
+            lease.token_at(now)
+        }
+    }
+}
+
+/// Takes steps every 50 ms until the daemon holds the lease or `until` is reached; when it held it and under which token.
+pub fn acquire(
+    lease: &mut OrderLease,
+    store: &mut Store,
+    mut now: Duration,
+    until: Duration,
+) -> Option<(Duration, u64)> {
+    while now < until {
+        if let Some(token) = step(lease, store, now) {
+            return Some((now, token));
+        }
+        now += Duration::from_millis(50);
+    }
+    None
+}
+
+/// A moment.
+pub fn at(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
