--- a/crates/gateway/src/currency.rs
+++ b/crates/gateway/src/currency.rs
@@ -9,20 +9,31 @@
 use driftspring_clock::Instant;
 use tokio::sync::Notify;
 
+use crate::store::StorePosition;
+
+/// A read that found a configuration to be the newest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Proof {
+    /// When it began.
+    pub began: Instant,
+    /// The store's position that it told; none where another daemon told of the read and not of that.
+    pub position: Option<StorePosition>,
+}
+
 /// That another daemon holds a newer configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NewerVersion {
     /// Its version.
     pub version: u64,
-    /// When a read began that found it to be the newest.
-    pub proved_at: Instant,
+    /// The read that found it to be the newest.
+    pub proof: Proof,
 }
 
 /// What is proved of the configuration.
 #[derive(Debug, Default)]
 pub struct Currency {
     newer: Cell<Option<NewerVersion>>,
-    proved_at: Cell<Option<Instant>>,
+    proof: Cell<Option<Proof>>,
     wanted: Notify,
     proved: Notify,
 }
@@ -33,17 +44,23 @@
         Self::default()
     }
 
-    /// Takes in that a read which began at `began` returned what is in force.
-    pub fn prove(&self, began: Instant) {
-        if self.proved_at.get().is_none_or(|known| known < began) {
-            self.proved_at.set(Some(began));
+    /// Takes in a read that returned what is in force.
+    pub fn prove(&self, proof: Proof) {
+        let is_newer = |known: Proof| known.began < proof.began;
+        if self.proof.get().is_none_or(is_newer) {
+            self.proof.set(Some(proof));
         }
         self.proved.notify_waiters();
     }
 
+    /// The newest proof.
+    pub fn proof(&self) -> Option<Proof> {
+        self.proof.get()
+    }
+
     /// How old the newest proof is.
     pub fn age(&self) -> Option<Duration> {
-        self.proved_at.get().map(|proved_at| proved_at.elapsed())
+        self.proof().map(|proof| proof.began.elapsed())
     }
 
     /// Whether there is a proof that is not older than `age`.
--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -139,7 +139,7 @@
     let log = state.peers.log.borrow();
     let page = log.page(question, fits);
     let configuration = state.configuration.load();
-    let age = state.currency.age();
+    let proof = state.currency.proof();
     let to_ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     // Rounded up: a proof, or newly named weights, may look older than they are, never newer.
     let to_ms_up = |time: Duration| to_ms(time) + 1;
@@ -149,7 +149,7 @@
     let position = Some(state.store_position.get()).filter(|known| known.era == era);
     Tell {
         nonce: question.nonce,
-        proof_age_ms: age.map(to_ms_up),
+        proof_age_ms: proof.map(|proof| to_ms_up(proof.began.elapsed())),
         view_age_ms: state.peers.view_age().map(to_ms_up),
         store_revision: position.map_or(0, |position| position.revision),
         configuration: configuration.as_ref().map_or(0, |known| known.version),
@@ -187,6 +187,10 @@
             .map(|at| to_ms_up(at.elapsed())),
         quarantine: Some(records::digest(state)),
         store_era: era.number(),
+        proof_revision: proof
+            .and_then(|proof| proof.position)
+            .filter(|position| position.era == era)
+            .map(|position| position.revision),
     }
 }
 
--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -12,7 +12,7 @@
 use super::records;
 use super::send::send;
 use super::source::{Source, SourceChooser};
-use crate::currency::NewerVersion;
+use crate::currency::{NewerVersion, Proof};
 use crate::protocol::{LeaseRecord, ModelVersion};
 use crate::state::GatewayState;
 use crate::store::{StoreEra, StorePosition, name_weights, take_told_era};
@@ -193,9 +193,10 @@
 
 /// Takes in an answer; true where more is to come.
 async fn take_answer(state: &Rc<GatewayState>, answer: Tell, sent_at: Instant) -> bool {
-    if let Some(proved_at) = moment_before(sent_at, answer.proof_age_ms) {
+    let proof = proof_in(&answer, sent_at);
+    if let Some((began, position)) = proof.and_then(|proof| Some((proof.began, proof.position?))) {
         let mut progress = state.store_progress.borrow_mut();
-        progress.note(proved_at, position_in(&answer));
+        progress.note(began, position);
     }
     take_weights_and_lease(state, &answer, sent_at);
     take_changes(state, &answer);
@@ -210,24 +211,31 @@
     let known = configuration.as_ref().map_or(0, |known| known.version);
     if known < answer.configuration {
         let version = answer.configuration;
-        match moment_before(sent_at, answer.proof_age_ms) {
-            Some(proved_at) => {
-                let newer = NewerVersion { version, proved_at };
-                state.currency.want_version(newer);
-            }
+        match proof {
+            Some(proof) => state.currency.want_version(NewerVersion { version, proof }),
             None => state.currency.want(),
         }
         return answer.has_more;
     }
     if known == answer.configuration
-        && let Some(proved_at) = moment_before(sent_at, answer.proof_age_ms)
+        && let Some(proof) = proof
     {
-        state.currency.prove(proved_at);
+        state.currency.prove(proof);
     }
     state.refresh_readiness();
     answer.has_more
 }
 
+/// The read that proved the configuration in an answer.
+fn proof_in(answer: &Tell, sent_at: Instant) -> Option<Proof> {
+    let began = moment_before(sent_at, answer.proof_age_ms)?;
+    let position = answer.proof_revision.map(|revision| StorePosition {
+        era: StoreEra::told(answer.store_era),
+        revision,
+    });
+    Some(Proof { began, position })
+}
+
 /// How far the store has come, as an answer tells.
 fn position_in(answer: &Tell) -> StorePosition {
     StorePosition {
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -236,6 +236,10 @@
     /// As [`Ask::store_era`].
     #[musli(default)]
     pub store_era: Option<u64>,
+    /// The revision, of [`Tell::store_era`], that the read told which began [`Tell::proof_age_ms`] ago. The highest one that
+    /// is known says nothing of that moment.
+    #[musli(default)]
+    pub proof_revision: Option<u64>,
 }
 
 /// Wanted weights.
--- a/crates/gateway/src/store/configuration_reader.rs
+++ b/crates/gateway/src/store/configuration_reader.rs
@@ -12,6 +12,7 @@
 use super::client::{list_all, list_recent};
 use super::follow::take_configuration;
 use super::outage::pause_after_call;
+use crate::currency::Proof;
 use crate::protocol::ObjectKind;
 use crate::state::GatewayState;
 
@@ -108,7 +109,7 @@
         return Newer::Missing;
     }
     // A still newer one is the newest at a later moment: this one was so when it was proved.
-    state.currency.prove(newer.proved_at);
+    state.currency.prove(newer.proof);
     Newer::Taken
 }
 
@@ -151,11 +152,12 @@
     let listing = || list_all(state, ObjectKind::Configuration);
     let (began, result) = state.store_outage.call(listing).await;
     match result {
-        Ok((objects, _)) => {
+        Ok((objects, position)) => {
             for object in objects {
                 take_configuration(state, object);
             }
-            state.currency.prove(began);
+            let position = Some(position);
+            state.currency.prove(Proof { began, position });
             let was_lost = note_regained(state, is_reachable);
             // After an outage the replicas are listed anew, which proves the view: watches from before may be deaf.
             if !was_lost && state.peers.is_reader.get() && state.peers.follows_replicas.get() {
--- a/crates/gateway/src/store/progress.rs
+++ b/crates/gateway/src/store/progress.rs
@@ -10,7 +10,8 @@
 
 use super::position::StorePosition;
 
-/// Reads that are remembered; with one each 0.9 s those of the last half minute.
+/// Positions that are remembered, each with the latest read that told it: those of the last half minute where the store
+/// changes about once a second.
 const REMEMBERED_READS: usize = 32;
 
 /// What reads of the store have told, older ones first.
@@ -30,6 +31,14 @@
 impl StoreProgress {
     /// Takes in that a read that began at `began` told the store's position.
     pub fn note(&mut self, began: Instant, position: StorePosition) {
+        // One position takes one place: a daemon is told of one read many times, which must not drive out the others.
+        let known = self.reads.iter().position(|read| read.position == position);
+        if let Some(known) = known {
+            if self.reads[known].began >= began {
+                return;
+            }
+            self.reads.remove(known);
+        }
         let place = self.reads.partition_point(|read| read.began <= began);
         self.reads.insert(place, Read { began, position });
         while self.reads.len() > REMEMBERED_READS {
