--- a/crates/gateway/src/replicas/registry.rs
+++ b/crates/gateway/src/replicas/registry.rs
@@ -94,6 +94,7 @@
         {
             return;
         }
+        self.note_birth(&entry);
         let is_same =
             |known: &Rc<Replica>| known.life == entry.life && known.pool.peer() == entry.address;
         match known.filter(is_same) {
@@ -171,7 +172,6 @@
     /// Puts what was taken in into force.
     pub fn index(&self) {
         let by_id = self.by_id.borrow();
-        self.note_births(by_id.values());
         let mut by_service: HashMap<String, Vec<Rc<Replica>>> = HashMap::new();
         for replica in by_id.values().filter(|replica| self.may_be_used(replica)) {
             let service = replica.entry().service.clone();
@@ -185,14 +185,12 @@
         *self.by_service.borrow_mut() = shared.collect();
     }
 
-    /// Remembers which services have replicas that say when their lives began.
-    fn note_births<'a>(&self, replicas: impl Iterator<Item = &'a Rc<Replica>>) {
+    /// Remembers that a service has replicas that say when their lives began, where this entry does.
+    fn note_birth(&self, entry: &ReplicaEntry) {
         let mut services = self.services_with_births.borrow_mut();
-        for replica in replicas.filter(|replica| replica.life.born.is_some()) {
-            let service = &replica.entry().service;
-            if services.len() < MAX_SERVICES_WITH_BIRTHS && !services.contains(service) {
-                services.insert(service.clone());
-            }
+        let is_new = entry.life.born.is_some() && !services.contains(&entry.service);
+        if is_new && services.len() < MAX_SERVICES_WITH_BIRTHS {
+            services.insert(entry.service.clone());
         }
     }
 
