--- a/crates/gateway/src/quota/group_use.rs
+++ b/crates/gateway/src/quota/group_use.rs
@@ -42,7 +42,7 @@
 
 /// What one leader told last, and when.
 #[derive(Debug, Clone, Copy, Default)]
-struct LeaderUse {
+struct LastReport {
     /// Nothing before it told of this tenant: what it has counted since it began is not known.
     totals: Option<Totals>,
     sent: Option<Duration>,
@@ -86,7 +86,7 @@
     }
 }
 
-impl LeaderUse {
+impl LastReport {
     /// Whether a report that was told at `sent` was told before one that is known. Reports overtake each other, and a
     /// daemon that stood still passes on old ones: their totals are lower, and would make the next ones count again.
     fn is_overtaken(&self, sent: Option<Duration>) -> bool {
@@ -130,7 +130,7 @@
 #[derive(Debug, Default)]
 pub struct GroupUse {
     /// What each leader told, by its life.
-    leaders: HashMap<u64, LeaderUse>,
+    leaders: HashMap<u64, LastReport>,
     heard_at: Duration,
     /// What is taken to have been admitted while nothing was heard and was not reported since, and up to when.
     assumed: f64,
@@ -155,7 +155,7 @@
 
     /// Takes in totals at `now`, or that nothing more was used; returns what was admitted beyond what is known or was assumed.
     pub fn hear(&mut self, now: Duration, report: &GroupReport, told: Option<&WireTotals>) -> f64 {
-        let known = self.leaders.get(&report.leader);
+        let known = self.leaders.get(&report.leader).copied();
         if known.is_some_and(|leader| leader.is_overtaken(report.sent)) {
             return 0.0;
         }
@@ -163,14 +163,11 @@
             self.heard_again_at = now;
             self.is_made_up_for = true;
         }
-        self.is_made_up_for &= self.leaders.contains_key(&report.leader);
-        if !self.leaders.contains_key(&report.leader) {
-            let lately = self.take_over();
-            let leader = LeaderUse::begin(now, report.sent, lately);
-            self.leaders.insert(report.leader, leader);
-        }
-        let leader = self.leaders.entry(report.leader).or_default();
+        self.is_made_up_for &= known.is_some();
+        let mut leader =
+            known.unwrap_or_else(|| LastReport::begin(now, report.sent, self.take_over()));
         let admitted = leader.hear(now, report.sent, told);
+        self.leaders.insert(report.leader, leader);
         self.leaders
             .retain(|_, leader| now < leader.heard_at + ASSUMED_FOR);
         self.heard_at = now;
