--- /dev/null
+++ b/crates/gateway/tests/support/registry_scene.rs
@@ -0,0 +1,36 @@
+//! Entries of replicas of one service, and which of them are used.
+
+use std::time::Duration;
+
+use driftspring_gateway::protocol::{ModelVersion, ReplicaEntry, ReplicaLife};
+use driftspring_gateway::replicas::Registry;
+
+/// The entry of a replica that serves and holds one model, whose life began at `born`.
+pub fn entry(id: &str, born: Option<u64>) -> ReplicaEntry {
+    ReplicaEntry {
+        life: ReplicaLife {
+            id: id.to_owned(),
+            born,
+        },
+        service: "service".to_owned(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: "a".to_owned(),
+        slots: 4,
+        is_draining: false,
+        cold_remaining: Duration::ZERO,
+        models: vec![ModelVersion {
+            model: "model".to_owned(),
+            version: 3,
+        }],
+    }
+}
+
+/// The ids of the replicas that are used after all that the registry has taken in.
+pub fn used(registry: &Registry) -> Vec<String> {
+    registry.index();
+    let replicas = registry.of_service("service");
+    replicas
+        .iter()
+        .map(|replica| replica.id().to_owned())
+        .collect()
+}
