--- /dev/null
+++ b/crates/gateway/tests/support/quota_scene.rs
@@ -0,0 +1,79 @@
+//! The tenant of the simulations of limits, the bounds, and what happened.
+
+use std::time::Duration;
+
+use driftspring_gateway::configuration::{Quota, QuotaUnit, Tenant};
+use driftspring_gateway::quota::Tolerance;
+use rand::Rng;
+use rand::rngs::StdRng;
+
+/// The window of the rule.
+pub const WINDOW: Duration = Duration::from_secs(8);
+
+/// What the platform tolerates on the site whose tenants these are.
+pub const TOLERANCE: Tolerance = Tolerance {
+    overshoot: 0.1,
+    slack: 110_000.0,
+};
+
+/// The share of requests below the limit that may be refused.
+pub const REFUSED_BELOW: f64 = 0.005;
+
+/// What all daemons together may admit in a window of a tenant with this rate, which is its burst too.
+pub const fn bound(rate: f64) -> f64 {
+    (rate * WINDOW.as_secs() as f64 + rate) * (1.0 + TOLERANCE.overshoot) + TOLERANCE.slack
+}
+
+/// A tenant with this limit, in units a second.
+pub fn tenant(per_second: f64) -> Tenant {
+    Tenant {
+        name: "tenant".to_owned(),
+        priority: None,
+        is_isolated: false,
+        quota: Some(Quota {
+            unit: QuotaUnit::Tokens { without_size: 200 },
+            per_second,
+            burst: per_second,
+        }),
+    }
+}
+
+/// The units of one request.
+pub fn draw_cost(random: &mut StdRng) -> f64 {
+    let cost: f64 = -9_200.0 * (1.0 - random.random::<f64>()).ln();
+    cost.clamp(200.0, 60_000.0)
+}
+
+/// What happened.
+#[derive(Default)]
+pub struct Outcome {
+    /// Time and cost of what was admitted.
+    pub admitted: Vec<(Duration, f64)>,
+    /// Requests that came.
+    pub asked: usize,
+    /// Those that were refused.
+    pub refused: usize,
+}
+
+impl Outcome {
+    /// The most that was admitted in a window.
+    pub fn most_in_a_window(&self) -> f64 {
+        let mut most: f64 = 0.0;
+        let mut sum = 0.0;
+        let mut first = 0;
+        for (at, cost) in &self.admitted {
+            sum += cost;
+            while self.admitted[first].0 + WINDOW <= *at {
+                sum -= self.admitted[first].1;
+                first += 1;
+            }
+            most = most.max(sum);
+        }
+        most
+    }
+
+    /// The share of requests that were refused.
+    pub fn refused_share(&self) -> f64 {
+        self.refused as f64 / self.asked as f64
+    }
+}
