--- a/crates/gateway/src/cache/follow.rs
+++ b/crates/gateway/src/cache/follow.rs
@@ -125,7 +125,15 @@
 }
 
 async fn body_of(pool: &Rc<Pool>, call: &Call) -> Option<Bytes> {
-    let answer = upstream::call(pool, call, WAIT + MARGIN).await;
-    let success = answer.ok().filter(|(status, _)| status.is_success());
-    success.map(|(_, body)| body)
+    match upstream::call(pool, call, WAIT + MARGIN).await {
+        Ok((status, body)) if status.is_success() => Some(body),
+        Ok((status, _)) => {
+            log::debug!("{} answered {status} for what it keeps", pool.peer());
+            None
+        }
+        Err(error) => {
+            log::debug!("{} did not say what it keeps: {error}", pool.peer());
+            None
+        }
+    }
 }
--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -62,7 +62,8 @@
         let leader = chooser.leader(&group);
         state.peers.set_leader(leader);
         let leader = leader.map(|leader| name_digest(&leader.name));
-        state.quotas.set_leader(leader.unwrap_or_default());
+        // No daemon's name has the digest 0: nobody leads.
+        state.quotas.set_leader(leader.unwrap_or(0));
         let is_relay = state.peers.is_leader.get() && !others.is_empty();
         state.peers.far.set_relay(is_relay);
         state.peers.source.replace(source.address());
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -481,7 +481,8 @@
 }
 
 impl Message {
-    /// The datagram's bytes; nothing where it can't be encoded.
+    /// The datagram's bytes; nothing where it can't be encoded, which no message is known to do: it is then lost like any
+    /// other datagram.
     pub fn encode(&self) -> Option<Vec<u8>> {
         musli::wire::to_vec(self).ok()
     }
--- a/crates/gateway/src/peers/records.rs
+++ b/crates/gateway/src/peers/records.rs
@@ -35,6 +35,7 @@
         match state.quarantine.has_news() {
             true => {
                 let more = state.quarantine.told.notified();
+                // Ends early when there is more to tell.
                 let _ = tokio::time::timeout(BETWEEN_TELLINGS, more).await;
             }
             false => state.quarantine.told.notified().await,
--- a/crates/gateway/src/peers/relays.rs
+++ b/crates/gateway/src/peers/relays.rs
@@ -71,6 +71,7 @@
 /// The address of the one of `group` that is tried after so long a silence.
 fn tried(group: &[WireDaemon], silence: Duration) -> Option<String> {
     let turn = silence.as_millis() / TRIED_FOR.as_millis() % MOST_TRIED;
+    // A turn is below the few that are tried, so it always fits.
     let place = usize::try_from(turn).unwrap_or(0) % group.len().max(1);
     group.get(place).map(|daemon| daemon.peers.clone())
 }
--- a/crates/gateway/src/rollout/load.rs
+++ b/crates/gateway/src/rollout/load.rs
@@ -213,8 +213,12 @@
 async fn report(state: &Rc<GatewayState>, replica: &Rc<Replica>) -> Option<ReplicaReport> {
     let call = state.platform.report();
     let answer = upstream::call(&replica.pool, &call, REPORT_TIMEOUT).await;
-    let (status, body) = answer.ok()?;
+    let failed = |error: &upstream::CallError| {
+        log::debug!("no report of {:?}: {error}", replica.life);
+    };
+    let (status, body) = answer.inspect_err(failed).ok()?;
     if !status.is_success() {
+        log::debug!("{:?} answered {status} for a report", replica.life);
         return None;
     }
     match state.platform.read_report(&body) {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -84,6 +84,7 @@
                 system.block_on(async move {
                     let servers =
                         Servers::start(&thread_settings, &platform, &thread_status, listeners)?;
+                    // Nobody waits any more where the start was given up.
                     let _ = started.send(());
                     // A sender that is gone means that the process ends.
                     let _ = stopped.await;
@@ -159,7 +160,7 @@
 
     /// Ends at once, as a crash would.
     pub fn kill(mut self) {
-        let _ = self.end();
+        self.end_and_log();
     }
 
     fn end(&mut self) -> anyhow::Result<()> {
@@ -167,6 +168,13 @@
         self.join()
     }
 
+    /// Ends where nobody takes a failure of the gateway's thread in.
+    fn end_and_log(&mut self) {
+        if let Err(error) = self.end() {
+            log::warn!("the gateway ended with {error:#}");
+        }
+    }
+
     fn join(&mut self) -> anyhow::Result<()> {
         let Some(thread) = self.thread.take() else {
             return Ok(());
@@ -179,7 +187,7 @@
 
 impl Drop for RunningGateway {
     fn drop(&mut self) {
-        let _ = self.end();
+        self.end_and_log();
     }
 }
 
