--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -12,6 +12,7 @@
     Ask, Change, Loading, MAX_DATAGRAM_BYTES, Message, RECEIVE_BYTES, Report, Tell, TellCached,
     WireLease, WirePrompt, WireWeights,
 };
+use super::packed::PackedSize;
 use super::records;
 use super::send::send_to;
 use super::spread::{self, spread};
@@ -136,14 +137,14 @@
 /// The answer to a question.
 fn tell(state: &GatewayState, question: &Ask) -> Tell {
     let log = state.peers.log.borrow();
-    let page = log.page(question, fits);
+    let page = log.page(question, fits(question.takes_packed));
     let configuration = state.configuration.load();
     let age = state.currency.age();
     let to_ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     // Rounded up: a proof, or newly named weights, may look older than they are, never newer.
     let to_ms_up = |time: Duration| to_ms(time) + 1;
     let weights = state.weights.borrow().all();
-    Tell {
+    let mut told = Tell {
         nonce: question.nonce,
         proof_age_ms: age.map(to_ms_up),
         view_age_ms: state.peers.view_age().map(to_ms_up),
@@ -181,13 +182,27 @@
             .store_down_at()
             .map(|at| to_ms_up(at.elapsed())),
         quarantine: Some(records::digest(state)),
+        packed: None,
+    };
+    if question.takes_packed {
+        told.pack();
     }
+    told
 }
 
-/// Whether one more change fits into a datagram.
-fn fits(changes: &[Change], next: &Change) -> bool {
-    let size: usize = changes.iter().map(Change::wire_size).sum();
-    size + next.wire_size() <= PAGE_BYTES
+/// Whether one more change fits into a datagram, asked for each in turn.
+fn fits(is_packed: bool) -> impl FnMut(&Change) -> bool {
+    let mut packed = PackedSize::new(PAGE_BYTES);
+    let mut left = PAGE_BYTES;
+    move |change| {
+        if is_packed {
+            return packed.fits(change);
+        }
+        let size = change.wire_size();
+        let fits = size <= left;
+        left = left.saturating_sub(size);
+        fits
+    }
 }
 
 /// Takes in which prompts other daemons sent to replicas. A daemon that is told of its own ones knows them already.
--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -157,16 +157,18 @@
         sequence,
         content,
         quarantine: Some(records::digest(state)),
+        takes_packed: true,
     });
     let sent_at = Instant::now();
     send(socket, &question, &daemon.peers).await;
     let answer = tokio::time::timeout(ANSWER_TIMEOUT, matching(answers, nonce)).await;
-    let Ok(Some(answer)) = answer else {
+    let Ok(Some(mut answer)) = answer else {
         chooser.on_silence(state.now());
         chooser.on_useless(peers.view_age());
         peers.ask_now.notify_one();
         return false;
     };
+    answer.unpack();
     if let Ok(address) = daemon.peers.parse() {
         records::reconcile(state, socket, answer.quarantine, address).await;
     }
--- a/crates/gateway/src/peers/change_log.rs
+++ b/crates/gateway/src/peers/change_log.rs
@@ -120,9 +120,9 @@
         true
     }
 
-    /// The changes of this log that the asking daemon lacks, as many as `fits` allows. `fits` is asked with the
-    /// page so far and the next change, and says whether that still fits.
-    pub fn page(&self, question: &Ask, fits: impl Fn(&[Change], &Change) -> bool) -> LogPage {
+    /// The changes of this log that the asking daemon lacks, as many as `fits` allows, but one at the least. `fits` is asked
+    /// with each further change of the page in turn, and says whether that still fits.
+    pub fn page(&self, question: &Ask, mut fits: impl FnMut(&Change) -> bool) -> LogPage {
         if question.content != 0 && question.content == self.content {
             return self.no_changes();
         }
@@ -138,7 +138,7 @@
             is_same: false,
         };
         for (number, change) in self.changes.range(after + 1..) {
-            if !page.changes.is_empty() && !fits(&page.changes, change) {
+            if !fits(change) && !page.changes.is_empty() {
                 page.has_more = true;
                 return page;
             }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -3,6 +3,7 @@
 use musli::{Decode, Encode};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::packed::PackedReplicas;
 use crate::protocol::ReplicaLife;
 
 /// The largest datagram that is sent, in bytes.
@@ -189,6 +190,9 @@
     /// The digest of what is known of requests that end replicas, see [`crate::quarantine::ledger::Ledger::digest`].
     #[musli(default)]
     pub quarantine: Option<u64>,
+    /// Whether the sender understands [`Tell::packed`].
+    #[musli(default)]
+    pub takes_packed: bool,
 }
 
 /// An answer.
@@ -227,6 +231,23 @@
     /// As [`Ask::quarantine`].
     #[musli(default)]
     pub quarantine: Option<u64>,
+    /// Replicas that belong to [`Tell::changes`], where the question said that these are understood.
+    #[musli(default)]
+    pub packed: Option<PackedReplicas>,
+}
+
+impl Tell {
+    /// Moves replicas from the changes to where they take less room.
+    pub fn pack(&mut self) {
+        self.packed = Some(PackedReplicas::take_from(&mut self.changes));
+    }
+
+    /// Puts packed replicas back among the changes.
+    pub fn unpack(&mut self) {
+        if let Some(packed) = self.packed.take() {
+            self.changes.extend(packed.changes());
+        }
+    }
 }
 
 /// Wanted weights.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -11,6 +11,7 @@
 //!
 //! - [`message`]: the datagrams.
 //! - [`change_log`]: replicas and daemons in the order in which they changed, so that only news are sent.
+//! - [`packed`]: replicas as they fill a page of changes.
 //! - [`followed_log`]: where a daemon stands in the log of the one that it asks.
 //! - [`directory`]: the daemons known, by rank; [`relays`]: whom to send to in other groups.
 //! - [`spread`]: passes reports on from member to member.
@@ -33,6 +34,7 @@
 pub mod known;
 pub mod message;
 mod news;
+pub mod packed;
 mod records;
 pub mod relays;
 mod send;
--- /dev/null
+++ b/crates/gateway/tests/packed.rs
@@ -0,0 +1,170 @@
+//! Replicas packed into pages of changes, and taken out again.
+
+use std::collections::BTreeMap;
+
+use driftspring_gateway::peers::change_log::ChangeLog;
+use driftspring_gateway::peers::message::{
+    Ask, Change, Item, ItemKey, MAX_DATAGRAM_BYTES, Message, Tell, WireDaemon, WireReplica,
+};
+use driftspring_gateway::peers::packed::{PackedReplicas, PackedSize};
+use quickcheck::{Arbitrary, Gen, quickcheck};
+
+/// The bytes of a page of changes in an answer, and those of the rest of it.
+const PAGE_BYTES: usize = MAX_DATAGRAM_BYTES - 350;
+
+#[derive(Clone, Debug)]
+struct Some100(Vec<Change>);
+
+impl Arbitrary for Some100 {
+    fn arbitrary(generator: &mut Gen) -> Self {
+        let count = u16::arbitrary(generator) % 100;
+        Self((0..count).map(|number| change(number, generator)).collect())
+    }
+}
+
+fn name(prefix: &str, generator: &mut Gen) -> String {
+    let lengths = [1, 5, 9, 30];
+    let length = *generator.choose(&lengths).expect("a length");
+    let number = u8::arbitrary(generator) % 4;
+    format!("{prefix}{number}{}", "x".repeat(length))
+}
+
+fn address(generator: &mut Gen) -> String {
+    let texts = ["10.0.0.1:80", "[::1]:80", "somewhere", "010.0.0.1:80", ""];
+    let number = u32::arbitrary(generator);
+    let [a, b, c, d] = number.to_be_bytes();
+    match u8::arbitrary(generator) % 8 {
+        0 => (*generator.choose(&texts).expect("a text")).to_owned(),
+        _ => format!("{a}.{b}.{c}.{d}:{}", u16::arbitrary(generator)),
+    }
+}
+
+fn change(number: u16, generator: &mut Gen) -> Change {
+    let id = format!("{}-{number}", name("i", generator));
+    match u8::arbitrary(generator) % 10 {
+        0 => Change::Gone(ItemKey::Replica(id)),
+        1 => Change::Put(Item::Daemon(WireDaemon {
+            name: id,
+            peers: address(generator),
+            zone: name("z", generator),
+            capacity: u32::arbitrary(generator),
+        })),
+        _ => Change::Put(Item::Replica(WireReplica {
+            id,
+            born: Option::arbitrary(generator),
+            service: name("s", generator),
+            address: address(generator),
+            zone: name("z", generator),
+            slots: u32::arbitrary(generator) % 300,
+            is_draining: bool::arbitrary(generator),
+            models: (0..u8::arbitrary(generator) % 3)
+                .map(|_| (name("m", generator), u64::arbitrary(generator)))
+                .collect(),
+        })),
+    }
+}
+
+fn tell(changes: Vec<Change>) -> Tell {
+    Tell {
+        nonce: u64::MAX,
+        proof_age_ms: Some(100_000),
+        view_age_ms: Some(100_000),
+        store_revision: u64::MAX,
+        configuration: u64::MAX,
+        weights: Vec::new(),
+        lease: None,
+        log: u64::MAX,
+        sequence: u64::MAX,
+        is_from_start: true,
+        has_more: true,
+        changes,
+        is_same: false,
+        store_down_age_ms: Some(100_000),
+        quarantine: Some(u64::MAX),
+        packed: None,
+    }
+}
+
+fn by_key(changes: &[Change]) -> BTreeMap<ItemKey, Change> {
+    let keyed = changes.iter().map(|change| (change.key(), change.clone()));
+    keyed.collect()
+}
+
+/// The answer as the asking daemon reads it.
+fn sent(told: Tell) -> Tell {
+    let bytes = Message::Tell(told).encode().expect("encoded");
+    match Message::decode(&bytes) {
+        Some(Message::Tell(told)) => told,
+        other => panic!("{other:?}"),
+    }
+}
+
+quickcheck! {
+    fn what_is_packed_comes_out_as_it_was(changes: Some100) -> bool {
+        let mut told = tell(changes.0.clone());
+        told.pack();
+        let mut read = sent(told);
+        read.unpack();
+        read.changes.len() == changes.0.len() && by_key(&read.changes) == by_key(&changes.0)
+    }
+
+    fn a_page_that_fits_stays_within_a_datagram(changes: Some100) -> bool {
+        let mut log = ChangeLog::new(u64::MAX);
+        for change in changes.0 {
+            if let Change::Put(item) = change {
+                log.put(item);
+            }
+        }
+        let question = Ask {
+            nonce: 1,
+            log: 0,
+            sequence: 0,
+            content: 1,
+            quarantine: None,
+            takes_packed: true,
+        };
+        let mut size = PackedSize::new(PAGE_BYTES);
+        let page = log.page(&question, |change| size.fits(change));
+        let mut told = tell(page.changes);
+        told.pack();
+        let bytes = Message::Tell(told).encode().expect("encoded");
+        bytes.len() <= MAX_DATAGRAM_BYTES
+    }
+
+    fn columns_of_any_lengths_are_read_without_a_panic(
+        texts: Vec<String>,
+        kind_of: Vec<u8>,
+        ids: Vec<String>,
+        addresses: Vec<u8>
+    ) -> bool {
+        let count = ids.len();
+        let packed = PackedReplicas {
+            texts,
+            kinds: Vec::new(),
+            kind_of,
+            born: vec![None; count],
+            ids,
+            addresses,
+        };
+        packed.changes().count() <= count
+    }
+}
+
+#[test]
+fn a_kind_whose_names_are_missing_is_left_out() {
+    let mut told = tell(vec![Change::Put(Item::Replica(WireReplica {
+        id: "r1".to_owned(),
+        born: Some(7),
+        service: "service".to_owned(),
+        address: "10.0.0.1:80".to_owned(),
+        zone: "a".to_owned(),
+        slots: 4,
+        is_draining: false,
+        models: vec![("model".to_owned(), 1)],
+    }))]);
+    told.pack();
+    let mut packed = told.packed.expect("packed");
+    assert_eq!(packed.changes().count(), 1);
+    packed.texts.pop();
+    assert_eq!(packed.changes().count(), 0);
+}
