--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -12,6 +12,7 @@
     Ask, Change, Loading, MAX_DATAGRAM_BYTES, Message, RECEIVE_BYTES, Report, Tell, TellCached,
     WireLease, WirePrompt, WireWeights,
 };
+use super::packed::PackedSize;
 use super::records;
 use super::send::send_to;
 use super::spread::{self, spread};
@@ -54,13 +55,13 @@
                     .followers
                     .borrow_mut()
                     .insert(from, Instant::now());
-                let answer = Message::Tell(tell(&state, &question));
+                let answer = Message::Tell(Box::new(tell(&state, &question)));
                 send_to(&socket, &answer, from).await;
                 records::reconcile(&state, &socket, question.quarantine, from).await;
             }
             Some(Message::Tell(answer)) => {
                 // The task that asked may have given up meanwhile.
-                let _ = answers.tells.send(answer);
+                let _ = answers.tells.send(*answer);
             }
             Some(Message::Nudge) => state.peers.ask_now.notify_one(),
             Some(Message::StoreRecovered) => {
@@ -137,7 +138,7 @@
 /// The answer to a question.
 fn tell(state: &GatewayState, question: &Ask) -> Tell {
     let log = state.peers.log.borrow();
-    let page = log.page(question, fits);
+    let page = log.page(question, fits(question.takes_packed));
     let configuration = state.configuration.load();
     let proof = state.currency.proof();
     let to_ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
@@ -147,7 +148,7 @@
     let era = state.store_eras.known();
     // Of an era that another daemon told, no position is known yet.
     let position = Some(state.store_position.get()).filter(|known| known.era == era);
-    Tell {
+    let mut told = Tell {
         nonce: question.nonce,
         proof_age_ms: proof.map(|proof| to_ms_up(proof.began.elapsed())),
         view_age_ms: state.peers.view_age().map(to_ms_up),
@@ -191,13 +192,27 @@
             .and_then(|proof| proof.position)
             .filter(|position| position.era == era)
             .map(|position| position.revision),
+        packed: None,
+    };
+    if question.takes_packed {
+        told.pack();
     }
+    told
 }
 
-/// Whether one more change fits into a datagram.
-fn fits(changes: &[Change], next: &Change) -> bool {
-    let size: usize = changes.iter().map(Change::wire_size).sum();
-    size + next.wire_size() <= PAGE_BYTES
+/// Whether one more change fits into a datagram, asked for each in turn.
+fn fits(is_packed: bool) -> impl FnMut(&Change) -> bool {
+    let mut packed = PackedSize::new(PAGE_BYTES);
+    let mut left = PAGE_BYTES;
+    move |change| {
+        if is_packed {
+            return packed.fits(change);
+        }
+        let size = change.wire_size();
+        let fits = size <= left;
+        left = left.saturating_sub(size);
+        fits
+    }
 }
 
 /// Takes in which prompts other daemons sent to replicas. A daemon that is told of its own ones knows them already.
--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -14,13 +14,17 @@
 use super::source::{Source, SourceChooser};
 use crate::currency::{NewerVersion, Proof};
 use crate::protocol::{LeaseRecord, ModelVersion};
-use crate::state::GatewayState;
+use crate::state::{GatewayState, JUST_STARTED};
 use crate::store::{StoreEra, StorePosition, name_weights, take_told_era};
 use crate::weights::Since;
 
 /// Time between two questions.
 const ASK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The same for a daemon that has just started and knows nothing yet: the others, which may have started with it, need some
+/// 100 ms to list the replicas, and nothing is served before. At 100 members of a group 1,000 questions of 60 bytes a second.
+const FIRST_ASK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// How long an answer is waited for.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -58,7 +62,8 @@
         let leader = chooser.leader(&group);
         state.peers.set_leader(leader);
         let leader = leader.map(|leader| name_digest(&leader.name));
-        state.quotas.set_leader(leader.unwrap_or_default());
+        // No daemon's name has the digest 0: nobody leads.
+        state.quotas.set_leader(leader.unwrap_or(0));
         let is_relay = state.peers.is_leader.get() && !others.is_empty();
         state.peers.far.set_relay(is_relay);
         state.peers.source.replace(source.address());
@@ -105,7 +110,16 @@
         .and_then(|age| longest_view_age.checked_sub(age))
         .map(|left| left + SHORTEST_INTERVAL);
     let soonest = until_lapse.into_iter().chain(until_too_old).min();
-    soonest.map_or(ASK_INTERVAL, |until| until.min(ASK_INTERVAL))
+    let interval = ask_interval(state);
+    soonest.map_or(interval, |until| until.min(interval))
+}
+
+fn ask_interval(state: &GatewayState) -> Duration {
+    let knows_nothing = state.peers.view_age().is_none();
+    match knows_nothing && state.now() < JUST_STARTED {
+        true => FIRST_ASK_INTERVAL,
+        false => ASK_INTERVAL,
+    }
 }
 
 /// Takes in where this daemon learns what is in force. It reads the store until another daemon has answered with
@@ -144,16 +158,18 @@
         content,
         quarantine: Some(records::digest(state)),
         store_era: state.store_eras.known().number(),
+        takes_packed: true,
     });
     let sent_at = Instant::now();
     send(socket, &question, &daemon.peers).await;
     let answer = tokio::time::timeout(ANSWER_TIMEOUT, matching(answers, nonce)).await;
-    let Ok(Some(answer)) = answer else {
+    let Ok(Some(mut answer)) = answer else {
         chooser.on_silence(state.now());
         chooser.on_useless(peers.view_age());
         peers.ask_now.notify_one();
         return false;
     };
+    answer.unpack();
     take_told_era(state, answer.store_era, &daemon.name);
     if let Ok(address) = daemon.peers.parse() {
         records::reconcile(state, socket, answer.quarantine, address).await;
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -3,6 +3,7 @@
 use musli::{Decode, Encode};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::packed::PackedReplicas;
 use crate::protocol::ReplicaLife;
 
 /// The largest datagram that is sent, in bytes.
@@ -17,7 +18,7 @@
     /// Asks what is in force and what has changed.
     Ask(Ask),
     /// Answers that.
-    Tell(Tell),
+    Tell(Box<Tell>),
     /// There is something new: ask.
     Nudge,
     /// The store answers again, as a daemon of another group found after it had failed.
@@ -195,6 +196,9 @@
     /// The latest era of the store that is known, see [`crate::store::StoreEra`].
     #[musli(default)]
     pub store_era: Option<u64>,
+    /// Whether the sender understands [`Tell::packed`].
+    #[musli(default)]
+    pub takes_packed: bool,
 }
 
 /// An answer.
@@ -240,6 +244,23 @@
     /// is known says nothing of that moment.
     #[musli(default)]
     pub proof_revision: Option<u64>,
+    /// Replicas that belong to [`Tell::changes`], where the question said that these are understood.
+    #[musli(default)]
+    pub packed: Option<PackedReplicas>,
+}
+
+impl Tell {
+    /// Moves replicas from the changes to where they take less room.
+    pub fn pack(&mut self) {
+        self.packed = Some(PackedReplicas::take_from(&mut self.changes));
+    }
+
+    /// Puts packed replicas back among the changes.
+    pub fn unpack(&mut self) {
+        if let Some(packed) = self.packed.take() {
+            self.changes.extend(packed.changes());
+        }
+    }
 }
 
 /// Wanted weights.
@@ -497,7 +518,8 @@
 }
 
 impl Message {
-    /// The datagram's bytes; nothing where it can't be encoded.
+    /// The datagram's bytes; nothing where it can't be encoded, which no message is known to do: it is then lost like any
+    /// other datagram.
     pub fn encode(&self) -> Option<Vec<u8>> {
         musli::wire::to_vec(self).ok()
     }
