--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -125,6 +125,9 @@
     pub store_eras: StoreEras,
     /// The latest position of the store that is known.
     pub store_position: Cell<StorePosition>,
+    /// When this daemon's entry was last found in the store, or written there, from the start of the process; at its start
+    /// where neither has been.
+    pub own_entry_written_at: Cell<Duration>,
     /// The lease under which orders are given.
     pub lease: RefCell<OrderLease>,
     /// Wakes the task that brings replicas to new weights.
@@ -175,6 +178,7 @@
             store_progress: RefCell::default(),
             store_eras: StoreEras::new(Instant::now()),
             store_position: Cell::default(),
+            own_entry_written_at: Cell::default(),
             lease: RefCell::new(lease),
             rollout_wanted: Notify::new(),
             life,
--- a/crates/gateway/src/store/era.rs
+++ b/crates/gateway/src/store/era.rs
@@ -61,6 +61,7 @@
 pub struct StoreEras {
     known: Cell<StoreEra>,
     confirmed_at: Cell<Instant>,
+    changed_at: Cell<Option<Instant>>,
     /// Whether something was taken in of a store that named no era.
     has_unnamed: Cell<bool>,
     changes: watch::Sender<u64>,
@@ -72,6 +73,7 @@
         Self {
             known: Cell::default(),
             confirmed_at: Cell::new(now),
+            changed_at: Cell::default(),
             has_unnamed: Cell::default(),
             changes: watch::Sender::new(0),
         }
@@ -105,6 +107,7 @@
         self.confirmed_at.set(now);
         let is_change = before != StoreEra::UNNAMED || self.has_unnamed.get();
         if is_change {
+            self.changed_at.set(Some(now));
             self.changes.send_modify(|changes| *changes += 1);
         }
         is_change
@@ -115,6 +118,12 @@
         *self.changes.borrow()
     }
 
+    /// How long before `now` the store last changed its era; nothing where it never did.
+    pub fn changed_ago(&self, now: Instant) -> Option<Duration> {
+        let changed_at = self.changed_at.get()?;
+        Some(now.saturating_duration_since(changed_at))
+    }
+
     /// Waits until the store has changed its era more than `changes` times.
     pub async fn changed_after(&self, changes: u64) {
         let mut receiver = self.changes.subscribe();
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -10,6 +10,7 @@
 
 use super::StorePosition;
 use super::client::{StoreError, list_all, list_recent, watch};
+use super::own_entry;
 use super::quarantine;
 use super::rejections::Rejected;
 use crate::peers::message::{Change, Item, ItemKey, WireDaemon};
@@ -211,7 +212,8 @@
     }
 }
 
-/// Takes in the whole list of replicas or daemons: what is not in it is gone.
+/// Takes in the whole list of replicas or daemons: what is not in it is gone, but for daemons that may have to write their
+/// entries again.
 pub fn take_items(state: &GatewayState, kind: ObjectKind, objects: Vec<StoredObject>) {
     state.peers.learnt_elsewhere();
     if kind == ObjectKind::Daemons {
@@ -225,9 +227,13 @@
     let is_of_kind =
         |key: &ItemKey| matches!(key, ItemKey::Replica(_)) == (kind == ObjectKind::Replicas);
     let known: Vec<ItemKey> = state.peers.log.borrow().items().map(Item::key).collect();
+    let is_awaited = |key: &ItemKey| {
+        let changed_ago = state.store_eras.changed_ago(Instant::now());
+        matches!(key, ItemKey::Daemon(_)) && own_entry::is_awaited(changed_ago)
+    };
     let gone = known
         .into_iter()
-        .filter(|key| is_of_kind(key) && !listed.contains(key));
+        .filter(|key| is_of_kind(key) && !listed.contains(key) && !is_awaited(key));
     for key in gone {
         state.apply(Change::Gone(key));
     }
--- a/crates/gateway/src/store/join.rs
+++ b/crates/gateway/src/store/join.rs
@@ -76,7 +76,15 @@
 }
 
 /// Writes this daemon's record, in the place of the one at `expected`; true where it is there.
-async fn add_own(state: &GatewayState, expected: Option<StorePosition>) -> bool {
+pub(super) async fn add_own(state: &GatewayState, expected: Option<StorePosition>) -> bool {
+    let is_there = try_add_own(state, expected).await;
+    if is_there {
+        state.own_entry_written_at.set(state.now());
+    }
+    is_there
+}
+
+async fn try_add_own(state: &GatewayState, expected: Option<StorePosition>) -> bool {
     match write_own(state, expected).await {
         WriteAnswer::Accepted(_) => true,
         WriteAnswer::Conflict(Some(object)) if is_same(&object, &own_record(state)) => true,
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -6,6 +6,7 @@
 mod follow;
 mod join;
 mod outage;
+pub mod own_entry;
 mod position;
 mod progress;
 mod quarantine;
@@ -30,6 +31,7 @@
 pub fn spawn_all(state: &Rc<GatewayState>) {
     ntex::rt::spawn(configuration_reader::run(Rc::clone(state)));
     ntex::rt::spawn(quarantine::keep(Rc::clone(state)));
+    ntex::rt::spawn(own_entry::keep(Rc::clone(state)));
     let followed = [
         ObjectKind::Configuration,
         ObjectKind::Replicas,
