--- a/crates/gateway/src/quarantine/homes.rs
+++ b/crates/gateway/src/quarantine/homes.rs
@@ -4,6 +4,8 @@
 //! a seventh of 600 replicas would be told 380 times over. So a few daemons, which every daemon chooses alike, count for
 //! each request, and tell all once there is something to tell.
 
+use std::time::Duration;
+
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{Fingerprint, Role};
@@ -13,6 +15,10 @@
 /// Daemons that count for one request: two may be gone, cut off or frozen.
 const HOMES: usize = 3;
 
+/// How long after it came up a record is left to the daemons before this one in rank to be written: one of them that is
+/// there writes it, and tells all, within some ten milliseconds.
+pub const TURN: Duration = Duration::from_millis(700);
+
 /// The daemons that count for a request, the first in rank first.
 pub fn homes(directory: &Directory, fingerprint: Fingerprint) -> Vec<&WireDaemon> {
     let bytes = fingerprint.number().to_le_bytes();
@@ -33,6 +39,13 @@
     homes.iter().position(|home| home.name == own.name)
 }
 
+/// Whether it is this daemon's turn to write a record that the store lacks since so long; `place` is its place among those
+/// that count for the request.
+pub fn is_turn(place: Option<usize>, lacking_for: Duration) -> bool {
+    let place = place.and_then(|place| u32::try_from(place).ok());
+    place.is_some_and(|place| lacking_for >= TURN * place)
+}
+
 /// Whether the daemon `own` is the first that counts for a request: what one of them is to do, it does.
 pub fn is_first_home(directory: &Directory, fingerprint: Fingerprint, own: &WireDaemon) -> bool {
     place(directory, fingerprint, own) == Some(0)
--- /dev/null
+++ b/crates/gateway/src/quarantine/kept.rs
@@ -0,0 +1,33 @@
+//! What the store keeps of a record, beside what a daemon wants it to keep.
+
+use crate::protocol::QuarantineRecord;
+
+/// How the store's object compares with a daemon's record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kept {
+    /// It says all that the record says.
+    Whole,
+    /// It says less: it is to be written over.
+    Part,
+    /// The request was cleared or released since: the record is outdated.
+    Later,
+}
+
+/// Compares what the store keeps with a daemon's record. A store that came back from a copy may keep an earlier state.
+pub fn compare(kept: &QuarantineRecord, own: &QuarantineRecord) -> Kept {
+    if kept.generation != own.generation {
+        return match kept.generation > own.generation {
+            true => Kept::Later,
+            false => Kept::Part,
+        };
+    }
+    let says_replicas = own
+        .replicas
+        .iter()
+        .all(|replica| kept.replicas.contains(replica));
+    let says_quarantined = kept.is_quarantined >= own.is_quarantined;
+    match says_replicas && says_quarantined && kept.trials >= own.trials {
+        true => Kept::Whole,
+        false => Kept::Part,
+    }
+}
--- a/crates/gateway/src/quarantine/ledger.rs
+++ b/crates/gateway/src/quarantine/ledger.rs
@@ -41,6 +41,10 @@
 /// its home and this daemon know of. Nothing is hashed after that.
 const CLEARING: Duration = Duration::from_secs(60);
 
+/// Forgotten records that are remembered, about 100 bytes each: more than are forgotten in the seconds by which a copy of
+/// the store is old, since each was struck by two ends of replicas.
+const MAX_FORGOTTEN: usize = 256;
+
 /// Records that are kept, about 100 bytes each; quarantined ones go last.
 const MAX_RECORDS: usize = 2048;
 
@@ -81,6 +85,8 @@
     last_strike: Option<Duration>,
     /// Replicas that ended, and when, the latest last.
     ends: VecDeque<(u64, Duration)>,
+    /// Those that were forgotten lately though the store kept them, with the replicas that their strikes named.
+    forgotten: VecDeque<(Fingerprint, Vec<u64>)>,
 }
 
 /// How a daemon judges a request.
@@ -253,13 +259,38 @@
         for fingerprint in old {
             let record = self.records.remove(&fingerprint);
             self.index(fingerprint);
-            if let Some(position) = record.and_then(|record| record.stored.position) {
+            let Some(record) = record else {
+                continue;
+            };
+            if let Some(position) = record.stored.position {
                 kept_in_store.push((fingerprint, position));
+                self.note_forgotten(fingerprint, &record);
             }
         }
         kept_in_store
     }
 
+    fn note_forgotten(&mut self, fingerprint: Fingerprint, record: &Record) {
+        let replicas = record.strikes.iter().map(|strike| strike.replica);
+        let replicas: Vec<u64> = replicas.collect();
+        self.forgotten.push_back((fingerprint, replicas));
+        if self.forgotten.len() > MAX_FORGOTTEN {
+            self.forgotten.pop_front();
+        }
+    }
+
+    /// Whether a record that names these replicas was forgotten lately, so that an object that says so is one which came
+    /// back with a copy of the store.
+    pub fn has_forgotten(&self, fingerprint: Fingerprint, replicas: &[u64]) -> bool {
+        let mut forgotten = self.forgotten.iter();
+        forgotten.any(|(known, known_replicas)| {
+            *known == fingerprint
+                && replicas
+                    .iter()
+                    .all(|replica| known_replicas.contains(replica))
+        })
+    }
+
     /// Remembers the end of a replica.
     fn note_end(&mut self, strike: Strike) {
         if self.ends.iter().any(|(known, _)| *known == strike.replica) {
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -16,13 +16,14 @@
 pub mod ends;
 pub mod fingerprint;
 pub mod homes;
+pub mod kept;
 pub mod ledger;
 pub mod record;
 pub mod shared;
 
 pub use ends::note_loss;
 pub use fingerprint::Fingerprint;
-pub use homes::{homes, is_first_home, place, role};
+pub use homes::{TURN, homes, is_first_home, is_turn, place, role};
 pub use ledger::{Role, Verdict};
 pub use record::{Record, Stored, Strike};
 pub use shared::{Quarantine, Removal, Teller};
--- a/crates/gateway/src/store/quarantine.rs
+++ b/crates/gateway/src/store/quarantine.rs
@@ -19,16 +19,14 @@
     Freshness, ObjectContent, ObjectKind, Platform, QuarantineRecord, StoredObject,
     UnreadableReason, WriteAnswer,
 };
+use crate::quarantine::kept::{Kept, compare};
+use crate::quarantine::ledger::Ledger;
 use crate::quarantine::{
-    Fingerprint, Record, Removal, Stored, Strike, Teller, is_first_home, place, role,
+    Fingerprint, Record, Removal, Stored, Strike, TURN, Teller, is_first_home, is_turn, place, role,
 };
 use crate::state::GatewayState;
 use crate::upstream::{self, Pool};
 
-/// How long after it came up a record is left to the daemons before this one in rank to be written: one of them that is
-/// there writes it, and tells all, within some ten milliseconds.
-const TURN: Duration = Duration::from_millis(700);
-
 /// The time between two tries to write or remove records, doubled after each one in a row that failed.
 const RETRY: Duration = Duration::from_millis(1000);
 
@@ -112,9 +110,10 @@
         let count = i64::try_from(count).unwrap_or(i64::MAX);
         state.status.metrics.fingerprints_quarantined.set(count);
         failures = if has_failed { failures + 1 } else { 0 };
-        pause = match has_failed || !unstored.is_empty() {
-            true => RETRY * (1 << failures.min(RETRY_DOUBLINGS)),
-            false => IDLE,
+        pause = match (has_failed, unstored.is_empty()) {
+            (true, _) => RETRY * (1 << failures.min(RETRY_DOUBLINGS)),
+            (false, false) => TURN,
+            (false, true) => IDLE,
         };
     }
 }
@@ -148,13 +147,11 @@
         unstored.entry(fingerprint).or_insert(now);
     }
     let directory = state.peers.directory();
-    let is_turn = |fingerprint: Fingerprint, since: Duration| {
-        let place = place(&directory, fingerprint, state.peers.own());
-        let turn = place.and_then(|place| u32::try_from(place).ok());
-        turn.is_some_and(|turn| now >= since + TURN * turn)
-    };
+    let own_place = |fingerprint: Fingerprint| place(&directory, fingerprint, state.peers.own());
     let unstored = unstored.iter();
-    let due = unstored.filter(|(fingerprint, since)| is_turn(**fingerprint, **since));
+    let due = unstored.filter(|(fingerprint, since)| {
+        is_turn(own_place(**fingerprint), now.saturating_sub(**since))
+    });
     due.map(|(fingerprint, _)| *fingerprint).collect()
 }
 
@@ -170,17 +167,28 @@
     let expected = record.stored.position.filter(|stored| stored.era == era);
     let name = fingerprint.to_string();
     let is_quarantined = record.is_quarantined;
-    let content = ObjectContent::Quarantine(content_of(&record));
+    let wanted = content_of(&record);
+    let content = ObjectContent::Quarantine(wanted.clone());
     let mut answer = write(state, ObjectKind::Quarantine, &name, &content, expected).await;
-    if let WriteAnswer::Conflict(known) = &answer {
-        let position = known.as_ref().map(|known| known.position);
+    if let WriteAnswer::Conflict(found) = answer {
+        if let Some(found) = &found
+            && is_settled_by(state, fingerprint, found, &wanted)
+        {
+            return true;
+        }
+        let position = found.map(|found| found.position);
         answer = write(state, ObjectKind::Quarantine, &name, &content, position).await;
     }
     match answer {
         WriteAnswer::Accepted(position) => {
-            state
-                .quarantine
-                .note_stored(fingerprint, position, is_quarantined);
+            let quarantine = &state.quarantine;
+            quarantine.note_stored(fingerprint, position, is_quarantined);
+            if let Some(lost) = record.stored.position.filter(|lost| lost.era != era) {
+                log_event!(
+                    gateway::QUARANTINE_KEPT_AGAIN,
+                    "fingerprint={fingerprint} position={position} before={lost}"
+                );
+            }
             true
         }
         answer => {
@@ -193,6 +201,30 @@
     }
 }
 
+/// Takes in the object that is in the place of a record to be written; whether nothing is left to be written.
+fn is_settled_by(
+    state: &GatewayState,
+    fingerprint: Fingerprint,
+    found: &StoredObject,
+    wanted: &QuarantineRecord,
+) -> bool {
+    let Ok(ObjectContent::Quarantine(kept)) = &found.content else {
+        return false;
+    };
+    match compare(kept, wanted) {
+        Kept::Whole => {
+            let quarantine = &state.quarantine;
+            quarantine.note_stored(fingerprint, found.position, kept.is_quarantined);
+            true
+        }
+        Kept::Later => {
+            take_record(state, &found.name, found.position, kept.clone());
+            true
+        }
+        Kept::Part => false,
+    }
+}
+
 /// What the store keeps of a record: the strikes that count whole.
 fn content_of(record: &Record) -> QuarantineRecord {
     let counted = record.strikes.iter().filter(|strike| !strike.is_coincident);
@@ -238,8 +270,18 @@
     let known = state
         .quarantine
         .read(|ledger| ledger.get(fingerprint).map(|known| known.generation));
-    if known.is_some_and(|known| known > content.generation) {
-        // Whoever cleared it ended before it was removed.
+    let is_cleared = known.is_some_and(|known| known > content.generation);
+    let is_forgotten = || {
+        let ledger = |ledger: &Ledger| ledger.has_forgotten(fingerprint, &content.replicas);
+        known.is_none() && state.quarantine.read(ledger)
+    };
+    if is_cleared || is_forgotten() {
+        // Whoever cleared it ended before it was removed, or the store came back from a copy that still has it.
+        log_event!(
+            gateway::QUARANTINE_REMOVED_AGAIN,
+            "fingerprint={fingerprint} position={position} generation={} known={known:?}",
+            content.generation
+        );
         state.quarantine.remove(Removal {
             fingerprint,
             position,
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -45,6 +45,8 @@
     REQUEST_RELEASED = 6603, Warn, "An operator took a request out of quarantine.";
     REQUEST_TRIED = 6604, Warn, "A request that has been in quarantine for long is sent to one replica, by one daemon, in case that the replicas were mended.";
     QUARANTINE_NOT_KEPT = 6605, Warn, "The store did not take, or did not remove, the record of a request that ended replicas; it is tried again. All daemons know it meanwhile.";
+    QUARANTINE_KEPT_AGAIN = 6606, Info, "The record of a request that ended replicas was written again to a store that came back from a copy. The fields tell where it is kept now, and where it was before.";
+    QUARANTINE_REMOVED_AGAIN = 6607, Warn, "The store keeps the record of a request that was cleared, or released by an operator: it came back with a copy of the store, or was never removed. It counts for nothing and is removed; the request is not stopped.";
     SOURCE_CHANGED = 6501, Info, "This daemon learns what is in force from another source: the store, or the daemon named.";
     PEER_LOST = 6500, Warn, "Another daemon could not be told something; it learns it from the store.";
 }
