--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -173,6 +173,7 @@
                 token: record.token,
                 renewal: record.renewal,
                 era: position.era.number(),
+                written_in: record.era.number(),
             }),
         log: log.id(),
         sequence: page.sequence,
@@ -187,6 +188,7 @@
             .map(|at| to_ms_up(at.elapsed())),
         quarantine: Some(records::digest(state)),
         store_era: era.number(),
+        highest_token: state.lease.borrow().highest_token(),
     }
 }
 
--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -254,12 +254,14 @@
         };
         name_weights(state, &named, since);
     }
+    state.lease.borrow_mut().on_token(answer.highest_token);
     if let Some(lease) = &answer.lease {
         let record = LeaseRecord {
             holder: lease.holder.clone(),
             life: lease.life,
             token: lease.token,
             renewal: lease.renewal,
+            era: StoreEra::told(lease.written_in),
         };
         let now = state.now();
         let mut known = state.lease.borrow_mut();
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -19,7 +19,7 @@
 //! - [`known`]: what is known through peers.
 //! - [`far`]: which prompts other groups sent where.
 //! - [`cached`]: what stores of cached prompt work keep.
-//! - `records`: requests that end replicas.
+//! - `records`: requests that end replicas; `quarantine_message`: its datagrams.
 //! - [`task`]: does it all for ever: `ask` asks the source, `answer` answers others, `news` tells unasked.
 
 mod answer;
@@ -33,6 +33,7 @@
 pub mod known;
 pub mod message;
 mod news;
+mod quarantine_message;
 mod records;
 pub mod relays;
 mod send;
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -14,6 +14,10 @@
 use crate::configuration::Configuration;
 use crate::store::{StorePosition, ToldEra};
 
+mod own_records;
+
+pub use own_records::{DaemonRecord, LeaseRecord, QuarantineRecord};
+
 /// One part of a prompt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PromptPart {
@@ -204,45 +208,6 @@
     pub models: Vec<ModelVersion>,
 }
 
-/// The lease of a task that one daemon does at a time.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct LeaseRecord {
-    /// The machine that holds it; empty where it was given back.
-    pub holder: String,
-    /// The life of the daemon on it.
-    pub life: u64,
-    /// The fencing token, which rises with each acquisition.
-    pub token: u64,
-    /// Rises with each renewal.
-    pub renewal: u64,
-}
-
-/// Where a daemon listens for others.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct DaemonRecord {
-    /// The daemon's name.
-    pub name: String,
-    /// Its address for other daemons.
-    pub peers: SocketAddr,
-    /// Its zone.
-    pub zone: String,
-    /// What its machine can carry, see [`crate::peers::message::WireDaemon::capacity`].
-    pub capacity: u32,
-}
-
-/// A request that ended replicas; its object is named by its fingerprint.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct QuarantineRecord {
-    /// How often it was cleared before.
-    pub generation: u32,
-    /// Digests of the ids of the replicas' lives that ended, in the order of time.
-    pub replicas: Vec<u64>,
-    /// Whether it is quarantined.
-    pub is_quarantined: bool,
-    /// How often it was tried in quarantine.
-    pub trials: u32,
-}
-
 /// The content of an object.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ObjectContent {
--- a/crates/gateway/src/rollout/lease.rs
+++ b/crates/gateway/src/rollout/lease.rs
@@ -5,21 +5,27 @@
 //! may give orders until [`LeaseTimes::term`] after it *began* the write that gave it the lease. Another
 //! daemon may take it once it has seen the object unchanged for the term and a further
 //! [`LeaseTimes::distance`], so that orders of two holders lie at least the distance apart, whatever
-//! became of messages. Tokens rise by one with each acquisition, so none is used twice.
+//! became of messages. Tokens rise with each acquisition, so none is used twice (see [`super::token`]).
 //!
 //! A process that was started again takes up the lease of the process before it, under the next token and
 //! without a wait: a machine runs one gateway at a time, so the earlier one has ended and gives no more orders.
 //!
+//! A store that comes back from a copy, in a new era, may have lost the last holder's record. So a record that was not
+//! written in the era in which it is read proves nothing of who holds the lease: whoever it names, also nobody, and also
+//! where there is none, every daemon waits for the term and the distance. Only the holder before may go on at once, while
+//! its term lasts, since nobody else can have the lease by then; it writes it anew under a token of the new era.
+//!
 //! Times are of one steady clock, as durations since any fixed moment.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use super::token::{MAX_TOKEN, next_token, token_bound};
 use crate::protocol::{LeaseRecord, ObjectContent, StoredObject, WriteAnswer};
-use crate::store::StorePosition;
+use crate::store::{StoreEra, StorePosition};
 
 /// The times of the lease; all daemons must have the same.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct LeaseTimes {
     /// How long a holder may give orders after it began its last successful write.
     pub term: Duration,
@@ -48,25 +54,51 @@
 }
 
 /// The object as last seen.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Seen {
     position: StorePosition,
     record: LeaseRecord,
     first_seen: Duration,
 }
 
+impl Seen {
+    /// Whether it was written in the era in which it is read: one that was not may come from the copy, or may be a write of
+    /// an earlier era that took effect late, whose condition meant another change.
+    fn is_of_its_era(&self) -> bool {
+        self.record.era == self.position.era
+    }
+}
+
+/// The lease as this daemon holds it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct Held {
+    token: u64,
+    until: Duration,
+}
+
 /// What a daemon knows of the lease.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct OrderLease {
     machine: String,
     life: u64,
     times: LeaseTimes,
+    is_first_start: bool,
+    /// The latest era of the store that is known here.
+    era: StoreEra,
+    /// The object, where this era is known to have one.
     seen: Option<Seen>,
+    /// Whether this era is known to have the object, or not to have it.
     is_informed: bool,
-    valid_until: Option<Duration>,
+    /// From when on nobody else holds the lease where the store has no object.
+    missing_free_at: Duration,
+    held: Option<Held>,
+    /// The highest token that is known, of all eras.
+    highest_token: u64,
     renew_at: Duration,
     wanted_since: Option<Duration>,
     retry_at: Duration,
+    /// Refusals in a row by replicas that had seen a higher token.
+    refusals: u32,
     is_fenced: bool,
     failures_in_row: u32,
     reached: VecDeque<(Duration, StorePosition)>,
@@ -79,19 +111,31 @@
             machine: machine.to_owned(),
             life,
             times,
+            is_first_start: false,
+            era: StoreEra::UNNAMED,
             seen: None,
             is_informed: false,
-            valid_until: None,
+            missing_free_at: Duration::ZERO,
+            held: None,
+            highest_token: 0,
             renew_at: Duration::ZERO,
             wanted_since: None,
             retry_at: Duration::ZERO,
+            refusals: 0,
             is_fenced: false,
             failures_in_row: 0,
             reached: VecDeque::new(),
         }
     }
 
-    /// Takes in that the object, or its absence, was read from the store.
+    /// The same where the whole system starts for the first time: nobody has held the lease before the first era that this
+    /// process gets to know.
+    pub fn at_first_start(mut self, is_first_start: bool) -> Self {
+        self.is_first_start = is_first_start;
+        self
+    }
+
+    /// Takes in that the object, or its absence, was read from the store in the latest era that is known here.
     pub fn on_list(&mut self, now: Duration, object: Option<(StorePosition, LeaseRecord)>) {
         self.is_informed = true;
         if let Some((position, record)) = object {
@@ -102,6 +146,7 @@
     /// Takes in that the store had reached `position` by `now`: whatever has it or an earlier one was written
     /// before, even if it is seen later.
     pub fn on_store_position(&mut self, now: Duration, position: StorePosition) {
+        self.enter(now, position.era);
         let is_news = self
             .reached
             .back()
@@ -121,24 +166,52 @@
         Some(first.0)
     }
 
-    /// Takes in the object as seen; earlier positions are ignored.
-    pub fn on_seen(&mut self, now: Duration, position: StorePosition, record: LeaseRecord) {
-        let is_older = self
-            .seen
-            .as_ref()
-            .is_some_and(|seen| seen.position >= position);
-        if is_older {
+    /// Takes in an era of the store. In a later one than was known nothing that was seen counts any more; the lease that is
+    /// held lasts until its term ends, and is written anew at once.
+    fn enter(&mut self, now: Duration, era: StoreEra) {
+        if era <= self.era {
             return;
         }
-        if !self.is_own(&record) {
-            self.valid_until = None;
+        let is_first = self.era == StoreEra::UNNAMED;
+        self.era = era;
+        self.seen = None;
+        self.is_informed = false;
+        if !(is_first && self.is_first_start) {
+            self.missing_free_at = now + self.times.term + self.times.distance;
+        }
+        self.renew_at = now;
+    }
+
+    /// Takes in a token that was given out, or that another daemon knows.
+    pub fn on_token(&mut self, token: u64) {
+        self.highest_token = self.highest_token.max(token.min(MAX_TOKEN));
+    }
+
+    /// The highest token that is known; 0 for none.
+    pub fn highest_token(&self) -> u64 {
+        self.highest_token
+    }
+
+    /// Takes in the object as seen; earlier positions are ignored, but for their tokens.
+    pub fn on_seen(&mut self, now: Duration, position: StorePosition, record: LeaseRecord) {
+        self.on_token(record.token);
+        self.enter(now, position.era);
+        let seen = self.seen.as_ref();
+        let is_known = seen.is_some_and(|seen| seen.position >= position);
+        if is_known || position.era < self.era {
+            return;
         }
         let reached_at = self.reached_at(position);
-        self.seen = Some(Seen {
+        let seen = Seen {
             position,
             record,
             first_seen: reached_at.map_or(now, |reached_at| reached_at.min(now)),
-        });
+        };
+        if self.is_taken(&seen) {
+            self.held = None;
+        }
+        self.seen = Some(seen);
+        self.is_informed = true;
     }
 
     /// The object as last seen, with its position.
@@ -149,35 +222,37 @@
 
     /// The token under which an order may be given at `now`.
     pub fn token_at(&self, now: Duration) -> Option<u64> {
-        let is_valid = self.valid_until.is_some_and(|until| now < until);
-        let seen = self.seen.as_ref().filter(|_| is_valid && !self.is_fenced)?;
-        Some(seen.record.token)
+        let held = self.held.filter(|held| now < held.until)?;
+        Some(held.token)
     }
 
     /// A replica has seen a higher token: this one may not be used again.
     pub fn on_fenced(&mut self) {
         self.is_fenced = true;
-        self.valid_until = None;
+        self.refusals += 1;
+        self.held = None;
     }
 
     /// There is nothing to order any more.
     pub fn rest(&mut self) {
         self.wanted_since = None;
+        self.refusals = 0;
     }
 
     /// The record that gives the lease back, with the position that the object must have; nothing where this
     /// daemon does not hold it. It must give no order from now on.
     pub fn give_back(&mut self) -> Option<(LeaseRecord, StorePosition)> {
-        self.valid_until = None;
+        self.held = None;
         let seen = self
             .seen
             .as_ref()
-            .filter(|seen| self.is_own(&seen.record))?;
+            .filter(|seen| seen.is_of_its_era() && self.is_own(&seen.record))?;
         let record = LeaseRecord {
             holder: String::new(),
             life: 0,
             token: seen.record.token,
             renewal: seen.record.renewal + 1,
+            era: self.era,
         };
         Some((record, seen.position))
     }
@@ -196,22 +271,28 @@
         if now < self.retry_at {
             return LeaseAction::Wait(self.retry_at - now);
         }
+        let is_holding = self.token_at(now).is_some();
         let Some(seen) = &self.seen else {
-            return self.after_wait(wanted_since + jitter, now, None);
+            if is_holding {
+                return self.write(None, true);
+            }
+            let polite_at = wanted_since + jitter;
+            return self.after_wait(polite_at.max(self.missing_free_at), now, None);
         };
-        if self.is_own(&seen.record) {
-            return self.write(Some(seen.clone()), self.is_fenced);
+        let is_of_its_era = seen.is_of_its_era();
+        if is_of_its_era && self.is_own(&seen.record) {
+            return self.write(Some(seen), self.is_fenced);
         }
-        if seen.record.holder == self.machine {
-            return self.write(Some(seen.clone()), true);
+        if is_holding || (is_of_its_era && seen.record.holder == self.machine) {
+            return self.write(Some(seen), true);
         }
-        let (term, deference) = match seen.record.holder.is_empty() {
+        let is_free = is_of_its_era && seen.record.holder.is_empty();
+        let (term, deference) = match is_free {
             true => (Duration::ZERO, Duration::ZERO),
             false => (self.times.term, self.times.deference),
         };
         let free_at = seen.first_seen + term + self.times.distance;
         let polite_at = wanted_since + deference + jitter;
-        let seen = seen.clone();
         self.after_wait(free_at.max(polite_at), now, Some(seen))
     }
 
@@ -224,10 +305,19 @@
         answer: WriteAnswer,
     ) {
         match answer {
+            // It took effect in another era than that of its condition: the object there may have been another holder's.
+            WriteAnswer::Accepted(position) if position.era != record.era => {
+                self.on_seen(ended, position, record);
+                self.retry_at = ended + RETRY_PAUSE;
+            }
             WriteAnswer::Accepted(position) => {
+                self.on_token(record.token);
                 self.is_fenced = false;
                 self.failures_in_row = 0;
-                self.valid_until = Some(began + self.times.term);
+                self.held = Some(Held {
+                    token: record.token,
+                    until: began + self.times.term,
+                });
                 self.renew_at = began + self.times.renewal;
                 self.seen = Some(Seen {
                     position,
@@ -240,6 +330,10 @@
                 self.retry_at = ended + RETRY_PAUSE;
             }
             WriteAnswer::Conflict(None) | WriteAnswer::Busy | WriteAnswer::Unknown => {
+                if matches!(answer, WriteAnswer::Conflict(None)) && self.seen.take().is_some() {
+                    // It is gone, and so is what it said of a holder.
+                    self.missing_free_at = ended + self.times.term + self.times.distance;
+                }
                 let pause = RETRY_PAUSE.saturating_mul(1 << self.failures_in_row.min(4));
                 self.failures_in_row += 1;
                 self.retry_at = ended + pause;
@@ -251,18 +345,27 @@
         record.holder == self.machine && record.life == self.life
     }
 
-    fn after_wait(&self, at: Duration, now: Duration, seen: Option<Seen>) -> LeaseAction {
+    /// Whether an object as seen shows that another daemon holds the lease. A write of an earlier era that took effect late
+    /// does not: its writer does not count it. A daemon that knows nothing of eras does.
+    fn is_taken(&self, seen: &Seen) -> bool {
+        let is_late = !seen.is_of_its_era() && seen.record.era != StoreEra::UNNAMED;
+        !is_late && !self.is_own(&seen.record)
+    }
+
+    fn after_wait(&self, at: Duration, now: Duration, seen: Option<&Seen>) -> LeaseAction {
         match now < at {
             true => LeaseAction::Wait(at - now),
             false => self.write(seen, true),
         }
     }
 
-    fn write(&self, seen: Option<Seen>, raises_token: bool) -> LeaseAction {
-        let (token, renewal) = match &seen {
-            Some(seen) if raises_token => (seen.record.token + 1, 0),
-            Some(seen) => (seen.record.token, seen.record.renewal + 1),
-            None => (1, 0),
+    fn write(&self, seen: Option<&Seen>, raises_token: bool) -> LeaseAction {
+        let (token, renewal) = match seen {
+            Some(seen) if !raises_token => (seen.record.token, seen.record.renewal + 1),
+            _ => {
+                let token = next_token(self.highest_token, self.era, self.refusals);
+                (token, 0)
+            }
         };
         LeaseAction::Write {
             record: LeaseRecord {
@@ -270,22 +373,24 @@
                 life: self.life,
                 token,
                 renewal,
+                era: self.era,
             },
             expected: seen.map(|seen| seen.position),
         }
     }
 }
 
-/// The record in the lease's object. One that can't be read counts as held by another: nobody knows who wrote it. No token
-/// so far is higher than its revision, since each was given by a write, so the next one is higher than all of them.
+/// The record in the lease's object. One that can't be read, or whose token is none, counts as held by another: nobody knows
+/// who wrote it.
 pub fn record_in(object: &StoredObject) -> LeaseRecord {
     match &object.content {
-        Ok(ObjectContent::Lease(record)) => record.clone(),
+        Ok(ObjectContent::Lease(record)) if record.token < MAX_TOKEN => record.clone(),
         _ => LeaseRecord {
             holder: UNKNOWN_HOLDER.to_owned(),
             life: 0,
-            token: object.position.revision,
+            token: token_bound(object.position),
             renewal: 0,
+            era: object.position.era,
         },
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -152,6 +152,7 @@
         let peers = Peers::new(own_daemon(&settings), seeds(&settings), life);
         let times = lease_times(settings.times.lease_term);
         let lease = OrderLease::new(&machine(&settings), life, times);
+        let lease = lease.at_first_start(settings.is_first_start);
         Rc::new(Self {
             times: Cell::new(settings.times),
             registry: Registry::new(settings.births),
--- a/crates/gateway/tests/lease_eras.rs
+++ b/crates/gateway/tests/lease_eras.rs
@@ -4,8 +4,11 @@
 mod lease_store;
 
 use driftspring_gateway::protocol::{ObjectContent, StoredObject, Unreadable, UnreadableReason};
-use driftspring_gateway::rollout::{LeaseAction, lease_times, record_in};
+use driftspring_gateway::rollout::token::{MAX_TOKEN, era_floor, next_token, token_bound};
+use driftspring_gateway::rollout::{LeaseAction, OrderLease, lease_times, record_in};
+use driftspring_gateway::store::{StoreEra, StorePosition};
 use lease_store::{DISTANCE, Store, acquire, at, daemon, read, step};
+use quickcheck::quickcheck;
 
 /// After how long a daemon that only knows the copy may order: whoever held the lease that was lost has stopped by then,
 /// and its orders lie the distance back.
@@ -191,3 +194,74 @@
     let renewed = step(&mut other, &mut store, held_at + at(900)).expect("it goes on");
     assert!(renewed >= token);
 }
+
+#[test]
+fn only_a_first_start_of_all_takes_a_missing_lease_at_once() {
+    let mut store = Store::new();
+    let mut first = OrderLease::new("one", 1, lease_times(DISTANCE)).at_first_start(true);
+    read(&mut first, &store, at(100));
+    assert!(step(&mut first, &mut store, at(100)).is_some());
+
+    let mut store = Store::new();
+    let mut later = OrderLease::new("one", 1, lease_times(DISTANCE));
+    read(&mut later, &store, at(100));
+    assert_eq!(step(&mut later, &mut store, at(100)), None);
+
+    // The next era is none that a first start knows of.
+    let mut first = OrderLease::new("one", 1, lease_times(DISTANCE)).at_first_start(true);
+    read(&mut first, &store, at(100));
+    store.come_back(0);
+    read(&mut first, &store, at(200));
+    assert_eq!(step(&mut first, &mut store, at(200)), None);
+}
+
+#[test]
+fn refusals_by_replicas_lead_past_any_token_within_some_tries() {
+    // All daemons were started again, at a store that names no era and came back: nobody knows the tokens that were lost,
+    // and replicas only say that they have seen a higher one.
+    let mut store = Store::new();
+    let mut lease = daemon("one", 1, &store, at(0));
+    let (mut now, mut token) = acquire(&mut lease, &mut store, at(0), at(6000)).expect("held");
+    let seen_by_replicas = token + 1_000_000;
+    let mut refusals = 0;
+    while token < seen_by_replicas {
+        lease.on_fenced();
+        refusals += 1;
+        let raised = acquire(&mut lease, &mut store, now, now + at(2000)).expect("held");
+        assert!(raised.1 > token);
+        (now, token) = raised;
+    }
+    assert!(refusals <= 21, "{refusals}");
+}
+
+quickcheck! {
+    /// In a later era the next token is above all that a daemon with any knowledge gave out in an earlier one, whatever the
+    /// next holder knows, as long as an era has no more than its tokens.
+    fn tokens_of_a_later_era_are_higher(era: u16, later: u16, given_out: u16, known: u32) -> bool {
+        let (era, later) = (u64::from(era), u64::from(era) + 1 + u64::from(later));
+        let mut token = 0;
+        for _ in 0..given_out % 50 {
+            token = next_token(token, StoreEra::named(era), 0);
+        }
+        let known = u64::from(known);
+        let next = next_token(known, StoreEra::named(later), 0);
+        next > token && next > known && next <= MAX_TOKEN
+    }
+
+    /// It is above what is known, and never beyond what readers of JSON take exactly.
+    fn the_next_token_is_above_what_is_known(highest: u64, era: Option<u64>, refusals: u32) -> bool {
+        let highest = highest.min(MAX_TOKEN);
+        let next = next_token(highest, StoreEra::told(era), refusals);
+        next <= MAX_TOKEN && (next > highest || highest == MAX_TOKEN)
+    }
+
+    /// Where a lease can't be read, the bound is no lower than any token that was given out, one a write.
+    fn an_unreadable_lease_stands_for_all_tokens_before_it(era: u16, writes: u16) -> bool {
+        let position = StorePosition {
+            era: StoreEra::named(u64::from(era)),
+            revision: u64::from(writes),
+        };
+        let highest = era_floor(position.era) + u64::from(writes);
+        token_bound(position) >= highest
+    }
+}
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -105,6 +105,7 @@
         store_down_age_ms: None,
         quarantine: None,
         store_era: None,
+        highest_token: 0,
     }
 }
 
