--- a/crates/gateway/src/store/era.rs
+++ b/crates/gateway/src/store/era.rs
@@ -3,7 +3,8 @@
 //! An answer that names a lower era than is known comes from a copy that is gone: what it says counts for nothing. A store
 //! that names no other era for long has forgotten how to count, and is served on with; so is one that names none.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use driftspring_clock::Instant;
@@ -20,6 +21,13 @@
 /// for so long is out of touch (`contactMs`); a copy that is gone answers no call so late (1.5 s).
 pub const LOWER_ERA_PATIENCE: Duration = Duration::from_secs(3);
 
+/// Changes of the era that are taken in within [`CHANGES_WINDOW`]. Each has every reader list anew, which takes up to 2 s; a
+/// store that names a later era in every answer counts something else.
+const MAX_CHANGES: usize = 4;
+
+/// See [`MAX_CHANGES`].
+const CHANGES_WINDOW: Duration = Duration::from_secs(10);
+
 /// The era that an answer names.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ToldEra {
@@ -63,6 +71,8 @@
     confirmed_at: Cell<Instant>,
     /// Whether something was taken in of a store that named no era.
     has_unnamed: Cell<bool>,
+    /// When the era changed within the last [`CHANGES_WINDOW`].
+    changed_at: RefCell<VecDeque<Instant>>,
     changes: watch::Sender<u64>,
 }
 
@@ -73,6 +83,7 @@
             known: Cell::default(),
             confirmed_at: Cell::new(now),
             has_unnamed: Cell::default(),
+            changed_at: RefCell::default(),
             changes: watch::Sender::new(0),
         }
     }
@@ -85,7 +96,10 @@
     /// Reads the era that an answer names which came at `now`.
     pub fn read(&self, told: &ToldEra, now: Instant) -> EraReading {
         let confirmed_ago = now.saturating_duration_since(self.confirmed_at.get());
-        let reading = read_era(self.known.get(), told, confirmed_ago);
+        let reading = match read_era(self.known.get(), told, confirmed_ago) {
+            EraReading::Later(_) if !self.may_change(now) => EraReading::Doubtful,
+            reading => reading,
+        };
         match reading {
             EraReading::Current if *told == ToldEra::Missing => self.has_unnamed.set(true),
             EraReading::Current => self.confirmed_at.set(now),
@@ -94,6 +108,13 @@
         reading
     }
 
+    /// Whether a later era is believed at `now`, see [`MAX_CHANGES`].
+    pub fn may_change(&self, now: Instant) -> bool {
+        let mut changed_at = self.changed_at.borrow_mut();
+        changed_at.retain(|at| now.saturating_duration_since(*at) < CHANGES_WINDOW);
+        changed_at.len() < MAX_CHANGES
+    }
+
     /// Takes in a later era, named at `now`; whether the store has changed to it from another one. The first era that is
     /// named is no change, unless the store was read before without one.
     pub fn rise(&self, era: StoreEra, now: Instant) -> bool {
@@ -105,6 +126,7 @@
         self.confirmed_at.set(now);
         let is_change = before != StoreEra::UNNAMED || self.has_unnamed.get();
         if is_change {
+            self.changed_at.borrow_mut().push_back(now);
             self.changes.send_modify(|changes| *changes += 1);
         }
         is_change
@@ -141,7 +163,8 @@
 /// Takes in the era that the daemon `teller` knows; one of an earlier version tells none.
 pub fn take_told_era(state: &GatewayState, told: Option<u64>, teller: &str) {
     let told = StoreEra::told(told);
-    if told > state.store_eras.known() {
+    let eras = &state.store_eras;
+    if told > eras.known() && eras.may_change(Instant::now()) {
         take_later(state, told, teller);
     }
 }
