--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -174,6 +174,7 @@
                 token: record.token,
                 renewal: record.renewal,
                 era: position.era.number(),
+                written_in: record.era.number(),
             }),
         log: log.id(),
         sequence: page.sequence,
@@ -192,6 +193,7 @@
             .and_then(|proof| proof.position)
             .filter(|position| position.era == era)
             .map(|position| position.revision),
+        highest_token: state.lease.borrow().highest_token(),
         packed: None,
     };
     if question.takes_packed {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -20,7 +20,7 @@
 //! - [`known`]: what is known through peers.
 //! - [`far`]: which prompts other groups sent where.
 //! - [`cached`]: what stores of cached prompt work keep.
-//! - `records`: requests that end replicas.
+//! - `records`: requests that end replicas; `quarantine_message`: its datagrams.
 //! - [`task`]: does it all for ever: `ask` asks the source, `answer` answers others, `news` tells unasked.
 
 mod answer;
@@ -35,6 +35,7 @@
 pub mod message;
 mod news;
 pub mod packed;
+mod quarantine_message;
 mod records;
 pub mod relays;
 mod send;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -125,6 +125,9 @@
     pub store_eras: StoreEras,
     /// The latest position of the store that is known.
     pub store_position: Cell<StorePosition>,
+    /// When this daemon's entry was last found in the store, or written there, from the start of the process; at its start
+    /// where neither has been.
+    pub own_entry_written_at: Cell<Duration>,
     /// The lease under which orders are given.
     pub lease: RefCell<OrderLease>,
     /// Wakes the task that brings replicas to new weights.
@@ -152,6 +155,7 @@
         let peers = Peers::new(own_daemon(&settings), seeds(&settings), life);
         let times = lease_times(settings.times.lease_term);
         let lease = OrderLease::new(&machine(&settings), life, times);
+        let lease = lease.at_first_start(settings.is_first_start);
         Rc::new(Self {
             times: Cell::new(settings.times),
             registry: Registry::new(settings.births),
@@ -175,6 +179,7 @@
             store_progress: RefCell::default(),
             store_eras: StoreEras::new(Instant::now()),
             store_position: Cell::default(),
+            own_entry_written_at: Cell::default(),
             lease: RefCell::new(lease),
             rollout_wanted: Notify::new(),
             life,
--- a/crates/gateway/tests/packed.rs
+++ b/crates/gateway/tests/packed.rs
@@ -83,6 +83,7 @@
         quarantine: Some(u64::MAX),
         store_era: Some(u64::MAX),
         proof_revision: Some(u64::MAX),
+        highest_token: u64::MAX,
         packed: None,
     }
 }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -112,6 +112,7 @@
         store_era: None,
         proof_revision: None,
         packed: None,
+        highest_token: 0,
     }
 }
 
