--- a/crates/gateway/src/rollout/lease.rs
+++ b/crates/gateway/src/rollout/lease.rs
@@ -257,8 +257,23 @@
         Some((record, seen.position))
     }
 
+    /// Forgets what lies before `now`: the end of the term, waits.
+    pub fn forget_what_is_over(&mut self, now: Duration) {
+        self.held = self.held.filter(|held| now < held.until);
+        for moment in [
+            &mut self.renew_at,
+            &mut self.retry_at,
+            &mut self.missing_free_at,
+        ] {
+            if *moment <= now {
+                *moment = Duration::ZERO;
+            }
+        }
+    }
+
     /// What to do at `now` in order to give orders; `jitter` sets daemons apart that begin together.
     pub fn next(&mut self, now: Duration, jitter: Duration) -> LeaseAction {
+        self.forget_what_is_over(now);
         let wanted_since = *self.wanted_since.get_or_insert(now);
         if let Some(token) = self.token_at(now)
             && now < self.renew_at
