--- a/crates/gateway/src/store/era.rs
+++ b/crates/gateway/src/store/era.rs
@@ -137,6 +137,14 @@
         *self.changes.borrow()
     }
 
+    /// How long before `now` the store last changed its era; nothing where it has not done so
+    /// lately.
+    pub fn changed_ago(&self, now: Instant) -> Option<Duration> {
+        let changed_at = self.changed_at.borrow();
+        let last = changed_at.back()?;
+        Some(now.saturating_duration_since(*last))
+    }
+
     /// Waits until the store has changed its era more than `changes` times.
     pub async fn changed_after(&self, changes: u64) {
         let mut receiver = self.changes.subscribe();
