--- a/crates/gateway/src/currency.rs
+++ b/crates/gateway/src/currency.rs
@@ -21,6 +21,8 @@
 /// What is proved of the configuration.
 #[derive(Debug, Default)]
 pub struct Currency {
+    /// The highest version that this daemon, or another one, is known to hold.
+    highest: Cell<u64>,
     newer: Cell<Option<NewerVersion>>,
     proved_at: Cell<Option<Instant>>,
     wanted: Notify,
@@ -33,12 +35,22 @@
         Self::default()
     }
 
-    /// Takes in that a read which began at `began` returned what is in force.
-    pub fn prove(&self, began: Instant) {
+    /// Takes in that some daemon holds this version.
+    pub fn note_version(&self, version: u64) {
+        self.highest.set(self.highest.get().max(version));
+    }
+
+    /// Takes in that a read which began at `began` returned no newer version than `version`, which is in force; false where
+    /// that proves nothing: another daemon holds a newer one, which a store that came back from a copy has lost.
+    pub fn prove(&self, version: u64, began: Instant) -> bool {
+        if version < self.highest.get() {
+            return false;
+        }
         if self.proved_at.get().is_none_or(|known| known < began) {
             self.proved_at.set(Some(began));
         }
         self.proved.notify_waiters();
+        true
     }
 
     /// How old the newest proof is.
@@ -63,6 +75,7 @@
 
     /// Asks for a configuration that another daemon holds already.
     pub fn want_version(&self, newer: NewerVersion) {
+        self.note_version(newer.version);
         self.newer.set(Some(newer));
         self.wanted.notify_one();
     }
--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -49,6 +49,7 @@
         match Message::decode(&buffer[..length]) {
             Some(Message::Ask(question)) => {
                 take_told_era(&state, question.store_era, &from.to_string());
+                state.currency.note_version(question.configuration);
                 state
                     .peers
                     .followers
--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -137,6 +137,7 @@
     let peers = &state.peers;
     let nonce = peers.next_nonce();
     let (log, sequence, content) = peers.followed.borrow_mut().question(&peers.log.borrow());
+    let configuration = state.configuration.load();
     let question = Message::Ask(Ask {
         nonce,
         log,
@@ -144,6 +145,7 @@
         content,
         quarantine: Some(records::digest(state)),
         store_era: state.store_eras.known().number(),
+        configuration: configuration.as_ref().map_or(0, |known| known.version),
     });
     let sent_at = Instant::now();
     send(socket, &question, &daemon.peers).await;
@@ -215,14 +217,17 @@
                 let newer = NewerVersion { version, proved_at };
                 state.currency.want_version(newer);
             }
-            None => state.currency.want(),
+            None => {
+                state.currency.note_version(version);
+                state.currency.want();
+            }
         }
         return answer.has_more;
     }
     if known == answer.configuration
         && let Some(proved_at) = moment_before(sent_at, answer.proof_age_ms)
     {
-        state.currency.prove(proved_at);
+        state.currency.prove(known, proved_at);
     }
     state.refresh_readiness();
     answer.has_more
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -141,6 +141,9 @@
     /// The latest era of the store that is known, see [`crate::store::StoreEra`].
     #[musli(default)]
     pub store_era: Option<u64>,
+    /// The version of the configuration that the sender holds; 0 for none.
+    #[musli(default)]
+    pub configuration: u64,
 }
 
 /// An answer.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -39,6 +39,11 @@
 /// badly at a daemon that has not heard of the store for longer.
 const READY_CURRENCY: Duration = Duration::from_millis(2800);
 
+/// How long after the store's return from a copy replicas stay in use whose entries it lacks, so that they can write them
+/// again. Less than the time for which one that has left may still get requests (`drainMs`, 2 s), since an entry that is
+/// missing may also be that of such a one.
+const KEPT_AFTER_RETURN: Duration = Duration::from_millis(1800);
+
 /// For how long after its start a daemon may not have listed the replicas yet; a start while the store is slow
 /// (60 times 4 ms an answer, in two pages) stays well below it.
 pub(crate) const JUST_STARTED: Duration = Duration::from_secs(3);
@@ -258,6 +263,7 @@
         let failed_at = self.store_outage.list_failed_at();
         let in_touch_at = failed_at.map(|at| at + self.times.get().contact);
         let keep_until = self.peers.keep_until(now, in_touch_at);
+        let keep_until = keep_until.max(self.kept_after_return(now));
         if !self.registry.remove(id, keep_until) {
             return;
         }
@@ -272,6 +278,14 @@
         );
     }
 
+    /// Until when a replica stays in use whose entry is found to be missing at `now`, in a store that came back from a copy
+    /// lately: the copy may be older than the entry.
+    fn kept_after_return(&self, now: Instant) -> Option<Instant> {
+        let changed_ago = self.store_eras.changed_ago(now)?;
+        let left = KEPT_AFTER_RETURN.checked_sub(changed_ago)?;
+        Some(now + left)
+    }
+
     /// Forgets replicas whose entries have not come back after an outage of the store.
     pub fn forget_lapsed(&self) {
         if self.registry.forget_lapsed(Instant::now()) {
--- a/crates/gateway/src/store/configuration_reader.rs
+++ b/crates/gateway/src/store/configuration_reader.rs
@@ -28,6 +28,9 @@
 /// 0.2 s): with 4 s that is two seconds from the store's return on, in which entries come back.
 const LOOK_INTERVAL: Duration = Duration::from_millis(1800);
 
+/// The pause after a read that proved nothing, since another daemon holds a newer configuration than the store.
+const UNPROVED_PAUSE: Duration = Duration::from_millis(200);
+
 /// The pause after the source was asked for a proof, in which its answer comes.
 const PROOF_PAUSE: Duration = Duration::from_millis(100);
 
@@ -67,6 +70,10 @@
             continue;
         }
         failures = 0;
+        if !state.currency.is_within(began.elapsed()) {
+            // Every request wants a proof that the store can't give until the operator has written again.
+            tokio::time::sleep(UNPROVED_PAUSE).await;
+        }
         tokio::select! {
             () = tokio::time::sleep(INTERVAL) => needed(&state).await,
             () = state.currency.wanted() => {}
@@ -108,7 +115,7 @@
         return Newer::Missing;
     }
     // A still newer one is the newest at a later moment: this one was so when it was proved.
-    state.currency.prove(newer.proved_at);
+    state.currency.prove(held_version(state), newer.proved_at);
     Newer::Taken
 }
 
@@ -118,6 +125,12 @@
     known.as_ref().is_some_and(|known| known.version >= version)
 }
 
+/// The version of the configuration in force; 0 for none.
+fn held_version(state: &GatewayState) -> u64 {
+    let known = state.configuration.load();
+    known.as_ref().map_or(0, |known| known.version)
+}
+
 /// Whether a proof is left to the daemons that may call the store: while it is down for all, every request wants one.
 /// Where it is not, it may refuse just these few, and this daemon reads for itself.
 fn is_left_to_others(state: &GatewayState) -> bool {
@@ -155,7 +168,9 @@
             for object in objects {
                 take_configuration(state, object);
             }
-            state.currency.prove(began);
+            if !state.currency.prove(held_version(state), began) {
+                log::debug!("another daemon holds a newer configuration than the store");
+            }
             let was_lost = note_regained(state, is_reachable);
             // After an outage the replicas are listed anew, which proves the view: watches from before may be deaf.
             if !was_lost && state.peers.is_reader.get() && state.peers.follows_replicas.get() {
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -348,6 +348,12 @@
     for object in objects {
         note_unreadable(state, ObjectKind::Weights, &object);
         if let Ok(ObjectContent::Weights(weights)) = object.content {
+            // An object that is written again, as after the store's return from a copy, is no naming: it must not make a
+            // version younger whose age was assumed.
+            let newest = state.weights.borrow().newest(&weights.model);
+            if newest >= Some(weights.version) {
+                continue;
+            }
             let known = named_after(state, object.position).map(Since::Known);
             name_weights(state, &weights, known.unwrap_or(unknown));
         }
--- /dev/null
+++ b/crates/gateway/tests/currency.rs
@@ -0,0 +1,44 @@
+//! What proves that the configuration in force is the newest.
+
+use std::time::Duration;
+
+use driftspring_clock::Instant;
+use driftspring_gateway::currency::{Currency, NewerVersion};
+use quickcheck::quickcheck;
+
+#[test]
+fn a_read_proves_nothing_for_an_older_version_than_another_daemon_holds() {
+    // A gateway that starts while the store holds an old copy reads a version that others have replaced.
+    let currency = Currency::new();
+    let now = Instant::now();
+    assert!(currency.prove(4, now));
+    currency.note_version(7);
+    let later = now + Duration::from_millis(1);
+    assert!(!currency.prove(4, later));
+    assert!(currency.prove(7, later));
+    assert!(currency.prove(8, later));
+}
+
+#[test]
+fn a_version_that_is_wanted_counts_as_held_by_another() {
+    let currency = Currency::new();
+    let proved_at = Instant::now();
+    currency.want_version(NewerVersion {
+        version: 3,
+        proved_at,
+    });
+    assert!(!currency.prove(2, proved_at));
+    assert_eq!(currency.age(), None);
+}
+
+quickcheck! {
+    /// Whatever is told in whatever order, only a version as high as the highest told is proved.
+    fn only_the_highest_version_is_proved(told: Vec<u8>, held: u8) -> bool {
+        let currency = Currency::new();
+        for version in &told {
+            currency.note_version(u64::from(*version));
+        }
+        let is_highest = told.iter().all(|version| *version <= held);
+        currency.prove(u64::from(held), Instant::now()) == is_highest
+    }
+}
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -52,6 +52,7 @@
             content,
             quarantine: None,
             store_era: None,
+            configuration: 0,
         }
     }
 
@@ -608,6 +609,7 @@
         content: 3,
         quarantine: None,
         store_era: None,
+        configuration: 0,
     });
     let bytes = message.encode().expect("encodes");
     assert_eq!(Message::decode(&bytes), Some(message));
