--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -54,9 +54,9 @@
     }
 }
 
-/// How often a reading call is made again at once that the change of the store's era ended, or that was answered out of an
-/// earlier era. The last try is made on a new connection, since all are closed at the change.
-const ERA_TRIES: u32 = 3;
+/// How often a reading call is made that the change of the store's era ended, or whose answer does not count because of the
+/// era that it names: the second answer confirms a later era, and a call that a change ended is made on a new connection.
+const ERA_TRIES: u32 = 2;
 
 /// Every object of a kind, with the position of the store that a watch can go on from.
 ///
@@ -245,7 +245,7 @@
     call: &Call,
     timeout: Duration,
 ) -> Result<(StoreEra, Bytes), StoreError> {
-    let mut tries = 1;
+    let mut tries = 0;
     loop {
         let changes = state.store_eras.changes();
         let result = tokio::select! {
@@ -253,10 +253,13 @@
             result = get_once(state, call, timeout) => result,
             () = state.store_eras.changed_after(changes) => Err(StoreError::OtherEra),
         };
-        if !matches!(result, Err(StoreError::OtherEra)) || tries == ERA_TRIES {
+        // The changes themselves are bounded.
+        if state.store_eras.changes() == changes {
+            tries += 1;
+        }
+        if !matches!(result, Err(StoreError::OtherEra)) || tries >= ERA_TRIES {
             return result;
         }
-        tries += 1;
     }
 }
 
--- a/crates/gateway/src/store/era.rs
+++ b/crates/gateway/src/store/era.rs
@@ -46,6 +46,8 @@
     Current,
     /// It is of a later era, or the first that is named.
     Later(StoreEra),
+    /// It names a later era that no answer has named before: it is to be asked for again.
+    Unconfirmed(StoreEra),
     /// It is of an earlier era: it counts for nothing.
     Earlier(StoreEra),
     /// It counts as of the known era, though it does not name that.
@@ -71,6 +73,8 @@
     confirmed_at: Cell<Instant>,
     /// Whether something was taken in of a store that named no era.
     has_unnamed: Cell<bool>,
+    /// The later era that the last answer named which named one.
+    named_later: Cell<Option<StoreEra>>,
     /// When the era changed within the last [`CHANGES_WINDOW`].
     changed_at: RefCell<VecDeque<Instant>>,
     changes: watch::Sender<u64>,
@@ -83,6 +87,7 @@
             known: Cell::default(),
             confirmed_at: Cell::new(now),
             has_unnamed: Cell::default(),
+            named_later: Cell::default(),
             changed_at: RefCell::default(),
             changes: watch::Sender::new(0),
         }
@@ -98,16 +103,33 @@
         let confirmed_ago = now.saturating_duration_since(self.confirmed_at.get());
         let reading = match read_era(self.known.get(), told, confirmed_ago) {
             EraReading::Later(_) if !self.may_change(now) => EraReading::Doubtful,
+            EraReading::Later(era) => self.confirm(era),
             reading => reading,
         };
         match reading {
             EraReading::Current if *told == ToldEra::Missing => self.has_unnamed.set(true),
             EraReading::Current => self.confirmed_at.set(now),
-            EraReading::Later(_) | EraReading::Earlier(_) | EraReading::Doubtful => {}
+            EraReading::Later(_)
+            | EraReading::Unconfirmed(_)
+            | EraReading::Earlier(_)
+            | EraReading::Doubtful => {}
         }
         reading
     }
 
+    /// Reads a later era. It is believed once two answers in a row have named it: a store that names another one each time
+    /// counts something else. The first era at all is believed at once.
+    fn confirm(&self, era: StoreEra) -> EraReading {
+        let before = self.named_later.replace(Some(era));
+        let is_first = self.known() == StoreEra::UNNAMED && !self.has_unnamed.get();
+        match before {
+            Some(before) if before == era => EraReading::Later(era),
+            _ if is_first => EraReading::Later(era),
+            None => EraReading::Unconfirmed(era),
+            Some(_) => EraReading::Doubtful,
+        }
+    }
+
     /// Whether a later era is believed at `now`, see [`MAX_CHANGES`].
     pub fn may_change(&self, now: Instant) -> bool {
         let mut changed_at = self.changed_at.borrow_mut();
@@ -123,6 +145,7 @@
             return false;
         }
         self.known.set(era);
+        self.named_later.set(None);
         self.confirmed_at.set(now);
         let is_change = before != StoreEra::UNNAMED || self.has_unnamed.get();
         if is_change {
@@ -153,7 +176,8 @@
     }
 }
 
-/// Takes in the era that an answer of the store names; the era of the answer, or nothing where it is of an earlier one.
+/// Takes in the era that an answer of the store names; the era of the answer, or nothing where it is of an earlier
+/// one, or names a later one that is not confirmed yet.
 pub(super) fn take_answered(state: &GatewayState, told: &ToldEra) -> Option<StoreEra> {
     let eras = &state.store_eras;
     match eras.read(told, Instant::now()) {
@@ -163,6 +187,7 @@
             reject(state, "earlier", told);
             return None;
         }
+        EraReading::Unconfirmed(_) => return None,
         EraReading::Doubtful => reject(state, "doubtful", told),
     }
     Some(eras.known())
