--- a/crates/gateway/src/currency.rs
+++ b/crates/gateway/src/currency.rs
@@ -32,6 +32,8 @@
 /// What is proved of the configuration.
 #[derive(Debug, Default)]
 pub struct Currency {
+    /// The highest version that this daemon, or another one, is known to hold.
+    highest: Cell<u64>,
     newer: Cell<Option<NewerVersion>>,
     proof: Cell<Option<Proof>>,
     wanted: Notify,
@@ -44,13 +46,23 @@
         Self::default()
     }
 
-    /// Takes in a read that returned what is in force.
-    pub fn prove(&self, proof: Proof) {
+    /// Takes in that some daemon holds this version.
+    pub fn note_version(&self, version: u64) {
+        self.highest.set(self.highest.get().max(version));
+    }
+
+    /// Takes in a read that returned no newer version than `version`, which is in force; false where that proves nothing:
+    /// another daemon holds a newer one, which a store that came back from a copy has lost.
+    pub fn prove(&self, version: u64, proof: Proof) -> bool {
+        if version < self.highest.get() {
+            return false;
+        }
         let is_newer = |known: Proof| known.began < proof.began;
         if self.proof.get().is_none_or(is_newer) {
             self.proof.set(Some(proof));
         }
         self.proved.notify_waiters();
+        true
     }
 
     /// The newest proof.
@@ -80,6 +92,7 @@
 
     /// Asks for a configuration that another daemon holds already.
     pub fn want_version(&self, newer: NewerVersion) {
+        self.note_version(newer.version);
         self.newer.set(Some(newer));
         self.wanted.notify_one();
     }
--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -151,6 +151,7 @@
     let peers = &state.peers;
     let nonce = peers.next_nonce();
     let (log, sequence, content) = peers.followed.borrow_mut().question(&peers.log.borrow());
+    let configuration = state.configuration.load();
     let question = Message::Ask(Ask {
         nonce,
         log,
@@ -158,6 +159,7 @@
         content,
         quarantine: Some(records::digest(state)),
         store_era: state.store_eras.known().number(),
+        configuration: configuration.as_ref().map_or(0, |known| known.version),
         takes_packed: true,
     });
     let sent_at = Instant::now();
@@ -229,14 +231,17 @@
         let version = answer.configuration;
         match proof {
             Some(proof) => state.currency.want_version(NewerVersion { version, proof }),
-            None => state.currency.want(),
+            None => {
+                state.currency.note_version(version);
+                state.currency.want();
+            }
         }
         return answer.has_more;
     }
     if known == answer.configuration
         && let Some(proof) = proof
     {
-        state.currency.prove(proof);
+        state.currency.prove(known, proof);
     }
     state.refresh_readiness();
     answer.has_more
--- a/crates/gateway/tests/packed.rs
+++ b/crates/gateway/tests/packed.rs
@@ -125,6 +125,7 @@
             content: 1,
             quarantine: None,
             store_era: None,
+            configuration: 0,
             takes_packed: true,
         };
         let mut size = PackedSize::new(PAGE_BYTES);
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -52,6 +52,7 @@
             content,
             quarantine: None,
             store_era: None,
+            configuration: 0,
             takes_packed: false,
         }
     }
@@ -615,6 +616,7 @@
         content: 3,
         quarantine: None,
         store_era: None,
+        configuration: 0,
         takes_packed: false,
     });
     let bytes = message.encode().expect("encodes");
