--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -85,6 +85,9 @@
     pub replica: u64,
     /// How long ago it ended, in milliseconds.
     pub age_ms: u64,
+    /// How long the request had been there, in milliseconds.
+    #[musli(default)]
+    pub ran_ms: Option<u64>,
 }
 
 /// Records of requests, see [`WireRecord`].
@@ -105,6 +108,9 @@
     pub age_ms: u64,
     /// Whether others ended with it where the request was not open.
     pub is_coincident: bool,
+    /// How long the request had been there, in milliseconds.
+    #[musli(default)]
+    pub ran_ms: Option<u64>,
 }
 
 /// What is known of a request that was open at replicas as these ended, see [`crate::quarantine::Record`].
@@ -126,6 +132,18 @@
     pub is_stored_quarantined: bool,
     /// How long ago it was cleared, in milliseconds.
     pub cleared_age_ms: u64,
+    /// Answers that came whole since its first strike.
+    #[musli(default)]
+    pub good_ends: u32,
+    /// How often it was tried apart from others with the same ends.
+    #[musli(default)]
+    pub apart_trials: u32,
+    /// How long ago that was last begun, in milliseconds.
+    #[musli(default)]
+    pub apart_age_ms: Option<u64>,
+    /// How often its object in the store says that it was tried apart.
+    #[musli(default)]
+    pub stored_apart_trials: u32,
 }
 
 /// What one tenant used since the begin of the life that tells it, in the unit of its limit.
--- a/crates/gateway/src/peers/records.rs
+++ b/crates/gateway/src/peers/records.rs
@@ -20,11 +20,11 @@
 /// How long news are gathered: a replica that ends strikes some dozen requests at once.
 const GATHERING: Duration = Duration::from_millis(2);
 
-/// Strikes, and fingerprints, of one datagram, which so stays below 1,200 bytes: each takes up to 48 of them.
-const MAX_STRIKES: usize = 24;
+/// Strikes, and fingerprints, of one datagram, which so stays below 1,200 bytes: each takes up to 60 of them.
+const MAX_STRIKES: usize = 18;
 
-/// Records of one datagram: each takes up to 390 bytes.
-const MAX_RECORDS: usize = 3;
+/// Records of one datagram: each takes up to 560 bytes.
+const MAX_RECORDS: usize = 2;
 
 /// Records that are sent to one daemon which knows others; the rest follows with its next question.
 const MAX_SENT: usize = 60;
@@ -61,6 +61,7 @@
             fingerprint: fingerprint.number(),
             replica: strike.replica,
             age_ms: age_ms(now, strike.at),
+            ran_ms: ran_ms(strike),
         };
         (*fingerprint, strike)
     });
@@ -154,6 +155,7 @@
             replica: told.replica,
             at: moment(now, told.age_ms),
             is_coincident: false,
+            began_at: began_at(now, told.age_ms, told.ran_ms),
         };
         let fingerprint = Fingerprint::from_number(told.fingerprint);
         let role = role(&directory, fingerprint, state.peers.own());
@@ -185,6 +187,7 @@
                     replica: told.replica,
                     at: moment(now, told.age_ms),
                     is_coincident: told.is_coincident,
+                    began_at: began_at(now, told.age_ms, told.ran_ms),
                 })
                 .collect(),
             is_quarantined: told.is_quarantined,
@@ -192,8 +195,14 @@
             stored: Stored {
                 revision: told.stored_revision,
                 is_quarantined: told.is_stored_quarantined,
+                apart_trials: told.stored_apart_trials,
             },
             cleared_at: moment(now, told.cleared_age_ms),
+            good_ends: told.good_ends,
+            apart_trials: told.apart_trials,
+            apart_at: told
+                .apart_age_ms
+                .map_or(Duration::ZERO, |age_ms| moment(now, age_ms)),
         };
         let fingerprint = Fingerprint::from_number(told.fingerprint);
         let role = role(&directory, fingerprint, state.peers.own());
@@ -222,6 +231,7 @@
                 replica: strike.replica,
                 age_ms: age_ms(now, strike.at),
                 is_coincident: strike.is_coincident,
+                ran_ms: ran_ms(strike),
             })
             .collect(),
         is_quarantined: record.is_quarantined,
@@ -229,6 +239,10 @@
         stored_revision: record.stored.revision,
         is_stored_quarantined: record.stored.is_quarantined,
         cleared_age_ms: age_ms(now, record.cleared_at),
+        good_ends: record.good_ends,
+        apart_trials: record.apart_trials,
+        apart_age_ms: (record.apart_trials > 0).then(|| age_ms(now, record.apart_at)),
+        stored_apart_trials: record.stored.apart_trials,
     }
 }
 
@@ -239,3 +253,14 @@
 fn moment(now: Duration, age_ms: u64) -> Duration {
     now.saturating_sub(Duration::from_millis(age_ms))
 }
+
+fn ran_ms(strike: &Strike) -> Option<u64> {
+    let began_at = strike.began_at?;
+    Some(age_ms(strike.at, began_at))
+}
+
+/// When a request began to run at a replica that ended so long ago.
+fn began_at(now: Duration, age_ms: u64, ran_ms: Option<u64>) -> Option<Duration> {
+    let ran = Duration::from_millis(ran_ms?);
+    Some(moment(now, age_ms).saturating_sub(ran))
+}
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -42,6 +42,8 @@
     vain_sends: usize,
     unreachable: usize,
     sends: u32,
+    /// When the request was last sent to a replica.
+    sent_at: Instant,
 }
 
 /// Why an answer that had begun is not read to its end.
@@ -84,6 +86,7 @@
             vain_sends: 0,
             unreachable: 0,
             sends: 0,
+            sent_at: context.started,
         }
     }
 
@@ -111,6 +114,7 @@
             if self.sends > 0 && !self.spend() {
                 return Err(self.give_up(Reason::NotRun, None, "the budget is spent"));
             }
+            self.sent_at = Instant::now();
             match send(&self.state, &self.context, &choice, last_event_id).await {
                 Ok(opened) => {
                     self.sends += 1;
@@ -252,7 +256,8 @@
             "lost",
             &format!("fingerprint={fingerprint} {cause}"),
         );
-        note_loss(&self.state, &choice.replica, fingerprint);
+        let ran = self.sent_at.elapsed();
+        note_loss(&self.state, &choice.replica, fingerprint, ran);
         self.tried.push(choice.replica.life.clone());
         match self.may_run_again() {
             true => Ok(()),
--- a/crates/gateway/src/pipeline/check_quarantine.rs
+++ b/crates/gateway/src/pipeline/check_quarantine.rs
@@ -2,7 +2,9 @@
 
 use super::context::RequestContext;
 use super::refusal::{Reason, Refusal, Step};
-use crate::quarantine::{Fingerprint, Teller, Verdict, is_first_home};
+use std::time::Duration;
+
+use crate::quarantine::{Fingerprint, Teller, Verdict, apart, is_first_home};
 use crate::state::GatewayState;
 
 /// Checks before each send whether the request may go to a replica; `may_have_run` says whether it was at one in this try.
@@ -24,7 +26,11 @@
             state.quarantine.begin_trial(context.fingerprint());
             Ok(())
         }
-        Verdict::Due | Verdict::Quarantined => {
+        Verdict::Apart(from) if tries_apart(state, context.fingerprint(), from) => {
+            state.quarantine.begin_apart(context.fingerprint());
+            Ok(())
+        }
+        Verdict::Due | Verdict::Apart(_) | Verdict::Quarantined => {
             state.status.metrics.quarantined.inc();
             Err(refusal(context.fingerprint(), "quarantined"))
         }
@@ -43,6 +49,12 @@
     is_first_home(&state.peers.directory(), fingerprint, state.peers.own())
 }
 
+/// Whether it is this daemon's turn to try the request apart, which has been due since `from`.
+fn tries_apart(state: &GatewayState, fingerprint: Fingerprint, from: Duration) -> bool {
+    let turn = apart::turn(&state.peers.directory(), fingerprint, state.peers.own());
+    state.quarantine.now() >= from.saturating_add(turn)
+}
+
 fn refusal(fingerprint: Fingerprint, why: &str) -> Refusal {
     let detail = format!("{why} fingerprint={fingerprint}");
     Refusal::new(Step::Dispatch, Reason::Quarantined, detail)
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -240,6 +240,10 @@
     pub is_quarantined: bool,
     /// How often it was tried in quarantine.
     pub trials: u32,
+    /// Answers to it that came whole since its first end, in all generations.
+    pub good_ends: u32,
+    /// How often it was tried apart from those that were open at the same ends.
+    pub apart_trials: u32,
 }
 
 /// The content of an object.
--- /dev/null
+++ b/crates/gateway/src/quarantine/apart.rs
@@ -0,0 +1,115 @@
+//! When a quarantined request is tried apart from those that were open at the same ends.
+//!
+//! A request that is always open at every replica is open wherever another one ends a replica, so both have the same ends. Where no
+//! run of it comes whole between these ends nothing tells them apart: both are quarantined. Then one after the other is
+//! sent once more. One whose answer comes whole is cleared. When all others are, the last one is the only
+//! explanation, and is not tried. So the one that ends replicas ends one more at the most, and none where it has no others
+//! beside it.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::ledger::Ledger;
+use super::{Fingerprint, Record, place};
+use crate::peers::directory::{Directory, name_digest};
+use crate::peers::message::WireDaemon;
+
+/// Ends that nothing else explains which leave no doubt about a request; a single one may have come of itself.
+const PROOF: usize = 2;
+
+/// How long no replica must have ended before a request is tried: the replicas come back, and what else ends replicas is
+/// found meanwhile, so that it does not end that of the trial.
+const QUIET: Duration = Duration::from_secs(2);
+
+/// After the last end of its own a request is tried even if others end replicas all the time.
+const MOST_QUIET: Duration = Duration::from_secs(8);
+
+/// For how long the turn of one request is before that of the next: its caller may have left for good.
+const TURN: Duration = Duration::from_secs(1);
+
+/// How long the outcome of a trial is waited for before another request is tried, or the same once more.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Trials of one request that told nothing, because no replica ran it or its caller left; then it stays in quarantine.
+const MAX_TRIALS: u32 = 3;
+
+/// The time by which a daemon that counts for the request may try it before the next one in rank may.
+const TURN_OF_HOME: Duration = Duration::from_secs(1);
+
+/// After so long any daemon may: the request may not come to those that count for it.
+const TURN_OF_OTHERS: Duration = Duration::from_secs(4);
+
+/// These have turns of their own, so that no two try it at once: a trial is known to all within some ten milliseconds.
+const TURN_OF_OTHER: Duration = Duration::from_millis(250);
+
+/// How many such turns there are.
+const OTHER_TURNS: u64 = 256;
+
+impl Record {
+    /// Whether a replica ended as the request was tried apart, or trials are used up.
+    fn is_tried_out(&self) -> bool {
+        let last_end = self.strikes.iter().map(|strike| strike.at).max();
+        let has_ended = last_end.is_some_and(|at| at > self.apart_at);
+        self.apart_trials >= MAX_TRIALS || self.apart_trials > 0 && has_ended
+    }
+
+    /// Until when the outcome of its trial is waited for.
+    fn is_tried_until(&self) -> Duration {
+        match self.apart_trials {
+            0 => Duration::ZERO,
+            _ => self.apart_at.saturating_add(PATIENCE),
+        }
+    }
+}
+
+impl Ledger {
+    /// From when on a quarantined request is to be tried apart; nothing where it is not, since no other one has the same
+    /// ends, or since it was tried.
+    pub fn apart_from(&self, fingerprint: Fingerprint) -> Option<Duration> {
+        let record = self.get(fingerprint).filter(|known| known.is_quarantined)?;
+        let rivals = self.rivals(fingerprint);
+        if record.is_tried_out() || unexplained(record, &rivals) >= PROOF {
+            return None;
+        }
+        let quiet_from = self.last_end().unwrap_or_default().saturating_add(QUIET);
+        let mut from = quiet_from.min(record.last_at().saturating_add(MOST_QUIET));
+        let order = |fingerprint: Fingerprint, record: &Record| {
+            (
+                Reverse(record.generation),
+                Reverse(record.good_ends),
+                fingerprint,
+            )
+        };
+        let own = order(fingerprint, record);
+        let untried = rivals.iter();
+        let untried = untried.filter(|(_, rival)| !rival.is_tried_out());
+        let earlier = untried.filter(|(other, rival)| order(*other, rival) < own);
+        from += TURN * u32::try_from(earlier.count()).unwrap_or(u32::MAX);
+        // One trial at a time: of two at one replica both would seem to end it.
+        let tried = self.tried_apart(fingerprint);
+        let tried = tried.filter(|other| !other.is_tried_out());
+        from = tried.fold(from, |from, other| from.max(other.is_tried_until()));
+        Some(from.max(record.is_tried_until()))
+    }
+}
+
+/// How many ends that count against a request none of the others was open at.
+fn unexplained(record: &Record, others: &[(Fingerprint, &Record)]) -> usize {
+    let is_explained = |replica: u64| others.iter().any(|(_, other)| other.has_ended(replica));
+    let ends = record.strikes.iter();
+    ends.filter(|end| !is_explained(end.replica)).count()
+}
+
+/// How long after a request is due to be tried apart this daemon may try it.
+pub fn turn(directory: &Directory, fingerprint: Fingerprint, own: &WireDaemon) -> Duration {
+    let home = place(directory, fingerprint, own).and_then(|place| u32::try_from(place).ok());
+    if let Some(place) = home {
+        return TURN_OF_HOME * place;
+    }
+    let bytes = fingerprint.number().to_le_bytes();
+    let digest = xxh3_64_with_seed(&bytes, name_digest(&own.name));
+    let number = u32::try_from(digest % OTHER_TURNS).unwrap_or_default();
+    TURN_OF_OTHERS + TURN_OF_OTHER * number
+}
--- a/crates/gateway/src/quarantine/ends.rs
+++ b/crates/gateway/src/quarantine/ends.rs
@@ -30,38 +30,54 @@
 
 /// Answers that broke off, by replica, until it is known whether the replica has ended.
 #[derive(Debug, Default)]
-pub struct Losses(RefCell<HashMap<ReplicaLife, Vec<Fingerprint>>>);
+pub struct Losses(RefCell<HashMap<ReplicaLife, Vec<Loss>>>);
+
+/// An answer that broke off.
+#[derive(Debug, Clone, Copy)]
+struct Loss {
+    fingerprint: Fingerprint,
+    /// How long the request had been at the replica.
+    ran: Duration,
+}
 
 impl Losses {
     /// Adds a loss; true where it is the first one at this replica.
-    fn add(&self, replica: &ReplicaLife, fingerprint: Fingerprint) -> bool {
+    fn add(&self, replica: &ReplicaLife, loss: Loss) -> bool {
         let mut by_replica = self.0.borrow_mut();
         let losses = by_replica.entry(replica.clone()).or_default();
         if losses.len() < MAX_LOSSES {
-            losses.push(fingerprint);
+            losses.push(loss);
         }
         losses.len() == 1
     }
 
-    fn take(&self, replica: &ReplicaLife) -> Vec<Fingerprint> {
+    fn take(&self, replica: &ReplicaLife) -> Vec<Loss> {
         self.0.borrow_mut().remove(replica).unwrap_or_default()
     }
 }
 
-/// Takes in that an answer of `replica` to the request with this fingerprint was lost, and finds out whether the
-/// replica has ended. One that is leaving may end: that is no crash.
-pub fn note_loss(state: &Rc<GatewayState>, replica: &Rc<Replica>, fingerprint: Fingerprint) {
+/// Takes in that an answer of `replica` to the request with this fingerprint was lost, which had been there for `ran`, and
+/// finds out whether the replica has ended. One that is leaving may end: that is no crash.
+pub fn note_loss(
+    state: &Rc<GatewayState>,
+    replica: &Rc<Replica>,
+    fingerprint: Fingerprint,
+    ran: Duration,
+) {
     let is_listed = state.registry.get(replica.id()).is_some();
     if !is_listed || replica.entry().is_draining {
         return;
     }
-    if state.quarantine.losses.add(&replica.life, fingerprint) {
-        ntex::rt::spawn(find_out(Rc::clone(state), Rc::clone(replica)));
+    let loss = Loss { fingerprint, ran };
+    if state.quarantine.losses.add(&replica.life, loss) {
+        // Before the request is sent to another replica, which may end too.
+        let ended_at = state.quarantine.now();
+        let finding_out = find_out(Rc::clone(state), Rc::clone(replica), ended_at);
+        ntex::rt::spawn(finding_out);
     }
 }
 
-async fn find_out(state: Rc<GatewayState>, replica: Rc<Replica>) {
-    let ended_at = state.quarantine.now();
+async fn find_out(state: Rc<GatewayState>, replica: Rc<Replica>, ended_at: Duration) {
     tokio::time::sleep(GATHERING).await;
     // A daemon that stood still as the replica ended may find the next one at its address.
     let has_ended = state.registry.is_replaced(&replica) || is_refused(replica.pool.peer()).await;
@@ -77,16 +93,23 @@
         replica.life_hash,
         replica.pool.peer(),
         lost.len(),
-        &lost[..lost.len().min(MAX_LOGGED)]
+        logged(&lost)
     );
-    let strike = Strike {
-        replica: replica.life_hash,
-        at: ended_at,
-        is_coincident: false,
-    };
     let directory = state.peers.directory();
-    for fingerprint in lost {
+    for Loss { fingerprint, ran } in lost {
+        let strike = Strike {
+            replica: replica.life_hash,
+            at: ended_at,
+            is_coincident: false,
+            began_at: Some(ended_at.saturating_sub(ran)),
+        };
         let role = role(&directory, fingerprint, state.peers.own());
         state.quarantine.strike(fingerprint, strike, role);
     }
 }
+
+/// The fingerprints that a log line names.
+fn logged(lost: &[Loss]) -> Vec<Fingerprint> {
+    let named = lost.iter().take(MAX_LOGGED);
+    named.map(|loss| loss.fingerprint).collect()
+}
--- a/crates/gateway/src/quarantine/ledger.rs
+++ b/crates/gateway/src/quarantine/ledger.rs
@@ -8,7 +8,9 @@
 //!   replicas at once, and ends well at some all the time.
 //! - Replicas that end together count as two at the most, and as half of one if the request was not open at all of them: a crash
 //!   of many is not the work of one request. Half of one still counts, since two such requests may come at the same moment.
-//! - What a quarantined request has ended does not count against others.
+//! - What a quarantined request has ended does not count against others that were open at some of these ends, but at no other
+//!   one. Where others were open at the same ends none explains the other: all are quarantined, and tried apart
+//!   ([`super::apart`]).
 //!
 //! Daemons tell each other their records. Two records of one request merge into the same one, in whatever order and
 //! however often they are told: a clearing begins a new generation, which beats the earlier ones.
@@ -19,7 +21,8 @@
 use std::time::Duration;
 
 use super::Fingerprint;
-use super::record::{ONE_CRASH, Record, Stored, Strike, WEIGHT};
+use super::by_end::ByEnd;
+use super::record::{ONE_CRASH, Record, Stored, Strike, WEIGHT, is_after};
 
 /// Strikes after which a request is quarantined. The operator allows three ends, and three more sends.
 pub const MAX_STRIKES: usize = 3;
@@ -32,7 +35,7 @@
 /// frozen has told.
 const SETTLED: Duration = Duration::from_millis(300);
 
-/// Ends of replicas that are remembered, to know which ended together: 16 bytes each, four crashes of a seventh of 3,000
+/// Ends of replicas that are remembered, to know which ended together: 40 bytes each, four crashes of a seventh of 3,000
 /// replicas.
 const MAX_ENDS: usize = 2048;
 
@@ -54,6 +57,8 @@
     Quarantined,
     /// It is in quarantine, and due to be tried.
     Due,
+    /// The same, apart from those that were open at the same ends, since this moment.
+    Apart(Duration),
 }
 
 /// What a change of a record means for others.
@@ -71,15 +76,27 @@
 #[derive(Debug, Default)]
 pub struct Ledger {
     records: HashMap<Fingerprint, Record>,
+    by_end: ByEnd,
     /// Those that all daemons are to know, with the digests of their records.
     told: HashMap<Fingerprint, u64>,
     /// The sum of these digests.
     digest: u64,
+    /// Those in quarantine that were tried apart.
+    tried_apart: HashSet<Fingerprint>,
     /// Those with which requests are compared before they are sent, and when they end well.
     suspects: HashSet<Fingerprint>,
     last_strike: Option<Duration>,
-    /// Replicas that ended, and when, the latest last.
-    ends: VecDeque<(u64, Duration)>,
+    /// Replicas that ended, those told of last at the end.
+    ends: VecDeque<End>,
+}
+
+/// The end of a replica.
+#[derive(Debug)]
+struct End {
+    replica: u64,
+    at: Duration,
+    /// When it was there yet: the latest that a request which ran there began to.
+    alive_at: Option<Duration>,
 }
 
 /// How a daemon judges a request.
@@ -110,7 +127,6 @@
         now: Duration,
     ) -> News {
         self.last_strike = self.last_strike.max(Some(strike.at));
-        self.note_end(strike);
         let known = self.records.get(&fingerprint);
         let told = Record {
             generation: known.map_or(0, |known| known.generation),
@@ -124,26 +140,25 @@
     pub fn merge(
         &mut self,
         fingerprint: Fingerprint,
-        mut told: Record,
+        told: Record,
         role: Role,
         now: Duration,
     ) -> News {
-        self.void_explained(fingerprint, &mut told);
         self.make_room(fingerprint);
-        let mut record = self.records.remove(&fingerprint).unwrap_or_default();
-        let before = record.clone();
+        let before = self.records.get(&fingerprint).cloned();
+        let before = before.unwrap_or_default();
+        let mut record = before.clone();
         record.merge(told);
+        record
+            .strikes
+            .iter()
+            .for_each(|strike| self.note_end(*strike));
         self.settle(&mut record, now);
-        let is_found_here = !record.is_quarantined && self.is_guilty(&record, role);
+        let is_found_here = !record.is_quarantined && self.is_guilty(fingerprint, &record, role);
         record.is_quarantined |= is_found_here;
         let has_changed = record != before;
         let is_for_all = record.is_known_to_all() || before.is_known_to_all();
-        let is_quarantined_now = record.is_quarantined && !before.is_quarantined;
-        self.records.insert(fingerprint, record);
-        self.index(fingerprint);
-        if is_quarantined_now {
-            self.explain(fingerprint);
-        }
+        self.put(fingerprint, Some(record));
         match (is_found_here, has_changed && is_for_all) {
             (true, _) => News::Quarantined,
             (false, true) => News::Changed,
@@ -151,37 +166,44 @@
         }
     }
 
-    /// Takes in that an answer to the request came whole, or that an operator has released it; nothing where nothing was
-    /// held against it.
+    /// Takes in that an answer to the request came whole; nothing where nothing was held against it.
     pub fn clear(&mut self, fingerprint: Fingerprint, now: Duration) -> Option<Cleared> {
         let record = self.records.get_mut(&fingerprint)?;
-        if record.strikes.is_empty() && !record.is_quarantined {
+        record.good_ends = record.good_ends.saturating_add(1);
+        self.release(fingerprint, now)
+    }
+
+    /// Takes in that an operator has released the request; nothing where nothing was held against it.
+    pub fn release(&mut self, fingerprint: Fingerprint, now: Duration) -> Option<Cleared> {
+        let before = self.records.get(&fingerprint)?.clone();
+        if before.strikes.is_empty() && !before.is_quarantined {
             return None;
         }
-        let before = record.clone();
         let is_for_all = before.is_known_to_all();
-        match is_for_all {
-            true => {
-                *record = Record {
-                    generation: before.generation + 1,
-                    cleared_at: now,
-                    ..Record::default()
-                }
-            }
-            false => drop(self.records.remove(&fingerprint)),
-        }
-        self.index(fingerprint);
+        let after = is_for_all.then(|| Record {
+            generation: before.generation + 1,
+            cleared_at: now,
+            good_ends: before.good_ends,
+            ..Record::default()
+        });
+        self.put(fingerprint, after);
         Some(Cleared { before, is_for_all })
     }
 
     /// What is to be done with the request at `now`.
     pub fn verdict(&self, fingerprint: Fingerprint, now: Duration) -> Verdict {
         match self.records.get(&fingerprint) {
-            Some(record) if record.is_quarantined => match record.is_due(now) {
-                true => Verdict::Due,
-                false => Verdict::Quarantined,
-            },
-            Some(record) if record.is_suspect() => Verdict::Suspicious,
+            Some(record) if record.is_quarantined => {
+                let apart = self.apart_from(fingerprint);
+                match apart.filter(|from| now >= *from) {
+                    Some(from) => Verdict::Apart(from),
+                    None if record.is_due(now) => Verdict::Due,
+                    None => Verdict::Quarantined,
+                }
+            }
+            Some(record) if record.is_suspect() && !self.is_explained(fingerprint, record) => {
+                Verdict::Suspicious
+            }
             _ => Verdict::Clear,
         }
     }
@@ -194,13 +216,18 @@
         self.index(fingerprint);
     }
 
+    /// Takes in that the request is tried apart.
+    pub fn begin_apart(&mut self, fingerprint: Fingerprint, now: Duration) {
+        if let Some(record) = self.records.get_mut(&fingerprint) {
+            record.apart_trials += 1;
+            record.apart_at = now;
+        }
+        self.index(fingerprint);
+    }
+
     /// Takes in how the store keeps the record.
-    pub fn note_stored(&mut self, fingerprint: Fingerprint, revision: u64, is_quarantined: bool) {
+    pub fn note_stored(&mut self, fingerprint: Fingerprint, stored: Stored) {
         if let Some(record) = self.records.get_mut(&fingerprint) {
-            let stored = Stored {
-                revision,
-                is_quarantined,
-            };
             record.stored = record.stored.max(stored);
         }
     }
@@ -245,8 +272,7 @@
         let old: Vec<Fingerprint> = old.map(|(fingerprint, _)| *fingerprint).collect();
         let mut kept_in_store = Vec::new();
         for fingerprint in old {
-            let record = self.records.remove(&fingerprint);
-            self.index(fingerprint);
+            let record = self.put(fingerprint, None);
             if let Some(record) = record.filter(|record| record.stored.revision > 0) {
                 kept_in_store.push((fingerprint, record.stored.revision));
             }
@@ -256,21 +282,52 @@
 
     /// Remembers the end of a replica.
     fn note_end(&mut self, strike: Strike) {
-        if self.ends.iter().any(|(known, _)| *known == strike.replica) {
+        let alive_at = strike.showed_alive_at();
+        let mut ends = self.ends.iter_mut();
+        if let Some(known) = ends.find(|known| known.replica == strike.replica) {
+            known.alive_at = known.alive_at.max(alive_at);
             return;
         }
-        self.ends.push_back((strike.replica, strike.at));
+        self.ends.push_back(End {
+            replica: strike.replica,
+            at: strike.at,
+            alive_at,
+        });
         if self.ends.len() > MAX_ENDS {
             self.ends.pop_front();
         }
     }
 
-    /// Whether other replicas ended with that of a strike, where the request was not open.
+    /// Whether other replicas ended with that of a strike, where the request was not open, by no request that is known to end
+    /// replicas.
     fn coincides(&self, record: &Record, strike: &Strike) -> bool {
-        let is_together = |at: Duration| strike.at.abs_diff(at) < ONE_CRASH;
-        let mut ends = self.ends.iter();
-        strike.is_coincident
-            || ends.any(|(replica, at)| is_together(*at) && !record.has_ended(*replica))
+        let own_alive_at = self.end_of(strike.replica).and_then(|end| end.alive_at);
+        let near = self
+            .ends
+            .iter()
+            .filter(|end| strike.at.abs_diff(end.at) < ONE_CRASH && !record.has_ended(end.replica));
+        let mut has_explained = false;
+        for other in near {
+            if self.is_of_quarantined(other.replica) {
+                has_explained = true;
+            } else if !is_apart(strike.at, own_alive_at, other) {
+                return true;
+            }
+        }
+        strike.is_coincident && !has_explained
+    }
+
+    fn end_of(&self, replica: u64) -> Option<&End> {
+        self.ends.iter().find(|end| end.replica == replica)
+    }
+
+    /// Whether a quarantined request was open at a replica as it ended.
+    fn is_of_quarantined(&self, replica: u64) -> bool {
+        let mut open_there = self.by_end.open_at(replica).iter();
+        open_there.any(|request| {
+            let record = self.records.get(request);
+            record.is_some_and(|record| record.is_quarantined)
+        })
     }
 
     /// Notes for good which strikes coincide with other ends, once that is known.
@@ -286,48 +343,78 @@
     }
 
     /// Whether so many strikes count against a request that it is quarantined.
-    fn is_guilty(&self, record: &Record, role: Role) -> bool {
+    fn is_guilty(&self, fingerprint: Fingerprint, record: &Record, role: Role) -> bool {
         let limit = match role {
             Role::Home => MAX_STRIKES,
             Role::Other => MAX_STRIKES_ELSEWHERE,
         };
         record.weight(|strike| self.coincides(record, strike)) >= limit * WEIGHT
+            && !self.is_explained(fingerprint, record)
     }
 
-    /// Drops strikes that a quarantined request explains from what is told of another one.
-    fn void_explained(&self, fingerprint: Fingerprint, told: &mut Record) {
-        if told.is_quarantined {
-            return;
-        }
-        for (other, record) in self.quarantined() {
-            if other != fingerprint {
-                told.strikes
-                    .retain(|strike| !record.has_ended(strike.replica));
-            }
-        }
+    /// Whether a quarantined request was open at all ends that count against this one, and at others besides.
+    fn is_explained(&self, fingerprint: Fingerprint, record: &Record) -> bool {
+        let Some(first) = record.strikes.first() else {
+            return false;
+        };
+        let explains = |other: &Record| {
+            let mut ends = record.strikes.iter();
+            other.is_quarantined
+                && other.strikes.len() > record.strikes.len()
+                && ends.all(|strike| other.has_ended(strike.replica))
+        };
+        let open_there = self.by_end.open_at(first.replica).iter();
+        open_there
+            .filter(|other| **other != fingerprint)
+            .filter_map(|other| self.records.get(other))
+            .any(explains)
     }
 
-    /// Drops the strikes of others that a request explains which is quarantined now.
-    fn explain(&mut self, fingerprint: Fingerprint) {
-        let Some(explaining) = self.records.get(&fingerprint).cloned() else {
-            return;
+    /// The quarantined requests that were open at some of the ends that count against this one.
+    pub(super) fn rivals(&self, fingerprint: Fingerprint) -> Vec<(Fingerprint, &Record)> {
+        let ends = self.records.get(&fingerprint).into_iter();
+        let ends = ends.flat_map(|record| &record.strikes);
+        let mut rivals: Vec<Fingerprint> = ends
+            .flat_map(|strike| self.by_end.open_at(strike.replica))
+            .filter(|other| **other != fingerprint)
+            .copied()
+            .collect();
+        rivals.sort_unstable();
+        rivals.dedup();
+        let rivals = rivals.into_iter();
+        rivals
+            .filter_map(|other| Some((other, self.records.get(&other)?)))
+            .filter(|(_, record)| record.is_quarantined)
+            .collect()
+    }
+
+    /// Those in quarantine that were tried apart, another one than `fingerprint`.
+    pub(super) fn tried_apart(&self, fingerprint: Fingerprint) -> impl Iterator<Item = &Record> {
+        let others = self.tried_apart.iter();
+        let others = others.filter(move |other| **other != fingerprint);
+        others.filter_map(|other| self.records.get(other))
+    }
+
+    /// When the last replica ended that this daemon knows of.
+    pub(super) fn last_end(&self) -> Option<Duration> {
+        self.ends.iter().map(|end| end.at).max()
+    }
+
+    /// Puts a record in the place of the one before, which it gives back; nothing takes it away.
+    fn put(&mut self, fingerprint: Fingerprint, record: Option<Record>) -> Option<Record> {
+        let ends: &[Strike] = record.as_ref().map_or(&[], |record| &record.strikes);
+        self.by_end.add(fingerprint, ends);
+        let before = match record {
+            Some(record) => self.records.insert(fingerprint, record),
+            None => self.records.remove(&fingerprint),
         };
-        let mut explained = Vec::new();
-        for (other, record) in &mut self.records {
-            if *other == fingerprint || record.is_quarantined {
-                continue;
-            }
-            let before = record.strikes.len();
-            record
-                .strikes
-                .retain(|strike| !explaining.has_ended(strike.replica));
-            if record.strikes.len() != before {
-                explained.push(*other);
-            }
-        }
-        for other in explained {
-            self.index(other);
-        }
+        let after = self.records.get(&fingerprint);
+        let is_gone = |end: &&Strike| !after.is_some_and(|after| after.has_ended(end.replica));
+        let gone = before.iter().flat_map(|before| &before.strikes);
+        let gone: Vec<Strike> = gone.filter(is_gone).copied().collect();
+        self.by_end.remove(fingerprint, &gone);
+        self.index(fingerprint);
+        before
     }
 
     /// Puts a request among those that all are to know and those that are suspects, or takes it out.
@@ -336,6 +423,8 @@
         let told = record.filter(|record| record.is_known_to_all());
         let digest = told.map(|record| record.digest(fingerprint));
         let is_suspect = record.is_some_and(Record::is_to_be_compared);
+        let is_tried_apart =
+            record.is_some_and(|record| record.is_quarantined && record.apart_trials > 0);
         let before = match digest {
             Some(digest) => self.told.insert(fingerprint, digest),
             None => self.told.remove(&fingerprint),
@@ -348,6 +437,10 @@
             true => self.suspects.insert(fingerprint),
             false => self.suspects.remove(&fingerprint),
         };
+        match is_tried_apart {
+            true => self.tried_apart.insert(fingerprint),
+            false => self.tried_apart.remove(&fingerprint),
+        };
     }
 
     /// Drops the record that matters least where there are too many: the oldest one that is not quarantined, else the
@@ -362,8 +455,17 @@
             .iter()
             .min_by_key(|(_, record)| importance(record));
         if let Some(least) = least.map(|(least, _)| *least) {
-            self.records.remove(&least);
-            self.index(least);
+            self.put(least, None);
         }
     }
 }
+
+/// Whether another replica ended in another crash than one that ended at `at` and was there yet at `alive_at`: the later one
+/// began to run something after the earlier one had ended.
+fn is_apart(at: Duration, alive_at: Option<Duration>, other: &End) -> bool {
+    let (first_at, later_alive_at) = match other.at < at {
+        true => (other.at, alive_at),
+        false => (at, other.alive_at),
+    };
+    later_alive_at.is_some_and(|alive_at| is_after(alive_at, first_at))
+}
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -8,11 +8,14 @@
 //! - [`ends`]: whether a replica has ended, or only broke off an answer.
 //! - [`record`]: what is known of one request.
 //! - [`ledger`]: what is known of all; the decision.
+//! - [`apart`]: when one is tried apart from those that were open at the same ends.
 //! - [`homes`]: which daemons count for a request.
 //! - [`shared`]: the records of this daemon, and what it has to tell.
 //!
 //! How daemons tell each other lies in [`crate::peers`], how the store keeps it in [`crate::store`].
 
+pub mod apart;
+mod by_end;
 pub mod ends;
 pub mod fingerprint;
 pub mod homes;
--- a/crates/gateway/src/quarantine/record.rs
+++ b/crates/gateway/src/quarantine/record.rs
@@ -18,6 +18,14 @@
 /// within some ten milliseconds at all daemons (logs of an incident: 2 ms).
 pub(super) const ONE_CRASH: Duration = Duration::from_millis(100);
 
+/// How much earlier than the end of a replica a run at the next one may seem to have begun which in truth began after it: ages
+/// are told in whole milliseconds, and a datagram between daemons takes a few.
+const TELLING_ERROR: Duration = Duration::from_millis(10);
+
+/// The shortest run that shows that its replica was there as it began. The connections to one that ends break off within 2 ms
+/// (logs of an incident).
+const SHORTEST_RUN: Duration = Duration::from_millis(15);
+
 /// How long a strike counts. Requests that come again more seldom than that end a replica now and then.
 const STRIKE_MEMORY: Duration = Duration::from_secs(15 * 60);
 
@@ -41,6 +49,8 @@
     pub at: Duration,
     /// Whether others ended at the same time where the request was not open.
     pub is_coincident: bool,
+    /// When the request had begun to run there, the earliest of its runs; nothing where that is not known.
+    pub began_at: Option<Duration>,
 }
 
 /// How the store keeps a record.
@@ -50,6 +60,8 @@
     pub revision: u64,
     /// Whether it says that the request is quarantined.
     pub is_quarantined: bool,
+    /// How often it says that the request was tried apart.
+    pub apart_trials: u32,
 }
 
 /// What is known of one request.
@@ -67,17 +79,33 @@
     pub stored: Stored,
     /// When it was last cleared.
     pub cleared_at: Duration,
+    /// Answers that came whole since its first strike, in all generations, as far as this daemon was told.
+    pub good_ends: u32,
+    /// How often it was tried apart from the requests that were open at the same ends, in this generation.
+    pub apart_trials: u32,
+    /// When that was last begun.
+    pub apart_at: Duration,
 }
 
 impl Record {
     /// Whether the store is to keep it otherwise than it does.
     pub fn is_to_be_stored(&self) -> bool {
-        let is_kept = self.stored.revision > 0 && self.stored.is_quarantined == self.is_quarantined;
-        self.is_suspect() && !is_kept
+        let is_kept = self.stored == self.stored_at(self.stored.revision);
+        self.is_suspect() && !(is_kept && self.stored.revision > 0)
+    }
+
+    /// How the store keeps it once it was written as it is now, at this revision.
+    pub fn stored_at(&self, revision: u64) -> Stored {
+        Stored {
+            revision,
+            is_quarantined: self.is_quarantined,
+            apart_trials: self.apart_trials,
+        }
     }
 
     /// How many ends of replicas count against it. Of those that came together the first counts whole and the others half,
-    /// two at the most; where replicas ended with them at which it was not open, only the first counts, and half.
+    /// two at the most; where replicas ended with them at which it was not open, only the first counts, and half. One at
+    /// which the request began to run after the end before did not come together with that.
     pub fn count(&self) -> f64 {
         self.weight(|strike| strike.is_coincident) as f64 / WEIGHT as f64
     }
@@ -86,9 +114,12 @@
         let mut weight = 0;
         let mut counted_until = None;
         let mut of_crash = 0;
+        let mut end_before: Option<Duration> = None;
         for strike in &self.strikes {
             let is_alone = !coincides(strike);
-            let is_further = counted_until.is_some_and(|until| strike.at < until);
+            let is_after = end_before.is_some_and(|end| strike.began_after(end));
+            end_before = Some(strike.at);
+            let is_further = !is_after && counted_until.is_some_and(|until| strike.at < until);
             if !is_further {
                 counted_until = Some(strike.at + ONE_CRASH);
                 of_crash = 0;
@@ -139,6 +170,9 @@
             }
             self.is_quarantined |= told.is_quarantined;
             self.trials = self.trials.max(told.trials);
+            self.good_ends = self.good_ends.max(told.good_ends);
+            self.apart_trials = self.apart_trials.max(told.apart_trials);
+            self.apart_at = self.apart_at.max(told.apart_at);
             self.stored = self.stored.max(told.stored);
             self.cleared_at = self.cleared_at.max(told.cleared_at);
         }
@@ -158,6 +192,7 @@
             Some(known) => {
                 known.at = known.at.min(strike.at);
                 known.is_coincident |= strike.is_coincident;
+                known.began_at = earliest(known.began_at, strike.began_at);
             }
             None => self.strikes.push(strike),
         }
@@ -188,6 +223,36 @@
         bytes.extend(self.generation.to_le_bytes());
         bytes.extend(self.trials.to_le_bytes());
         bytes.push(u8::from(self.is_quarantined));
+        if self.apart_trials > 0 {
+            // Only then, so that a daemon of an earlier version, which knows of no such trials, has the same digest.
+            bytes.extend(self.apart_trials.to_le_bytes());
+        }
         xxhash_rust::xxh3::xxh3_64(&bytes)
     }
 }
+
+impl Strike {
+    /// Whether the request began to run at this replica after another one had ended.
+    fn began_after(&self, end: Duration) -> bool {
+        let alive_at = self.showed_alive_at();
+        alive_at.is_some_and(|alive_at| is_after(alive_at, end))
+    }
+
+    /// When the replica was there yet, as far as this strike shows: a request that was lost at once may have been sent on a
+    /// connection to a replica that had ended unseen.
+    pub(super) fn showed_alive_at(&self) -> Option<Duration> {
+        let ran = |began_at: Duration| self.at.saturating_sub(began_at);
+        self.began_at
+            .filter(|began_at| ran(*began_at) >= SHORTEST_RUN)
+    }
+}
+
+/// Whether a run began after the end of a replica.
+pub(super) fn is_after(began_at: Duration, end: Duration) -> bool {
+    began_at.saturating_add(TELLING_ERROR) > end
+}
+
+/// The earlier one of those that are known.
+fn earliest(one: Option<Duration>, other: Option<Duration>) -> Option<Duration> {
+    one.into_iter().chain(other).min()
+}
--- a/crates/gateway/src/quarantine/shared.rs
+++ b/crates/gateway/src/quarantine/shared.rs
@@ -12,7 +12,7 @@
 use super::Fingerprint;
 use super::ends::Losses;
 use super::ledger::{Cleared, Ledger, News, Role, Verdict};
-use super::record::{Record, Strike};
+use super::record::{Record, Stored, Strike};
 
 /// How often news are told: a datagram may be lost, and those that are told twice know it already.
 const TELLINGS: u8 = 3;
@@ -158,13 +158,15 @@
 
     /// Takes in that an answer to a request came whole: its replica has survived it.
     pub fn clear(&self, fingerprint: Fingerprint, teller: Teller) {
-        let Some(cleared) = self.take_clearing(fingerprint) else {
+        let cleared = self.ledger.borrow_mut().clear(fingerprint, self.now());
+        let Some(cleared) = self.tell_cleared(fingerprint, cleared) else {
             return;
         };
         log_event!(
             gateway::REQUEST_CLEARED,
-            "fingerprint={fingerprint} count={} was_quarantined={} told_by={teller:?}",
+            "fingerprint={fingerprint} count={} good_ends={} was_quarantined={} told_by={teller:?}",
             cleared.before.count(),
+            cleared.before.good_ends,
             cleared.before.is_quarantined
         );
         if cleared.before.stored.revision > 0 {
@@ -181,7 +183,8 @@
 
     /// Takes in that an operator took a request out of the store.
     pub fn release(&self, fingerprint: Fingerprint) {
-        if let Some(cleared) = self.take_clearing(fingerprint) {
+        let released = self.ledger.borrow_mut().release(fingerprint, self.now());
+        if let Some(cleared) = self.tell_cleared(fingerprint, released) {
             log_event!(
                 gateway::REQUEST_RELEASED,
                 "fingerprint={fingerprint} count={} was_quarantined={}",
@@ -209,7 +212,23 @@
     /// Takes in that the request is tried in quarantine.
     pub fn begin_trial(&self, fingerprint: Fingerprint) {
         self.ledger.borrow_mut().begin_trial(fingerprint);
-        log_event!(gateway::REQUEST_TRIED, "fingerprint={fingerprint}");
+        log_event!(
+            gateway::REQUEST_TRIED,
+            "fingerprint={fingerprint} why=long_in_quarantine"
+        );
+        self.tell_all(fingerprint);
+    }
+
+    /// Takes in that the request is tried apart from those that were open at the same ends.
+    pub fn begin_apart(&self, fingerprint: Fingerprint) {
+        self.ledger
+            .borrow_mut()
+            .begin_apart(fingerprint, self.now());
+        log_event!(
+            gateway::REQUEST_TRIED,
+            "fingerprint={fingerprint} why=others_have_the_same_ends rivals={}",
+            self.ledger.borrow().rivals(fingerprint).len()
+        );
         self.tell_all(fingerprint);
     }
 
@@ -233,10 +252,8 @@
     }
 
     /// Takes in how the store keeps a record, and tells all daemons.
-    pub fn note_stored(&self, fingerprint: Fingerprint, revision: u64, is_quarantined: bool) {
-        let mut ledger = self.ledger.borrow_mut();
-        ledger.note_stored(fingerprint, revision, is_quarantined);
-        drop(ledger);
+    pub fn note_stored(&self, fingerprint: Fingerprint, stored: Stored) {
+        self.ledger.borrow_mut().note_stored(fingerprint, stored);
         self.tell_all(fingerprint);
     }
 
@@ -294,8 +311,8 @@
         record.is_some_and(|record| record.is_quarantined)
     }
 
-    fn take_clearing(&self, fingerprint: Fingerprint) -> Option<Cleared> {
-        let cleared = self.ledger.borrow_mut().clear(fingerprint, self.now())?;
+    fn tell_cleared(&self, fingerprint: Fingerprint, cleared: Option<Cleared>) -> Option<Cleared> {
+        let cleared = cleared?;
         if cleared.is_for_all {
             self.tell_all(fingerprint);
         }
@@ -332,9 +349,11 @@
             .collect();
         log_event!(
             gateway::REQUEST_QUARANTINED,
-            "fingerprint={fingerprint} count={} replica_digests={replicas:?} generation={} told_by={teller:?}",
+            "fingerprint={fingerprint} count={} replica_digests={replicas:?} generation={} good_ends={} rivals={} told_by={teller:?}",
             record.count(),
-            record.generation
+            record.generation,
+            record.good_ends,
+            ledger.rivals(fingerprint).len()
         );
     }
 }
--- a/crates/gateway/src/store/quarantine.rs
+++ b/crates/gateway/src/store/quarantine.rs
@@ -162,7 +162,6 @@
     };
     let expected = Some(record.stored.revision).filter(|revision| *revision > 0);
     let name = fingerprint.to_string();
-    let is_quarantined = record.is_quarantined;
     let content = ObjectContent::Quarantine(content_of(&record));
     let mut answer = write(state, ObjectKind::Quarantine, &name, &content, expected).await;
     if let WriteAnswer::Conflict(known) = &answer {
@@ -171,9 +170,8 @@
     }
     match answer {
         WriteAnswer::Accepted(revision) => {
-            state
-                .quarantine
-                .note_stored(fingerprint, revision, is_quarantined);
+            let stored = record.stored_at(revision);
+            state.quarantine.note_stored(fingerprint, stored);
             true
         }
         answer => {
@@ -194,6 +192,8 @@
         replicas: counted.map(|strike| strike.replica).collect(),
         is_quarantined: record.is_quarantined,
         trials: record.trials,
+        good_ends: record.good_ends,
+        apart_trials: record.apart_trials,
     }
 }
 
@@ -249,6 +249,7 @@
                 replica: *replica,
                 at: now.saturating_sub(APART * (count - number)),
                 is_coincident: false,
+                began_at: None,
             })
             .collect(),
         is_quarantined: content.is_quarantined,
@@ -256,7 +257,10 @@
         stored: Stored {
             revision,
             is_quarantined: content.is_quarantined,
+            apart_trials: content.apart_trials,
         },
+        good_ends: content.good_ends,
+        apart_trials: content.apart_trials,
         ..Record::default()
     };
     let role = role(&state.peers.directory(), fingerprint, state.peers.own());
--- a/crates/gateway/tests/quarantine_beside.rs
+++ b/crates/gateway/tests/quarantine_beside.rs
@@ -3,8 +3,10 @@
 
 use std::time::Duration;
 
+use driftspring_gateway::peers::directory::Directory;
+use driftspring_gateway::peers::message::WireDaemon;
 use driftspring_gateway::quarantine::ledger::Ledger;
-use driftspring_gateway::quarantine::{Fingerprint, Role, Strike, Verdict};
+use driftspring_gateway::quarantine::{Fingerprint, Role, Strike, Verdict, apart, place};
 use http::Method;
 use quickcheck::quickcheck;
 
@@ -28,6 +30,7 @@
         replica,
         at: at(replica as f64),
         is_coincident: false,
+        began_at: None,
     };
     ledger.strike(fingerprint(number), strike, Role::Home, at(now));
 }
@@ -81,6 +84,7 @@
             replica,
             at: at(replica as f64),
             is_coincident: false,
+            began_at: None,
         };
         ledger.strike(request, strike, Role::Home, strike.at);
     };
@@ -103,9 +107,159 @@
             replica,
             at: at(replica as f64),
             is_coincident: false,
+            began_at: None,
         };
         ledger.strike(of("mallory"), strike, Role::Home, strike.at);
     }
     assert_eq!(ledger.verdict(of("mallory"), at(4.0)), Verdict::Quarantined);
     assert_eq!(ledger.verdict(of("alice"), at(4.0)), Verdict::Clear);
 }
+
+#[test]
+fn what_a_quarantined_request_has_ended_does_not_count_against_one_that_was_open_at_fewer_ends() {
+    let mut ledger = Ledger::default();
+    for replica in [1, 2] {
+        tell(&mut ledger, DEADLY, replica, 2.0);
+        tell(&mut ledger, 2, replica, 2.0);
+    }
+    assert_eq!(ledger.verdict(fingerprint(2), at(2.0)), Verdict::Suspicious);
+    tell(&mut ledger, DEADLY, 3, 3.0);
+    let of_deadly = ledger.verdict(fingerprint(DEADLY), at(3.0));
+    assert_eq!(of_deadly, Verdict::Quarantined);
+    assert_eq!(ledger.verdict(fingerprint(2), at(3.0)), Verdict::Clear);
+    // Nor does it if it is told again, or later.
+    tell(&mut ledger, 2, 1, 3.5);
+    tell(&mut ledger, 3, 1, 3.5);
+    tell(&mut ledger, 3, 3, 3.5);
+    for number in [2, 3] {
+        let verdict = ledger.verdict(fingerprint(number), at(4.0));
+        assert_eq!(verdict, Verdict::Clear, "{number}");
+    }
+    // Nor do whole answers of the one that is explained free the other.
+    ledger.clear(fingerprint(2), at(4.0));
+    let of_deadly = ledger.verdict(fingerprint(DEADLY), at(4.0));
+    assert_eq!(of_deadly, Verdict::Quarantined);
+}
+
+/// A ledger that was told of the ends of replicas 1 to 3 at the seconds of their numbers, with these requests open at each.
+fn three_ends(requests: &[u128]) -> Ledger {
+    let mut ledger = Ledger::default();
+    for number in requests {
+        (1..=3).for_each(|replica| tell(&mut ledger, *number, replica, 3.0));
+    }
+    ledger
+}
+
+fn is_apart(ledger: &Ledger, number: u128, now: f64) -> bool {
+    let verdict = ledger.verdict(fingerprint(number), at(now));
+    matches!(verdict, Verdict::Apart(_))
+}
+
+#[test]
+fn one_that_no_other_was_open_with_is_not_tried_apart() {
+    let mut ledger = three_ends(&[DEADLY]);
+    // Open at two of its ends, which explains nothing.
+    tell(&mut ledger, 2, 1, 3.0);
+    tell(&mut ledger, 2, 2, 3.0);
+    for second in 4..3000 {
+        assert!(!is_apart(&ledger, DEADLY, f64::from(second)), "{second}");
+    }
+}
+
+#[test]
+fn those_with_the_same_ends_are_tried_one_after_the_other_and_the_last_one_is_not() {
+    let mut ledger = three_ends(&[DEADLY, 2, 3]);
+    let due = |ledger: &Ledger, now: f64| -> Vec<u128> {
+        let all = [DEADLY, 2, 3].into_iter();
+        all.filter(|number| is_apart(ledger, *number, now))
+            .collect()
+    };
+    assert_eq!(
+        due(&ledger, 4.9),
+        Vec::<u128>::new(),
+        "other replicas may end yet"
+    );
+    let first = due(&ledger, 5.1);
+    assert_eq!(first.len(), 1);
+    ledger.begin_apart(fingerprint(first[0]), at(5.1));
+    assert_eq!(due(&ledger, 5.2), Vec::<u128>::new(), "one at a time");
+    ledger.clear(fingerprint(first[0]), at(5.5));
+    let second = due(&ledger, 5.6);
+    assert_eq!(second.len(), 1);
+    ledger.begin_apart(fingerprint(second[0]), at(5.6));
+    ledger.clear(fingerprint(second[0]), at(6.0));
+    for now in [6.1, 60.0, 3000.0] {
+        assert_eq!(
+            due(&ledger, now),
+            Vec::<u128>::new(),
+            "nothing else explains the ends"
+        );
+    }
+}
+
+#[test]
+fn one_whose_trial_ends_a_replica_is_not_tried_apart_again() {
+    let mut ledger = three_ends(&[DEADLY, 2]);
+    ledger.begin_apart(fingerprint(DEADLY), at(6.0));
+    tell(&mut ledger, DEADLY, 7, 7.1);
+    assert!((8..3000).all(|second| !is_apart(&ledger, DEADLY, f64::from(second))));
+    assert!(is_apart(&ledger, 2, 9.1));
+}
+
+#[test]
+fn a_trial_that_tells_nothing_is_made_again_and_at_most_three_times() {
+    let mut ledger = three_ends(&[DEADLY, 2]);
+    let mut now = 5.1;
+    let mut trials = 0;
+    while now < 200.0 {
+        if is_apart(&ledger, DEADLY, now) {
+            ledger.begin_apart(fingerprint(DEADLY), at(now));
+            trials += 1;
+        }
+        now += 0.1;
+    }
+    assert_eq!(trials, 3);
+}
+
+#[test]
+fn a_run_that_began_after_the_end_before_is_no_part_of_the_same_crash() {
+    // A request that is sent twice in a try ends two replicas 40 ms apart; one that was open at both all the time proves less.
+    let ends = [(1, 0.04, 0.0), (2, 0.08, 0.041), (3, 0.2, 0.16)];
+    for (has_run_before, expected) in [(false, Verdict::Quarantined), (true, Verdict::Suspicious)] {
+        let mut ledger = Ledger::default();
+        for (replica, ended_at, began_at) in ends {
+            let began_at = if has_run_before { 0.0 } else { began_at };
+            let strike = Strike {
+                replica,
+                at: at(ended_at),
+                is_coincident: false,
+                began_at: Some(at(began_at)),
+            };
+            ledger.strike(fingerprint(DEADLY), strike, Role::Home, strike.at);
+        }
+        assert_eq!(ledger.verdict(fingerprint(DEADLY), at(0.21)), expected);
+    }
+}
+
+#[test]
+fn daemons_have_different_turns_for_a_trial() {
+    let daemon = |number: usize| WireDaemon {
+        name: format!("gateway-{number}"),
+        peers: format!("10.0.0.{number}:7000"),
+        zone: "z".to_owned(),
+        capacity: 100,
+    };
+    let all: Vec<WireDaemon> = (0..40).map(daemon).collect();
+    let mut soonest: Vec<Duration> = Vec::new();
+    for own in &all {
+        let directory = Directory::new(&all, own);
+        let turn = apart::turn(&directory, fingerprint(5), own);
+        let is_home = place(&directory, fingerprint(5), own).is_some();
+        assert_eq!(turn < Duration::from_secs(3), is_home);
+        soonest.push(turn);
+    }
+    soonest.sort_unstable();
+    let of_homes: Vec<u64> = soonest[..3].iter().map(Duration::as_secs).collect();
+    assert_eq!(of_homes, [0, 1, 2]);
+    assert!(soonest[39] < Duration::from_secs(68));
+}
