--- a/crates/driftctl/src/explain.rs
+++ b/crates/driftctl/src/explain.rs
@@ -16,7 +16,7 @@
 ];
 
 /// Events of the process that may be the cause of what befell a request.
-const SURROUNDINGS: [&str; 17] = [
+const SURROUNDINGS: [&str; 20] = [
     "GATEWAY_STARTED",
     "GATEWAY_STOPPING",
     "GATEWAY_STOPPED",
@@ -28,7 +28,10 @@
     "REPLICA_GONE",
     "REPLICA_SUSPECT",
     "REPLICA_ENDED",
+    "REQUEST_STRUCK",
     "REQUEST_QUARANTINED",
+    "REQUEST_TRIED",
+    "REQUEST_CLEARED",
     "REQUEST_RELEASED",
     "WEIGHTS_WANTED",
     "ORDER_LEASE_LOST",
@@ -123,7 +126,10 @@
     let relevant = |line: &LogLine| {
         let is_own = line.source == first.source;
         let names_replica = own.iter().any(|own| shares_replica(own, line));
-        let is_general = !line.message.contains("replica=");
+        let is_of_one = ["replica", "fingerprint"]
+            .iter()
+            .any(|name| field(&line.message, name).is_some());
+        let is_general = !is_of_one;
         let is_in_time = line.time <= *last;
         let names_request = own.iter().any(|own| shares_fingerprint(own, line));
         let is_about_it = names_replica || names_request;
--- a/crates/driftctl/tests/explain.rs
+++ b/crates/driftctl/tests/explain.rs
@@ -156,3 +156,50 @@
         "{text}"
     );
 }
+
+#[test]
+fn a_request_that_was_held_is_told_with_its_ends_its_good_ends_and_why() {
+    let log = [
+        line(
+            "10:00:00",
+            "REQUEST_CLEARED",
+            "fingerprint=aa count=1 good_ends=4 was_quarantined=false told_by=Own",
+        ),
+        line(
+            "10:00:01",
+            "REQUEST_STRUCK",
+            "fingerprint=aa replica_digest=0a count=3 told_by=Peer",
+        ),
+        line(
+            "10:00:01",
+            "REQUEST_QUARANTINED",
+            "fingerprint=aa count=3 good_ends=4 rivals=1 told_by=Peer",
+        ),
+        line(
+            "10:00:02",
+            "REQUEST_STRUCK",
+            "fingerprint=bb replica_digest=0a count=3 told_by=Peer",
+        ),
+        line(
+            "10:00:04",
+            "REQUEST_TRIED",
+            "fingerprint=aa why=others_have_the_same_ends rivals=1",
+        ),
+        line(
+            "10:00:05",
+            "CALLER_REFUSED",
+            "request=r1 route=a status=503 step=Dispatch reason=Quarantined detail=\"quarantined fingerprint=aa\"",
+        ),
+    ];
+    let told = explain("r1", log.concat().as_bytes()).expect("readable");
+    let text = told.lines.join("\n");
+    for part in [
+        "REQUEST_CLEARED fingerprint=aa count=1 good_ends=4",
+        "REQUEST_STRUCK fingerprint=aa replica_digest=0a count=3",
+        "good_ends=4 rivals=1",
+        "REQUEST_TRIED fingerprint=aa why=others_have_the_same_ends",
+    ] {
+        assert!(text.contains(part), "{part:?} is missing: {text}");
+    }
+    assert!(!text.contains("fingerprint=bb"), "{text}");
+}
--- a/crates/gateway-program/src/quarantine.rs
+++ b/crates/gateway-program/src/quarantine.rs
@@ -20,7 +20,9 @@
         let objects = listed.await.context("listing the quarantine")?;
         match release {
             None => {
-                objects.iter().for_each(print);
+                for object in &objects {
+                    print(object, &objects);
+                }
                 Ok(ExitCode::SUCCESS)
             }
             Some(fingerprint) => {
@@ -37,22 +39,58 @@
     })
 }
 
-fn print(object: &QuarantineObject) {
+fn print(object: &QuarantineObject, all: &[QuarantineObject]) {
     match &object.content {
-        Ok(ObjectContent::Quarantine(record)) => print_record(&object.name, record),
+        Ok(ObjectContent::Quarantine(record)) => {
+            print_record(&object.name, record, count_rivals(object, record, all));
+        }
         Ok(_) => println!("{} is no record of a request", object.name),
         Err(error) => println!("{} can't be read: {error}", object.name),
     }
 }
 
-fn print_record(name: &str, record: &QuarantineRecord) {
+/// How many other requests in quarantine were open at some of the same ends.
+fn count_rivals(
+    object: &QuarantineObject,
+    record: &QuarantineRecord,
+    all: &[QuarantineObject],
+) -> usize {
+    let is_rival = |other: &QuarantineRecord| {
+        let mut ends = other.replicas.iter();
+        other.is_quarantined && ends.any(|end| record.replicas.contains(end))
+    };
+    let others = all.iter().filter(|other| other.name != object.name);
+    others
+        .filter(|other| matches!(&other.content, Ok(ObjectContent::Quarantine(other)) if is_rival(other)))
+        .count()
+}
+
+/// Why a request is held or sent.
+fn reason(record: &QuarantineRecord, rivals: usize) -> String {
+    match (record.is_quarantined, rivals, record.apart_trials) {
+        (false, ..) => "sent, once in each try: so few ends prove nothing".to_owned(),
+        (true, _, trials) if trials > 0 => {
+            format!("held: tried apart {trials} times without a whole answer")
+        }
+        (true, 0, _) => "held: no other request explains these ends".to_owned(),
+        (true, rivals, _) => format!(
+            "held until it is tried apart: {rivals} others in quarantine were open at some of these ends"
+        ),
+    }
+}
+
+fn print_record(name: &str, record: &QuarantineRecord, rivals: usize) {
     let replicas = record.replicas.iter();
     let replicas: Vec<String> = replicas.map(|digest| format!("{digest:016x}")).collect();
     println!(
-        "{name} quarantined={} ended={} replica_digests={} trials={}",
+        "{name} quarantined={} ended={} good_ends={} let_go={} replica_digests={} trials={} apart_trials={} why={:?}",
         record.is_quarantined,
         replicas.len(),
+        record.good_ends,
+        record.generation,
         replicas.join(","),
-        record.trials
+        record.trials,
+        record.apart_trials,
+        reason(record, rivals)
     );
 }
--- a/crates/gateway-program/tests/quarantine.rs
+++ b/crates/gateway-program/tests/quarantine.rs
@@ -63,3 +63,56 @@
     assert!(released.status.success(), "{released:?}");
     assert!(store.state.names("quarantine").is_empty());
 }
+
+#[test]
+fn ends_and_good_ends_are_listed_with_the_reason_why_a_request_is_held_or_sent() {
+    let store = Store::start().expect("a store");
+    let put = |name: &str, replicas: &[&str], quarantined: bool, good_ends: u32, apart: u32| {
+        let record = json!({"generation": 2, "replicas": replicas, "quarantined": quarantined,
+            "trials": 0, "goodEnds": good_ends, "apartTrials": apart});
+        store.state.put("quarantine", &name.repeat(32), record);
+    };
+    let [a, b, c, d] = [
+        "000000000000000a",
+        "000000000000000b",
+        "000000000000000c",
+        "000000000000000d",
+    ];
+    put("1", &[a, b, c], true, 17, 0);
+    put("2", &[a, b, c], true, 0, 1);
+    put("3", &[d], true, 0, 0);
+    put("4", &[a, b], false, 5, 0);
+    let folder = TemporaryDirectory::create().expect("a folder");
+    let listed = program(&settings(folder.path(), &store), None);
+    let text = String::from_utf8_lossy(&listed.stdout).into_owned();
+    for (name, parts) in [
+        (
+            "1",
+            [
+                "ended=3 good_ends=17 let_go=2",
+                "held until it is tried apart: 1 others",
+            ],
+        ),
+        (
+            "2",
+            [
+                "apart_trials=1",
+                "held: tried apart 1 times without a whole answer",
+            ],
+        ),
+        (
+            "3",
+            [
+                "ended=1 good_ends=0",
+                "held: no other request explains these ends",
+            ],
+        ),
+        ("4", ["quarantined=false", "sent, once in each try"]),
+    ] {
+        let line = text.lines().find(|line| line.starts_with(&name.repeat(32)));
+        let line = line.unwrap_or_else(|| panic!("{name} is missing: {text}"));
+        for part in parts {
+            assert!(line.contains(part), "{part:?} is missing: {line}");
+        }
+    }
+}
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -41,7 +41,7 @@
     REQUEST_CLEARED = 6601, Info, "A request that was open at replicas as they ended was answered whole: nothing counts against it any more.";
     REQUEST_QUARANTINED = 6602, Warn, "A request ended too many replicas; no replica gets it any more, whoever sends it. The fields give its fingerprint and the digests of the replicas' lives (see 6306).";
     REQUEST_RELEASED = 6603, Warn, "An operator took a request out of quarantine.";
-    REQUEST_TRIED = 6604, Warn, "A request that has been in quarantine for long is sent to one replica, by one daemon, in case that the replicas were mended.";
+    REQUEST_TRIED = 6604, Warn, "A request in quarantine is sent to one replica, by one daemon: it has been there for long, in case that the replicas were mended; or others were open at the same ends, and one of them may be the cause.";
     QUARANTINE_NOT_KEPT = 6605, Warn, "The store did not take, or did not remove, the record of a request that ended replicas; it is tried again. All daemons know it meanwhile.";
     SOURCE_CHANGED = 6501, Info, "This daemon learns what is in force from another source: the store, or the daemon named.";
     PEER_LOST = 6500, Warn, "Another daemon could not be told something; it learns it from the store.";
