--- a/crates/gateway/tests/quarantine_beside.rs
+++ b/crates/gateway/tests/quarantine_beside.rs
@@ -6,7 +6,7 @@
 use driftspring_gateway::peers::directory::Directory;
 use driftspring_gateway::peers::message::WireDaemon;
 use driftspring_gateway::quarantine::ledger::Ledger;
-use driftspring_gateway::quarantine::{Fingerprint, Role, Strike, Verdict, apart, place};
+use driftspring_gateway::quarantine::{Fingerprint, Record, Role, Strike, Verdict, apart, place};
 use http::Method;
 use quickcheck::quickcheck;
 
@@ -263,3 +263,34 @@
     assert_eq!(of_homes, [0, 1, 2]);
     assert!(soonest[39] < Duration::from_secs(68));
 }
+
+#[test]
+fn a_trial_is_kept_in_the_store_so_that_none_follows_when_all_daemons_start_again() {
+    let mut ledger = three_ends(&[DEADLY, 2]);
+    for number in [DEADLY, 2] {
+        let stored = ledger
+            .get(fingerprint(number))
+            .map(|record| record.stored_at(7));
+        ledger.note_stored(fingerprint(number), stored.expect("a record"));
+    }
+    let is_to_be_stored = |ledger: &Ledger| {
+        let record = ledger.get(fingerprint(DEADLY));
+        record.is_some_and(Record::is_to_be_stored)
+    };
+    assert!(!is_to_be_stored(&ledger));
+    ledger.begin_apart(fingerprint(DEADLY), at(6.0));
+    assert!(is_to_be_stored(&ledger));
+    let record = ledger.get(fingerprint(DEADLY)).cloned().expect("a record");
+    ledger.note_stored(fingerprint(DEADLY), record.stored_at(8));
+    assert!(!is_to_be_stored(&ledger));
+
+    // As it is read from the store: it says how often a request was tried, not when.
+    let mut later = three_ends(&[2]);
+    let read = Record {
+        apart_at: Duration::ZERO,
+        ..record
+    };
+    later.merge(fingerprint(DEADLY), read, Role::Other, at(100.0));
+    assert!((100..3000).all(|second| !is_apart(&later, DEADLY, f64::from(second))));
+    assert!(is_apart(&later, 2, 100.0));
+}
