--- a/crates/gateway/src/quarantine/kept.rs
+++ b/crates/gateway/src/quarantine/kept.rs
@@ -26,7 +26,8 @@
         .iter()
         .all(|replica| kept.replicas.contains(replica));
     let says_quarantined = kept.is_quarantined >= own.is_quarantined;
-    match says_replicas && says_quarantined && kept.trials >= own.trials {
+    let says_trials = kept.trials >= own.trials && kept.apart_trials >= own.apart_trials;
+    match says_replicas && says_quarantined && says_trials {
         true => Kept::Whole,
         false => Kept::Part,
     }
--- a/crates/gateway/src/store/quarantine.rs
+++ b/crates/gateway/src/store/quarantine.rs
@@ -166,7 +166,6 @@
     let era = state.store_eras.known();
     let expected = record.stored.position.filter(|stored| stored.era == era);
     let name = fingerprint.to_string();
-    let is_quarantined = record.is_quarantined;
     let wanted = content_of(&record);
     let content = ObjectContent::Quarantine(wanted.clone());
     let mut answer = write(state, ObjectKind::Quarantine, &name, &content, expected).await;
@@ -181,8 +180,8 @@
     }
     match answer {
         WriteAnswer::Accepted(position) => {
-            let quarantine = &state.quarantine;
-            quarantine.note_stored(fingerprint, position, is_quarantined);
+            let stored = record.stored_at(position);
+            state.quarantine.note_stored(fingerprint, stored);
             if let Some(lost) = record.stored.position.filter(|lost| lost.era != era) {
                 log_event!(
                     gateway::QUARANTINE_KEPT_AGAIN,
@@ -213,8 +212,12 @@
     };
     match compare(kept, wanted) {
         Kept::Whole => {
-            let quarantine = &state.quarantine;
-            quarantine.note_stored(fingerprint, found.position, kept.is_quarantined);
+            let stored = Stored {
+                position: Some(found.position),
+                is_quarantined: kept.is_quarantined,
+                apart_trials: kept.apart_trials,
+            };
+            state.quarantine.note_stored(fingerprint, stored);
             true
         }
         Kept::Later => {
@@ -233,6 +236,8 @@
         replicas: counted.map(|strike| strike.replica).collect(),
         is_quarantined: record.is_quarantined,
         trials: record.trials,
+        good_ends: record.good_ends,
+        apart_trials: record.apart_trials,
     }
 }
 
@@ -298,6 +303,7 @@
                 replica: *replica,
                 at: now.saturating_sub(APART * (count - number)),
                 is_coincident: false,
+                began_at: None,
             })
             .collect(),
         is_quarantined: content.is_quarantined,
@@ -305,7 +311,10 @@
         stored: Stored {
             position: Some(position),
             is_quarantined: content.is_quarantined,
+            apart_trials: content.apart_trials,
         },
+        good_ends: content.good_ends,
+        apart_trials: content.apart_trials,
         ..Record::default()
     };
     let role = role(&state.peers.directory(), fingerprint, state.peers.own());
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -43,7 +43,7 @@
     REQUEST_CLEARED = 6601, Info, "A request that was open at replicas as they ended was answered whole: nothing counts against it any more.";
     REQUEST_QUARANTINED = 6602, Warn, "A request ended too many replicas; no replica gets it any more, whoever sends it. The fields give its fingerprint and the digests of the replicas' lives (see 6306).";
     REQUEST_RELEASED = 6603, Warn, "An operator took a request out of quarantine.";
-    REQUEST_TRIED = 6604, Warn, "A request that has been in quarantine for long is sent to one replica, by one daemon, in case that the replicas were mended.";
+    REQUEST_TRIED = 6604, Warn, "A request in quarantine is sent to one replica, by one daemon: it has been there for long, in case that the replicas were mended; or others were open at the same ends, and one of them may be the cause.";
     QUARANTINE_NOT_KEPT = 6605, Warn, "The store did not take, or did not remove, the record of a request that ended replicas; it is tried again. All daemons know it meanwhile.";
     QUARANTINE_KEPT_AGAIN = 6606, Info, "The record of a request that ended replicas was written again to a store that came back from a copy. The fields tell where it is kept now, and where it was before.";
     QUARANTINE_REMOVED_AGAIN = 6607, Warn, "The store keeps the record of a request that was cleared, or released by an operator: it came back with a copy of the store, or was never removed. It counts for nothing and is removed; the request is not stopped.";
