--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -233,13 +233,14 @@
     pub quarantine: Option<u64>,
     /// Replicas that belong to [`Tell::changes`], where the question said that these are understood.
     #[musli(default)]
-    pub packed: Option<PackedReplicas>,
+    pub packed: Option<Box<PackedReplicas>>,
 }
 
 impl Tell {
     /// Moves replicas from the changes to where they take less room.
     pub fn pack(&mut self) {
-        self.packed = Some(PackedReplicas::take_from(&mut self.changes));
+        let packed = PackedReplicas::take_from(&mut self.changes);
+        self.packed = Some(Box::new(packed));
     }
 
     /// Puts packed replicas back among the changes.
