--- a/crates/gateway/tests/lease_eras.rs
+++ b/crates/gateway/tests/lease_eras.rs
@@ -153,6 +153,46 @@
     assert_eq!(one.token_at(returned + term), None);
 }
 
+#[test]
+fn the_last_holder_takes_it_again_at_once_as_long_as_nobody_can_have_taken_it_since() {
+    // Its term has ended, but every other gateway has to wait for the distance as well. Weights that are named just after
+    // the store's return would wait 5 s for the lease that it has lost.
+    let times = lease_times(DISTANCE);
+    let nobody_else_until = times.term + times.distance;
+    for (after, is_sure) in [
+        (nobody_else_until - at(1), true),
+        (nobody_else_until, false),
+    ] {
+        let mut store = Store::new();
+        let mut one = daemon("one", 1, &store, at(0));
+        let (then, lost) = acquire(&mut one, &mut store, at(0), at(6000)).expect("held");
+        store.come_back(0);
+        let now = then + after;
+        one.rest();
+        read(&mut one, &store, now);
+        assert_eq!(one.token_at(now), None);
+        let token = step(&mut one, &mut store, now);
+        assert_eq!(token.is_some(), is_sure, "{after:?}");
+        assert!(token.is_none_or(|token| token > lost));
+    }
+}
+
+#[test]
+fn one_that_gave_the_lease_back_or_was_refused_is_no_last_holder() {
+    for is_refused in [true, false] {
+        let mut store = Store::new();
+        let mut one = daemon("one", 1, &store, at(0));
+        let (then, _) = acquire(&mut one, &mut store, at(0), at(6000)).expect("held");
+        match is_refused {
+            true => one.on_fenced(),
+            false => drop(one.give_back()),
+        }
+        store.come_back(0);
+        read(&mut one, &store, then + at(300));
+        assert_eq!(step(&mut one, &mut store, then + at(300)), None);
+    }
+}
+
 #[test]
 fn a_holder_that_does_not_reach_the_store_that_came_back_stops_at_the_end_of_its_term() {
     let mut store = Store::new();
