--- a/crates/gateway/src/rollout/lease.rs
+++ b/crates/gateway/src/rollout/lease.rs
@@ -12,8 +12,9 @@
 //!
 //! A store that comes back from a copy, in a new era, may have lost the last holder's record. So a record that was not
 //! written in the era in which it is read proves nothing of who holds the lease: whoever it names, also nobody, and also
-//! where there is none, every daemon waits for the term and the distance. Only the holder before may go on at once, while
-//! its term lasts, since nobody else can have the lease by then; it writes it anew under a token of the new era.
+//! where there is none, every daemon waits for the term and the distance. Only the last holder may go on, or take it again,
+//! at once: up to the term and the distance after its last write nobody else can have the lease; it writes it anew under a
+//! token of the new era.
 //!
 //! Times are of one steady clock, as durations since any fixed moment.
 
@@ -69,11 +70,14 @@
     }
 }
 
-/// The lease as this daemon holds it.
+/// The lease as this daemon holds or held it; nothing where another one may have it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct Held {
     token: u64,
+    /// Until when it may give orders.
     until: Duration,
+    /// Until when nobody else can have taken the lease in the same era: everybody waits for the distance too.
+    alone_until: Duration,
 }
 
 /// What a daemon knows of the lease.
@@ -257,9 +261,9 @@
         Some((record, seen.position))
     }
 
-    /// Forgets what lies before `now`: the end of the term, waits.
+    /// Forgets what lies before `now`: the lease that was held, waits.
     pub fn forget_what_is_over(&mut self, now: Duration) {
-        self.held = self.held.filter(|held| now < held.until);
+        self.held = self.held.filter(|held| now < held.alone_until);
         for moment in [
             &mut self.renew_at,
             &mut self.retry_at,
@@ -286,9 +290,9 @@
         if now < self.retry_at {
             return LeaseAction::Wait(self.retry_at - now);
         }
-        let is_holding = self.token_at(now).is_some();
+        let is_last_holder = self.held.is_some();
         let Some(seen) = &self.seen else {
-            if is_holding {
+            if is_last_holder {
                 return self.write(None, true);
             }
             let polite_at = wanted_since + jitter;
@@ -298,7 +302,8 @@
         if is_of_its_era && self.is_own(&seen.record) {
             return self.write(Some(seen), self.is_fenced);
         }
-        if is_holding || (is_of_its_era && seen.record.holder == self.machine) {
+        if is_last_holder && !is_of_its_era || (is_of_its_era && seen.record.holder == self.machine)
+        {
             return self.write(Some(seen), true);
         }
         let is_free = is_of_its_era && seen.record.holder.is_empty();
@@ -332,6 +337,7 @@
                 self.held = Some(Held {
                     token: record.token,
                     until: began + self.times.term,
+                    alone_until: began + self.times.term + self.times.distance,
                 });
                 self.renew_at = began + self.times.renewal;
                 self.seen = Some(Seen {
