--- a/crates/gateway/src/currency.rs
+++ b/crates/gateway/src/currency.rs
@@ -23,6 +23,8 @@
 pub struct Currency {
     /// The highest version that this daemon, or another one, is known to hold.
     highest: Cell<u64>,
+    /// The highest such version that a read did not bring which began when it was known: the store has lost it.
+    lost: Cell<u64>,
     newer: Cell<Option<NewerVersion>>,
     proved_at: Cell<Option<Instant>>,
     wanted: Notify,
@@ -40,6 +42,22 @@
         self.highest.set(self.highest.get().max(version));
     }
 
+    /// The highest version that some daemon is known to hold.
+    pub fn highest(&self) -> u64 {
+        self.highest.get()
+    }
+
+    /// Takes in that the store, asked when `version` was known to be held by some daemon, has an older one.
+    pub fn note_lost(&self, version: u64) {
+        self.lost.set(self.lost.get().max(version));
+    }
+
+    /// Whether a daemon that holds `version` knows less than others do, which the store can't tell it: nobody may be served
+    /// by it whose key may have been taken away.
+    pub fn is_outdated(&self, version: u64) -> bool {
+        version < self.lost.get()
+    }
+
     /// Takes in that a read which began at `began` returned no newer version than `version`, which is in force; false where
     /// that proves nothing: another daemon holds a newer one, which a store that came back from a copy has lost.
     pub fn prove(&self, version: u64, began: Instant) -> bool {
--- a/crates/gateway/src/pipeline/authenticate.rs
+++ b/crates/gateway/src/pipeline/authenticate.rs
@@ -53,6 +53,14 @@
 
 /// A key may have been taken away since the configuration was last known to be current.
 async fn check_currency(state: &GatewayState, route: &Route) -> Result<(), Refusal> {
+    let configuration = state.configuration.load();
+    let version = configuration.as_ref().map_or(0, |known| known.version);
+    if state.currency.is_outdated(version) {
+        return Err(refused(
+            Reason::NotInformed,
+            "the store has lost the newest configuration",
+        ));
+    }
     let Some(allowed) = state.times.get().key_currency else {
         return Ok(());
     };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -333,7 +333,10 @@
 
     /// Tells other threads whether the configuration and the replicas are known and current.
     pub fn refresh_readiness(&self) {
-        let is_informed = self.configuration.load().is_some()
+        let configuration = self.configuration.load();
+        let version = configuration.as_ref().map_or(0, |known| known.version);
+        let is_informed = configuration.is_some()
+            && !self.currency.is_outdated(version)
             && !self.registry.is_empty()
             && self.currency.is_within(READY_CURRENCY);
         let was_informed = self.status.is_informed.swap(is_informed, Ordering::AcqRel);
--- a/crates/gateway/src/store/configuration_reader.rs
+++ b/crates/gateway/src/store/configuration_reader.rs
@@ -162,14 +162,16 @@
 
 async fn read(state: &Rc<GatewayState>, is_reachable: &mut bool) -> bool {
     let listing = || list_all(state, ObjectKind::Configuration);
+    let highest = state.currency.highest();
     let (began, result) = state.store_outage.call(listing).await;
     match result {
         Ok((objects, _)) => {
             for object in objects {
                 take_configuration(state, object);
             }
-            if !state.currency.prove(held_version(state), began) {
-                log::debug!("another daemon holds a newer configuration than the store");
+            state.currency.prove(held_version(state), began);
+            if held_version(state) < highest {
+                state.currency.note_lost(highest);
             }
             let was_lost = note_regained(state, is_reachable);
             // After an outage the replicas are listed anew, which proves the view: watches from before may be deaf.
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -374,7 +374,12 @@
         false => state.now(),
     };
     let age = first_weights_age(deadline, listing_possible_for);
-    Since::Assumed(now.checked_sub(age).unwrap_or(now))
+    let assumed = now.checked_sub(age).unwrap_or(now);
+    // In a new era of the store, what was named before the last read of the era before is known: replicas with older weights
+    // must not all go out of use at once because the naming itself was not seen.
+    let progress = state.store_progress.borrow();
+    let known_at = progress.last_before(state.store_eras.known());
+    Since::Assumed(known_at.map_or(assumed, |known_at| assumed.max(known_at)))
 }
 
 /// The moment after which an object got its position, as far as that is known: they may be heard of late.
--- a/crates/gateway/src/store/progress.rs
+++ b/crates/gateway/src/store/progress.rs
@@ -8,7 +8,7 @@
 use driftspring_clock::Instant;
 use std::collections::VecDeque;
 
-use super::position::StorePosition;
+use super::position::{StoreEra, StorePosition};
 
 /// Reads that are remembered; with one each 0.9 s those of the last half minute.
 const REMEMBERED_READS: usize = 32;
@@ -37,6 +37,13 @@
         }
     }
 
+    /// When the last read began that told a position of an earlier era than `era`.
+    pub fn last_before(&self, era: StoreEra) -> Option<Instant> {
+        let mut reads = self.reads.iter().rev();
+        let last = reads.find(|read| read.position.era < era)?;
+        Some(last.began)
+    }
+
     /// The latest moment at which the store is known not to have reached `position`; nothing where none is known.
     pub fn not_before(&self, position: StorePosition) -> Option<Instant> {
         let before = self.reads.iter().rev();
--- a/crates/gateway/tests/currency.rs
+++ b/crates/gateway/tests/currency.rs
@@ -19,6 +19,18 @@
     assert!(currency.prove(8, later));
 }
 
+#[test]
+fn a_daemon_is_outdated_while_the_store_lacks_what_others_hold() {
+    let currency = Currency::new();
+    currency.note_version(7);
+    // It may be on its way: only a read that began later shows that the store has lost it.
+    assert!(!currency.is_outdated(4));
+    currency.note_lost(currency.highest());
+    assert!(currency.is_outdated(4));
+    assert!(!currency.is_outdated(7));
+    assert!(!currency.is_outdated(9));
+}
+
 #[test]
 fn a_version_that_is_wanted_counts_as_held_by_another() {
     let currency = Currency::new();
--- a/crates/gateway/tests/store_eras.rs
+++ b/crates/gateway/tests/store_eras.rs
@@ -184,6 +184,8 @@
     // It may have come with the copy, from long before.
     assert_eq!(progress.not_before(position(2, 150)), None);
     assert_eq!(progress.not_before(position(2, 151)), Some(after(5)));
+    assert_eq!(progress.last_before(StoreEra::named(2)), Some(after(2)));
+    assert_eq!(progress.last_before(StoreEra::named(1)), None);
     assert_eq!(progress.not_before(StorePosition::unnamed(500)), None);
 }
 
