--- a/crates/gateway/src/store/era.rs
+++ b/crates/gateway/src/store/era.rs
@@ -12,7 +12,7 @@
 use driftspring_telemetry::log_event;
 use tokio::sync::watch;
 
-use super::position::StoreEra;
+use super::position::{StoreEra, StorePosition};
 use super::rejections::Rejected;
 use crate::protocol::UnreadableReason;
 use crate::state::GatewayState;
@@ -207,6 +207,10 @@
 fn take_later(state: &GatewayState, era: StoreEra, teller: &str) {
     let before = state.store_eras.known();
     let is_change = state.store_eras.rise(era, Instant::now());
+    let begin = StorePosition::unnamed(0).in_era(era);
+    let mut lease = state.lease.borrow_mut();
+    lease.on_store_position(state.now(), begin);
+    drop(lease);
     let number = era.number().and_then(|number| i64::try_from(number).ok());
     let metrics = &state.status.metrics;
     metrics.store_era.set(number.unwrap_or(i64::MAX));
