--- a/crates/gateway/src/store/configuration_reader.rs
+++ b/crates/gateway/src/store/configuration_reader.rs
@@ -163,6 +163,7 @@
 
 async fn read(state: &Rc<GatewayState>, is_reachable: &mut bool) -> bool {
     let listing = || list_all(state, ObjectKind::Configuration);
+    let highest = state.currency.highest();
     let (began, result) = state.store_outage.call(listing).await;
     match result {
         Ok((objects, position)) => {
@@ -171,8 +172,9 @@
             }
             let position = Some(position);
             let proof = Proof { began, position };
-            if !state.currency.prove(held_version(state), proof) {
-                log::debug!("another daemon holds a newer configuration than the store");
+            state.currency.prove(held_version(state), proof);
+            if held_version(state) < highest {
+                state.currency.note_lost(highest);
             }
             let was_lost = note_regained(state, is_reachable);
             // After an outage the replicas are listed anew, which proves the view: watches from before may be deaf.
