--- a/crates/gateway/src/quarantine/apart.rs
+++ b/crates/gateway/src/quarantine/apart.rs
@@ -16,9 +16,6 @@
 use crate::peers::directory::{Directory, name_digest};
 use crate::peers::message::WireDaemon;
 
-/// Ends that nothing else explains which leave no doubt about a request; a single one may have come of itself.
-const PROOF: usize = 2;
-
 /// How long no replica must have ended before a request is tried: the replicas come back, and what else ends replicas is
 /// found meanwhile, so that it does not end that of the trial.
 const QUIET: Duration = Duration::from_secs(2);
@@ -70,7 +67,7 @@
     pub fn apart_from(&self, fingerprint: Fingerprint) -> Option<Duration> {
         let record = self.get(fingerprint).filter(|known| known.is_quarantined)?;
         let rivals = self.rivals(fingerprint);
-        if record.is_tried_out() || unexplained(record, &rivals) >= PROOF {
+        if record.is_tried_out() || !is_explained(record, &rivals) {
             return None;
         }
         let quiet_from = self.last_end().unwrap_or_default().saturating_add(QUIET);
@@ -95,11 +92,15 @@
     }
 }
 
-/// How many ends that count against a request none of the others was open at.
-fn unexplained(record: &Record, others: &[(Fingerprint, &Record)]) -> usize {
-    let is_explained = |replica: u64| others.iter().any(|(_, other)| other.has_ended(replica));
+/// Whether one of the others was open at each end that counts against a request; where none was, the request itself explains
+/// the end. One that came whole before may have an end of its own: a replica may have ended of itself, and not every end
+/// that another one was open at is told of it.
+fn is_explained(record: &Record, others: &[(Fingerprint, &Record)]) -> bool {
+    let is_open_there = |replica: u64| others.iter().any(|(_, other)| other.has_ended(replica));
     let ends = record.strikes.iter();
-    ends.filter(|end| !is_explained(end.replica)).count()
+    let own = ends.filter(|end| !is_open_there(end.replica)).count();
+    let allowed = usize::from(record.good_ends > 0);
+    own <= allowed && !others.is_empty()
 }
 
 /// How long after a request is due to be tried apart this daemon may try it.
--- a/crates/gateway/src/quarantine/ledger.rs
+++ b/crates/gateway/src/quarantine/ledger.rs
@@ -86,6 +86,8 @@
     /// Those with which requests are compared before they are sent, and when they end well.
     suspects: HashSet<Fingerprint>,
     last_strike: Option<Duration>,
+    /// When the last replica ended, as far as any record tells.
+    last_end: Option<Duration>,
     /// Replicas that ended, those told of last at the end.
     ends: VecDeque<End>,
 }
@@ -127,6 +129,7 @@
         now: Duration,
     ) -> News {
         self.last_strike = self.last_strike.max(Some(strike.at));
+        self.note_end(strike);
         let known = self.records.get(&fingerprint);
         let told = Record {
             generation: known.map_or(0, |known| known.generation),
@@ -149,11 +152,9 @@
         let before = before.unwrap_or_default();
         let mut record = before.clone();
         record.merge(told);
-        record
-            .strikes
-            .iter()
-            .for_each(|strike| self.note_end(*strike));
-        self.settle(&mut record, now);
+        let last = record.strikes.last().map(|strike| strike.at);
+        self.last_end = self.last_end.max(last);
+        self.settle(fingerprint, &mut record, now);
         let is_found_here = !record.is_quarantined && self.is_guilty(fingerprint, &record, role);
         record.is_quarantined |= is_found_here;
         let has_changed = record != before;
@@ -300,7 +301,7 @@
 
     /// Whether other replicas ended with that of a strike, where the request was not open, by no request that is known to end
     /// replicas.
-    fn coincides(&self, record: &Record, strike: &Strike) -> bool {
+    fn coincides(&self, fingerprint: Fingerprint, record: &Record, strike: &Strike) -> bool {
         let own_alive_at = self.end_of(strike.replica).and_then(|end| end.alive_at);
         let near = self
             .ends
@@ -308,7 +309,7 @@
             .filter(|end| strike.at.abs_diff(end.at) < ONE_CRASH && !record.has_ended(end.replica));
         let mut has_explained = false;
         for other in near {
-            if self.is_of_quarantined(other.replica) {
+            if self.is_of_quarantined(other.replica, fingerprint) {
                 has_explained = true;
             } else if !is_apart(strike.at, own_alive_at, other) {
                 return true;
@@ -321,20 +322,25 @@
         self.ends.iter().find(|end| end.replica == replica)
     }
 
-    /// Whether a quarantined request was open at a replica as it ended.
-    fn is_of_quarantined(&self, replica: u64) -> bool {
+    /// Whether a quarantined request, other than `but`, was open at a replica as it ended.
+    fn is_of_quarantined(&self, replica: u64, but: Fingerprint) -> bool {
         let mut open_there = self.by_end.open_at(replica).iter();
         open_there.any(|request| {
             let record = self.records.get(request);
-            record.is_some_and(|record| record.is_quarantined)
+            *request != but && record.is_some_and(|record| record.is_quarantined)
         })
     }
 
-    /// Notes for good which strikes coincide with other ends, once that is known.
-    fn settle(&self, record: &mut Record, now: Duration) {
+    /// Notes for good which strikes coincide with other ends, once that is known. A full record has dropped ends at which its
+    /// request was open too, and can't tell them from others.
+    fn settle(&self, fingerprint: Fingerprint, record: &mut Record, now: Duration) {
+        if record.is_full() {
+            return;
+        }
         let is_settled = |strike: &Strike| now.saturating_sub(strike.at) >= SETTLED;
         let coincident = record.strikes.iter().map(|strike| {
-            strike.is_coincident || is_settled(strike) && self.coincides(record, strike)
+            strike.is_coincident
+                || is_settled(strike) && self.coincides(fingerprint, record, strike)
         });
         let coincident: Vec<bool> = coincident.collect();
         for (strike, is_coincident) in record.strikes.iter_mut().zip(coincident) {
@@ -348,7 +354,7 @@
             Role::Home => MAX_STRIKES,
             Role::Other => MAX_STRIKES_ELSEWHERE,
         };
-        record.weight(|strike| self.coincides(record, strike)) >= limit * WEIGHT
+        record.weight(|strike| self.coincides(fingerprint, record, strike)) >= limit * WEIGHT
             && !self.is_explained(fingerprint, record)
     }
 
@@ -397,7 +403,7 @@
 
     /// When the last replica ended that this daemon knows of.
     pub(super) fn last_end(&self) -> Option<Duration> {
-        self.ends.iter().map(|end| end.at).max()
+        self.last_end
     }
 
     /// Puts a record in the place of the one before, which it gives back; nothing takes it away.
--- a/crates/gateway/src/quarantine/record.rs
+++ b/crates/gateway/src/quarantine/record.rs
@@ -198,6 +198,11 @@
         }
     }
 
+    /// Whether one more strike would displace one.
+    pub(super) fn is_full(&self) -> bool {
+        self.strikes.len() >= KEPT_STRIKES
+    }
+
     pub(super) fn has_ended(&self, replica: u64) -> bool {
         self.strikes.iter().any(|strike| strike.replica == replica)
     }
--- a/crates/gateway/tests/quarantine_beside.rs
+++ b/crates/gateway/tests/quarantine_beside.rs
@@ -294,3 +294,20 @@
     assert!((100..3000).all(|second| !is_apart(&later, DEADLY, f64::from(second))));
     assert!(is_apart(&later, 2, 100.0));
 }
+
+#[test]
+fn one_with_an_end_of_its_own_is_tried_apart_only_where_it_came_whole_before() {
+    for has_come_whole in [false, true] {
+        let mut ledger = three_ends(&[DEADLY]);
+        if has_come_whole {
+            (11..=12).for_each(|replica| tell(&mut ledger, 2, replica, 12.0));
+            ledger.clear(fingerprint(2), at(12.5));
+        }
+        // Two of its ends are those of the deadly one; nothing else explains the third.
+        for replica in [2, 3, 13] {
+            tell(&mut ledger, 2, replica, 13.0);
+        }
+        assert_eq!(is_apart(&ledger, 2, 30.0), has_come_whole);
+        assert!(!is_apart(&ledger, DEADLY, 30.0));
+    }
+}
