--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -236,21 +236,6 @@
     pub packed: Option<Box<PackedReplicas>>,
 }
 
-impl Tell {
-    /// Moves replicas from the changes to where they take less room.
-    pub fn pack(&mut self) {
-        let packed = PackedReplicas::take_from(&mut self.changes);
-        self.packed = Some(Box::new(packed));
-    }
-
-    /// Puts packed replicas back among the changes.
-    pub fn unpack(&mut self) {
-        if let Some(packed) = self.packed.take() {
-            self.changes.extend(packed.changes());
-        }
-    }
-}
-
 /// Wanted weights.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub struct WireWeights {
--- a/crates/gateway/src/peers/packed.rs
+++ b/crates/gateway/src/peers/packed.rs
@@ -9,7 +9,7 @@
 use musli::mode::Binary;
 use musli::{Decode, Encode};
 
-use super::message::{Change, Item, WireReplica};
+use super::message::{Change, Item, Tell, WireReplica};
 
 /// The bytes of an address: four of the machine and two of the port, the high ones first.
 const ADDRESS_BYTES: usize = 6;
@@ -136,6 +136,21 @@
     Some(place)
 }
 
+impl Tell {
+    /// Moves replicas from the changes to where they take less room.
+    pub fn pack(&mut self) {
+        let packed = PackedReplicas::take_from(&mut self.changes);
+        self.packed = Some(Box::new(packed));
+    }
+
+    /// Puts packed replicas back among the changes.
+    pub fn unpack(&mut self) {
+        if let Some(packed) = self.packed.take() {
+            self.changes.extend(packed.changes());
+        }
+    }
+}
+
 /// Counts what fits into a page of packed changes.
 #[derive(Debug)]
 pub struct PackedSize {
--- a/crates/gateway/tests/packed.rs
+++ b/crates/gateway/tests/packed.rs
@@ -7,8 +7,21 @@
     Ask, Change, Item, ItemKey, MAX_DATAGRAM_BYTES, Message, Tell, WireDaemon, WireReplica,
 };
 use driftspring_gateway::peers::packed::{PackedReplicas, PackedSize};
+use musli::{Decode, Encode};
 use quickcheck::{Arbitrary, Gen, quickcheck};
 
+/// A question as a daemon of an earlier version knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+struct EarlierAsk {
+    nonce: u64,
+    log: u64,
+    sequence: u64,
+    #[musli(default)]
+    content: u64,
+    #[musli(default)]
+    quarantine: Option<u64>,
+}
+
 /// The bytes of a page of changes in an answer, and those of the rest of it.
 const PAGE_BYTES: usize = MAX_DATAGRAM_BYTES - 350;
 
@@ -168,3 +181,28 @@
     packed.texts.pop();
     assert_eq!(packed.changes().count(), 0);
 }
+
+#[test]
+fn daemons_of_an_earlier_version_understand_questions_and_are_told_nothing_packed() {
+    let asked = Ask {
+        nonce: 1,
+        log: 2,
+        sequence: 3,
+        content: 4,
+        quarantine: Some(5),
+        takes_packed: true,
+    };
+    let earlier = EarlierAsk {
+        nonce: 1,
+        log: 2,
+        sequence: 3,
+        content: 4,
+        quarantine: Some(5),
+    };
+    let bytes = musli::wire::to_vec(&asked).expect("encoded");
+    let read: EarlierAsk = musli::wire::decode(bytes.as_slice()).expect("decoded");
+    assert_eq!(read, earlier);
+    let bytes = musli::wire::to_vec(&earlier).expect("encoded");
+    let read: Ask = musli::wire::decode(bytes.as_slice()).expect("decoded");
+    assert!(!read.takes_packed);
+}
