--- a/crates/gateway/tests/packed.rs
+++ b/crates/gateway/tests/packed.rs
@@ -195,6 +195,8 @@
         sequence: 3,
         content: 4,
         quarantine: Some(5),
+        store_era: None,
+        configuration: 0,
         takes_packed: true,
     };
     let earlier = EarlierAsk {
