--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -299,6 +299,34 @@
     assert!(know_the_same(few, many));
 }
 
+#[test]
+fn daemons_know_the_same_where_the_first_end_that_both_heard_of_came_with_one_of_another_generation()
+ {
+    // Found by the property, in a run beside load: two daemons that had told each other what they knew did not know the same.
+    let one = vec![(2, 0), (1, 0), (0, 0), (1, 62)];
+    let other = vec![(2, 62), (3, 0), (4, 1)];
+    assert!(know_the_same(one, other));
+}
+
+/// Found by the property above: two daemons that had told each other what they knew, of ends at eleven replicas and of
+/// clearings, did not know the same.
+#[test]
+fn daemons_that_heard_of_many_ends_of_one_request_know_the_same() {
+    let one = vec![(1, 0), (2, 0), (0, 0), (100, 10), (21, 0)];
+    let other = vec![
+        (1, 0),
+        (2, 0),
+        (0, 0),
+        (255, 10),
+        (75, 10),
+        (1, 11),
+        (74, 11),
+        (5, 10),
+        (150, 10),
+    ];
+    assert!(know_the_same(one, other));
+}
+
 fn daemons(count: usize) -> Vec<WireDaemon> {
     let daemon = |number: usize| WireDaemon {
         name: format!("gateway-{number}"),
