--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -58,7 +58,7 @@
         if source == Source::Store {
             set_source(&state, &source);
         }
-        state.peers.may_read.set(chooser.may_read());
+        state.peers.set_may_read(chooser.may_read());
         let leader = chooser.leader(&group);
         state.peers.set_leader(leader);
         let leader = leader.map(|leader| name_digest(&leader.name));
--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/known.rs
@@ -29,6 +29,13 @@
 /// been asked in vain before the first one has its turn again, and this daemon reads the store.
 const MOST_SEEDS: usize = 3;
 
+/// How long a daemon that has just started waits for its source to tell it all replicas before it lists them itself: as long
+/// as others wait for a reader that knows nothing yet.
+const FIRST_LIST_PATIENCE: Duration = Duration::from_millis(1300);
+
+/// How often it looks whether it was told.
+const FIRST_LIST_POLL: Duration = Duration::from_millis(20);
+
 /// What a daemon knows through its peers, and whom it tells.
 #[derive(Debug)]
 pub struct Peers {
@@ -76,6 +83,10 @@
     pub(super) far: FarExchange,
     pub(super) nudges: Cell<bool>,
     pub(super) store_recovered: Cell<bool>,
+    /// Whether a source has been chosen, and with it whether this daemon may read the store.
+    has_chosen: Cell<bool>,
+    /// Wakes the task that waits for that.
+    chosen: Notify,
 }
 
 impl Peers {
@@ -111,6 +122,8 @@
             far: FarExchange::default(),
             nudges: Cell::new(false),
             store_recovered: Cell::new(false),
+            has_chosen: Cell::new(false),
+            chosen: Notify::new(),
         }
     }
 
@@ -199,6 +212,33 @@
         }
     }
 
+    /// Takes in whether this daemon may read the store for its group, as a source has been chosen.
+    pub(super) fn set_may_read(&self, may_read: bool) {
+        self.may_read.set(may_read);
+        if !self.has_chosen.replace(true) {
+            self.chosen.notify_waiters();
+        }
+    }
+
+    /// Whether this daemon, which has just started, lists the replicas itself: where it may read the store for its group, or
+    /// its source has not told it all of them in time. The lists of hundreds that start together would fill the
+    /// store's link, and the readers would wait for theirs behind them.
+    pub async fn wants_first_list(&self) -> bool {
+        while !self.has_chosen.get() {
+            self.chosen.notified().await;
+        }
+        if self.may_read.get() {
+            return true;
+        }
+        let until_told = async {
+            while self.view_age().is_none() {
+                tokio::time::sleep(FIRST_LIST_POLL).await;
+            }
+        };
+        let told = tokio::time::timeout(FIRST_LIST_PATIENCE, until_told).await;
+        told.is_err()
+    }
+
     /// Waits until this daemon leads its group.
     pub async fn until_leader(&self) {
         while !self.is_leader.get() {
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -95,12 +95,14 @@
 
 /// What is listed at the start of a daemon that was started again, whichever daemon reads the store for the group:
 /// callers come to it at once. Its source tells it within half a second what has changed since a recent list of
-/// replicas, but weights count from when they were named.
+/// replicas, but weights count from when they were named. In a large group only the few that may read the store list
+/// the replicas.
 async fn first_list(state: &GatewayState, kind: ObjectKind) -> Option<Vec<StoredObject>> {
     if state.settings.is_first_start {
         return None;
     }
     let listed = match kind {
+        ObjectKind::Replicas if !state.peers.wants_first_list().await => return None,
         ObjectKind::Replicas => list_recent(state, kind).await,
         ObjectKind::Weights => list_all(state, kind).await.map(|(objects, _)| objects),
         ObjectKind::Configuration
