--- a/crates/gateway/src/quarantine/apart.rs
+++ b/crates/gateway/src/quarantine/apart.rs
@@ -92,15 +92,14 @@
     }
 }
 
-/// Whether one of the others was open at each end that counts against a request; where none was, the request itself explains
-/// the end. One that came whole before may have an end of its own: a replica may have ended of itself, and not every end
-/// that another one was open at is told of it.
+/// Whether one of the others was open at each end that counts against a request but one. That may be an end of itself, or
+/// one that is told under two names: a daemon that has not heard yet that a replica started again under its id names its end after
+/// the life before.
 fn is_explained(record: &Record, others: &[(Fingerprint, &Record)]) -> bool {
     let is_open_there = |replica: u64| others.iter().any(|(_, other)| other.has_ended(replica));
     let ends = record.strikes.iter();
     let own = ends.filter(|end| !is_open_there(end.replica)).count();
-    let allowed = usize::from(record.good_ends > 0);
-    own <= allowed && !others.is_empty()
+    own <= 1 && !others.is_empty()
 }
 
 /// How long after a request is due to be tried apart this daemon may try it.
