--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -17,6 +17,7 @@
 use super::refusal::{Reason, Refusal, Step};
 use crate::protocol::ReplicaLife;
 use crate::quarantine::note_loss;
+use crate::replicas::Replica;
 use crate::state::GatewayState;
 use crate::upstream::SendFailure;
 
@@ -30,6 +31,10 @@
 /// store takes a few milliseconds, and a slow one is waited for as long as a proof of the configuration is.
 const FIRST_LIST_PATIENCE: Duration = Duration::from_millis(600);
 
+/// How long a request waits to hear of weights that every replica refused it for. Its gateway asks another one at once, whose
+/// answer takes milliseconds; a caller that is refused comes back no sooner (`Retry-After` of 250 ms).
+const WEIGHTS_PATIENCE: Duration = Duration::from_millis(250);
+
 /// Why a request is withdrawn.
 const TOO_OLD: &str = "it had not begun when the weights of its replica became too old";
 
@@ -38,6 +43,8 @@
     state: Rc<GatewayState>,
     context: Rc<RequestContext>,
     tried: Vec<ReplicaLife>,
+    /// Replicas that have other weights than they were sent to for, of which nobody has told this gateway yet.
+    with_unknown_weights: Vec<WithOtherWeights>,
     runs: u32,
     vain_sends: usize,
     unreachable: usize,
@@ -46,6 +53,14 @@
     sent_at: Instant,
 }
 
+/// A replica that refused a request since it has other weights.
+#[derive(Debug)]
+struct WithOtherWeights {
+    replica: Rc<Replica>,
+    /// The version for which the request was sent.
+    sent_for: u64,
+}
+
 /// Why an answer that had begun is not read to its end.
 #[derive(Debug)]
 pub enum Break {
@@ -82,6 +97,7 @@
             state: Rc::clone(state),
             context: Rc::clone(context),
             tried: Vec::new(),
+            with_unknown_weights: Vec::new(),
             runs: 0,
             vain_sends: 0,
             unreachable: 0,
@@ -109,7 +125,10 @@
             }
             let choice = match choose(&self.state, &self.context, &self.tried, progress) {
                 Ok(choice) => choice,
-                Err(refusal) => return Err(self.without_replica(refusal)),
+                Err(refusal) => match refusal.reason {
+                    Reason::NoReplica if self.hears_of_weights().await => continue,
+                    _ => return Err(self.without_replica(refusal)),
+                },
             };
             if self.sends > 0 && !self.spend() {
                 return Err(self.give_up(Reason::NotRun, None, "the budget is spent"));
@@ -173,12 +192,16 @@
                 Ok(Some(Attempt { opened, choice }))
             }
             Verdict::NotRun => {
-                if meta.is_misdirected && meta.replica.as_deref() == Some(choice.replica.id()) {
-                    self.correct_weights(&choice);
-                }
                 let status = opened.answer.status().as_u16();
                 let detail = format!("status {status}, misdirected {}", meta.is_misdirected);
-                self.not_run(&choice, peer, &detail)?;
+                let is_right = meta.replica.as_deref() == Some(choice.replica.id());
+                let other = self
+                    .sent_for(&choice)
+                    .filter(|_| meta.is_misdirected && is_right);
+                match other {
+                    Some(other) => self.has_other_weights(&choice, other, peer, &detail)?,
+                    None => self.not_run(&choice, peer, &detail)?,
+                }
                 Ok(None)
             }
             Verdict::Unusable(why) => {
@@ -188,15 +211,66 @@
         }
     }
 
-    /// Takes in that the right replica has other weights than it was sent to for.
-    fn correct_weights(&self, choice: &Choice) {
-        let Some((prompt, sent_for)) = self.context.prompt().zip(choice.weights_version) else {
-            return;
+    /// The replica with the version of the weights that the request was sent for; nothing where it needs none.
+    fn sent_for(&self, choice: &Choice) -> Option<WithOtherWeights> {
+        self.context.prompt()?;
+        Some(WithOtherWeights {
+            replica: Rc::clone(&choice.replica),
+            sent_for: choice.weights_version?,
+        })
+    }
+
+    /// Takes in that the right replica has other weights than it was sent to for. It may be tried again for those: where a
+    /// service has few replicas, all may have loaded between the choice and the arrival.
+    fn has_other_weights(
+        &mut self,
+        choice: &Choice,
+        other: WithOtherWeights,
+        peer: SocketAddr,
+        detail: &str,
+    ) -> Result<(), Refusal> {
+        self.log_attempt(choice, "not_run", detail);
+        self.state.holders.forget(&choice.prefixes, &choice.replica);
+        if !self.knows_weights(&other) {
+            choice.replica.health.note_full(Instant::now());
+            self.tried.push(choice.replica.life.clone());
+            self.with_unknown_weights.push(other);
+        }
+        self.sent_in_vain(peer, detail)
+    }
+
+    /// Whether another version is believed of a replica than the request was sent for.
+    fn knows_weights(&self, other: &WithOtherWeights) -> bool {
+        let Some(prompt) = self.context.prompt() else {
+            return false;
         };
         let wanted = self.state.weights.borrow();
-        choice
-            .replica
-            .correct_version(&prompt.model, sent_for, &wanted);
+        let replica = &other.replica;
+        replica.correct_version(&prompt.model, other.sent_for, &wanted);
+        replica.version_of(&prompt.model) != Some(other.sent_for)
+    }
+
+    /// Waits until this gateway hears of weights that a replica refused the request for; whether a replica may be tried
+    /// again for them.
+    async fn hears_of_weights(&mut self) -> bool {
+        if self.with_unknown_weights.is_empty() {
+            return false;
+        }
+        self.state.peers.ask_now();
+        let patience = WEIGHTS_PATIENCE.min(self.context.time_left());
+        let others = std::mem::take(&mut self.with_unknown_weights);
+        let known = async {
+            while !others.iter().any(|other| self.knows_weights(other)) {
+                self.state.weights_named.notified().await;
+            }
+        };
+        if tokio::time::timeout(patience, known).await.is_err() {
+            log::debug!("no newer weights were heard of in {patience:?}");
+        }
+        let known = others.iter().filter(|other| self.knows_weights(other));
+        let known: Vec<ReplicaLife> = known.map(|other| other.replica.life.clone()).collect();
+        self.tried.retain(|life| !known.contains(life));
+        !known.is_empty()
     }
 
     /// Whether a request that failed at a replica goes to another one instead of passing the failure on.
@@ -239,6 +313,11 @@
         choice.replica.health.note_full(Instant::now());
         self.state.holders.forget(&choice.prefixes, &choice.replica);
         self.tried.push(choice.replica.life.clone());
+        self.sent_in_vain(peer, detail)
+    }
+
+    /// Counts a send that a replica did not run; an error where there were too many.
+    fn sent_in_vain(&mut self, peer: SocketAddr, detail: &str) -> Result<(), Refusal> {
         self.vain_sends += 1;
         match self.vain_sends >= MAX_VAIN_SENDS {
             true => Err(self.give_up(Reason::NotRun, Some(peer), detail)),
