--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// What may be done with a request again.
@@ -182,6 +183,7 @@
     tenants_by_key: Option<HashMap<String, Arc<Tenant>>>,
     /// What callers may send.
     pub limits: CallerLimits,
+    document: Bytes,
 }
 
 impl Configuration {
@@ -209,9 +211,22 @@
             services,
             tenants_by_key: tenants.map(index_tenants),
             limits,
+            document: Bytes::new(),
         }
     }
 
+    /// The same with the document that it was read from.
+    pub fn with_document(mut self, document: Bytes) -> Self {
+        self.document = document;
+        self
+    }
+
+    /// The document that it was read from, which other daemons may need where the store has lost it; empty where it was not
+    /// read from any.
+    pub fn document(&self) -> &[u8] {
+        &self.document
+    }
+
     /// The route of the longest prefix that begins `path` at `host` (without a port).
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.routes_by_host.get(host)?;
--- a/crates/gateway/src/currency.rs
+++ b/crates/gateway/src/currency.rs
@@ -36,6 +36,10 @@
     highest: Cell<u64>,
     /// The highest such version that a read did not bring which began when it was known: the store has lost it.
     lost: Cell<u64>,
+    /// Whether other daemons were asked at the start which version they hold, and have answered or were silent for too long.
+    has_first_word: Cell<bool>,
+    lost_noted: Notify,
+    first_word: Notify,
     newer: Cell<Option<NewerVersion>>,
     proof: Cell<Option<Proof>>,
     wanted: Notify,
@@ -61,6 +65,33 @@
     /// Takes in that the store, asked when `version` was known to be held by some daemon, has an older one.
     pub fn note_lost(&self, version: u64) {
         self.lost.set(self.lost.get().max(version));
+        self.lost_noted.notify_one();
+    }
+
+    /// Waits until the store was found to have lost a version.
+    pub async fn lost(&self) {
+        self.lost_noted.notified().await;
+    }
+
+    /// Takes in that what other daemons knew at the start is known.
+    pub fn note_first_word(&self) {
+        self.has_first_word.set(true);
+        self.first_word.notify_waiters();
+    }
+
+    /// Whether what other daemons knew at the start is known. Before, a proof by an own read says little: the store may be a
+    /// copy that lacks the newest configuration.
+    pub fn has_first_word(&self) -> bool {
+        self.has_first_word.get()
+    }
+
+    /// Waits for that, up to `patience`; whether it is so.
+    pub async fn until_first_word(&self, patience: Duration) -> bool {
+        if self.has_first_word() {
+            return true;
+        }
+        let word = self.first_word.notified();
+        tokio::time::timeout(patience, word).await.is_ok()
     }
 
     /// Whether a daemon that holds `version` knows less than others do, which the store can't tell it: nobody may be served
@@ -83,6 +114,13 @@
         true
     }
 
+    /// Waits for the first proof.
+    pub async fn until_proved(&self) {
+        while self.proof().is_none() {
+            self.proved.notified().await;
+        }
+    }
+
     /// The newest proof.
     pub fn proof(&self) -> Option<Proof> {
         self.proof.get()
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -67,6 +67,8 @@
     pub rejected: Family<RejectedLabels, Counter>,
     /// The version of the configuration in force.
     pub configuration_version: Gauge,
+    /// Configurations taken from another daemon, since the store had lost them.
+    pub configurations_handed_on: Counter,
     /// Different requests that are quarantined.
     pub fingerprints_quarantined: Gauge,
     /// The latest era of the store that is known; 0 where it names none.
@@ -112,6 +114,7 @@
             store_era: Gauge::default(),
             store_era_changes: Counter::default(),
             configuration_version: Gauge::default(),
+            configurations_handed_on: Counter::default(),
             replicas: Gauge::default(),
             registry: Mutex::new(Registry::with_prefix("driftspring_gateway")),
         };
@@ -171,6 +174,11 @@
                 "How often the store was found to have come back from a copy",
                 &self.store_era_changes,
             ),
+            (
+                "configurations_handed_on",
+                "Configurations taken from another gateway, since the store had lost them",
+                &self.configurations_handed_on,
+            ),
             (
                 "replicas_ended",
                 "Replicas that ended while requests were open there",
--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use driftspring_clock::Instant;
-use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::{Sender, UnboundedSender};
 
 use super::cached;
+use super::configuration;
 use super::directory::short_digest;
 use super::message::{
     Ask, Change, Loading, MAX_DATAGRAM_BYTES, Message, RECEIVE_BYTES, Report, Tell, TellCached,
-    WireLease, WirePrompt, WireWeights,
+    TellConfiguration, WireLease, WirePrompt, WireWeights,
 };
 use super::packed::PackedSize;
 use super::records;
@@ -33,6 +34,8 @@
     pub(super) tells: UnboundedSender<Tell>,
     /// What stores of cached prompt work keep.
     pub(super) cached_pages: UnboundedSender<TellCached>,
+    /// Configurations that others hold.
+    pub(super) configuration_pieces: Sender<TellConfiguration>,
 }
 
 /// Reads datagrams for ever.
@@ -51,6 +54,7 @@
             Some(Message::Ask(question)) => {
                 take_told_era(&state, question.store_era, &from.to_string());
                 state.currency.note_version(question.configuration);
+                state.peers.note_configuration(question.configuration, from);
                 state
                     .peers
                     .followers
@@ -102,6 +106,16 @@
                 // The same holds for the task that asked for the page.
                 let _ = answers.cached_pages.send(page);
             }
+            Some(Message::AskConfiguration(question)) => {
+                configuration::answer(&state, &socket, &question, from).await;
+            }
+            Some(Message::TellConfiguration(told)) => {
+                state.peers.note_configuration(told.version, from);
+                // Nobody waits for it, or more come than were asked for.
+                if answers.configuration_pieces.try_send(told).is_err() {
+                    log::debug!("a piece of a configuration from {from} is dropped");
+                }
+            }
             Some(Message::Usage(usage)) => state.quotas.take_member(&usage, Instant::now()),
             Some(Message::GroupUsage(usage)) => {
                 state
@@ -140,7 +154,6 @@
 fn tell(state: &GatewayState, question: &Ask) -> Tell {
     let log = state.peers.log.borrow();
     let page = log.page(question, fits(question.takes_packed));
-    let configuration = state.configuration.load();
     let proof = state.currency.proof();
     let to_ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     // Rounded up: a proof, or newly named weights, may look older than they are, never newer.
@@ -154,7 +167,7 @@
         proof_age_ms: proof.map(|proof| to_ms_up(proof.began.elapsed())),
         view_age_ms: state.peers.view_age().map(to_ms_up),
         store_revision: position.map_or(0, |position| position.revision),
-        configuration: configuration.as_ref().map_or(0, |known| known.version),
+        configuration: state.held_version(),
         weights: weights
             .into_iter()
             .map(|(weights, since)| WireWeights {
--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -151,7 +151,6 @@
     let peers = &state.peers;
     let nonce = peers.next_nonce();
     let (log, sequence, content) = peers.followed.borrow_mut().question(&peers.log.borrow());
-    let configuration = state.configuration.load();
     let question = Message::Ask(Ask {
         nonce,
         log,
@@ -159,7 +158,7 @@
         content,
         quarantine: Some(records::digest(state)),
         store_era: state.store_eras.known().number(),
-        configuration: configuration.as_ref().map_or(0, |known| known.version),
+        configuration: state.held_version(),
         takes_packed: true,
     });
     let sent_at = Instant::now();
@@ -174,6 +173,7 @@
     answer.unpack();
     take_told_era(state, answer.store_era, &daemon.name);
     if let Ok(address) = daemon.peers.parse() {
+        peers.note_configuration(answer.configuration, address);
         records::reconcile(state, socket, answer.quarantine, address).await;
     }
     let view_age = answer.view_age_ms.map(Duration::from_millis);
@@ -225,8 +225,7 @@
     if let Some(moment) = moment_before(sent_at, answer.view_age_ms).filter(|_| knows_all) {
         state.peers.prove_view(moment);
     }
-    let configuration = state.configuration.load();
-    let known = configuration.as_ref().map_or(0, |known| known.version);
+    let known = state.held_version();
     if known < answer.configuration {
         let version = answer.configuration;
         match proof {
--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/known.rs
@@ -87,6 +87,8 @@
     has_chosen: Cell<bool>,
     /// Wakes the task that waits for that.
     chosen: Notify,
+    /// The highest version of the configuration that another daemon told, and the last one that told it.
+    configuration_holder: Cell<Option<(u64, SocketAddr)>>,
 }
 
 impl Peers {
@@ -124,9 +126,23 @@
             store_recovered: Cell::new(false),
             has_chosen: Cell::new(false),
             chosen: Notify::new(),
+            configuration_holder: Cell::new(None),
         }
     }
 
+    /// Takes in that the daemon at `holder` holds this version of the configuration.
+    pub(super) fn note_configuration(&self, version: u64, holder: SocketAddr) {
+        let known = self.configuration_holder.get();
+        if version > 0 && known.is_none_or(|(known, _)| known <= version) {
+            self.configuration_holder.set(Some((version, holder)));
+        }
+    }
+
+    /// Who holds the highest version of the configuration that another daemon told.
+    pub(super) fn configuration_holder(&self) -> Option<SocketAddr> {
+        self.configuration_holder.get().map(|(_, holder)| holder)
+    }
+
     /// This daemon.
     pub fn own(&self) -> &WireDaemon {
         &self.own
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -3,6 +3,7 @@
 use musli::{Decode, Encode};
 use xxhash_rust::xxh3::xxh3_64;
 
+pub use super::configuration_message::{AskConfiguration, TellConfiguration};
 use super::packed::PackedReplicas;
 pub use super::quarantine_message::{WireRecord, WireRecords, WireStrike, WireStruck};
 use crate::protocol::ReplicaLife;
@@ -48,6 +49,10 @@
     Cleared(Vec<u128>),
     /// Records of such requests: from another group, whose news the own group is to know, or for the receiver alone.
     Records(WireRecords),
+    /// Asks which configuration the receiver holds, and for pieces of it.
+    AskConfiguration(AskConfiguration),
+    /// Answers that.
+    TellConfiguration(TellConfiguration),
 }
 
 /// A report on its way through a group, see [`super::spread`].
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -20,6 +20,8 @@
 //! - [`known`]: what is known through peers.
 //! - [`far`]: which prompts other groups sent where.
 //! - [`cached`]: what stores of cached prompt work keep.
+//! - `configuration`: takes the configuration from another daemon where the store has lost it, and asks others at the start
+//!   which version they hold; [`configuration_message`]: its datagrams; [`configuration_pieces`]: puts it together.
 //! - `records`: requests that end replicas; `quarantine_message`: its datagrams.
 //! - [`task`]: does it all for ever: `ask` asks the source, `answer` answers others, `news` tells unasked.
 
@@ -27,6 +29,9 @@
 mod ask;
 pub mod cached;
 pub mod change_log;
+mod configuration;
+pub mod configuration_message;
+pub mod configuration_pieces;
 mod convert;
 pub mod directory;
 pub mod far;
@@ -45,5 +50,6 @@
 mod usage;
 pub mod view;
 
+pub use configuration::bound_first_word;
 pub use known::Peers;
 pub use task::run;
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -6,11 +6,12 @@
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
 
-use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::mpsc::{channel, unbounded_channel};
 
 use super::answer::{AnswerQueues, listen};
 use super::ask::ask;
 use super::cached;
+use super::configuration;
 use super::far;
 use super::news::tell_news;
 use super::records;
@@ -31,9 +32,11 @@
     log::debug!("daemons listed at the start: {is_listed}");
     let (tells, told) = unbounded_channel();
     let (cached_pages, pages) = unbounded_channel();
+    let (configuration_pieces, told_configurations) = channel(configuration::MAX_QUEUED);
     let answers = AnswerQueues {
         tells,
         cached_pages,
+        configuration_pieces,
     };
     ntex::rt::spawn(listen(Rc::clone(&state), Rc::clone(&socket), answers));
     ntex::rt::spawn(cached::tell(Rc::clone(&state), Rc::clone(&socket)));
@@ -42,6 +45,11 @@
         Rc::clone(&socket),
         pages,
     ));
+    ntex::rt::spawn(configuration::exchange(
+        Rc::clone(&state),
+        Rc::clone(&socket),
+        told_configurations,
+    ));
     ntex::rt::spawn(tell_news(Rc::clone(&state), Rc::clone(&socket)));
     ntex::rt::spawn(far::run(Rc::clone(&state), Rc::clone(&socket)));
     ntex::rt::spawn(records::tell(Rc::clone(&state), Rc::clone(&socket)));
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -334,6 +334,12 @@
     ///
     /// Says what can't be read.
     fn read_watch(&self, kind: ObjectKind, body: &[u8]) -> Result<WatchPage, String>;
+    /// Reads the document of a configuration, see [`Configuration::document`], by the same rules as one that the store lists.
+    ///
+    /// # Errors
+    ///
+    /// Says what can't be read.
+    fn read_configuration(&self, document: &[u8]) -> Result<Configuration, Unreadable>;
     /// Reads the answer to a write.
     fn read_write(&self, kind: ObjectKind, status: StatusCode, body: &[u8]) -> WriteAnswer;
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -242,6 +242,7 @@
     let server = HttpServer::new(async move || {
         let state = GatewayState::new(settings.clone(), Arc::clone(&platform), Arc::clone(&status));
         store::spawn_all(&state);
+        ntex::rt::spawn(peers::bound_first_word(Rc::clone(&state)));
         if let Ok(socket) = peers_socket.try_clone() {
             ntex::rt::spawn(peers::run(Rc::clone(&state), socket));
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -331,11 +331,18 @@
         }
     }
 
+    /// The version of the configuration in force; 0 for none.
+    pub fn held_version(&self) -> u64 {
+        let configuration = self.configuration.load();
+        configuration.as_ref().map_or(0, |known| known.version)
+    }
+
     /// Tells other threads whether the configuration and the replicas are known and current.
     pub fn refresh_readiness(&self) {
         let configuration = self.configuration.load();
-        let version = configuration.as_ref().map_or(0, |known| known.version);
+        let version = self.held_version();
         let is_informed = configuration.is_some()
+            && self.currency.has_first_word()
             && !self.currency.is_outdated(version)
             && !self.registry.is_empty()
             && self.currency.is_within(READY_CURRENCY);
--- a/crates/gateway/src/store/configuration_reader.rs
+++ b/crates/gateway/src/store/configuration_reader.rs
@@ -116,20 +116,13 @@
         return Newer::Missing;
     }
     // A still newer one is the newest at a later moment: this one was so when it was proved.
-    state.currency.prove(held_version(state), newer.proof);
+    state.currency.prove(state.held_version(), newer.proof);
     Newer::Taken
 }
 
 /// Whether the configuration in force is of `version` or a later one.
 fn holds(state: &GatewayState, version: u64) -> bool {
-    let known = state.configuration.load();
-    known.as_ref().is_some_and(|known| known.version >= version)
-}
-
-/// The version of the configuration in force; 0 for none.
-fn held_version(state: &GatewayState) -> u64 {
-    let known = state.configuration.load();
-    known.as_ref().map_or(0, |known| known.version)
+    state.configuration.load().is_some() && state.held_version() >= version
 }
 
 /// Whether a proof is left to the daemons that may call the store: while it is down for all, every request wants one.
@@ -172,8 +165,8 @@
             }
             let position = Some(position);
             let proof = Proof { began, position };
-            state.currency.prove(held_version(state), proof);
-            if held_version(state) < highest {
+            state.currency.prove(state.held_version(), proof);
+            if state.held_version() < highest {
                 state.currency.note_lost(highest);
             }
             let was_lost = note_regained(state, is_reachable);
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -13,6 +13,7 @@
 use super::own_entry;
 use super::quarantine;
 use super::rejections::Rejected;
+use crate::configuration::Configuration;
 use crate::peers::message::{Change, Item, ItemKey, WireDaemon};
 use crate::protocol::{ModelVersion, ObjectContent, ObjectKind, StoredObject};
 use crate::rollout::{LEASE_NAME, record_in};
@@ -335,12 +336,31 @@
         object.position,
         known.as_ref().map(|known| known.version)
     );
+    put_in_force(state, *configuration);
+}
+
+/// Takes in a configuration that the daemon `holder` handed on, unless it is no newer than the one in force.
+pub fn take_handed_configuration(state: &GatewayState, configuration: Configuration, holder: &str) {
+    let before = state.held_version();
+    if configuration.version <= before {
+        return;
+    }
+    log_event!(
+        gateway::CONFIGURATION_HANDED_ON,
+        "version={} before={before} holder={holder}",
+        configuration.version
+    );
+    state.status.metrics.configurations_handed_on.inc();
+    put_in_force(state, configuration);
+}
+
+fn put_in_force(state: &GatewayState, configuration: Configuration) {
     let version = i64::try_from(configuration.version).unwrap_or(i64::MAX);
     state.status.metrics.configuration_version.set(version);
     state
         .quotas
         .set_tenants(configuration.tenants(), Instant::now());
-    state.configuration.store(Some((*configuration).into()));
+    state.configuration.store(Some(configuration.into()));
     state.peers.nudge();
 }
 
--- a/crates/gateway/src/store/rejections.rs
+++ b/crates/gateway/src/store/rejections.rs
@@ -28,6 +28,8 @@
     CachePage,
     /// The era that an answer of the store names, or does not name.
     StoreEra,
+    /// A configuration that another daemon handed on.
+    HandedConfiguration,
     /// What another daemon, or somebody else, sent here.
     Datagram,
 }
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -25,6 +25,7 @@
     STORE_DOWN_FOR_ALL = 6207, Warn, "The store seems to be down for every daemon of the group: the time until it is back does not count against replicas with older weights.";
     STORE_ERA_CHANGED = 6208, Warn, "The store has come back from a copy, under a later era: what was written to it since the copy was made is gone until its writers write it again. All is listed anew. The fields tell who named the era, the one before, and how far the store had come as far as is known.";
     STORE_READ_ANEW = 6209, Info, "The first answer of the store in its new era: how far it has come there, and the latest position known of the era before.";
+    CONFIGURATION_HANDED_ON = 6210, Warn, "A configuration was taken from another gateway, since the store came back from a copy and has lost it. It is in force here though the store has an older one, until the operator has written again.";
     WEIGHTS_WANTED = 6205, Info, "The operator named new weights.";
     REPLICA_SEEN = 6300, Info, "A life of a replica is listed for the first time; one that starts again under its id begins another life.";
     REPLICA_CHANGED = 6301, Info, "The entry of a replica has changed.";
