--- a/crates/gateway/src/peers/configuration_pieces.rs
+++ b/crates/gateway/src/peers/configuration_pieces.rs
@@ -4,7 +4,7 @@
 
 use super::configuration_message::{MAX_PIECES, PIECE_BYTES, TellConfiguration, document_digest};
 
-/// The longest document that is taken from another daemon, in bytes: four times what 41,000 tenants take.
+/// The longest document that is taken from another daemon, in bytes: ten times the one of 41,000 tenants (3 MB).
 pub const MAX_DOCUMENT_BYTES: u32 = 32 * 1024 * 1024;
 
 /// Why a document can't be put together.
