--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -59,6 +59,8 @@
     pub over_quota: Counter,
     /// Replicas kept in use for a while without an entry.
     pub replicas_lapsed: Counter,
+    /// Entries of replicas that were gone before the store came back from a copy, and were not used again.
+    pub replicas_held_back: Counter,
     /// Replicas that ended while requests of this gateway were open there.
     pub replicas_ended: Counter,
     /// Requests refused since they ended the replicas that ran them.
@@ -107,6 +109,7 @@
             overloaded: Counter::default(),
             over_quota: Counter::default(),
             replicas_lapsed: Counter::default(),
+            replicas_held_back: Counter::default(),
             replicas_ended: Counter::default(),
             quarantined: Counter::default(),
             rejected: Family::default(),
@@ -169,6 +172,11 @@
                 "Replicas kept in use for a while without an entry",
                 &self.replicas_lapsed,
             ),
+            (
+                "replicas_held_back",
+                "Entries of replicas that were gone before the store came back from a copy, not used again",
+                &self.replicas_held_back,
+            ),
             (
                 "store_era_changes",
                 "How often the store was found to have come back from a copy",
--- a/crates/gateway/src/replicas/mod.rs
+++ b/crates/gateway/src/replicas/mod.rs
@@ -1,6 +1,7 @@
 //! What is believed of each replica, and the choice of one.
 
 mod begin_wait;
+mod gone_lives;
 mod health;
 mod lines;
 mod placement;
@@ -8,6 +9,7 @@
 mod replica;
 
 pub use begin_wait::{BeginWait, Begun, Waiting};
+pub use gone_lives::{GONE_MEMORY, GoneLives, HELD_BACK, MAX_GONE_LIVES};
 pub use health::Health;
 pub use lines::{Begins, Line, wait_together};
 pub use placement::{Candidate, PlacementKey, place};
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -29,9 +29,11 @@
 use crate::protocol::{Platform, ReplicaEntry, Unreadable, UnreadableReason};
 use crate::quarantine::Quarantine;
 use crate::quota::{Quotas, Tolerance};
-use crate::replicas::Registry;
+use crate::replicas::{GoneLives, Registry};
 use crate::rollout::{OrderLease, lease_times};
-use crate::store::{Rejected, Rejections, StoreEras, StoreOutage, StorePosition, StoreProgress};
+use crate::store::{
+    self, Rejected, Rejections, StoreEras, StoreOutage, StorePosition, StoreProgress,
+};
 use crate::upstream::Pool;
 use crate::weights::WantedWeights;
 
@@ -130,6 +132,10 @@
     pub store_eras: StoreEras,
     /// The latest position of the store that is known.
     pub store_position: Cell<StorePosition>,
+    /// The first position that was read of the store's latest era.
+    pub store_era_begin: Cell<StorePosition>,
+    /// Lives of replicas whose entries are gone, and must not come back with a copy of the store.
+    pub gone_lives: RefCell<GoneLives>,
     /// When this daemon's entry was last found in the store, or written there, from the start of the process; at its start
     /// where neither has been.
     pub own_entry_written_at: Cell<Duration>,
@@ -184,6 +190,8 @@
             store_progress: RefCell::default(),
             store_eras: StoreEras::new(Instant::now()),
             store_position: Cell::default(),
+            store_era_begin: Cell::default(),
+            gone_lives: RefCell::default(),
             own_entry_written_at: Cell::default(),
             lease: RefCell::new(lease),
             rollout_wanted: Notify::new(),
@@ -206,6 +214,11 @@
         if self.is_of_earlier_life(&change) {
             return;
         }
+        if let Change::Put(Item::Replica(told)) = &change
+            && store::copied_entries::is_held_back(self, told)
+        {
+            return;
+        }
         let mut log = self.peers.log.borrow_mut();
         match change {
             Change::Put(item) => {
@@ -219,9 +232,10 @@
                 }
             }
             Change::Gone(key) => {
+                let known = log.get(&key).cloned();
                 log.remove(&key);
                 if let ItemKey::Replica(id) = &key {
-                    self.take_missing_entry(id);
+                    self.take_missing_entry(id, known.as_ref());
                 }
             }
         }
@@ -257,14 +271,16 @@
         }
     }
 
-    /// Takes in that the entry of a replica is gone.
-    fn take_missing_entry(&self, id: &str) {
+    /// Takes in that the entry of a replica is gone, which was `known` until then.
+    fn take_missing_entry(&self, id: &str, known: Option<&Item>) {
         let now = Instant::now();
         let failed_at = self.store_outage.list_failed_at();
         let in_touch_at = failed_at.map(|at| at + self.times.get().contact);
         let keep_until = self.peers.keep_until(now, in_touch_at);
         let keep_until = keep_until.max(self.kept_after_return(now));
         if !self.registry.remove(id, keep_until) {
+            // One that lapsed in an outage may live, and is not remembered as gone.
+            store::copied_entries::note_gone(self, id, known);
             return;
         }
         self.status.metrics.replicas_lapsed.inc();
@@ -292,6 +308,7 @@
             self.has_changes.set(true);
             self.registry_changed();
         }
+        store::copied_entries::release(self);
     }
 
     /// Takes in that what goes by this name can't be read.
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -168,6 +168,9 @@
     let mut lease = state.lease.borrow_mut();
     lease.on_store_position(state.now(), position);
     let before = state.store_position.get();
+    if position.era > before.era {
+        state.store_era_begin.set(position);
+    }
     if position.era > before.era && before.revision > 0 {
         log_event!(
             gateway::STORE_READ_ANEW,
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -10,6 +10,7 @@
 
 use super::StorePosition;
 use super::client::{StoreError, list_all, list_recent, watch};
+use super::copied_entries;
 use super::own_entry;
 use super::quarantine;
 use super::rejections::Rejected;
@@ -229,7 +230,9 @@
         .collect();
     let is_of_kind =
         |key: &ItemKey| matches!(key, ItemKey::Replica(_)) == (kind == ObjectKind::Replicas);
-    let known: Vec<ItemKey> = state.peers.log.borrow().items().map(Item::key).collect();
+    let mut known: Vec<ItemKey> = state.peers.log.borrow().items().map(Item::key).collect();
+    let held_back = state.gone_lives.borrow().held_back();
+    known.extend(held_back.into_iter().map(ItemKey::Replica));
     let is_awaited = |key: &ItemKey| {
         let changed_ago = state.store_eras.changed_ago(Instant::now());
         matches!(key, ItemKey::Daemon(_)) && own_entry::is_awaited(changed_ago)
@@ -275,6 +278,7 @@
     match object.content {
         Ok(ObjectContent::Configuration(_)) => take_configuration(state, object),
         Ok(ObjectContent::Replica(entry)) => {
+            copied_entries::note_written(state, &entry.life.id, object.position);
             state.apply_stored(&entry);
         }
         Ok(ObjectContent::Weights(weights)) => {
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod configuration_reader;
+pub mod copied_entries;
 mod era;
 mod follow;
 mod join;
--- /dev/null
+++ b/crates/gateway/tests/gone_lives.rs
@@ -0,0 +1,146 @@
+//! Which entries of replicas are held back after the store came back from a copy.
+//!
+//! An entry that was gone before the return may stand in the copy, though its replica has ended; one that the replica writes anew
+//! must be used.
+
+use std::time::Duration;
+
+use driftspring_clock::Instant;
+use driftspring_gateway::peers::message::WireReplica;
+use driftspring_gateway::replicas::{GONE_MEMORY, GoneLives, HELD_BACK, MAX_GONE_LIVES};
+use quickcheck::quickcheck;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn entry(id: &str, born: Option<u64>) -> WireReplica {
+    WireReplica {
+        id: id.to_owned(),
+        born,
+        service: "service".to_owned(),
+        address: "10.0.0.1:80".to_owned(),
+        zone: "z".to_owned(),
+        slots: 8,
+        is_draining: false,
+        models: Vec::new(),
+    }
+}
+
+/// A life that was gone at `now`, before any return.
+fn gone(born: Option<u64>, now: Instant) -> GoneLives {
+    let mut lives = GoneLives::default();
+    lives.note_gone("r", born, 0, now);
+    lives
+}
+
+#[test]
+fn an_entry_that_is_written_again_in_the_same_era_is_used() {
+    let now = Instant::now();
+    let mut lives = gone(Some(7), now);
+    assert!(!lives.holds_back(&entry("r", Some(7)), 0, now));
+}
+
+#[test]
+fn an_entry_in_the_copy_is_held_back_until_it_has_changed() {
+    let now = Instant::now();
+    let mut lives = gone(Some(7), now);
+    let copied = entry("r", Some(7));
+    assert!(lives.holds_back(&copied, 1, now + SECOND));
+    assert!(lives.holds_back(&copied, 1, now + SECOND * 2));
+    assert!(lives.is_held_back("r"));
+    let changed = WireReplica { slots: 9, ..copied };
+    assert!(!lives.holds_back(&changed, 1, now + SECOND * 3));
+    assert!(!lives.is_held_back("r"));
+}
+
+#[test]
+fn a_later_life_is_used_and_an_earlier_one_is_not() {
+    let now = Instant::now();
+    assert!(!gone(Some(7), now).holds_back(&entry("r", Some(8)), 1, now));
+    assert!(gone(Some(7), now).holds_back(&entry("r", Some(6)), 1, now));
+    assert!(gone(None, now).holds_back(&entry("r", None), 1, now));
+    assert!(!gone(Some(7), now).holds_back(&entry("other", Some(7)), 1, now));
+}
+
+#[test]
+fn an_older_copy_is_no_change_of_the_entry() {
+    let now = Instant::now();
+    let mut lives = gone(Some(7), now);
+    let copied = entry("r", Some(7));
+    assert!(lives.holds_back(&copied, 1, now));
+    let older = WireReplica { slots: 9, ..copied };
+    assert!(lives.holds_back(&older, 2, now + SECOND));
+    assert!(lives.holds_back(&older, 2, now + SECOND * 2));
+}
+
+#[test]
+fn an_entry_that_stays_in_the_store_is_used_in_the_end() {
+    let now = Instant::now();
+    let mut lives = gone(Some(7), now);
+    let copied = entry("r", Some(7));
+    let returned = now + GONE_MEMORY - SECOND;
+    assert!(lives.holds_back(&copied, 1, returned));
+    // It is held back for the whole time, though the life was gone long ago.
+    let nearly = returned + HELD_BACK - Duration::from_millis(1);
+    assert!(lives.take_over(nearly).is_empty());
+    assert!(lives.holds_back(&copied, 1, nearly));
+    assert_eq!(lives.take_over(returned + HELD_BACK), [copied.clone()]);
+    assert!(!lives.holds_back(&copied, 1, returned + HELD_BACK));
+}
+
+#[test]
+fn an_entry_that_is_removed_again_is_gone_for_the_next_return_too() {
+    let now = Instant::now();
+    let mut lives = gone(Some(7), now);
+    let copied = entry("r", Some(7));
+    assert!(lives.holds_back(&copied, 1, now));
+    lives.note_removed("r", 1, now + SECOND);
+    assert!(!lives.is_held_back("r"));
+    assert!(lives.take_over(now + HELD_BACK).is_empty());
+    assert!(lives.holds_back(&copied, 2, now + HELD_BACK));
+    // A removal that is told twice changes nothing.
+    lives.note_removed("other", 1, now);
+    assert!(lives.held_back() == ["r"]);
+}
+
+#[test]
+fn a_life_is_forgotten_in_time() {
+    let now = Instant::now();
+    let mut lives = gone(Some(7), now);
+    assert!(lives.take_over(now + GONE_MEMORY).is_empty());
+    assert!(!lives.holds_back(&entry("r", Some(7)), 1, now + GONE_MEMORY));
+}
+
+#[test]
+fn the_oldest_are_forgotten_beyond_a_number() {
+    let now = Instant::now();
+    let mut lives = GoneLives::default();
+    for number in 0..=MAX_GONE_LIVES {
+        let at = now + Duration::from_millis(number as u64);
+        lives.note_gone(&format!("r{number}"), Some(7), 0, at);
+    }
+    let at = now + SECOND * 2;
+    assert!(!lives.holds_back(&entry("r0", Some(7)), 1, at));
+    let last = format!("r{MAX_GONE_LIVES}");
+    assert!(lives.holds_back(&entry("r1", Some(7)), 1, at));
+    assert!(lives.holds_back(&entry(&last, Some(7)), 1, at));
+}
+
+quickcheck! {
+    /// Whatever is told in whatever order in one era, an entry is held back only while it is told without a change, and none that
+    /// has been used once is held back again.
+    fn an_entry_that_was_used_is_not_held_back_again(told: Vec<(u8, u8)>) -> bool {
+        let now = Instant::now();
+        let mut lives = gone(Some(2), now);
+        let mut was_used = false;
+        told.into_iter().all(|(born, slots)| {
+            let entry = WireReplica {
+                slots: u32::from(slots % 2),
+                ..entry("r", Some(u64::from(born % 4)))
+            };
+            let is_held = lives.holds_back(&entry, 1, now);
+            let is_right = !(was_used && is_held);
+            was_used |= !is_held;
+            is_right
+        })
+    }
+}
