--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -69,6 +69,8 @@
     pub rejected: Family<RejectedLabels, Counter>,
     /// The version of the configuration in force.
     pub configuration_version: Gauge,
+    /// 1 where no daemon that had run before has confirmed the configuration in force, which was read at the start; else 0.
+    pub configuration_unconfirmed: Gauge,
     /// Configurations taken from another daemon, since the store had lost them.
     pub configurations_handed_on: Counter,
     /// Different requests that are quarantined.
@@ -117,6 +119,7 @@
             store_era: Gauge::default(),
             store_era_changes: Counter::default(),
             configuration_version: Gauge::default(),
+            configuration_unconfirmed: Gauge::default(),
             configurations_handed_on: Counter::default(),
             replicas: Gauge::default(),
             registry: Mutex::new(Registry::with_prefix("driftspring_gateway")),
@@ -241,6 +244,11 @@
             "The version of the configuration in force",
             self.configuration_version.clone(),
         );
+        registry.register(
+            "configuration_unconfirmed",
+            "Whether no gateway that had run before has confirmed the configuration in force: 1, else 0",
+            self.configuration_unconfirmed.clone(),
+        );
         registry.register(
             "rejected",
             "Objects, reports and datagrams that could not be read, each time",
--- a/crates/gateway/src/peers/configuration.rs
+++ b/crates/gateway/src/peers/configuration.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use driftspring_telemetry::events::gateway;
+use driftspring_telemetry::log_event;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::Receiver;
 
@@ -83,6 +85,15 @@
     },
 }
 
+/// What was heard at the start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FirstWord {
+    /// Another daemon that has run for a while told its version, or nobody has run before.
+    Confirmed,
+    /// No such daemon answered, of so many.
+    Unconfirmed { asked: usize },
+}
+
 /// Answers a question.
 pub(super) async fn answer(
     state: &GatewayState,
@@ -104,9 +115,12 @@
     socket: Rc<UdpSocket>,
     mut told: Receiver<TellConfiguration>,
 ) {
-    hear_others(&state, &socket, &mut told).await;
+    let word = hear_others(&state, &socket, &mut told).await;
     until_newest_known(&state).await;
     open(&state);
+    if let FirstWord::Unconfirmed { asked } = word {
+        ntex::rt::spawn(report_unconfirmed(Rc::clone(&state), asked));
+    }
     loop {
         state.currency.lost().await;
         let mut pause = FIRST_PAUSE;
@@ -139,11 +153,12 @@
     state: &GatewayState,
     socket: &UdpSocket,
     told: &mut Receiver<TellConfiguration>,
-) {
-    let others = asked_first(state);
-    if state.settings.is_first_start || others.is_empty() {
-        return;
+) -> FirstWord {
+    if state.settings.is_first_start {
+        return FirstWord::Confirmed;
     }
+    let others = asked_first(state);
+    let asked = others.len();
     let nonce = state.peers.next_nonce();
     let question = Message::AskConfiguration(AskConfiguration {
         nonce,
@@ -154,20 +169,35 @@
     let heard = async {
         for _ in &others {
             let Some(answer) = matching(told, nonce).await else {
-                return;
+                break;
             };
             state.currency.note_version(answer.version);
             if answer.is_settled && answer.version > 0 {
-                return;
+                return FirstWord::Confirmed;
             }
         }
+        FirstWord::Unconfirmed { asked }
     };
-    if tokio::time::timeout(FIRST_WORD_TIMEOUT, heard)
-        .await
-        .is_err()
-    {
+    let word = tokio::time::timeout(FIRST_WORD_TIMEOUT, heard).await;
+    word.unwrap_or_else(|_| {
         log::debug!("not all of {others:?} told which configuration they hold");
-    }
+        FirstWord::Unconfirmed { asked }
+    })
+}
+
+/// Tells operators that the configuration in force may be older than the newest: it was read of a store that may have come
+/// back from a copy, and nobody was there who would know. A newer one ends that.
+async fn report_unconfirmed(state: Rc<GatewayState>, asked: usize) {
+    state.currency.until_proved().await;
+    let position = state.configuration_position.get();
+    log_event!(
+        gateway::CONFIGURATION_UNCONFIRMED,
+        "version={} position={position} store_begin={} store_position={} asked={asked}",
+        state.held_version(),
+        state.store_era_begin.get(),
+        state.store_position.get()
+    );
+    state.status.metrics.configuration_unconfirmed.set(1);
 }
 
 /// The addresses of those who are asked: the first in rank of the own group, and others in turn from start to start.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -96,6 +96,8 @@
     pub status: Arc<SharedStatus>,
     /// The configuration in force.
     pub configuration: ArcSwapOption<Configuration>,
+    /// Where the store had it; the default where another daemon handed it on.
+    pub configuration_position: Cell<StorePosition>,
     /// Since when the configuration is known to be the newest.
     pub currency: Currency,
     /// The replicas.
@@ -174,6 +176,7 @@
             platform,
             status,
             configuration: ArcSwapOption::empty(),
+            configuration_position: Cell::default(),
             currency: Currency::new(),
             weights: RefCell::default(),
             weights_named: Notify::new(),
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -340,6 +340,7 @@
         object.position,
         known.as_ref().map(|known| known.version)
     );
+    state.configuration_position.set(object.position);
     put_in_force(state, *configuration);
 }
 
@@ -355,12 +356,14 @@
         configuration.version
     );
     state.status.metrics.configurations_handed_on.inc();
+    state.configuration_position.set(StorePosition::default());
     put_in_force(state, configuration);
 }
 
 fn put_in_force(state: &GatewayState, configuration: Configuration) {
     let version = i64::try_from(configuration.version).unwrap_or(i64::MAX);
     state.status.metrics.configuration_version.set(version);
+    state.status.metrics.configuration_unconfirmed.set(0);
     state
         .quotas
         .set_tenants(configuration.tenants(), Instant::now());
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -26,6 +26,7 @@
     STORE_ERA_CHANGED = 6208, Warn, "The store has come back from a copy, under a later era: what was written to it since the copy was made is gone until its writers write it again. All is listed anew. The fields tell who named the era, the one before, and how far the store had come as far as is known.";
     STORE_READ_ANEW = 6209, Info, "The first answer of the store in its new era: how far it has come there, and the latest position known of the era before.";
     CONFIGURATION_HANDED_ON = 6210, Warn, "A configuration was taken from another gateway, since the store came back from a copy and has lost it. It is in force here though the store has an older one, until the operator has written again.";
+    CONFIGURATION_UNCONFIRMED = 6211, Warn, "This gateway has started, and no other that had run for a while told which configuration it holds. Where the store has come back from a copy, what the operator wrote after the copy was made is not known here. The fields tell the version in force and where the store had it (era and revision), the first position that was read of that era, the latest, and how many others were asked.";
     WEIGHTS_WANTED = 6205, Info, "The operator named new weights.";
     REPLICA_SEEN = 6300, Info, "A life of a replica is listed for the first time; one that starts again under its id begins another life.";
     REPLICA_CHANGED = 6301, Info, "The entry of a replica has changed.";
