--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -59,6 +59,8 @@
     pub over_quota: Counter,
     /// Replicas kept in use for a while without an entry.
     pub replicas_lapsed: Counter,
+    /// Entries of replicas that were gone before the store came back from a copy, and were not used again.
+    pub replicas_held_back: Counter,
     /// Replicas that ended while requests of this gateway were open there.
     pub replicas_ended: Counter,
     /// Requests refused since they ended the replicas that ran them.
@@ -67,6 +69,10 @@
     pub rejected: Family<RejectedLabels, Counter>,
     /// The version of the configuration in force.
     pub configuration_version: Gauge,
+    /// 1 where no daemon that had run before has confirmed the configuration in force, which was read at the start; else 0.
+    pub configuration_unconfirmed: Gauge,
+    /// Configurations taken from another daemon, since the store had lost them.
+    pub configurations_handed_on: Counter,
     /// Different requests that are quarantined.
     pub fingerprints_quarantined: Gauge,
     /// The latest era of the store that is known; 0 where it names none.
@@ -105,6 +111,7 @@
             overloaded: Counter::default(),
             over_quota: Counter::default(),
             replicas_lapsed: Counter::default(),
+            replicas_held_back: Counter::default(),
             replicas_ended: Counter::default(),
             quarantined: Counter::default(),
             rejected: Family::default(),
@@ -112,6 +119,8 @@
             store_era: Gauge::default(),
             store_era_changes: Counter::default(),
             configuration_version: Gauge::default(),
+            configuration_unconfirmed: Gauge::default(),
+            configurations_handed_on: Counter::default(),
             replicas: Gauge::default(),
             registry: Mutex::new(Registry::with_prefix("driftspring_gateway")),
         };
@@ -166,11 +175,21 @@
                 "Replicas kept in use for a while without an entry",
                 &self.replicas_lapsed,
             ),
+            (
+                "replicas_held_back",
+                "Entries of replicas that were gone before the store came back from a copy, not used again",
+                &self.replicas_held_back,
+            ),
             (
                 "store_era_changes",
                 "How often the store was found to have come back from a copy",
                 &self.store_era_changes,
             ),
+            (
+                "configurations_handed_on",
+                "Configurations taken from another gateway, since the store had lost them",
+                &self.configurations_handed_on,
+            ),
             (
                 "replicas_ended",
                 "Replicas that ended while requests were open there",
@@ -225,6 +244,11 @@
             "The version of the configuration in force",
             self.configuration_version.clone(),
         );
+        registry.register(
+            "configuration_unconfirmed",
+            "Whether no gateway that had run before has confirmed the configuration in force: 1, else 0",
+            self.configuration_unconfirmed.clone(),
+        );
         registry.register(
             "rejected",
             "Objects, reports and datagrams that could not be read, each time",
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -29,9 +29,11 @@
 use crate::protocol::{Platform, ReplicaEntry, Unreadable, UnreadableReason};
 use crate::quarantine::Quarantine;
 use crate::quota::{Quotas, Tolerance};
-use crate::replicas::Registry;
+use crate::replicas::{GoneLives, Registry};
 use crate::rollout::{OrderLease, lease_times};
-use crate::store::{Rejected, Rejections, StoreEras, StoreOutage, StorePosition, StoreProgress};
+use crate::store::{
+    self, Rejected, Rejections, StoreEras, StoreOutage, StorePosition, StoreProgress,
+};
 use crate::upstream::Pool;
 use crate::weights::WantedWeights;
 
@@ -94,6 +96,8 @@
     pub status: Arc<SharedStatus>,
     /// The configuration in force.
     pub configuration: ArcSwapOption<Configuration>,
+    /// Where the store had it; the default where another daemon handed it on.
+    pub configuration_position: Cell<StorePosition>,
     /// Since when the configuration is known to be the newest.
     pub currency: Currency,
     /// The replicas.
@@ -130,6 +134,10 @@
     pub store_eras: StoreEras,
     /// The latest position of the store that is known.
     pub store_position: Cell<StorePosition>,
+    /// The first position that was read of the store's latest era.
+    pub store_era_begin: Cell<StorePosition>,
+    /// Lives of replicas whose entries are gone, and must not come back with a copy of the store.
+    pub gone_lives: RefCell<GoneLives>,
     /// When this daemon's entry was last found in the store, or written there, from the start of the process; at its start
     /// where neither has been.
     pub own_entry_written_at: Cell<Duration>,
@@ -168,6 +176,7 @@
             platform,
             status,
             configuration: ArcSwapOption::empty(),
+            configuration_position: Cell::default(),
             currency: Currency::new(),
             weights: RefCell::default(),
             weights_named: Notify::new(),
@@ -184,6 +193,8 @@
             store_progress: RefCell::default(),
             store_eras: StoreEras::new(Instant::now()),
             store_position: Cell::default(),
+            store_era_begin: Cell::default(),
+            gone_lives: RefCell::default(),
             own_entry_written_at: Cell::default(),
             lease: RefCell::new(lease),
             rollout_wanted: Notify::new(),
@@ -206,6 +217,11 @@
         if self.is_of_earlier_life(&change) {
             return;
         }
+        if let Change::Put(Item::Replica(told)) = &change
+            && store::copied_entries::is_held_back(self, told)
+        {
+            return;
+        }
         let mut log = self.peers.log.borrow_mut();
         match change {
             Change::Put(item) => {
@@ -219,9 +235,10 @@
                 }
             }
             Change::Gone(key) => {
+                let known = log.get(&key).cloned();
                 log.remove(&key);
                 if let ItemKey::Replica(id) = &key {
-                    self.take_missing_entry(id);
+                    self.take_missing_entry(id, known.as_ref());
                 }
             }
         }
@@ -257,14 +274,16 @@
         }
     }
 
-    /// Takes in that the entry of a replica is gone.
-    fn take_missing_entry(&self, id: &str) {
+    /// Takes in that the entry of a replica is gone, which was `known` until then.
+    fn take_missing_entry(&self, id: &str, known: Option<&Item>) {
         let now = Instant::now();
         let failed_at = self.store_outage.list_failed_at();
         let in_touch_at = failed_at.map(|at| at + self.times.get().contact);
         let keep_until = self.peers.keep_until(now, in_touch_at);
         let keep_until = keep_until.max(self.kept_after_return(now));
         if !self.registry.remove(id, keep_until) {
+            // One that lapsed in an outage may live, and is not remembered as gone.
+            store::copied_entries::note_gone(self, id, known);
             return;
         }
         self.status.metrics.replicas_lapsed.inc();
@@ -292,6 +311,7 @@
             self.has_changes.set(true);
             self.registry_changed();
         }
+        store::copied_entries::release(self);
     }
 
     /// Takes in that what goes by this name can't be read.
@@ -331,11 +351,18 @@
         }
     }
 
+    /// The version of the configuration in force; 0 for none.
+    pub fn held_version(&self) -> u64 {
+        let configuration = self.configuration.load();
+        configuration.as_ref().map_or(0, |known| known.version)
+    }
+
     /// Tells other threads whether the configuration and the replicas are known and current.
     pub fn refresh_readiness(&self) {
         let configuration = self.configuration.load();
-        let version = configuration.as_ref().map_or(0, |known| known.version);
+        let version = self.held_version();
         let is_informed = configuration.is_some()
+            && self.currency.has_first_word()
             && !self.currency.is_outdated(version)
             && !self.registry.is_empty()
             && self.currency.is_within(READY_CURRENCY);
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -10,9 +10,11 @@
 
 use super::StorePosition;
 use super::client::{StoreError, list_all, list_recent, watch};
+use super::copied_entries;
 use super::own_entry;
 use super::quarantine;
 use super::rejections::Rejected;
+use crate::configuration::Configuration;
 use crate::peers::message::{Change, Item, ItemKey, WireDaemon};
 use crate::protocol::{ModelVersion, ObjectContent, ObjectKind, StoredObject};
 use crate::rollout::{LEASE_NAME, record_in};
@@ -228,7 +230,9 @@
         .collect();
     let is_of_kind =
         |key: &ItemKey| matches!(key, ItemKey::Replica(_)) == (kind == ObjectKind::Replicas);
-    let known: Vec<ItemKey> = state.peers.log.borrow().items().map(Item::key).collect();
+    let mut known: Vec<ItemKey> = state.peers.log.borrow().items().map(Item::key).collect();
+    let held_back = state.gone_lives.borrow().held_back();
+    known.extend(held_back.into_iter().map(ItemKey::Replica));
     let is_awaited = |key: &ItemKey| {
         let changed_ago = state.store_eras.changed_ago(Instant::now());
         matches!(key, ItemKey::Daemon(_)) && own_entry::is_awaited(changed_ago)
@@ -274,6 +278,7 @@
     match object.content {
         Ok(ObjectContent::Configuration(_)) => take_configuration(state, object),
         Ok(ObjectContent::Replica(entry)) => {
+            copied_entries::note_written(state, &entry.life.id, object.position);
             state.apply_stored(&entry);
         }
         Ok(ObjectContent::Weights(weights)) => {
@@ -335,12 +340,34 @@
         object.position,
         known.as_ref().map(|known| known.version)
     );
+    state.configuration_position.set(object.position);
+    put_in_force(state, *configuration);
+}
+
+/// Takes in a configuration that the daemon `holder` handed on, unless it is no newer than the one in force.
+pub fn take_handed_configuration(state: &GatewayState, configuration: Configuration, holder: &str) {
+    let before = state.held_version();
+    if configuration.version <= before {
+        return;
+    }
+    log_event!(
+        gateway::CONFIGURATION_HANDED_ON,
+        "version={} before={before} holder={holder}",
+        configuration.version
+    );
+    state.status.metrics.configurations_handed_on.inc();
+    state.configuration_position.set(StorePosition::default());
+    put_in_force(state, configuration);
+}
+
+fn put_in_force(state: &GatewayState, configuration: Configuration) {
     let version = i64::try_from(configuration.version).unwrap_or(i64::MAX);
     state.status.metrics.configuration_version.set(version);
+    state.status.metrics.configuration_unconfirmed.set(0);
     state
         .quotas
         .set_tenants(configuration.tenants(), Instant::now());
-    state.configuration.store(Some((*configuration).into()));
+    state.configuration.store(Some(configuration.into()));
     state.peers.nudge();
 }
 
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -25,6 +25,8 @@
     STORE_DOWN_FOR_ALL = 6207, Warn, "The store seems to be down for every daemon of the group: the time until it is back does not count against replicas with older weights.";
     STORE_ERA_CHANGED = 6208, Warn, "The store has come back from a copy, under a later era: what was written to it since the copy was made is gone until its writers write it again. All is listed anew. The fields tell who named the era, the one before, and how far the store had come as far as is known.";
     STORE_READ_ANEW = 6209, Info, "The first answer of the store in its new era: how far it has come there, and the latest position known of the era before.";
+    CONFIGURATION_HANDED_ON = 6210, Warn, "A configuration was taken from another gateway, since the store came back from a copy and has lost it. It is in force here though the store has an older one, until the operator has written again.";
+    CONFIGURATION_UNCONFIRMED = 6211, Warn, "This gateway has started, and no other that had run for a while told which configuration it holds. Where the store has come back from a copy, what the operator wrote after the copy was made is not known here. The fields tell the version in force and where the store had it (era and revision), the first position that was read of that era, the latest, and how many others were asked.";
     WEIGHTS_WANTED = 6205, Info, "The operator named new weights.";
     REPLICA_SEEN = 6300, Info, "A life of a replica is listed for the first time; one that starts again under its id begins another life.";
     REPLICA_CHANGED = 6301, Info, "The entry of a replica has changed.";
@@ -33,6 +35,7 @@
     REPLICA_WELL = 6304, Info, "A replica that was suspect has answered.";
     REPLICA_LAPSED = 6305, Info, "The entry of a replica is gone after an outage of the store; it stays in use for a while, since it may come back. The fields tell how old the view of the replicas was, how long ago the last call began that the store failed this daemon itself, and whom it asks.";
     REPLICA_ENDED = 6306, Warn, "A replica has ended while requests of this gateway were open there: their answers broke off, and its address refuses connections. The fields give the fingerprints of these requests; the same request has the same one at every gateway and in every try.";
+    REPLICA_HELD_BACK = 6307, Warn, "The entry of a replica that was gone before the store came back from a copy stands in the copy. It is not used until the replica writes it anew, or until it has stood there for 10 s, in which the platform would have removed that of a replica that has ended.";
     ORDER_LEASE_ACQUIRED = 6400, Info, "This daemon may give orders, under the token given.";
     ORDER_LEASE_NOT_ACQUIRED = 6401, Info, "Another daemon holds the lease, or the store did not say; it is tried again.";
     ORDER_LEASE_LOST = 6402, Warn, "This daemon may not give orders any more.";
