--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -145,8 +145,8 @@
     /// The version of the configuration that the sender holds; 0 for none.
     #[musli(default)]
     pub configuration: u64,
-    /// Whether the sender understands [`Tell::packed`].
-    #[musli(default)]
+    /// Whether the sender understands [`Tell::packed`]. The number 7 stands for another form of it.
+    #[musli(Binary, name = 8, default)]
     pub takes_packed: bool,
 }
 
@@ -196,8 +196,9 @@
     /// The highest token of a lease that is known; 0 for none.
     #[musli(default)]
     pub highest_token: u64,
-    /// Replicas that belong to [`Tell::changes`], where the question said that these are understood.
-    #[musli(default)]
+    /// Replicas that belong to [`Tell::changes`], where the question said that these are understood. The number 18 stands
+    /// for another form of them.
+    #[musli(Binary, name = 19, default)]
     pub packed: Option<Box<PackedReplicas>>,
 }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -11,7 +11,7 @@
 //!
 //! - [`message`]: the datagrams.
 //! - [`change_log`]: replicas and daemons in the order in which they changed, so that only news are sent.
-//! - [`packed`]: replicas as they fill a page of changes.
+//! - [`packed`]: replicas as they fill a page of changes; [`bit_rows`]: how their rows are packed.
 //! - [`followed_log`]: where a daemon stands in the log of the one that it asks.
 //! - [`directory`]: the daemons known, by rank; [`relays`]: whom to send to in other groups.
 //! - [`spread`]: passes reports on from member to member.
@@ -25,6 +25,7 @@
 
 mod answer;
 mod ask;
+pub mod bit_rows;
 pub mod cached;
 pub mod change_log;
 mod convert;
--- a/crates/gateway/src/peers/packed.rs
+++ b/crates/gateway/src/peers/packed.rs
@@ -1,27 +1,25 @@
-//! Replicas as they fill a page of changes: what many of them have in common is told once.
+//! Replicas as they fill a page of changes: what they have in common is told once.
 //!
-//! After all daemons of a large group were killed its reader tells each of them of all replicas over one link, and nothing is
-//! served before: 3,300 replicas take 311 kB as they are. Daemons of an earlier version don't ask for it
-//! ([`super::message::Ask::takes_packed`]) and are told as before.
+//! After all daemons of a large group were killed its reader tells each of them of all replicas over one link and one
+//! processor, and nothing is served before: 3,300 replicas take 311 kB as they are. Daemons of an earlier version don't
+//! ask for it ([`super::message::Ask::takes_packed`]) and are told as before.
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
 use musli::mode::Binary;
 use musli::{Decode, Encode};
 
+use super::bit_rows::{BitRows, MOST_ROWS, add_differences, packed_bytes};
 use super::message::{Change, Item, Tell, WireReplica};
 
 /// The bytes of an address: four of the machine and two of the port, the high ones first.
 const ADDRESS_BYTES: usize = 6;
 
-/// What a replica takes beside its id and its birth: its address, the place of its kind, the length of the id.
-const REPLICA_BYTES: usize = ADDRESS_BYTES + 1 + 2;
+/// The bytes of a birth.
+const BIRTH_BYTES: usize = 8;
 
-/// What a birth takes beside its digits: two marks, and the rest of one digit.
-const BIRTH_BYTES: usize = 3;
-
-/// Bits of a digit of a number in a datagram.
-const DIGIT_BITS: usize = 7;
+/// What a table takes beside its rows: marks and lengths of its fields.
+const TABLE_BYTES: usize = 24;
 
 /// What many replicas have in common; texts are places in [`PackedReplicas::texts`].
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
@@ -38,37 +36,115 @@
     pub models: Vec<(u8, u64)>,
 }
 
-/// Replicas, in columns: the first id belongs to the first address, and so on.
+/// Replicas whose rows are equally long. A row is the place of the kind, the address, the birth where there is one, the id.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
+pub struct ReplicaTable {
+    /// Whether the rows have a birth.
+    pub has_birth: bool,
+    /// The rows.
+    pub rows: BitRows,
+}
+
+/// Replicas, in tables.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
 pub struct PackedReplicas {
     /// The names of services, zones and models.
     pub texts: Vec<String>,
     /// The kinds.
     pub kinds: Vec<ReplicaKind>,
-    /// The place of each replica's kind among them.
-    #[musli(bytes)]
-    pub kind_of: Vec<u8>,
-    /// The ids.
-    pub ids: Vec<String>,
-    /// The lives, see [`WireReplica::born`].
-    pub born: Vec<Option<u64>>,
-    /// The addresses, six bytes each.
-    #[musli(bytes)]
-    pub addresses: Vec<u8>,
+    /// The replicas.
+    pub tables: Vec<ReplicaTable>,
 }
 
 impl PackedReplicas {
     /// Takes replicas out of `changes`; what can't be packed stays there.
     pub fn take_from(changes: &mut Vec<Change>) -> Self {
-        let mut packed = Self::default();
+        let mut packer = Packer::default();
         changes.retain(|change| match change {
-            Change::Put(Item::Replica(replica)) => !packed.add(replica),
+            Change::Put(Item::Replica(replica)) => !packer.add(replica),
             _ => true,
         });
-        packed
+        packer.finish()
+    }
+
+    /// The text at this place.
+    fn text(&self, place: u8) -> Option<String> {
+        self.texts.get(usize::from(place)).cloned()
+    }
+
+    /// The replicas as changes. One whose row, kind or names can't be read is left out.
+    pub fn changes(&self) -> impl Iterator<Item = Change> {
+        self.tables.iter().flat_map(|table| {
+            let rows = table.rows.rows();
+            let replicas = rows.filter_map(|row| self.replica(&row, table.has_birth));
+            replicas.map(|replica| Change::Put(Item::Replica(replica)))
+        })
+    }
+
+    fn replica(&self, row: &[u8], has_birth: bool) -> Option<WireReplica> {
+        let (place, rest) = row.split_first()?;
+        let (address, rest) = rest.split_first_chunk::<ADDRESS_BYTES>()?;
+        let (born, id) = match has_birth {
+            true => {
+                let (born, id) = rest.split_first_chunk::<BIRTH_BYTES>()?;
+                (Some(u64::from_be_bytes(*born)), id)
+            }
+            false => (None, rest),
+        };
+        let kind = self.kinds.get(usize::from(*place))?;
+        let models = kind.models.iter();
+        let models = models.map(|(model, version)| Some((self.text(*model)?, *version)));
+        Some(WireReplica {
+            id: String::from_utf8(id.to_vec()).ok()?,
+            born,
+            service: self.text(kind.service)?,
+            address: unpacked_address(*address),
+            zone: self.text(kind.zone)?,
+            slots: kind.slots,
+            is_draining: kind.is_draining,
+            models: models.collect::<Option<_>>()?,
+        })
+    }
+}
+
+/// The rows of a table while they are gathered.
+#[derive(Debug, Default)]
+struct Gathered {
+    has_birth: bool,
+    rows: Vec<Vec<u8>>,
+    differing: Vec<u8>,
+}
+
+impl Gathered {
+    fn takes(&self, row: &[u8], has_birth: bool) -> bool {
+        let is_alike = self.has_birth == has_birth && self.differing.len() == row.len();
+        is_alike && self.rows.len() < MOST_ROWS
+    }
+
+    fn add(&mut self, row: Vec<u8>) {
+        if let Some(first) = self.rows.first() {
+            add_differences(&mut self.differing, first, &row);
+        }
+        self.rows.push(row);
+    }
+
+    fn bytes(&self) -> usize {
+        TABLE_BYTES + packed_bytes(&self.differing, self.rows.len())
     }
+}
+
+/// Gathers replicas that are packed.
+#[derive(Debug, Default)]
+struct Packer {
+    texts: Vec<String>,
+    kinds: Vec<ReplicaKind>,
+    /// What texts and kinds take, in bytes.
+    names_bytes: usize,
+    tables: Vec<Gathered>,
+}
 
-    /// Adds a replica; false where it does not fit in.
+impl Packer {
+    /// Adds a replica; false where it can't be packed.
     fn add(&mut self, replica: &WireReplica) -> bool {
         let Some(address) = packed_address(&replica.address) else {
             return false;
@@ -76,62 +152,80 @@
         let Some(place) = self.place_of_kind(replica) else {
             return false;
         };
-        self.kind_of.push(place);
-        self.ids.push(replica.id.clone());
-        self.born.push(replica.born);
-        self.addresses.extend(address);
+        let mut row = vec![place];
+        row.extend(address);
+        row.extend(replica.born.map(u64::to_be_bytes).into_iter().flatten());
+        row.extend(replica.id.as_bytes());
+        self.table_for(&row, replica.born.is_some()).add(row);
         true
     }
 
+    /// The table that takes this row, which is added where there is none.
+    fn table_for(&mut self, row: &[u8], has_birth: bool) -> &mut Gathered {
+        let known = self
+            .tables
+            .iter()
+            .position(|table| table.takes(row, has_birth));
+        let place = known.unwrap_or(self.tables.len());
+        if known.is_none() {
+            self.tables.push(Gathered {
+                has_birth,
+                rows: Vec::new(),
+                differing: vec![0; row.len()],
+            });
+        }
+        &mut self.tables[place]
+    }
+
     /// The place of a replica's kind, which is added where it is new; nothing where there are too many.
     fn place_of_kind(&mut self, replica: &WireReplica) -> Option<u8> {
         let mut models = Vec::new();
         for (model, version) in &replica.models {
-            models.push((place_of(&mut self.texts, model.clone())?, *version));
+            models.push((self.place_of_text(model)?, *version));
         }
         let kind = ReplicaKind {
-            service: place_of(&mut self.texts, replica.service.clone())?,
-            zone: place_of(&mut self.texts, replica.zone.clone())?,
+            service: self.place_of_text(&replica.service)?,
+            zone: self.place_of_text(&replica.zone)?,
             slots: replica.slots,
             is_draining: replica.is_draining,
             models,
         };
-        place_of(&mut self.kinds, kind)
+        place_of(&mut self.kinds, &mut self.names_bytes, &kind)
     }
 
-    /// The text at this place.
-    fn text(&self, place: u8) -> Option<String> {
-        self.texts.get(usize::from(place)).cloned()
+    fn place_of_text(&mut self, text: &String) -> Option<u8> {
+        place_of(&mut self.texts, &mut self.names_bytes, text)
     }
 
-    /// The replicas as changes. One whose columns, kind or names are missing is left out.
-    pub fn changes(&self) -> impl Iterator<Item = Change> {
-        let columns = self.ids.iter().zip(&self.kind_of).zip(&self.born);
-        let columns = columns.zip(self.addresses.chunks_exact(ADDRESS_BYTES));
-        columns.filter_map(|(((id, place), born), address)| {
-            let kind = self.kinds.get(usize::from(*place))?;
-            let models = kind.models.iter();
-            let models = models.map(|(model, version)| Some((self.text(*model)?, *version)));
-            Some(Change::Put(Item::Replica(WireReplica {
-                id: id.clone(),
-                born: *born,
-                service: self.text(kind.service)?,
-                address: unpacked_address(address)?,
-                zone: self.text(kind.zone)?,
-                slots: kind.slots,
-                is_draining: kind.is_draining,
-                models: models.collect::<Option<_>>()?,
-            })))
-        })
+    /// About the size of all that was added, in bytes.
+    fn bytes(&self) -> usize {
+        let tables = self.tables.iter().map(Gathered::bytes);
+        self.names_bytes + tables.sum::<usize>()
+    }
+
+    fn finish(self) -> PackedReplicas {
+        let tables = self.tables.iter().map(|table| ReplicaTable {
+            has_birth: table.has_birth,
+            rows: BitRows::pack(&table.rows),
+        });
+        PackedReplicas {
+            tables: tables.collect(),
+            texts: self.texts,
+            kinds: self.kinds,
+        }
     }
 }
 
-/// The place of `item`, which is added where it is new; nothing where there are too many.
-fn place_of<T: PartialEq>(items: &mut Vec<T>, item: T) -> Option<u8> {
-    let known = items.iter().position(|known| *known == item);
+/// The place of `item`, which is added where it is new, as is its size to `bytes`; nothing where there are too many.
+fn place_of<T>(items: &mut Vec<T>, bytes: &mut usize, item: &T) -> Option<u8>
+where
+    T: PartialEq + Clone + Encode<Binary>,
+{
+    let known = items.iter().position(|known| known == item);
     let place = u8::try_from(known.unwrap_or(items.len())).ok()?;
     if known.is_none() {
-        items.push(item);
+        *bytes += musli::wire::to_vec(item).map_or(0, |encoded| encoded.len());
+        items.push(item.clone());
     }
     Some(place)
 }
@@ -154,53 +248,35 @@
 /// Counts what fits into a page of packed changes.
 #[derive(Debug)]
 pub struct PackedSize {
-    left: usize,
-    known: PackedReplicas,
+    most: usize,
+    /// The size of what is told as it is.
+    plain: usize,
+    packer: Packer,
 }
 
 impl PackedSize {
     /// An empty page of so many bytes.
     pub fn new(bytes: usize) -> Self {
         Self {
-            left: bytes,
-            known: PackedReplicas::default(),
+            most: bytes,
+            plain: 0,
+            packer: Packer::default(),
         }
     }
 
-    /// Whether one more change fits, which then counts.
+    /// Whether one more change fits, which then counts. After one that does not, none does.
     pub fn fits(&mut self, change: &Change) -> bool {
-        let size = self.size_of(change);
-        let fits = size <= self.left;
-        self.left = self.left.saturating_sub(size);
-        fits
-    }
-
-    fn size_of(&mut self, change: &Change) -> usize {
-        let Change::Put(Item::Replica(replica)) = change else {
-            return change.wire_size();
+        let is_packed = match change {
+            Change::Put(Item::Replica(replica)) => self.packer.add(replica),
+            _ => false,
         };
-        let (texts, kinds) = (self.known.texts.len(), self.known.kinds.len());
-        let is_packed = packed_address(&replica.address).is_some()
-            && self.known.place_of_kind(replica).is_some();
         if !is_packed {
-            return change.wire_size();
+            self.plain += change.wire_size();
         }
-        let new_texts: usize = self.known.texts[texts..].iter().map(size).sum();
-        let new_kinds: usize = self.known.kinds[kinds..].iter().map(size).sum();
-        new_texts + new_kinds + REPLICA_BYTES + replica.id.len() + size_of_birth(replica.born)
+        self.plain + self.packer.bytes() <= self.most
     }
 }
 
-/// The size of something that few replicas of a page bring with them, in bytes.
-fn size<T: Encode<Binary>>(item: &T) -> usize {
-    musli::wire::to_vec(item).map_or(0, |bytes| bytes.len())
-}
-
-fn size_of_birth(born: Option<u64>) -> usize {
-    let bits = born.map_or(0, |born| u64::BITS - born.leading_zeros());
-    BIRTH_BYTES + bits as usize / DIGIT_BITS
-}
-
 /// The bytes of an address; nothing where it is another text than they are read back as.
 fn packed_address(text: &str) -> Option<[u8; ADDRESS_BYTES]> {
     let address: SocketAddrV4 = text
@@ -213,11 +289,8 @@
 }
 
 /// The address of these bytes.
-fn unpacked_address(bytes: &[u8]) -> Option<String> {
-    let [a, b, c, d, high, low] = *bytes else {
-        return None;
-    };
+fn unpacked_address([a, b, c, d, high, low]: [u8; ADDRESS_BYTES]) -> String {
     let machine = Ipv4Addr::new(a, b, c, d);
     let port = u16::from_be_bytes([high, low]);
-    Some(SocketAddr::from((machine, port)).to_string())
+    SocketAddr::from((machine, port)).to_string()
 }
