--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -7,12 +7,14 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::cached;
+use super::change_log::{ChangeLog, LogPage};
 use super::directory::short_digest;
 use super::message::{
-    Ask, Change, Loading, MAX_DATAGRAM_BYTES, Message, RECEIVE_BYTES, Report, Tell, TellCached,
-    WireLease, WirePrompt, WireWeights,
+    Ask, Change, Loading, Message, RECEIVE_BYTES, Report, Tell, TellCached, WireLease, WirePrompt,
+    WireWeights,
 };
-use super::packed::PackedSize;
+use super::packed::PackedReplicas;
+use super::packed_pages::PAGE_BYTES;
 use super::records;
 use super::send::send_to;
 use super::spread::{self, spread};
@@ -24,9 +26,6 @@
 /// The pause after a datagram could not be received.
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(25);
 
-/// The size of a page of changes, in bytes, beside the rest of an answer.
-const PAGE_BYTES: usize = MAX_DATAGRAM_BYTES - 350;
-
 /// Where answers to own questions go.
 pub(super) struct AnswerQueues {
     /// What is in force and has changed.
@@ -139,7 +138,7 @@
 /// The answer to a question.
 fn tell(state: &GatewayState, question: &Ask) -> Tell {
     let log = state.peers.log.borrow();
-    let page = log.page(question, fits(question.takes_packed));
+    let (page, packed) = page(state, &log, question);
     let configuration = state.configuration.load();
     let proof = state.currency.proof();
     let to_ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
@@ -149,7 +148,7 @@
     let era = state.store_eras.known();
     // Of an era that another daemon told, no position is known yet.
     let position = Some(state.store_position.get()).filter(|known| known.era == era);
-    let mut told = Tell {
+    Tell {
         nonce: question.nonce,
         proof_age_ms: proof.map(|proof| to_ms_up(proof.began.elapsed())),
         view_age_ms: state.peers.view_age().map(to_ms_up),
@@ -195,22 +194,29 @@
             .filter(|position| position.era == era)
             .map(|position| position.revision),
         highest_token: state.lease.borrow().highest_token(),
-        packed: None,
-    };
-    if question.takes_packed {
-        told.pack();
+        packed,
+    }
+}
+
+/// The changes that the asking daemon lacks; packed where it understands that.
+fn page(
+    state: &GatewayState,
+    log: &ChangeLog,
+    question: &Ask,
+) -> (LogPage, Option<Box<PackedReplicas>>) {
+    if !question.takes_packed {
+        return (log.page(question, fits()), None);
+    }
+    match state.peers.pages.borrow_mut().page(log, question) {
+        Some(known) => (known.page.clone(), Some(Box::new(known.packed.clone()))),
+        None => (log.no_changes(), None),
     }
-    told
 }
 
 /// Whether one more change fits into a datagram, asked for each in turn.
-fn fits(is_packed: bool) -> impl FnMut(&Change) -> bool {
-    let mut packed = PackedSize::new(PAGE_BYTES);
+fn fits() -> impl FnMut(&Change) -> bool {
     let mut left = PAGE_BYTES;
     move |change| {
-        if is_packed {
-            return packed.fits(change);
-        }
         let size = change.wire_size();
         let fits = size <= left;
         left = left.saturating_sub(size);
--- a/crates/gateway/src/peers/change_log.rs
+++ b/crates/gateway/src/peers/change_log.rs
@@ -120,16 +120,29 @@
         true
     }
 
-    /// The changes of this log that the asking daemon lacks, as many as `fits` allows, but one at the least. `fits` is asked
-    /// with each further change of the page in turn, and says whether that still fits.
-    pub fn page(&self, question: &Ask, mut fits: impl FnMut(&Change) -> bool) -> LogPage {
+    /// The last change that the asking daemon has, 0 where it has none or not all before it; nothing where it has every item,
+    /// whatever log it followed.
+    pub fn known_to(&self, question: &Ask) -> Option<u64> {
         if question.content != 0 && question.content == self.content {
-            return self.no_changes();
+            return None;
         }
         let knows_enough = question.log == self.id
             && question.sequence >= self.forgotten
             && question.sequence <= self.sequence;
-        let after = if knows_enough { question.sequence } else { 0 };
+        Some(if knows_enough { question.sequence } else { 0 })
+    }
+
+    /// The changes of this log that the asking daemon lacks, as many as `fits` allows, see [`Self::page_after`].
+    pub fn page(&self, question: &Ask, fits: impl FnMut(&Change) -> bool) -> LogPage {
+        match self.known_to(question) {
+            Some(after) => self.page_after(after, fits),
+            None => self.no_changes(),
+        }
+    }
+
+    /// The changes after the one of this number, as many as `fits` allows, but one at the least. `fits` is asked
+    /// with each further change of the page in turn, and says whether that still fits.
+    pub fn page_after(&self, after: u64, mut fits: impl FnMut(&Change) -> bool) -> LogPage {
         let mut page = LogPage {
             changes: Vec::new(),
             sequence: after,
@@ -149,7 +162,8 @@
         page
     }
 
-    fn no_changes(&self) -> LogPage {
+    /// The page for a daemon that has every item.
+    pub fn no_changes(&self) -> LogPage {
         LogPage {
             changes: Vec::new(),
             sequence: self.sequence,
--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/known.rs
@@ -14,6 +14,7 @@
 use super::far::FarExchange;
 use super::followed_log::FollowedLog;
 use super::message::{Item, Loading, WireDaemon, WirePrompt};
+use super::packed_pages::PackedPages;
 use super::relays::Relays;
 use super::view::View;
 use crate::cache::CachedNews;
@@ -41,6 +42,8 @@
 pub struct Peers {
     /// Replicas and daemons.
     pub log: RefCell<ChangeLog>,
+    /// Pages of it that others asked for.
+    pub(super) pages: RefCell<PackedPages>,
     /// Wakes the task that tells others of news.
     pub news: Notify,
     /// Whether this daemon reads the store itself.
@@ -94,6 +97,7 @@
     pub fn new(own: WireDaemon, seeds: Vec<WireDaemon>, life: u64) -> Self {
         Self {
             log: RefCell::new(ChangeLog::new(life)),
+            pages: RefCell::default(),
             news: Notify::new(),
             is_reader: Cell::new(false),
             may_read: Cell::new(true),
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -11,7 +11,8 @@
 //!
 //! - [`message`]: the datagrams.
 //! - [`change_log`]: replicas and daemons in the order in which they changed, so that only news are sent.
-//! - [`packed`]: replicas as they fill a page of changes; [`bit_rows`]: how their rows are packed.
+//! - [`packed`]: replicas as they fill a page of changes; [`bit_rows`]: how their rows are packed;
+//!   [`packed_pages`]: pages for all who ask.
 //! - [`followed_log`]: where a daemon stands in the log of the one that it asks.
 //! - [`directory`]: the daemons known, by rank; [`relays`]: whom to send to in other groups.
 //! - [`spread`]: passes reports on from member to member.
@@ -36,6 +37,7 @@
 pub mod message;
 mod news;
 pub mod packed;
+pub mod packed_pages;
 mod quarantine_message;
 mod records;
 pub mod relays;
--- a/crates/gateway/src/peers/packed.rs
+++ b/crates/gateway/src/peers/packed.rs
@@ -231,12 +231,6 @@
 }
 
 impl Tell {
-    /// Moves replicas from the changes to where they take less room.
-    pub fn pack(&mut self) {
-        let packed = PackedReplicas::take_from(&mut self.changes);
-        self.packed = Some(Box::new(packed));
-    }
-
     /// Puts packed replicas back among the changes.
     pub fn unpack(&mut self) {
         if let Some(packed) = self.packed.take() {
