--- a/crates/gateway/src/peers/source.rs
+++ b/crates/gateway/src/peers/source.rs
@@ -88,6 +88,7 @@
     others: Vec<String>,
     may_read: bool,
     has_other_groups: bool,
+    has_just_started: bool,
 }
 
 impl SourceChooser {
@@ -123,6 +124,11 @@
         source
     }
 
+    /// Takes in whether this daemon has just started.
+    pub fn set_just_started(&mut self, has_just_started: bool) {
+        self.has_just_started = has_just_started;
+    }
+
     /// How old what is known here may be before another source is needed.
     pub fn longest_view_age(&self) -> Duration {
         match self.has_other_groups {
