--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -54,6 +54,7 @@
             .set_groups(&directory.group_name, directory.other_groups.len() + 1);
         let group = state.peers.group(&directory);
         let others = directory.first_of_other_groups();
+        chooser.set_just_started(state.now() < JUST_STARTED);
         let source = chooser.choose(state.now(), &group, &others, &state.peers.own.name);
         if source == Source::Store {
             set_source(&state, &source);
--- a/crates/gateway/src/peers/source.rs
+++ b/crates/gateway/src/peers/source.rs
@@ -9,6 +9,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
+use super::directory::name_digest;
 use super::message::WireDaemon;
 
 /// How long a source is passed over after it was silent or knew nothing recent.
@@ -107,7 +108,11 @@
         self.may_read = may_read;
         self.has_other_groups = !other_groups.is_empty();
         let others = other_groups.iter().filter(|_| may_read);
-        let candidates = readers.iter().copied().chain(others);
+        let first = match self.has_just_started && !may_read {
+            true => shared_among_equals(&readers, own),
+            false => readers.clone(),
+        };
+        let candidates = first.into_iter().chain(others);
         let others = candidates.clone().filter(|daemon| daemon.name != own);
         self.others = others.map(|daemon| daemon.name.clone()).collect();
         let mut usable = candidates.filter(|daemon| !self.passed_over.contains_key(&daemon.name));
@@ -124,7 +129,8 @@
         source
     }
 
-    /// Takes in whether this daemon has just started.
+    /// Takes in whether this daemon has just started, so that it is told all replicas, perhaps with all others of its group:
+    /// it then asks any of the first readers whose machines carry as much as that of the first.
     pub fn set_just_started(&mut self, has_just_started: bool) {
         self.has_just_started = has_just_started;
     }
@@ -315,3 +321,15 @@
         self.unanswered = 0;
     }
 }
+
+/// `readers` in the order in which the daemon `own` asks them for all replicas: those whose machines carry as much as that
+/// of the first take turns in being the first. The processor of one gives all pages to some hundred members in a second.
+fn shared_among_equals<'a>(readers: &[&'a WireDaemon], own: &str) -> Vec<&'a WireDaemon> {
+    let mut order = readers.to_vec();
+    let most = readers.first().map(|first| first.capacity);
+    let is_equal = |daemon: &&&WireDaemon| Some(daemon.capacity) == most;
+    let equals = readers.iter().take_while(is_equal).count();
+    let turn = name_digest(own) as usize % equals.max(1);
+    order[..equals].rotate_left(turn);
+    order
+}
