--- a/crates/gateway/src/replicas/registry.rs
+++ b/crates/gateway/src/replicas/registry.rs
@@ -79,9 +79,9 @@
         self.by_id.borrow().len()
     }
 
-    /// Whether no replica is listed.
+    /// Whether no replica is in force: before the last page of the first transfer none is, though some were taken in.
     pub fn is_empty(&self) -> bool {
-        self.by_id.borrow().is_empty()
+        self.by_service.borrow().is_empty()
     }
 
     /// Takes in one entry; it counts from [`Registry::index`] on. A life that has said that it is leaving never stays
