--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -283,6 +283,9 @@
         };
         name_weights(state, &named, since);
     }
+    if let Some(moment) = moment_before(sent_at, answer.view_age_ms) {
+        state.known_namings.note_told(moment);
+    }
     state.lease.borrow_mut().on_token(answer.highest_token);
     if let Some(lease) = &answer.lease {
         let record = LeaseRecord {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -31,7 +31,9 @@
 use crate::quota::{Quotas, Tolerance};
 use crate::replicas::Registry;
 use crate::rollout::{OrderLease, lease_times};
-use crate::store::{Rejected, Rejections, StoreEras, StoreOutage, StorePosition, StoreProgress};
+use crate::store::{
+    KnownNamings, Rejected, Rejections, StoreEras, StoreOutage, StorePosition, StoreProgress,
+};
 use crate::upstream::Pool;
 use crate::weights::WantedWeights;
 
@@ -124,6 +126,8 @@
     pub store_outage: StoreOutage,
     /// What others say that can't be read.
     pub rejections: Rejections,
+    /// Up to when all namings of weights are known here.
+    pub known_namings: KnownNamings,
     /// How far the store had come when.
     pub store_progress: RefCell<StoreProgress>,
     /// The latest era of the store that is known.
@@ -181,6 +185,7 @@
             callers: CallerConnections::default(),
             store_outage: StoreOutage::default(),
             rejections: Rejections::default(),
+            known_namings: KnownNamings::default(),
             store_progress: RefCell::default(),
             store_eras: StoreEras::new(Instant::now()),
             store_position: Cell::default(),
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -150,6 +150,9 @@
                 }
                 state.registry_changed();
                 position = position.max(page.position);
+                if kind == ObjectKind::Weights {
+                    state.known_namings.note_read(position);
+                }
                 if let Some(pause) = pause_between_watches(kind) {
                     tokio::time::sleep(pause).await;
                 }
@@ -200,6 +203,7 @@
     }
     if kind == ObjectKind::Weights {
         take_weights_list(state, objects);
+        state.known_namings.note_read(position);
         return;
     }
     if matches!(kind, ObjectKind::Replicas | ObjectKind::Daemons) {
@@ -358,10 +362,30 @@
             }
             let known = named_after(state, object.position).map(Since::Known);
             name_weights(state, &weights, known.unwrap_or(unknown));
+            if let Some(passed_over) = passed_over(&weights, newest) {
+                name_weights(state, &passed_over, since_last_known(state, unknown));
+            }
         }
     }
 }
 
+/// The oldest version that was named between the newest one that is known and `listed`: versions count up by one.
+fn passed_over(listed: &ModelVersion, newest: Option<u64>) -> Option<ModelVersion> {
+    let version = newest?.checked_add(1)?;
+    (version < listed.version).then(|| ModelVersion {
+        model: listed.model.clone(),
+        version,
+    })
+}
+
+/// Since when a version counts that was named at an unknown moment after all namings had been known, as far as that is
+/// known: weights that it follows must not serve longer since its own naming was not seen.
+fn since_last_known(state: &GatewayState, unknown: Since) -> Since {
+    let progress = state.store_progress.borrow();
+    let known_until = state.known_namings.until(&progress);
+    known_until.map_or(unknown, Since::Known)
+}
+
 /// Since when weights count that are listed and of which no read before their naming is known. They may be wanted
 /// for any time: they count as old, but for the time in which a daemon that has just started is not yet held to
 /// them.
--- a/crates/gateway/src/store/progress.rs
+++ b/crates/gateway/src/store/progress.rs
@@ -53,6 +53,14 @@
         Some(last.began)
     }
 
+    /// The latest moment at which the store is known not to have gone beyond `position`; nothing where none is known.
+    pub fn last_up_to(&self, position: StorePosition) -> Option<Instant> {
+        let mut reads = self.reads.iter().rev();
+        let last = reads
+            .find(|read| read.position == position || read.position.is_before_in_era(position))?;
+        Some(last.began)
+    }
+
     /// The latest moment at which the store is known not to have reached `position`; nothing where none is known.
     pub fn not_before(&self, position: StorePosition) -> Option<Instant> {
         let before = self.reads.iter().rev();
--- a/crates/gateway/tests/store_progress.rs
+++ b/crates/gateway/tests/store_progress.rs
@@ -4,7 +4,7 @@
 
 use driftspring_clock::Instant;
 use driftspring_gateway::currency::{Currency, Proof};
-use driftspring_gateway::store::{StoreEra, StorePosition, StoreProgress};
+use driftspring_gateway::store::{KnownNamings, StoreEra, StorePosition, StoreProgress};
 
 fn position(revision: u64) -> StorePosition {
     StorePosition {
@@ -56,3 +56,37 @@
     assert!(currency.prove(1, read(2, 12)));
     assert_eq!(currency.proof(), Some(read(3, 14)));
 }
+
+#[test]
+fn namings_are_known_up_to_the_last_read_that_told_nothing_beyond_what_was_taken_in() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let mut progress = StoreProgress::default();
+    progress.note(at(1), position(10));
+    progress.note(at(2), position(10));
+    progress.note(at(3), position(12));
+    let known = KnownNamings::default();
+    assert_eq!(known.until(&progress), None);
+    known.note_read(position(10));
+    assert_eq!(known.until(&progress), Some(at(2)));
+    known.note_read(position(11));
+    known.note_read(position(9));
+    assert_eq!(known.until(&progress), Some(at(2)));
+    let of_other_era = position(20).in_era(StoreEra::named(1));
+    progress.note(at(4), of_other_era);
+    known.note_read(of_other_era);
+    assert_eq!(known.until(&progress), Some(at(4)));
+}
+
+#[test]
+fn namings_that_another_daemon_told_are_known_up_to_what_its_reader_may_not_have_heard_of() {
+    const READER_LAG: Duration = Duration::from_millis(1400);
+    let start = Instant::now() + Duration::from_secs(10);
+    let known = KnownNamings::default();
+    known.note_told(start);
+    known.note_told(start - Duration::from_secs(1));
+    assert_eq!(
+        known.until(&StoreProgress::default()),
+        Some(start - READER_LAG)
+    );
+}
