--- a/crates/gateway/src/quota/group_use.rs
+++ b/crates/gateway/src/quota/group_use.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::usage::{COUNTED_BACK, Totals};
+use super::usage::{COUNTED_BACK, LeastDelay, Totals};
 use crate::peers::message::WireTotals;
 
 /// The time over which use is averaged, and over which what is left in the bucket is given out. It is well over the
@@ -48,6 +48,7 @@
     sent: Option<Duration>,
     heard_at: Duration,
     lately: Lately,
+    delay: LeastDelay,
 }
 
 /// What was used lately, which counts the less the longer ago it was.
@@ -94,6 +95,12 @@
         both.is_some_and(|(sent, known)| sent < known)
     }
 
+    /// Whether a report that was told at `sent` and is taken in at `now` has waited somewhere: it says nothing of whether its
+    /// leader still tells.
+    fn is_late(&mut self, sent: Option<Duration>, now: Duration) -> bool {
+        sent.is_some_and(|sent| self.delay.is_late(sent, now))
+    }
+
     /// Takes in totals that were told at `sent` and heard at `now`, or that nothing more was used; what was admitted beyond
     /// those before. Rates are of the leader's time: reports that waited somewhere come together.
     fn hear(&mut self, now: Duration, sent: Option<Duration>, told: Option<&WireTotals>) -> f64 {
@@ -122,6 +129,7 @@
             sent: sent.map(|sent| sent.saturating_sub(COUNTED_BACK)),
             heard_at: now.saturating_sub(COUNTED_BACK),
             lately,
+            delay: LeastDelay::default(),
         }
     }
 }
@@ -159,24 +167,35 @@
         if known.is_some_and(|leader| leader.is_overtaken(report.sent)) {
             return 0.0;
         }
-        if now > self.heard_at + SILENCE {
-            self.heard_again_at = now;
-            self.is_made_up_for = true;
-        }
-        self.is_made_up_for &= known.is_some();
         let mut leader =
             known.unwrap_or_else(|| LastReport::begin(now, report.sent, self.take_over()));
+        // One that waited here while this daemon stood still does not end a silence: its leader may be gone by now.
+        let is_late = leader.is_late(report.sent, now);
+        let heard_at = if is_late { leader.heard_at } else { now };
         let admitted = leader.hear(now, report.sent, told);
+        leader.heard_at = heard_at;
         self.leaders.insert(report.leader, leader);
         self.leaders
             .retain(|_, leader| now < leader.heard_at + ASSUMED_FOR);
-        self.heard_at = now;
-        self.assumed_until = now;
+        if !is_late {
+            self.note_heard(now, known.is_some());
+        }
         let was_assumed = admitted.min(self.assumed);
         self.assumed -= was_assumed;
         admitted - was_assumed
     }
 
+    /// Takes in that the group is heard at `now`, by a leader that is known or by another one.
+    fn note_heard(&mut self, now: Duration, is_known: bool) {
+        if now > self.heard_at + SILENCE {
+            self.heard_again_at = now;
+            self.is_made_up_for = true;
+        }
+        self.is_made_up_for &= is_known;
+        self.heard_at = now;
+        self.assumed_until = now;
+    }
+
     /// What the members used lately of the leader that was heard last, and that another one leads now.
     fn take_over(&mut self) -> Lately {
         let leaders = self.leaders.values_mut();
--- a/crates/gateway/src/quota/usage.rs
+++ b/crates/gateway/src/quota/usage.rs
@@ -18,11 +18,11 @@
 /// Totals of the past that are kept for one tenant; while a leader is silent for longer than they reach back, the oldest give way.
 const MAX_PAST: usize = 40;
 
-/// How much later than usual a member's report comes that is of no use: its member was told by then that another daemon
-/// leads, which has counted that. A leader that stood still finds many such reports.
+/// How much later than usual a report comes that is late. One of a member is of no use: its member was told by then that
+/// another daemon leads, which has counted that. A daemon that stood still finds many such reports.
 const LATE: Duration = Duration::from_millis(500);
 
-/// For how long the usual time of a member's reports holds: clocks drift apart by less than a millisecond in that time.
+/// For how long the usual time of reports holds: clocks drift apart by less than a millisecond in that time.
 const USUAL_FOR: Duration = Duration::from_secs(10);
 
 /// What one tenant used, in the unit of its limit.
@@ -160,10 +160,10 @@
     delay: LeastDelay,
 }
 
-/// The least of the differences between a member's clock and this daemon's that its reports showed lately: that of a
+/// The least of the differences between another daemon's clock and this one's that its reports showed lately: that of a
 /// report which came at once.
-#[derive(Debug, Default)]
-struct LeastDelay {
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct LeastDelay {
     least: Option<i128>,
     least_before: Option<i128>,
     began: Duration,
@@ -171,7 +171,7 @@
 
 impl LeastDelay {
     /// Whether a report that was told at `sent` and is taken in at `now` has come much later than others.
-    fn is_late(&mut self, sent: Duration, now: Duration) -> bool {
+    pub(super) fn is_late(&mut self, sent: Duration, now: Duration) -> bool {
         let in_micros = |time: Duration| i128::try_from(time.as_micros()).unwrap_or(i128::MAX);
         let delay = in_micros(now) - in_micros(sent);
         let least = self.least.into_iter().chain(self.least_before).min();
