--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`rollout`]: new weights, ordered by one daemon at a time.
 //! - [`weights`]: the weights that the operator wants, and since when.
 //! - [`server`]: sockets, readiness, start and stop.
+//! - [`standstill`]: how long this process has stood still.
 
 pub mod budget;
 pub mod cache;
@@ -31,6 +32,7 @@
 pub mod replicas;
 pub mod rollout;
 pub mod server;
+pub mod standstill;
 pub mod state;
 pub mod store;
 pub mod upstream;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -31,6 +31,7 @@
 use crate::pipeline;
 use crate::protocol::Platform;
 use crate::rollout;
+use crate::standstill;
 use crate::state::{GatewayState, SharedStatus};
 use crate::store;
 use listeners::Listeners;
@@ -248,6 +249,7 @@
         ntex::rt::spawn(cache::run(Rc::clone(&state)));
         ntex::rt::spawn(stop::close_idle_connections(Rc::clone(&state)));
         ntex::rt::spawn(rollout::run(Rc::clone(&state)));
+        ntex::rt::spawn(standstill::watch());
         App::new()
             .state(state)
             .default_service(web::route().to(pipeline::respond))
--- /dev/null
+++ b/crates/gateway/src/standstill.rs
@@ -0,0 +1,67 @@
+//! How long this process has stood still: frozen, or on a machine that was suspended.
+//!
+//! What it measured over such a time says nothing of others, and timers that should have ended may still wait: those of the
+//! runtime stand still with a machine. So a task ticks, and a gap between two ticks is a standstill.
+
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use driftspring_clock::Instant;
+use driftspring_telemetry::events::gateway;
+use driftspring_telemetry::log_event;
+
+/// The time between two ticks.
+const TICK: Duration = Duration::from_millis(50);
+
+/// The least gap that is a standstill: five ticks. A machine whose share of its processors is spent waits for a tenth of a second
+/// (operator's pages), which is part of what is measured.
+const LEAST_GAP: Duration = Duration::from_millis(250);
+
+/// The moment from which ticks are counted.
+static BEGAN: OnceLock<Instant> = OnceLock::new();
+
+/// When the process last showed that it runs, in nanoseconds since [`BEGAN`]; 0 before the first tick.
+static LAST_TICK_NANOS: AtomicU64 = AtomicU64::new(0);
+
+/// How long it has stood still in all, in nanoseconds.
+static STOOD_STILL_NANOS: AtomicU64 = AtomicU64::new(0);
+
+/// Shows that the process runs; returns how long it had stood still until now, where it had.
+pub fn tick() -> Option<Duration> {
+    let now = nanos(BEGAN.get_or_init(Instant::now).elapsed()).max(1);
+    let last = LAST_TICK_NANOS.fetch_max(now, Ordering::Relaxed);
+    let gap = now.saturating_sub(last);
+    if last == 0 || gap < nanos(LEAST_GAP) {
+        return None;
+    }
+    STOOD_STILL_NANOS.fetch_add(gap, Ordering::Relaxed);
+    Some(Duration::from_nanos(gap))
+}
+
+/// How long the process has stood still in all since the first tick; also where the next tick is only due. It rises with
+/// each standstill, so that two of these tell whether one lies in between.
+pub fn total() -> Duration {
+    if LAST_TICK_NANOS.load(Ordering::Relaxed) > 0 {
+        note(tick());
+    }
+    Duration::from_nanos(STOOD_STILL_NANOS.load(Ordering::Relaxed))
+}
+
+/// Ticks for ever.
+pub async fn watch() {
+    loop {
+        note(tick());
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+fn note(standstill: Option<Duration>) {
+    if let Some(time) = standstill {
+        log_event!(gateway::PROCESS_STOOD_STILL, "time={time:?}");
+    }
+}
+
+fn nanos(time: Duration) -> u64 {
+    u64::try_from(time.as_nanos()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/gateway/tests/standstill.rs
@@ -0,0 +1,66 @@
+//! What a gateway measures while its process stands still.
+
+use std::rc::Rc;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use driftspring_clock::{Instant, suspend};
+use driftspring_gateway::replicas::{BeginWait, Waiting};
+use driftspring_gateway::standstill;
+
+const STANDSTILL: Duration = Duration::from_secs(4);
+const URGENCY: u8 = 1;
+
+/// Longer than any wait in these tests, but for the standstill.
+const SHORT: Duration = Duration::from_millis(200);
+
+/// A suspension moves the clock of this whole process, so the tests take turns.
+static TURN: Mutex<()> = Mutex::new(());
+
+fn turn() -> MutexGuard<'static, ()> {
+    TURN.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+#[test]
+fn a_gap_between_two_ticks_is_a_standstill() {
+    let _turn = turn();
+    standstill::tick();
+    let before = standstill::total();
+    assert_eq!(standstill::tick(), None);
+    suspend(STANDSTILL);
+    let after = standstill::total();
+    assert!(after - before >= STANDSTILL, "{before:?}, then {after:?}");
+    assert_eq!(standstill::tick(), None, "it is counted once");
+    assert_eq!(standstill::total(), after);
+}
+
+#[test]
+fn a_standstill_of_the_gateway_is_no_wait_at_a_replica() {
+    // Requests that were under way while the gateway stood still had their answers in its sockets. When it woke, each told a wait
+    // of the whole standstill, and all replicas seemed to have lines of seconds: their weights went out of use early, and
+    // requests were refused.
+    let _turn = turn();
+    standstill::tick();
+    let waits = Rc::new(BeginWait::default());
+    let begin = || Waiting::begin(&waits, URGENCY, Instant::now());
+    let [began, gave_up, dropped] = std::array::from_fn(|_| begin());
+    suspend(STANDSTILL);
+    began.began(Instant::now());
+    gave_up.gave_up(Instant::now());
+    drop(dropped);
+    let expected = waits.expected(URGENCY, Instant::now());
+    assert!(expected < SHORT, "{expected:?} is expected");
+}
+
+#[test]
+fn a_wait_beside_no_standstill_is_learnt() {
+    let _turn = turn();
+    standstill::tick();
+    suspend(STANDSTILL);
+    let waits = Rc::new(BeginWait::default());
+    let now = Instant::now();
+    let waiting = Waiting::begin(&waits, URGENCY, now);
+    waiting.began(now + STANDSTILL);
+    let expected = waits.expected(URGENCY, now + STANDSTILL);
+    assert!(expected > SHORT, "{expected:?} is expected");
+}
