--- a/crates/gateway/src/replicas/begin_wait.rs
+++ b/crates/gateway/src/replicas/begin_wait.rs
@@ -8,6 +8,8 @@
 //!
 //! A replica begins urgent requests first. So a request waits at least as long as more urgent ones did,
 //! and nothing follows for it from those that are less urgent.
+//!
+//! While this process stands still answers wait in its sockets: nothing is learnt from a request whose wait ends after that.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -17,6 +19,7 @@
 use driftspring_clock::Instant;
 
 use super::lines::{Begins, Line};
+use crate::standstill;
 
 /// How much one sample weighs in the mean and in the deviation. A gateway sees about one begin a second of
 /// each replica, and as many from each peer (operator's sheets); with a quarter the last four count most.
@@ -171,6 +174,8 @@
     urgency: u8,
     number: u64,
     since: Instant,
+    /// How long this process had stood still in all when it was sent.
+    stood_still: Duration,
     /// What was expected when it was sent.
     expected: Duration,
     has_ended: bool,
@@ -185,6 +190,7 @@
             waits: Rc::clone(waits),
             urgency,
             since: now,
+            stood_still: standstill::total(),
             expected,
             has_ended: false,
         }
@@ -199,7 +205,7 @@
     pub fn began(mut self, now: Instant) -> Begun {
         self.has_ended = true;
         let wait = now.saturating_duration_since(self.since);
-        self.waits.note(self.urgency, wait, now);
+        self.learn(wait, now);
         self.waits.note_begin(now);
         Begun {
             wait,
@@ -219,6 +225,13 @@
         }
         let wait = now.saturating_duration_since(self.since);
         if wait > self.expected {
+            self.learn(wait, now);
+        }
+    }
+
+    /// Takes in its wait, unless this process has stood still meanwhile: when it ended at the replica is not known then.
+    fn learn(&self, wait: Duration, now: Instant) {
+        if standstill::total() == self.stood_still {
             self.waits.note(self.urgency, wait, now);
         }
     }
--- a/crates/gateway/src/rollout/load.rs
+++ b/crates/gateway/src/rollout/load.rs
@@ -113,7 +113,9 @@
             expected_sequence: replica.order_sequence(),
         };
         let call = state.platform.order(&order);
-        let answer = upstream::call(&replica.pool, &call, ORDER_TIMEOUT).await;
+        // Timers stand still with the machine, so the token may have run out while the connection came up.
+        let holds_token = || state.lease.borrow().token_at(state.now()) == Some(token);
+        let answer = upstream::call_if(&replica.pool, &call, ORDER_TIMEOUT, holds_token).await;
         let answer = answer.map(|(status, _)| state.platform.read_order(status));
         log_order(replica, &order, &answer);
         match answer {
@@ -137,6 +139,7 @@
             Ok(OrderAnswer::Misdirected | OrderAnswer::Refused) => {
                 return Err(LoadFailure::AtReplica);
             }
+            Err(CallError::NotSent(_)) if !holds_token() => return Err(LoadFailure::MayNotOrder),
             Err(CallError::NotSent(_)) => return Err(LoadFailure::AtReplica),
             Err(CallError::Lost(_) | CallError::TimedOut(_)) => {}
         }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -249,7 +249,7 @@
         ntex::rt::spawn(cache::run(Rc::clone(&state)));
         ntex::rt::spawn(stop::close_idle_connections(Rc::clone(&state)));
         ntex::rt::spawn(rollout::run(Rc::clone(&state)));
-        ntex::rt::spawn(standstill::watch());
+        ntex::rt::spawn(standstill::watch(Rc::clone(&state)));
         App::new()
             .state(state)
             .default_service(web::route().to(pipeline::respond))
--- a/crates/gateway/src/standstill.rs
+++ b/crates/gateway/src/standstill.rs
@@ -3,6 +3,7 @@
 //! What it measured over such a time says nothing of others, and timers that should have ended may still wait: those of the
 //! runtime stand still with a machine. So a task ticks, and a gap between two ticks is a standstill.
 
+use std::rc::Rc;
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -11,6 +12,8 @@
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
 
+use crate::state::GatewayState;
+
 /// The time between two ticks.
 const TICK: Duration = Duration::from_millis(50);
 
@@ -48,10 +51,16 @@
     Duration::from_nanos(STOOD_STILL_NANOS.load(Ordering::Relaxed))
 }
 
-/// Ticks for ever.
-pub async fn watch() {
+/// Ticks for ever. After a standstill the requests that wait at replicas look again at how long they may.
+pub async fn watch(state: Rc<GatewayState>) {
+    let mut known = total();
     loop {
         note(tick());
+        let total = total();
+        if total > known {
+            known = total;
+            state.weights_named.notify_waiters();
+        }
         tokio::time::sleep(TICK).await;
     }
 }
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -15,6 +15,9 @@
 /// The longest answer to a call, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
+/// Why a call is not sent though its connection has come up.
+const NOT_ANY_MORE: &str = "it may not be sent any more";
+
 /// Why a call has no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
@@ -54,7 +57,25 @@
     Ok((answer.status, answer.body))
 }
 
-/// The same, with the headers of the answer.
+/// The same, unless `may_be_sent` says otherwise once the connection is there: one may take a while to come up.
+///
+/// # Errors
+///
+/// As of [`call`].
+pub async fn call_if(
+    pool: &Rc<Pool>,
+    call: &Call,
+    timeout: Duration,
+    may_be_sent: impl Fn() -> bool,
+) -> Result<(StatusCode, Bytes), CallError> {
+    let exchange = exchange(pool, call, may_be_sent);
+    let answer = tokio::time::timeout(timeout, exchange)
+        .await
+        .map_err(|_| CallError::TimedOut(timeout))??;
+    Ok((answer.status, answer.body))
+}
+
+/// The same as [`call`], with the headers of the answer.
 ///
 /// # Errors
 ///
@@ -64,15 +85,22 @@
     call: &Call,
     timeout: Duration,
 ) -> Result<CallAnswer, CallError> {
-    tokio::time::timeout(timeout, exchange(pool, call))
+    tokio::time::timeout(timeout, exchange(pool, call, || true))
         .await
         .map_err(|_| CallError::TimedOut(timeout))?
 }
 
-async fn exchange(pool: &Rc<Pool>, call: &Call) -> Result<CallAnswer, CallError> {
+async fn exchange(
+    pool: &Rc<Pool>,
+    call: &Call,
+    may_be_sent: impl Fn() -> bool,
+) -> Result<CallAnswer, CallError> {
     let request = build(pool, call).map_err(|error| CallError::NotSent(error.to_string()))?;
     let connection = pool.take().await;
     let mut connection = connection.map_err(|error| CallError::NotSent(error.to_string()))?;
+    if !may_be_sent() {
+        return Err(CallError::NotSent(NOT_ANY_MORE.to_owned()));
+    }
     let response = connection.send(request).await;
     let response = response.map_err(|failure| CallError::Lost(failure.to_string()))?;
     let mut answer = Answer::new(response, connection, Rc::clone(pool));
