--- a/crates/gateway/src/peers/records.rs
+++ b/crates/gateway/src/peers/records.rs
@@ -15,6 +15,7 @@
 use super::spread::spread;
 use crate::quarantine::shared::{BETWEEN_TELLINGS, Outbox};
 use crate::quarantine::{Fingerprint, Record, Stored, Strike, Teller, homes, role};
+use crate::standstill;
 use crate::state::GatewayState;
 use crate::store::{StoreEra, StorePosition};
 
@@ -148,8 +149,16 @@
     state.quarantine.read(|ledger| ledger.digest())
 }
 
-/// Takes in strikes.
+/// Takes in strikes. Those that waited for this daemon while it stood still are left out, as if lost: when their replicas ended is
+/// not known, and they would seem to have ended together. The others that count for the request know, and tell the record.
 pub(super) fn take_strikes(state: &GatewayState, strikes: &[WireStrike]) {
+    if standstill::has_just_woken() {
+        log::info!(
+            "{} strikes that may have waited are left out",
+            strikes.len()
+        );
+        return;
+    }
     let now = state.quarantine.now();
     let directory = state.peers.directory();
     for told in strikes {
--- a/crates/gateway/src/replicas/begin_wait.rs
+++ b/crates/gateway/src/replicas/begin_wait.rs
@@ -9,7 +9,7 @@
 //! A replica begins urgent requests first. So a request waits at least as long as more urgent ones did,
 //! and nothing follows for it from those that are less urgent.
 //!
-//! While this process stands still answers wait in its sockets: nothing is learnt from a request whose wait ends after that.
+//! While this process stands still answers wait in its sockets: that time is no wait at a replica.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -229,10 +229,13 @@
         }
     }
 
-    /// Takes in its wait, unless this process has stood still meanwhile: when it ended at the replica is not known then.
+    /// Takes in its wait. Where this process has stood still meanwhile it may have ended at the replica at any time of that: only
+    /// that it was longer than expected is learnt then.
     fn learn(&self, wait: Duration, now: Instant) {
-        if standstill::total() == self.stood_still {
-            self.waits.note(self.urgency, wait, now);
+        let stood_still = standstill::total().saturating_sub(self.stood_still);
+        let least = wait.saturating_sub(stood_still);
+        if stood_still.is_zero() || least > self.expected {
+            self.waits.note(self.urgency, least, now);
         }
     }
 }
--- a/crates/gateway/src/standstill.rs
+++ b/crates/gateway/src/standstill.rs
@@ -30,6 +30,17 @@
 /// How long it has stood still in all, in nanoseconds.
 static STOOD_STILL_NANOS: AtomicU64 = AtomicU64::new(0);
 
+/// The least standstill over which news lose their moment. Under load all daemons of a machine may stand still for some tenths of
+/// a second at once: none of them would take in what was told meanwhile.
+const LONG_GAP: Duration = Duration::from_secs(1);
+
+/// When the last long standstill was noticed, in nanoseconds since [`BEGAN`]; 0 for none.
+static WOKE_NANOS: AtomicU64 = AtomicU64::new(0);
+
+/// For how long after a long standstill what is read may have waited for this process: a socket's buffer is read within
+/// milliseconds, other tasks that wake come before.
+const JUST_WOKEN: Duration = Duration::from_millis(250);
+
 /// Shows that the process runs; returns how long it had stood still until now, where it had.
 pub fn tick() -> Option<Duration> {
     let now = nanos(BEGAN.get_or_init(Instant::now).elapsed()).max(1);
@@ -39,6 +50,9 @@
         return None;
     }
     STOOD_STILL_NANOS.fetch_add(gap, Ordering::Relaxed);
+    if gap >= nanos(LONG_GAP) {
+        WOKE_NANOS.store(now, Ordering::Relaxed);
+    }
     Some(Duration::from_nanos(gap))
 }
 
@@ -51,6 +65,16 @@
     Duration::from_nanos(STOOD_STILL_NANOS.load(Ordering::Relaxed))
 }
 
+/// Whether the process has stood still for long until just now, so that what it reads may have waited meanwhile.
+pub fn has_just_woken() -> bool {
+    total();
+    let Some(began) = BEGAN.get() else {
+        return false;
+    };
+    let woke = WOKE_NANOS.load(Ordering::Relaxed);
+    woke > 0 && nanos(began.elapsed()).saturating_sub(woke) < nanos(JUST_WOKEN)
+}
+
 /// Ticks for ever. After a standstill the requests that wait at replicas look again at how long they may.
 pub async fn watch(state: Rc<GatewayState>) {
     let mut known = total();
--- a/crates/gateway/tests/standstill.rs
+++ b/crates/gateway/tests/standstill.rs
@@ -11,6 +11,9 @@
 const STANDSTILL: Duration = Duration::from_secs(4);
 const URGENCY: u8 = 1;
 
+/// For how long after a standstill what is read may have waited.
+const JUST_WOKEN: Duration = Duration::from_millis(250);
+
 /// Longer than any wait in these tests, but for the standstill.
 const SHORT: Duration = Duration::from_millis(200);
 
@@ -32,6 +35,12 @@
     assert!(after - before >= STANDSTILL, "{before:?}, then {after:?}");
     assert_eq!(standstill::tick(), None, "it is counted once");
     assert_eq!(standstill::total(), after);
+    assert!(standstill::has_just_woken());
+    suspend(JUST_WOKEN / 2);
+    assert!(standstill::has_just_woken());
+    standstill::tick();
+    suspend(JUST_WOKEN / 2);
+    assert!(!standstill::has_just_woken());
 }
 
 #[test]
@@ -64,3 +73,19 @@
     let expected = waits.expected(URGENCY, now + STANDSTILL);
     assert!(expected > SHORT, "{expected:?} is expected");
 }
+
+#[test]
+fn of_a_wait_over_a_standstill_what_is_longer_than_that_is_learnt() {
+    let _turn = turn();
+    standstill::tick();
+    let waits = Rc::new(BeginWait::default());
+    let now = Instant::now();
+    let waiting = Waiting::begin(&waits, URGENCY, now);
+    suspend(STANDSTILL / 4);
+    waiting.began(now + STANDSTILL);
+    let mean = waits.typical(URGENCY, now + STANDSTILL);
+    // One sample weighs a quarter.
+    let learnt = mean * 4;
+    assert!(learnt > STANDSTILL / 2, "{learnt:?} were learnt");
+    assert!(learnt < STANDSTILL, "{learnt:?} were learnt");
+}
