--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -7,7 +7,7 @@
     SETTINGS_RELOADED = 6003, Info, "The settings file was read again and is in force.";
     SETTINGS_REJECTED = 6004, Error, "The settings file was read again and is faulty; the earlier settings stay in force.";
     LOG_LINES_DROPPED = 6005, Warn, "Log lines were dropped since more came than may be written; the field counts them.";
-    PROCESS_STOOD_STILL = 6006, Warn, "The process stood still for so long: it was frozen, or its machine was suspended. What it measured over that time is not taken in.";
+    PROCESS_STOOD_STILL = 6006, Warn, "The process stood still for so long: it was frozen, or its machine was suspended. Waits at replicas count without that time; after a second or more, strikes (6600) that it reads at once are left out.";
     REQUEST_SENT = 6100, Info, "A request was sent to a replica; the fields give the route, the configuration's version, the age of its proof, and why the replica was chosen.";
     ATTEMPT_ENDED = 6101, Info, "A replica did not serve a request; the fields tell what its answer was taken for.";
     REQUEST_ENDED = 6102, Info, "A request got its whole answer from a replica; for a stream the fields give the time to its first event and the longest pause.";
