--- a/crates/gateway/src/replicas/begin_wait.rs
+++ b/crates/gateway/src/replicas/begin_wait.rs
@@ -8,6 +8,8 @@
 //!
 //! A replica begins urgent requests first. So a request waits at least as long as more urgent ones did,
 //! and nothing follows for it from those that are less urgent.
+//!
+//! While this process stands still answers wait in its sockets: that time is no wait at a replica.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -17,6 +19,7 @@
 use driftspring_clock::Instant;
 
 use super::lines::{Begins, Line};
+use crate::standstill;
 
 /// How much one sample weighs in the mean and in the deviation. A gateway sees about one begin a second of
 /// each replica, and as many from each peer (operator's sheets); with a quarter the last four count most.
@@ -171,6 +174,8 @@
     urgency: u8,
     number: u64,
     since: Instant,
+    /// How long this process had stood still in all when it was sent.
+    stood_still: Duration,
     /// What was expected when it was sent.
     expected: Duration,
     has_ended: bool,
@@ -185,6 +190,7 @@
             waits: Rc::clone(waits),
             urgency,
             since: now,
+            stood_still: standstill::total(),
             expected,
             has_ended: false,
         }
@@ -199,7 +205,7 @@
     pub fn began(mut self, now: Instant) -> Begun {
         self.has_ended = true;
         let wait = now.saturating_duration_since(self.since);
-        self.waits.note(self.urgency, wait, now);
+        self.learn(wait, now);
         self.waits.note_begin(now);
         Begun {
             wait,
@@ -219,7 +225,17 @@
         }
         let wait = now.saturating_duration_since(self.since);
         if wait > self.expected {
-            self.waits.note(self.urgency, wait, now);
+            self.learn(wait, now);
+        }
+    }
+
+    /// Takes in its wait. Where this process has stood still meanwhile it may have ended at the replica at any time of that: only
+    /// that it was longer than expected is learnt then.
+    fn learn(&self, wait: Duration, now: Instant) {
+        let stood_still = standstill::total().saturating_sub(self.stood_still);
+        let least = wait.saturating_sub(stood_still);
+        if stood_still.is_zero() || least > self.expected {
+            self.waits.note(self.urgency, least, now);
         }
     }
 }
