--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -33,6 +33,10 @@
 /// leaving may still get requests (`drainMs`, 2 s).
 const REPLICAS_PAUSE: Duration = Duration::from_millis(200);
 
+/// The pause between two watches of requests that end replicas: several are held, tried and cleared within seconds, and daemons
+/// tell each other of that. Only what an operator releases is heard of so much later.
+const QUARANTINE_PAUSE: Duration = Duration::from_millis(600);
+
 /// How long a list waits that may wait: what comes and goes within that time, such as a reader while the store is in trouble,
 /// costs no list (457 instead of 484 calls a day, mean of 18 standard days).
 const UNHURRIED_PAUSE: Duration = Duration::from_millis(2500);
@@ -180,10 +184,8 @@
     match kind {
         ObjectKind::Daemons => Some(DAEMONS_PAUSE),
         ObjectKind::Replicas => Some(REPLICAS_PAUSE),
-        ObjectKind::Configuration
-        | ObjectKind::Weights
-        | ObjectKind::Leases
-        | ObjectKind::Quarantine => None,
+        ObjectKind::Quarantine => Some(QUARANTINE_PAUSE),
+        ObjectKind::Configuration | ObjectKind::Weights | ObjectKind::Leases => None,
     }
 }
 
--- a/crates/gateway/src/store/quarantine.rs
+++ b/crates/gateway/src/store/quarantine.rs
@@ -27,7 +27,7 @@
 use crate::state::GatewayState;
 use crate::upstream::{self, Pool};
 
-/// The time between two tries to write or remove records, doubled after each one in a row that failed.
+/// The time between two tries to write a record or to remove some, doubled after each one in a row that failed.
 const RETRY: Duration = Duration::from_millis(1000);
 
 /// How often it is doubled: a store that is down for long is called each 8 s by three daemons for each record.
@@ -93,28 +93,60 @@
     }
 }
 
+/// The rest between two tries of the same call that failed. Other news don't end it: while replicas end they come many times a
+/// second.
+#[derive(Debug, Clone, Copy, Default)]
+struct Rest {
+    failures: u32,
+    until: Duration,
+}
+
+impl Rest {
+    fn is_over(&self, now: Duration) -> bool {
+        now >= self.until
+    }
+
+    fn note(&mut self, is_done: bool, now: Duration) {
+        if is_done {
+            *self = Self::default();
+            return;
+        }
+        self.failures = (self.failures + 1).min(RETRY_DOUBLINGS);
+        self.until = now + RETRY * (1 << self.failures);
+    }
+}
+
+/// A record that the store does not keep as it is.
+#[derive(Debug, Clone, Copy)]
+struct Unstored {
+    since: Duration,
+    rest: Rest,
+}
+
 /// Keeps the records in the store, for ever.
 pub(super) async fn keep(state: Rc<GatewayState>) {
-    let mut unstored: HashMap<Fingerprint, Duration> = HashMap::new();
-    let mut failures = 0;
+    let mut unstored: HashMap<Fingerprint, Unstored> = HashMap::new();
+    let mut rest_of_removals = Rest::default();
     let mut pause = IDLE;
     loop {
         // Ends early when there is something to keep.
         let _ = tokio::time::timeout(pause, state.quarantine.kept.notified()).await;
         forget_old(&state);
-        let mut has_failed = !remove_all(&state).await;
+        if rest_of_removals.is_over(state.quarantine.now()) {
+            let is_done = remove_all(&state).await;
+            rest_of_removals.note(is_done, state.quarantine.now());
+        }
         for fingerprint in note_unstored(&state, &mut unstored) {
-            has_failed |= !store_one(&state, fingerprint).await;
+            let is_done = store_one(&state, fingerprint).await;
+            if let Some(unstored) = unstored.get_mut(&fingerprint) {
+                unstored.rest.note(is_done, state.quarantine.now());
+            }
         }
         let count = state.quarantine.read(|ledger| ledger.quarantined().count());
         let count = i64::try_from(count).unwrap_or(i64::MAX);
         state.status.metrics.fingerprints_quarantined.set(count);
-        failures = if has_failed { failures + 1 } else { 0 };
-        pause = match (has_failed, unstored.is_empty()) {
-            (true, _) => RETRY * (1 << failures.min(RETRY_DOUBLINGS)),
-            (false, false) => TURN,
-            (false, true) => IDLE,
-        };
+        let has_more = !unstored.is_empty() || rest_of_removals.failures > 0;
+        pause = if has_more { TURN } else { IDLE };
     }
 }
 
@@ -131,7 +163,7 @@
 /// Brings the list of what the store does not keep yet up to date; those that it is this daemon's turn to write.
 fn note_unstored(
     state: &GatewayState,
-    unstored: &mut HashMap<Fingerprint, Duration>,
+    unstored: &mut HashMap<Fingerprint, Unstored>,
 ) -> Vec<Fingerprint> {
     let now = state.quarantine.now();
     let era = state.store_eras.known();
@@ -144,13 +176,17 @@
     });
     unstored.retain(|fingerprint, _| wanted.contains(fingerprint));
     for fingerprint in wanted {
-        unstored.entry(fingerprint).or_insert(now);
+        unstored.entry(fingerprint).or_insert(Unstored {
+            since: now,
+            rest: Rest::default(),
+        });
     }
     let directory = state.peers.directory();
     let own_place = |fingerprint: Fingerprint| place(&directory, fingerprint, state.peers.own());
     let unstored = unstored.iter();
-    let due = unstored.filter(|(fingerprint, since)| {
-        is_turn(own_place(**fingerprint), now.saturating_sub(**since))
+    let due = unstored.filter(|(fingerprint, unstored)| {
+        let lacking_for = now.saturating_sub(unstored.since);
+        unstored.rest.is_over(now) && is_turn(own_place(**fingerprint), lacking_for)
     });
     due.map(|(fingerprint, _)| *fingerprint).collect()
 }
