--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -237,7 +237,7 @@
     }
 }
 
-/// Takes in which prompts other daemons sent to replicas. A daemon that is told of its own ones knows them already.
+/// Takes in which prompts other daemons sent to replicas. A daemon knows those that it sent itself.
 pub(super) fn take_prompts(state: &GatewayState, prompts: &[WirePrompt]) {
     let now = Instant::now();
     let own = short_digest(&state.peers.own().name);
--- a/crates/gateway/src/peers/bit_rows.rs
+++ b/crates/gateway/src/peers/bit_rows.rs
@@ -5,7 +5,7 @@
 
 use musli::{Decode, Encode};
 
-/// The most rows of one set. What is read from a datagram takes bounded room by it: 255 rows of its own length.
+/// The most rows of one set. What is read from a datagram takes bounded room by it: 255 rows as long as itself.
 pub const MOST_ROWS: usize = u8::MAX as usize;
 
 /// Rows of one length.
--- a/crates/gateway/src/peers/far.rs
+++ b/crates/gateway/src/peers/far.rs
@@ -17,7 +17,7 @@
 use crate::state::GatewayState;
 
 /// How long prompts are gathered into a batch. They also show how busy replicas are, so this is short against
-/// the 600 ms in which a prompt should be read (grown site, seed 101: worth 0.5745, with 100 ms 0.5639).
+/// the 600 ms in which a prompt should be read (a grown deployment, one play: worth 0.5745, with 100 ms 0.5639).
 const GATHERING: Duration = Duration::from_millis(40);
 
 /// Datagrams of one batch; more prompts are dropped. 108 prompts in 40 ms are 2,700 a second.
--- a/crates/gateway/src/peers/relays.rs
+++ b/crates/gateway/src/peers/relays.rs
@@ -1,6 +1,6 @@
 //! Which daemon of each other group is sent what the group is to know.
 //!
-//! Whoever of another group sent the last report leads it. Where nobody did for a while, the first few in rank are
+//! The daemon of another group that sent the last report leads it. Where nobody did for a while, the first few in rank are
 //! tried in turn: the first may be gone for good, and only its own group finds that out.
 
 use std::cell::RefCell;
--- a/crates/gateway/src/quarantine/apart.rs
+++ b/crates/gateway/src/quarantine/apart.rs
@@ -20,7 +20,7 @@
 /// found meanwhile, so that it does not end that of the trial.
 const QUIET: Duration = Duration::from_secs(2);
 
-/// After the last end of its own a request is tried even if others end replicas all the time.
+/// So long after the last end at which it was open a request is tried even if others end replicas all the time.
 const MOST_QUIET: Duration = Duration::from_secs(8);
 
 /// For how long the turn of one request is before that of the next: its caller may have left for good.
--- a/crates/gateway/src/rollout/lease.rs
+++ b/crates/gateway/src/rollout/lease.rs
@@ -11,7 +11,7 @@
 //! without a wait: a machine runs one gateway at a time, so the earlier one has ended and gives no more orders.
 //!
 //! A store that comes back from a copy, in a new era, may have lost the last holder's record. So a record that was not
-//! written in the era in which it is read proves nothing of who holds the lease: whoever it names, also nobody, and also
+//! written in the era in which it is read proves nothing of who holds the lease: whatever holder it names, also none, and also
 //! where there is none, every daemon waits for the term and the distance. Only the last holder may go on, or take it again,
 //! at once: up to the term and the distance after its last write nobody else can have the lease; it writes it anew under a
 //! token of the new era.
--- a/crates/gateway/src/rollout/token.rs
+++ b/crates/gateway/src/rollout/token.rs
@@ -2,7 +2,7 @@
 //!
 //! Replicas refuse orders under a token lower than one they have seen, and two holders must never order under the same. A
 //! store that comes back from a copy has forgotten tokens that were given out, so the next one can't follow from the store
-//! alone: each era has tokens of its own, above those of all earlier eras. Every answer names the era, so that also holds
+//! alone: each era has other tokens, above those of all earlier eras. Every answer names the era, so that also holds
 //! where no daemon remembers anything.
 
 use crate::store::{StoreEra, StorePosition};
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -381,7 +381,7 @@
     /// Puts settings that were read again into force: times, repeats. What listens and where the store is
     /// stay as they are until the next start.
     pub fn take_reloaded(&self) {
-        // Whoever held it panicked while it put settings there: those in force stay.
+        // A thread that held it panicked while it put settings there: those in force stay.
         let reloaded = self.status.reloaded.lock();
         if let Some(settings) = reloaded.ok().and_then(|mut reloaded| reloaded.take()) {
             self.times.set(settings.times);
--- a/crates/gateway/src/store/era.rs
+++ b/crates/gateway/src/store/era.rs
@@ -224,7 +224,7 @@
         state.store_position.get()
     );
     state.store.clear();
-    // Whoever waits for a store that does not answer need not wait on.
+    // Tasks that wait for a store that does not answer need not wait on.
     state.store_outage.end();
     state.quarantine.kept.notify_one();
     state.peers.nudge();
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -50,7 +50,7 @@
 
 /// How much of the time for new weights a daemon has that has just started, whatever their age. It may use older
 /// ones until it is in touch, 3 s (`contactMs`) after the start of its process; that lies up to 0.3 s before that
-/// of its own clock; and it sends none to them in the last 1.5 s: 3 - 0.3 + 1.5.
+/// of that daemon's clock; and it sends none to them in the last 1.5 s: 3 - 0.3 + 1.5.
 const FIRST_WEIGHTS_GRACE: Duration = Duration::from_millis(4200);
 
 /// Follows `kind` whenever this daemon reads the store for its group. Whenever a watch ends otherwise than
--- a/crates/gateway/src/store/quarantine.rs
+++ b/crates/gateway/src/store/quarantine.rs
@@ -317,7 +317,7 @@
         known.is_none() && state.quarantine.read(ledger)
     };
     if is_cleared || is_forgotten() {
-        // Whoever cleared it ended before it was removed, or the store came back from a copy that still has it.
+        // The daemon that cleared it ended before it was removed, or the store came back from a copy that still has it.
         log_event!(
             gateway::QUARANTINE_REMOVED_AGAIN,
             "fingerprint={fingerprint} position={position} generation={} known={known:?}",
