--- a/crates/gateway/tests/quarantine_beside.rs
+++ b/crates/gateway/tests/quarantine_beside.rs
@@ -391,3 +391,26 @@
         assert_eq!(record.strikes, ends, "store first: {is_store_first}");
     }
 }
+
+/// A request that ends replicas had two ends, and was to be sent only once in each try. A harmless one, held just before, had these
+/// and more: so the other counted as explained, was sent a second time in the same try, and ended two replicas in it (logs:
+/// `REPLICA_ENDED` 46 ms after `REQUEST_QUARANTINED`, in each of two tries).
+#[test]
+fn one_that_had_run_longer_explains_no_ends_of_one_that_had_run_shorter() {
+    const SHORT: f64 = 0.04;
+    const LONG: f64 = 0.3;
+    for (held_ran, other_ran, expected) in [
+        (LONG, SHORT, Verdict::Suspicious),
+        (SHORT, LONG, Verdict::Clear),
+    ] {
+        let mut ledger = Ledger::default();
+        (1..=4).for_each(|replica| tell_run(&mut ledger, 2, replica, held_ran));
+        (1..=2).for_each(|replica| tell_run(&mut ledger, 3, replica, other_ran));
+        assert_eq!(
+            ledger.verdict(fingerprint(2), at(4.0)),
+            Verdict::Quarantined
+        );
+        let of_other = ledger.verdict(fingerprint(3), at(4.0));
+        assert_eq!(of_other, expected, "held {held_ran} s, other {other_ran} s");
+    }
+}
