--- a/crates/gateway/src/quarantine/evidence.rs
+++ b/crates/gateway/src/quarantine/evidence.rs
@@ -115,7 +115,8 @@
         has_too_many || has_enough && !self.is_explained(fingerprint, record)
     }
 
-    /// Whether a quarantined request was open at all ends that count against this one, and at others besides.
+    /// Whether a quarantined request was open at all ends that count against this one, and at others besides. One that had run longer
+    /// there explains nothing: it rather is the one that was there by chance.
     pub(super) fn is_explained(&self, fingerprint: Fingerprint, record: &Record) -> bool {
         let Some(first) = record.strikes.first() else {
             return false;
@@ -124,6 +125,7 @@
             let mut ends = record.strikes.iter();
             other.is_quarantined
                 && other.strikes.len() > record.strikes.len()
+                && other.mean_run() <= record.mean_run()
                 && ends.all(|strike| other.has_ended(strike.replica))
         };
         let open_there = self.by_end.open_at(first.replica).iter();
