--- a/crates/gateway/src/replicas/gone_lives.rs
+++ b/crates/gateway/src/replicas/gone_lives.rs
@@ -16,8 +16,8 @@
 /// How long a life is remembered after its entry was gone: copies are some seconds old.
 pub const GONE_MEMORY: Duration = Duration::from_secs(60);
 
-/// How long an entry is held back. The platform removes one after three silent heartbeats, which it sends every second or two;
-/// one that is still there belongs to a replica that lives, and whose heartbeats change nothing in it.
+/// How long an entry is held back. The platform removes one after three silent heartbeats (`heartbeatMs`, 1.2 s), here with room
+/// for twice that; one that is still there belongs to a replica that lives, and whose heartbeats change nothing in it.
 pub const HELD_BACK: Duration = Duration::from_secs(10);
 
 /// A life whose entry is gone.
