--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -43,8 +43,8 @@
     state: Rc<GatewayState>,
     context: Rc<RequestContext>,
     tried: Vec<ReplicaLife>,
-    /// Replicas that have other weights than they were sent to for, of which nobody has told this gateway yet.
-    with_unknown_weights: Vec<WithOtherWeights>,
+    /// Replicas that refused since they have other weights than they were sent to for.
+    with_other_weights: Vec<WithOtherWeights>,
     runs: u32,
     vain_sends: usize,
     unreachable: usize,
@@ -97,7 +97,7 @@
             state: Rc::clone(state),
             context: Rc::clone(context),
             tried: Vec::new(),
-            with_unknown_weights: Vec::new(),
+            with_other_weights: Vec::new(),
             runs: 0,
             vain_sends: 0,
             unreachable: 0,
@@ -126,7 +126,7 @@
             let choice = match choose(&self.state, &self.context, &self.tried, progress) {
                 Ok(choice) => choice,
                 Err(refusal) => match refusal.reason {
-                    Reason::NoReplica if self.hears_of_weights().await => continue,
+                    Reason::NoReplica if self.may_return().await => continue,
                     _ => return Err(self.without_replica(refusal)),
                 },
             };
@@ -220,8 +220,9 @@
         })
     }
 
-    /// Takes in that the right replica has other weights than it was sent to for. It may be tried again for those: where a
-    /// service has few replicas, all may have loaded between the choice and the arrival.
+    /// Takes in that the right replica has other weights than it was sent to for. Where newer ones are known that it may have,
+    /// the request goes back to it once: where a service has few replicas, all may have loaded between the choice and the
+    /// arrival. Else it may return once no other replica is left.
     fn has_other_weights(
         &mut self,
         choice: &Choice,
@@ -229,16 +230,29 @@
         peer: SocketAddr,
         detail: &str,
     ) -> Result<(), Refusal> {
+        let is_first = !self.has_refused_for_weights(&choice.replica.life);
+        let has_newer =
+            self.knows_weights(&other) && self.version_at(&other) > Some(other.sent_for);
+        self.with_other_weights.push(other);
+        if !(is_first && has_newer) {
+            return self.not_run(choice, peer, detail);
+        }
         self.log_attempt(choice, "not_run", detail);
         self.state.holders.forget(&choice.prefixes, &choice.replica);
-        if !self.knows_weights(&other) {
-            choice.replica.health.note_full(Instant::now());
-            self.tried.push(choice.replica.life.clone());
-            self.with_unknown_weights.push(other);
-        }
         self.sent_in_vain(peer, detail)
     }
 
+    fn has_refused_for_weights(&self, life: &ReplicaLife) -> bool {
+        let mut others = self.with_other_weights.iter();
+        others.any(|other| other.replica.life == *life)
+    }
+
+    /// The version that is believed of a replica.
+    fn version_at(&self, other: &WithOtherWeights) -> Option<u64> {
+        let prompt = self.context.prompt()?;
+        other.replica.version_of(&prompt.model)
+    }
+
     /// Whether another version is believed of a replica than the request was sent for.
     fn knows_weights(&self, other: &WithOtherWeights) -> bool {
         let Some(prompt) = self.context.prompt() else {
@@ -247,18 +261,29 @@
         let wanted = self.state.weights.borrow();
         let replica = &other.replica;
         replica.correct_version(&prompt.model, other.sent_for, &wanted);
-        replica.version_of(&prompt.model) != Some(other.sent_for)
+        self.version_at(other) != Some(other.sent_for)
     }
 
-    /// Waits until this gateway hears of weights that a replica refused the request for; whether a replica may be tried
-    /// again for them.
-    async fn hears_of_weights(&mut self) -> bool {
-        if self.with_unknown_weights.is_empty() {
+    /// Whether a replica that refused the request for its weights may be tried again for those that it is believed to have now.
+    /// Where nothing else is known of any, this gateway waits until it hears of other weights.
+    async fn may_return(&mut self) -> bool {
+        let others = std::mem::take(&mut self.with_other_weights);
+        if others.is_empty() {
             return false;
         }
+        if !others.iter().any(|other| self.knows_weights(other)) {
+            self.hear_of_weights(&others).await;
+        }
+        let known = others.iter().filter(|other| self.knows_weights(other));
+        let known: Vec<ReplicaLife> = known.map(|other| other.replica.life.clone()).collect();
+        self.tried.retain(|life| !known.contains(life));
+        !known.is_empty()
+    }
+
+    /// Asks another gateway, and waits until it or the store tells of weights that one of these replicas may have.
+    async fn hear_of_weights(&self, others: &[WithOtherWeights]) {
         self.state.peers.ask_now();
         let patience = WEIGHTS_PATIENCE.min(self.context.time_left());
-        let others = std::mem::take(&mut self.with_unknown_weights);
         let known = async {
             while !others.iter().any(|other| self.knows_weights(other)) {
                 self.state.weights_named.notified().await;
@@ -267,10 +292,6 @@
         if tokio::time::timeout(patience, known).await.is_err() {
             log::debug!("no newer weights were heard of in {patience:?}");
         }
-        let known = others.iter().filter(|other| self.knows_weights(other));
-        let known: Vec<ReplicaLife> = known.map(|other| other.replica.life.clone()).collect();
-        self.tried.retain(|life| !known.contains(life));
-        !known.is_empty()
     }
 
     /// Whether a request that failed at a replica goes to another one instead of passing the failure on.
