--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`store`]: calls to the object store and the tasks that follow it.
 //! - [`rollout`]: new weights, ordered by one daemon at a time.
 //! - [`weights`]: the weights that the operator wants, and since when.
+//! - [`suspected_weights`]: weights that may have been named although nobody heard of it.
 //! - [`server`]: sockets, readiness, start and stop.
 //! - [`standstill`]: how long this process has stood still.
 
@@ -35,6 +36,7 @@
 pub mod standstill;
 pub mod state;
 pub mod store;
+pub mod suspected_weights;
 pub mod upstream;
 pub mod weights;
 
--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -20,9 +20,10 @@
 use super::send::send_to;
 use super::spread::{self, spread};
 use crate::cache::PrefixKey;
-use crate::protocol::UnreadableReason;
+use crate::protocol::{ModelVersion, UnreadableReason};
 use crate::state::GatewayState;
 use crate::store::{Rejected, take_told_era};
+use crate::weights::Since;
 
 /// The pause after a datagram could not be received.
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(25);
@@ -157,7 +158,14 @@
     let to_ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     // Rounded up: a proof, or newly named weights, may look older than they are, never newer.
     let to_ms_up = |time: Duration| to_ms(time) + 1;
+    let to_wire = |weights: ModelVersion, since: Since| WireWeights {
+        model: weights.model,
+        version: weights.version,
+        age_ms: to_ms_up(since.moment().elapsed()),
+        is_assumed: since.is_assumed(),
+    };
     let weights = state.weights.borrow().all();
+    let suspected = state.suspected_weights.borrow();
     let era = state.store_eras.known();
     // Of an era that another daemon told, no position is known yet.
     let position = Some(state.store_position.get()).filter(|known| known.era == era);
@@ -169,12 +177,7 @@
         configuration: state.held_version(),
         weights: weights
             .into_iter()
-            .map(|(weights, since)| WireWeights {
-                model: weights.model,
-                version: weights.version,
-                age_ms: to_ms_up(since.moment().elapsed()),
-                is_assumed: since.is_assumed(),
-            })
+            .map(|(weights, since)| to_wire(weights, since))
             .collect(),
         lease: state
             .lease
@@ -208,6 +211,10 @@
             .map(|position| position.revision),
         highest_token: state.lease.borrow().highest_token(),
         packed,
+        suspected: suspected
+            .all()
+            .map(|suspicion| to_wire(suspicion.weights.clone(), suspicion.since))
+            .collect(),
     }
 }
 
@@ -253,6 +260,10 @@
 
 /// Takes in how a replica's loading of weights goes.
 pub(super) fn take_loading(state: &GatewayState, loading: &Loading) {
+    if loading.is_refused {
+        let mut suspected = state.suspected_weights.borrow_mut();
+        suspected.note_refused(&loading.weights(), Instant::now());
+    }
     if let Some(replica) = state.registry.current(&loading.life()) {
         let has_ended = loading.is_done || loading.has_failed;
         replica.set_loading((!has_ended).then(Instant::now));
--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -8,14 +8,15 @@
 use driftspring_telemetry::log_event;
 
 use super::directory::name_digest;
-use super::message::{Ask, Message, Tell, WireDaemon};
+use super::message::{Ask, Message, Tell, WireDaemon, WireWeights};
 use super::records;
 use super::send::send;
 use super::source::{Source, SourceChooser};
 use crate::currency::{NewerVersion, Proof};
 use crate::protocol::{LeaseRecord, ModelVersion};
 use crate::state::{GatewayState, JUST_STARTED};
-use crate::store::{StoreEra, StorePosition, name_weights, take_told_era};
+use crate::store::{StoreEra, StorePosition, name_weights, suspect_weights, take_told_era};
+use crate::suspected_weights::Suspicion;
 use crate::weights::Since;
 
 /// Time between two questions.
@@ -269,20 +270,30 @@
     sent_at.checked_sub(Duration::from_millis(age_ms?))
 }
 
+/// The weights that an answer tells, and since when they count.
+fn weights_in(told: &WireWeights, sent_at: Instant) -> (ModelVersion, Since) {
+    let weights = ModelVersion {
+        model: told.model.clone(),
+        version: told.version,
+    };
+    // Their age grew on the way of the answer; that of the question counts as well, which is the safe side.
+    let since = moment_before(sent_at, Some(told.age_ms)).unwrap_or(sent_at);
+    let since = match told.is_assumed {
+        true => Since::Assumed(since),
+        false => Since::Known(since),
+    };
+    (weights, since)
+}
+
 fn take_weights_and_lease(state: &GatewayState, answer: &Tell, sent_at: Instant) {
-    for weights in &answer.weights {
-        let named = ModelVersion {
-            model: weights.model.clone(),
-            version: weights.version,
-        };
-        // Its age grew on the way of the answer; that of the question counts as well, which is the safe side.
-        let since = moment_before(sent_at, Some(weights.age_ms)).unwrap_or(sent_at);
-        let since = match weights.is_assumed {
-            true => Since::Assumed(since),
-            false => Since::Known(since),
-        };
+    for told in &answer.weights {
+        let (named, since) = weights_in(told, sent_at);
         name_weights(state, &named, since);
     }
+    for told in &answer.suspected {
+        let (weights, since) = weights_in(told, sent_at);
+        suspect_weights(state, Suspicion { weights, since }, "told by a daemon");
+    }
     if let Some(moment) = moment_before(sent_at, answer.view_age_ms) {
         state.known_namings.note_told(moment);
     }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -6,7 +6,7 @@
 pub use super::configuration_message::{AskConfiguration, TellConfiguration};
 use super::packed::PackedReplicas;
 pub use super::quarantine_message::{WireRecord, WireRecords, WireStrike, WireStruck};
-use crate::protocol::ReplicaLife;
+use crate::protocol::{ModelVersion, ReplicaLife};
 
 /// The largest datagram that is sent, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 1200;
@@ -156,7 +156,7 @@
 }
 
 /// An answer.
-#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
 pub struct Tell {
     /// The nonce of the question.
     pub nonce: u64,
@@ -205,6 +205,9 @@
     /// for another form of them.
     #[musli(Binary, name = 19, default)]
     pub packed: Option<Box<PackedReplicas>>,
+    /// Weights that may have been named, see [`crate::suspected_weights`].
+    #[musli(Binary, name = 20, default)]
+    pub suspected: Vec<WireWeights>,
 }
 
 /// Wanted weights.
@@ -352,6 +355,14 @@
     pub fn life(&self) -> ReplicaLife {
         life(&self.replica, self.born)
     }
+
+    /// What it loads.
+    pub fn weights(&self) -> ModelVersion {
+        ModelVersion {
+            model: self.model.clone(),
+            version: self.version,
+        }
+    }
 }
 
 fn life(id: &str, born: Option<u64>) -> ReplicaLife {
@@ -462,6 +473,9 @@
     pub is_done: bool,
     /// Whether the load has failed.
     pub has_failed: bool,
+    /// Whether the replica refused the version, as one that was not named.
+    #[musli(default)]
+    pub is_refused: bool,
 }
 
 impl Message {
--- a/crates/gateway/src/rollout/load.rs
+++ b/crates/gateway/src/rollout/load.rs
@@ -13,7 +13,7 @@
 };
 use crate::replicas::Replica;
 use crate::state::GatewayState;
-use crate::store::Rejected;
+use crate::store::{Rejected, name_weights};
 use crate::upstream::{self, CallError};
 
 /// How long an order's answer is waited for.
@@ -39,6 +39,8 @@
 pub(super) enum LoadFailure {
     /// It could not be reached, did not take the order or did not load.
     AtReplica,
+    /// It refused the version, as one that was not named.
+    Refused,
     /// This daemon may not give orders any more.
     MayNotOrder,
 }
@@ -50,10 +52,10 @@
     wanted: ModelVersion,
 ) -> Result<(), LoadFailure> {
     replica.set_loading(Some(Instant::now()));
-    tell(state, replica, &wanted, false, false);
+    tell(state, replica, &wanted, None);
     let end = load(state, replica, &wanted).await;
     replica.set_loading(None);
-    tell(state, replica, &wanted, end.is_ok(), end.is_err());
+    tell(state, replica, &wanted, Some(end));
     end
 }
 
@@ -63,27 +65,37 @@
     wanted: &ModelVersion,
 ) -> Result<(), LoadFailure> {
     order_until_taken(state, replica, wanted).await?;
+    name_if_suspected(state, wanted);
     match wait_until_loaded(state, replica, wanted).await {
         true => Ok(()),
         false => Err(LoadFailure::AtReplica),
     }
 }
 
-/// Tells the other daemons, so that they send no requests to a replica that is loading.
+/// Takes a version for named that a replica has taken an order for: it refuses those that were not.
+fn name_if_suspected(state: &GatewayState, taken: &ModelVersion) {
+    let since = state.suspected_weights.borrow().since(taken);
+    if let Some(since) = since {
+        name_weights(state, taken, since);
+    }
+}
+
+/// Tells the other daemons, so that they send no requests to a replica that is loading; `end` is how it went, once it has
+/// ended.
 fn tell(
     state: &GatewayState,
     replica: &Replica,
     wanted: &ModelVersion,
-    is_done: bool,
-    has_failed: bool,
+    end: Option<Result<(), LoadFailure>>,
 ) {
     state.peers.tell_loading(Loading {
         replica: replica.id().to_owned(),
         born: replica.life.born,
         model: wanted.model.clone(),
         version: wanted.version,
-        is_done,
-        has_failed,
+        is_done: end.is_some_and(|end| end.is_ok()),
+        has_failed: end.is_some_and(|end| end.is_err()),
+        is_refused: end == Some(Err(LoadFailure::Refused)),
     });
 }
 
@@ -136,9 +148,8 @@
                 state.lease.borrow_mut().on_fenced();
                 return Err(LoadFailure::MayNotOrder);
             }
-            Ok(OrderAnswer::Misdirected | OrderAnswer::Refused) => {
-                return Err(LoadFailure::AtReplica);
-            }
+            Ok(OrderAnswer::Misdirected) => return Err(LoadFailure::AtReplica),
+            Ok(OrderAnswer::Refused) => return Err(LoadFailure::Refused),
             Err(CallError::NotSent(_)) if !holds_token() => return Err(LoadFailure::MayNotOrder),
             Err(CallError::NotSent(_)) => return Err(LoadFailure::AtReplica),
             Err(CallError::Lost(_) | CallError::TimedOut(_)) => {}
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -1,7 +1,7 @@
 //! Brings every replica to the wanted weights, while this daemon holds the lease.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -54,6 +54,8 @@
 #[derive(Debug, Default)]
 struct Progress {
     by_replica: RefCell<HashMap<ReplicaLife, ReplicaProgress>>,
+    /// Models of which a suspected version is tried just now.
+    tried: RefCell<HashSet<String>>,
 }
 
 /// What is known of one replica's orders.
@@ -68,7 +70,7 @@
     /// Takes in that loading has ended.
     fn note_end(&mut self, end: Result<(), LoadFailure>, now: Instant) {
         self.is_driven = false;
-        if end != Err(LoadFailure::AtReplica) {
+        if !matches!(end, Err(LoadFailure::AtReplica | LoadFailure::Refused)) {
             self.failures_in_row = 0;
             self.paused_until = None;
             return;
@@ -90,17 +92,22 @@
         if state.status.is_stopping() {
             return give_back(&state).await;
         }
-        let outdated = outdated_by_model(&state);
-        if outdated.is_empty() {
+        let survey = survey(&state);
+        store::note_shown_weights(&state, &survey.shown);
+        let trials = possible_trials(&state, &progress);
+        if survey.outdated.is_empty() && trials.is_empty() {
             state.lease.borrow_mut().rest();
             continue;
         }
         if !may_lead_loads(&state) || hold_lease(&state).await.is_none() {
             continue;
         }
-        for (service, wanted) in outdated {
+        for (service, wanted) in survey.outdated {
             start_loads(&state, &progress, &service, &wanted);
         }
+        for (replica, suspected) in trials {
+            start_trial(&state, &progress, replica, suspected);
+        }
     }
 }
 
@@ -130,9 +137,17 @@
     }
 }
 
-/// Services with outdated replicas, and the weights that these should have.
-fn outdated_by_model(state: &GatewayState) -> Vec<(String, ModelVersion)> {
-    let mut found: Vec<(String, ModelVersion)> = Vec::new();
+/// What the entries of replicas say of their weights.
+#[derive(Debug, Default)]
+struct Survey {
+    /// Services with outdated replicas, and the weights that these should have.
+    outdated: Vec<(String, ModelVersion)>,
+    /// Models of which a replica has a newer version than is known, and the lowest such version.
+    shown: HashMap<String, u64>,
+}
+
+fn survey(state: &GatewayState) -> Survey {
+    let mut found = Survey::default();
     let weights = state.weights.borrow();
     let configuration = state.configuration.load();
     let is_of_service = |entry: &ReplicaEntry| {
@@ -148,7 +163,13 @@
             let Some(wanted) = weights.newest(&model.model) else {
                 continue;
             };
+            if model.version > wanted {
+                let lowest = found.shown.entry(model.model.clone());
+                let lowest = lowest.or_insert(model.version);
+                *lowest = model.version.min(*lowest);
+            }
             let is_known = found
+                .outdated
                 .iter()
                 .any(|(service, known)| *service == entry.service && known.model == model.model);
             if model.version < wanted && !entry.is_draining && !is_known {
@@ -156,7 +177,7 @@
                     model: model.model.clone(),
                     version: wanted,
                 };
-                found.push((entry.service.clone(), weights));
+                found.outdated.push((entry.service.clone(), weights));
             }
         }
     }
@@ -235,6 +256,90 @@
     }
 }
 
+/// Suspected weights that can be tried now, each with the replica that is ordered to load them. Where all replicas have them there
+/// is nothing to order, and the lease is not kept for it.
+fn possible_trials(state: &GatewayState, progress: &Progress) -> Vec<(Rc<Replica>, ModelVersion)> {
+    let due = state.suspected_weights.borrow().due(Instant::now());
+    let tried = progress.tried.borrow();
+    let untried = due
+        .into_iter()
+        .map(|suspicion| suspicion.weights)
+        .filter(|suspected| !tried.contains(&suspected.model));
+    let with_replica = |suspected: ModelVersion| {
+        let replica = replica_for_trial(state, progress, &suspected)?;
+        Some((replica, suspected))
+    };
+    untried.filter_map(with_replica).collect()
+}
+
+/// Orders a replica to load suspected weights, which tells whether they were named.
+fn start_trial(
+    state: &Rc<GatewayState>,
+    progress: &Rc<Progress>,
+    replica: Rc<Replica>,
+    suspected: ModelVersion,
+) {
+    let life = replica.life.clone();
+    let mut by_replica = progress.by_replica.borrow_mut();
+    let is_driven = &mut by_replica.entry(life).or_default().is_driven;
+    if std::mem::replace(is_driven, true) {
+        return;
+    }
+    drop(by_replica);
+    progress.tried.borrow_mut().insert(suspected.model.clone());
+    let (state, progress) = (Rc::clone(state), Rc::clone(progress));
+    ntex::rt::spawn(async move {
+        let end = bring_up_to_date(&state, &replica, suspected.clone()).await;
+        let is_refused = end == Err(LoadFailure::Refused);
+        if is_refused {
+            note_refused(&state, &replica, &suspected);
+        }
+        progress.tried.borrow_mut().remove(&suspected.model);
+        // Such a refusal says nothing against the replica.
+        let end = if is_refused { Ok(()) } else { end };
+        let mut by_replica = progress.by_replica.borrow_mut();
+        let own = by_replica.entry(replica.life.clone()).or_default();
+        own.note_end(end, Instant::now());
+        state.rollout_wanted.notify_one();
+    });
+}
+
+fn note_refused(state: &GatewayState, replica: &Replica, refused: &ModelVersion) {
+    let mut suspected = state.suspected_weights.borrow_mut();
+    suspected.note_refused(refused, Instant::now());
+    log_event!(
+        gateway::WEIGHTS_REFUSED,
+        "replica={} model={} version={}",
+        replica.id(),
+        refused.model,
+        refused.version
+    );
+}
+
+/// The replica that is ordered to load suspected weights: the one of older weights with the fewest open requests, of those that
+/// can be reached and load nothing. One that has the version itself would prove nothing, since its entry may be what is wrong.
+fn replica_for_trial(
+    state: &GatewayState,
+    progress: &Progress,
+    suspected: &ModelVersion,
+) -> Option<Rc<Replica>> {
+    let now = Instant::now();
+    let by_replica = progress.by_replica.borrow();
+    let may_be_ordered = |replica: &Rc<Replica>| {
+        let own = by_replica.get(&replica.life).copied().unwrap_or_default();
+        let is_paused = own.paused_until.is_some_and(|until| until > now);
+        let is_older = replica
+            .version_of(&suspected.model)
+            .is_some_and(|version| version < suspected.version);
+        let is_free = !own.is_driven && !is_paused && replica.loading_since().is_none();
+        is_older && is_free && !replica.entry().is_draining && !replica.health.is_unreachable(now)
+    };
+    let replicas = state.registry.all().into_iter();
+    replicas
+        .filter(may_be_ordered)
+        .min_by_key(|replica| replica.open_requests())
+}
+
 fn planned(
     state: &GatewayState,
     progress: &Progress,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -34,6 +34,7 @@
 use crate::store::{
     self, KnownNamings, Rejected, Rejections, StoreEras, StoreOutage, StorePosition, StoreProgress,
 };
+use crate::suspected_weights::SuspectedWeights;
 use crate::upstream::Pool;
 use crate::weights::WantedWeights;
 
@@ -130,6 +131,8 @@
     pub rejections: Rejections,
     /// Up to when all namings of weights are known here.
     pub known_namings: KnownNamings,
+    /// Weights that may have been named although nobody heard of it.
+    pub suspected_weights: RefCell<SuspectedWeights>,
     /// How far the store had come when.
     pub store_progress: RefCell<StoreProgress>,
     /// The latest era of the store that is known.
@@ -193,6 +196,7 @@
             store_outage: StoreOutage::default(),
             rejections: Rejections::default(),
             known_namings: KnownNamings::default(),
+            suspected_weights: RefCell::default(),
             store_progress: RefCell::default(),
             store_eras: StoreEras::new(Instant::now()),
             store_position: Cell::default(),
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -1,6 +1,6 @@
 //! Follows the objects of one kind: a list, then watches from its revision on.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,6 +19,7 @@
 use crate::protocol::{ModelVersion, ObjectContent, ObjectKind, StoredObject};
 use crate::rollout::{LEASE_NAME, record_in};
 use crate::state::{GatewayState, JUST_STARTED};
+use crate::suspected_weights::Suspicion;
 use crate::weights::Since;
 
 /// How long one watch waits for a change.
@@ -288,6 +289,7 @@
             state.apply_stored(&entry);
         }
         Ok(ObjectContent::Weights(weights)) => {
+            note_stored_weights(state, &weights, object.position);
             // A change of an object whose version is known is no naming.
             let newest = state.weights.borrow().newest(&weights.model);
             if newest >= Some(weights.version) {
@@ -383,6 +385,7 @@
     for object in objects {
         note_unreadable(state, ObjectKind::Weights, &object);
         if let Ok(ObjectContent::Weights(weights)) = object.content {
+            note_stored_weights(state, &weights, object.position);
             // An object that is written again, as after the store's return from a copy, is no naming: it must not make a
             // version younger whose age was assumed.
             let newest = state.weights.borrow().newest(&weights.model);
@@ -398,6 +401,56 @@
     }
 }
 
+/// Takes in the object of a model's weights: where the version that is known was written again, the one after it may have
+/// stood there in between.
+fn note_stored_weights(state: &GatewayState, weights: &ModelVersion, position: StorePosition) {
+    let not_before = named_after(state, position);
+    let is_written_again = state
+        .suspected_weights
+        .borrow_mut()
+        .note_stored(weights, position, not_before);
+    let newest = state.weights.borrow().newest(&weights.model);
+    if !is_written_again || newest != Some(weights.version) {
+        return;
+    }
+    if let Some(version) = weights.version.checked_add(1) {
+        let model = weights.model.clone();
+        let since = since_last_known(state, listed_weights_since(state));
+        let weights = ModelVersion { model, version };
+        suspect_weights(state, Suspicion { weights, since }, "written again");
+    }
+}
+
+/// Takes in versions above those known that entries of replicas show, of each model the lowest.
+pub fn note_shown_weights(state: &GatewayState, shown: &HashMap<String, u64>) {
+    let now = Instant::now();
+    let shown_for_long = state.suspected_weights.borrow_mut().note_shown(shown, now);
+    for weights in shown_for_long {
+        let since = listed_weights_since(state);
+        suspect_weights(state, Suspicion { weights, since }, "shown by a replica");
+    }
+}
+
+/// Takes in weights that may have been named; whoever may order replicas tries them.
+pub fn suspect_weights(state: &GatewayState, suspicion: Suspicion, reason: &str) {
+    let weights = suspicion.weights.clone();
+    let newest = state.weights.borrow().newest(&weights.model);
+    if newest >= Some(weights.version) {
+        return;
+    }
+    if !state.suspected_weights.borrow_mut().suspect(suspicion) {
+        return;
+    }
+    log_event!(
+        gateway::WEIGHTS_SUSPECTED,
+        "model={} version={} newest={newest:?} reason={reason:?}",
+        weights.model,
+        weights.version
+    );
+    state.peers.nudge();
+    state.rollout_wanted.notify_one();
+}
+
 /// The oldest version that was named between the newest one that is known and `listed`: versions count up by one.
 fn passed_over(listed: &ModelVersion, newest: Option<u64>) -> Option<ModelVersion> {
     let version = newest?.checked_add(1)?;
@@ -456,6 +509,11 @@
     if !is_newest {
         return;
     }
+    let era = state.store_eras.known();
+    state
+        .suspected_weights
+        .borrow_mut()
+        .note_heard(weights, Instant::now(), era);
     log_event!(
         gateway::WEIGHTS_WANTED,
         "model={} version={} age={age:?} assumed={}",
--- a/crates/gateway/tests/packed.rs
+++ b/crates/gateway/tests/packed.rs
@@ -119,6 +119,7 @@
         proof_revision: Some(u64::MAX),
         highest_token: u64::MAX,
         packed: None,
+        suspected: Vec::new(),
     }
 }
 
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -29,6 +29,7 @@
     CONFIGURATION_HANDED_ON = 6210, Warn, "A configuration was taken from another gateway, since the store came back from a copy and has lost it. It is in force here though the store has an older one, until the operator has written again.";
     CONFIGURATION_UNCONFIRMED = 6211, Warn, "This gateway has started, and no other that had run for a while told which configuration it holds. Where the store has come back from a copy, what the operator wrote after the copy was made is not known here. The fields tell the version in force and where the store had it (era and revision), the first position that was read of that era, the latest, and how many others were asked.";
     WEIGHTS_WANTED = 6205, Info, "The operator named new weights.";
+    WEIGHTS_SUSPECTED = 6212, Warn, "Weights may have been named although nobody heard of it: the store shows the known version written again, or the entry of a replica shows a newer one. One replica is ordered to load them; it refuses what was not named.";
     REPLICA_SEEN = 6300, Info, "A life of a replica is listed for the first time; one that starts again under its id begins another life.";
     REPLICA_CHANGED = 6301, Info, "The entry of a replica has changed.";
     REPLICA_GONE = 6302, Info, "The entry of a replica is gone; it gets no new requests. The reason tells whether it left, or lapsed and has not come back.";
@@ -43,6 +44,7 @@
     ORDER_ANSWERED = 6403, Info, "A replica answered an order to load weights.";
     ORDER_LOST = 6404, Warn, "An order has no answer; it may have been taken, or may be taken later.";
     WEIGHTS_LOADED = 6405, Info, "A replica has new weights.";
+    WEIGHTS_REFUSED = 6406, Info, "A replica refused suspected weights (6212): they were not named, and nothing changes.";
     REQUEST_STRUCK = 6600, Info, "A replica ended while a request was open there; the fields give the request's fingerprint, the digest of the replica's life (see 6306), how many ends count against the request by now, and who told.";
     REQUEST_CLEARED = 6601, Info, "A request that was open at replicas as they ended was answered whole: nothing counts against it any more.";
     REQUEST_QUARANTINED = 6602, Warn, "A request ended too many replicas; no replica gets it any more, whoever sends it. The fields give its fingerprint and the digests of the replicas' lives (see 6306).";
