--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -385,6 +385,8 @@
     Fenced,
     /// Another replica has the address.
     Misdirected,
+    /// It takes no such order: the version was not named.
+    NotNamed,
     /// It refused for another reason.
     Refused,
 }
--- a/crates/gateway/src/rollout/load.rs
+++ b/crates/gateway/src/rollout/load.rs
@@ -29,7 +29,14 @@
 const LONGEST_LOAD: Duration = Duration::from_secs(6);
 
 /// Orders without an answer after which a replica is left alone for a while.
-const MAX_LOST_ORDERS: u32 = 12;
+pub(super) const MAX_LOST_ORDERS: u32 = 12;
+
+/// The same where any other replica can be asked as well, so that two silent ones hold suspected weights up for 1.6 s and not
+/// for 9.6 s, which is longer than older weights may serve.
+pub(super) const MAX_LOST_TRIALS: u32 = 2;
+
+/// Orders after which a replica is left alone for a while, whatever it answers.
+const MAX_ORDERS: u32 = 12;
 
 /// A report that is not busy tells nothing before an order has had time to show.
 const REPORT_LAG: Duration = Duration::from_millis(900);
@@ -40,20 +47,21 @@
     /// It could not be reached, did not take the order or did not load.
     AtReplica,
     /// It refused the version, as one that was not named.
-    Refused,
+    NotNamed,
     /// This daemon may not give orders any more.
     MayNotOrder,
 }
 
-/// Orders one replica to load and waits until it has the weights.
+/// Orders one replica to load and waits until it has the weights; gives up after `max_lost` orders without an answer.
 pub(super) async fn bring_up_to_date(
     state: &Rc<GatewayState>,
     replica: &Rc<Replica>,
     wanted: ModelVersion,
+    max_lost: u32,
 ) -> Result<(), LoadFailure> {
     replica.set_loading(Some(Instant::now()));
     tell(state, replica, &wanted, None);
-    let end = load(state, replica, &wanted).await;
+    let end = load(state, replica, &wanted, max_lost).await;
     replica.set_loading(None);
     tell(state, replica, &wanted, Some(end));
     end
@@ -63,8 +71,9 @@
     state: &Rc<GatewayState>,
     replica: &Rc<Replica>,
     wanted: &ModelVersion,
+    max_lost: u32,
 ) -> Result<(), LoadFailure> {
-    order_until_taken(state, replica, wanted).await?;
+    order_until_taken(state, replica, wanted, max_lost).await?;
     name_if_suspected(state, wanted);
     match wait_until_loaded(state, replica, wanted).await {
         true => Ok(()),
@@ -95,7 +104,7 @@
         version: wanted.version,
         is_done: end.is_some_and(|end| end.is_ok()),
         has_failed: end.is_some_and(|end| end.is_err()),
-        is_refused: end == Some(Err(LoadFailure::Refused)),
+        is_refused: end == Some(Err(LoadFailure::NotNamed)),
     });
 }
 
@@ -104,11 +113,13 @@
     state: &Rc<GatewayState>,
     replica: &Rc<Replica>,
     wanted: &ModelVersion,
+    max_lost: u32,
 ) -> Result<(), LoadFailure> {
     if replica.order_sequence().is_none() && !learn_state(state, replica).await {
         return Err(LoadFailure::AtReplica);
     }
-    for _ in 0..MAX_LOST_ORDERS {
+    let mut lost = 0;
+    for _ in 0..MAX_ORDERS {
         // It must not run out before the order has been sent: a connection may have to come up first.
         let Some(token) = state.lease.borrow().token_at(state.now() + ORDER_TIMEOUT) else {
             return Err(LoadFailure::MayNotOrder);
@@ -148,11 +159,16 @@
                 state.lease.borrow_mut().on_fenced();
                 return Err(LoadFailure::MayNotOrder);
             }
-            Ok(OrderAnswer::Misdirected) => return Err(LoadFailure::AtReplica),
-            Ok(OrderAnswer::Refused) => return Err(LoadFailure::Refused),
+            Ok(OrderAnswer::NotNamed) => return Err(LoadFailure::NotNamed),
+            Ok(OrderAnswer::Misdirected | OrderAnswer::Refused) => {
+                return Err(LoadFailure::AtReplica);
+            }
             Err(CallError::NotSent(_)) if !holds_token() => return Err(LoadFailure::MayNotOrder),
             Err(CallError::NotSent(_)) => return Err(LoadFailure::AtReplica),
-            Err(CallError::Lost(_) | CallError::TimedOut(_)) => {}
+            Err(CallError::Lost(_) | CallError::TimedOut(_)) => lost += 1,
+        }
+        if lost >= max_lost {
+            break;
         }
     }
     Err(LoadFailure::AtReplica)
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -11,7 +11,7 @@
 use rand::Rng;
 
 use super::lease::{LeaseAction, LeaseTimes};
-use super::load::{LoadFailure, bring_up_to_date};
+use super::load::{LoadFailure, MAX_LOST_ORDERS, MAX_LOST_TRIALS, bring_up_to_date};
 use super::plan::{PlannedReplica, next_loads};
 use crate::protocol::{
     ModelVersion, ObjectContent, ObjectKind, ReplicaEntry, ReplicaLife, WriteAnswer,
@@ -70,7 +70,7 @@
     /// Takes in that loading has ended.
     fn note_end(&mut self, end: Result<(), LoadFailure>, now: Instant) {
         self.is_driven = false;
-        if !matches!(end, Err(LoadFailure::AtReplica | LoadFailure::Refused)) {
+        if !matches!(end, Err(LoadFailure::AtReplica | LoadFailure::NotNamed)) {
             self.failures_in_row = 0;
             self.paused_until = None;
             return;
@@ -95,7 +95,9 @@
         let survey = survey(&state);
         store::note_shown_weights(&state, &survey.shown);
         let trials = possible_trials(&state, &progress);
-        if survey.outdated.is_empty() && trials.is_empty() {
+        // A trial that is under way needs the lease until its end.
+        let is_trying = !progress.tried.borrow().is_empty();
+        if survey.outdated.is_empty() && trials.is_empty() && !is_trying {
             state.lease.borrow_mut().rest();
             continue;
         }
@@ -149,16 +151,8 @@
 fn survey(state: &GatewayState) -> Survey {
     let mut found = Survey::default();
     let weights = state.weights.borrow();
-    let configuration = state.configuration.load();
-    let is_of_service = |entry: &ReplicaEntry| {
-        let configuration = configuration.as_ref();
-        configuration.is_some_and(|known| known.service(&entry.service).is_some())
-    };
-    for replica in state.registry.all() {
+    for replica in configured_replicas(state) {
         let entry = replica.entry();
-        if !is_of_service(&entry) {
-            continue;
-        }
         for model in &entry.models {
             let Some(wanted) = weights.newest(&model.model) else {
                 continue;
@@ -184,6 +178,18 @@
     found
 }
 
+/// The replicas of services that the configuration names; entries of other writers may name any.
+fn configured_replicas(state: &GatewayState) -> Vec<Rc<Replica>> {
+    let configuration = state.configuration.load();
+    let is_of_service = |entry: &ReplicaEntry| {
+        let configuration = configuration.as_ref();
+        configuration.is_some_and(|known| known.service(&entry.service).is_some())
+    };
+    let mut replicas = state.registry.all();
+    replicas.retain(|replica| is_of_service(&replica.entry()));
+    replicas
+}
+
 /// One step towards the lease; the token once this daemon holds it.
 async fn hold_lease(state: &Rc<GatewayState>) -> Option<u64> {
     let jitter = Duration::from_millis(rand::rng().random_range(0..LONGEST_JITTER_MS));
@@ -247,7 +253,7 @@
         drop(by_replica);
         let (state, progress, wanted) = (Rc::clone(state), Rc::clone(progress), wanted.clone());
         ntex::rt::spawn(async move {
-            let end = bring_up_to_date(&state, &replica, wanted).await;
+            let end = bring_up_to_date(&state, &replica, wanted, MAX_LOST_ORDERS).await;
             let mut by_replica = progress.by_replica.borrow_mut();
             let own = by_replica.entry(replica.life.clone()).or_default();
             own.note_end(end, Instant::now());
@@ -289,8 +295,8 @@
     progress.tried.borrow_mut().insert(suspected.model.clone());
     let (state, progress) = (Rc::clone(state), Rc::clone(progress));
     ntex::rt::spawn(async move {
-        let end = bring_up_to_date(&state, &replica, suspected.clone()).await;
-        let is_refused = end == Err(LoadFailure::Refused);
+        let end = bring_up_to_date(&state, &replica, suspected.clone(), MAX_LOST_TRIALS).await;
+        let is_refused = end == Err(LoadFailure::NotNamed);
         if is_refused {
             note_refused(&state, &replica, &suspected);
         }
@@ -316,8 +322,8 @@
     );
 }
 
-/// The replica that is ordered to load suspected weights: the one of older weights with the fewest open requests, of those that
-/// can be reached and load nothing. One that has the version itself would prove nothing, since its entry may be what is wrong.
+/// The replica that is ordered to load suspected weights: the one of older weights with the fewest orders that failed, then the
+/// fewest open requests, of those that can be reached and load nothing. One that has the version itself would prove nothing, since its entry may be what is wrong.
 fn replica_for_trial(
     state: &GatewayState,
     progress: &Progress,
@@ -334,10 +340,15 @@
         let is_free = !own.is_driven && !is_paused && replica.loading_since().is_none();
         is_older && is_free && !replica.entry().is_draining && !replica.health.is_unreachable(now)
     };
-    let replicas = state.registry.all().into_iter();
+    // One that leaves orders unanswered gets few requests: it would come first each time.
+    let failures = |replica: &Rc<Replica>| {
+        let own = by_replica.get(&replica.life);
+        own.map_or(0, |own| own.failures_in_row)
+    };
+    let replicas = configured_replicas(state).into_iter();
     replicas
         .filter(may_be_ordered)
-        .min_by_key(|replica| replica.open_requests())
+        .min_by_key(|replica| (failures(replica), replica.open_requests()))
 }
 
 fn planned(
