--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -385,10 +385,20 @@
     for object in objects {
         note_unreadable(state, ObjectKind::Weights, &object);
         if let Ok(ObjectContent::Weights(weights)) = object.content {
+            let newest = state.weights.borrow().newest(&weights.model);
+            let may_hide = state.suspected_weights.borrow().may_hide_a_naming(
+                &weights,
+                newest,
+                object.position,
+                named_after(state, object.position),
+            );
             note_stored_weights(state, &weights, object.position);
+            if may_hide {
+                let known = weights.version.max(newest.unwrap_or(0));
+                suspect_next_weights(state, &weights.model, known, "hidden by a later write");
+            }
             // An object that is written again, as after the store's return from a copy, is no naming: it must not make a
             // version younger whose age was assumed.
-            let newest = state.weights.borrow().newest(&weights.model);
             if newest >= Some(weights.version) {
                 continue;
             }
@@ -413,12 +423,18 @@
     if !is_written_again || newest != Some(weights.version) {
         return;
     }
-    if let Some(version) = weights.version.checked_add(1) {
-        let model = weights.model.clone();
-        let since = since_last_known(state, listed_weights_since(state));
-        let weights = ModelVersion { model, version };
-        suspect_weights(state, Suspicion { weights, since }, "written again");
-    }
+    suspect_next_weights(state, &weights.model, weights.version, "written again");
+}
+
+/// Takes in that the version after `known` may have been named since all namings were last known: versions count up by one.
+fn suspect_next_weights(state: &GatewayState, model: &str, known: u64, reason: &str) {
+    let Some(version) = known.checked_add(1) else {
+        return;
+    };
+    let model = model.to_owned();
+    let since = since_last_known(state, listed_weights_since(state));
+    let weights = ModelVersion { model, version };
+    suspect_weights(state, Suspicion { weights, since }, reason);
 }
 
 /// Takes in versions above those known that entries of replicas show, of each model the lowest.
--- a/crates/gateway/src/suspected_weights.rs
+++ b/crates/gateway/src/suspected_weights.rs
@@ -10,7 +10,7 @@
 //! for named would put all replicas out of use that can't load it. So it is only suspected, and one replica is
 //! ordered to load it: a replica refuses versions that were not named.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use driftspring_clock::Instant;
@@ -23,13 +23,20 @@
 /// itself, see [`crate::store::KnownNamings`].
 const SHOWN_FOR: Duration = Duration::from_millis(1500);
 
-/// How long no version of a model is tried after a replica has refused one; each further time twice as long. Whoever writes
+/// How long a version is not tried after a replica has refused it; each further time twice as long. Whoever writes
 /// another part of the object again and again, or an entry that is wrong, costs an order a minute.
 const PAUSE_AFTER_REFUSAL: Duration = Duration::from_secs(2);
 
 /// The longest such pause.
 const LONGEST_PAUSE: Duration = Duration::from_secs(60);
 
+/// Refusals after which a version is suspected no more, until something new speaks for it. One refusal does not settle it: a
+/// replica may hear of a naming after the store has taken it, as may the operator; these three cover 6 s.
+const REFUSALS_THAT_SETTLE: u32 = 3;
+
+/// Versions of a model of which it is remembered that they were refused. Only broken entries name that many.
+const MAX_REFUSED_VERSIONS: usize = 8;
+
 /// A version that may have been named.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Suspicion {
@@ -46,8 +53,16 @@
     heard: Option<Heard>,
     shown: Option<Shown>,
     suspicion: Option<Suspicion>,
-    refusals_in_row: u32,
-    paused_until: Option<Instant>,
+    /// Each version has its own pause, so that an entry which is wrong for long does not keep one from being tried that
+    /// was written over.
+    refused: BTreeMap<u64, Refused>,
+}
+
+/// What is remembered of a version that was refused.
+#[derive(Debug, Clone, Copy)]
+struct Refused {
+    in_row: u32,
+    paused_until: Instant,
 }
 
 /// The object as it was last read from the store.
@@ -86,8 +101,7 @@
         known.heard = Some(Heard { version, at, era });
         let is_settled = |suspicion: &Suspicion| suspicion.weights.version <= version;
         known.suspicion.take_if(|suspicion| is_settled(suspicion));
-        known.refusals_in_row = 0;
-        known.paused_until = None;
+        known.refused.clear();
     }
 
     /// Takes in the object of a model as it was read from the store, which had not reached its position at `not_before`, as
@@ -112,12 +126,33 @@
         if let Some(before) = same {
             return before.position < position;
         }
-        let heard = known
-            .heard
-            .filter(|heard| heard.version == version && heard.era == position.era);
-        heard
-            .zip(not_before)
-            .is_some_and(|(heard, not_before)| heard.at <= not_before)
+        known.was_heard_by(version, position.era, not_before)
+    }
+
+    /// Whether a list that shows the object of a model so may hide a later naming. It shows the last write only, so one that was
+    /// made while nobody watched may have been made over another one: `newest` is what was known before the list, and the
+    /// other arguments are those of [`Self::note_stored`], which is told after this.
+    pub fn may_hide_a_naming(
+        &self,
+        listed: &ModelVersion,
+        newest: Option<u64>,
+        position: StorePosition,
+        not_before: Option<Instant>,
+    ) -> bool {
+        let (Some(newest), Some(known)) = (newest, self.by_model.get(&listed.model)) else {
+            return false;
+        };
+        if listed.version >= newest {
+            return listed.version > newest;
+        }
+        let stored = known
+            .stored
+            .filter(|stored| stored.position.era == position.era);
+        match stored {
+            Some(stored) if stored.position >= position => false,
+            Some(stored) if stored.version == newest => true,
+            _ => known.was_heard_by(newest, position.era, not_before),
+        }
     }
 
     /// Takes in which versions above those known entries of replicas show, of each model the lowest; returns those that
@@ -163,13 +198,13 @@
         let Some(known) = self.by_model.get_mut(&weights.model) else {
             return;
         };
-        let is_suspected = |suspicion: &mut Suspicion| suspicion.weights.version == weights.version;
-        if known.suspicion.take_if(is_suspected).is_none() {
+        let is_refused = |suspicion: &mut Suspicion| suspicion.weights.version == weights.version;
+        if !known.suspicion.as_mut().is_some_and(is_refused) {
             return;
         }
-        let pause = PAUSE_AFTER_REFUSAL.saturating_mul(1 << known.refusals_in_row.min(8));
-        known.refusals_in_row += 1;
-        known.paused_until = Some(now + pause.min(LONGEST_PAUSE));
+        if known.note_refusal(weights.version, now) >= REFUSALS_THAT_SETTLE {
+            known.suspicion = None;
+        }
     }
 
     /// Since when this version counts if it was named; nothing where it is not suspected.
@@ -187,12 +222,42 @@
 
     /// The versions that may be tried at `now`.
     pub fn due(&self, now: Instant) -> Vec<Suspicion> {
-        let may_be_tried = |known: &&OfModel| {
-            known
-                .paused_until
-                .is_none_or(|paused_until| paused_until <= now)
+        let suspicions = self.by_model.values();
+        let due = suspicions.filter_map(|known| known.suspicion_due(now));
+        due.cloned().collect()
+    }
+}
+
+impl OfModel {
+    /// Whether this version was heard of by `moment`, in this era of the store.
+    fn was_heard_by(&self, version: u64, era: StoreEra, moment: Option<Instant>) -> bool {
+        let heard = self
+            .heard
+            .filter(|heard| heard.version == version && heard.era == era);
+        heard
+            .zip(moment)
+            .is_some_and(|(heard, moment)| heard.at <= moment)
+    }
+
+    /// Takes in that a version was refused; how often it was.
+    fn note_refusal(&mut self, version: u64, now: Instant) -> u32 {
+        let in_row = self.refused.get(&version).map_or(0, |known| known.in_row);
+        let pause = PAUSE_AFTER_REFUSAL.saturating_mul(1 << in_row.min(8));
+        let refused = Refused {
+            in_row: in_row + 1,
+            paused_until: now + pause.min(LONGEST_PAUSE),
         };
-        let due = self.by_model.values().filter(may_be_tried);
-        due.filter_map(|known| known.suspicion.clone()).collect()
+        self.refused.insert(version, refused);
+        if self.refused.len() > MAX_REFUSED_VERSIONS {
+            self.refused.pop_last();
+        }
+        refused.in_row
+    }
+
+    fn suspicion_due(&self, now: Instant) -> Option<&Suspicion> {
+        let suspicion = self.suspicion.as_ref()?;
+        let refused = self.refused.get(&suspicion.weights.version);
+        let is_paused = refused.is_some_and(|refused| refused.paused_until > now);
+        (!is_paused).then_some(suspicion)
     }
 }
--- a/crates/gateway/tests/suspected_weights.rs
+++ b/crates/gateway/tests/suspected_weights.rs
@@ -116,3 +116,53 @@
         true
     }
 }
+
+#[test]
+fn a_version_that_was_written_over_is_tried_though_another_was_just_refused() {
+    // An entry showed a version far above all others, again and again; its pause of up to a minute held for the whole model.
+    let now = Instant::now();
+    let mut suspected = SuspectedWeights::default();
+    for _ in 0..6 {
+        suspected.suspect(suspicion(1 << 40));
+        suspected.note_refused(&weights(1 << 40), now);
+    }
+    suspected.suspect(suspicion(4));
+    let due = suspected.due(now);
+    assert_eq!(due.first().map(|due| &due.weights), Some(&weights(4)));
+}
+
+#[test]
+fn one_refusal_does_not_settle_that_a_version_was_not_named() {
+    let began = Instant::now();
+    let mut suspected = SuspectedWeights::default();
+    suspected.suspect(suspicion(4));
+    let mut tried_after = Vec::new();
+    for second in 0..60 {
+        let now = began + second * SECOND;
+        for due in suspected.due(now) {
+            suspected.note_refused(&due.weights, now);
+            tried_after.push(second);
+        }
+    }
+    assert_eq!(tried_after, [0, 2, 6]);
+}
+
+#[test]
+fn a_list_hides_a_naming_only_where_the_object_was_written_while_nobody_watched() {
+    let heard_at = Instant::now();
+    let mut suspected = SuspectedWeights::default();
+    // Nothing is known yet, so every list is the first.
+    assert!(!suspected.may_hide_a_naming(&weights(3), None, at(75), None));
+    suspected.note_heard(&weights(3), heard_at, ERA);
+    suspected.note_stored(&weights(3), at(75), None);
+    // The known object, and an older one that was seen before.
+    assert!(!suspected.may_hide_a_naming(&weights(3), Some(3), at(75), None));
+    assert!(suspected.may_hide_a_naming(&weights(2), Some(3), at(92), None));
+    suspected.note_stored(&weights(2), at(92), None);
+    let later = heard_at + SECOND;
+    assert!(!suspected.may_hide_a_naming(&weights(2), Some(3), at(92), Some(later)));
+    assert!(suspected.may_hide_a_naming(&weights(2), Some(3), at(95), Some(later)));
+    assert!(!suspected.may_hide_a_naming(&weights(2), Some(3), at(95), Some(heard_at - SECOND)));
+    // A new version: the one after it may have stood there.
+    assert!(suspected.may_hide_a_naming(&weights(4), Some(3), at(97), None));
+}
