--- a/crates/gateway/src/replicas/gone_lives.rs
+++ b/crates/gateway/src/replicas/gone_lives.rs
@@ -2,6 +2,9 @@
 //!
 //! The entry of such a life may stand in the copy, though the replica has ended. It is held back until the replica has written
 //! it anew, or for as long as the platform may need to see that nobody renews it.
+//!
+//! A life that had said that it is leaving never comes back: where its entry does, a heartbeat of before took effect late. Requests
+//! must not reach it later than 2 s after it was gone (`drainMs`).
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -27,6 +30,8 @@
     gone_at: Instant,
     /// How often the store had changed its era by then.
     era_changes: u64,
+    /// Whether it had said that it is leaving.
+    has_left: bool,
     held_back: Option<HeldBack>,
 }
 
@@ -66,14 +71,23 @@
             born,
             gone_at: now,
             era_changes,
+            has_left: false,
             held_back: None,
         };
         self.by_id.insert(id.to_owned(), life);
     }
 
-    /// Takes in that the replica has written its entry anew: nothing is held back.
+    /// Takes in that the life of this replica that is gone had said that it is leaving.
+    pub fn note_left(&mut self, id: &str) {
+        if let Some(life) = self.by_id.get_mut(id) {
+            life.has_left = true;
+        }
+    }
+
+    /// Takes in that the replica has written its entry anew: nothing is held back, unless it had left.
     pub fn forget(&mut self, id: &str) {
-        self.by_id.remove(id);
+        self.by_id
+            .retain(|known, life| known != id || life.has_left);
     }
 
     /// Whether an entry that is told when the store has changed its era `era_changes` times may be that of a life that was gone
@@ -83,6 +97,9 @@
             return false;
         };
         let is_later_life = told.born > gone.born;
+        if gone.has_left && !is_later_life && !gone.is_over(now) {
+            return true;
+        }
         let is_same_era = gone.era_changes == era_changes;
         // In a further era it may be that of an older copy.
         let held = gone.held_back.take();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -229,6 +229,7 @@
         {
             return;
         }
+        let change = self.with_known_leaving(change);
         let mut log = self.peers.log.borrow_mut();
         match change {
             Change::Put(item) => {
@@ -263,6 +264,20 @@
         });
     }
 
+    /// A life that has said that it is leaving never stays after all, as in [`Registry::put`]. Daemons that ask after a late
+    /// write over that entry must be told of the leaving: they may not have heard of it.
+    fn with_known_leaving(&self, change: Change) -> Change {
+        let Change::Put(Item::Replica(mut told)) = change else {
+            return change;
+        };
+        let log = self.peers.log.borrow();
+        if let Some(Item::Replica(known)) = log.get(&ItemKey::Replica(told.id.clone())) {
+            let is_same_life = known.born == told.born && known.address == told.address;
+            told.is_draining |= is_same_life && known.is_draining;
+        }
+        Change::Put(Item::Replica(told))
+    }
+
     /// Whether a change tells of an earlier life than the one known of the same replica: that is old news. A daemon of an
     /// earlier version tells no births at all, and must not make this one forget its replicas.
     fn is_of_earlier_life(&self, change: &Change) -> bool {
--- a/crates/gateway/src/store/copied_entries.rs
+++ b/crates/gateway/src/store/copied_entries.rs
@@ -1,4 +1,5 @@
-//! Entries of replicas that came back with a copy of the store, see [`crate::replicas::GoneLives`].
+//! Entries of replicas that came back with a copy of the store, or by a late write after they had left, see
+//! [`crate::replicas::GoneLives`].
 
 use driftspring_clock::Instant;
 use driftspring_telemetry::events::gateway;
@@ -8,7 +9,7 @@
 use crate::peers::message::{Change, Item, WireReplica};
 use crate::state::GatewayState;
 
-/// Whether a told entry is not to be used: that life was gone before the store came back from a copy. One that is still in use
+/// Whether a told entry is not to be used: that life was gone before the store came back from a copy, or had left. One that is still in use
 /// without an entry has waited for it.
 pub fn is_held_back(state: &GatewayState, told: &WireReplica) -> bool {
     let is_in_use = state.registry.get(&told.id).is_some();
@@ -37,7 +38,12 @@
     let now = Instant::now();
     let mut gone = state.gone_lives.borrow_mut();
     match known {
-        Some(Item::Replica(known)) => gone.note_gone(id, known.born, changes, now),
+        Some(Item::Replica(known)) => {
+            gone.note_gone(id, known.born, changes, now);
+            if known.is_draining {
+                gone.note_left(id);
+            }
+        }
         _ => gone.note_removed(id, changes, now),
     }
 }
