--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -54,6 +54,9 @@
 /// of that daemon's clock; and it sends none to them in the last 1.5 s: 3 - 0.3 + 1.5.
 const FIRST_WEIGHTS_GRACE: Duration = Duration::from_millis(4200);
 
+/// The version of a model's weights that replicas start with (operator's pages).
+const FIRST_VERSION: u64 = 1;
+
 /// Follows `kind` whenever this daemon reads the store for its group. Whenever a watch ends otherwise than
 /// by an answer, the list is read anew, since changes may have been missed. So is it after trouble at the store:
 /// a watch from before may be deaf. A watch also ends when the store changes its era, see [`super::era`].
@@ -404,7 +407,7 @@
             }
             let known = named_after(state, object.position).map(Since::Known);
             name_weights(state, &weights, known.unwrap_or(unknown));
-            if let Some(passed_over) = passed_over(&weights, newest) {
+            if let Some(passed_over) = passed_over(&weights, newest.or(first_version(state))) {
                 name_weights(state, &passed_over, since_last_known(state, unknown));
             }
         }
@@ -467,6 +470,13 @@
     state.rollout_wanted.notify_one();
 }
 
+/// The version that replicas have of a model of which nothing is named, as far as all namings are known: none was passed over
+/// at the first list.
+fn first_version(state: &GatewayState) -> Option<u64> {
+    let progress = state.store_progress.borrow();
+    state.known_namings.until(&progress).map(|_| FIRST_VERSION)
+}
+
 /// The oldest version that was named between the newest one that is known and `listed`: versions count up by one.
 fn passed_over(listed: &ModelVersion, newest: Option<u64>) -> Option<ModelVersion> {
     let version = newest?.checked_add(1)?;
