--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -54,6 +54,9 @@
 /// of that daemon's clock; and it sends none to them in the last 1.5 s: 3 - 0.3 + 1.5.
 const FIRST_WEIGHTS_GRACE: Duration = Duration::from_millis(4200);
 
+/// The version of a model's weights that replicas start with (operator's pages).
+const FIRST_VERSION: u64 = 1;
+
 /// Follows `kind` whenever this daemon reads the store for its group. Whenever a watch ends otherwise than
 /// by an answer, the list is read anew, since changes may have been missed. So is it after trouble at the store:
 /// a watch from before may be deaf. A watch also ends when the store changes its era, see [`super::era`].
@@ -385,16 +388,26 @@
     for object in objects {
         note_unreadable(state, ObjectKind::Weights, &object);
         if let Ok(ObjectContent::Weights(weights)) = object.content {
+            let newest = state.weights.borrow().newest(&weights.model);
+            let may_hide = state.suspected_weights.borrow().may_hide_a_naming(
+                &weights,
+                newest,
+                object.position,
+                named_after(state, object.position),
+            );
             note_stored_weights(state, &weights, object.position);
+            if may_hide {
+                let known = weights.version.max(newest.unwrap_or(0));
+                suspect_next_weights(state, &weights.model, known, "hidden by a later write");
+            }
             // An object that is written again, as after the store's return from a copy, is no naming: it must not make a
             // version younger whose age was assumed.
-            let newest = state.weights.borrow().newest(&weights.model);
             if newest >= Some(weights.version) {
                 continue;
             }
             let known = named_after(state, object.position).map(Since::Known);
             name_weights(state, &weights, known.unwrap_or(unknown));
-            if let Some(passed_over) = passed_over(&weights, newest) {
+            if let Some(passed_over) = passed_over(&weights, newest.or(first_version(state))) {
                 name_weights(state, &passed_over, since_last_known(state, unknown));
             }
         }
@@ -413,12 +426,18 @@
     if !is_written_again || newest != Some(weights.version) {
         return;
     }
-    if let Some(version) = weights.version.checked_add(1) {
-        let model = weights.model.clone();
-        let since = since_last_known(state, listed_weights_since(state));
-        let weights = ModelVersion { model, version };
-        suspect_weights(state, Suspicion { weights, since }, "written again");
-    }
+    suspect_next_weights(state, &weights.model, weights.version, "written again");
+}
+
+/// Takes in that the version after `known` may have been named since all namings were last known: versions count up by one.
+fn suspect_next_weights(state: &GatewayState, model: &str, known: u64, reason: &str) {
+    let Some(version) = known.checked_add(1) else {
+        return;
+    };
+    let model = model.to_owned();
+    let since = since_last_known(state, listed_weights_since(state));
+    let weights = ModelVersion { model, version };
+    suspect_weights(state, Suspicion { weights, since }, reason);
 }
 
 /// Takes in versions above those known that entries of replicas show, of each model the lowest.
@@ -451,6 +470,13 @@
     state.rollout_wanted.notify_one();
 }
 
+/// The version that replicas have of a model of which nothing is named, as far as all namings are known: none was passed over
+/// at the first list.
+fn first_version(state: &GatewayState) -> Option<u64> {
+    let progress = state.store_progress.borrow();
+    state.known_namings.until(&progress).map(|_| FIRST_VERSION)
+}
+
 /// The oldest version that was named between the newest one that is known and `listed`: versions count up by one.
 fn passed_over(listed: &ModelVersion, newest: Option<u64>) -> Option<ModelVersion> {
     let version = newest?.checked_add(1)?;
