--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -1,6 +1,6 @@
 //! Follows the objects of one kind: a list, then watches from its revision on.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,16 +11,15 @@
 use super::StorePosition;
 use super::client::{StoreError, list_all, list_recent, watch};
 use super::copied_entries;
+use super::follow_weights;
 use super::own_entry;
 use super::quarantine;
 use super::rejections::Rejected;
 use crate::configuration::Configuration;
 use crate::peers::message::{Change, Item, ItemKey, WireDaemon};
-use crate::protocol::{ModelVersion, ObjectContent, ObjectKind, StoredObject};
+use crate::protocol::{ObjectContent, ObjectKind, StoredObject};
 use crate::rollout::{LEASE_NAME, record_in};
 use crate::state::{GatewayState, JUST_STARTED};
-use crate::suspected_weights::Suspicion;
-use crate::weights::Since;
 
 /// How long one watch waits for a change.
 const WATCH_WAIT: Duration = Duration::from_secs(15);
@@ -49,14 +48,6 @@
 /// that leaves may get requests for 2 s (`drainMs`).
 const LOST_ANSWER_LOOK: Duration = Duration::from_millis(500);
 
-/// How much of the time for new weights a daemon has that has just started, whatever their age. It may use older
-/// ones until it is in touch, 3 s (`contactMs`) after the start of its process; that lies up to 0.3 s before that
-/// of that daemon's clock; and it sends none to them in the last 1.5 s: 3 - 0.3 + 1.5.
-const FIRST_WEIGHTS_GRACE: Duration = Duration::from_millis(4200);
-
-/// The version of a model's weights that replicas start with (operator's pages).
-const FIRST_VERSION: u64 = 1;
-
 /// Follows `kind` whenever this daemon reads the store for its group. Whenever a watch ends otherwise than
 /// by an answer, the list is read anew, since changes may have been missed. So is it after trouble at the store:
 /// a watch from before may be deaf. A watch also ends when the store changes its era, see [`super::era`].
@@ -210,7 +201,7 @@
         return;
     }
     if kind == ObjectKind::Weights {
-        take_weights_list(state, objects);
+        follow_weights::take_list(state, objects);
         state.known_namings.note_read(position);
         return;
     }
@@ -292,17 +283,7 @@
             state.apply_stored(&entry);
         }
         Ok(ObjectContent::Weights(weights)) => {
-            note_stored_weights(state, &weights, object.position);
-            // A change of an object whose version is known is no naming.
-            let newest = state.weights.borrow().newest(&weights.model);
-            if newest >= Some(weights.version) {
-                return;
-            }
-            // When a watch tells of it says nothing: its answer may have been lost before, or have waited for a process
-            // that stood still (8.5 s after a naming requests began on older weights, where 7 s are allowed).
-            let since = named_after(state, object.position);
-            let since = since.unwrap_or_else(Instant::now);
-            name_weights(state, &weights, Since::Known(since));
+            follow_weights::take_written(state, &weights, object.position);
         }
         Ok(ObjectContent::Lease(_)) => {}
         Ok(ObjectContent::Daemon(daemon)) => {
@@ -382,176 +363,7 @@
     state.peers.nudge();
 }
 
-/// Takes in a list of wanted weights.
-fn take_weights_list(state: &GatewayState, objects: Vec<StoredObject>) {
-    let unknown = listed_weights_since(state);
-    for object in objects {
-        note_unreadable(state, ObjectKind::Weights, &object);
-        if let Ok(ObjectContent::Weights(weights)) = object.content {
-            let newest = state.weights.borrow().newest(&weights.model);
-            let may_hide = state.suspected_weights.borrow().may_hide_a_naming(
-                &weights,
-                newest,
-                object.position,
-                named_after(state, object.position),
-            );
-            note_stored_weights(state, &weights, object.position);
-            if may_hide {
-                let known = weights.version.max(newest.unwrap_or(0));
-                suspect_next_weights(state, &weights.model, known, "hidden by a later write");
-            }
-            // An object that is written again, as after the store's return from a copy, is no naming: it must not make a
-            // version younger whose age was assumed.
-            if newest >= Some(weights.version) {
-                continue;
-            }
-            let known = named_after(state, object.position).map(Since::Known);
-            name_weights(state, &weights, known.unwrap_or(unknown));
-            if let Some(passed_over) = passed_over(&weights, newest.or(first_version(state))) {
-                name_weights(state, &passed_over, since_last_known(state, unknown));
-            }
-        }
-    }
-}
-
-/// Takes in the object of a model's weights: where the version that is known was written again, the one after it may have
-/// stood there in between.
-fn note_stored_weights(state: &GatewayState, weights: &ModelVersion, position: StorePosition) {
-    let not_before = named_after(state, position);
-    let is_written_again = state
-        .suspected_weights
-        .borrow_mut()
-        .note_stored(weights, position, not_before);
-    let newest = state.weights.borrow().newest(&weights.model);
-    if !is_written_again || newest != Some(weights.version) {
-        return;
-    }
-    suspect_next_weights(state, &weights.model, weights.version, "written again");
-}
-
-/// Takes in that the version after `known` may have been named since all namings were last known: versions count up by one.
-fn suspect_next_weights(state: &GatewayState, model: &str, known: u64, reason: &str) {
-    let Some(version) = known.checked_add(1) else {
-        return;
-    };
-    let model = model.to_owned();
-    let since = since_last_known(state, listed_weights_since(state));
-    let weights = ModelVersion { model, version };
-    suspect_weights(state, Suspicion { weights, since }, reason);
-}
-
-/// Takes in versions above those known that entries of replicas show, of each model the lowest.
-pub fn note_shown_weights(state: &GatewayState, shown: &HashMap<String, u64>) {
-    let now = Instant::now();
-    let shown_for_long = state.suspected_weights.borrow_mut().note_shown(shown, now);
-    for weights in shown_for_long {
-        let since = listed_weights_since(state);
-        suspect_weights(state, Suspicion { weights, since }, "shown by a replica");
-    }
-}
-
-/// Takes in weights that may have been named; whoever may order replicas tries them.
-pub fn suspect_weights(state: &GatewayState, suspicion: Suspicion, reason: &str) {
-    let weights = suspicion.weights.clone();
-    let newest = state.weights.borrow().newest(&weights.model);
-    if newest >= Some(weights.version) {
-        return;
-    }
-    if !state.suspected_weights.borrow_mut().suspect(suspicion) {
-        return;
-    }
-    log_event!(
-        gateway::WEIGHTS_SUSPECTED,
-        "model={} version={} newest={newest:?} reason={reason:?}",
-        weights.model,
-        weights.version
-    );
-    state.peers.nudge();
-    state.rollout_wanted.notify_one();
-}
-
-/// The version that replicas have of a model of which nothing is named, as far as all namings are known: none was passed over
-/// at the first list.
-fn first_version(state: &GatewayState) -> Option<u64> {
-    let progress = state.store_progress.borrow();
-    state.known_namings.until(&progress).map(|_| FIRST_VERSION)
-}
-
-/// The oldest version that was named between the newest one that is known and `listed`: versions count up by one.
-fn passed_over(listed: &ModelVersion, newest: Option<u64>) -> Option<ModelVersion> {
-    let version = newest?.checked_add(1)?;
-    (version < listed.version).then(|| ModelVersion {
-        model: listed.model.clone(),
-        version,
-    })
-}
-
-/// Since when a version counts that was named at an unknown moment after all namings had been known, as far as that is
-/// known: weights that it follows must not serve longer since its own naming was not seen.
-fn since_last_known(state: &GatewayState, unknown: Since) -> Since {
-    let progress = state.store_progress.borrow();
-    let known_until = state.known_namings.until(&progress);
-    known_until.map_or(unknown, Since::Known)
-}
-
-/// Since when weights count that are listed and of which no read before their naming is known. They may be wanted
-/// for any time: they count as old, but for the time in which a daemon that has just started is not yet held to
-/// them.
-fn listed_weights_since(state: &GatewayState) -> Since {
-    let deadline = state.times.get().weights_deadline;
-    // Where the store did not answer at first, nobody could load anything before it did; and a daemon that lists
-    // them late in its life has known of weights from others.
-    let now = Instant::now();
-    let was_in_trouble = state.store_outage.was_lately(now);
-    let listing_possible_for = match was_in_trouble || state.now() > JUST_STARTED {
-        true => Duration::ZERO,
-        false => state.now(),
-    };
-    let age = first_weights_age(deadline, listing_possible_for);
-    let assumed = now.checked_sub(age).unwrap_or(now);
-    // In a new era of the store, what was named before the last read of the era before is known: replicas with older weights
-    // must not all go out of use at once because the naming itself was not seen.
-    let progress = state.store_progress.borrow();
-    let known_at = progress.last_before(state.store_eras.known());
-    Since::Assumed(known_at.map_or(assumed, |known_at| assumed.max(known_at)))
-}
-
-/// The moment after which an object got its position, as far as that is known: they may be heard of late.
-fn named_after(state: &GatewayState, position: StorePosition) -> Option<Instant> {
-    state.store_progress.borrow().not_before(position)
-}
-
-/// The age at which weights count that are listed for the first time, by a daemon that could have listed them
-/// `since` so long.
-pub fn first_weights_age(deadline: Duration, since: Duration) -> Duration {
-    deadline.saturating_sub(FIRST_WEIGHTS_GRACE.saturating_sub(since))
-}
-
-/// Takes in weights that are wanted since `since`.
-pub fn name_weights(state: &GatewayState, weights: &ModelVersion, since: Since) {
-    let age = since.moment().elapsed();
-    let is_newest = state.weights.borrow_mut().name(weights, since);
-    state.weights_named.notify_waiters();
-    if !is_newest {
-        return;
-    }
-    let era = state.store_eras.known();
-    state
-        .suspected_weights
-        .borrow_mut()
-        .note_heard(weights, Instant::now(), era);
-    log_event!(
-        gateway::WEIGHTS_WANTED,
-        "model={} version={} age={age:?} assumed={}",
-        weights.model,
-        weights.version,
-        since.is_assumed()
-    );
-    state.peers.nudge();
-    state.rollout_wanted.notify_one();
-}
-
-fn note_unreadable(state: &GatewayState, kind: ObjectKind, object: &StoredObject) {
+pub(super) fn note_unreadable(state: &GatewayState, kind: ObjectKind, object: &StoredObject) {
     if let Err(unreadable) = &object.content {
         let (kind, metrics) = (Rejected::Object(kind), &state.status.metrics);
         let rejections = &state.rejections;
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -5,6 +5,7 @@
 pub mod copied_entries;
 mod era;
 mod follow;
+mod follow_weights;
 mod join;
 mod known_namings;
 mod outage;
@@ -16,9 +17,8 @@
 
 pub use client::{CALL_TIMEOUT, StoreError, list_all, list_recent, watch, write};
 pub use era::{EraReading, LOWER_ERA_PATIENCE, StoreEras, ToldEra, read_era, take_told_era};
-pub use follow::{
-    first_weights_age, name_weights, note_shown_weights, suspect_weights, take_handed_configuration,
-};
+pub use follow::take_handed_configuration;
+pub use follow_weights::{first_weights_age, name_weights, note_shown_weights, suspect_weights};
 pub use join::join_daemons;
 pub use known_namings::KnownNamings;
 pub use outage::{StoreOutage, pause_after, pause_after_call};
