--- a/crates/gateway/src/quarantine/ends.rs
+++ b/crates/gateway/src/quarantine/ends.rs
@@ -79,8 +79,9 @@
 
 async fn find_out(state: Rc<GatewayState>, replica: Rc<Replica>, ended_at: Duration) {
     tokio::time::sleep(GATHERING).await;
+    let is_refused = is_refused(replica.pool.peer()).await;
     // A daemon that stood still as the replica ended may find the next one at its address.
-    let has_ended = state.registry.is_replaced(&replica) || is_refused(replica.pool.peer()).await;
+    let has_ended = is_refused || state.registry.is_replaced(&replica);
     let lost = state.quarantine.losses.take(&replica.life);
     if !has_ended {
         return;
@@ -97,11 +98,14 @@
     );
     let directory = state.peers.directory();
     for Loss { fingerprint, ran } in lost {
+        // Where the next life is there the request may have run at either, and only have broken off at that one: the time
+        // of its begin would name the one that lives.
+        let began_at = is_refused.then(|| ended_at.saturating_sub(ran));
         let strike = Strike {
             replica: replica.life_hash,
             at: ended_at,
             is_coincident: false,
-            began_at: Some(ended_at.saturating_sub(ran)),
+            began_at,
         };
         let role = role(&directory, fingerprint, state.peers.own());
         state.quarantine.strike(fingerprint, strike, role);
--- a/crates/gateway/src/quarantine/evidence.rs
+++ b/crates/gateway/src/quarantine/evidence.rs
@@ -30,7 +30,7 @@
 #[derive(Debug)]
 pub(super) struct End {
     replica: u64,
-    at: Duration,
+    pub(super) at: Duration,
     /// When it was there yet: the latest that a request which ran there began to.
     alive_at: Option<Duration>,
 }
@@ -73,7 +73,7 @@
         strike.is_coincident && !has_explained
     }
 
-    fn end_of(&self, replica: u64) -> Option<&End> {
+    pub(super) fn end_of(&self, replica: u64) -> Option<&End> {
         self.ends.iter().find(|end| end.replica == replica)
     }
 
--- a/crates/gateway/src/quarantine/ledger.rs
+++ b/crates/gateway/src/quarantine/ledger.rs
@@ -23,6 +23,7 @@
 use super::Fingerprint;
 use super::by_end::ByEnd;
 use super::evidence::End;
+use super::lives::{LEAST_AWAY, Lives, Waiting};
 use super::record::{Record, Stored, Strike};
 use crate::store::StorePosition;
 
@@ -81,6 +82,7 @@
     last_end: Option<Duration>,
     /// Replicas that ended, those told of last at the end.
     pub(super) ends: VecDeque<End>,
+    lives: Lives,
     /// Those that were forgotten lately though the store kept them, with the replicas that their strikes named.
     forgotten: VecDeque<(Fingerprint, Vec<u64>)>,
 }
@@ -104,13 +106,73 @@
 }
 
 impl Ledger {
-    /// Takes in that a replica has ended while the request was open there.
+    /// Takes in that a replica has ended while the request was open there. Where the run began after the end of the life that is
+    /// named, it is the end of a later one: it counts as that one's, as soon as that is known.
     pub fn strike(
         &mut self,
         fingerprint: Fingerprint,
         strike: Strike,
         role: Role,
         now: Duration,
+    ) -> News {
+        match self.rightly_named(strike) {
+            Ok(strike) => self.strike_life(fingerprint, strike, role, now),
+            Err(strike) => {
+                log::info!(
+                    "an end is of a life after {:016x} that was not heard of yet: fingerprint={fingerprint}",
+                    strike.replica
+                );
+                self.lives.wait(Waiting {
+                    fingerprint,
+                    strike,
+                    role,
+                });
+                News::Nothing
+            }
+        }
+    }
+
+    /// Takes in that a replica has started again under its id: the life `after` follows `before`. What that means for
+    /// requests whose strikes waited for it.
+    pub fn note_next_life(
+        &mut self,
+        before: u64,
+        after: u64,
+        now: Duration,
+    ) -> Vec<(Fingerprint, News)> {
+        let named = self.lives.note_next(before, after).into_iter();
+        let struck = named.map(|waiting| {
+            let fingerprint = waiting.fingerprint;
+            let news = self.strike(fingerprint, waiting.strike, waiting.role, now);
+            (fingerprint, news)
+        });
+        struck.collect()
+    }
+
+    /// The strike under the name of the life that it is of; an error where that one was not heard of yet, with the latest one that
+    /// was.
+    fn rightly_named(&self, mut strike: Strike) -> Result<Strike, Strike> {
+        while self.is_of_later_life(&strike) {
+            strike.replica = self.lives.next(strike.replica).ok_or(strike)?;
+        }
+        Ok(strike)
+    }
+
+    /// Whether the run of a strike began after the life that it names had ended.
+    fn is_of_later_life(&self, strike: &Strike) -> bool {
+        let ended_at = self.end_of(strike.replica).map(|end| end.at);
+        let alive_at = strike.showed_alive_at();
+        ended_at
+            .zip(alive_at)
+            .is_some_and(|(ended_at, alive_at)| alive_at > ended_at + LEAST_AWAY)
+    }
+
+    fn strike_life(
+        &mut self,
+        fingerprint: Fingerprint,
+        strike: Strike,
+        role: Role,
+        now: Duration,
     ) -> News {
         self.last_strike = self.last_strike.max(Some(strike.at));
         self.note_end(strike);
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -8,6 +8,7 @@
 //! - [`ends`]: whether a replica has ended, or only broke off an answer.
 //! - [`record`]: what is known of one request.
 //! - [`ledger`]: what is known of all; the decision.
+//! - `lives`: which life an end is of, where it is told under the name of an earlier one.
 //! - `evidence`: what ends prove against a request.
 //! - [`apart`]: when one is tried apart from those that were open at the same ends.
 //! - [`homes`]: which daemons count for a request.
@@ -23,6 +24,7 @@
 pub mod homes;
 pub mod kept;
 pub mod ledger;
+mod lives;
 pub mod record;
 pub mod shared;
 
--- a/crates/gateway/src/quarantine/shared.rs
+++ b/crates/gateway/src/quarantine/shared.rs
@@ -77,6 +77,8 @@
     Peer,
     /// The store.
     Store,
+    /// The list of replicas: it named the life that an end is of, which was told before.
+    Replicas,
 }
 
 impl Default for Quarantine {
@@ -127,6 +129,22 @@
         self.spread(fingerprint, news, teller);
     }
 
+    /// Takes in that a replica has started again under its id: the life `after` follows `before`, both by their digests.
+    pub fn note_next_life(&self, before: u64, after: u64) {
+        let mut ledger = self.ledger.borrow_mut();
+        let struck = ledger.note_next_life(before, after, self.now());
+        drop(ledger);
+        for (fingerprint, news) in struck {
+            log_event!(
+                gateway::REQUEST_STRUCK,
+                "fingerprint={fingerprint} replica_digest={after:016x} count={} told_by={:?}",
+                self.read(|ledger| ledger.get(fingerprint).map_or(0.0, Record::count)),
+                Teller::Replicas
+            );
+            self.spread(fingerprint, news, Teller::Replicas);
+        }
+    }
+
     /// Takes in a record that another daemon or the store told; true where it was news.
     pub fn take_record(
         &self,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -238,6 +238,7 @@
                 if let Item::Replica(replica) = &item
                     && let Some(entry) = replica.to_entry()
                 {
+                    self.note_next_life(&entry);
                     self.registry.put(entry);
                 }
             }
@@ -281,6 +282,15 @@
         }
     }
 
+    /// Takes in that a replica has started again, where its entry says so: ends are named after lives.
+    fn note_next_life(&self, entry: &ReplicaEntry) {
+        let known = self.registry.get(&entry.life.id);
+        if let Some(before) = known.filter(|known| known.life.is_before(&entry.life)) {
+            let after = entry.life.digest();
+            self.quarantine.note_next_life(before.life_hash, after);
+        }
+    }
+
     /// Takes in that the entry of a replica is gone, which was `known` until then.
     fn take_missing_entry(&self, id: &str, known: Option<&Item>) {
         let now = Instant::now();
