--- a/crates/gateway/src/quarantine/ledger.rs
+++ b/crates/gateway/src/quarantine/ledger.rs
@@ -23,7 +23,7 @@
 use super::Fingerprint;
 use super::by_end::ByEnd;
 use super::evidence::End;
-use super::lives::{LEAST_AWAY, Lives, Waiting};
+use super::lives::{LEAST_AWAY, Lives, Next, Waiting};
 use super::record::{Record, Stored, Strike};
 use crate::store::StorePosition;
 
@@ -140,7 +140,17 @@
         after: u64,
         now: Duration,
     ) -> Vec<(Fingerprint, News)> {
-        let named = self.lives.note_next(before, after).into_iter();
+        self.note_next(before, Next::Life(after), now)
+    }
+
+    /// Takes in that the entry of a life is gone. What that means for requests whose strikes waited for its next life: they
+    /// count under the name that was told.
+    pub fn note_gone_life(&mut self, life: u64, now: Duration) -> Vec<(Fingerprint, News)> {
+        self.note_next(life, Next::Nothing, now)
+    }
+
+    fn note_next(&mut self, before: u64, next: Next, now: Duration) -> Vec<(Fingerprint, News)> {
+        let named = self.lives.note_next(before, next).into_iter();
         let struck = named.map(|waiting| {
             let fingerprint = waiting.fingerprint;
             let news = self.strike(fingerprint, waiting.strike, waiting.role, now);
@@ -153,7 +163,11 @@
     /// was.
     fn rightly_named(&self, mut strike: Strike) -> Result<Strike, Strike> {
         while self.is_of_later_life(&strike) {
-            strike.replica = self.lives.next(strike.replica).ok_or(strike)?;
+            match self.lives.next(strike.replica) {
+                Some(Next::Life(next)) => strike.replica = next,
+                Some(Next::Nothing) => return Ok(strike),
+                None => return Err(strike),
+            }
         }
         Ok(strike)
     }
--- a/crates/gateway/src/quarantine/lives.rs
+++ b/crates/gateway/src/quarantine/lives.rs
@@ -22,6 +22,15 @@
 /// dozen requests at once, and few start again at one moment.
 const MAX_WAITING: usize = 256;
 
+/// What followed a life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Next {
+    /// Another life under the same id.
+    Life(u64),
+    /// None: its entry is gone. What runs at its address by now has another id.
+    Nothing,
+}
+
 /// A strike whose life is not known yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Waiting {
@@ -34,16 +43,16 @@
 /// The lives of replicas, by their digests.
 #[derive(Debug, Default)]
 pub(super) struct Lives {
-    next: HashMap<u64, u64>,
+    next: HashMap<u64, Next>,
     /// Those in `next`, the ones heard of last at the end.
     heard: VecDeque<u64>,
     waiting: VecDeque<Waiting>,
 }
 
 impl Lives {
-    /// Takes in that the life `after` follows `before`; the strikes that waited for that.
-    pub(super) fn note_next(&mut self, before: u64, after: u64) -> Vec<Waiting> {
-        if self.next.insert(before, after).is_none() {
+    /// Takes in what followed a life; the strikes that waited for that.
+    pub(super) fn note_next(&mut self, before: u64, next: Next) -> Vec<Waiting> {
+        if self.next.insert(before, next).is_none() {
             self.heard.push_back(before);
         }
         if self.heard.len() > MAX_LIVES
@@ -58,8 +67,8 @@
         Vec::from(named)
     }
 
-    /// The life that followed this one, where it was heard of.
-    pub(super) fn next(&self, life: u64) -> Option<u64> {
+    /// What followed this life, where it was heard of.
+    pub(super) fn next(&self, life: u64) -> Option<Next> {
         self.next.get(&life).copied()
     }
 
--- a/crates/gateway/src/quarantine/shared.rs
+++ b/crates/gateway/src/quarantine/shared.rs
@@ -134,10 +134,23 @@
         let mut ledger = self.ledger.borrow_mut();
         let struck = ledger.note_next_life(before, after, self.now());
         drop(ledger);
+        self.take_named(struck, after);
+    }
+
+    /// Takes in that the entry of a replica is gone; its life by its digest.
+    pub fn note_gone_life(&self, life: u64) {
+        let mut ledger = self.ledger.borrow_mut();
+        let struck = ledger.note_gone_life(life, self.now());
+        drop(ledger);
+        self.take_named(struck, life);
+    }
+
+    /// Takes in strikes that waited until it was known which life they are of.
+    fn take_named(&self, struck: Vec<(Fingerprint, News)>, life: u64) {
         for (fingerprint, news) in struck {
             log_event!(
                 gateway::REQUEST_STRUCK,
-                "fingerprint={fingerprint} replica_digest={after:016x} count={} told_by={:?}",
+                "fingerprint={fingerprint} replica_digest={life:016x} count={} told_by={:?}",
                 self.read(|ledger| ledger.get(fingerprint).map_or(0.0, Record::count)),
                 Teller::Replicas
             );
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -298,7 +298,11 @@
         let in_touch_at = failed_at.map(|at| at + self.times.get().contact);
         let keep_until = self.peers.keep_until(now, in_touch_at);
         let keep_until = keep_until.max(self.kept_after_return(now));
+        let listed = self.registry.get(id);
         if !self.registry.remove(id, keep_until) {
+            if let Some(gone) = listed {
+                self.quarantine.note_gone_life(gone.life_hash);
+            }
             // One that lapsed in an outage may live, and is not remembered as gone.
             store::copied_entries::note_gone(self, id, known);
             return;
--- a/crates/gateway/tests/quarantine_lives.rs
+++ b/crates/gateway/tests/quarantine_lives.rs
@@ -74,6 +74,18 @@
     assert_eq!(ends(&ledger), [FIRST, ELSEWHERE, SECOND]);
 }
 
+#[test]
+fn it_counts_as_told_where_no_life_follows_under_the_id() {
+    // The replica at the address has a new id by then; the request was not open as the one before it ended.
+    let mut ledger = Ledger::default();
+    let other = Fingerprint::from_number(2);
+    ledger.strike(other, end(FIRST, 0), Role::Home, START);
+    tell(&mut ledger, end(FIRST, 1100));
+    assert!(ends(&ledger).is_empty());
+    ledger.note_gone_life(FIRST, START + Duration::from_millis(1200));
+    assert_eq!(ends(&ledger), [FIRST]);
+}
+
 #[test]
 fn an_end_is_of_the_life_after_all_that_had_ended_before_it() {
     // A daemon that has missed two restarts.
