--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -239,6 +239,7 @@
                 if let Item::Replica(replica) = &item
                     && let Some(entry) = replica.to_entry()
                 {
+                    self.note_next_life(&entry);
                     self.registry.put(entry);
                 }
             }
@@ -296,6 +297,15 @@
         }
     }
 
+    /// Takes in that a replica has started again, where its entry says so: ends are named after lives.
+    fn note_next_life(&self, entry: &ReplicaEntry) {
+        let known = self.registry.get(&entry.life.id);
+        if let Some(before) = known.filter(|known| known.life.is_before(&entry.life)) {
+            let after = entry.life.digest();
+            self.quarantine.note_next_life(before.life_hash, after);
+        }
+    }
+
     /// Takes in that the entry of a replica is gone, which was `known` until then.
     fn take_missing_entry(&self, id: &str, known: Option<&Item>) {
         let now = Instant::now();
@@ -303,7 +313,11 @@
         let in_touch_at = failed_at.map(|at| at + self.times.get().contact);
         let keep_until = self.peers.keep_until(now, in_touch_at);
         let keep_until = keep_until.max(self.kept_after_return(now));
+        let listed = self.registry.get(id);
         if !self.registry.remove(id, keep_until) {
+            if let Some(gone) = listed {
+                self.quarantine.note_gone_life(gone.life_hash);
+            }
             // One that lapsed in an outage may live, and is not remembered as gone.
             store::copied_entries::note_gone(self, id, known);
             return;
