--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -25,6 +25,7 @@
 mod refusal;
 mod relay;
 mod retry_after;
+mod silence_watch;
 mod withdrawal;
 
 use driftspring_clock::Instant;
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -37,6 +37,8 @@
     reading_until: Cell<Option<Instant>>,
     given_tokens: Cell<u64>,
     loading_since: Cell<Option<Instant>>,
+    /// Whether this gateway looks whether it falls silent.
+    pub is_watched: Cell<bool>,
     order_sequence: Cell<Option<u64>>,
     lapses_at: Cell<Option<Instant>>,
 }
@@ -59,6 +61,7 @@
             reading_until: Cell::new(None),
             given_tokens: Cell::new(0),
             loading_since: Cell::new(None),
+            is_watched: Cell::new(false),
         })
     }
 
@@ -221,6 +224,7 @@
     /// Counts a request.
     pub fn begin(replica: &Rc<Replica>) -> Self {
         replica.open_requests.set(replica.open_requests.get() + 1);
+        replica.pool.silence().opened(Instant::now());
         Self {
             replica: Rc::clone(replica),
         }
@@ -231,6 +235,7 @@
     fn drop(&mut self) {
         let open = self.replica.open_requests.get();
         self.replica.open_requests.set(open.saturating_sub(1));
+        self.replica.pool.silence().closed();
     }
 }
 
