--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -17,7 +17,7 @@
 use super::withdrawal::{is_too_old, time_at_replica, until_too_old};
 use crate::peers::message::WirePrompt;
 use crate::protocol::Dispatch;
-use crate::replicas::{OpenWork, Waiting};
+use crate::replicas::{BegunAnswer, OpenWork, Waiting};
 use crate::state::GatewayState;
 use crate::upstream::{Answer, ConnectError, Connection, SendFailure};
 
@@ -36,6 +36,8 @@
     pub _work: OpenWork,
     /// Its wait at the replica, as long as it has not begun.
     waiting: Option<Waiting>,
+    /// Counts its answer, once it has begun.
+    begun: Option<BegunAnswer>,
 }
 
 impl Opened {
@@ -45,10 +47,17 @@
     }
 
     /// Takes in that it has; later calls change nothing.
-    pub fn note_begun(&mut self, state: &GatewayState, context: &RequestContext, choice: &Choice) {
+    pub fn note_begun(
+        &mut self,
+        state: &Rc<GatewayState>,
+        context: &RequestContext,
+        choice: &Choice,
+    ) {
         let Some(waiting) = self.waiting.take() else {
             return;
         };
+        self.begun = Some(BegunAnswer::begin(&choice.replica));
+        watch(state, &choice.replica);
         let now = Instant::now();
         let metrics = &state.status.metrics;
         metrics.note_begun(&waiting.began(now));
@@ -80,7 +89,6 @@
 ) -> Result<Opened, Unanswered> {
     let pool = &choice.replica.pool;
     let work = OpenWork::begin(&choice.replica);
-    watch(state, &choice.replica);
     note_prompt(state, choice);
     loop {
         let mut connection = connect(state, choice).await.map_err(Unanswered::Failed)?;
@@ -105,6 +113,7 @@
                     answer,
                     _work: work,
                     waiting: Some(waiting),
+                    begun: None,
                 });
             }
             Err(SendFailure::NotSent { .. }) if connection.is_reused => {}
@@ -134,11 +143,11 @@
 }
 
 /// A connection to the replica. While one comes up the replica may have begun to leave: it is then not used.
-async fn connect(state: &GatewayState, choice: &Choice) -> Result<Connection, SendFailure> {
+async fn connect(state: &Rc<GatewayState>, choice: &Choice) -> Result<Connection, SendFailure> {
     let asked_at = Instant::now();
     let connection = choice.replica.pool.take().await.inspect_err(|error| {
         if matches!(error, ConnectError::Silent { .. }) {
-            note_silent_connection(&choice.replica, asked_at);
+            note_silent_connection(state, &choice.replica, asked_at);
         }
     });
     let connection = connection.map_err(|error| not_sent(choice, &error.to_string()))?;
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -106,7 +106,7 @@
 /// Reads the next piece. Where none has come of this attempt yet, the request waits at its replica, and is
 /// withdrawn once the weights there are too old for it to begin.
 async fn read_from_begin(
-    state: &GatewayState,
+    state: &Rc<GatewayState>,
     context: &RequestContext,
     attempts: &Attempts,
     attempt: &mut Attempt,
--- a/crates/gateway/src/pipeline/silence_watch.rs
+++ b/crates/gateway/src/pipeline/silence_watch.rs
@@ -26,7 +26,7 @@
         };
         let left = ask_at.saturating_duration_since(Instant::now());
         match left.is_zero() {
-            true => ask(&replica).await,
+            true => ask(&state, &replica).await,
             false => tokio::time::sleep(left).await,
         }
     }
@@ -38,9 +38,12 @@
 }
 
 /// Asks the replica for a connection.
-async fn ask(replica: &Replica) {
+async fn ask(state: &Rc<GatewayState>, replica: &Rc<Replica>) {
     let asked_at = Instant::now();
     replica.pool.silence().asked(asked_at);
+    if replica.loading_since().is_some() && !replica.pool.silence().is_dark() {
+        return;
+    }
     match Connection::open(replica.pool.peer()).await {
         Ok(connection) => {
             replica.pool.put(connection);
@@ -48,7 +51,7 @@
         }
         // A machine that refuses is there: what is open on it has been closed, or will be.
         Err(ConnectError::Failed { .. }) => note_answered(replica),
-        Err(ConnectError::Silent { .. }) => note_silent_connection(replica, asked_at),
+        Err(ConnectError::Silent { .. }) => note_silent_connection(state, replica, asked_at),
     }
 }
 
@@ -60,10 +63,11 @@
 }
 
 /// Takes in that the replica has not answered to a connection.
-pub fn note_silent_connection(replica: &Replica, asked_at: Instant) {
+pub fn note_silent_connection(state: &Rc<GatewayState>, replica: &Rc<Replica>, asked_at: Instant) {
     let now = Instant::now();
     if replica.pool.silence().unanswered(asked_at, now) {
         replica.pool.note_dark();
+        watch(state, replica);
         log_event!(
             gateway::REPLICA_SUSPECT,
             "replica={} cause={:?}",
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -224,7 +224,6 @@
     /// Counts a request.
     pub fn begin(replica: &Rc<Replica>) -> Self {
         replica.open_requests.set(replica.open_requests.get() + 1);
-        replica.pool.silence().opened(Instant::now());
         Self {
             replica: Rc::clone(replica),
         }
@@ -235,7 +234,28 @@
     fn drop(&mut self) {
         let open = self.replica.open_requests.get();
         self.replica.open_requests.set(open.saturating_sub(1));
-        self.replica.pool.silence().closed();
+    }
+}
+
+/// An answer of a replica that has begun: bytes of it are due until it is dropped.
+#[derive(Debug)]
+pub struct BegunAnswer {
+    pool: Rc<Pool>,
+}
+
+impl BegunAnswer {
+    /// Counts an answer.
+    pub fn begin(replica: &Replica) -> Self {
+        replica.pool.silence().opened(Instant::now());
+        Self {
+            pool: Rc::clone(&replica.pool),
+        }
+    }
+}
+
+impl Drop for BegunAnswer {
+    fn drop(&mut self) {
+        self.pool.silence().closed();
     }
 }
 
--- a/crates/gateway/src/upstream/silence.rs
+++ b/crates/gateway/src/upstream/silence.rs
@@ -18,7 +18,7 @@
 
 /// The shortest silence. Streams pause for up to 0.2 s while a replica reads a prompt (operator's sheets: 7,000 tokens at
 /// 38 a millisecond).
-const SHORTEST_SILENCE: Duration = Duration::from_millis(300);
+const SHORTEST_SILENCE: Duration = Duration::from_millis(400);
 
 /// The longest silence, so that with the question (350 ms) a replica is known to be dark within a second.
 const LONGEST_SILENCE: Duration = Duration::from_millis(600);
