--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -73,12 +73,6 @@
         is_left
     }
 
-    /// Whether a repeat for `service` may be spent.
-    pub fn is_left(&self, service: &str) -> bool {
-        let saved = self.saved.borrow();
-        saved.get(service).is_none_or(|saved| *saved >= 1.0)
-    }
-
     /// Repeats that may be saved up.
     fn limit(&self) -> f64 {
         (self.slack.get() / self.daemons.get()).max(1.0)
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -134,16 +134,7 @@
                 return Err(self.give_up(Reason::NotRun, None, "the budget is spent"));
             }
             self.sent_at = Instant::now();
-            let may_leave = || self.may_leave(&choice, self.runs + 1, progress);
-            let sent = send(
-                &self.state,
-                &self.context,
-                &choice,
-                last_event_id,
-                may_leave,
-            )
-            .await;
-            match sent {
+            match send(&self.state, &self.context, &choice, last_event_id).await {
                 Ok(opened) => {
                     self.sends += 1;
                     if let Some(attempt) = self.take_answer(opened, choice)? {
@@ -170,21 +161,6 @@
         self.context.route.is_repeatable() && self.runs < self.context.route.max_attempts
     }
 
-    /// Whether a request whose replica has gone dark goes to another one, once its answer's head has come. Else it stays: the
-    /// replica may be back before the caller gives up.
-    pub fn may_leave_begun(&self, choice: &Choice, progress: Progress) -> bool {
-        // It counted as a run when its head came.
-        self.may_leave(choice, self.runs, progress)
-    }
-
-    fn may_leave(&self, choice: &Choice, runs: u32, progress: Progress) -> bool {
-        let tried = self.tried_with(choice);
-        self.context.route.is_repeatable()
-            && runs < self.context.route.max_attempts
-            && self.state.budgets.is_left(&self.context.service)
-            && choose(&self.state, &self.context, &tried, progress).is_ok()
-    }
-
     /// Takes in that an answer whose head had come is not read to its end; an error where the request can't be
     /// sent again.
     pub fn broke_off(&mut self, choice: &Choice, why: &Break) -> Result<(), Refusal> {
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -139,9 +139,7 @@
         return Err(no_replica("none has weights that may be used"));
     }
     let is_well = |replica: &&Rc<Replica>| {
-        !replica.health.is_suspect(now)
-            && !replica.pool.silence().is_dark()
-            && replica.loading_since().is_none()
+        !replica.health.is_suspect(now) && replica.loading_since().is_none()
     };
     let well: Vec<Rc<Replica>> = staying.iter().filter(is_well).cloned().collect();
     match well.is_empty() {
--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -13,20 +13,16 @@
 
 use super::choose_replica::Choice;
 use super::context::RequestContext;
-use super::silence_watch::{note_silent_connection, until_dark, watch};
 use super::withdrawal::{is_too_old, time_at_replica, until_too_old};
 use crate::peers::message::WirePrompt;
 use crate::protocol::Dispatch;
-use crate::replicas::{BegunAnswer, OpenWork, Waiting};
+use crate::replicas::{OpenWork, Waiting};
 use crate::state::GatewayState;
-use crate::upstream::{Answer, ConnectError, Connection, SendFailure};
+use crate::upstream::{Answer, Connection, SendFailure};
 
 /// Why a request is not sent though a connection has come up.
 const TOO_OLD_BY_NOW: &str = "its weights are too old by now";
 
-/// Why a request leaves a replica that has closed nothing.
-pub const GONE_DARK: &str = "the replica has gone dark";
-
 /// An answer whose head has come, and the count of the work that it stands for.
 #[derive(Debug)]
 pub struct Opened {
@@ -36,8 +32,6 @@
     pub _work: OpenWork,
     /// Its wait at the replica, as long as it has not begun.
     waiting: Option<Waiting>,
-    /// Counts its answer, once it has begun.
-    begun: Option<BegunAnswer>,
 }
 
 impl Opened {
@@ -47,17 +41,10 @@
     }
 
     /// Takes in that it has; later calls change nothing.
-    pub fn note_begun(
-        &mut self,
-        state: &Rc<GatewayState>,
-        context: &RequestContext,
-        choice: &Choice,
-    ) {
+    pub fn note_begun(&mut self, state: &GatewayState, context: &RequestContext, choice: &Choice) {
         let Some(waiting) = self.waiting.take() else {
             return;
         };
-        self.begun = Some(BegunAnswer::begin(&choice.replica));
-        watch(state, &choice.replica);
         let now = Instant::now();
         let metrics = &state.status.metrics;
         metrics.note_begun(&waiting.began(now));
@@ -81,11 +68,10 @@
 /// Sends the request and waits for the head of the answer as long as it may begin there. A kept connection that
 /// turns out to be closed before a byte was sent is replaced.
 pub async fn send(
-    state: &Rc<GatewayState>,
+    state: &GatewayState,
     context: &RequestContext,
     choice: &Choice,
     last_event_id: Option<&str>,
-    may_leave: impl Fn() -> bool,
 ) -> Result<Opened, Unanswered> {
     let pool = &choice.replica.pool;
     let work = OpenWork::begin(&choice.replica);
@@ -104,7 +90,6 @@
             biased;
             answer = connection.send(request) => answer,
             () = until_too_old(state, context, choice) => return Err(Unanswered::Withdrawn),
-            () = until_dark(choice, &may_leave) => return Err(Unanswered::Failed(gone_dark(choice))),
         };
         match answer {
             Ok(response) => {
@@ -113,7 +98,6 @@
                     answer,
                     _work: work,
                     waiting: Some(waiting),
-                    begun: None,
                 });
             }
             Err(SendFailure::NotSent { .. }) if connection.is_reused => {}
@@ -143,13 +127,8 @@
 }
 
 /// A connection to the replica. While one comes up the replica may have begun to leave: it is then not used.
-async fn connect(state: &Rc<GatewayState>, choice: &Choice) -> Result<Connection, SendFailure> {
-    let asked_at = Instant::now();
-    let connection = choice.replica.pool.take().await.inspect_err(|error| {
-        if matches!(error, ConnectError::Silent { .. }) {
-            note_silent_connection(state, &choice.replica, asked_at);
-        }
-    });
+async fn connect(state: &GatewayState, choice: &Choice) -> Result<Connection, SendFailure> {
+    let connection = choice.replica.pool.take().await;
     let connection = connection.map_err(|error| not_sent(choice, &error.to_string()))?;
     let is_listed = state.registry.is_current(&choice.replica.life);
     match is_listed && choice.replica.is_staying(Instant::now()) {
@@ -165,13 +144,6 @@
     }
 }
 
-fn gone_dark(choice: &Choice) -> SendFailure {
-    SendFailure::Lost {
-        peer: choice.replica.pool.peer(),
-        cause: GONE_DARK.to_owned(),
-    }
-}
-
 fn build(
     state: &GatewayState,
     context: &RequestContext,
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -25,7 +25,6 @@
 mod refusal;
 mod relay;
 mod retry_after;
-mod silence_watch;
 mod withdrawal;
 
 use driftspring_clock::Instant;
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -18,15 +18,13 @@
 use ntex::web::{HttpRequest, HttpResponse};
 
 use super::account::Account;
-use super::admission::Progress;
 use super::attempts::{Attempt, Attempts, Break};
 use super::check_quarantine::note_survived;
 use super::collect::{LAST_WORD, copy_headers};
 use super::context::RequestContext;
-use super::dispatch::{GONE_DARK, Opened};
+use super::dispatch::Opened;
 use super::event_splitter::EventSplitter;
 use super::refusal::{Reason, Refusal, Step};
-use super::silence_watch::until_dark;
 use super::withdrawal::until_too_old;
 use crate::state::GatewayState;
 
@@ -94,7 +92,7 @@
     loop {
         let mut attempt = attempts.next(None).await?;
         let mut splitter = EventSplitter::after(context.meta.last_event_id.clone());
-        match read_from_begin(state, context, &attempts, &mut attempt, &mut splitter).await {
+        match read_from_begin(state, context, &mut attempt, &mut splitter).await {
             Ok(first) => {
                 return Ok((attempts, attempt, splitter, first));
             }
@@ -106,24 +104,17 @@
 /// Reads the next piece. Where none has come of this attempt yet, the request waits at its replica, and is
 /// withdrawn once the weights there are too old for it to begin.
 async fn read_from_begin(
-    state: &Rc<GatewayState>,
+    state: &GatewayState,
     context: &RequestContext,
-    attempts: &Attempts,
     attempt: &mut Attempt,
     splitter: &mut EventSplitter,
 ) -> Result<Piece, Break> {
     let Attempt { opened, choice } = attempt;
     let has_begun = opened.has_begun();
-    let progress = match splitter.last_id() {
-        Some(_) => Progress::GoingOn,
-        None => Progress::New,
-    };
-    let may_leave = || attempts.may_leave_begun(choice, progress);
     let piece = tokio::select! {
         biased;
         piece = read_piece(opened, splitter) => piece.map_err(Break::BrokeOff)?,
         () = until_too_old(state, context, choice), if !has_begun => return Err(Break::Withdrawn),
-        () = until_dark(choice, may_leave) => return Err(Break::BrokeOff(GONE_DARK.to_owned())),
     };
     opened.note_begun(state, context, choice);
     Ok(piece)
@@ -197,7 +188,6 @@
         let reading = read_from_begin(
             &self.state,
             &self.context,
-            &self.attempts,
             &mut self.attempt,
             &mut self.splitter,
         );
--- a/crates/gateway/src/replicas/mod.rs
+++ b/crates/gateway/src/replicas/mod.rs
@@ -14,4 +14,4 @@
 pub use lines::{Begins, Line, wait_together};
 pub use placement::{Candidate, PlacementKey, place};
 pub use registry::Registry;
-pub use replica::{BegunAnswer, OpenWork, Replica, reading_time};
+pub use replica::{OpenWork, Replica, reading_time};
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -37,8 +37,6 @@
     reading_until: Cell<Option<Instant>>,
     given_tokens: Cell<u64>,
     loading_since: Cell<Option<Instant>>,
-    /// Whether this gateway looks whether it falls silent.
-    pub is_watched: Cell<bool>,
     order_sequence: Cell<Option<u64>>,
     lapses_at: Cell<Option<Instant>>,
 }
@@ -61,7 +59,6 @@
             reading_until: Cell::new(None),
             given_tokens: Cell::new(0),
             loading_since: Cell::new(None),
-            is_watched: Cell::new(false),
         })
     }
 
@@ -237,28 +234,6 @@
     }
 }
 
-/// An answer of a replica that has begun: bytes of it are due until it is dropped.
-#[derive(Debug)]
-pub struct BegunAnswer {
-    pool: Rc<Pool>,
-}
-
-impl BegunAnswer {
-    /// Counts an answer.
-    pub fn begin(replica: &Replica) -> Self {
-        replica.pool.silence().opened(Instant::now());
-        Self {
-            pool: Rc::clone(&replica.pool),
-        }
-    }
-}
-
-impl Drop for BegunAnswer {
-    fn drop(&mut self) {
-        self.pool.silence().closed();
-    }
-}
-
 /// The time in which a replica reads so many tokens of a prompt, as far as is known without asking: the
 /// slowest engine of the operator's sheets.
 pub fn reading_time(tokens: u64) -> Duration {
--- a/crates/gateway/src/upstream/answer.rs
+++ b/crates/gateway/src/upstream/answer.rs
@@ -31,7 +31,6 @@
     pub fn new(response: Response<Incoming>, mut connection: Connection, pool: Rc<Pool>) -> Self {
         let (head, body) = response.into_parts();
         connection.note_keep_alive(&head.headers);
-        pool.note_heard();
         Self {
             head,
             body,
@@ -69,7 +68,6 @@
         loop {
             match self.body.frame().await {
                 Some(Ok(frame)) => {
-                    self.pool.note_heard();
                     if let Ok(data) = frame.into_data() {
                         return Ok(Some(data));
                     }
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -10,11 +10,9 @@
 mod connection;
 mod connector;
 mod pool;
-mod silence;
 
 pub use answer::{Answer, AnswerError};
 pub use call::{CallAnswer, CallError, call, call_if, call_with_headers};
 pub use connection::{Connection, SendFailure};
 pub use connector::{ConnectError, is_refused, set_options};
 pub use pool::Pool;
-pub use silence::Silence;
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -1,15 +1,12 @@
 //! The connections to one peer.
 
 use driftspring_clock::Instant;
-use std::cell::{RefCell, RefMut};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use tokio::sync::Notify;
-
 use super::connection::Connection;
 use super::connector::ConnectError;
-use super::silence::Silence;
 
 /// Idle connections that are kept at the most.
 const MAX_IDLE: usize = 64;
@@ -19,9 +16,6 @@
 pub struct Pool {
     peer: SocketAddr,
     idle: RefCell<Vec<Connection>>,
-    silence: RefCell<Silence>,
-    /// Told as the peer is found to be dark.
-    gone_dark: Notify,
 }
 
 impl Pool {
@@ -30,8 +24,6 @@
         Rc::new(Self {
             peer,
             idle: RefCell::new(Vec::new()),
-            silence: RefCell::default(),
-            gone_dark: Notify::new(),
         })
     }
 
@@ -62,30 +54,6 @@
         Some(idle.remove(position))
     }
 
-    /// What is heard of the peer.
-    pub fn silence(&self) -> RefMut<'_, Silence> {
-        self.silence.borrow_mut()
-    }
-
-    /// Takes in that the peer has sent something.
-    pub fn note_heard(&self) {
-        self.silence.borrow_mut().heard(Instant::now());
-    }
-
-    /// Takes in that the peer is dark: what is kept to it is of no use.
-    pub fn note_dark(&self) {
-        self.clear();
-        self.gone_dark.notify_waiters();
-    }
-
-    /// Ends once the peer is dark.
-    pub async fn until_dark(&self) {
-        let gone_dark = self.gone_dark.notified();
-        if !self.silence.borrow().is_dark() {
-            gone_dark.await;
-        }
-    }
-
     /// Keeps a connection whose last answer has ended.
     pub fn put(&self, connection: Connection) {
         let mut idle = self.idle.borrow_mut();
