--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -21,6 +21,7 @@
 use super::spread::{self, spread};
 use crate::cache::PrefixKey;
 use crate::protocol::{ModelVersion, UnreadableReason};
+use crate::rollout::name_if_suspected;
 use crate::state::GatewayState;
 use crate::store::{Rejected, take_told_era};
 use crate::weights::Since;
@@ -258,8 +259,12 @@
     }
 }
 
-/// Takes in how a replica's loading of weights goes.
+/// Takes in how a replica's loading of weights goes. Suspected weights that a replica has loaded were named: who gave the order tells
+/// it to those that ask it, which the one that reads the store does not.
 pub(super) fn take_loading(state: &GatewayState, loading: &Loading) {
+    if loading.is_done {
+        name_if_suspected(state, &loading.weights());
+    }
     if loading.is_refused {
         let mut suspected = state.suspected_weights.borrow_mut();
         suspected.note_refused(&loading.weights(), Instant::now());
--- a/crates/gateway/src/rollout/load.rs
+++ b/crates/gateway/src/rollout/load.rs
@@ -82,7 +82,7 @@
 }
 
 /// Takes a version for named that a replica has taken an order for: it refuses those that were not.
-fn name_if_suspected(state: &GatewayState, taken: &ModelVersion) {
+pub fn name_if_suspected(state: &GatewayState, taken: &ModelVersion) {
     let since = state.suspected_weights.borrow().since(taken);
     if let Some(since) = since {
         name_weights(state, taken, since);
--- a/crates/gateway/src/rollout/mod.rs
+++ b/crates/gateway/src/rollout/mod.rs
@@ -13,4 +13,5 @@
 pub mod token;
 
 pub use lease::{LeaseAction, LeaseTimes, OrderLease, record_in};
+pub use load::name_if_suspected;
 pub use task::{LEASE_NAME, lease_times, run};
