--- a/crates/check/src/fencing.rs
+++ b/crates/check/src/fencing.rs
@@ -1,4 +1,5 @@
-//! No engine obeys an order under a lower fencing token after one under a higher token.
+//! No engine obeys an order under a lower fencing token after one under a higher token, whatever the store has lost in
+//! between.
 
 use std::collections::HashMap;
 
--- a/crates/check/src/lib.rs
+++ b/crates/check/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cache_reliance;
 pub mod configuration;
 pub mod daemon_lives;
+mod eras;
 pub mod fencing;
 pub mod leaving;
 pub mod not_run;
--- a/crates/daemon/src/sync/replication/publisher.rs
+++ b/crates/daemon/src/sync/replication/publisher.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use driftspring_history::{Event, ObservedObject};
+use driftspring_history::{Event, ObservedObject, StorePosition};
 use driftspring_replication::{Change, Replica};
 use driftspring_telemetry::events::sync;
 use driftspring_telemetry::log_event;
@@ -125,7 +125,8 @@
             daemon: state.settings.id.clone(),
             incarnation: state.incarnation,
             key: key.clone(),
-            revision: *revision,
+            position: StorePosition::unnamed(*revision),
+            version: None,
         }));
     }
 }
--- a/crates/history/src/event.rs
+++ b/crates/history/src/event.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::client::{Answer, Invocation, Token};
-use crate::configuration::{ConfigProposal, ConfigSettlement, ObservedObject};
+use crate::configuration::{ConfigProposal, ConfigSettlement, ObservedObject, StoreReturn};
 use crate::engine::{Dispatch, OrderLogEntry, RunLogEntry};
 use crate::fault::{Fault, FaultTarget};
 
@@ -57,8 +57,10 @@
     ConfigProposed(ConfigProposal),
     /// The operation is over for the operator.
     ConfigAnswered(ConfigSettlement),
-    /// A daemon put an object's revision in force.
+    /// A daemon put an object in force.
     ConfigObserved(ObservedObject),
+    /// The store is about to answer again, from a copy.
+    StoreReturned(StoreReturn),
     /// A daemon listens for callers.
     DaemonStarted {
         /// The daemon.
--- a/crates/history/src/lib.rs
+++ b/crates/history/src/lib.rs
@@ -11,16 +11,19 @@
 pub mod event;
 pub mod expectation;
 pub mod fault;
+pub mod position;
 mod reader;
 mod recorder;
 
 pub use client::{Answer, Ending, Invocation, Token};
 pub use configuration::{
-    ConfigOperation, ConfigProposal, ConfigResult, ConfigSettlement, ObservedObject, OperationId,
+    ConfigOperation, ConfigProposal, ConfigResult, ConfigSettlement, ConfigWriter, ObservedObject,
+    OperationId, StoreReturn,
 };
 pub use engine::{Dispatch, OrderLogEntry, RunEnd, RunLogEntry};
 pub use event::{Event, TimedEvent, now_us};
 pub use expectation::{expected_token, expected_tokens, prefix_blocks, prompt_hash};
 pub use fault::{Fault, FaultTarget};
+pub use position::{StoreEra, StorePosition};
 pub use reader::{History, merge_histories, read_history, write_history};
 pub use recorder::Recorder;
