--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -34,7 +34,10 @@
     /// The history that a watch would go on from is gone.
     #[error("the history is gone")]
     HistoryGone,
-    /// The answer is of an earlier era than is known, or the era has changed since what it goes on from.
+    /// The answer is of an earlier era than is known.
+    #[error("the store answered in an earlier era")]
+    EarlierEra,
+    /// The answer names a later era that is not confirmed yet, or the era has changed since what it goes on from.
     #[error("the store has changed its era")]
     OtherEra,
     /// The answer can't be read.
@@ -49,7 +52,7 @@
         match self {
             Self::Call(_) => true,
             Self::Status(status) => *status != StatusCode::TOO_MANY_REQUESTS,
-            Self::HistoryGone | Self::OtherEra | Self::Unreadable(_) => false,
+            Self::HistoryGone | Self::EarlierEra | Self::OtherEra | Self::Unreadable(_) => false,
         }
     }
 }
@@ -260,7 +263,13 @@
         if state.store_eras.changes() == changes {
             tries += 1;
         }
-        if !matches!(result, Err(StoreError::OtherEra)) || tries >= ERA_TRIES {
+        let is_asked_again = match result {
+            Err(StoreError::OtherEra) => true,
+            // A store that goes on to name an earlier era is asked no more often than one that is down.
+            Err(StoreError::EarlierEra) => !state.store_outage.is_on(),
+            _ => false,
+        };
+        if !is_asked_again || tries >= ERA_TRIES {
             return result;
         }
     }
@@ -302,6 +311,6 @@
     state.status.metrics.store_calls.inc();
     let answer = upstream::call_with_headers(&state.store, call, timeout).await?;
     let told = state.platform.read_era(&answer.headers);
-    let era = take_answered(state, &told).ok_or(StoreError::OtherEra)?;
+    let era = take_answered(state, &told)?;
     Ok((era, answer))
 }
--- a/crates/gateway/src/store/era.rs
+++ b/crates/gateway/src/store/era.rs
@@ -12,6 +12,7 @@
 use driftspring_telemetry::log_event;
 use tokio::sync::watch;
 
+use super::client::StoreError;
 use super::position::{StoreEra, StorePosition};
 use super::rejections::Rejected;
 use crate::protocol::UnreadableReason;
@@ -176,21 +177,21 @@
     }
 }
 
-/// Takes in the era that an answer of the store names; the era of the answer, or nothing where it is of an earlier
+/// Takes in the era that an answer of the store names; the era of the answer, or an error where it is of an earlier
 /// one, or names a later one that is not confirmed yet.
-pub(super) fn take_answered(state: &GatewayState, told: &ToldEra) -> Option<StoreEra> {
+pub(super) fn take_answered(state: &GatewayState, told: &ToldEra) -> Result<StoreEra, StoreError> {
     let eras = &state.store_eras;
     match eras.read(told, Instant::now()) {
         EraReading::Current => {}
         EraReading::Later(era) => take_later(state, era, "store"),
         EraReading::Earlier(_) => {
             reject(state, "earlier", told);
-            return None;
+            return Err(StoreError::EarlierEra);
         }
-        EraReading::Unconfirmed(_) => return None,
+        EraReading::Unconfirmed(_) => return Err(StoreError::OtherEra),
         EraReading::Doubtful => reject(state, "doubtful", told),
     }
-    Some(eras.known())
+    Ok(eras.known())
 }
 
 /// Takes in the era that the daemon `teller` knows; one of an earlier version tells none.
--- a/crates/gateway/src/store/outage.rs
+++ b/crates/gateway/src/store/outage.rs
@@ -63,6 +63,11 @@
         self.answers.notify_waiters();
     }
 
+    /// Whether the last read of the configuration failed, and nobody has announced since that the store answers.
+    pub fn is_on(&self) -> bool {
+        self.is_on.get()
+    }
+
     /// When the store was last seen to be down, where this daemon has seen no end of that yet: as the last call
     /// began that failed. Such a call may hang on after the store is back, and prove nothing later.
     pub fn was_down_at(&self) -> Option<Instant> {
