--- a/crates/gateway/tests/lease_store/mod.rs
+++ b/crates/gateway/tests/lease_store/mod.rs
@@ -1,5 +1,8 @@
 //! The lease's object in a store that can come back from a copy.
 
+// Each test file uses a part.
+#![allow(dead_code)]
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/gateway/tests/mixed_versions.rs
@@ -0,0 +1,237 @@
+//! Gateways that know nothing of eras beside those that do: what they tell each other, and what becomes of the lease.
+
+mod lease_store;
+#[path = "support/questions.rs"]
+mod questions;
+
+use driftspring_gateway::peers::message::{Ask, Tell, WireLease, WireWeights};
+use driftspring_gateway::protocol::LeaseRecord;
+use driftspring_gateway::rollout::{OrderLease, lease_times};
+use driftspring_gateway::store::{StoreEra, StorePosition};
+use lease_store::{DISTANCE, Store, acquire, at, daemon, read, step};
+use musli::{Decode, Encode};
+use questions::{EarlierAsk, earlier_ask};
+
+/// A lease as such a gateway tells it.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+struct EarlierLease {
+    revision: u64,
+    holder: String,
+    life: u64,
+    token: u64,
+    renewal: u64,
+}
+
+/// An answer as such a gateway gives it.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+struct EarlierTell {
+    nonce: u64,
+    proof_age_ms: Option<u64>,
+    view_age_ms: Option<u64>,
+    store_revision: u64,
+    configuration: u64,
+    weights: Vec<WireWeights>,
+    lease: Option<EarlierLease>,
+    log: u64,
+    sequence: u64,
+    is_from_start: bool,
+    has_more: bool,
+    changes: Vec<u64>,
+    #[musli(default)]
+    is_same: bool,
+    #[musli(default)]
+    store_down_age_ms: Option<u64>,
+    #[musli(default)]
+    quarantine: Option<u64>,
+}
+
+fn earlier_lease() -> EarlierLease {
+    EarlierLease {
+        revision: 7,
+        holder: "earlier".to_owned(),
+        life: 1,
+        token: 2,
+        renewal: 3,
+    }
+}
+
+fn earlier_tell() -> EarlierTell {
+    EarlierTell {
+        nonce: 1,
+        proof_age_ms: Some(20),
+        view_age_ms: Some(30),
+        store_revision: 500,
+        configuration: 4,
+        weights: vec![WireWeights {
+            model: "model".to_owned(),
+            version: 3,
+            age_ms: 900,
+            is_assumed: false,
+        }],
+        lease: Some(earlier_lease()),
+        log: 8,
+        sequence: 9,
+        is_from_start: true,
+        has_more: false,
+        changes: Vec::new(),
+        is_same: false,
+        store_down_age_ms: None,
+        quarantine: Some(6),
+    }
+}
+
+#[test]
+fn questions_and_leases_are_understood_both_ways() {
+    let earlier = earlier_ask();
+    let bytes = musli::wire::to_vec(&earlier).expect("encodes");
+    let mut ask: Ask = musli::wire::decode(&bytes[..]).expect("decodes");
+    assert_eq!(
+        (ask.nonce, ask.quarantine, ask.store_era),
+        (1, Some(5), None)
+    );
+    ask.store_era = Some(9);
+    let bytes = musli::wire::to_vec(&ask).expect("encodes");
+    let read: Option<EarlierAsk> = musli::wire::decode(&bytes[..]).ok();
+    assert_eq!(read, Some(earlier));
+
+    let earlier = earlier_lease();
+    let bytes = musli::wire::to_vec(&earlier).expect("encodes");
+    let mut lease: WireLease = musli::wire::decode(&bytes[..]).expect("decodes");
+    assert_eq!((lease.token, lease.era), (2, None));
+    lease.era = Some(9);
+    let bytes = musli::wire::to_vec(&lease).expect("encodes");
+    assert_eq!(musli::wire::decode(&bytes[..]).ok(), Some(earlier));
+}
+
+#[test]
+fn an_answer_without_eras_is_read_as_one_that_knows_none() {
+    let bytes = musli::wire::to_vec(&earlier_tell()).expect("encodes");
+    let told: Tell = musli::wire::decode(&bytes[..]).expect("decodes");
+    assert_eq!((told.store_era, told.proof_revision), (None, None));
+    assert_eq!((told.highest_token, told.suspected.len()), (0, 0));
+    assert!(told.packed.is_none());
+    assert_eq!((told.store_revision, told.configuration), (500, 4));
+    assert_eq!(told.weights, earlier_tell().weights);
+    let lease = told.lease.expect("a lease");
+    assert_eq!((lease.token, lease.era, lease.written_in), (2, None, None));
+}
+
+#[test]
+fn an_answer_with_eras_is_read_by_one_that_knows_none() {
+    let bytes = musli::wire::to_vec(&earlier_tell()).expect("encodes");
+    let told: Tell = musli::wire::decode(&bytes[..]).expect("decodes");
+    let told = Tell {
+        store_era: Some(3),
+        proof_revision: Some(480),
+        highest_token: 70,
+        suspected: earlier_tell().weights,
+        ..told
+    };
+    let bytes = musli::wire::to_vec(&told).expect("encodes");
+    assert_eq!(musli::wire::decode(&bytes[..]).ok(), Some(earlier_tell()));
+}
+
+/// The record that a gateway without eras writes.
+fn written_without_era(token: u64, renewal: u64) -> LeaseRecord {
+    LeaseRecord {
+        holder: "earlier".to_owned(),
+        life: 1,
+        token,
+        renewal,
+        era: StoreEra::UNNAMED,
+    }
+}
+
+/// A store in its second era, with the lease that a gateway without eras wrote there.
+fn store_with_lease_without_era(token: u64) -> Store {
+    let mut store = Store::new();
+    store.come_back(0);
+    store.write(&written_without_era(token, 0), None);
+    store
+}
+
+#[test]
+fn what_a_gateway_without_eras_tells_of_the_lease_counts_for_its_token_only() {
+    let mut store = Store::new();
+    store.come_back(0);
+    let mut one = daemon("one", 1, &store, at(0));
+    let (then, held) = acquire(&mut one, &mut store, at(0), at(12_000)).expect("held");
+    let known = store.lease();
+    let told = StorePosition::unnamed(store.revision + 500);
+    one.on_store_position(then, told);
+    one.on_list(then, Some((told, written_without_era(held + 40, 0))));
+    assert_eq!(one.token_at(then), Some(held));
+    let seen = one
+        .seen()
+        .map(|(position, record)| (position, record.clone()));
+    assert_eq!(seen, known);
+    assert_eq!(one.highest_token(), held + 40);
+}
+
+#[test]
+fn a_lease_that_a_gateway_without_eras_renews_is_not_taken() {
+    let mut store = store_with_lease_without_era(5);
+    let mut one = daemon("one", 1, &store, at(0));
+    let times = lease_times(DISTANCE);
+    let mut renewed_at = at(0);
+    for renewal in 1..20 {
+        renewed_at += times.renewal;
+        let expected = store.lease().map(|(position, _)| position);
+        store.write(&written_without_era(5, renewal), expected);
+        read(&mut one, &store, renewed_at);
+        assert_eq!(step(&mut one, &mut store, renewed_at), None);
+    }
+    let taken = acquire(&mut one, &mut store, renewed_at, renewed_at + at(20_000));
+    let (taken_at, token) = taken.expect("held");
+    assert!(taken_at >= renewed_at + times.term + times.distance);
+    assert!(token > 5, "{token}");
+}
+
+#[test]
+fn a_lease_that_a_gateway_without_eras_gave_back_is_waited_for_all_the_same() {
+    // Nothing in its record tells whether it was written in this era or came with the copy.
+    let mut store = store_with_lease_without_era(5);
+    let expected = store.lease().map(|(position, _)| position);
+    let given_back = LeaseRecord {
+        holder: String::new(),
+        life: 0,
+        ..written_without_era(5, 1)
+    };
+    store.write(&given_back, expected);
+    let mut one = daemon("one", 1, &store, at(0));
+    let taken = acquire(&mut one, &mut store, at(0), at(20_000));
+    let (taken_at, _) = taken.expect("held");
+    let times = lease_times(DISTANCE);
+    assert!(taken_at >= times.term + times.distance, "{taken_at:?}");
+}
+
+#[test]
+fn a_holder_stops_once_it_sees_the_lease_of_a_gateway_without_eras() {
+    // Such a gateway takes up a lease from the copy without the wait, so for a moment there may be two.
+    let mut store = Store::new();
+    store.write(&written_without_era(5, 0), None);
+    let copy = store.revision;
+    let free_at = lease_times(DISTANCE).term + lease_times(DISTANCE).distance;
+    let mut one = daemon("one", 1, &store, at(0));
+    let taken = acquire(&mut one, &mut store, free_at, free_at + at(2000));
+    let (then, held) = taken.expect("held");
+    store.come_back(copy);
+    let expected = store.lease().map(|(position, _)| position);
+    let copied = expected.expect("it came with the copy");
+    store.write(&written_without_era(6, 0), Some(copied));
+    assert_eq!(one.token_at(then + at(10)), Some(held));
+    read(&mut one, &store, then + at(20));
+    assert_eq!(one.token_at(then + at(20)), None);
+    // Its token, which falls, is not followed: replicas that have seen the later one refuse it.
+    let taken = acquire(&mut one, &mut store, then + at(20), then + at(20_000));
+    let (_, token) = taken.expect("held");
+    assert!(token > held, "{token} after {held}");
+}
+
+#[test]
+fn a_first_start_beside_the_lease_of_a_gateway_without_eras_waits_for_it() {
+    let mut store = store_with_lease_without_era(5);
+    let mut first = OrderLease::new("one", 1, lease_times(DISTANCE)).at_first_start(true);
+    read(&mut first, &store, at(100));
+    assert_eq!(step(&mut first, &mut store, at(100)), None);
+}
--- /dev/null
+++ b/crates/gateway/tests/support/questions.rs
@@ -0,0 +1,44 @@
+//! Questions of daemons, and how earlier versions know them.
+
+// Each test file uses a part.
+#![allow(dead_code)]
+
+use driftspring_gateway::peers::message::Ask;
+use musli::{Decode, Encode};
+
+/// A question of a daemon that has the changes of `log` up to `sequence`, with this digest of all items; it knows nothing else.
+pub fn ask(log: u64, sequence: u64, content: u64) -> Ask {
+    Ask {
+        nonce: 1,
+        log,
+        sequence,
+        content,
+        quarantine: None,
+        store_era: None,
+        configuration: 0,
+        takes_packed: false,
+    }
+}
+
+/// A question as a daemon knows it that knows neither eras nor packed replicas.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct EarlierAsk {
+    pub nonce: u64,
+    pub log: u64,
+    pub sequence: u64,
+    #[musli(default)]
+    pub content: u64,
+    #[musli(default)]
+    pub quarantine: Option<u64>,
+}
+
+/// One of its questions.
+pub fn earlier_ask() -> EarlierAsk {
+    EarlierAsk {
+        nonce: 1,
+        log: 2,
+        sequence: 3,
+        content: 4,
+        quarantine: Some(5),
+    }
+}
