--- a/crates/gateway/src/replicas/registry.rs
+++ b/crates/gateway/src/replicas/registry.rs
@@ -15,8 +15,8 @@
 /// has. Entries of other writers may name any.
 const MAX_SERVICES_WITH_BIRTHS: usize = 1024;
 
-/// Replicas of the first list that are told one by one. Each line takes the smallest machines, 0.12 of a core, some 0.1 ms while callers
-/// wait for the list, and 4,000 lines a second are all that is written.
+/// Replicas of the first list that are told one by one. Callers wait for the list, most machines have 0.12 of a
+/// core, and 4,000 lines a second are all that is written.
 const MOST_FIRST_LINES: usize = 100;
 
 /// The replicas listed now.
