--- a/crates/gateway/src/suspected_weights.rs
+++ b/crates/gateway/src/suspected_weights.rs
@@ -1,12 +1,13 @@
 //! Weights that may have been named although nobody heard of it.
 //!
 //! The store keeps only the last write of the object that names a model's weights. A write whose answer was lost may take
-//! effect after a later one; where nobody watches just then, the version in between is never seen. Two things give
+//! effect after a later one; where nobody watches just then, the version in between is never seen. Three things give
 //! it away. The object has the version that is known, at a later position: a write that changes nothing raises no
-//! revision, so something else stood there in between. Or the entry of a replica shows a version above all that are known: a new
-//! replica has the newest.
+//! revision, so something else stood there in between. Or a list shows another write that was made while nobody watched, which
+//! may have been made over a later naming. Or the entry of a replica shows a version above all that are known: a new replica
+//! has the newest.
 //!
-//! Neither proves it: somebody may have written another part of the object, and an entry may be wrong. To take such a version
+//! None of these proves it: somebody may have written another part of the object, and an entry may be wrong. To take such a version
 //! for named would put all replicas out of use that can't load it. So it is only suspected, and one replica is
 //! ordered to load it: a replica refuses versions that were not named.
 
