--- a/crates/gateway/src/replicas/gone_lives.rs
+++ b/crates/gateway/src/replicas/gone_lives.rs
@@ -86,8 +86,9 @@
 
     /// Takes in that the replica has written its entry anew: nothing is held back, unless it had left.
     pub fn forget(&mut self, id: &str) {
-        self.by_id
-            .retain(|known, life| known != id || life.has_left);
+        if self.by_id.get(id).is_some_and(|life| !life.has_left) {
+            self.by_id.remove(id);
+        }
     }
 
     /// Whether an entry that is told when the store has changed its era `era_changes` times may be that of a life that was gone
