--- a/crates/check/src/register.rs
+++ b/crates/check/src/register.rs
@@ -5,7 +5,7 @@
 //! answer was lost may take effect at any later time, or never. It is entered as an operation that
 //! ends after all others: to place it last is to say that nobody ever saw its effect.
 //!
-//! An era that began with a copy has a first operation of its own, which says what the copy may hold.
+//! An era that began with a copy has an additional first operation, which says what the copy may hold.
 
 use driftspring_types::Revision;
 use todc_utils::Specification;
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -58,6 +58,28 @@
     tried: RefCell<HashSet<String>>,
 }
 
+impl Progress {
+    /// What is known of this life.
+    fn of(&self, life: &ReplicaLife) -> ReplicaProgress {
+        let by_replica = self.by_replica.borrow();
+        by_replica.get(life).copied().unwrap_or_default()
+    }
+
+    /// Takes in that a life is ordered to load; false where it was already.
+    fn begin(&self, life: &ReplicaLife) -> bool {
+        let mut by_replica = self.by_replica.borrow_mut();
+        let is_driven = &mut by_replica.entry(life.clone()).or_default().is_driven;
+        !std::mem::replace(is_driven, true)
+    }
+
+    /// Takes in that loading has ended.
+    fn end(&self, life: &ReplicaLife, end: Result<(), LoadFailure>) {
+        let mut by_replica = self.by_replica.borrow_mut();
+        let own = by_replica.entry(life.clone()).or_default();
+        own.note_end(end, Instant::now());
+    }
+}
+
 /// What is known of one replica's orders.
 #[derive(Debug, Clone, Copy, Default)]
 struct ReplicaProgress {
@@ -67,6 +89,12 @@
 }
 
 impl ReplicaProgress {
+    /// How long it is left alone yet.
+    fn pause(&self, now: Instant) -> Duration {
+        self.paused_until
+            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
     /// Takes in that loading has ended.
     fn note_end(&mut self, end: Result<(), LoadFailure>, now: Instant) {
         self.is_driven = false;
@@ -247,16 +275,11 @@
         let Some(replica) = state.registry.get(&id) else {
             continue;
         };
-        let life = replica.life.clone();
-        let mut by_replica = progress.by_replica.borrow_mut();
-        by_replica.entry(life).or_default().is_driven = true;
-        drop(by_replica);
+        progress.begin(&replica.life);
         let (state, progress, wanted) = (Rc::clone(state), Rc::clone(progress), wanted.clone());
         ntex::rt::spawn(async move {
             let end = bring_up_to_date(&state, &replica, wanted, MAX_LOST_ORDERS).await;
-            let mut by_replica = progress.by_replica.borrow_mut();
-            let own = by_replica.entry(replica.life.clone()).or_default();
-            own.note_end(end, Instant::now());
+            progress.end(&replica.life, end);
             state.rollout_wanted.notify_one();
         });
     }
@@ -285,13 +308,9 @@
     replica: Rc<Replica>,
     suspected: ModelVersion,
 ) {
-    let life = replica.life.clone();
-    let mut by_replica = progress.by_replica.borrow_mut();
-    let is_driven = &mut by_replica.entry(life).or_default().is_driven;
-    if std::mem::replace(is_driven, true) {
+    if !progress.begin(&replica.life) {
         return;
     }
-    drop(by_replica);
     progress.tried.borrow_mut().insert(suspected.model.clone());
     let (state, progress) = (Rc::clone(state), Rc::clone(progress));
     ntex::rt::spawn(async move {
@@ -303,9 +322,7 @@
         progress.tried.borrow_mut().remove(&suspected.model);
         // Such a refusal says nothing against the replica.
         let end = if is_refused { Ok(()) } else { end };
-        let mut by_replica = progress.by_replica.borrow_mut();
-        let own = by_replica.entry(replica.life.clone()).or_default();
-        own.note_end(end, Instant::now());
+        progress.end(&replica.life, end);
         state.rollout_wanted.notify_one();
     });
 }
@@ -330,21 +347,17 @@
     suspected: &ModelVersion,
 ) -> Option<Rc<Replica>> {
     let now = Instant::now();
-    let by_replica = progress.by_replica.borrow();
     let may_be_ordered = |replica: &Rc<Replica>| {
-        let own = by_replica.get(&replica.life).copied().unwrap_or_default();
-        let is_paused = own.paused_until.is_some_and(|until| until > now);
+        let own = progress.of(&replica.life);
         let is_older = replica
             .version_of(&suspected.model)
             .is_some_and(|version| version < suspected.version);
+        let is_paused = !own.pause(now).is_zero();
         let is_free = !own.is_driven && !is_paused && replica.loading_since().is_none();
         is_older && is_free && !replica.entry().is_draining && !replica.health.is_unreachable(now)
     };
     // One that leaves orders unanswered gets few requests: it would come first each time.
-    let failures = |replica: &Rc<Replica>| {
-        let own = by_replica.get(&replica.life);
-        own.map_or(0, |own| own.failures_in_row)
-    };
+    let failures = |replica: &Rc<Replica>| progress.of(&replica.life).failures_in_row;
     let replicas = configured_replicas(state).into_iter();
     replicas
         .filter(may_be_ordered)
@@ -358,8 +371,7 @@
     wanted: &ModelVersion,
     now: Instant,
 ) -> PlannedReplica {
-    let by_replica = progress.by_replica.borrow();
-    let own = by_replica.get(&replica.life).copied().unwrap_or_default();
+    let own = progress.of(&replica.life);
     let version = replica.version_of(&wanted.model);
     let deadline = state.times.get().weights_deadline;
     let weights = state.weights.borrow();
@@ -374,8 +386,6 @@
         is_loading: own.is_driven,
         is_unreachable: own.failures_in_row > 0 || replica.health.is_unreachable(now),
         open_requests: replica.open_requests(),
-        pause: own
-            .paused_until
-            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now)),
+        pause: own.pause(now),
     }
 }
--- a/crates/gateway/src/store/follow_weights.rs
+++ b/crates/gateway/src/store/follow_weights.rs
@@ -114,7 +114,7 @@
     }
 }
 
-/// Takes in weights that may have been named; whoever may order replicas tries them.
+/// Takes in weights that may have been named; the daemon that may order replicas tries them.
 pub fn suspect_weights(state: &GatewayState, suspicion: Suspicion, reason: &str) {
     let weights = suspicion.weights.clone();
     let newest = state.weights.borrow().newest(&weights.model);
--- a/crates/gateway/src/suspected_weights.rs
+++ b/crates/gateway/src/suspected_weights.rs
@@ -24,8 +24,8 @@
 /// itself, see [`crate::store::KnownNamings`].
 const SHOWN_FOR: Duration = Duration::from_millis(1500);
 
-/// How long a version is not tried after a replica has refused it; each further time twice as long. Whoever writes
-/// another part of the object again and again, or an entry that is wrong, costs an order a minute.
+/// How long a version is not tried after a replica has refused it; each further time twice as long. A writer of
+/// another part of the object that goes on, or an entry that is wrong, costs an order a minute.
 const PAUSE_AFTER_REFUSAL: Duration = Duration::from_secs(2);
 
 /// The longest such pause.
