--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -216,6 +216,7 @@
             .all()
             .map(|suspicion| to_wire(suspicion.weights.clone(), suspicion.since))
             .collect(),
+        view_reader: state.peers.view_reader(),
     }
 }
 
--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -56,6 +56,9 @@
         let group = state.peers.group(&directory);
         let others = directory.first_of_other_groups();
         chooser.set_just_started(state.now() < JUST_STARTED);
+        if state.store_outage.is_on() && !state.peers.is_reader.get() {
+            chooser.on_store_failing(state.now(), &state.peers.own.name);
+        }
         let source = chooser.choose(state.now(), &group, &others, &state.peers.own.name);
         if source == Source::Store {
             set_source(&state, &source);
@@ -192,6 +195,13 @@
         }
         return false;
     }
+    let own_log = peers.log.borrow().id();
+    if answer.view_reader == Some(own_log) {
+        log::debug!("{} learns from this daemon", daemon.name);
+        chooser.on_own_view(state.now());
+        peers.ask_now.notify_one();
+        return false;
+    }
     if peers.followed.borrow().is_behind(&answer, peers.view_age()) {
         log::debug!("{} is behind: its view is {view_age:?} old", daemon.name);
         chooser.on_behind(state.now());
@@ -225,7 +235,7 @@
         state.peers.note_daemons_known();
     }
     if let Some(moment) = moment_before(sent_at, answer.view_age_ms).filter(|_| knows_all) {
-        state.peers.prove_view(moment);
+        state.peers.prove_told_view(moment, answer.view_reader);
     }
     let known = state.held_version();
     if known < answer.configuration {
--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/known.rs
@@ -198,9 +198,20 @@
             .unwrap_or(0)
     }
 
-    /// Takes in that all that is known here was known to a reader of the whole store at `moment`.
+    /// Takes in that all that is known here was in the store at `moment`, as this daemon has read.
     pub fn prove_view(&self, moment: Instant) {
-        self.view.prove(moment, Instant::now());
+        let own = self.log.borrow().id();
+        self.view.prove(moment, Some(own), Instant::now());
+    }
+
+    /// Takes in that all that is known here was known at `moment` to the reader of the whole store that has this log.
+    pub(super) fn prove_told_view(&self, moment: Instant, reader: Option<u64>) {
+        self.view.prove(moment, reader, Instant::now());
+    }
+
+    /// The log of the reader of the store that knew all that is known here.
+    pub(super) fn view_reader(&self) -> Option<u64> {
+        self.view.reader()
     }
 
     /// How long ago all that is known here was known to a reader of the whole store.
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -208,6 +208,9 @@
     /// Weights that may have been named, see [`crate::suspected_weights`].
     #[musli(Binary, name = 20, default)]
     pub suspected: Vec<WireWeights>,
+    /// The log of the daemon whose reads of the store [`Tell::view_age_ms`] counts from; none where it is not known.
+    #[musli(Binary, name = 21, default)]
+    pub view_reader: Option<u64>,
 }
 
 /// Wanted weights.
--- a/crates/gateway/src/peers/source.rs
+++ b/crates/gateway/src/peers/source.rs
@@ -261,6 +261,18 @@
         self.pass_over_for(now, PASS_OVER_SHORTLY);
     }
 
+    /// Takes in that the store fails the daemon `own`, which learns from another one meanwhile: it goes on to do so. While it tried
+    /// to read the store again its own view would become too old, and those that ask it would all read the store.
+    pub fn on_store_failing(&mut self, now: Duration, own: &str) {
+        self.passed_over.insert(own.to_owned(), now + PASS_OVER);
+    }
+
+    /// Takes in that an answer tells what this daemon itself has read of the store. The one that was asked can't read it: were
+    /// it followed, nobody would read the store until all views are too old, and then this daemon would list all anew.
+    pub fn on_own_view(&mut self, now: Duration) {
+        self.pass_over(now);
+    }
+
     fn note_stale(&mut self, now: Duration) {
         if let Some(asked) = &self.asked {
             self.stale.insert(asked.clone(), now);
--- a/crates/gateway/src/peers/view.rs
+++ b/crates/gateway/src/peers/view.rs
@@ -29,16 +29,19 @@
 #[derive(Debug, Default)]
 pub struct View {
     proved_at: Cell<Option<Instant>>,
+    reader: Cell<Option<u64>>,
     outage_ended_at: Cell<Option<Instant>>,
 }
 
 impl View {
-    /// Takes in at `now` that all that is known here was known to a reader of the whole store at `moment`.
-    pub fn prove(&self, moment: Instant, now: Instant) {
+    /// Takes in at `now` that all that is known here was known at `moment` to the reader of the whole store that has this
+    /// log; none where its log is not told.
+    pub fn prove(&self, moment: Instant, reader: Option<u64>, now: Instant) {
         let before = self.proved_at.get();
         if before.is_some_and(|before| moment <= before) {
             return;
         }
+        self.reader.set(reader);
         if self.is_outage(now) {
             // Not `now`: a daemon that is told of it later counts from the same moment as the reader.
             self.outage_ended_at.set(Some(moment));
@@ -46,6 +49,11 @@
         self.proved_at.set(Some(moment));
     }
 
+    /// The log of the reader of the store that knew all that is known here.
+    pub fn reader(&self) -> Option<u64> {
+        self.reader.get()
+    }
+
     /// How long before `now` a reader of the whole store knew all that is known here.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         let proved_at = self.proved_at.get()?;
--- a/crates/gateway/src/store/configuration_reader.rs
+++ b/crates/gateway/src/store/configuration_reader.rs
@@ -67,7 +67,7 @@
             state.store_outage.begin();
             let pause = pause_after_call(failures, began.elapsed());
             state.store_outage.wait(pause).await;
-            needed(&state).await;
+            until_tried_again(&state).await;
             continue;
         }
         failures = 0;
@@ -154,6 +154,18 @@
     }
 }
 
+/// Waits until the store, which has failed this daemon, is to be tried again. Where another daemon reads it meanwhile, one call
+/// now and then shows whether it is back for this one.
+async fn until_tried_again(state: &GatewayState) {
+    if !state.peers.may_read.get() {
+        return needed(state).await;
+    }
+    tokio::select! {
+        () = needed(state) => {}
+        () = state.store_outage.wait_long() => {}
+    }
+}
+
 async fn read(state: &Rc<GatewayState>, is_reachable: &mut bool) -> bool {
     let listing = || list_all(state, ObjectKind::Configuration);
     let highest = state.currency.highest();
--- a/crates/gateway/src/store/outage.rs
+++ b/crates/gateway/src/store/outage.rs
@@ -121,6 +121,11 @@
         }
     }
 
+    /// Waits for as long as a task that follows objects, or until the store answers again.
+    pub async fn wait_long(&self) {
+        self.wait(FOLLOWER_PAUSE).await;
+    }
+
     /// Makes a call, and makes it anew where the store answers again meanwhile: the first one may have been
     /// sent to a store that was down, which never answers it. Returns when the one began whose result it is.
     pub async fn call<R, F: Future<Output = R>>(&self, call: impl Fn() -> F) -> (Instant, R) {
--- a/crates/gateway/tests/packed.rs
+++ b/crates/gateway/tests/packed.rs
@@ -120,6 +120,7 @@
         highest_token: u64::MAX,
         packed: None,
         suspected: Vec::new(),
+        view_reader: Some(u64::MAX),
     }
 }
 
