--- a/crates/gateway/src/store/configuration_reader.rs
+++ b/crates/gateway/src/store/configuration_reader.rs
@@ -12,7 +12,7 @@
 use super::client::{list_all, list_recent};
 use super::follow::take_configuration;
 use super::outage::pause_after_call;
-use crate::currency::Proof;
+use crate::currency::{NewerVersion, Proof};
 use crate::protocol::ObjectKind;
 use crate::state::GatewayState;
 
@@ -29,6 +29,13 @@
 /// 0.2 s): with 4 s that is two seconds from the store's return on, in which entries come back.
 const LOOK_INTERVAL: Duration = Duration::from_millis(1800);
 
+/// How often a read that may be seconds old is tried for a configuration that another daemon holds.
+const RECENT_READS: u32 = 2;
+
+/// The pause before each such read, as a part of the time within which a configuration must be in force everywhere
+/// (`configuration_lag_seconds`): with two reads a tenth of that time in all.
+const RECENT_READ_PAUSE: f64 = 0.05;
+
 /// The pause after a read that proved nothing, since another daemon holds a newer configuration than the store.
 const UNPROVED_PAUSE: Duration = Duration::from_millis(200);
 
@@ -93,31 +100,60 @@
     Missing,
 }
 
-/// Takes in the configuration that another daemon holds, from a read that may be seconds old: hundreds of daemons
-/// read each change, and such a read costs the store a tenth.
+/// Takes in the configuration that another daemon holds, from reads that may be seconds old: hundreds of daemons
+/// read each change, and such a read costs the store a tenth. Each read waits a little, so that the store has something recent
+/// to show and changes that come together are read once.
 async fn take_newer(state: &Rc<GatewayState>) -> Newer {
-    let Some(newer) = state.currency.take_wanted_version() else {
+    let Some(mut newer) = state.currency.take_wanted_version() else {
         return Newer::Unwanted;
     };
-    if holds(state, newer.version) {
-        return Newer::Taken;
-    }
-    let objects = match list_recent(state, ObjectKind::Configuration).await {
-        Ok(objects) => objects,
-        Err(error) => {
-            log::debug!("recent configuration not read: {error}");
+    for _ in 0..RECENT_READS {
+        if holds(state, newer.version) {
+            return Newer::Taken;
+        }
+        let pause = state
+            .times
+            .get()
+            .configuration_lag
+            .mul_f64(RECENT_READ_PAUSE);
+        let Some(latest) = gather_newer(state, newer, pause).await else {
             return Newer::Missing;
+        };
+        newer = latest;
+        let objects = match list_recent(state, ObjectKind::Configuration).await {
+            Ok(objects) => objects,
+            Err(error) => {
+                log::debug!("recent configuration not read: {error}");
+                return Newer::Missing;
+            }
+        };
+        for object in objects {
+            take_configuration(state, object);
+        }
+        if holds(state, newer.version) {
+            // A still newer one is the newest at a later moment: this one was so when it was proved.
+            state.currency.prove(state.held_version(), newer.proof);
+            return Newer::Taken;
         }
-    };
-    for object in objects {
-        take_configuration(state, object);
     }
-    if !holds(state, newer.version) {
-        return Newer::Missing;
+    Newer::Missing
+}
+
+/// Waits for `pause`; the newest configuration that was told by then, `newer` or a later one. Nothing where a request wants a
+/// proof meanwhile, which then can't wait.
+async fn gather_newer(
+    state: &GatewayState,
+    mut newer: NewerVersion,
+    pause: Duration,
+) -> Option<NewerVersion> {
+    let pause = tokio::time::sleep(pause);
+    tokio::pin!(pause);
+    loop {
+        tokio::select! {
+            () = &mut pause => return Some(newer),
+            () = state.currency.wanted() => newer = state.currency.take_wanted_version()?,
+        }
     }
-    // A still newer one is the newest at a later moment: this one was so when it was proved.
-    state.currency.prove(state.held_version(), newer.proof);
-    Newer::Taken
 }
 
 /// Whether the configuration in force is of `version` or a later one.
