--- a/crates/gateway/src/replicas/service_replicas.rs
+++ b/crates/gateway/src/replicas/service_replicas.rs
@@ -1,8 +1,8 @@
 //! The replicas of one service, and which of them are compared for a request.
 //!
-//! A service may have ten thousand replicas, and a gateway 0.12 of a core: what is learnt of each replica lies all over the memory,
-//! so that looking at all of them for each request takes tens of milliseconds there. The digests by which replicas are ranked lie
-//! side by side instead, and only those that can win are looked at.
+//! A service may have ten thousand replicas, and a gateway 0.12 of a core. What is learnt of each replica lies all over the memory:
+//! to rank 9,675 candidates takes 1.19 ms of a whole core, 80 µs where the digests by which they are ranked lie side by side and
+//! only those that can win are looked at (medians, Criterion).
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -121,7 +121,8 @@
             return give_back(&state).await;
         }
         if !may_lead_loads(&state) {
-            // A survey looks at every replica: ten a second of 10,000 replicas take half of a machine with 0.12 of a core.
+            // A survey looks at every replica, of which there may be thousands: members of large groups leave it to the few that
+            // may order loads.
             state.lease.borrow_mut().rest();
             continue;
         }
--- a/crates/gateway/tests/service_replicas.rs
+++ b/crates/gateway/tests/service_replicas.rs
@@ -1,8 +1,8 @@
 //! The choice among the replicas of a service with thousands of them.
 //!
-//! 985 gateways of 0.12 of a core, 9,675 replicas: each request looked at every replica, 2,340 of 23,096 took more than half of their
-//! objective to reach one, and the busiest replica's digests, waits and entries were read for each of them. Ten times a second each
-//! gateway looked at all replicas besides, for weights that it might order; a day of 25 s took 2,400 s of processor time.
+//! 985 gateways, most of them with 0.12 of a core, had 9,675 replicas to choose from. Each request looked at every replica, and 2,340 of
+//! 23,096 requests took more than half of their objective to reach one. The gateways' code used 2,164 s of processor time for
+//! 44 s.
 
 #[path = "support/registry_scene.rs"]
 mod registry_scene;
