--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -12,7 +12,7 @@
 use super::refusal::{Reason, Refusal, Step};
 use crate::cache::Prefix;
 use crate::protocol::ReplicaLife;
-use crate::replicas::{Candidate, MOST_COMPARED, Replica, ServiceReplicas, place};
+use crate::replicas::{Candidate, MOST_COMPARED, PlacementKey, Replica, ServiceReplicas, place};
 use crate::state::GatewayState;
 
 /// Shared tokens from which a prompt is worth copying to a store; fewer are read again in no time.
@@ -64,8 +64,9 @@
     progress: Progress,
 ) -> Result<Choice, Refusal> {
     let listed = state.registry.of_service(&context.service);
+    let key = context.placement_key();
     let admitted = match listed.len() > MOST_COMPARED {
-        true => admit_to_few(state, context, tried, progress, &listed),
+        true => admit_to_few(state, context, key, tried, progress, &listed),
         false => None,
     };
     let admitted = match admitted {
@@ -76,8 +77,7 @@
         }
     };
     let Admitted { candidates, rank } = admitted;
-    let store = context
-        .placement_key()
+    let store = key
         .and_then(|key| context.configuration.kv_store(key.0))
         .cloned();
     let mut sources = PromptSources::new(state, context, store.clone());
@@ -90,8 +90,8 @@
         .zip(&supplies)
         .map(|(replica, supply)| view(state, context, replica, supply))
         .collect();
-    let (position, home) = place(&views, context.placement_key(), state.draw())
-        .ok_or_else(|| no_replica("none is listed"))?;
+    let (position, home) =
+        place(&views, key, state.draw()).ok_or_else(|| no_replica("none is listed"))?;
     let replica = Rc::clone(&candidates[position]);
     let supply = supplies[position];
     let store = store.map(|store| store.address);
@@ -137,11 +137,12 @@
 fn admit_to_few(
     state: &GatewayState,
     context: &RequestContext,
+    key: Option<PlacementKey>,
     tried: &[ReplicaLife],
     progress: Progress,
     listed: &ServiceReplicas,
 ) -> Option<Admitted> {
-    let few = listed.compared(context.placement_key(), state.draw());
+    let few = listed.compared(key, state.draw());
     let eligible_for = |rank| eligible(state, context, &few, tried, rank);
     let admitted = admit(state, context, progress, eligible_for).ok()?;
     let is_enough = admitted.candidates.len() >= LEAST_COMPARED;
