--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`configuration`]: routes, services and tenants in force.
 //! - [`protocol`]: what a platform's adapter has to supply.
 //! - [`pipeline`]: the path of a request, one file per filter, the list in one place.
+//! - [`notices`]: what replicas say of themselves in their answers.
 //! - [`peers`]: what daemons tell each other.
 //! - [`quarantine`]: requests that end the replicas that run them.
 //! - [`replicas`]: what is believed of each replica, and the choice of one.
@@ -25,6 +26,7 @@
 pub mod connections;
 pub mod currency;
 pub mod metrics;
+pub mod notices;
 pub mod peers;
 pub mod pipeline;
 pub mod protocol;
--- /dev/null
+++ b/crates/gateway/src/notices/take.rs
@@ -0,0 +1,63 @@
+//! Takes the notices of an answer in.
+
+use driftspring_clock::Instant;
+use driftspring_telemetry::events::gateway;
+use driftspring_telemetry::log_event;
+
+use super::limit::LimitNotice;
+use crate::protocol::{AnswerMeta, HeadField, UnreadableReason};
+use crate::replicas::Replica;
+use crate::state::GatewayState;
+use crate::store::Rejected;
+
+/// Takes in what the head of an answer to the request `request_id`, which was sent at `sent_at`, says of its replica.
+pub fn note_answer(
+    state: &GatewayState,
+    request_id: &str,
+    replica: &Replica,
+    answer: &AnswerMeta,
+    sent_at: Instant,
+) {
+    if !is_of_replica(request_id, replica, answer) {
+        return;
+    }
+    note_limit(state, replica, answer, sent_at);
+}
+
+/// Whether the answer is that of the replica to this request. One that names another request has lost its place, and one
+/// that turns the request away may be that of another life at the same address.
+fn is_of_replica(request_id: &str, replica: &Replica, answer: &AnswerMeta) -> bool {
+    let is_to_request = answer
+        .request_id
+        .as_deref()
+        .is_none_or(|id| id == request_id);
+    let is_named = answer.replica.as_deref() == Some(replica.id());
+    is_to_request && (is_named || !answer.is_misdirected)
+}
+
+fn note_limit(state: &GatewayState, replica: &Replica, answer: &AnswerMeta, sent_at: Instant) {
+    let rate = match &answer.request_limit {
+        HeadField::Value(rate) => Some(*rate),
+        // Only what the replica itself has written shows that it names no limit any more.
+        HeadField::Absent if answer.is_signed => None,
+        HeadField::Absent => return,
+        HeadField::Unreadable(cause) => {
+            let reason = UnreadableReason::Fields;
+            return state.reject(Rejected::AnswerHead, replica.id(), reason, cause.clone());
+        }
+    };
+    let before = replica.notices.limit();
+    let told = LimitNotice {
+        rate,
+        sent_at,
+        heard_at: Instant::now(),
+    };
+    if replica.notices.note_limit(told) {
+        log_event!(
+            gateway::REPLICA_LIMIT_CHANGED,
+            "replica={} before={before:?} limit={:?} told_by=answer",
+            replica.id(),
+            replica.notices.limit()
+        );
+    }
+}
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -16,6 +16,7 @@
 use super::first_list::first_list_patience;
 use super::judge::{Verdict, judge};
 use super::refusal::{Reason, Refusal, Step};
+use crate::notices;
 use crate::protocol::ReplicaLife;
 use crate::quarantine::note_loss;
 use crate::replicas::Replica;
@@ -172,6 +173,13 @@
     fn take_answer(&mut self, opened: Opened, choice: Choice) -> Result<Option<Attempt>, Refusal> {
         let (verdict, meta) = judge(&*self.state.platform, &self.context, &opened.answer);
         let peer = choice.replica.pool.peer();
+        notices::note_answer(
+            &self.state,
+            &self.context.id,
+            &choice.replica,
+            &meta,
+            self.sent_at,
+        );
         if choice.replica.health.note_answer() {
             log_event!(gateway::REPLICA_WELL, "replica={}", choice.replica.id());
         }
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -80,6 +80,53 @@
     pub last_event_id: Option<String>,
 }
 
+/// How many requests a second a replica takes from all daemons together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RequestRate {
+    thousandths: u64,
+}
+
+impl RequestRate {
+    /// The rate of so many requests a second; none where that is no rate.
+    pub fn from_per_second(per_second: f64) -> Option<Self> {
+        let is_rate = per_second.is_finite() && per_second >= 0.0;
+        is_rate.then(|| Self::from_thousandths((per_second * 1000.0).round() as u64))
+    }
+
+    /// The rate of so many thousandths of a request a second.
+    pub fn from_thousandths(thousandths: u64) -> Self {
+        Self { thousandths }
+    }
+
+    /// Thousandths of a request a second.
+    pub fn thousandths(self) -> u64 {
+        self.thousandths
+    }
+
+    /// Requests a second.
+    pub fn per_second(self) -> f64 {
+        self.thousandths as f64 / 1000.0
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}/s", self.per_second())
+    }
+}
+
+/// A field of a head that may be missing or hold anything.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum HeadField<T> {
+    /// It is not there.
+    #[default]
+    Absent,
+    /// It holds this.
+    Value(T),
+    /// It holds nothing that can be read, for this cause.
+    Unreadable(String),
+}
+
 /// What the head of a replica's answer says.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct AnswerMeta {
@@ -95,6 +142,8 @@
     pub replica: Option<String>,
     /// Whether the head names the replica's signature.
     pub is_signed: bool,
+    /// The rate that the replica takes from all daemons together, for as long as its answers say so.
+    pub request_limit: HeadField<RequestRate>,
 }
 
 /// How requests and answers are spelled.
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -9,6 +9,7 @@
 
 use super::begin_wait::BeginWait;
 use super::health::Health;
+use crate::notices::ReplicaNotices;
 use crate::protocol::{ModelVersion, ReplicaEntry, ReplicaLife};
 use crate::upstream::Pool;
 use crate::weights::WantedWeights;
@@ -29,6 +30,8 @@
     pub pool: Rc<Pool>,
     /// Whether it can be reached.
     pub health: Health,
+    /// What it says of itself in its answers.
+    pub notices: ReplicaNotices,
     /// How long requests wait there before they begin.
     pub waits: Rc<BeginWait>,
     entry: RefCell<ReplicaEntry>,
@@ -50,6 +53,7 @@
             life: entry.life.clone(),
             pool: Pool::new(entry.address),
             health: Health::default(),
+            notices: ReplicaNotices::default(),
             waits: Rc::default(),
             order_sequence: Cell::new(None),
             lapses_at: Cell::new(None),
--- a/crates/gateway/src/store/rejections.rs
+++ b/crates/gateway/src/store/rejections.rs
@@ -30,6 +30,8 @@
     StoreEra,
     /// A configuration that another daemon handed on.
     HandedConfiguration,
+    /// What a replica says of itself in the head of an answer.
+    AnswerHead,
     /// What another daemon, or somebody else, sent here.
     Datagram,
 }
