--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`pipeline`]: the path of a request, one file per filter, the list in one place.
 //! - [`notices`]: what replicas say of themselves in their answers.
 //! - [`peers`]: what daemons tell each other.
+//! - [`permits`]: permits to send to replicas that limit their rate.
 //! - [`quarantine`]: requests that end the replicas that run them.
 //! - [`replicas`]: what is believed of each replica, and the choice of one.
 //! - [`upstream`]: connections to replicas and to the store.
@@ -28,6 +29,7 @@
 pub mod metrics;
 pub mod notices;
 pub mod peers;
+pub mod permits;
 pub mod pipeline;
 pub mod protocol;
 pub mod quarantine;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -55,6 +55,14 @@
     pub withdrawn: Counter,
     /// Requests refused at once, since they would begin at no replica in the time of their callers.
     pub overloaded: Counter,
+    /// Requests refused since every replica that could serve had asked for a pause.
+    pub paused: Counter,
+    /// Permits to send to a replica with a limit that this daemon got.
+    pub permits_granted: Counter,
+    /// Permits that it did not get.
+    pub permits_denied: Counter,
+    /// Questions for permits that nobody answered; they count as denied too.
+    pub permits_unanswered: Counter,
     /// Requests refused since they were beyond their tenants' limits.
     pub over_quota: Counter,
     /// Replicas kept in use for a while without an entry.
@@ -81,6 +89,8 @@
     pub store_era_changes: Counter,
     /// Replicas listed.
     pub replicas: Gauge,
+    /// Replicas that limit their rate, as of a second ago.
+    pub replicas_limited: Gauge,
     registry: Mutex<Registry>,
 }
 
@@ -109,6 +119,10 @@
             outdated_begin: DurationHistogram::default(),
             withdrawn: Counter::default(),
             overloaded: Counter::default(),
+            paused: Counter::default(),
+            permits_granted: Counter::default(),
+            permits_denied: Counter::default(),
+            permits_unanswered: Counter::default(),
             over_quota: Counter::default(),
             replicas_lapsed: Counter::default(),
             replicas_held_back: Counter::default(),
@@ -122,6 +136,7 @@
             configuration_unconfirmed: Gauge::default(),
             configurations_handed_on: Counter::default(),
             replicas: Gauge::default(),
+            replicas_limited: Gauge::default(),
             registry: Mutex::new(Registry::with_prefix("driftspring_gateway")),
         };
         metrics.register();
@@ -165,6 +180,26 @@
                 "Requests refused at once, since they would begin at no replica in time",
                 &self.overloaded,
             ),
+            (
+                "requests_paused",
+                "Requests refused since every replica that could serve had asked for a pause",
+                &self.paused,
+            ),
+            (
+                "permits_granted",
+                "Permits to send to replicas with limits",
+                &self.permits_granted,
+            ),
+            (
+                "permits_denied",
+                "Permits to send to replicas with limits that were not given",
+                &self.permits_denied,
+            ),
+            (
+                "permits_unanswered",
+                "Questions for permits that nobody answered",
+                &self.permits_unanswered,
+            ),
             (
                 "requests_over_quota",
                 "Requests refused since they were beyond their tenants' limits",
@@ -255,6 +290,11 @@
             self.rejected.clone(),
         );
         registry.register("replicas", "Replicas listed", self.replicas.clone());
+        registry.register(
+            "replicas_limited",
+            "Replicas that limit the rate at which they take requests",
+            self.replicas_limited.clone(),
+        );
         registry.register(
             "store_era",
             "The latest era of the store that is known; 0 where it names none",
--- a/crates/gateway/src/notices/limit.rs
+++ b/crates/gateway/src/notices/limit.rs
@@ -21,21 +21,17 @@
 impl LimitNotice {
     /// What holds once `told` is heard after this one. Where the order of the two is not known, the lower limit holds.
     pub fn followed_by(self, told: Self) -> Self {
-        let holds = match (self.rate, told.rate) {
-            (_, None) if told.sent_at > self.heard_at => told,
-            (_, None) => self,
-            (None, Some(_)) if told.heard_at < self.sent_at => self,
-            (None, Some(_)) => told,
-            (Some(known), Some(rate)) if told.sent_at >= self.sent_at || rate < known => told,
-            (Some(_), Some(_)) => self,
-        };
-        Self {
-            rate: holds.rate,
-            sent_at: holds.sent_at,
-            heard_at: match holds.rate {
-                Some(_) if self.rate.is_some() => self.heard_at.max(told.heard_at),
-                _ => holds.heard_at,
+        match (self.rate, told.rate) {
+            (Some(_), None) if told.sent_at > self.heard_at => told,
+            (None, Some(_)) if told.heard_at >= self.sent_at => told,
+            (Some(known), Some(rate)) => Self {
+                heard_at: self.heard_at.max(told.heard_at),
+                ..match told.sent_at >= self.sent_at || rate < known {
+                    true => told,
+                    false => self,
+                }
             },
+            _ => self,
         }
     }
 }
--- a/crates/gateway/src/notices/mod.rs
+++ b/crates/gateway/src/notices/mod.rs
@@ -5,12 +5,18 @@
 //!
 //! - [`limit`]: how many requests a second a replica takes.
 //! - [`replica_notices`]: all that one life has said.
+//! - [`news`]: what other daemons are to be told.
+//! - [`survey`]: which replicas have said something.
 //! - `take`: takes the notices of an answer in.
 
 pub mod limit;
+pub mod news;
 pub mod replica_notices;
+pub mod survey;
 mod take;
 
 pub use limit::LimitNotice;
-pub use replica_notices::ReplicaNotices;
-pub use take::note_answer;
+pub use news::NoticeNews;
+pub use replica_notices::{Pause, PauseCause, ReplicaNotices};
+pub use survey::NoticeSurvey;
+pub use take::{Teller, note_answer, note_limit};
--- a/crates/gateway/src/notices/replica_notices.rs
+++ b/crates/gateway/src/notices/replica_notices.rs
@@ -1,14 +1,47 @@
 //! All that one life of a replica has said of itself.
 
 use std::cell::Cell;
+use std::time::Duration;
+
+use driftspring_clock::Instant;
+use driftspring_telemetry::events::gateway;
+use driftspring_telemetry::log_event;
 
 use super::limit::LimitNotice;
 use crate::protocol::RequestRate;
 
+/// The shortest pause after a permit was not given: its request goes elsewhere in that time.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(20);
+
+/// The time between two lines that tell that the same replica was passed over.
+const BETWEEN_LINES: Duration = Duration::from_secs(1);
+
+/// The share of a pause over which the returns are spread.
+const SPREAD_SHARE: f64 = 0.25;
+
 /// All that one life of a replica has said of itself.
 #[derive(Debug, Default)]
 pub struct ReplicaNotices {
     limit: Cell<Option<LimitNotice>>,
+    /// When it is worth asking for a permit again.
+    permits_at: Cell<Option<Instant>>,
+    passed_over_logged_at: Cell<Option<Instant>>,
+}
+
+/// Why a replica gets no request for now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pause {
+    /// What the replica said.
+    pub cause: PauseCause,
+    /// When it ends.
+    pub until: Instant,
+}
+
+/// What a replica said that keeps requests away from it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PauseCause {
+    /// It takes so many requests a second, and these are spent.
+    Limit(RequestRate),
 }
 
 impl ReplicaNotices {
@@ -17,6 +50,51 @@
         self.limit.get().and_then(|notice| notice.rate)
     }
 
+    /// Whether the replica has said anything that holds now.
+    pub fn is_any(&self) -> bool {
+        self.limit().is_some()
+    }
+
+    /// The latest notice of a limit, or of its end.
+    pub fn limit_notice(&self) -> Option<LimitNotice> {
+        self.limit.get()
+    }
+
+    /// Why the replica gets no request at `now`.
+    pub fn pause(&self, now: Instant) -> Option<Pause> {
+        let rate = self.limit()?;
+        let until = self.permits_at.get().filter(|until| now < *until)?;
+        Some(Pause {
+            cause: PauseCause::Limit(rate),
+            until,
+        })
+    }
+
+    /// Tells that the replica `id` was passed over, once a second at the most.
+    pub fn log_passed_over(&self, id: &str, pause: &Pause, now: Instant) {
+        let logged_at = self.passed_over_logged_at.get();
+        if logged_at.is_some_and(|at| now < at + BETWEEN_LINES) {
+            return;
+        }
+        self.passed_over_logged_at.set(Some(now));
+        let heard_at = self.limit.get().map(|notice| notice.heard_at);
+        log_event!(
+            gateway::REPLICA_PASSED_OVER,
+            "replica={id} cause={:?} said_ago={:?} ends_in={:?}",
+            pause.cause,
+            heard_at.map(|at| now.saturating_duration_since(at)),
+            pause.until.saturating_duration_since(now)
+        );
+    }
+
+    /// Takes in that no permit was given, and that it is worth asking again after `wait`; `draw`, from 0 to 1, keeps daemons that
+    /// were denied together from coming back together.
+    pub fn pause_for_permits(&self, wait: Duration, draw: f64) {
+        let wait = wait.max(SHORTEST_PAUSE);
+        let wait = wait + wait.mul_f64(SPREAD_SHARE * draw);
+        self.permits_at.set(Some(Instant::now() + wait));
+    }
+
     /// Takes in what an answer says of the limit; true where another one is in force now.
     pub fn note_limit(&self, told: LimitNotice) -> bool {
         let known = self.limit.get();
--- /dev/null
+++ b/crates/gateway/src/notices/survey.rs
@@ -0,0 +1,45 @@
+//! The replicas that have said something of themselves which holds now.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use driftspring_clock::Instant;
+
+use crate::metrics::GatewayMetrics;
+use crate::replicas::{Registry, Replica};
+
+/// For how long a survey holds: to look at 10,000 replicas takes some 100 µs.
+pub const HOLDS_FOR: Duration = Duration::from_secs(1);
+
+/// The replicas that have said something of themselves.
+#[derive(Debug, Default)]
+pub struct NoticeSurvey {
+    taken_at: Cell<Option<Instant>>,
+    replicas: RefCell<Rc<Vec<Rc<Replica>>>>,
+}
+
+impl NoticeSurvey {
+    /// The replicas of `registry` that have, as of a second ago or later; counts them in `metrics`.
+    pub fn replicas(&self, registry: &Registry, metrics: &GatewayMetrics) -> Rc<Vec<Rc<Replica>>> {
+        let now = Instant::now();
+        let is_current = |at: Instant| now.saturating_duration_since(at) < HOLDS_FOR;
+        if !self.taken_at.get().is_some_and(is_current) {
+            self.taken_at.set(Some(now));
+            let all = registry.all().into_iter();
+            let with_notices = all.filter(|replica| replica.notices.is_any());
+            self.replicas.replace(Rc::new(with_notices.collect()));
+            self.count(metrics);
+        }
+        Rc::clone(&self.replicas.borrow())
+    }
+
+    fn count(&self, metrics: &GatewayMetrics) {
+        let replicas = self.replicas.borrow();
+        let limited = replicas
+            .iter()
+            .filter(|replica| replica.notices.limit().is_some());
+        let limited = i64::try_from(limited.count()).unwrap_or(i64::MAX);
+        metrics.replicas_limited.set(limited);
+    }
+}
--- a/crates/gateway/src/notices/take.rs
+++ b/crates/gateway/src/notices/take.rs
@@ -1,5 +1,7 @@
 //! Takes the notices of an answer in.
 
+use std::rc::Rc;
+
 use driftspring_clock::Instant;
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
@@ -10,18 +12,44 @@
 use crate::state::GatewayState;
 use crate::store::Rejected;
 
+/// Who tells of a notice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Teller {
+    /// An answer of the replica to this daemon.
+    Answer,
+    /// Another daemon.
+    Peer,
+}
+
 /// Takes in what the head of an answer to the request `request_id`, which was sent at `sent_at`, says of its replica.
 pub fn note_answer(
     state: &GatewayState,
     request_id: &str,
-    replica: &Replica,
+    replica: &Rc<Replica>,
     answer: &AnswerMeta,
     sent_at: Instant,
 ) {
     if !is_of_replica(request_id, replica, answer) {
         return;
     }
-    note_limit(state, replica, answer, sent_at);
+    note_answered_limit(state, replica, answer, sent_at);
+}
+
+/// Takes in what a replica says of its limit.
+pub fn note_limit(state: &GatewayState, replica: &Rc<Replica>, told: LimitNotice, teller: Teller) {
+    let before = replica.notices.limit();
+    if !replica.notices.note_limit(told) {
+        return;
+    }
+    log_event!(
+        gateway::REPLICA_LIMIT_CHANGED,
+        "replica={} before={before:?} limit={:?} told_by={teller:?}",
+        replica.id(),
+        replica.notices.limit()
+    );
+    if teller == Teller::Answer {
+        state.notice_news.note(replica);
+    }
 }
 
 /// Whether the answer is that of the replica to this request. One that names another request has lost its place, and one
@@ -35,7 +63,12 @@
     is_to_request && (is_named || !answer.is_misdirected)
 }
 
-fn note_limit(state: &GatewayState, replica: &Replica, answer: &AnswerMeta, sent_at: Instant) {
+fn note_answered_limit(
+    state: &GatewayState,
+    replica: &Rc<Replica>,
+    answer: &AnswerMeta,
+    sent_at: Instant,
+) {
     let rate = match &answer.request_limit {
         HeadField::Value(rate) => Some(*rate),
         // Only what the replica itself has written shows that it names no limit any more.
@@ -46,18 +79,10 @@
             return state.reject(Rejected::AnswerHead, replica.id(), reason, cause.clone());
         }
     };
-    let before = replica.notices.limit();
     let told = LimitNotice {
         rate,
         sent_at,
         heard_at: Instant::now(),
     };
-    if replica.notices.note_limit(told) {
-        log_event!(
-            gateway::REPLICA_LIMIT_CHANGED,
-            "replica={} before={before:?} limit={:?} told_by=answer",
-            replica.id(),
-            replica.notices.limit()
-        );
-    }
+    note_limit(state, replica, told, Teller::Answer);
 }
--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -14,8 +14,10 @@
     Ask, Change, Loading, Message, RECEIVE_BYTES, Report, Tell, TellCached, TellConfiguration,
     WireLease, WirePrompt, WireWeights,
 };
+use super::notices;
 use super::packed::PackedReplicas;
 use super::packed_pages::PAGE_BYTES;
+use super::permits;
 use super::records;
 use super::send::send_to;
 use super::spread::{self, spread};
@@ -64,6 +66,7 @@
                 let answer = Message::Tell(Box::new(tell(&state, &question)));
                 send_to(&socket, &answer, from).await;
                 records::reconcile(&state, &socket, question.quarantine, from).await;
+                notices::remind(&state, &socket, from).await;
             }
             Some(Message::Tell(answer)) => {
                 // The task that asked may have given up meanwhile.
@@ -138,6 +141,15 @@
                 take_loading(&state, &loading);
                 spread(&state, &socket, Report::Loading(loading)).await;
             }
+            Some(Message::Notices(told)) => {
+                notices::take(&state, &told);
+                spread(&state, &socket, Report::Notices(told)).await;
+            }
+            Some(Message::Reminder(told)) => notices::take(&state, &told),
+            Some(Message::AskPermit(question)) => {
+                permits::answer(&state, &socket, &question, from).await;
+            }
+            Some(Message::TellPermit(told)) => permits::take(&state, told),
             None => {
                 let (name, reason) = (from.to_string(), UnreadableReason::Bytes);
                 state.reject(
--- a/crates/gateway/src/peers/directory.rs
+++ b/crates/gateway/src/peers/directory.rs
@@ -61,6 +61,18 @@
         self.group.iter().chain(others)
     }
 
+    /// The daemons with the highest weights, `count` at the most, the highest first.
+    pub fn highest(&self, count: usize, weight: impl Fn(&WireDaemon) -> u64) -> Vec<&WireDaemon> {
+        let mut highest: Vec<(u64, &WireDaemon)> = Vec::with_capacity(count + 1);
+        for daemon in self.all() {
+            let weight = weight(daemon);
+            let place = highest.partition_point(|(known, _)| *known >= weight);
+            highest.insert(place, (weight, daemon));
+            highest.truncate(count);
+        }
+        highest.into_iter().map(|(_, daemon)| daemon).collect()
+    }
+
     /// The first in rank of every other group, by rank.
     pub fn first_of_other_groups(&self) -> Vec<WireDaemon> {
         let groups = self.other_groups.values();
--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/known.rs
@@ -78,6 +78,8 @@
     pub(super) seeds: Vec<WireDaemon>,
     pub(super) own: WireDaemon,
     pub(super) followers: RefCell<HashMap<SocketAddr, Instant>>,
+    /// When those who ask were last told what replicas say of themselves.
+    pub(super) reminded: RefCell<HashMap<SocketAddr, Instant>>,
     pub(super) followed: RefCell<FollowedLog>,
     pub(super) nonce: Cell<u64>,
     pub(super) ask_now: Notify,
@@ -120,6 +122,7 @@
             reader_changed: Notify::new(),
             own,
             followers: RefCell::new(HashMap::new()),
+            reminded: RefCell::new(HashMap::new()),
             followed: RefCell::default(),
             nonce: Cell::new(life << 20),
             ask_now: Notify::new(),
@@ -186,6 +189,11 @@
         self.knows_daemons.set(true);
     }
 
+    /// Whether every daemon is known, see [`Peers::note_daemons_known`].
+    pub fn are_daemons_known(&self) -> bool {
+        self.knows_daemons.get()
+    }
+
     /// The place of this daemon in its group; 0 is the first.
     pub fn rank(&self) -> u32 {
         let directory = self.directory();
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -4,6 +4,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 pub use super::configuration_message::{AskConfiguration, TellConfiguration};
+pub use super::notice_message::{AskPermit, TellPermit, WireLimit, WireNotice};
 use super::packed::PackedReplicas;
 pub use super::quarantine_message::{WireRecord, WireRecords, WireStrike, WireStruck};
 use crate::protocol::{ModelVersion, ReplicaLife};
@@ -53,6 +54,14 @@
     AskConfiguration(AskConfiguration),
     /// Answers that.
     TellConfiguration(TellConfiguration),
+    /// What replicas say of themselves, for the receiver's group.
+    Notices(Vec<WireNotice>),
+    /// The same for the receiver alone.
+    Reminder(Vec<WireNotice>),
+    /// Asks for a permit to send a request to a replica.
+    AskPermit(AskPermit),
+    /// Answers that.
+    TellPermit(TellPermit),
 }
 
 /// A report on its way through a group, see [`super::spread`].
@@ -81,6 +90,8 @@
     StoreRecovered,
     /// What is known of requests that end replicas.
     Records(Vec<WireRecord>),
+    /// What replicas say of themselves.
+    Notices(Vec<WireNotice>),
 }
 
 /// What one tenant used since the begin of the life that tells it, in the unit of its limit.
@@ -368,7 +379,8 @@
     }
 }
 
-fn life(id: &str, born: Option<u64>) -> ReplicaLife {
+/// The life of the replica `id` that began at `born`.
+pub(super) fn life(id: &str, born: Option<u64>) -> ReplicaLife {
     ReplicaLife {
         id: id.to_owned(),
         born,
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -23,6 +23,7 @@
 //! - [`cached`]: what stores of cached prompt work keep.
 //! - `configuration`: takes the configuration from another daemon where the store has lost it, and asks others at the start
 //!   which version they hold; [`configuration_message`]: its datagrams; [`configuration_pieces`]: puts it together.
+//! - `notices`: what replicas say of themselves; `permits`: permits to send to those with limits; `notice_message`: their datagrams.
 //! - `records`: requests that end replicas; `quarantine_message`: its datagrams.
 //! - [`task`]: does it all for ever: `ask` asks the source, `answer` answers others, `news` tells unasked.
 
@@ -41,8 +42,11 @@
 pub mod known;
 pub mod message;
 mod news;
+mod notice_message;
+mod notices;
 pub mod packed;
 pub mod packed_pages;
+mod permits;
 mod quarantine_message;
 mod records;
 pub mod relays;
--- /dev/null
+++ b/crates/gateway/src/peers/notices.rs
@@ -0,0 +1,126 @@
+//! Tells what replicas say of themselves ([`crate::notices`]) to all daemons: a daemon that has sent a replica no request yet
+//! learns of its limit before it does.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use driftspring_clock::Instant;
+
+use super::message::{Message, Report, WireLimit, WireNotice};
+use super::news::tell_other_groups;
+use super::send::send_to;
+use super::spread::spread;
+use crate::notices::survey::HOLDS_FOR;
+use crate::notices::{LimitNotice, Teller, note_limit};
+use crate::protocol::RequestRate;
+use crate::replicas::Replica;
+use crate::state::GatewayState;
+
+/// How long notices are gathered: replicas that are in need are so together.
+const GATHERING: Duration = Duration::from_millis(5);
+
+/// The time between two reminders of one daemon: a lost datagram costs one request of each daemon that missed it.
+const BETWEEN_REMINDERS: Duration = Duration::from_secs(5);
+
+/// Replicas of which one reminder tells, others at each turn.
+const MAX_REMINDED: usize = 36;
+
+/// Notices of one datagram, which so stays below 1,200 bytes: each takes up to 80 of them.
+const MAX_NOTICES: usize = 12;
+
+/// Tells what is new, for ever.
+pub(super) async fn tell(state: Rc<GatewayState>, socket: Rc<tokio::net::UdpSocket>) {
+    loop {
+        let changed = state.notice_news.changed.notified();
+        let has_news = tokio::time::timeout(HOLDS_FOR, changed).await.is_ok();
+        survey(&state);
+        if !has_news {
+            continue;
+        }
+        tokio::time::sleep(GATHERING).await;
+        let replicas = state.notice_news.take();
+        let now = Instant::now();
+        let notices: Vec<WireNotice> = replicas
+            .iter()
+            .map(|replica| to_wire(replica, now))
+            .collect();
+        for notices in notices.chunks(MAX_NOTICES) {
+            tell_other_groups(&state, &socket, &Message::Notices(notices.to_vec())).await;
+            spread(&state, &socket, Report::Notices(notices.to_vec())).await;
+        }
+    }
+}
+
+fn survey(state: &GatewayState) -> Rc<Vec<Rc<Replica>>> {
+    let metrics = &state.status.metrics;
+    state.notice_survey.replicas(&state.registry, metrics)
+}
+
+/// Tells a daemon that has asked a question what is known, at once where it is new and then every few seconds: it may have
+/// just started, and datagrams are lost.
+pub(super) async fn remind(state: &GatewayState, socket: &tokio::net::UdpSocket, to: SocketAddr) {
+    let replicas = survey(state);
+    if replicas.is_empty() || !is_due(state, to) {
+        return;
+    }
+    let now = Instant::now();
+    let first = (state.peers.next_turn() as usize * MAX_REMINDED) % replicas.len();
+    let others = replicas.iter().cycle().skip(first);
+    let told = others.take(MAX_REMINDED.min(replicas.len()));
+    let notices: Vec<WireNotice> = told.map(|replica| to_wire(replica, now)).collect();
+    for notices in notices.chunks(MAX_NOTICES) {
+        send_to(socket, &Message::Reminder(notices.to_vec()), to).await;
+    }
+}
+
+fn is_due(state: &GatewayState, to: SocketAddr) -> bool {
+    let mut reminded = state.peers.reminded.borrow_mut();
+    let is_due = reminded
+        .get(&to)
+        .is_none_or(|at| at.elapsed() >= BETWEEN_REMINDERS);
+    if is_due {
+        reminded.retain(|_, at| at.elapsed() < BETWEEN_REMINDERS);
+        reminded.insert(to, Instant::now());
+    }
+    is_due
+}
+
+fn to_wire(replica: &Replica, now: Instant) -> WireNotice {
+    let age_ms = |at: Instant| {
+        let age = now.saturating_duration_since(at);
+        u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+    };
+    WireNotice {
+        replica: replica.id().to_owned(),
+        born: replica.life.born,
+        limit: replica.notices.limit_notice().map(|notice| WireLimit {
+            thousandths: notice.rate.map(RequestRate::thousandths),
+            // Rounded up: a notice may look older than it is, never newer.
+            sent_age_ms: age_ms(notice.sent_at).saturating_add(1),
+            heard_age_ms: age_ms(notice.heard_at),
+        }),
+    }
+}
+
+/// Takes in what others were told by replicas.
+pub(super) fn take(state: &GatewayState, notices: &[WireNotice]) {
+    let now = Instant::now();
+    let ago = |age_ms: u64| {
+        now.checked_sub(Duration::from_millis(age_ms))
+            .unwrap_or(now)
+    };
+    for notice in notices {
+        let Some(replica) = state.registry.current(&notice.life()) else {
+            continue;
+        };
+        if let Some(limit) = &notice.limit {
+            let told = LimitNotice {
+                rate: limit.thousandths.map(RequestRate::from_thousandths),
+                sent_at: ago(limit.sent_age_ms),
+                heard_at: ago(limit.heard_age_ms),
+            };
+            note_limit(state, &replica, told, Teller::Peer);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/permits.rs
@@ -0,0 +1,53 @@
+//! Asks for permits, and answers who asks ([`crate::permits`]).
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::directory::name_digest;
+use super::message::{AskPermit, Message, TellPermit};
+use super::send::{send, send_to};
+use crate::permits;
+use crate::protocol::RequestRate;
+use crate::state::GatewayState;
+
+/// Sends questions, for ever.
+pub(super) async fn ask(state: Rc<GatewayState>, socket: Rc<tokio::net::UdpSocket>) {
+    let questions = &state.permits.questions;
+    loop {
+        questions.asked.notified().await;
+        for (question, to) in questions.take_outbox() {
+            send(&socket, &Message::AskPermit(question), &to).await;
+        }
+    }
+}
+
+/// Answers a question.
+pub(super) async fn answer(
+    state: &Rc<GatewayState>,
+    socket: &tokio::net::UdpSocket,
+    question: &AskPermit,
+    from: SocketAddr,
+) {
+    let rate = question
+        .limit_thousandths
+        .map(RequestRate::from_thousandths);
+    let issued = match rate {
+        Some(rate) => permits::issue(state, question.life, rate),
+        None => Err(Duration::ZERO),
+    };
+    let wait = issued.err().unwrap_or_default();
+    let told = TellPermit {
+        nonce: question.nonce,
+        daemon: name_digest(&state.peers.own().name),
+        is_granted: issued.is_ok(),
+        wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+    };
+    send_to(socket, &Message::TellPermit(told), from).await;
+}
+
+/// Takes in an answer.
+pub(super) fn take(state: &GatewayState, told: TellPermit) {
+    state.permits.note_answer(told.daemon);
+    state.permits.questions.answer(told);
+}
--- a/crates/gateway/src/peers/spread.rs
+++ b/crates/gateway/src/peers/spread.rs
@@ -11,6 +11,7 @@
 use super::cached;
 use super::directory::{Directory, name_digest};
 use super::message::{Message, Report, Spread};
+use super::notices;
 use super::records;
 use super::send::{send_bytes, send_to_all};
 use crate::state::GatewayState;
@@ -88,6 +89,7 @@
         }
         Report::Loading(loading) => take_loading(state, &loading),
         Report::Records(records) => drop(records::take_records(state, &records)),
+        Report::Notices(told) => notices::take(state, &told),
         Report::StoreRecovered => state.store_outage.end(),
     }
 }
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -14,6 +14,8 @@
 use super::configuration;
 use super::far;
 use super::news::tell_news;
+use super::notices;
+use super::permits;
 use super::records;
 use super::usage;
 use crate::state::GatewayState;
@@ -53,6 +55,8 @@
     ntex::rt::spawn(tell_news(Rc::clone(&state), Rc::clone(&socket)));
     ntex::rt::spawn(far::run(Rc::clone(&state), Rc::clone(&socket)));
     ntex::rt::spawn(records::tell(Rc::clone(&state), Rc::clone(&socket)));
+    ntex::rt::spawn(notices::tell(Rc::clone(&state), Rc::clone(&socket)));
+    ntex::rt::spawn(permits::ask(Rc::clone(&state), Rc::clone(&socket)));
     ntex::rt::spawn(usage::tell(Rc::clone(&state), Rc::clone(&socket)));
     ask(state, socket, told).await;
 }
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -10,13 +10,14 @@
 
 use super::admission::Progress;
 use super::check_quarantine::check_quarantine;
-use super::choose_replica::{Choice, choose};
+use super::choose_replica::{Choice, choose, paused};
 use super::context::RequestContext;
 use super::dispatch::{Opened, Unanswered, send};
 use super::first_list::first_list_patience;
 use super::judge::{Verdict, judge};
 use super::refusal::{Reason, Refusal, Step};
 use crate::notices;
+use crate::permits::{self, Denied};
 use crate::protocol::ReplicaLife;
 use crate::quarantine::note_loss;
 use crate::replicas::Replica;
@@ -29,6 +30,9 @@
 /// Replicas that can't be reached before the request is refused.
 const MAX_UNREACHABLE: usize = 4;
 
+/// Replicas without room in their limits after which the request is refused: each question takes a round trip.
+const MAX_DENIED: usize = 6;
+
 /// How long a request waits to hear of weights that every replica refused it for. Its gateway asks another one at once, whose
 /// answer takes milliseconds; a caller that is refused comes back no sooner (`Retry-After` of 250 ms).
 const WEIGHTS_PATIENCE: Duration = Duration::from_millis(250);
@@ -47,6 +51,10 @@
     vain_sends: usize,
     unreachable: usize,
     sends: u32,
+    /// Replicas whose limits left no room.
+    denied: usize,
+    /// The least time after which one of them has room again.
+    least_wait: Duration,
     /// When the request was last sent to a replica.
     sent_at: Instant,
 }
@@ -100,6 +108,8 @@
             vain_sends: 0,
             unreachable: 0,
             sends: 0,
+            denied: 0,
+            least_wait: Duration::MAX,
             sent_at: context.started,
         }
     }
@@ -128,6 +138,10 @@
                     _ => return Err(self.without_replica(refusal)),
                 },
             };
+            if let Err(denied) = permits::acquire(&self.state, &choice.replica).await {
+                self.note_denied(&choice, denied)?;
+                continue;
+            }
             if self.sends > 0 && !self.spend() {
                 return Err(self.give_up(Reason::NotRun, None, "the budget is spent"));
             }
@@ -170,6 +184,17 @@
         }
     }
 
+    /// Takes in that the chosen replica's limit leaves no room; it is passed over until it does. An error where too many did.
+    fn note_denied(&mut self, choice: &Choice, denied: Denied) -> Result<(), Refusal> {
+        self.log_attempt(choice, "no_permit", &format!("wait {:?}", denied.wait));
+        self.denied += 1;
+        self.least_wait = self.least_wait.min(denied.wait);
+        match self.denied >= MAX_DENIED {
+            true => Err(self.without_replica(paused(&self.state, self.least_wait))),
+            false => Ok(()),
+        }
+    }
+
     fn take_answer(&mut self, opened: Opened, choice: Choice) -> Result<Option<Attempt>, Refusal> {
         let (verdict, meta) = judge(&*self.state.platform, &self.context, &opened.answer);
         let peer = choice.replica.pool.peer();
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -10,7 +10,9 @@
 use super::context::RequestContext;
 use super::prompt_sources::{PromptSources, Supply};
 use super::refusal::{Reason, Refusal, Step};
+use super::retry_after::return_after_pause;
 use crate::cache::Prefix;
+use crate::notices::Pause;
 use crate::protocol::ReplicaLife;
 use crate::replicas::{Candidate, MOST_COMPARED, PlacementKey, Replica, ServiceReplicas, place};
 use crate::state::GatewayState;
@@ -169,6 +171,7 @@
     if staying.is_empty() {
         return Err(no_replica("none has weights that may be used"));
     }
+    retain_unpaused(state, &mut staying, now)?;
     let is_well = |replica: &&Rc<Replica>| {
         !replica.health.is_suspect(now) && replica.loading_since().is_none()
     };
@@ -179,6 +182,38 @@
     }
 }
 
+/// Keeps the replicas that take requests now, as they say themselves.
+fn retain_unpaused(
+    state: &GatewayState,
+    replicas: &mut Vec<Rc<Replica>>,
+    now: Instant,
+) -> Result<(), Refusal> {
+    let mut soonest: Option<Pause> = None;
+    replicas.retain(|replica| {
+        let Some(pause) = replica.notices.pause(now) else {
+            return true;
+        };
+        replica.notices.log_passed_over(replica.id(), &pause, now);
+        if soonest.is_none_or(|known| pause.until < known.until) {
+            soonest = Some(pause);
+        }
+        false
+    });
+    match soonest.filter(|_| replicas.is_empty()) {
+        Some(pause) => Err(paused(state, pause.until.saturating_duration_since(now))),
+        None => Ok(()),
+    }
+}
+
+/// The refusal of a request that no replica takes for so long.
+pub fn paused(state: &GatewayState, time: Duration) -> Refusal {
+    let detail = format!("all replicas asked for a pause, the shortest ends in {time:?}");
+    Refusal {
+        retry_after: Some(return_after_pause(time, state.draw())),
+        ..Refusal::new(Step::Choose, Reason::Paused, detail)
+    }
+}
+
 fn has_usable_weights(
     state: &GatewayState,
     context: &RequestContext,
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -44,7 +44,7 @@
 pub use admission::{are_lines_too_long, is_in_time, is_of_use, rank_behind};
 pub use event_splitter::EventSplitter;
 pub use first_list::first_list_patience;
-pub use retry_after::retry_after;
+pub use retry_after::{retry_after, return_after_pause};
 
 /// Serves one request and turns a refusal into its answer.
 pub async fn respond(
--- a/crates/gateway/src/pipeline/refusal.rs
+++ b/crates/gateway/src/pipeline/refusal.rs
@@ -57,6 +57,8 @@
     Stopping,
     /// The route has no replica that could serve.
     NoReplica,
+    /// Every replica that could serve has asked for a pause.
+    Paused,
     /// It would begin at no replica before its caller gives it up.
     Overloaded,
     /// The replicas asked are full or leaving, and have not run it.
@@ -85,6 +87,7 @@
             Self::NotInformed
             | Self::Stopping
             | Self::NoReplica
+            | Self::Paused
             | Self::Overloaded
             | Self::NotRun
             | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
@@ -212,6 +215,7 @@
         account.refused();
         match self.reason {
             Reason::Overloaded => drop(state.status.metrics.overloaded.inc()),
+            Reason::Paused => drop(state.status.metrics.paused.inc()),
             Reason::OverQuota | Reason::BeyondQuota => drop(state.status.metrics.over_quota.inc()),
             _ => {}
         }
--- a/crates/gateway/src/pipeline/retry_after.rs
+++ b/crates/gateway/src/pipeline/retry_after.rs
@@ -27,6 +27,13 @@
     begins + (ends - begins).mul_f64(share(draw))
 }
 
+/// When a caller should come back where every replica asked for a pause, of which the shortest ends after `pause`. `draw` spreads
+/// the returns over half of that time again, so that those refused together don't come back together.
+pub fn return_after_pause(pause: Duration, draw: u64) -> Duration {
+    let pause = pause.max(EARLIEST_RETURN);
+    pause + pause.mul_f64(SPREAD_SHARE * share(draw))
+}
+
 /// A share from 0 to 1 that looks random over successive draws.
 fn share(draw: u64) -> f64 {
     let hash = xxh3_64(&draw.to_le_bytes());
--- a/crates/gateway/src/quarantine/homes.rs
+++ b/crates/gateway/src/quarantine/homes.rs
@@ -22,15 +22,9 @@
 /// The daemons that count for a request, the first in rank first.
 pub fn homes(directory: &Directory, fingerprint: Fingerprint) -> Vec<&WireDaemon> {
     let bytes = fingerprint.number().to_le_bytes();
-    let weight = |daemon: &WireDaemon| xxh3_64_with_seed(&bytes, name_digest(&daemon.name));
-    let mut first: Vec<(u64, &WireDaemon)> = Vec::with_capacity(HOMES + 1);
-    for daemon in directory.all() {
-        let weight = weight(daemon);
-        let rank = first.partition_point(|(known, _)| *known >= weight);
-        first.insert(rank, (weight, daemon));
-        first.truncate(HOMES);
-    }
-    first.into_iter().map(|(_, daemon)| daemon).collect()
+    directory.highest(HOMES, |daemon| {
+        xxh3_64_with_seed(&bytes, name_digest(&daemon.name))
+    })
 }
 
 /// The place of the daemon `own` among those that count for a request; 0 is the first.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -24,8 +24,10 @@
 use crate::connections::CallerConnections;
 use crate::currency::Currency;
 use crate::metrics::GatewayMetrics;
+use crate::notices::{NoticeNews, NoticeSurvey};
 use crate::peers::Peers;
 use crate::peers::message::{Change, Item, ItemKey, WireDaemon, WireReplica};
+use crate::permits::Permits;
 use crate::protocol::{Platform, ReplicaEntry, Unreadable, UnreadableReason};
 use crate::quarantine::Quarantine;
 use crate::quota::{Quotas, Tolerance};
@@ -113,6 +115,12 @@
     pub budgets: RetryBudgets,
     /// The limits of tenants.
     pub quotas: Quotas,
+    /// Permits to send to replicas that limit their rate.
+    pub permits: Permits,
+    /// What replicas say of themselves that other daemons are to be told.
+    pub notice_news: NoticeNews,
+    /// Which replicas have said something of themselves.
+    pub notice_survey: NoticeSurvey,
     /// What other daemons tell, and are told.
     pub peers: Peers,
     /// Wakes requests that wait for the first list of replicas.
@@ -190,6 +198,9 @@
             quarantine: Quarantine::default(),
             budgets,
             quotas,
+            permits: Permits::default(),
+            notice_news: NoticeNews::default(),
+            notice_survey: NoticeSurvey::default(),
             store,
             peers,
             cached: CachedParts::default(),
