--- a/crates/gateway/src/notices/replica_notices.rs
+++ b/crates/gateway/src/notices/replica_notices.rs
@@ -25,6 +25,7 @@
     limit: Cell<Option<LimitNotice>>,
     /// When it is worth asking for a permit again.
     permits_at: Cell<Option<Instant>>,
+    said_leaving: Cell<bool>,
     passed_over_logged_at: Cell<Option<Instant>>,
 }
 
@@ -50,6 +51,16 @@
         self.limit.get().and_then(|notice| notice.rate)
     }
 
+    /// Whether the replica has said that it is leaving.
+    pub fn has_said_leaving(&self) -> bool {
+        self.said_leaving.get()
+    }
+
+    /// Takes in that it has; true where that is news. A life that leaves never stays after all.
+    pub fn note_leaving(&self) -> bool {
+        !self.said_leaving.replace(true)
+    }
+
     /// Whether the replica has said anything that holds now.
     pub fn is_any(&self) -> bool {
         self.limit().is_some()
--- a/crates/gateway/src/notices/take.rs
+++ b/crates/gateway/src/notices/take.rs
@@ -33,6 +33,27 @@
         return;
     }
     note_answered_limit(state, replica, answer, sent_at);
+    match &answer.is_leaving {
+        HeadField::Value(true) => note_leaving(state, replica, Teller::Answer),
+        HeadField::Value(false) | HeadField::Absent => {}
+        HeadField::Unreadable(cause) => reject(state, replica, cause),
+    }
+}
+
+/// Takes in that a replica says that it is leaving.
+pub fn note_leaving(_state: &GatewayState, replica: &Rc<Replica>, teller: Teller) {
+    if replica.notices.note_leaving() {
+        let id = replica.id();
+        log_event!(
+            gateway::REPLICA_SAID_LEAVING,
+            "replica={id} told_by={teller:?}"
+        );
+    }
+}
+
+fn reject(state: &GatewayState, replica: &Replica, cause: &str) {
+    let reason = UnreadableReason::Fields;
+    state.reject(Rejected::AnswerHead, replica.id(), reason, cause.to_owned());
 }
 
 /// Takes in what a replica says of its limit.
@@ -75,8 +96,7 @@
         HeadField::Absent if answer.is_signed => None,
         HeadField::Absent => return,
         HeadField::Unreadable(cause) => {
-            let reason = UnreadableReason::Fields;
-            return state.reject(Rejected::AnswerHead, replica.id(), reason, cause.clone());
+            return reject(state, replica, cause);
         }
     };
     let told = LimitNotice {
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -144,6 +144,8 @@
     pub is_signed: bool,
     /// The rate that the replica takes from all daemons together, for as long as its answers say so.
     pub request_limit: HeadField<RequestRate>,
+    /// Whether the replica is leaving.
+    pub is_leaving: HeadField<bool>,
 }
 
 /// How requests and answers are spelled.
