--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -91,6 +91,8 @@
     pub replicas: Gauge,
     /// Replicas that limit their rate, as of a second ago.
     pub replicas_limited: Gauge,
+    /// Replicas that have said that they are leaving, as of a second ago.
+    pub replicas_leaving: Gauge,
     registry: Mutex<Registry>,
 }
 
@@ -137,6 +139,7 @@
             configurations_handed_on: Counter::default(),
             replicas: Gauge::default(),
             replicas_limited: Gauge::default(),
+            replicas_leaving: Gauge::default(),
             registry: Mutex::new(Registry::with_prefix("driftspring_gateway")),
         };
         metrics.register();
@@ -295,6 +298,11 @@
             "Replicas that limit the rate at which they take requests",
             self.replicas_limited.clone(),
         );
+        registry.register(
+            "replicas_leaving",
+            "Replicas that said in an answer that they are leaving",
+            self.replicas_leaving.clone(),
+        );
         registry.register(
             "store_era",
             "The latest era of the store that is known; 0 where it names none",
--- a/crates/gateway/src/notices/mod.rs
+++ b/crates/gateway/src/notices/mod.rs
@@ -19,4 +19,4 @@
 pub use news::NoticeNews;
 pub use replica_notices::{Pause, PauseCause, ReplicaNotices};
 pub use survey::NoticeSurvey;
-pub use take::{Teller, note_answer, note_limit};
+pub use take::{Teller, note_answer, note_leaving, note_limit};
--- a/crates/gateway/src/notices/replica_notices.rs
+++ b/crates/gateway/src/notices/replica_notices.rs
@@ -63,7 +63,7 @@
 
     /// Whether the replica has said anything that holds now.
     pub fn is_any(&self) -> bool {
-        self.limit().is_some()
+        self.limit().is_some() || self.has_said_leaving()
     }
 
     /// The latest notice of a limit, or of its end.
--- a/crates/gateway/src/notices/survey.rs
+++ b/crates/gateway/src/notices/survey.rs
@@ -6,6 +6,7 @@
 
 use driftspring_clock::Instant;
 
+use super::replica_notices::ReplicaNotices;
 use crate::metrics::GatewayMetrics;
 use crate::replicas::{Registry, Replica};
 
@@ -35,11 +36,16 @@
     }
 
     fn count(&self, metrics: &GatewayMetrics) {
-        let replicas = self.replicas.borrow();
-        let limited = replicas
-            .iter()
-            .filter(|replica| replica.notices.limit().is_some());
-        let limited = i64::try_from(limited.count()).unwrap_or(i64::MAX);
-        metrics.replicas_limited.set(limited);
+        let count = |has: fn(&ReplicaNotices) -> bool| {
+            let replicas = self.replicas.borrow();
+            let with_it = replicas.iter().filter(|replica| has(&replica.notices));
+            i64::try_from(with_it.count()).unwrap_or(i64::MAX)
+        };
+        metrics
+            .replicas_limited
+            .set(count(|notices| notices.limit().is_some()));
+        metrics
+            .replicas_leaving
+            .set(count(ReplicaNotices::has_said_leaving));
     }
 }
--- a/crates/gateway/src/notices/take.rs
+++ b/crates/gateway/src/notices/take.rs
@@ -41,13 +41,17 @@
 }
 
 /// Takes in that a replica says that it is leaving.
-pub fn note_leaving(_state: &GatewayState, replica: &Rc<Replica>, teller: Teller) {
-    if replica.notices.note_leaving() {
-        let id = replica.id();
-        log_event!(
-            gateway::REPLICA_SAID_LEAVING,
-            "replica={id} told_by={teller:?}"
-        );
+pub fn note_leaving(state: &GatewayState, replica: &Rc<Replica>, teller: Teller) {
+    if !replica.notices.note_leaving() {
+        return;
+    }
+    let id = replica.id();
+    log_event!(
+        gateway::REPLICA_SAID_LEAVING,
+        "replica={id} told_by={teller:?}"
+    );
+    if teller == Teller::Answer {
+        state.notice_news.note(replica);
     }
 }
 
--- a/crates/gateway/src/peers/notice_message.rs
+++ b/crates/gateway/src/peers/notice_message.rs
@@ -16,6 +16,9 @@
     /// Its limit; none where nothing is known of one.
     #[musli(default)]
     pub limit: Option<WireLimit>,
+    /// Whether it is leaving.
+    #[musli(default)]
+    pub is_leaving: bool,
 }
 
 impl WireNotice {
--- a/crates/gateway/src/peers/notices.rs
+++ b/crates/gateway/src/peers/notices.rs
@@ -12,7 +12,7 @@
 use super::send::send_to;
 use super::spread::spread;
 use crate::notices::survey::HOLDS_FOR;
-use crate::notices::{LimitNotice, Teller, note_limit};
+use crate::notices::{LimitNotice, Teller, note_leaving, note_limit};
 use crate::protocol::RequestRate;
 use crate::replicas::Replica;
 use crate::state::GatewayState;
@@ -100,6 +100,7 @@
             sent_age_ms: age_ms(notice.sent_at).saturating_add(1),
             heard_age_ms: age_ms(notice.heard_at),
         }),
+        is_leaving: replica.notices.has_said_leaving(),
     }
 }
 
@@ -114,6 +115,9 @@
         let Some(replica) = state.registry.current(&notice.life()) else {
             continue;
         };
+        if notice.is_leaving {
+            note_leaving(state, &replica, Teller::Peer);
+        }
         if let Some(limit) = &notice.limit {
             let told = LimitNotice {
                 rate: limit.thousandths.map(RequestRate::from_thousandths),
--- a/crates/gateway/src/quarantine/ends.rs
+++ b/crates/gateway/src/quarantine/ends.rs
@@ -65,7 +65,7 @@
     ran: Duration,
 ) {
     let is_listed = state.registry.get(replica.id()).is_some();
-    if !is_listed || replica.entry().is_draining {
+    if !is_listed || replica.is_leaving() {
         return;
     }
     let loss = Loss { fingerprint, ran };
--- a/crates/gateway/src/replicas/registry.rs
+++ b/crates/gateway/src/replicas/registry.rs
@@ -161,7 +161,7 @@
     /// Takes in that an entry is gone; it counts from [`Registry::index`] on. Where `keep_until` is given,
     /// the entry may come back, and its replica stays in use until then, unless it was leaving. True where it stays.
     pub fn remove(&self, id: &str, keep_until: Option<Instant>) -> bool {
-        let known = self.get(id).filter(|known| !known.entry().is_draining);
+        let known = self.get(id).filter(|known| !known.is_leaving());
         match (known, keep_until) {
             (Some(known), Some(until)) => {
                 known.keep_until(until);
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -110,9 +110,14 @@
         self.lapses_at.get().is_some_and(|until| until <= now)
     }
 
+    /// Whether it is leaving, as its entry or an answer says. An entry that still says otherwise is older.
+    pub fn is_leaving(&self) -> bool {
+        self.entry().is_draining || self.notices.has_said_leaving()
+    }
+
     /// Whether it is neither leaving nor without entry for too long.
     pub fn is_staying(&self, now: Instant) -> bool {
-        !self.entry().is_draining && !self.has_lapsed(now)
+        !self.is_leaving() && !self.has_lapsed(now)
     }
 
     /// The version of the weights of `model` that it is believed to have.
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -200,7 +200,7 @@
                 .outdated
                 .iter()
                 .any(|(service, known)| *service == entry.service && known.model == model.model);
-            if model.version < wanted && !entry.is_draining && !is_known {
+            if model.version < wanted && !replica.is_leaving() && !is_known {
                 let weights = ModelVersion {
                     model: model.model.clone(),
                     version: wanted,
@@ -271,9 +271,7 @@
 ) {
     let now = Instant::now();
     let replicas = state.registry.of_service(service);
-    let staying = replicas
-        .iter()
-        .filter(|replica| !replica.entry().is_draining);
+    let staying = replicas.iter().filter(|replica| !replica.is_leaving());
     let planned: Vec<PlannedReplica> = staying
         .map(|replica| planned(state, progress, replica, wanted, now))
         .collect();
@@ -360,7 +358,7 @@
             .is_some_and(|version| version < suspected.version);
         let is_paused = !own.pause(now).is_zero();
         let is_free = !own.is_driven && !is_paused && replica.loading_since().is_none();
-        is_older && is_free && !replica.entry().is_draining && !replica.health.is_unreachable(now)
+        is_older && is_free && !replica.is_leaving() && !replica.health.is_unreachable(now)
     };
     // One that leaves orders unanswered gets few requests: it would come first each time.
     let failures = |replica: &Rc<Replica>| progress.of(&replica.life).failures_in_row;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -330,12 +330,16 @@
         let keep_until = self.peers.keep_until(now, in_touch_at);
         let keep_until = keep_until.max(self.kept_after_return(now));
         let listed = self.registry.get(id);
+        let has_left = listed.as_ref().is_some_and(|replica| replica.is_leaving());
         if !self.registry.remove(id, keep_until) {
             if let Some(gone) = listed {
                 self.quarantine.note_gone_life(gone.life_hash);
             }
             // One that lapsed in an outage may live, and is not remembered as gone.
             store::copied_entries::note_gone(self, id, known);
+            if has_left {
+                self.gone_lives.borrow_mut().note_left(id);
+            }
             return;
         }
         self.status.metrics.replicas_lapsed.inc();
