--- a/crates/gateway/src/notices/mod.rs
+++ b/crates/gateway/src/notices/mod.rs
@@ -17,6 +17,6 @@
 
 pub use limit::LimitNotice;
 pub use news::NoticeNews;
-pub use replica_notices::{Pause, PauseCause, ReplicaNotices};
+pub use replica_notices::{Pause, PauseCause, ReplicaNotices, Rest};
 pub use survey::NoticeSurvey;
 pub use take::{Teller, note_answer, note_leaving, note_limit};
--- a/crates/gateway/src/notices/replica_notices.rs
+++ b/crates/gateway/src/notices/replica_notices.rs
@@ -19,6 +19,15 @@
 /// The share of a pause over which the returns are spread.
 const SPREAD_SHARE: f64 = 0.25;
 
+/// A time in which a replica wants no requests from this daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Rest {
+    /// When the latest answer came that asked for it.
+    pub heard_at: Instant,
+    /// When it ends.
+    pub until: Instant,
+}
+
 /// All that one life of a replica has said of itself.
 #[derive(Debug, Default)]
 pub struct ReplicaNotices {
@@ -26,6 +35,7 @@
     /// When it is worth asking for a permit again.
     permits_at: Cell<Option<Instant>>,
     said_leaving: Cell<bool>,
+    rest: Cell<Option<Rest>>,
     passed_over_logged_at: Cell<Option<Instant>>,
 }
 
@@ -61,6 +71,15 @@
         !self.said_leaving.replace(true)
     }
 
+    /// Takes in that it wants no requests from this daemon until then; the latest end holds. True where a line may tell it.
+    pub fn note_rest(&self, rest: Rest) -> bool {
+        let known = self.rest.get();
+        if known.is_none_or(|known| known.until < rest.until) {
+            self.rest.set(Some(rest));
+        }
+        known.is_none_or(|known| known.heard_at + BETWEEN_LINES <= rest.heard_at)
+    }
+
     /// Whether the replica has said anything that holds now.
     pub fn is_any(&self) -> bool {
         self.limit().is_some() || self.has_said_leaving()
--- a/crates/gateway/src/notices/take.rs
+++ b/crates/gateway/src/notices/take.rs
@@ -1,12 +1,14 @@
 //! Takes the notices of an answer in.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use driftspring_clock::Instant;
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
 
 use super::limit::LimitNotice;
+use super::replica_notices::Rest;
 use crate::protocol::{AnswerMeta, HeadField, UnreadableReason};
 use crate::replicas::Replica;
 use crate::state::GatewayState;
@@ -38,6 +40,26 @@
         HeadField::Value(false) | HeadField::Absent => {}
         HeadField::Unreadable(cause) => reject(state, replica, cause),
     }
+    match &answer.rest {
+        HeadField::Value(time) => note_rest(replica, *time),
+        HeadField::Absent => {}
+        HeadField::Unreadable(cause) => reject(state, replica, cause),
+    }
+}
+
+fn note_rest(replica: &Replica, time: Duration) {
+    let heard_at = Instant::now();
+    let rest = Rest {
+        heard_at,
+        until: heard_at + time,
+    };
+    if replica.notices.note_rest(rest) {
+        log_event!(
+            gateway::REPLICA_ASKED_FOR_REST,
+            "replica={} rest={time:?}",
+            replica.id()
+        );
+    }
 }
 
 /// Takes in that a replica says that it is leaving.
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -146,6 +146,8 @@
     pub request_limit: HeadField<RequestRate>,
     /// Whether the replica is leaving.
     pub is_leaving: HeadField<bool>,
+    /// For how long the replica wants no requests from this daemon.
+    pub rest: HeadField<Duration>,
 }
 
 /// How requests and answers are spelled.
