--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -91,6 +91,8 @@
     pub replicas: Gauge,
     /// Replicas that limit their rate, as of a second ago.
     pub replicas_limited: Gauge,
+    /// Replicas that want no requests from this daemon for a while, as of a second ago.
+    pub replicas_resting: Gauge,
     /// Replicas that have said that they are leaving, as of a second ago.
     pub replicas_leaving: Gauge,
     registry: Mutex<Registry>,
@@ -140,6 +142,7 @@
             replicas: Gauge::default(),
             replicas_limited: Gauge::default(),
             replicas_leaving: Gauge::default(),
+            replicas_resting: Gauge::default(),
             registry: Mutex::new(Registry::with_prefix("driftspring_gateway")),
         };
         metrics.register();
@@ -298,6 +301,11 @@
             "Replicas that limit the rate at which they take requests",
             self.replicas_limited.clone(),
         );
+        registry.register(
+            "replicas_resting",
+            "Replicas that turned a request away and want none for a while",
+            self.replicas_resting.clone(),
+        );
         registry.register(
             "replicas_leaving",
             "Replicas that said in an answer that they are leaving",
--- a/crates/gateway/src/notices/replica_notices.rs
+++ b/crates/gateway/src/notices/replica_notices.rs
@@ -44,6 +44,8 @@
 pub struct Pause {
     /// What the replica said.
     pub cause: PauseCause,
+    /// When it said so last.
+    pub said_at: Instant,
     /// When it ends.
     pub until: Instant,
 }
@@ -53,6 +55,8 @@
 pub enum PauseCause {
     /// It takes so many requests a second, and these are spent.
     Limit(RequestRate),
+    /// It turned a request of this daemon away and wants no others for a while.
+    Rest,
 }
 
 impl ReplicaNotices {
@@ -80,8 +84,13 @@
         known.is_none_or(|known| known.heard_at + BETWEEN_LINES <= rest.heard_at)
     }
 
-    /// Whether the replica has said anything that holds now.
+    /// Whether the replica has said anything.
     pub fn is_any(&self) -> bool {
+        self.is_for_all_daemons() || self.rest.get().is_some()
+    }
+
+    /// Whether it has said anything that other daemons are to know: a rest is asked of one.
+    pub fn is_for_all_daemons(&self) -> bool {
         self.limit().is_some() || self.has_said_leaving()
     }
 
@@ -90,13 +99,36 @@
         self.limit.get()
     }
 
-    /// Why the replica gets no request at `now`.
+    /// Why the replica gets no request at `now`; of two causes the one that holds longer.
     pub fn pause(&self, now: Instant) -> Option<Pause> {
-        let rate = self.limit()?;
-        let until = self.permits_at.get().filter(|until| now < *until)?;
+        let pauses = self
+            .pause_of_limit()
+            .into_iter()
+            .chain(self.pause_of_rest());
+        let pauses = pauses.filter(|pause| now < pause.until);
+        pauses.max_by_key(|pause| pause.until)
+    }
+
+    /// Whether the replica wants no requests from this daemon at `now`.
+    pub fn is_resting(&self, now: Instant) -> bool {
+        self.pause_of_rest().is_some_and(|pause| now < pause.until)
+    }
+
+    fn pause_of_limit(&self) -> Option<Pause> {
+        let limit = self.limit.get()?;
+        Some(Pause {
+            cause: PauseCause::Limit(limit.rate?),
+            said_at: limit.heard_at,
+            until: self.permits_at.get()?,
+        })
+    }
+
+    fn pause_of_rest(&self) -> Option<Pause> {
+        let rest = self.rest.get()?;
         Some(Pause {
-            cause: PauseCause::Limit(rate),
-            until,
+            cause: PauseCause::Rest,
+            said_at: rest.heard_at,
+            until: rest.until,
         })
     }
 
@@ -107,12 +139,11 @@
             return;
         }
         self.passed_over_logged_at.set(Some(now));
-        let heard_at = self.limit.get().map(|notice| notice.heard_at);
         log_event!(
             gateway::REPLICA_PASSED_OVER,
             "replica={id} cause={:?} said_ago={:?} ends_in={:?}",
             pause.cause,
-            heard_at.map(|at| now.saturating_duration_since(at)),
+            now.saturating_duration_since(pause.said_at),
             pause.until.saturating_duration_since(now)
         );
     }
--- a/crates/gateway/src/notices/survey.rs
+++ b/crates/gateway/src/notices/survey.rs
@@ -44,6 +44,9 @@
         metrics
             .replicas_limited
             .set(count(|notices| notices.limit().is_some()));
+        metrics
+            .replicas_resting
+            .set(count(|notices| notices.is_resting(Instant::now())));
         metrics
             .replicas_leaving
             .set(count(ReplicaNotices::has_said_leaving));
--- a/crates/gateway/src/peers/notices.rs
+++ b/crates/gateway/src/peers/notices.rs
@@ -61,6 +61,10 @@
 /// just started, and datagrams are lost.
 pub(super) async fn remind(state: &GatewayState, socket: &tokio::net::UdpSocket, to: SocketAddr) {
     let replicas = survey(state);
+    let replicas = replicas
+        .iter()
+        .filter(|replica| replica.notices.is_for_all_daemons());
+    let replicas: Vec<&Rc<Replica>> = replicas.collect();
     if replicas.is_empty() || !is_due(state, to) {
         return;
     }
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -160,6 +160,9 @@
                     self.sends += 1;
                     self.lost(&choice, peer, &cause)?;
                 }
+                Err(Unanswered::Resting) => {
+                    self.log_attempt(&choice, "not_sent", "it rests by now");
+                }
                 Err(Unanswered::Withdrawn) => {
                     self.sends += 1;
                     self.withdrawn(&choice)?;
@@ -364,15 +367,23 @@
         choice.replica.health.note_full(Instant::now());
         self.state.holders.forget(&choice.prefixes, &choice.replica);
         self.tried.push(choice.replica.life.clone());
+        // Its next request goes elsewhere at once, so only the budget of repeats bounds the search for one that has room.
+        if choice.replica.notices.is_resting(Instant::now()) {
+            return Ok(());
+        }
         self.sent_in_vain(peer, detail)
     }
 
     /// Counts a send that a replica did not run; an error where there were too many.
     fn sent_in_vain(&mut self, peer: SocketAddr, detail: &str) -> Result<(), Refusal> {
         self.vain_sends += 1;
-        match self.vain_sends >= MAX_VAIN_SENDS {
-            true => Err(self.give_up(Reason::NotRun, Some(peer), detail)),
-            false => Ok(()),
+        if self.vain_sends < MAX_VAIN_SENDS {
+            return Ok(());
+        }
+        // Where all others rest too, the caller is told when that ends.
+        match choose(&self.state, &self.context, &self.tried, Progress::New) {
+            Err(refusal) if refusal.reason == Reason::Paused => Err(self.without_replica(refusal)),
+            _ => Err(self.give_up(Reason::NotRun, Some(peer), detail)),
         }
     }
 
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -12,7 +12,6 @@
 use super::refusal::{Reason, Refusal, Step};
 use super::retry_after::return_after_pause;
 use crate::cache::Prefix;
-use crate::notices::Pause;
 use crate::protocol::ReplicaLife;
 use crate::replicas::{Candidate, MOST_COMPARED, PlacementKey, Replica, ServiceReplicas, place};
 use crate::state::GatewayState;
@@ -165,7 +164,11 @@
         |replica: &&Rc<Replica>| replica.is_staying(now) && !tried.contains(&replica.life);
     let mut staying: Vec<Rc<Replica>> = listed.iter().filter(is_staying).cloned().collect();
     if staying.is_empty() {
-        return Err(no_replica("all are leaving, tried or unknown"));
+        let left = listed.iter().filter(|replica| replica.is_staying(now));
+        return Err(match end_of_pauses(left, now) {
+            Some(time) => paused(state, time),
+            None => no_replica("all are leaving, tried or unknown"),
+        });
     }
     staying.retain(|replica| has_usable_weights(state, context, replica, rank));
     if staying.is_empty() {
@@ -188,21 +191,30 @@
     replicas: &mut Vec<Rc<Replica>>,
     now: Instant,
 ) -> Result<(), Refusal> {
-    let mut soonest: Option<Pause> = None;
-    replicas.retain(|replica| {
-        let Some(pause) = replica.notices.pause(now) else {
-            return true;
-        };
-        replica.notices.log_passed_over(replica.id(), &pause, now);
-        if soonest.is_none_or(|known| pause.until < known.until) {
-            soonest = Some(pause);
+    if let Some(time) = end_of_pauses(replicas.iter(), now) {
+        return Err(paused(state, time));
+    }
+    replicas.retain(|replica| match replica.notices.pause(now) {
+        Some(pause) => {
+            replica.notices.log_passed_over(replica.id(), &pause, now);
+            false
         }
-        false
+        None => true,
     });
-    match soonest.filter(|_| replicas.is_empty()) {
-        Some(pause) => Err(paused(state, pause.until.saturating_duration_since(now))),
-        None => Ok(()),
+    Ok(())
+}
+
+/// After which time the first of these replicas takes requests again, where all have asked for a pause.
+fn end_of_pauses<'a>(
+    replicas: impl Iterator<Item = &'a Rc<Replica>>,
+    now: Instant,
+) -> Option<Duration> {
+    let mut soonest: Option<Instant> = None;
+    for replica in replicas {
+        let until = replica.notices.pause(now)?.until;
+        soonest = Some(soonest.map_or(until, |known| known.min(until)));
     }
+    soonest.map(|until| until.saturating_duration_since(now))
 }
 
 /// The refusal of a request that no replica takes for so long.
--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -63,6 +63,8 @@
     Failed(SendFailure),
     /// It waited until the replica's weights became too old.
     Withdrawn,
+    /// It was not sent: while its connection came up the replica asked for a rest.
+    Resting,
 }
 
 /// Sends the request and waits for the head of the answer as long as it may begin there. A kept connection that
@@ -78,6 +80,10 @@
     note_prompt(state, choice);
     loop {
         let mut connection = connect(state, choice).await.map_err(Unanswered::Failed)?;
+        if choice.replica.notices.is_resting(Instant::now()) {
+            pool.put(connection);
+            return Err(Unanswered::Resting);
+        }
         // While the connection came up: a request that is not sent has not run, one that is withdrawn may have.
         if is_too_old(state, context, choice) {
             return Err(Unanswered::Failed(not_sent(choice, TOO_OLD_BY_NOW)));
