--- a/crates/driftctl/src/explain.rs
+++ b/crates/driftctl/src/explain.rs
@@ -16,7 +16,7 @@
 ];
 
 /// Events of the process that may be the cause of what befell a request.
-const SURROUNDINGS: [&str; 20] = [
+const SURROUNDINGS: [&str; 24] = [
     "GATEWAY_STARTED",
     "GATEWAY_STOPPING",
     "GATEWAY_STOPPED",
@@ -28,6 +28,10 @@
     "REPLICA_GONE",
     "REPLICA_SUSPECT",
     "REPLICA_ENDED",
+    "REPLICA_LIMIT_CHANGED",
+    "REPLICA_PASSED_OVER",
+    "REPLICA_SAID_LEAVING",
+    "REPLICA_ASKED_FOR_REST",
     "REQUEST_STRUCK",
     "REQUEST_QUARANTINED",
     "REQUEST_TRIED",
@@ -232,6 +236,10 @@
         (_, "NotRun") => {
             "refused as not run: the replicas that were asked did not take it".to_owned()
         }
+        (_, "Paused") => {
+            "refused as not run: every replica that could serve had asked for a pause; look for REPLICA_PASSED_OVER"
+                .to_owned()
+        }
         (_, "Quarantined") => {
             "refused as not run: replicas that ran the same request have ended; look for REQUEST_QUARANTINED with its fingerprint"
                 .to_owned()
--- a/crates/driftctl/tests/explain.rs
+++ b/crates/driftctl/tests/explain.rs
@@ -203,3 +203,31 @@
     }
     assert!(!text.contains("fingerprint=bb"), "{text}");
 }
+
+#[test]
+fn a_request_that_every_replica_put_off_is_told_with_what_the_first_of_them_said() {
+    let log = [
+        line(
+            "10:00:01",
+            "REPLICA_PASSED_OVER",
+            "replica=i-1 said=limit:1/s said_ago=2s ends_in=300ms",
+        ),
+        line(
+            "10:00:01",
+            "REPLICA_PASSED_OVER",
+            "replica=i-2 said=rest said_ago=1s ends_in=2s",
+        ),
+        line(
+            "10:00:02",
+            "CALLER_REFUSED",
+            "request=r1 route=a status=503 step=Choose reason=Paused peer=None detail=\"all asked for a pause, the first back is replica=i-1 said=limit:1/s ends_in=300ms\"",
+        ),
+    ]
+    .concat();
+    let told = explain("r1", log.as_bytes()).expect("readable");
+    assert!(told.is_complete);
+    let around = told.lines.iter().filter(|line| line.contains("said_ago"));
+    let around: Vec<&String> = around.collect();
+    assert_eq!(around.len(), 1, "{:?}", told.lines);
+    assert!(around[0].contains("replica=i-1 said=limit:1/s"));
+}
--- a/crates/gateway/src/notices/replica_notices.rs
+++ b/crates/gateway/src/notices/replica_notices.rs
@@ -1,6 +1,7 @@
 //! All that one life of a replica has said of itself.
 
 use std::cell::Cell;
+use std::fmt;
 use std::time::Duration;
 
 use driftspring_clock::Instant;
@@ -10,6 +11,15 @@
 use super::limit::LimitNotice;
 use crate::protocol::RequestRate;
 
+impl fmt::Display for PauseCause {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Limit(rate) => write!(formatter, "limit:{rate}"),
+            Self::Rest => formatter.write_str("rest"),
+        }
+    }
+}
+
 /// The shortest pause after a permit was not given: its request goes elsewhere in that time.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(20);
 
@@ -141,7 +151,7 @@
         self.passed_over_logged_at.set(Some(now));
         log_event!(
             gateway::REPLICA_PASSED_OVER,
-            "replica={id} cause={:?} said_ago={:?} ends_in={:?}",
+            "replica={id} said={} said_ago={:?} ends_in={:?}",
             pause.cause,
             now.saturating_duration_since(pause.said_at),
             pause.until.saturating_duration_since(now)
--- a/crates/gateway/src/notices/take.rs
+++ b/crates/gateway/src/notices/take.rs
@@ -9,7 +9,7 @@
 
 use super::limit::LimitNotice;
 use super::replica_notices::Rest;
-use crate::protocol::{AnswerMeta, HeadField, UnreadableReason};
+use crate::protocol::{AnswerMeta, HeadField, RequestRate, UnreadableReason};
 use crate::replicas::Replica;
 use crate::state::GatewayState;
 use crate::store::Rejected;
@@ -90,9 +90,10 @@
     }
     log_event!(
         gateway::REPLICA_LIMIT_CHANGED,
-        "replica={} before={before:?} limit={:?} told_by={teller:?}",
+        "replica={} before={} limit={} told_by={teller:?}",
         replica.id(),
-        replica.notices.limit()
+        describe(before),
+        describe(replica.notices.limit())
     );
     if teller == Teller::Answer {
         state.notice_news.note(replica);
@@ -110,6 +111,10 @@
     is_to_request && (is_named || !answer.is_misdirected)
 }
 
+fn describe(limit: Option<RequestRate>) -> String {
+    limit.map_or_else(|| "none".to_owned(), |rate| rate.to_string())
+}
+
 fn note_answered_limit(
     state: &GatewayState,
     replica: &Rc<Replica>,
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -192,10 +192,12 @@
         self.log_attempt(choice, "no_permit", &format!("wait {:?}", denied.wait));
         self.denied += 1;
         self.least_wait = self.least_wait.min(denied.wait);
-        match self.denied >= MAX_DENIED {
-            true => Err(self.without_replica(paused(&self.state, self.least_wait))),
-            false => Ok(()),
+        if self.denied < MAX_DENIED {
+            return Ok(());
         }
+        let detail = format!("the limits of {} replicas leave no room", self.denied);
+        let refusal = paused(&self.state, self.least_wait, detail);
+        Err(self.without_replica(refusal))
     }
 
     fn take_answer(&mut self, opened: Opened, choice: Choice) -> Result<Option<Attempt>, Refusal> {
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -12,6 +12,7 @@
 use super::refusal::{Reason, Refusal, Step};
 use super::retry_after::return_after_pause;
 use crate::cache::Prefix;
+use crate::notices::Pause;
 use crate::protocol::ReplicaLife;
 use crate::replicas::{Candidate, MOST_COMPARED, PlacementKey, Replica, ServiceReplicas, place};
 use crate::state::GatewayState;
@@ -165,8 +166,8 @@
     let mut staying: Vec<Rc<Replica>> = listed.iter().filter(is_staying).cloned().collect();
     if staying.is_empty() {
         let left = listed.iter().filter(|replica| replica.is_staying(now));
-        return Err(match end_of_pauses(left, now) {
-            Some(time) => paused(state, time),
+        return Err(match soonest_end(left, now) {
+            Some((replica, pause)) => all_paused(state, replica, &pause, now),
             None => no_replica("all are leaving, tried or unknown"),
         });
     }
@@ -191,8 +192,8 @@
     replicas: &mut Vec<Rc<Replica>>,
     now: Instant,
 ) -> Result<(), Refusal> {
-    if let Some(time) = end_of_pauses(replicas.iter(), now) {
-        return Err(paused(state, time));
+    if let Some((replica, pause)) = soonest_end(replicas.iter(), now) {
+        return Err(all_paused(state, replica, &pause, now));
     }
     replicas.retain(|replica| match replica.notices.pause(now) {
         Some(pause) => {
@@ -204,22 +205,35 @@
     Ok(())
 }
 
-/// After which time the first of these replicas takes requests again, where all have asked for a pause.
-fn end_of_pauses<'a>(
+/// The first of these replicas that takes requests again, where all have asked for a pause.
+fn soonest_end<'a>(
     replicas: impl Iterator<Item = &'a Rc<Replica>>,
     now: Instant,
-) -> Option<Duration> {
-    let mut soonest: Option<Instant> = None;
+) -> Option<(&'a Replica, Pause)> {
+    let mut soonest: Option<(&Replica, Pause)> = None;
     for replica in replicas {
-        let until = replica.notices.pause(now)?.until;
-        soonest = Some(soonest.map_or(until, |known| known.min(until)));
+        let pause = replica.notices.pause(now)?;
+        if soonest.is_none_or(|(_, known)| pause.until < known.until) {
+            soonest = Some((replica, pause));
+        }
     }
-    soonest.map(|until| until.saturating_duration_since(now))
+    soonest
+}
+
+/// The refusal where this replica is the first to take requests again.
+fn all_paused(state: &GatewayState, replica: &Replica, pause: &Pause, now: Instant) -> Refusal {
+    replica.notices.log_passed_over(replica.id(), pause, now);
+    let time = pause.until.saturating_duration_since(now);
+    let detail = format!(
+        "all asked for a pause, the first back is replica={} said={} ends_in={time:?}",
+        replica.id(),
+        pause.cause
+    );
+    paused(state, time, detail)
 }
 
 /// The refusal of a request that no replica takes for so long.
-pub fn paused(state: &GatewayState, time: Duration) -> Refusal {
-    let detail = format!("all replicas asked for a pause, the shortest ends in {time:?}");
+pub fn paused(state: &GatewayState, time: Duration, detail: String) -> Refusal {
     Refusal {
         retry_after: Some(return_after_pause(time, state.draw())),
         ..Refusal::new(Step::Choose, Reason::Paused, detail)
