--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod currency;
 pub mod metrics;
 pub mod notices;
+mod own_daemon;
 pub mod peers;
 pub mod permits;
 pub mod pipeline;
--- a/crates/gateway/src/notices/replica_notices.rs
+++ b/crates/gateway/src/notices/replica_notices.rs
@@ -11,15 +11,6 @@
 use super::limit::LimitNotice;
 use crate::protocol::RequestRate;
 
-impl fmt::Display for PauseCause {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Limit(rate) => write!(formatter, "limit:{rate}"),
-            Self::Rest => formatter.write_str("rest"),
-        }
-    }
-}
-
 /// The shortest pause after a permit was not given: its request goes elsewhere in that time.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(20);
 
@@ -69,6 +60,15 @@
     Rest,
 }
 
+impl fmt::Display for PauseCause {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Limit(rate) => write!(formatter, "limit:{rate}"),
+            Self::Rest => formatter.write_str("rest"),
+        }
+    }
+}
+
 impl ReplicaNotices {
     /// The limit in force.
     pub fn limit(&self) -> Option<RequestRate> {
--- a/crates/gateway/src/peers/notices.rs
+++ b/crates/gateway/src/peers/notices.rs
@@ -60,12 +60,14 @@
 /// Tells a daemon that has asked a question what is known, at once where it is new and then every few seconds: it may have
 /// just started, and datagrams are lost.
 pub(super) async fn remind(state: &GatewayState, socket: &tokio::net::UdpSocket, to: SocketAddr) {
-    let replicas = survey(state);
-    let replicas = replicas
-        .iter()
-        .filter(|replica| replica.notices.is_for_all_daemons());
+    let surveyed = survey(state);
+    if surveyed.is_empty() || !is_due(state, to) {
+        return;
+    }
+    let replicas = surveyed.iter();
+    let replicas = replicas.filter(|replica| replica.notices.is_for_all_daemons());
     let replicas: Vec<&Rc<Replica>> = replicas.collect();
-    if replicas.is_empty() || !is_due(state, to) {
+    if replicas.is_empty() {
         return;
     }
     let now = Instant::now();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,7 +3,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
@@ -25,8 +24,9 @@
 use crate::currency::Currency;
 use crate::metrics::GatewayMetrics;
 use crate::notices::{NoticeNews, NoticeSurvey};
+use crate::own_daemon::{machine, own_daemon, seeds};
 use crate::peers::Peers;
-use crate::peers::message::{Change, Item, ItemKey, WireDaemon, WireReplica};
+use crate::peers::message::{Change, Item, ItemKey, WireReplica};
 use crate::permits::Permits;
 use crate::protocol::{Platform, ReplicaEntry, Unreadable, UnreadableReason};
 use crate::quarantine::Quarantine;
@@ -473,42 +473,3 @@
         slack: settings.slack,
     }
 }
-
-/// What holds a lease: a machine, whichever process runs on it. One that takes the place of another at a new
-/// address is another machine, even under the same name.
-fn machine(settings: &GatewaySettings) -> String {
-    format!("{}@{}", settings.name, settings.listen.peers.ip())
-}
-
-fn own_daemon(settings: &GatewaySettings) -> WireDaemon {
-    WireDaemon {
-        name: settings.name.clone(),
-        peers: settings.listen.peers.to_string(),
-        zone: settings.zone.clone(),
-        capacity: capacity(settings),
-    }
-}
-
-/// What the gateway's machine can carry, see [`WireDaemon::capacity`].
-fn capacity(settings: &GatewaySettings) -> u32 {
-    let machine = settings.machine;
-    (machine.cores * 1000.0).min(machine.link_megabits) as u32
-}
-
-/// The machines named as seeds, at the port at which every daemon listens for others. Each daemon begins with
-/// another one: hundreds that start together would all ask the first.
-fn seeds(settings: &GatewaySettings) -> Vec<WireDaemon> {
-    let own = settings.listen.peers;
-    let others = settings.seeds.iter().filter(|seed| seed.ip() != own.ip());
-    let mut seeds: Vec<WireDaemon> = others
-        .map(|seed| WireDaemon {
-            name: format!("seed {}", seed.ip()),
-            peers: SocketAddr::new(seed.ip(), own.port()).to_string(),
-            zone: settings.zone.clone(),
-            capacity: 0,
-        })
-        .collect();
-    let first = xxh3_64(settings.name.as_bytes()) as usize % seeds.len().max(1);
-    seeds.rotate_left(first);
-    seeds
-}
--- a/crates/gateway/tests/mixed_versions.rs
+++ b/crates/gateway/tests/mixed_versions.rs
@@ -4,7 +4,9 @@
 #[path = "support/questions.rs"]
 mod questions;
 
-use driftspring_gateway::peers::message::{Ask, Tell, WireLease, WireWeights};
+use driftspring_gateway::peers::message::{
+    Ask, AskPermit, Message, Tell, WireLease, WireNotice, WireWeights,
+};
 use driftspring_gateway::protocol::LeaseRecord;
 use driftspring_gateway::rollout::{OrderLease, lease_times};
 use driftspring_gateway::store::{StoreEra, StorePosition};
@@ -235,3 +237,50 @@
     read(&mut first, &store, at(100));
     assert_eq!(step(&mut first, &mut store, at(100)), None);
 }
+
+/// What an earlier version knows of a replica's notices, which say no more than the limit.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+struct EarlierNotice {
+    replica: String,
+    #[musli(default)]
+    born: Option<u64>,
+}
+
+/// The kinds of messages of a version that knows nothing of notices and permits: their numbers come before all others.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+enum EarlierMessage {
+    Ask(Ask),
+    Tell(Box<Tell>),
+    Nudge,
+    StoreRecovered,
+}
+
+#[test]
+fn a_message_of_a_kind_that_is_not_known_does_not_decode_and_known_ones_do() {
+    let unknown = Message::AskPermit(AskPermit {
+        nonce: 1,
+        life: 2,
+        limit_thousandths: Some(3),
+    });
+    let bytes = unknown.encode().expect("encodes");
+    assert!(musli::wire::decode::<_, EarlierMessage>(&bytes[..]).is_err());
+    for (known, earlier) in [
+        (Message::Nudge, EarlierMessage::Nudge),
+        (Message::StoreRecovered, EarlierMessage::StoreRecovered),
+    ] {
+        let bytes = musli::wire::to_vec(&earlier).expect("encodes");
+        assert_eq!(Message::decode(&bytes), Some(known));
+    }
+}
+
+#[test]
+fn a_notice_with_fewer_fields_is_understood() {
+    let earlier = EarlierNotice {
+        replica: "i-1".to_owned(),
+        born: Some(7),
+    };
+    let bytes = musli::wire::to_vec(&earlier).expect("encodes");
+    let notice: WireNotice = musli::wire::decode(&bytes[..]).expect("decodes");
+    assert_eq!((notice.limit, notice.is_leaving), (None, false));
+    assert_eq!(notice.life().born, Some(7));
+}
