--- a/crates/gateway/src/notices/survey.rs
+++ b/crates/gateway/src/notices/survey.rs
@@ -10,7 +10,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::replicas::{Registry, Replica};
 
-/// For how long a survey holds: to look at 10,000 replicas takes some 100 µs.
+/// For how long a survey holds: it goes through all replicas, of which there may be ten thousand.
 pub const HOLDS_FOR: Duration = Duration::from_secs(1);
 
 /// The replicas that have said something of themselves.
--- a/crates/gateway/src/permits/mod.rs
+++ b/crates/gateway/src/permits/mod.rs
@@ -5,7 +5,8 @@
 //! each send asks it first. Asking takes a round trip, and only where a replica has named a limit.
 //!
 //! An issuer that is silent is passed over for the next in rank, which issues a part of the rate: the first may
-//! still be there for others. A limit is exceeded by no more than half while two sides can't reach each other.
+//! still be there for others. Where it stays silent to that one too, for 4 s, it is taken for gone, and the next issues in
+//! full: two sides that can't reach each other for longer send up to the limit each.
 //!
 //! - [`bucket`]: the permits for one replica.
 //! - [`issuer`]: all permits that this daemon issues.
