--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -9,6 +9,7 @@
 use super::cached;
 use super::change_log::{ChangeLog, LogPage};
 use super::configuration;
+use super::convert::to_ms;
 use super::directory::short_digest;
 use super::message::{
     Ask, Change, Loading, Message, RECEIVE_BYTES, Report, Tell, TellCached, TellConfiguration,
@@ -168,7 +169,6 @@
     let log = state.peers.log.borrow();
     let (page, packed) = page(state, &log, question);
     let proof = state.currency.proof();
-    let to_ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     // Rounded up: a proof, or newly named weights, may look older than they are, never newer.
     let to_ms_up = |time: Duration| to_ms(time) + 1;
     let to_wire = |weights: ModelVersion, since: Since| WireWeights {
--- a/crates/gateway/src/peers/convert.rs
+++ b/crates/gateway/src/peers/convert.rs
@@ -5,6 +5,11 @@
 use super::message::{WireDaemon, WireReplica};
 use crate::protocol::{DaemonRecord, ModelVersion, ReplicaEntry, ReplicaLife};
 
+/// A time in whole milliseconds, as datagrams bear it.
+pub(crate) fn to_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl From<&ReplicaEntry> for WireReplica {
     fn from(entry: &ReplicaEntry) -> Self {
         let models = entry.models.iter();
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -58,5 +58,6 @@
 pub mod view;
 
 pub use configuration::bound_first_word;
+pub(crate) use convert::to_ms;
 pub use known::Peers;
 pub use task::run;
--- a/crates/gateway/src/peers/notices.rs
+++ b/crates/gateway/src/peers/notices.rs
@@ -7,6 +7,7 @@
 
 use driftspring_clock::Instant;
 
+use super::convert::to_ms;
 use super::message::{Message, Report, WireLimit, WireNotice};
 use super::news::tell_other_groups;
 use super::send::send_to;
@@ -93,10 +94,7 @@
 }
 
 fn to_wire(replica: &Replica, now: Instant) -> WireNotice {
-    let age_ms = |at: Instant| {
-        let age = now.saturating_duration_since(at);
-        u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
-    };
+    let age_ms = |at: Instant| to_ms(now.saturating_duration_since(at));
     WireNotice {
         replica: replica.id().to_owned(),
         born: replica.life.born,
--- a/crates/gateway/src/peers/permits.rs
+++ b/crates/gateway/src/peers/permits.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use super::convert::to_ms;
 use super::directory::name_digest;
 use super::message::{AskPermit, Message, TellPermit};
 use super::send::{send, send_to};
@@ -41,7 +42,7 @@
         nonce: question.nonce,
         daemon: name_digest(&state.peers.own().name),
         is_granted: issued.is_ok(),
-        wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+        wait_ms: to_ms(wait),
     };
     send_to(socket, &Message::TellPermit(told), from).await;
 }
--- a/crates/gateway/src/peers/records.rs
+++ b/crates/gateway/src/peers/records.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use super::convert::to_ms;
 use super::message::{Message, Report, WireRecord, WireRecords, WireStrike, WireStruck};
 use super::news::tell_other_groups;
 use super::send::{send, send_to};
@@ -269,7 +270,7 @@
 }
 
 fn age_ms(now: Duration, at: Duration) -> u64 {
-    u64::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u64::MAX)
+    to_ms(now.saturating_sub(at))
 }
 
 fn moment(now: Duration, age_ms: u64) -> Duration {
--- a/crates/gateway/src/quota/shared.rs
+++ b/crates/gateway/src/quota/shared.rs
@@ -12,6 +12,7 @@
 use super::usage::{COUNTED_BACK, GroupUsage, TenantTotals, Totals};
 use crate::configuration::Tenant;
 use crate::peers::message::{WireGroupUsage, WireTotals, WireUsage};
+use crate::peers::to_ms;
 
 /// Reports of other groups that are kept for the next report to the own group; more are dropped, and made up for by
 /// later ones.
@@ -72,7 +73,7 @@
 
     /// The time of this daemon's reports, in milliseconds since the limits were set up.
     pub fn now_ms(&self, now: Instant) -> u64 {
-        u64::try_from(self.since_begin(now).as_millis()).unwrap_or(u64::MAX)
+        to_ms(self.since_begin(now))
     }
 
     fn since_begin(&self, now: Instant) -> Duration {
