--- /dev/null
+++ b/crates/decisions/src/lib.rs
@@ -0,0 +1,19 @@
+//! Decisions about requests under load: admission, placement and return times.
+//!
+//! Every decision is a function of a snapshot of what the gateway knows. Nothing here reads a clock, starts a task or
+//! opens a socket, so that generated load can be replayed against the decisions in tests without a network. Each module
+//! names the load that it answers.
+//!
+//! - [`admission`]: whether a request is sent now, behind others, or refused.
+//! - [`placement`]: which replica takes a request.
+//! - [`prefill`]: how long a replica takes to prefill a prompt.
+//! - [`queue_state`]: the wait in the queues of all replicas of a service together.
+//! - [`retry_after`]: when a refused caller should retry.
+//! - [`wait_statistics`]: the waits at one replica, from requests that have started.
+
+pub mod admission;
+pub mod placement;
+pub mod prefill;
+pub mod queue_state;
+pub mod retry_after;
+pub mod wait_statistics;
--- a/crates/gateway/tests/admission.rs
+++ b/crates/decisions/tests/admission.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use driftspring_gateway::pipeline::{is_in_time, is_worth_sending, late_rank, retry_after};
+use driftspring_decisions::admission::{is_in_time, is_worth_sending, late_rank};
+use driftspring_decisions::retry_after::retry_after;
 use quickcheck::quickcheck;
 
 fn ms(milliseconds: u64) -> Duration {
--- a/crates/gateway/tests/support/candidates.rs
+++ b/crates/decisions/tests/support/mod.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use driftspring_gateway::replicas::Candidate;
+use driftspring_decisions::placement::Candidate;
 
 /// A candidate in the own zone that has cached nothing of the prompt, with `open_requests` open requests.
 pub fn candidate(id_hash: u64, open_requests: u32) -> Candidate {
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -5,16 +5,17 @@
 use std::time::Duration;
 
 use driftspring_clock::Instant;
+use driftspring_decisions::placement::{Candidate, PlacementKey, place};
+use driftspring_decisions::retry_after::retry_after_pause;
 
 use super::admission::{Admitted, Progress, admit};
 use super::context::RequestContext;
 use super::prompt_sources::{PromptSources, Supply};
 use super::refusal::{Reason, Refusal, Step};
-use super::retry_after::retry_after_pause;
 use crate::cache::Prefix;
 use crate::notices::Pause;
 use crate::protocol::ReplicaIncarnation;
-use crate::replicas::{Candidate, MAX_COMPARED, PlacementKey, Replica, ServiceReplicas, place};
+use crate::replicas::{MAX_COMPARED, Replica, ServiceReplicas};
 use crate::state::GatewayState;
 
 /// Minimum number of shared tokens for a prompt to be worth saving to a KV store; fewer are recomputed quickly.
--- a/crates/gateway/src/pipeline/context.rs
+++ b/crates/gateway/src/pipeline/context.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use driftspring_clock::Instant;
+use driftspring_decisions::placement::PlacementKey;
 use http::header::HOST;
 use http::{HeaderMap, Method};
 use xxhash_rust::xxh3::xxh3_64;
@@ -14,7 +15,7 @@
 use crate::configuration::{Configuration, EngineLimits, Route, Tenant};
 use crate::protocol::{Prompt, PromptPart, RequestMeta};
 use crate::quarantine::Fingerprint;
-use crate::replicas::{PlacementKey, Replica};
+use crate::replicas::Replica;
 
 /// Time limit that stands in for the caller's or the route's, if that one is not set.
 const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(600);
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -25,7 +25,6 @@
 mod read_body;
 mod refusal;
 mod relay;
-mod retry_after;
 mod withdrawal;
 
 use driftspring_clock::Instant;
@@ -41,10 +40,8 @@
 use decode::Decoded;
 use refusal::Refusal;
 
-pub use admission::{are_queues_too_long, is_in_time, is_worth_sending, late_rank};
 pub use event_splitter::EventSplitter;
 pub use first_list::first_list_timeout;
-pub use retry_after::{retry_after, retry_after_pause};
 
 /// Serves one request and turns a refusal into its answer.
 pub async fn respond(
--- a/crates/gateway/src/pipeline/prompt_sources.rs
+++ b/crates/gateway/src/pipeline/prompt_sources.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use driftspring_clock::Instant;
+use driftspring_decisions::prefill::estimated_prefill_time;
 
 use super::context::RequestContext;
 use crate::cache::{Prefix, prefixes};
 use crate::configuration::KvStore;
-use crate::replicas::{Replica, estimated_prefill_time};
+use crate::replicas::Replica;
 use crate::state::GatewayState;
 
 /// Factor of a fetch's cost over its time on an idle link, since others use the link too.
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use driftspring_clock::Instant;
+use driftspring_decisions::prefill::estimated_prefill_time;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::health::Health;
@@ -246,10 +247,3 @@
         self.replica.open_requests.set(open.saturating_sub(1));
     }
 }
-
-/// Estimated time in which a replica prefills this many tokens of a prompt: that of the slowest engine on the
-/// operator's sheets.
-pub fn estimated_prefill_time(tokens: u64) -> Duration {
-    const TOKENS_PER_MS: u64 = 36;
-    Duration::from_millis(tokens / TOKENS_PER_MS)
-}
--- a/crates/gateway/src/replicas/service_replicas.rs
+++ b/crates/gateway/src/replicas/service_replicas.rs
@@ -9,7 +9,8 @@
 use std::ops::Deref;
 use std::rc::Rc;
 
-use super::placement::{PlacementKey, rendezvous_score};
+use driftspring_decisions::placement::{PlacementKey, rendezvous_score};
+
 use super::replica::Replica;
 
 /// Largest number of replicas that are compared for a request. Each rank costs 1 ms, so a replica of a lower
