--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -9,6 +9,8 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::load::ReplicaLoad;
+
 /// Hash of the prefix that a prompt shares with others. Equal keys rank the replicas identically.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlacementKey(pub u64);
@@ -18,10 +20,8 @@
 pub struct Candidate {
     /// The hash of its id.
     pub id_hash: u64,
-    /// Requests of this gateway that are open at the replica.
-    pub open_requests: u32,
-    /// How long the replica will still be prefilling prompts, as far as the gateways have told each other.
-    pub remaining_prefill: Duration,
+    /// Its load.
+    pub load: ReplicaLoad,
     /// The moving average of failed requests.
     pub failure_rate: f64,
     /// Whether its weights have been older than the wanted ones for so long that its answers lose value.
@@ -101,8 +101,8 @@
     } else {
         0.0
     };
-    milliseconds(candidate.remaining_prefill)
-        + OPEN_REQUEST_COST_MS * f64::from(candidate.open_requests)
+    milliseconds(candidate.load.remaining_prefill)
+        + OPEN_REQUEST_COST_MS * f64::from(candidate.load.open_requests)
         + FAILURE_COST_MS * candidate.failure_rate
         + outdated
 }
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -302,8 +302,7 @@
 ) -> Candidate {
     Candidate {
         id_hash: replica.id_hash,
-        open_requests: replica.open_requests(),
-        remaining_prefill: replica.remaining_prefill(Instant::now()),
+        load: replica.load(Instant::now()),
         has_outdated_weights: is_penalized_as_outdated(state, context, replica),
         failure_rate: replica.health.failure_rate(),
         is_in_own_zone: replica.entry().zone == state.settings.zone,
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use driftspring_clock::Instant;
+use driftspring_decisions::load::ReplicaLoad;
 use driftspring_decisions::prefill::estimated_prefill_time;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -218,6 +219,15 @@
         self.assigned_prompt_tokens.get()
     }
 
+    /// Its load at `now`, as far as this gateway knows it.
+    pub fn load(&self, now: Instant) -> ReplicaLoad {
+        ReplicaLoad {
+            open_requests: self.open_requests(),
+            remaining_prefill: self.remaining_prefill(now),
+            ..ReplicaLoad::default()
+        }
+    }
+
     /// How long it will still be prefilling prompts, as far as the gateways have told each other.
     pub fn remaining_prefill(&self, now: Instant) -> Duration {
         let until = self.prefill_until.get();
