--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -32,6 +32,8 @@
     pub fetch_time: Duration,
     /// The time to recompute the shared parts that are cached nowhere. It is not counted at their home.
     pub recompute_time: Duration,
+    /// The cost of prefilling the prompt beside the streams that run there, see [`crate::interference`].
+    pub interference_cost_ms: f64,
 }
 
 /// Cost of one open request: it shares the steps of its replica.
@@ -104,6 +106,7 @@
     milliseconds(candidate.load.remaining_prefill)
         + OPEN_REQUEST_COST_MS * f64::from(candidate.load.open_requests)
         + FAILURE_COST_MS * candidate.failure_rate
+        + candidate.interference_cost_ms
         + outdated
 }
 
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -308,6 +308,7 @@
         is_in_own_zone: replica.entry().zone == state.settings.zone,
         fetch_time: supply.fetch_cost,
         recompute_time: supply.prefill_cost,
+        interference_cost_ms: 0.0,
     }
 }
 
