--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -45,6 +45,8 @@
     pub objective: Duration,
     /// How long callers wait for the first event of a stream before they give up; `None` if no such limit is known.
     pub first_event_timeout: Option<Duration>,
+    /// The longest pause between events of a stream that its callers accept; `None` if the route names none.
+    pub pause_target: Option<Duration>,
     /// The priority of its requests; 0 is the most urgent.
     pub priority: u8,
     /// The maximum number of replicas that may run one request.
@@ -178,6 +180,7 @@
     routes_by_host: HashMap<String, Vec<Arc<Route>>>,
     services: HashMap<String, Service>,
     longest_objectives: HashMap<String, Duration>,
+    shortest_pause_targets: HashMap<String, Duration>,
     kv_stores: Vec<NamedKvStore>,
     tenants_by_key: Option<HashMap<String, Arc<Tenant>>>,
     /// Limits on the size of callers' requests.
@@ -191,6 +194,11 @@
         self.longest_objectives.get(service).copied()
     }
 
+    /// The shortest pause target of the routes to a service; `None` if no route to it has one.
+    pub fn shortest_pause_target(&self, service: &str) -> Option<Duration> {
+        self.shortest_pause_targets.get(service).copied()
+    }
+
     /// Builds a configuration. Without `tenants` no request needs a key.
     pub fn new(
         version: u64,
@@ -202,9 +210,11 @@
         let named = |service: Service| (service.name.clone(), service);
         let services: HashMap<String, Service> = services.into_iter().map(named).collect();
         let longest_objectives = longest_objectives(&routes);
+        let shortest_pause_targets = shortest_pause_targets(&routes);
         Self {
             version,
             longest_objectives,
+            shortest_pause_targets,
             routes_by_host: index_routes(routes),
             kv_stores: name_kv_stores(&services),
             services,
@@ -320,3 +330,18 @@
     }
     longest
 }
+
+/// The shortest pause target of the routes to each service; services without any are left out.
+fn shortest_pause_targets(routes: &[Route]) -> HashMap<String, Duration> {
+    let mut shortest: HashMap<String, Duration> = HashMap::new();
+    for route in routes {
+        let Some(target) = route.pause_target else {
+            continue;
+        };
+        for backend in &route.backends {
+            let known = shortest.entry(backend.service.clone()).or_insert(target);
+            *known = target.min(*known);
+        }
+    }
+    shortest
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -95,6 +95,14 @@
     pub replicas_resting: Gauge,
     /// Number of replicas that have announced that they are leaving; updated every second.
     pub replicas_leaving: Gauge,
+    /// Pauses between events of streams that were longer than the pause target of their route.
+    pub pauses_over_target: Counter,
+    /// Streams with a pause target that are expected to run at all replicas; updated every second.
+    pub streams_expected: Gauge,
+    /// Open streams of this gateway with a pause target; updated every second.
+    pub streams_open: Gauge,
+    /// Replicas that long prompts prefer and streams avoid; updated every second.
+    pub replicas_reserved: Gauge,
     registry: Mutex<Registry>,
 }
 
@@ -143,6 +151,10 @@
             replicas_limited: Gauge::default(),
             replicas_leaving: Gauge::default(),
             replicas_resting: Gauge::default(),
+            pauses_over_target: Counter::default(),
+            streams_expected: Gauge::default(),
+            streams_open: Gauge::default(),
+            replicas_reserved: Gauge::default(),
             registry: Mutex::new(Registry::with_prefix("driftspring_gateway")),
         };
         metrics.register();
@@ -191,6 +203,11 @@
                 "Requests refused since every replica that could serve had asked for a pause",
                 &self.paused,
             ),
+            (
+                "pauses_over_target",
+                "Pauses between events of streams beyond the pause targets of their routes",
+                &self.pauses_over_target,
+            ),
             (
                 "permits_granted",
                 "Permits to send to replicas with limits",
@@ -311,6 +328,21 @@
             "Replicas that said in an answer that they are leaving",
             self.replicas_leaving.clone(),
         );
+        registry.register(
+            "streams_expected",
+            "Streams with a pause target that are expected to run at replicas, for all gateways",
+            self.streams_expected.clone(),
+        );
+        registry.register(
+            "streams_open",
+            "Open streams of this gateway with a pause target",
+            self.streams_open.clone(),
+        );
+        registry.register(
+            "replicas_reserved",
+            "Replicas that long prompts prefer and streams avoid",
+            self.replicas_reserved.clone(),
+        );
         registry.register(
             "store_era",
             "The latest era of the store that is known; 0 where it names none",
--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -263,9 +263,14 @@
 pub(super) fn apply_prompts(state: &GatewayState, prompts: &[WirePrompt]) {
     let now = Instant::now();
     let own = short_digest(&state.peers.own().name);
+    let configuration = state.configuration.load();
     for prompt in prompts.iter().filter(|prompt| prompt.sender != own) {
         if let Some(replica) = state.registry.current(&prompt.incarnation()) {
             replica.record_prompt(prompt.tokens, now);
+            let known = configuration.as_deref();
+            state
+                .interference
+                .record_reported(known, &replica, prompt, now);
             let ready_at = now + replica.remaining_prefill(now);
             let prefixes = prompt.prefixes.iter().map(|key| PrefixKey(*key));
             state.holders.record(prefixes, &replica, ready_at, now);
--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/known.rs
@@ -19,12 +19,12 @@
 use super::view::View;
 use crate::cache::CacheUpdate;
 
-/// The minimum size of a prompt, in tokens to prefill, that is reported to others.
+/// The minimum size of a prompt, in tokens to prefill, that is reported to others; streams with a pause target always are.
 pub(super) const MIN_REPORTED_TOKENS: u64 = 1200;
 
 /// The number of prompts in a datagram; further ones are dropped. With ids of usual length this many stay below the
 /// size limit of a datagram, 1,200 bytes.
-pub const MAX_PROMPTS: usize = 18;
+pub const MAX_PROMPTS: usize = 15;
 
 /// The number of seeds that are queried before the store. One that doesn't reply takes 0.65 s and is then skipped for
 /// 2.5 s, so all of them have failed before the first one's turn comes again, and this gateway reads the store.
@@ -330,10 +330,12 @@
         self.outbox_changed.notify_one();
     }
 
-    /// Reports a prompt that was dispatched to a replica, if it is long or has prefixes to cache.
+    /// Reports a prompt that was dispatched to a replica, if it is long, has prefixes to cache, or starts a stream with a
+    /// pause target.
     pub fn report_prompt(&self, mut prompt: WirePrompt) {
         prompt.sender = short_digest(&self.own.name);
-        if prompt.tokens < MIN_REPORTED_TOKENS && prompt.prefixes.is_empty() {
+        let is_short = prompt.tokens < MIN_REPORTED_TOKENS;
+        if is_short && prompt.prefixes.is_empty() && !prompt.is_stream_with_pause_target() {
             return;
         }
         self.prompt_relay.gather(&prompt);
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -362,6 +362,11 @@
 }
 
 impl WirePrompt {
+    /// Whether the answer is a stream whose callers accept pauses of a limited length only.
+    pub fn is_stream_with_pause_target(&self) -> bool {
+        self.pause_target_ms > 0
+    }
+
     /// The incarnation that received the prompt.
     pub fn incarnation(&self) -> ReplicaIncarnation {
         incarnation(&self.replica, self.born)
@@ -421,6 +426,15 @@
     /// A short digest of the sending gateway's name, by which that gateway recognizes its own reports.
     #[musli(default)]
     pub sender: u32,
+    /// The expected number of output tokens of a stream; 0 if unknown.
+    #[musli(default)]
+    pub output_tokens: u32,
+    /// The longest pause between its events that the callers of a stream accept, in milliseconds; 0 for none.
+    #[musli(default)]
+    pub pause_target_ms: u32,
+    /// The number of tokens of the whole prompt; 0 if unknown.
+    #[musli(default)]
+    pub whole_tokens: u32,
 }
 
 /// Prompts that gateways of one group dispatched, for another group.
--- a/crates/gateway/src/peers/prompt_relay.rs
+++ b/crates/gateway/src/peers/prompt_relay.rs
@@ -20,8 +20,12 @@
 /// which a prompt should be prefilled (one simulation of a grown deployment: worth 0.5745, with 100 ms 0.5639).
 const BATCH_DELAY: Duration = Duration::from_millis(40);
 
-/// The number of datagrams in a batch; further prompts are dropped. 108 prompts in 40 ms are 2,700 per second.
-const MAX_DATAGRAMS: usize = 6;
+/// The number of datagrams in a batch; further prompts are dropped. 120 prompts in 40 ms are 3,000 per second.
+const MAX_DATAGRAMS: usize = 8;
+
+/// The number of prompts in a batch up to which streams below [`MIN_REPORTED_TOKENS`] are added: half of it, so that many
+/// short streams don't displace the long prompts.
+const MAX_SHORT_STREAMS: usize = MAX_PROMPTS * MAX_DATAGRAMS / 2;
 
 /// The pending batches of a relay.
 #[derive(Debug, Default)]
@@ -52,7 +56,9 @@
 
     /// Adds a prompt of the own group to the next batch, if this gateway is the relay.
     pub fn gather(&self, prompt: &WirePrompt) {
-        if self.is_relay.get() && prompt.tokens >= MIN_REPORTED_TOKENS {
+        let is_relayed =
+            prompt.tokens >= MIN_REPORTED_TOKENS || prompt.is_stream_with_pause_target();
+        if self.is_relay.get() && is_relayed {
             self.push(&self.outgoing, prompt);
         }
     }
@@ -76,7 +82,12 @@
 
     fn push(&self, batch: &RefCell<Vec<WirePrompt>>, prompt: &WirePrompt) {
         let mut batch = batch.borrow_mut();
-        if batch.len() < MAX_PROMPTS * MAX_DATAGRAMS {
+        let is_short = prompt.tokens < MIN_REPORTED_TOKENS;
+        let limit = match is_short && prompt.is_stream_with_pause_target() {
+            true => MAX_SHORT_STREAMS,
+            false => MAX_PROMPTS * MAX_DATAGRAMS,
+        };
+        if batch.len() < limit {
             batch.push(prompt.clone());
             self.gathered.notify_one();
         }
--- a/crates/gateway/src/pipeline/account.rs
+++ b/crates/gateway/src/pipeline/account.rs
@@ -8,6 +8,7 @@
 use ntex::web::HttpResponse;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use super::pace::StreamTiming;
 use crate::configuration::Route;
@@ -20,6 +21,7 @@
     arrived_at: Instant,
     id: String,
     route: String,
+    pause_target: Option<Duration>,
     timing: StreamTiming,
     is_finished: bool,
 }
@@ -37,6 +39,7 @@
             arrived_at,
             id: String::new(),
             route: String::new(),
+            pause_target: None,
             timing: StreamTiming::default(),
             is_finished: false,
         }
@@ -50,6 +53,7 @@
     /// Sets the request's route.
     pub fn set_route(&mut self, route: &Route) {
         self.route = route.name.clone();
+        self.pause_target = route.pause_target;
     }
 
     /// Request id; empty if there is none.
@@ -78,7 +82,10 @@
 
     /// Records that events of a stream were forwarded.
     pub fn record_events(&mut self) {
-        self.timing.record_events(self.arrived_at, Instant::now());
+        let pause = self.timing.record_events(self.arrived_at, Instant::now());
+        if self.pause_target.is_some_and(|target| pause > target) {
+            self.state.status.metrics.pauses_over_target.inc();
+        }
     }
 
     /// Records that the answer was complete.
@@ -89,11 +96,12 @@
         self.state.status.metrics.request_duration.observe(elapsed);
         log_event!(
             gateway::REQUEST_ENDED,
-            "request={} route={} replica={replica} status={status} elapsed={elapsed:?} first_event={:?} longest_pause={:?}",
+            "request={} route={} replica={replica} status={status} elapsed={elapsed:?} first_event={:?} longest_pause={:?} pause_target={:?}",
             self.id,
             self.route,
             self.timing.first_event_after(),
-            self.timing.longest_pause()
+            self.timing.longest_pause(),
+            self.pause_target
         );
     }
 
@@ -129,6 +137,7 @@
             arrived_at: self.arrived_at,
             id: self.id.clone(),
             route: self.route.clone(),
+            pause_target: self.pause_target,
             timing: self.timing,
             is_finished: false,
         };
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -10,6 +10,7 @@
 
 use super::admission::{Admitted, Progress, admit};
 use super::context::RequestContext;
+use super::interference_costs::{ChosenInterference, InterferenceCosts};
 use super::prompt_sources::{PromptSources, Supply};
 use super::refusal::{Reason, Refusal, Step};
 use crate::cache::Prefix;
@@ -56,6 +57,8 @@
     pub rank: u8,
     /// Number of replicas among which it was chosen.
     pub candidates: usize,
+    /// Interference there, and at the home.
+    pub interference: ChosenInterference,
 }
 
 /// Chooses among the replicas that were not `tried`, if the request will begin at one of them before its caller gives
@@ -68,8 +71,9 @@
 ) -> Result<Choice, Refusal> {
     let listed = state.registry.of_service(&context.service);
     let key = context.placement_key();
+    let costs = InterferenceCosts::new(state, context, listed.len());
     let admitted = match listed.len() > MAX_COMPARED {
-        true => admit_to_compared(state, context, key, tried, progress, &listed),
+        true => admit_to_compared(state, context, key, tried, progress, &listed, &costs),
         false => None,
     };
     let admitted = match admitted {
@@ -91,11 +95,20 @@
     let views: Vec<Candidate> = candidates
         .iter()
         .zip(&supplies)
-        .map(|(replica, supply)| to_candidate(state, context, replica, supply))
+        .map(|(replica, supply)| to_candidate(state, context, replica, supply, &costs))
         .collect();
     let (position, home) =
         place(&views, key, state.draw()).ok_or_else(|| no_replica("none is listed"))?;
     let replica = Rc::clone(&candidates[position]);
+    let interference_at = |position: usize| {
+        let view: &Candidate = &views[position];
+        (view.interference_cost_ms, view.load)
+    };
+    let other_home = (position != home).then(|| {
+        let (cost_ms, load) = interference_at(home);
+        (&*candidates[home], cost_ms, load)
+    });
+    let interference = ChosenInterference::new(interference_at(position), other_home);
     let supply = supplies[position];
     let store = store.map(|store| store.address);
     let weights_version = context.version_of(&replica);
@@ -112,6 +125,7 @@
         is_home: position == home,
         rank,
         candidates: candidates.len(),
+        interference,
         replica,
     })
 }
@@ -145,8 +159,15 @@
     tried: &[ReplicaIncarnation],
     progress: Progress,
     listed: &ServiceReplicas,
+    costs: &InterferenceCosts,
 ) -> Option<Admitted> {
-    let compared = listed.select_for_comparison(key, state.draw());
+    let compared = match costs.separates() {
+        true => {
+            let prefers = |id_hash: u64| costs.prefers(id_hash);
+            listed.select_with_preferred(key, state.draw(), &prefers)
+        }
+        false => listed.select_for_comparison(key, state.draw()),
+    };
     let eligible_for = |rank| eligible(state, context, &compared, tried, rank);
     let admitted = admit(state, context, progress, eligible_for).ok()?;
     let has_enough = admitted.candidates.len() >= MIN_ELIGIBLE_COMPARED;
@@ -299,16 +320,18 @@
     context: &RequestContext,
     replica: &Replica,
     supply: &Supply,
+    costs: &InterferenceCosts,
 ) -> Candidate {
+    let load = replica.load(Instant::now());
     Candidate {
         id_hash: replica.id_hash,
-        load: replica.load(Instant::now()),
+        load,
         has_outdated_weights: is_penalized_as_outdated(state, context, replica),
         failure_rate: replica.health.failure_rate(),
         is_in_own_zone: replica.entry().zone == state.settings.zone,
         fetch_time: supply.fetch_cost,
         recompute_time: supply.prefill_cost,
-        interference_cost_ms: 0.0,
+        interference_cost_ms: costs.at(replica.id_hash, &load),
     }
 }
 
--- a/crates/gateway/src/pipeline/context.rs
+++ b/crates/gateway/src/pipeline/context.rs
@@ -146,6 +146,12 @@
             .map_or(0, |prompt| u64::from(prompt.input_tokens))
     }
 
+    /// Expected number of output tokens: as the caller estimates, else the maximum.
+    pub fn output_tokens(&self) -> u32 {
+        let expected = |prompt: &Prompt| prompt.length_hint.unwrap_or(prompt.max_output_tokens);
+        self.prompt().map_or(0, expected)
+    }
+
     /// All parts of the prompt but the last, which is unique to the request.
     pub fn shared_parts(&self) -> &[PromptPart] {
         let parts = self.prompt().map_or(&[][..], |prompt| &prompt.parts);
--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -13,7 +13,9 @@
 
 use super::choose_replica::Choice;
 use super::context::RequestContext;
+use super::interference_costs::InterferenceCosts;
 use super::withdrawal::{are_weights_too_old, replica_time_limit, until_weights_too_old};
+use crate::interference::OwnStream;
 use crate::peers::message::WirePrompt;
 use crate::protocol::Dispatch;
 use crate::replicas::{OpenRequestGuard, QueuedRequest};
@@ -30,6 +32,8 @@
     pub answer: Answer,
     /// Counts the request as open at its replica until the answer is closed.
     pub _work: OpenRequestGuard,
+    /// Counts the request as a stream at its replica until the answer is closed, if its route has a pause target.
+    pub stream: Option<OwnStream>,
     /// The request's wait in the replica's queue, until it begins.
     queued: Option<QueuedRequest>,
 }
@@ -77,7 +81,8 @@
 ) -> Result<OpenAnswer, SendError> {
     let pool = &choice.replica.pool;
     let work = OpenRequestGuard::begin(&choice.replica);
-    note_prompt(state, choice);
+    note_prompt(state, context, choice);
+    let stream = own_stream(state, context, choice);
     loop {
         let mut connection = connect(state, choice).await.map_err(SendError::Failed)?;
         if choice.replica.notices.is_cooling_down(Instant::now()) {
@@ -104,6 +109,7 @@
                 return Ok(OpenAnswer {
                     answer,
                     _work: work,
+                    stream,
                     queued: Some(queued),
                 });
             }
@@ -114,27 +120,56 @@
 }
 
 /// Records what the replica has to prefill and will have cached, and reports it to other gateways.
-fn note_prompt(state: &GatewayState, choice: &Choice) {
-    if choice.tokens_to_prefill == 0 {
+fn note_prompt(state: &GatewayState, context: &RequestContext, choice: &Choice) {
+    let is_on = state.interference.is_on();
+    let pause_target = context.route.pause_target.filter(|_| is_on);
+    if choice.tokens_to_prefill == 0 && pause_target.is_none() {
         return;
     }
     let now = Instant::now();
     let replica = &choice.replica;
-    replica.record_prompt(choice.tokens_to_prefill, now);
-    let ready_at = now + replica.remaining_prefill(now);
-    let prefixes = choice.prefixes.iter().map(|prefix| prefix.key);
-    state
-        .holders
-        .record(prefixes.clone(), replica, ready_at, now);
+    let mut prefixes = Vec::new();
+    if choice.tokens_to_prefill > 0 {
+        prefixes.extend(choice.prefixes.iter().map(|prefix| prefix.key));
+        replica.record_prompt(choice.tokens_to_prefill, now);
+        InterferenceCosts::record_sent(state, context, choice.tokens_to_prefill, now);
+        let ready_at = now + replica.remaining_prefill(now);
+        let keys = prefixes.iter().copied();
+        state.holders.record(keys, replica, ready_at, now);
+    }
+    let to_u32 = |number: u128| u32::try_from(number).unwrap_or(u32::MAX);
+    // A target of less than a millisecond is still one.
+    let to_ms = |target: Duration| to_u32(target.as_millis().max(1));
     state.peers.report_prompt(WirePrompt {
         replica: replica.id().to_owned(),
         born: replica.incarnation.born,
         tokens: choice.tokens_to_prefill,
-        prefixes: prefixes.map(|key| key.0).collect(),
+        prefixes: prefixes.iter().map(|key| key.0).collect(),
+        output_tokens: pause_target.map_or(0, |_| context.output_tokens()),
+        pause_target_ms: pause_target.map_or(0, to_ms),
+        whole_tokens: match is_on {
+            true => to_u32(context.input_tokens().into()),
+            false => 0,
+        },
         sender: 0,
     });
 }
 
+/// Counts the request as a stream at its replica, if its route has a pause target.
+fn own_stream(
+    state: &GatewayState,
+    context: &RequestContext,
+    choice: &Choice,
+) -> Option<OwnStream> {
+    context.route.pause_target?;
+    let service = state.interference.service(&context.service);
+    Some(OwnStream::begin(
+        &choice.replica,
+        service,
+        context.output_tokens(),
+    ))
+}
+
 /// Returns a connection to the replica, unless the replica has begun to leave while it was established.
 async fn connect(state: &GatewayState, choice: &Choice) -> Result<Connection, SendFailure> {
     let connection = choice.replica.pool.take().await;
@@ -192,7 +227,7 @@
     state.status.metrics.sent.inc();
     log_event!(
         gateway::REQUEST_SENT,
-        "request={} route={} replica={} address={} key={:?} home={} candidates={} open={} reading={:?} rank={} expected_wait={expected_wait:?} held={} tokens={} version={:?} fetch={:?} save={} configuration={} proof_age={:?} left={:?} given={:?} reused={}",
+        "request={} route={} replica={} address={} key={:?} home={} candidates={} open={} reading={:?} rank={} expected_wait={expected_wait:?} {} held={} tokens={} version={:?} fetch={:?} save={} configuration={} proof_age={:?} left={:?} given={:?} reused={}",
         context.id,
         context.route.name,
         choice.replica.id(),
@@ -203,6 +238,7 @@
         choice.replica.open_requests(),
         choice.replica.remaining_prefill(Instant::now()),
         choice.rank,
+        choice.interference,
         choice.cached_tokens,
         choice.tokens_to_prefill,
         choice.weights_version,
--- a/crates/gateway/src/pipeline/pace.rs
+++ b/crates/gateway/src/pipeline/pace.rs
@@ -13,15 +13,18 @@
 }
 
 impl StreamTiming {
-    /// Records that events were forwarded at `now`; the request arrived at `arrived_at`.
-    pub fn record_events(&mut self, arrived_at: Instant, now: Instant) {
-        if let Some(last) = self.last_at {
-            let pause = now.saturating_duration_since(last);
-            self.longest_pause = self.longest_pause.max(pause);
-        }
+    /// Records that events were forwarded at `now`; the request arrived at `arrived_at`. Returns the time since the events
+    /// before, zero for the first.
+    pub fn record_events(&mut self, arrived_at: Instant, now: Instant) -> Duration {
+        let pause = match self.last_at {
+            Some(last) => now.saturating_duration_since(last),
+            None => Duration::ZERO,
+        };
+        self.longest_pause = self.longest_pause.max(pause);
         self.first_event_after
             .get_or_insert_with(|| now.saturating_duration_since(arrived_at));
         self.last_at = Some(now);
+        pause
     }
 
     /// Time from the request's arrival to its first event, if there was one.
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -117,6 +117,13 @@
         () = until_weights_too_old(state, context, choice), if !has_begun => return Err(AnswerFailure::Withdrawn),
     };
     opened.note_begun(state, context, choice);
+    if let Some(stream) = &mut opened.stream {
+        match piece {
+            Piece::Events(_) => stream.record_events(Instant::now()),
+            Piece::End if context.meta.last_event_id.is_none() => stream.record_end(),
+            Piece::End => {}
+        }
+    }
     Ok(piece)
 }
 
--- a/crates/gateway/src/replicas/mod.rs
+++ b/crates/gateway/src/replicas/mod.rs
@@ -5,6 +5,7 @@
 mod registry;
 mod removed_incarnations;
 mod replica;
+mod running_work;
 mod service_replicas;
 
 pub use health::Health;
@@ -13,5 +14,6 @@
 pub use removed_incarnations::{
     HOLD_BACK_TIMEOUT, MAX_REMOVED_INCARNATIONS, REMOVED_RETENTION, RemovedIncarnations,
 };
-pub use replica::{OpenRequestGuard, Replica};
+pub use replica::{MAX_PROMPT_TOKENS, OpenRequestGuard, Replica};
+pub use running_work::{MAX_STREAM_TIME, MAX_TRACKED_STREAMS, RunningWork};
 pub use service_replicas::{MAX_COMPARED, ServiceReplicas};
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -11,6 +11,7 @@
 
 use super::health::Health;
 use super::queue_wait::QueueWaitEstimator;
+use super::running_work::RunningWork;
 use crate::notices::ReplicaNotices;
 use crate::protocol::{ModelVersion, ReplicaEntry, ReplicaIncarnation};
 use crate::upstream::Pool;
@@ -19,6 +20,10 @@
 /// How long a replica is assumed to load weights if nobody reports the end of the load.
 const WEIGHT_LOAD_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Maximum number of tokens of one prompt that is believed, whoever states it: more than the memory of any replica on
+/// the operator's sheets holds (97,272). Without a bound one nonsensical number keeps requests away for hours.
+pub const MAX_PROMPT_TOKENS: u64 = 1 << 18;
+
 /// One incarnation of a replica.
 #[derive(Debug)]
 pub struct Replica {
@@ -38,6 +43,8 @@
     pub notices: ReplicaNotices,
     /// How long requests are queued there before they start.
     pub queue_waits: Rc<QueueWaitEstimator>,
+    /// The streams that run there and its recent prefill.
+    pub work: RunningWork,
     entry: RefCell<ReplicaEntry>,
     listed_models: RefCell<Vec<ModelVersion>>,
     open_requests: Cell<u32>,
@@ -59,6 +66,7 @@
             health: Health::default(),
             notices: ReplicaNotices::default(),
             queue_waits: Rc::default(),
+            work: RunningWork::default(),
             order_sequence: Cell::new(None),
             lapses_at: Cell::new(None),
             listed_models: RefCell::new(entry.models.clone()),
@@ -207,7 +215,9 @@
 
     /// Records that this gateway or another one sent it a prompt with `tokens` tokens to prefill.
     pub fn record_prompt(&self, tokens: u64, now: Instant) {
+        let tokens = tokens.min(MAX_PROMPT_TOKENS);
         let prefill_time = estimated_prefill_time(tokens);
+        self.work.record_prefill(prefill_time, now);
         let starts_at = self.prefill_until.get().map_or(now, |until| until.max(now));
         self.prefill_until.set(Some(starts_at + prefill_time));
         self.assigned_prompt_tokens
@@ -224,6 +234,8 @@
         ReplicaLoad {
             open_requests: self.open_requests(),
             remaining_prefill: self.remaining_prefill(now),
+            running_streams: self.work.running_streams(now),
+            prefill_share: self.work.prefill_share(now),
             ..ReplicaLoad::default()
         }
     }
--- a/crates/gateway/src/replicas/service_replicas.rs
+++ b/crates/gateway/src/replicas/service_replicas.rs
@@ -17,6 +17,10 @@
 /// rank would win only if it were less busy than all of these by that many milliseconds.
 pub const MAX_COMPARED: usize = 64;
 
+/// Least number of compared replicas that a request prefers, if there are so many in the service. The compared replicas
+/// are chosen without regard to the load, so a single one may be busy.
+const MIN_PREFERRED: usize = 8;
+
 /// The replicas of one service, by id.
 #[derive(Debug, Default)]
 pub struct ServiceReplicas {
@@ -40,11 +44,39 @@
         key: Option<PlacementKey>,
         random: u64,
     ) -> Vec<Rc<Replica>> {
-        let mut positions = match key {
-            Some(key) => self.top_ranked(key),
+        self.in_order(self.positions_for_comparison(key, random))
+    }
+
+    /// The same for a request that prefers the replicas whose id has a suitable hash. If few of these are selected, further
+    /// ones are added, so that the cost decides.
+    pub fn select_with_preferred(
+        &self,
+        key: Option<PlacementKey>,
+        random: u64,
+        is_preferred: &dyn Fn(u64) -> bool,
+    ) -> Vec<Rc<Replica>> {
+        let mut positions = self.positions_for_comparison(key, random);
+        let is_one = |position: &&usize| is_preferred(self.id_hashes[**position]);
+        if positions.iter().filter(is_one).count() < MIN_PREFERRED {
+            positions.extend(match key {
+                Some(key) => self.top_ranked(key, MIN_PREFERRED, is_preferred),
+                None => self.next_preferred(random, is_preferred),
+            });
+        }
+        self.in_order(positions)
+    }
+
+    fn positions_for_comparison(&self, key: Option<PlacementKey>, random: u64) -> Vec<usize> {
+        match key {
+            Some(key) => self.top_ranked(key, MAX_COMPARED, &|_| true),
             None => self.sample(random),
-        };
+        }
+    }
+
+    /// The replicas at these positions, each once, by id.
+    fn in_order(&self, mut positions: Vec<usize>) -> Vec<Rc<Replica>> {
         positions.sort_unstable();
+        positions.dedup();
         let at = |position: usize| Rc::clone(&self.replicas[position]);
         positions.into_iter().map(at).collect()
     }
@@ -58,12 +90,20 @@
             .collect()
     }
 
-    fn top_ranked(&self, key: PlacementKey) -> Vec<usize> {
-        let mut top: BinaryHeap<Reverse<(u64, usize)>> =
-            BinaryHeap::with_capacity(MAX_COMPARED + 1);
+    /// The first `count` in rank among those whose id has a suitable hash.
+    fn top_ranked(
+        &self,
+        key: PlacementKey,
+        count: usize,
+        is_suitable: &dyn Fn(u64) -> bool,
+    ) -> Vec<usize> {
+        let mut top: BinaryHeap<Reverse<(u64, usize)>> = BinaryHeap::with_capacity(count + 1);
         for (position, id_hash) in self.id_hashes.iter().enumerate() {
+            if !is_suitable(*id_hash) {
+                continue;
+            }
             let ranked = (rendezvous_score(*id_hash, key), position);
-            let is_full = top.len() == MAX_COMPARED;
+            let is_full = top.len() == count;
             if is_full && top.peek().is_some_and(|last| ranked <= last.0) {
                 continue;
             }
@@ -75,6 +115,15 @@
         top.into_iter().map(|ranked| ranked.0.1).collect()
     }
 
+    /// The first preferred replicas from a random position on.
+    fn next_preferred(&self, random: u64, is_preferred: &dyn Fn(u64) -> bool) -> Vec<usize> {
+        let count = self.id_hashes.len();
+        let start = random as usize % count.max(1);
+        let positions = (start..count).chain(0..start);
+        let preferred = positions.filter(|position| is_preferred(self.id_hashes[*position]));
+        preferred.take(MIN_PREFERRED).collect()
+    }
+
     /// Equally spaced positions. Ids are random, and so neighbours are as well.
     fn sample(&self, random: u64) -> Vec<usize> {
         let count = self.replicas.len();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -27,6 +27,7 @@
 use tokio::sync::oneshot;
 
 use crate::cache;
+use crate::interference;
 use crate::peers;
 use crate::pipeline;
 use crate::protocol::Platform;
@@ -251,6 +252,7 @@
         ntex::rt::spawn(stop::close_idle_connections(Rc::clone(&state)));
         ntex::rt::spawn(rollout::run(Rc::clone(&state)));
         ntex::rt::spawn(standstill::watch(Rc::clone(&state)));
+        ntex::rt::spawn(interference::run(Rc::clone(&state)));
         App::new()
             .state(state)
             .default_service(web::route().to(pipeline::respond))
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,6 +22,7 @@
 use crate::configuration::Configuration;
 use crate::connections::CallerConnections;
 use crate::currency::Currency;
+use crate::interference::Interference;
 use crate::metrics::GatewayMetrics;
 use crate::notices::{ChangedNotices, NoticeSurvey};
 use crate::own_daemon::{machine, own_daemon, seeds};
@@ -163,6 +164,8 @@
     pub incarnation: u64,
     /// Credits of each route's services for the weighted division of its traffic.
     pub backend_credits: RefCell<HashMap<String, Vec<f64>>>,
+    /// Interference between prefills and streams at replicas.
+    pub interference: Interference,
     /// Whether changes were applied that are not published yet.
     has_pending_changes: Cell<bool>,
     /// Whether some of these changes concern replicas.
@@ -188,6 +191,7 @@
         let times = lease_times(settings.times.lease_term);
         let lease = OrderLease::new(&machine(&settings), incarnation, times);
         let lease = lease.at_first_start(settings.is_first_start);
+        let interference = Interference::new(settings.interference);
         Rc::new(Self {
             times: Cell::new(settings.times),
             registry: Registry::new(settings.births),
@@ -224,6 +228,7 @@
             rollout_wanted: Notify::new(),
             incarnation,
             backend_credits: RefCell::new(HashMap::new()),
+            interference,
             replicas_listed: Notify::new(),
             has_pending_changes: Cell::new(false),
             has_pending_replicas: Cell::new(false),
@@ -451,7 +456,7 @@
         }
     }
 
-    /// Puts reloaded settings into force: times, retries and quotas. Listening addresses and the store's address stay
+    /// Puts reloaded settings into force: times, retries, quotas and the mode of interference. Listening addresses and the store's address stay
     /// as they are until the next start.
     pub fn apply_reloaded_settings(&self) {
         // If the lock is poisoned, a thread panicked while it stored new settings: the current ones stay.
@@ -460,6 +465,7 @@
             self.times.set(settings.times);
             self.retry_budgets.reload(&settings.retries);
             self.quotas.reload(tolerance(&settings.quotas));
+            self.interference.set_mode(settings.interference);
             // Requests that wait at replicas may have less time now.
             self.weights_updated.notify_waiters();
         }
--- a/crates/gateway/tests/far_prompts.rs
+++ b/crates/gateway/tests/far_prompts.rs
@@ -15,6 +15,9 @@
         tokens,
         prefixes: Vec::new(),
         sender: 0,
+        output_tokens: 0,
+        pause_target_ms: 0,
+        whole_tokens: 0,
     }
 }
 
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -280,6 +280,9 @@
         tokens: u64::MAX >> number,
         prefixes: vec![u64::MAX; 3],
         sender: u32::MAX,
+        output_tokens: u32::MAX,
+        pause_target_ms: u32::MAX,
+        whole_tokens: u32::MAX,
     };
     let message = Message::OtherGroupPrompts(OtherGroupPrompts {
         prompts: (0..MAX_PROMPTS).map(prompt).collect(),
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -89,6 +89,20 @@
     Optional,
 }
 
+/// How the placement of prompts weighs the delay that prefilling one adds to streams at the same replica.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum InterferenceMode {
+    /// It is not weighed.
+    #[default]
+    Off,
+    /// By the pauses that a prompt adds to running streams.
+    Stall,
+    /// By separating the replicas for long prompts from the others.
+    Separate,
+    /// By both.
+    Both,
+}
+
 /// All settings of a gateway.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
@@ -113,6 +127,8 @@
     pub quotas: GatewayQuotas,
     /// What is asked of the entries of replicas.
     pub births: Births,
+    /// How the delay of streams by the prefill of prompts is weighed.
+    pub interference: InterferenceMode,
     /// The machine.
     pub machine: GatewayMachine,
     /// Logs.
@@ -153,6 +169,7 @@
     let retries = read_retries(root.section("retries"));
     let quotas = read_quotas(root.section("quotas"));
     let births = read_births(root.section("replicas"));
+    let interference = read_interference(root.section("interference"));
     let machine = read_machine(root.section("machine"));
     let log = read_log(root.section("log"));
     root.finish();
@@ -167,6 +184,7 @@
         retries,
         quotas,
         births,
+        interference,
         machine,
         log,
     })
@@ -223,6 +241,20 @@
     births
 }
 
+fn read_interference(section: Section<'_>) -> InterferenceMode {
+    let words = [
+        ("off", InterferenceMode::Off),
+        ("stall", InterferenceMode::Stall),
+        ("separate", InterferenceMode::Separate),
+        ("both", InterferenceMode::Both),
+    ];
+    let mode = section.or_default("mode", InterferenceMode::default(), |raw| {
+        values::one_of(raw, &words)
+    });
+    section.finish();
+    mode
+}
+
 fn read_quotas(section: Section<'_>) -> GatewayQuotas {
     let quotas = GatewayQuotas {
         overshoot: section.or_default("overshoot", 0.0, |raw| values::number(raw, 0.0..=10.0)),
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use driftspring_settings::{Births, check_gateway};
+use driftspring_settings::{Births, InterferenceMode, check_gateway};
 
 const WHOLE: &str = r#"
 name = "front-1"
@@ -42,6 +42,28 @@
     assert!((settings.retries.slack - 38.077).abs() < 0.001);
 }
 
+#[test]
+fn the_mode_of_interference_is_one_of_four_words_and_off_by_default() {
+    let with = |mode: &str| check_gateway(&format!("{WHOLE}[interference]\nmode = \"{mode}\""));
+    let modes = [
+        ("off", InterferenceMode::Off),
+        ("stall", InterferenceMode::Stall),
+        ("separate", InterferenceMode::Separate),
+        ("both", InterferenceMode::Both),
+    ];
+    for (word, mode) in modes {
+        assert_eq!(with(word).expect("valid").interference, mode);
+    }
+    assert_eq!(
+        check_gateway(WHOLE).expect("valid").interference,
+        InterferenceMode::Off
+    );
+    assert_eq!(
+        with("on").expect_err("no such word")[0].key,
+        "interference.mode"
+    );
+}
+
 #[test]
 fn what_is_asked_of_the_entries_of_replicas_is_one_of_three_words() {
     let with = |births: &str| check_gateway(&format!("{WHOLE}[replicas]\nbirths = \"{births}\""));
