--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/known.rs
@@ -22,10 +22,14 @@
 /// The minimum size of a prompt, in tokens to prefill, that is reported to others; streams with a pause target always are.
 pub(super) const MIN_REPORTED_TOKENS: u64 = 1200;
 
-/// The number of prompts in a datagram; further ones are dropped. With ids of usual length this many stay below the
+/// The number of prompts in a datagram. With ids of usual length this many stay below the
 /// size limit of a datagram, 1,200 bytes.
 pub const MAX_PROMPTS: usize = 15;
 
+/// The number of own prompts that are reported at once; further ones are dropped. Two datagrams take a burst of some thirty
+/// callers within the 15 ms for which changes are batched.
+const MAX_OWN_PROMPTS: usize = 2 * MAX_PROMPTS;
+
 /// The number of seeds that are queried before the store. One that doesn't reply takes 0.65 s and is then skipped for
 /// 2.5 s, so all of them have failed before the first one's turn comes again, and this gateway reads the store.
 const MAX_SEEDS: usize = 3;
@@ -340,7 +344,7 @@
         }
         self.prompt_relay.gather(&prompt);
         let mut prompts = self.prompts.borrow_mut();
-        if prompts.len() < MAX_PROMPTS {
+        if prompts.len() < MAX_OWN_PROMPTS {
             prompts.push(prompt);
             self.outbox_changed.notify_one();
         }
--- a/crates/gateway/src/peers/news.rs
+++ b/crates/gateway/src/peers/news.rs
@@ -6,7 +6,7 @@
 
 use driftspring_clock::Instant;
 
-use super::known::Peers;
+use super::known::{MAX_PROMPTS, Peers};
 use super::message::{Message, Report};
 use super::send::{send, send_to, send_to_all, send_to_group};
 use super::spread::spread;
@@ -60,14 +60,20 @@
     }
     let is_direct = state.peers.directory().group.len() <= MAX_DIRECT_MEMBERS;
     if is_direct {
-        return send_to_group(state, socket, &Message::Prompts(prompts)).await;
+        for batch in prompts.chunks(MAX_PROMPTS) {
+            send_to_group(state, socket, &Message::Prompts(batch.to_vec())).await;
+        }
+        return;
     }
     if state.peers.is_leader.get() {
         return state.peers.prompt_relay.forward_to_group(&prompts);
     }
     let leader = state.peers.leader.borrow().clone();
     if let Some(leader) = leader {
-        send(socket, &Message::PromptsForLeader(prompts), &leader).await;
+        for batch in prompts.chunks(MAX_PROMPTS) {
+            let message = Message::PromptsForLeader(batch.to_vec());
+            send(socket, &message, &leader).await;
+        }
     }
 }
 
