--- a/crates/decisions/src/interference.rs
+++ b/crates/decisions/src/interference.rs
@@ -40,9 +40,13 @@
     /// Whether the prompt delays streams noticeably: prefilling all of it takes more than a tenth of the service's
     /// shortest pause target. Without a pause target no prompt is long.
     pub fn is_long(&self) -> bool {
-        self.service_pause_target.is_some_and(|target| {
-            !target.is_zero() && self.whole_prefill_time > target / LONG_PROMPT_DIVISOR
-        })
+        self.target()
+            .is_some_and(|target| self.whole_prefill_time > target / LONG_PROMPT_DIVISOR)
+    }
+
+    /// The service's shortest pause target; `None` if it is absent or zero.
+    fn target(&self) -> Option<Duration> {
+        self.service_pause_target.filter(|target| !target.is_zero())
     }
 }
 
