--- a/crates/decisions/src/interference/separation.rs
+++ b/crates/decisions/src/interference/separation.rs
@@ -74,6 +74,11 @@
         self.share * self.replicas as f64
     }
 
+    /// Whether the replica is on the side that the prompt prefers; true where nothing is separated.
+    pub fn prefers(&self, id_hash: u64, profile: &PromptProfile) -> bool {
+        self.cost_ms(id_hash, profile) <= OTHER_SIDE_COST_MS / 2.0
+    }
+
     /// Cost in milliseconds of a replica for this prompt because of the side it is on.
     pub fn cost_ms(&self, id_hash: u64, profile: &PromptProfile) -> f64 {
         if profile.target().is_none() || self.share <= 0.0 {
