--- a/crates/gateway/src/interference/service.rs
+++ b/crates/gateway/src/interference/service.rs
@@ -82,6 +82,11 @@
         self.separation.borrow().reserved_replicas()
     }
 
+    /// Whether a replica is on the side that the prompt prefers.
+    pub fn prefers(&self, id_hash: u64, profile: &PromptProfile) -> bool {
+        self.separation.borrow().prefers(id_hash, profile)
+    }
+
     /// Cost in milliseconds of a replica for this prompt because of the side it is on.
     pub fn separation_cost_ms(&self, id_hash: u64, profile: &PromptProfile) -> f64 {
         self.separation.borrow().cost_ms(id_hash, profile)
--- a/crates/gateway/src/pipeline/interference_costs.rs
+++ b/crates/gateway/src/pipeline/interference_costs.rs
@@ -69,7 +69,7 @@
     /// Whether a replica is on the side that the request prefers.
     pub fn prefers(&self, id_hash: u64) -> bool {
         let weighed = self.weighed.as_ref();
-        weighed.is_none_or(|weighed| weighed.separation_cost_ms(id_hash) <= 0.0)
+        weighed.is_none_or(|weighed| weighed.service.prefers(id_hash, &weighed.profile))
     }
 
     /// Records the prompt of the request as sent by this gateway.
