--- a/crates/driftctl/src/explain.rs
+++ b/crates/driftctl/src/explain.rs
@@ -4,6 +4,8 @@
 
 use serde::Deserialize;
 
+use crate::late_stream::{known_of_replica, late_pause};
+
 /// Lines told of what went on around the request, at the most.
 const MAX_SURROUNDINGS: usize = 12;
 
@@ -16,7 +18,7 @@
 ];
 
 /// Events of the process that may be the cause of what befell a request.
-const SURROUNDINGS: [&str; 24] = [
+const SURROUNDINGS: [&str; 25] = [
     "GATEWAY_STARTED",
     "GATEWAY_STOPPING",
     "GATEWAY_STOPPED",
@@ -32,6 +34,7 @@
     "REPLICA_PASSED_OVER",
     "REPLICA_SAID_LEAVING",
     "REPLICA_ASKED_FOR_REST",
+    "REPLICAS_RESERVED",
     "REQUEST_STRUCK",
     "REQUEST_QUARANTINED",
     "REQUEST_TRIED",
@@ -146,6 +149,7 @@
         lines.push("around it:".to_owned());
         lines.extend(surroundings.iter().map(render));
     }
+    lines.extend(end.and_then(|end| late_stream(own, end)));
     lines.push(match end {
         Some(end) => format!("so: {}", conclusion(end)),
         None => format!("so: {without_end}"),
@@ -156,6 +160,17 @@
     }
 }
 
+/// Why a stream whose pauses exceed their target was late, if the lines tell it.
+fn late_stream(own: &[LogLine], end: &LogLine) -> Option<String> {
+    let pause = late_pause(|name| field(&end.message, name))?;
+    let sent = own.iter().rev().find(|line| line.is("REQUEST_SENT"));
+    let known = sent.and_then(|sent| known_of_replica(|name| field(&sent.message, name)));
+    Some(match known {
+        Some(known) => format!("{pause}; {known}"),
+        None => pause,
+    })
+}
+
 /// Why no line tells how a request ended: its gateway was started anew, or lines are missing.
 fn without_end(own: &[LogLine], around: &[LogLine]) -> String {
     let last = &own[own.len() - 1];
--- a/crates/driftctl/src/lib.rs
+++ b/crates/driftctl/src/lib.rs
@@ -7,6 +7,7 @@
 mod command_line;
 mod exit;
 pub mod explain;
+mod late_stream;
 mod output;
 mod program;
 mod session;
--- a/crates/driftctl/tests/explain.rs
+++ b/crates/driftctl/tests/explain.rs
@@ -231,3 +231,44 @@
     assert_eq!(around.len(), 1, "{:?}", told.lines);
     assert!(around[0].contains("replica=i-1 said=limit:1/s"));
 }
+
+/// The lines of a stream with this longest pause.
+fn stream_lines(longest_pause: &str, pause_target: &str) -> String {
+    let sent = "request=r1 replica=i-1 home=false reading=85ms interference_ms=12.5 streams=7 prefill_share=0.83 \
+                home_replica=i-2 home_interference_ms=90.0";
+    let ended = format!(
+        "request=r1 replica=i-1 status=200 elapsed=2s longest_pause={longest_pause} pause_target={pause_target}"
+    );
+    let lines = [
+        line("10:00:02", "REQUEST_SENT", sent),
+        line("10:00:03", "REQUEST_ENDED", &ended),
+    ];
+    let told = explain("r1", lines.concat().as_bytes()).expect("readable");
+    told.lines.join("\n")
+}
+
+#[test]
+fn a_stream_with_a_pause_over_its_target_is_told_with_what_ran_beside_it() {
+    let late = stream_lines("412.25ms", "Some(300ms)");
+    assert!(
+        late.contains("its longest pause, 412.25ms, exceeds the target of 300ms"),
+        "{late}"
+    );
+    assert!(
+        late.contains(
+            "when it was sent to i-1: other prompts to prefill for 85ms, running streams: 7"
+        ),
+        "{late}"
+    );
+    assert!(late.contains("home of its prompt: i-2"), "{late}");
+    assert!(stream_lines("1.2s", "Some(300ms)").contains("exceeds"));
+    for (pause, target) in [
+        ("299ms", "Some(300ms)"),
+        ("9s", "None"),
+        ("0ns", "Some(1µs)"),
+        ("x", "y"),
+    ] {
+        let told = stream_lines(pause, target);
+        assert!(!told.contains("exceeds"), "{told}");
+    }
+}
--- a/crates/gateway/tests/far_prompts.rs
+++ b/crates/gateway/tests/far_prompts.rs
@@ -65,3 +65,37 @@
     assert!(batch.outgoing.is_empty());
     assert!(!has_batch(&relay).await, "nothing is left");
 }
+
+fn short_stream() -> WirePrompt {
+    WirePrompt {
+        output_tokens: 42,
+        pause_target_ms: 300,
+        ..prompt(100)
+    }
+}
+
+#[ntex::test]
+async fn short_streams_with_a_pause_target_are_sent_to_other_groups() {
+    // Other groups would place long prompts beside streams of which they are not told.
+    let relay = PromptRelay::default();
+    relay.set_relay(true);
+    relay.gather(&short_stream());
+    assert_eq!(relay.next_batch().await.outgoing, [short_stream()]);
+}
+
+#[ntex::test]
+async fn many_short_streams_leave_room_for_long_prompts() {
+    let relay = PromptRelay::default();
+    relay.set_relay(true);
+    for _ in 0..10_000 {
+        relay.gather(&short_stream());
+        relay.forward_to_group(&[short_stream()]);
+    }
+    relay.gather(&prompt(5000));
+    relay.forward_to_group(&[prompt(5000)]);
+    let batch = relay.next_batch().await;
+    for prompts in [&batch.outgoing, &batch.incoming] {
+        assert!(prompts.len() < 200, "{} in one batch", prompts.len());
+        assert_eq!(prompts.last(), Some(&prompt(5000)));
+    }
+}
--- a/crates/gateway/tests/service_replicas.rs
+++ b/crates/gateway/tests/service_replicas.rs
@@ -76,6 +76,28 @@
     }
 }
 
+#[test]
+fn few_preferred_replicas_of_many_are_among_the_compared() {
+    // Guards against long prompts that never reach the few replicas reserved for them, since these are not compared.
+    let replicas = registry(COUNTS[0]).of_service("service");
+    let mut hashes: Vec<u64> = replicas.iter().map(|replica| replica.id_hash).collect();
+    hashes.sort_unstable();
+    for preferred in [1, 3, 8, 20] {
+        let is_preferred = |id_hash: u64| hashes[..preferred].contains(&id_hash);
+        for random in 0..20 {
+            for key in [Some(PlacementKey(random)), None] {
+                let compared = replicas.select_with_preferred(key, random, &is_preferred);
+                let ids: HashSet<&str> = compared.iter().map(|replica| replica.id()).collect();
+                assert_eq!(ids.len(), compared.len(), "each one once");
+                let of_them = compared.iter().filter(|one| is_preferred(one.id_hash));
+                assert!(of_them.count() >= preferred.min(8));
+                let others = replicas.select_for_comparison(key, random);
+                assert!(others.iter().all(|other| ids.contains(other.id())));
+            }
+        }
+    }
+}
+
 #[test]
 fn requests_without_a_key_reach_all_replicas() {
     let replicas = registry(323).of_service("service");
