--- a/crates/gateway/src/interference/task.rs
+++ b/crates/gateway/src/interference/task.rs
@@ -20,7 +20,11 @@
 }
 
 fn update(state: &GatewayState) {
+    let metrics = &state.status.metrics;
     if !state.interference.is_on() {
+        metrics.streams_expected.set(0);
+        metrics.streams_open.set(0);
+        metrics.replicas_reserved.set(0);
         return;
     }
     let now = Instant::now();
@@ -38,7 +42,6 @@
             reserved += service.reserved_replicas();
         }
     }
-    let metrics = &state.status.metrics;
     metrics.streams_expected.set(expected as i64);
     metrics.streams_open.set(own);
     metrics.replicas_reserved.set(reserved.round() as i64);
