--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod configuration;
 pub mod connections;
 pub mod currency;
+mod held_bytes;
 pub mod metrics;
 pub mod notices;
 mod own_daemon;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -95,6 +95,12 @@
     pub replicas_resting: Gauge,
     /// Number of replicas that have announced that they are leaving; updated every second.
     pub replicas_leaving: Gauge,
+    /// Bytes held for callers.
+    pub bytes_held: Gauge,
+    /// Answers ended because their callers took nothing for too long.
+    pub answers_not_taken: Counter,
+    /// Answers ended because the bytes held for callers had reached their limit.
+    pub answers_ended_for_room: Counter,
     registry: Mutex<Registry>,
 }
 
@@ -143,6 +149,9 @@
             replicas_limited: Gauge::default(),
             replicas_leaving: Gauge::default(),
             replicas_resting: Gauge::default(),
+            bytes_held: Gauge::default(),
+            answers_not_taken: Counter::default(),
+            answers_ended_for_room: Counter::default(),
             registry: Mutex::new(Registry::with_prefix("driftspring_gateway")),
         };
         metrics.register();
@@ -241,6 +250,16 @@
                 "Requests refused since they ended the replicas that ran them",
                 &self.quarantined,
             ),
+            (
+                "answers_not_taken",
+                "Answers ended since their callers took nothing for too long",
+                &self.answers_not_taken,
+            ),
+            (
+                "answers_ended_for_room",
+                "Answers ended since too many bytes were held for callers",
+                &self.answers_ended_for_room,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
@@ -280,6 +299,11 @@
         for (name, help, histogram) in durations {
             registry.register_with_unit(name, help, Unit::Seconds, histogram.clone());
         }
+        registry.register(
+            "bytes_held",
+            "Bytes held for callers: bodies, and what they have not taken of their answers",
+            self.bytes_held.clone(),
+        );
         registry.register(
             "configuration_version",
             "The version of the configuration in force",
--- a/crates/gateway/src/pipeline/collect.rs
+++ b/crates/gateway/src/pipeline/collect.rs
@@ -1,5 +1,6 @@
 //! Filter: answers a request whose answer is forwarded once it is complete.
 
+use std::error::Error;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,18 +8,23 @@
 use http::HeaderMap;
 use http::StatusCode;
 use ntex::http::ResponseBuilder;
-use ntex::web::HttpResponse;
+use ntex::http::body::{Body, SizedStream};
+use ntex::web::{HttpRequest, HttpResponse};
 
 use super::account::RequestTracker;
 use super::attempts::{AnswerFailure, Attempt, Attempts};
 use super::check_quarantine::note_survived;
 use super::context::RequestContext;
 use super::decode::is_hop_by_hop;
+use super::delivery::{self, Delivery, MAX_QUEUED_BYTES};
 use super::refusal::{Reason, Refusal, Step};
+use crate::held_bytes::Charge;
 use crate::state::GatewayState;
+use crate::upstream::Answer;
 
-/// Maximum size of a buffered answer, in bytes.
-const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+/// Maximum size of an answer that is handed to the caller's connection at once, in bytes. With its head it stays below
+/// the 16 KiB from which a connection counts as full.
+const MAX_DIRECT_BYTES: usize = 8 * 1024;
 
 /// How long a request is held beyond its deadline, so that the replica's own answer to the timeout arrives first.
 pub const DEADLINE_GRACE: Duration = Duration::from_millis(150);
@@ -27,6 +33,7 @@
 pub async fn serve(
     state: &Rc<GatewayState>,
     context: Rc<RequestContext>,
+    request: &HttpRequest,
     tracker: &mut RequestTracker,
 ) -> Result<HttpResponse, Refusal> {
     let limit = context.time_left() + DEADLINE_GRACE;
@@ -40,10 +47,23 @@
     })??;
     note_survived(state, &context);
     tracker.record_answer_head();
-    tracker.record_completion(&answer.replica, answer.status.as_u16());
+    let status = answer.status.as_u16();
     let mut builder = ResponseBuilder::new(answer.status);
     copy_headers(&answer.headers, &mut builder);
-    Ok(builder.body(answer.body.to_vec()))
+    let length: usize = answer.pieces.iter().map(Bytes::len).sum();
+    if length <= MAX_DIRECT_BYTES {
+        tracker.record_completion(&answer.replica, status);
+        return Ok(builder.body(answer.pieces.concat()));
+    }
+    let caller = request.io().cloned();
+    let tracker = tracker.hand_over();
+    let delivery = Delivery::new(&state.held_bytes, answer.charge, tracker, caller);
+    for piece in answer.pieces {
+        delivery.push_charged(piece);
+    }
+    delivery.complete(&answer.replica, status);
+    let pieces = delivery::body::<Rc<dyn Error>>(delivery);
+    Ok(builder.body(Body::from_message(SizedStream::new(length as u64, pieces))))
 }
 
 /// A complete answer.
@@ -51,7 +71,8 @@
     replica: String,
     status: StatusCode,
     headers: HeaderMap,
-    body: Bytes,
+    pieces: Vec<Bytes>,
+    charge: Charge,
 }
 
 async fn fetch_answer(
@@ -62,23 +83,47 @@
     loop {
         let Attempt { mut opened, choice } = attempts.next(None).await?;
         opened.note_begun(state, context, &choice);
-        match opened.answer.collect(MAX_ANSWER_BYTES).await {
-            Ok(body) => {
+        let charge = Charge::new(&state.held_bytes);
+        match collect(&mut opened.answer, &charge).await {
+            Ok(pieces) => {
                 return Ok(CompleteAnswer {
                     replica: choice.replica.id().to_owned(),
                     status: opened.answer.status(),
                     headers: opened.answer.headers().clone(),
-                    body,
+                    pieces,
+                    charge,
                 });
             }
             Err(error) => {
-                let failure = AnswerFailure::BrokeOff(error.to_string());
+                let failure = AnswerFailure::BrokeOff(error);
                 attempts.handle_failed_answer(&choice, &failure)?;
             }
         }
     }
 }
 
+/// Reads a whole answer once there is room for it. Where its length is known, room for all of it is reserved first:
+/// answers of which each holds a part could otherwise wait for each other.
+async fn collect(answer: &mut Answer, charge: &Charge) -> Result<Vec<Bytes>, String> {
+    let announced = answer.content_length().unwrap_or(0);
+    let reserved = usize::try_from(announced).unwrap_or(usize::MAX);
+    if reserved <= MAX_QUEUED_BYTES {
+        charge.add(reserved).await;
+    }
+    let mut pieces = Vec::new();
+    let mut length = 0;
+    while let Some(piece) = answer.next().await.map_err(|error| error.to_string())? {
+        length += piece.len();
+        if length > MAX_QUEUED_BYTES {
+            answer.close();
+            return Err(format!("its body is longer than {MAX_QUEUED_BYTES} bytes"));
+        }
+        charge.add(length.saturating_sub(charge.bytes())).await;
+        pieces.push(piece);
+    }
+    Ok(pieces)
+}
+
 /// Copies the headers of a replica's answer, except those of its connection.
 pub fn copy_headers(headers: &HeaderMap, builder: &mut ResponseBuilder) {
     for (name, value) in headers {
--- a/crates/gateway/src/pipeline/context.rs
+++ b/crates/gateway/src/pipeline/context.rs
@@ -13,6 +13,7 @@
 
 use super::decode::Decoded;
 use crate::configuration::{Configuration, EngineLimits, Route, Tenant};
+use crate::held_bytes::Charge;
 use crate::protocol::{Prompt, PromptPart, RequestMeta};
 use crate::quarantine::Fingerprint;
 use crate::replicas::Replica;
@@ -47,9 +48,21 @@
     pub arrived_at: Instant,
     /// When the caller or the route gives up the request.
     pub deadline: Instant,
+    /// Accounts for the body as long as it may have to be sent again.
+    pub body_charge: Option<Charge>,
     fingerprint: OnceCell<Fingerprint>,
 }
 
+/// When the caller or the route gives up a request that arrived at `arrived_at`.
+pub fn deadline(decoded: &Decoded, route: &Route, arrived_at: Instant) -> Instant {
+    let caller_limit = decoded.meta.deadline.unwrap_or(DEFAULT_REQUEST_TIMEOUT);
+    let route_limit = match route.timeout {
+        Duration::ZERO => DEFAULT_REQUEST_TIMEOUT,
+        timeout => timeout,
+    };
+    arrived_at + caller_limit.min(route_limit)
+}
+
 impl RequestContext {
     /// Builds the context of a request.
     pub fn new(
@@ -61,11 +74,7 @@
         body: Bytes,
         arrived_at: Instant,
     ) -> Self {
-        let caller_limit = decoded.meta.deadline.unwrap_or(DEFAULT_REQUEST_TIMEOUT);
-        let route_limit = match route.timeout {
-            Duration::ZERO => DEFAULT_REQUEST_TIMEOUT,
-            timeout => timeout,
-        };
+        let deadline = deadline(&decoded, &route, arrived_at);
         Self {
             id: decoded.id,
             meta: decoded.meta,
@@ -78,7 +87,8 @@
             tenant,
             service,
             arrived_at,
-            deadline: arrived_at + caller_limit.min(route_limit),
+            deadline,
+            body_charge: None,
             fingerprint: OnceCell::new(),
         }
     }
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -15,6 +15,7 @@
 mod collect;
 mod context;
 mod decode;
+mod delivery;
 mod dispatch;
 mod event_splitter;
 mod find_route;
@@ -34,12 +35,14 @@
 use std::sync::Arc;
 
 use crate::configuration::{Configuration, Route, RouteKind, Tenant};
+use crate::held_bytes::Charge;
 use crate::state::GatewayState;
 use account::RequestTracker;
 use context::RequestContext;
 use decode::Decoded;
 use refusal::Refusal;
 
+pub use delivery::Delivery;
 pub use event_splitter::EventSplitter;
 pub use first_list::first_list_timeout;
 
@@ -94,10 +97,12 @@
     tracker: &mut RequestTracker,
 ) -> Result<HttpResponse, Refusal> {
     let (decoded, configuration, route, tenant) = admitted;
-    let body = read_body::read_body(payload, &configuration.limits).await?;
-    let service = choose_backend::choose_backend(state, &route)?;
     let arrived_at = tracker.arrived_at();
-    let context = RequestContext::new(
+    let deadline = context::deadline(&decoded, &route, arrived_at);
+    let charge = Charge::new(&state.held_bytes);
+    let body = read_body::read_body(payload, &configuration.limits, deadline, &charge).await?;
+    let service = choose_backend::choose_backend(state, &route)?;
+    let mut context = RequestContext::new(
         decoded,
         configuration,
         route,
@@ -106,9 +111,12 @@
         body,
         arrived_at,
     );
+    context.body_charge = Some(charge);
     let context = Rc::new(context);
     match context.route.kind {
         RouteKind::Streaming => relay::serve(state, context, request, tracker).await,
-        RouteKind::Safe | RouteKind::Unsafe => collect::serve(state, context, tracker).await,
+        RouteKind::Safe | RouteKind::Unsafe => {
+            collect::serve(state, context, request, tracker).await
+        }
     }
 }
--- a/crates/gateway/src/pipeline/refusal.rs
+++ b/crates/gateway/src/pipeline/refusal.rs
@@ -49,6 +49,8 @@
     BeyondQuota,
     /// The body is too large.
     BodyTooLarge,
+    /// The body had not arrived when the request's time was over.
+    BodyTooSlow,
     /// The body broke off, or is malformed.
     BrokenBody,
     /// No configuration is known, or it is not known to be current.
@@ -84,6 +86,7 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::OverQuota | Self::BeyondQuota => StatusCode::TOO_MANY_REQUESTS,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::NotInformed
             | Self::Stopping
             | Self::NoReplica
@@ -191,7 +194,7 @@
     fn closes_connection(&self) -> bool {
         matches!(
             self.reason,
-            Reason::BrokenBody | Reason::BodyTooLarge | Reason::NotInformed
+            Reason::BrokenBody | Reason::BodyTooLarge | Reason::BodyTooSlow | Reason::NotInformed
         )
     }
 
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -3,6 +3,8 @@
 //! The head is held until the first complete event, so that a replica that breaks off before it can still be replaced.
 //! A stream that breaks off later is resumed at another replica if the route allows it; otherwise the caller's
 //! connection is closed without the end of the answer, so that the answer can't be taken for complete.
+//!
+//! A task reads the replica at the replica's pace and queues the events; see [`delivery`] for the caller's side.
 
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -12,7 +14,6 @@
 use driftspring_clock::Instant;
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
-use futures_util::stream::unfold;
 use ntex::http::ResponseBuilder;
 use ntex::io::IoRef;
 use ntex::web::{HttpRequest, HttpResponse};
@@ -22,10 +23,12 @@
 use super::check_quarantine::note_survived;
 use super::collect::{DEADLINE_GRACE, copy_headers};
 use super::context::RequestContext;
+use super::delivery::{self, Delivery};
 use super::dispatch::OpenAnswer;
 use super::event_splitter::EventSplitter;
 use super::refusal::{Reason, Refusal, Step};
 use super::withdrawal::until_weights_too_old;
+use crate::held_bytes::Charge;
 use crate::state::GatewayState;
 
 /// A stream that is being forwarded.
@@ -35,11 +38,8 @@
     attempts: Attempts,
     attempt: Attempt,
     splitter: EventSplitter,
-    /// The piece that was read before the head was forwarded.
-    first_piece: Option<Piece>,
-    tracker: RequestTracker,
+    delivery: Rc<Delivery>,
     caller: Option<IoRef>,
-    has_ended: bool,
 }
 
 /// The next piece of a stream.
@@ -69,18 +69,25 @@
     tracker.record_answer_head();
     let mut builder = ResponseBuilder::new(attempt.opened.answer.status());
     copy_headers(attempt.opened.answer.headers(), &mut builder);
+    let caller = request.io().cloned();
+    let charge = Charge::new(&state.held_bytes);
+    let delivery = Delivery::new(
+        &state.held_bytes,
+        charge,
+        tracker.hand_over(),
+        caller.clone(),
+    );
     let relay = Relay {
         state: Rc::clone(state),
         context,
         attempts,
         attempt,
         splitter,
-        first_piece: Some(first),
-        tracker: tracker.hand_over(),
-        caller: request.io().cloned(),
-        has_ended: false,
+        delivery: Rc::clone(&delivery),
+        caller,
     };
-    Ok(builder.streaming(Box::pin(unfold(relay, next_response_bytes))))
+    ntex::rt::spawn(relay.run(first));
+    Ok(builder.streaming(delivery::body::<Infallible>(delivery)))
 }
 
 /// Waits for the first complete event, or for the end of an answer without events.
@@ -142,67 +149,56 @@
     }
 }
 
-/// Next bytes of the response. After a cut nothing more is returned: the connection is closed, and the response must
-/// not end as if it were complete.
-async fn next_response_bytes(
-    mut relay: Relay,
-) -> Option<(Result<ntex::util::Bytes, Infallible>, Relay)> {
-    if relay.has_ended {
-        return None;
-    }
-    match relay.next_events().await {
-        Some(events) => {
-            let bytes = ntex::util::Bytes::copy_from_slice(&events);
-            Some((Ok(bytes), relay))
+impl Relay {
+    /// Reads the stream to its end, or until its caller has left.
+    async fn run(mut self, first: Piece) {
+        let delivery = Rc::clone(&self.delivery);
+        let caller = self.caller.clone();
+        tokio::select! {
+            biased;
+            () = delivery.closed() => {}
+            () = caller_disconnected(caller) => {}
+            () = self.forward(first) => {}
         }
-        None if relay.has_ended => None,
-        None => std::future::pending().await,
     }
-}
 
-impl Relay {
-    /// Returns complete events; nothing at the end of the answer, or if the stream was cut.
-    async fn next_events(&mut self) -> Option<Bytes> {
+    /// Queues complete events for the caller until the answer ends or is cut.
+    async fn forward(&mut self, first: Piece) {
+        let mut read = Ok(first);
         loop {
-            let piece = match self.first_piece.take() {
-                Some(piece) => Ok(piece),
-                None => self.read_before_deadline().await,
-            };
-            match piece {
+            match read {
                 Ok(Piece::Events(events)) => {
-                    self.tracker.record_events();
-                    return Some(events);
-                }
-                Ok(Piece::End) => {
-                    self.end();
-                    return None;
+                    let pushing = self.delivery.push(events);
+                    if tokio::time::timeout(self.time_left(), pushing)
+                        .await
+                        .is_err()
+                    {
+                        self.cut("the request's time is over, and its caller has not made room");
+                        return;
+                    }
                 }
+                Ok(Piece::End) => return self.end(),
                 Err(failure) => {
                     if !self.resume_elsewhere(&failure).await {
-                        return None;
+                        return;
                     }
                 }
             }
+            read = self.read_before_deadline().await;
         }
     }
 
     async fn read_before_deadline(&mut self) -> Result<Piece, AnswerFailure> {
         let left = self.time_left();
-        let caller = self.caller.clone();
-        let broke_off = |cause: &str| Err(AnswerFailure::BrokeOff(cause.to_owned()));
         let reading = read_or_withdraw(
             &self.state,
             &self.context,
             &mut self.attempt,
             &mut self.splitter,
         );
-        tokio::select! {
-            piece = tokio::time::timeout(left, reading) => match piece {
-                Ok(piece) => piece,
-                Err(_) => broke_off("the request's time is over"),
-            },
-            () = caller_disconnected(caller) => broke_off("the caller has left"),
-        }
+        let over = || AnswerFailure::BrokeOff("the request's time is over".to_owned());
+        let read = tokio::time::timeout(left, reading).await;
+        read.unwrap_or_else(|_| Err(over()))
     }
 
     fn time_left(&self) -> Duration {
@@ -253,35 +249,24 @@
         }
     }
 
-    /// Next attempt, as long as the request has time left and its caller is connected.
+    /// Next attempt, as long as the request has time left.
     async fn next_attempt(&mut self, last_event_id: Option<&str>) -> Result<Attempt, Refusal> {
-        let left = self.time_left();
-        let caller = self.caller.clone();
-        let next = self.attempts.next(last_event_id);
-        let ended = |detail| Err(Refusal::new(Step::Answer, Reason::TimedOut, detail));
-        tokio::select! {
-            next = tokio::time::timeout(left, next) => {
-                next.unwrap_or_else(|_| ended("the request's time is over"))
-            }
-            () = caller_disconnected(caller) => ended("the caller has left"),
-        }
+        let next = tokio::time::timeout(self.time_left(), self.attempts.next(last_event_id)).await;
+        let over = |_| Refusal::new(Step::Answer, Reason::TimedOut, "the request's time is over");
+        next.map_err(over)?
     }
 
-    fn end(&mut self) {
-        self.has_ended = true;
+    fn end(&self) {
         note_survived(&self.state, &self.context);
         let status = self.attempt.opened.answer.status().as_u16();
-        self.tracker
-            .record_completion(self.attempt.choice.replica.id(), status);
+        self.delivery
+            .complete(self.attempt.choice.replica.id(), status);
     }
 
-    /// Closes the caller's connection without the end of the answer.
+    /// Ends the caller's connection after what was queued, without the end of the answer.
     fn cut(&mut self, cause: &str) {
-        self.tracker.record_cut(cause);
         self.attempt.opened.answer.close();
-        if let Some(caller) = &self.caller {
-            caller.close();
-        }
+        self.delivery.cut(cause);
     }
 }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -249,6 +249,11 @@
         }
         ntex::rt::spawn(cache::run(Rc::clone(&state)));
         ntex::rt::spawn(stop::close_idle_connections(Rc::clone(&state)));
+        let held = Rc::clone(&state);
+        ntex::rt::spawn(async move {
+            let limit = || held.times.get().caller_stall;
+            held.held_bytes.end_stalled(limit).await;
+        });
         ntex::rt::spawn(rollout::run(Rc::clone(&state)));
         ntex::rt::spawn(standstill::watch(Rc::clone(&state)));
         App::new()
--- a/crates/gateway/src/server/listeners.rs
+++ b/crates/gateway/src/server/listeners.rs
@@ -29,8 +29,9 @@
     pub fn bind(listen: &GatewayListen) -> anyhow::Result<Self> {
         let callers = bind(listen.callers, "callers")?;
         // Accepted connections inherit these options, which detect callers that vanish without closing their
-        // connections.
-        set_options(&SockRef::from(&callers)).context("setting the options of the listener")?;
+        // connections. They have no limit for unacknowledged bytes: Linux applies it to a caller that reads slowly too.
+        set_options(&SockRef::from(&callers), None)
+            .context("setting the options of the listener")?;
         let metrics = listen.metrics.map(|address| bind(address, "metrics"));
         Ok(Self {
             callers,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,6 +22,7 @@
 use crate::configuration::Configuration;
 use crate::connections::CallerConnections;
 use crate::currency::Currency;
+use crate::held_bytes::HeldBytes;
 use crate::metrics::GatewayMetrics;
 use crate::notices::{ChangedNotices, NoticeSurvey};
 use crate::own_daemon::{machine, own_daemon, seeds};
@@ -130,6 +131,8 @@
     pub cached: CachedParts,
     /// Which replicas have which prompts cached.
     pub holders: PromptHolders,
+    /// Bytes held for callers.
+    pub held_bytes: Rc<HeldBytes>,
     /// Connections of the callers.
     pub callers: CallerConnections,
     /// Connections to the object store.
@@ -188,6 +191,7 @@
         let times = lease_times(settings.times.lease_term);
         let lease = OrderLease::new(&machine(&settings), incarnation, times);
         let lease = lease.at_first_start(settings.is_first_start);
+        let held_bytes = HeldBytes::new(settings.machine.held_bytes, Arc::clone(&status));
         Rc::new(Self {
             times: Cell::new(settings.times),
             registry: Registry::new(settings.births),
@@ -209,6 +213,7 @@
             peers,
             cached: CachedParts::default(),
             holders: PromptHolders::default(),
+            held_bytes,
             callers: CallerConnections::default(),
             store_outage: StoreOutage::default(),
             rejections: Rejections::default(),
--- a/crates/gateway/src/upstream/connector.rs
+++ b/crates/gateway/src/upstream/connector.rs
@@ -49,7 +49,7 @@
     let stream = connected
         .map_err(|_| ConnectError::TimedOut { peer })?
         .map_err(failed)?;
-    set_options(&SockRef::from(&stream)).map_err(failed)?;
+    set_options(&SockRef::from(&stream), Some(UNACKNOWLEDGED_TIMEOUT)).map_err(failed)?;
     Ok(stream)
 }
 
@@ -63,12 +63,15 @@
 }
 
 /// Sets options that detect a dead peer and send small messages without delay.
-pub fn set_options(socket: &SockRef<'_>) -> io::Result<()> {
+pub fn set_options(
+    socket: &SockRef<'_>,
+    unacknowledged_timeout: Option<Duration>,
+) -> io::Result<()> {
     let keepalive = TcpKeepalive::new()
         .with_time(PROBE_IDLE_TIME)
         .with_interval(PROBE_INTERVAL)
         .with_retries(MAX_UNANSWERED_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    socket.set_tcp_user_timeout(unacknowledged_timeout)?;
     socket.set_tcp_nodelay(true)
 }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -45,6 +45,8 @@
     pub weights_deadline: Duration,
     /// For how long after trouble on its way to the store a gateway is not held to what the store tells.
     pub contact: Duration,
+    /// For how long a caller may take nothing of an answer that waits for it.
+    pub caller_stall: Duration,
 }
 
 /// How often requests may be sent again.
@@ -65,6 +67,8 @@
     pub cores: f64,
     /// What its link carries, in megabits a second.
     pub link_megabits: f64,
+    /// Bytes that it may hold for callers.
+    pub held_bytes: usize,
 }
 
 /// How exactly the limits of tenants have to be kept by all gateways together.
@@ -195,6 +199,7 @@
         lease_term: time("lease_term_seconds", 3.0),
         weights_deadline: time("weights_deadline_seconds", 8.0),
         contact: time("contact_seconds", 3.0),
+        caller_stall: time("caller_stall_seconds", 120.0),
     };
     section.finish();
     times
@@ -238,6 +243,10 @@
         link_megabits: section.or_default("link_megabits", 1000.0, |raw| {
             values::number(raw, 0.001..=1e9)
         }),
+        held_bytes: section.or_default("held_mebibytes", 32 << 20, |raw| {
+            let mebibytes = values::number(raw, 16.0..=65536.0)?;
+            Ok((mebibytes * f64::from(1 << 20)) as usize)
+        }),
     };
     section.finish();
     machine
