--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -44,6 +44,8 @@
     REPLICA_SAID_LEAVING = 6311, Info, "A replica has said in an answer that it is leaving, whatever its entry in the store says. The fields give who told: an answer to this gateway, or another gateway.";
     REPLICA_ASKED_FOR_REST = 6312, Info, "A replica turned a request away and wants none from this gateway for a while. The field gives the time; of several the latest end holds. Once a second at the most for each replica.";
     REPLICAS_RESERVED = 6320, Info, "The number of a service's replicas that long prompts prefer and streams avoid has changed. The fields give it, the number of all replicas, and the demand: how many replicas the long prompts of all gateways would keep busy.";
+    ANSWER_ENDED_FOR_ROOM = 6350, Warn, "As much is held for callers as may be. The answer of which nothing was taken for the longest time was ended without its end; the fields give what was held of it, for how long nothing was taken, and what is held in all.";
+    ANSWER_NOT_TAKEN = 6351, Warn, "A caller took nothing of its answer for too long: the answer was ended without its end, and the connection closed. The fields give what was held of it, and for how long nothing was taken.";
     ORDER_LEASE_ACQUIRED = 6400, Info, "This daemon may give orders, under the token given.";
     ORDER_LEASE_NOT_ACQUIRED = 6401, Info, "Another daemon holds the lease, or the store did not say; it is tried again.";
     ORDER_LEASE_LOST = 6402, Warn, "This daemon may not give orders any more.";
