--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,6 +5,7 @@
 //! names the load that it answers.
 //!
 //! - [`admission`]: whether a request is sent now, behind others, or refused.
+//! - [`fair_share`]: shares of tenants while a service cannot run all that they send.
 //! - [`load`]: the load of one replica, on which all decisions rest.
 //! - [`placement`]: which replica takes a request.
 //! - [`prefill`]: how long a replica takes to prefill a prompt.
@@ -13,6 +14,7 @@
 //! - [`wait_statistics`]: the waits at one replica, from requests that have started.
 
 pub mod admission;
+pub mod fair_share;
 pub mod load;
 pub mod placement;
 pub mod prefill;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`rollout`]: the loading of new weights, ordered by one gateway at a time.
 //! - [`weights`]: the versions of weights that the operator wants, and since when.
 //! - [`suspected_weights`]: versions that may have been named although no gateway has seen it.
+//! - [`shares`]: fair shares of tenants while a service cannot run all that they send.
 //! - [`server`]: sockets, readiness, start and stop.
 //! - [`standstill`]: detection of times in which this process was suspended.
 
@@ -38,6 +39,7 @@
 pub mod replicas;
 pub mod rollout;
 pub mod server;
+pub mod shares;
 pub mod standstill;
 pub mod state;
 pub mod store;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use crate::replicas::MeasuredWait;
+use crate::shares::metrics::ShareMetrics;
 
 /// The labels of the counter of invalid input.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -57,6 +58,8 @@
     pub overloaded: Counter,
     /// Requests refused because every replica that could serve them had asked for a pause.
     pub paused: Counter,
+    /// Fair shares of tenants.
+    pub shares: ShareMetrics,
     /// Permits granted to this gateway to send to a replica with a rate limit.
     pub permits_granted: Counter,
     /// Permits denied to this gateway.
@@ -128,6 +131,7 @@
             permits_denied: Counter::default(),
             permits_unanswered: Counter::default(),
             over_quota: Counter::default(),
+            shares: ShareMetrics::default(),
             replicas_lapsed: Counter::default(),
             replicas_held_back: Counter::default(),
             replicas_ended: Counter::default(),
@@ -245,6 +249,7 @@
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
         }
+        self.shares.register(&mut registry);
         let durations = [
             (
                 "time_to_answer",
--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -21,6 +21,7 @@
 use super::permits;
 use super::records;
 use super::send::send_to;
+use super::spread::record_group_usage;
 use super::spread::{self, spread};
 use crate::cache::PrefixKey;
 use crate::protocol::{ModelVersion, UnreadableReason};
@@ -122,14 +123,20 @@
                     log::debug!("configuration piece from {from} dropped: the reply queue is full");
                 }
             }
-            Some(Message::Usage(usage)) => state.quotas.record_member_usage(&usage, Instant::now()),
+            Some(Message::Usage(usage)) => match usage.shares.is_empty() {
+                true => state.quotas.record_member_usage(&usage, Instant::now()),
+                false => state.shares.record_member_usage(&usage, Instant::now()),
+            },
             Some(Message::GroupUsage(usage)) => {
                 state
                     .peers
                     .relays
                     .record_report(&usage.group, from.to_string(), Instant::now());
-                state.quotas.record_group_usage(&usage, Instant::now());
-                state.quotas.queue_group_report(usage);
+                record_group_usage(&state, &usage, Instant::now());
+                match usage.shares.is_empty() {
+                    true => state.quotas.queue_group_report(usage),
+                    false => state.shares.queue_group_report(usage),
+                }
             }
             Some(Message::Strikes(strikes)) => records::apply_strikes(&state, &strikes),
             Some(Message::Cleared(cleared)) => records::apply_cleared(&state, &cleared),
--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -62,6 +62,7 @@
         state
             .quotas
             .set_groups(&directory.group_name, directory.other_groups.len() + 1);
+        state.shares.set_group(&directory.group_name);
         let group = state.peers.group(&directory);
         let others = directory.first_of_other_groups();
         chooser.set_just_started(state.now() < STARTUP_WINDOW);
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -121,6 +121,9 @@
     /// When the totals were sent, in milliseconds since a fixed moment of this incarnation.
     #[musli(default)]
     pub sent_ms: Option<u64>,
+    /// Demand and use by service and tenant, see [`crate::shares`].
+    #[musli(default)]
+    pub shares: Vec<WireTotals>,
 }
 
 /// Tenants' usage in one group since its leader began to count.
@@ -138,6 +141,9 @@
     /// When the totals were sent, in milliseconds since a fixed moment of the leader's incarnation.
     #[musli(default)]
     pub sent_ms: Option<u64>,
+    /// Demand and use by service and tenant, see [`crate::shares`].
+    #[musli(default)]
+    pub shares: Vec<WireTotals>,
 }
 
 /// Asks for the receiver's state and for the changes that the sender lacks.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -52,6 +52,7 @@
 mod records;
 pub mod relays;
 mod send;
+mod shares;
 pub mod source;
 pub mod spread;
 mod task;
--- a/crates/gateway/src/peers/spread.rs
+++ b/crates/gateway/src/peers/spread.rs
@@ -10,7 +10,7 @@
 use super::answer::{apply_load_status, apply_prompts};
 use super::cached;
 use super::directory::{Directory, name_digest};
-use super::message::{Message, Report, Spread};
+use super::message::{Message, Report, Spread, WireGroupUsage};
 use super::notices;
 use super::records;
 use super::send::{send_bytes, send_to_all};
@@ -70,6 +70,14 @@
     send_to_all(socket, &message, receivers.into_iter()).await;
 }
 
+/// Records a report of quotas' usage, or of shares: a report is of one kind.
+pub(super) fn record_group_usage(state: &GatewayState, usage: &WireGroupUsage, now: Instant) {
+    match usage.shares.is_empty() {
+        true => state.quotas.record_group_usage(usage, now),
+        false => state.shares.record_group_usage(usage, now),
+    }
+}
+
 /// Forwards the datagram of a report and applies the report.
 pub(super) async fn relay(
     state: &GatewayState,
@@ -88,7 +96,7 @@
         Report::Usage(groups) => {
             let now = Instant::now();
             for usage in &groups {
-                state.quotas.record_group_usage(usage, now);
+                record_group_usage(state, usage, now);
             }
         }
         Report::LoadStatus(status) => apply_load_status(state, &status),
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -17,6 +17,7 @@
 use super::permits;
 use super::prompt_relay;
 use super::records;
+use super::shares;
 use super::usage;
 use crate::state::GatewayState;
 use crate::store;
@@ -59,5 +60,6 @@
     ntex::rt::spawn(notices::send_updates(Rc::clone(&state), Rc::clone(&socket)));
     ntex::rt::spawn(permits::send_queries(Rc::clone(&state), Rc::clone(&socket)));
     ntex::rt::spawn(usage::send_updates(Rc::clone(&state), Rc::clone(&socket)));
+    ntex::rt::spawn(shares::send_updates(Rc::clone(&state), Rc::clone(&socket)));
     ask(state, socket, received_replies).await;
 }
--- a/crates/gateway/src/peers/usage.rs
+++ b/crates/gateway/src/peers/usage.rs
@@ -21,7 +21,7 @@
 const IDLE_REPORT_INTERVAL: Duration = Duration::from_millis(200);
 
 /// The number of totals in a datagram, which keeps it below 1,200 bytes: each takes up to 50 of them.
-const MAX_TOTALS: usize = 20;
+pub(super) const MAX_TOTALS: usize = 20;
 
 /// Reports usage in an endless loop.
 pub(super) async fn send_updates(state: Rc<GatewayState>, socket: Rc<tokio::net::UdpSocket>) {
@@ -62,6 +62,7 @@
         incarnation: state.incarnation,
         totals: totals.to_vec(),
         sent_ms: Some(state.quotas.now_ms(Instant::now())),
+        shares: Vec::new(),
     }
 }
 
@@ -84,6 +85,7 @@
             totals: totals.to_vec(),
             leader: name_digest(&state.peers.own().name),
             sent_ms: Some(state.quotas.now_ms(now)),
+            shares: Vec::new(),
         };
         send_to_other_groups(state, socket, &Message::GroupUsage(usage.clone())).await;
         state.quotas.record_group_usage(&usage, now);
@@ -104,11 +106,11 @@
 }
 
 /// Distributes the reports of groups among datagrams.
-fn pack(of_groups: Vec<WireGroupUsage>) -> Vec<Vec<WireGroupUsage>> {
+pub(super) fn pack(of_groups: Vec<WireGroupUsage>) -> Vec<Vec<WireGroupUsage>> {
     let mut datagrams: Vec<Vec<WireGroupUsage>> = Vec::new();
     let mut size = usize::MAX;
     for usage in of_groups {
-        let more = usage.totals.len() + 1;
+        let more = usage.totals.len() + usage.shares.len() + 1;
         if size.saturating_add(more) > MAX_TOTALS + 1 {
             datagrams.push(Vec::new());
             size = 0;
--- a/crates/gateway/src/pipeline/admission.rs
+++ b/crates/gateway/src/pipeline/admission.rs
@@ -30,6 +30,7 @@
 use super::context::RequestContext;
 use super::refusal::{Reason, Refusal, Step};
 use crate::replicas::Replica;
+use crate::shares::Standing;
 use crate::state::GatewayState;
 
 /// Whether a request is new or resumes a stream of which its caller has received events.
@@ -66,7 +67,9 @@
     let queue_state_at = |replica: &Rc<Replica>| replica.queue_waits.queue_state(rank, now);
     let service_wait = service_queue_wait(candidates.iter().map(queue_state_at));
     let objective = context.configuration.longest_objective(&context.service);
-    if is_regulated && are_queues_too_long(service_wait, objective) {
+    let standing = context.standing.get();
+    let is_below_share = standing == Standing::BelowShare;
+    if is_regulated && !is_below_share && are_queues_too_long(service_wait, objective) {
         let acceptable_wait = objective.unwrap_or_default();
         let detail = format!("a wait of {service_wait:?} at all replicas together");
         return Err(overloaded(
@@ -78,10 +81,16 @@
         ));
     }
     let expected_wait = candidates.iter().map(expected_at).min().unwrap_or_default();
-    if !is_regulated || is_in_time(expected_wait, context.objective_left(now)) {
+    let is_punctual =
+        standing != Standing::AboveShare && is_in_time(expected_wait, context.objective_left(now));
+    if !is_regulated || is_punctual {
         return Ok(Admitted { candidates, rank });
     }
-    let late = late_rank(rank);
+    // Load is shed from the tenants above their share: the others are not moved behind them for being late.
+    let late = match is_below_share {
+        true => rank,
+        false => late_rank(rank),
+    };
     let typical_at = |replica: &Rc<Replica>| replica.queue_waits.typical_wait(late, now);
     let typical_wait = candidates.iter().map(typical_at).min().unwrap_or_default();
     let first_event_time_left = context.first_event_time_left(now);
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -237,6 +237,10 @@
         if let (Some(version), Some(prompt)) = (meta.weights_version, self.context.prompt()) {
             choice.replica.record_version(&prompt.model, version);
         }
+        let is_full = verdict == Verdict::NotRun && !meta.is_misdirected;
+        self.state
+            .shares
+            .record_answer(&self.context.service, is_full);
         match verdict {
             Verdict::Final | Verdict::Failed => {
                 self.possible_runs += 1;
--- a/crates/gateway/src/pipeline/context.rs
+++ b/crates/gateway/src/pipeline/context.rs
@@ -1,6 +1,6 @@
 //! Everything known about a request once it may be sent.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +16,7 @@
 use crate::protocol::{Prompt, PromptPart, RequestMeta};
 use crate::quarantine::Fingerprint;
 use crate::replicas::Replica;
+use crate::shares::Standing;
 
 /// Time limit that stands in for the caller's or the route's, if that one is not set.
 const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(600);
@@ -47,6 +48,8 @@
     pub arrived_at: Instant,
     /// When the caller or the route gives up the request.
     pub deadline: Instant,
+    /// Where its tenant stands if the service is overloaded.
+    pub standing: Cell<Standing>,
     fingerprint: OnceCell<Fingerprint>,
 }
 
@@ -79,6 +82,7 @@
             service,
             arrived_at,
             deadline: arrived_at + caller_limit.min(route_limit),
+            standing: Cell::default(),
             fingerprint: OnceCell::new(),
         }
     }
@@ -98,6 +102,11 @@
         })
     }
 
+    /// Name of the tenant; empty without one.
+    pub fn tenant_name(&self) -> &str {
+        self.tenant.as_ref().map_or("", |tenant| &tenant.name)
+    }
+
     /// Time left until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -11,6 +11,7 @@
 use http::header::HOST;
 use http_body_util::Full;
 
+use super::check_share::note_work_begun;
 use super::choose_replica::Choice;
 use super::context::RequestContext;
 use super::withdrawal::{are_weights_too_old, replica_time_limit, until_weights_too_old};
@@ -47,7 +48,9 @@
         };
         let now = Instant::now();
         let metrics = &state.status.metrics;
-        metrics.note_begun(&queued.record_start(now));
+        let begun = queued.record_start(now);
+        note_work_begun(state, context, begun.min_wait, now);
+        metrics.note_begun(&begun);
         if let Some((prompt, version)) = context.prompt().zip(choice.weights_version) {
             let wanted = state.weights.borrow();
             if let Some(age) = wanted.outdated_for(&prompt.model, version, now) {
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -10,6 +10,7 @@
 mod authenticate;
 mod check_quarantine;
 mod check_quota;
+mod check_share;
 mod choose_backend;
 mod choose_replica;
 mod collect;
@@ -106,9 +107,16 @@
         body,
         arrived_at,
     );
+    check_share::check_share(state, &context)?;
     let context = Rc::new(context);
-    match context.route.kind {
-        RouteKind::Streaming => relay::serve(state, context, request, tracker).await,
-        RouteKind::Safe | RouteKind::Unsafe => collect::serve(state, context, tracker).await,
+    let result = match context.route.kind {
+        RouteKind::Streaming => relay::serve(state, Rc::clone(&context), request, tracker).await,
+        RouteKind::Safe | RouteKind::Unsafe => {
+            collect::serve(state, Rc::clone(&context), tracker).await
+        }
+    };
+    if let Err(refusal) = &result {
+        check_share::note_refusal(state, &context, refusal);
     }
+    result
 }
--- a/crates/gateway/src/pipeline/refusal.rs
+++ b/crates/gateway/src/pipeline/refusal.rs
@@ -24,6 +24,8 @@
     Authenticate,
     /// Checking the tenant's quota.
     Quota,
+    /// Checking the tenant's share of an overloaded service.
+    Share,
     /// Reading the body.
     Body,
     /// Choosing a replica.
@@ -47,6 +49,8 @@
     OverQuota,
     /// It is larger than its tenant's quota ever allows.
     BeyondQuota,
+    /// The service is overloaded, and its tenant asks for more than its share.
+    OverShare,
     /// The body is too large.
     BodyTooLarge,
     /// The body broke off, or is malformed.
@@ -89,6 +93,7 @@
             | Self::NoReplica
             | Self::Paused
             | Self::Overloaded
+            | Self::OverShare
             | Self::NotRun
             | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
--- a/crates/gateway/src/quota/group_use.rs
+++ b/crates/gateway/src/quota/group_use.rs
@@ -15,7 +15,7 @@
 /// The window over which usage rates are averaged, and over which tokens left in the bucket are spent. It is
 /// well above the time that gateways need to learn of each other's usage (about 100 ms), which keeps the rates
 /// from oscillating.
-pub(super) const AVERAGING_WINDOW: Duration = Duration::from_secs(1);
+pub(crate) const AVERAGING_WINDOW: Duration = Duration::from_secs(1);
 
 /// How long a group that sends no reports is assumed to keep its last usage rate. A machine that is cut off
 /// for longer can't verify that its tenants' keys are still valid, and so admits nothing.
@@ -23,7 +23,7 @@
 
 /// The time without reports after which the usage of a group is assumed: its leader reports at least every
 /// 200 ms.
-pub(super) const SILENCE_TIMEOUT: Duration = Duration::from_millis(500);
+pub(crate) const SILENCE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How long after a silence the reports of a group may still account for usage during it: a new leader may
 /// not have all members' reports yet, and reports may have waited at this gateway while its process stood
@@ -261,6 +261,14 @@
         }
     }
 
+    /// Admitted units per second; during a silence, the rate before it.
+    pub fn admitted_rate(&self, now: Duration) -> f64 {
+        match now < self.reported_at + ASSUMED_USAGE_WINDOW {
+            true => self.sum_rates(now, DecayingUsage::admitted_rate),
+            false => 0.0,
+        }
+    }
+
     /// Sums a rate over the leaders that still report; a leader that fell silent before the others has no
     /// members any more.
     fn sum_rates(&self, now: Duration, rate: impl Fn(&DecayingUsage) -> f64) -> f64 {
--- a/crates/gateway/src/quota/usage.rs
+++ b/crates/gateway/src/quota/usage.rs
@@ -54,8 +54,8 @@
     }
 
     fn add(&mut self, more: &Self) {
-        self.asked += more.asked;
-        self.admitted += more.admitted;
+        self.asked = self.asked.saturating_add(more.asked);
+        self.admitted = self.admitted.saturating_add(more.admitted);
     }
 }
 
@@ -117,12 +117,35 @@
 #[derive(Debug, Default)]
 pub struct TenantTotals {
     by_tenant: HashMap<u64, TenantCounter>,
+    /// Where new counters start: no dropped counter had reached more, so that receivers never see a total fall.
+    floor: Totals,
 }
 
 impl TenantTotals {
     /// Adds to the totals of `tenant` at `now`.
     pub fn add(&mut self, tenant: u64, now: Duration, more: &Totals) {
-        self.by_tenant.entry(tenant).or_default().add(now, more);
+        let floor = self.floor;
+        let new = || TenantCounter {
+            totals: floor,
+            baseline: floor,
+            ..TenantCounter::default()
+        };
+        self.by_tenant
+            .entry(tenant)
+            .or_insert_with(new)
+            .add(now, more);
+    }
+
+    /// Drops the counters that have not changed for `age`.
+    pub fn drop_idle(&mut self, now: Duration, age: Duration) {
+        let floor = &mut self.floor;
+        self.by_tenant.retain(|_, counter| {
+            let is_recent = now < counter.changed_at + age;
+            if !is_recent {
+                *floor = floor.max_with(&counter.totals);
+            }
+            is_recent
+        });
     }
 
     /// Moves the baseline of new receivers to the totals reached by `until`.
@@ -189,6 +212,20 @@
 }
 
 impl GroupSums {
+    /// Drops the counters that have not changed for `age`, and the members' totals if there are more than
+    /// `max_totals`: their next reports are counted from their baselines.
+    pub fn drop_idle(&mut self, now: Duration, age: Duration, max_totals: usize) {
+        self.totals.drop_idle(now, age);
+        let known: usize = self
+            .members
+            .values()
+            .map(|member| member.totals.len())
+            .sum();
+        if known > max_totals {
+            self.members.clear();
+        }
+    }
+
     /// Adds what a member used since its last report, or since the sums of another leader included its usage.
     pub fn record_member(&mut self, usage: &WireUsage, now: Duration) {
         let member = self.members.entry(usage.daemon).or_default();
--- a/crates/gateway/src/replicas/queue_wait.rs
+++ b/crates/gateway/src/replicas/queue_wait.rs
@@ -87,6 +87,15 @@
         }
     }
 
+    /// The number of queued requests, and the sum of the times for which they have waited.
+    pub fn queued_ages(&self, now: Instant) -> (usize, Duration) {
+        let inner = self.inner.borrow();
+        let sent_at = inner.waiting.values().flat_map(BTreeMap::values);
+        sent_at.fold((0, Duration::ZERO), |(count, sum), sent_at| {
+            (count + 1, sum + now.saturating_duration_since(*sent_at))
+        })
+    }
+
     fn record_start(&self, now: Instant) {
         let mut inner = self.inner.borrow_mut();
         let recent_starts = inner
@@ -159,8 +168,10 @@
         let wait = now.saturating_duration_since(self.sent_at);
         self.record_own_wait(wait, now);
         self.estimator.record_start(now);
+        let standstill = standstill::total().saturating_sub(self.standstill_before);
         MeasuredWait {
             wait,
+            min_wait: wait.saturating_sub(standstill),
             expected: self.expected,
         }
     }
@@ -205,6 +216,8 @@
 pub struct MeasuredWait {
     /// How long the request was queued.
     pub wait: Duration,
+    /// The same without the time in which this process stood still.
+    pub min_wait: Duration,
     /// The wait that was expected when the request was sent.
     pub expected: Duration,
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -33,6 +33,7 @@
 use crate::quota::{Quotas, Tolerance};
 use crate::replicas::{Registry, RemovedIncarnations};
 use crate::rollout::{OrderLease, lease_times};
+use crate::shares::FairShares;
 use crate::store::{
     self, KnownNamings, Rejected, Rejections, StoreEraTracker, StoreOutage, StorePosition,
     StoreProgress,
@@ -116,6 +117,8 @@
     pub retry_budgets: RetryBudgets,
     /// Quotas of the tenants.
     pub quotas: Quotas,
+    /// Fair shares of the tenants.
+    pub shares: FairShares,
     /// Permits to send to replicas that limit their request rate.
     pub permits: Permits,
     /// Notices from replicas that have to be sent to other gateways.
@@ -182,6 +185,7 @@
     ) -> Rc<Self> {
         let retry_budgets = RetryBudgets::new(&settings.retries);
         let quotas = Quotas::new(tolerance(&settings.quotas), Instant::now());
+        let shares = FairShares::new(settings.fair_shares.is_enabled, Instant::now());
         let store = Pool::new(settings.store);
         let incarnation = u64::from(rand::rng().random::<u32>());
         let peers = Peers::new(own_daemon(&settings), seeds(&settings), incarnation);
@@ -202,6 +206,7 @@
             quarantine: Quarantine::default(),
             retry_budgets,
             quotas,
+            shares,
             permits: Permits::default(),
             changed_notices: ChangedNotices::default(),
             notice_survey: NoticeSurvey::default(),
@@ -460,6 +465,7 @@
             self.times.set(settings.times);
             self.retry_budgets.reload(&settings.retries);
             self.quotas.reload(tolerance(&settings.quotas));
+            self.shares.reload(settings.fair_shares.is_enabled);
             // Requests that wait at replicas may have less time now.
             self.weights_updated.notify_waiters();
         }
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -364,6 +364,7 @@
     state
         .quotas
         .set_tenants(configuration.tenants(), Instant::now());
+    state.shares.set_tenants(configuration.tenants());
     state.configuration.store(Some(configuration.into()));
     state.peers.announce_changes();
 }
--- a/crates/gateway/tests/quota_leaders.rs
+++ b/crates/gateway/tests/quota_leaders.rs
@@ -270,6 +270,7 @@
             incarnation: daemon.life,
             totals: daemon.quotas.own_usage(now),
             sent_ms: Some(now_ms),
+            shares: Vec::new(),
         };
         let arrival = now_ms + REPORT_DELAY_STEPS * STEP_MS;
         if leader != number {
@@ -284,6 +285,7 @@
             totals: daemon.quotas.group_usage(now),
             leader: number as u64 + 1,
             sent_ms: Some(now_ms),
+            shares: Vec::new(),
         };
         daemon.quotas.record_group_usage(&usage, now);
         let relays = daemon.relays;
--- a/crates/gateway/tests/quotas.rs
+++ b/crates/gateway/tests/quotas.rs
@@ -134,6 +134,7 @@
                     incarnation: daemon.life,
                     totals: daemon.quotas.own_usage(now),
                     sent_ms: Some(daemon.quotas.now_ms(now)),
+                    shares: Vec::new(),
                 };
                 daemons[daemon.zone].quotas.record_member_usage(&usage, now);
             }
@@ -145,6 +146,7 @@
                     totals: leader.quotas.group_usage(now),
                     leader: 0,
                     sent_ms: Some(leader.quotas.now_ms(now)),
+                    shares: Vec::new(),
                 };
                 last.push((zone, usage));
             }
@@ -304,6 +306,7 @@
         totals,
         leader: 0,
         sent_ms: Some(sent_ms),
+        shares: Vec::new(),
     };
     for milliseconds in (0..5000).step_by(50) {
         quotas.record_group_usage(
@@ -344,6 +347,7 @@
         totals: Vec::new(),
         leader: 0,
         sent_ms: None,
+        shares: Vec::new(),
     };
     quotas.record_group_usage(&report, later);
     assert_eq!(quotas.own_usage(later)[0].admitted_before, 3000);
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -76,6 +76,13 @@
     pub slack: f64,
 }
 
+/// Fair shares of tenants.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct GatewayFairShares {
+    /// Whether the requests of a tenant above its share are refused while a service cannot run all that is sent.
+    pub is_enabled: bool,
+}
+
 /// What is asked of the entries of replicas about the begin of their lives; an entry without what is asked for may be
 /// that of another writer, and is not used.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -111,6 +118,8 @@
     pub retries: GatewayRetries,
     /// Limits of tenants.
     pub quotas: GatewayQuotas,
+    /// Fair shares of tenants.
+    pub fair_shares: GatewayFairShares,
     /// What is asked of the entries of replicas.
     pub births: Births,
     /// The machine.
@@ -152,6 +161,7 @@
     let times = read_times(root.section("times"));
     let retries = read_retries(root.section("retries"));
     let quotas = read_quotas(root.section("quotas"));
+    let fair_shares = read_fair_shares(root.section("fair_shares"));
     let births = read_births(root.section("replicas"));
     let machine = read_machine(root.section("machine"));
     let log = read_log(root.section("log"));
@@ -166,6 +176,7 @@
         times,
         retries,
         quotas,
+        fair_shares,
         births,
         machine,
         log,
@@ -232,6 +243,12 @@
     quotas
 }
 
+fn read_fair_shares(section: Section<'_>) -> GatewayFairShares {
+    let is_enabled = section.or_default("enabled", false, values::boolean);
+    section.finish();
+    GatewayFairShares { is_enabled }
+}
+
 fn read_machine(section: Section<'_>) -> GatewayMachine {
     let machine = GatewayMachine {
         cores: section.or_default("cores", 1.0, |raw| values::number(raw, 0.001..=1024.0)),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -15,8 +15,8 @@
 pub use error::{LoadError, Origin, Problem, SettingError};
 pub use flags::{InvalidAssignment, Overrides};
 pub use gateway::{
-    Births, GatewayListen, GatewayMachine, GatewayQuotas, GatewayRetries, GatewaySettings,
-    GatewayTimes, check_gateway, load_gateway,
+    Births, GatewayFairShares, GatewayListen, GatewayMachine, GatewayQuotas, GatewayRetries,
+    GatewaySettings, GatewayTimes, check_gateway, load_gateway,
 };
 pub use load::{check, check_with, load};
 pub use model::{
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -43,6 +43,8 @@
     REPLICA_PASSED_OVER = 6310, Info, "A replica gets no requests for now because of what it says of itself. The fields give what it said, how long ago, and for how much longer that holds. Once a second at the most for each replica.";
     REPLICA_SAID_LEAVING = 6311, Info, "A replica has said in an answer that it is leaving, whatever its entry in the store says. The fields give who told: an answer to this gateway, or another gateway.";
     REPLICA_ASKED_FOR_REST = 6312, Info, "A replica turned a request away and wants none from this gateway for a while. The field gives the time; of several the latest end holds. Once a second at the most for each replica.";
+    SERVICE_OVERLOADED = 6330, Warn, "A service can't run all that its tenants send: requests of tenants above their fair share are refused until that ends. The fields give the work per second that is shared out (tokens, or requests without a prompt), the level up to which a tenant of weight 1 may run, and how many tenants are above their share.";
+    SERVICE_OVERLOAD_ENDED = 6331, Info, "A service runs all that its tenants send again; nobody is refused for its share.";
     ORDER_LEASE_ACQUIRED = 6400, Info, "This daemon may give orders, under the token given.";
     ORDER_LEASE_NOT_ACQUIRED = 6401, Info, "Another daemon holds the lease, or the store did not say; it is tried again.";
     ORDER_LEASE_LOST = 6402, Warn, "This daemon may not give orders any more.";
