--- a/crates/decisions/src/fair_share.rs
+++ b/crates/decisions/src/fair_share.rs
@@ -25,7 +25,7 @@
 /// Share of the objective that the mean wait takes while shares are enforced: long enough that replicas seldom run out
 /// of work, and short enough that requests below their share are in time where the queue is longest. Queues are uneven,
 /// since prompts go to the replicas that have their shared parts cached: the longest were three times the mean.
-const TARGET_WAIT_SHARE: f64 = 0.15;
+const TARGET_WAIT_SHARE: f64 = 0.3;
 
 /// Time in which the part of the queues beyond the target is worked off. It equals the window over which rates are
 /// averaged: a shorter one would act on rates that do not show the previous correction yet.
@@ -238,8 +238,13 @@
         let is_confirmed_late = self.late_updates >= MIN_LATE_UPDATES;
         let shows_overload = signals.is_excess()
             && (is_confirmed_late || signals.is_full() || signals.is_refusing());
-        let floor = self.peak * MIN_PEAK_SHARE;
-        self.capacity = (signals.run * signals.aim()).max(floor);
+        let aim = signals.aim();
+        // While queues are short, what runs is limited by what is admitted, which says nothing of the capacity.
+        let floor = match self.is_overloaded && aim > 1.0 {
+            true => self.capacity,
+            false => self.peak * MIN_PEAK_SHARE,
+        };
+        self.capacity = (signals.run * aim).max(floor);
         if !self.is_overloaded {
             let is_due = shows_overload || (signals.is_reported && signals.demand > self.capacity);
             self.is_overloaded = is_due;
--- a/crates/gateway/src/pipeline/admission.rs
+++ b/crates/gateway/src/pipeline/admission.rs
@@ -60,7 +60,7 @@
     eligible: impl Fn(u8) -> Result<Vec<Rc<Replica>>, Refusal>,
 ) -> Result<Admitted, Refusal> {
     let rank = context.priority();
-    let candidates = eligible(rank)?;
+    let mut candidates = eligible(rank)?;
     let now = Instant::now();
     let is_regulated = context.prompt().is_some() && progress == Progress::New;
     let expected_at = |replica: &Rc<Replica>| replica.queue_waits.expected_wait(rank, now);
@@ -81,6 +81,12 @@
         ));
     }
     let expected_wait = candidates.iter().map(expected_at).min().unwrap_or_default();
+    let objective_left = context.objective_left(now);
+    if is_regulated && is_below_share && is_in_time(expected_wait, objective_left) {
+        // In an overload the replicas that have most prompts cached have the longest queues. Few requests are below
+        // their tenants' shares, so what they recompute elsewhere hardly lengthens other queues.
+        candidates.retain(|replica| is_in_time(expected_at(replica), objective_left));
+    }
     let is_punctual =
         standing != Standing::AboveShare && is_in_time(expected_wait, context.objective_left(now));
     if !is_regulated || is_punctual {
