--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,6 +5,7 @@
 //! names the load that it answers.
 //!
 //! - [`admission`]: whether a request is sent now, behind others, or refused.
+//! - [`fair_share`]: shares of tenants while a service cannot run all that they send.
 //! - [`interference`]: the cost of prefilling a prompt beside running streams.
 //! - [`load`]: the load of one replica, on which all decisions rest.
 //! - [`placement`]: which replica takes a request.
@@ -14,6 +15,7 @@
 //! - [`wait_statistics`]: the waits at one replica, from requests that have started.
 
 pub mod admission;
+pub mod fair_share;
 pub mod interference;
 pub mod load;
 pub mod placement;
--- a/crates/driftctl/tests/explain.rs
+++ b/crates/driftctl/tests/explain.rs
@@ -272,3 +272,17 @@
         assert!(!told.contains("exceeds"), "{told}");
     }
 }
+
+#[test]
+fn a_request_above_its_tenants_share_is_told_with_that_share() {
+    let log = line(
+        "10:00:02",
+        "CALLER_REFUSED",
+        "request=r1 route=a status=503 step=Share reason=OverShare peer=None detail=\"service llm, tenant \\\\\\\"a\\\\\\\": share 120/s, asked 600/s, admitted 0.200 of it\"",
+    );
+    let told = explain("r1", log.as_bytes()).expect("readable");
+    let conclusion = told.lines.last().expect("a conclusion");
+    for part in ["above its share", "share 120/s, asked 600/s"] {
+        assert!(conclusion.contains(part), "{conclusion}");
+    }
+}
--- a/crates/gateway/src/pipeline/context.rs
+++ b/crates/gateway/src/pipeline/context.rs
@@ -1,6 +1,6 @@
 //! Everything known about a request once it may be sent.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,6 +17,7 @@
 use crate::protocol::{Prompt, PromptPart, RequestMeta};
 use crate::quarantine::Fingerprint;
 use crate::replicas::Replica;
+use crate::shares::Standing;
 
 /// Time limit that stands in for the caller's or the route's, if that one is not set.
 const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(600);
@@ -50,6 +51,8 @@
     pub deadline: Instant,
     /// Accounts for the body as long as it may have to be sent again.
     pub body_charge: Option<Charge>,
+    /// Where its tenant stands if the service is overloaded.
+    pub standing: Cell<Standing>,
     fingerprint: OnceCell<Fingerprint>,
 }
 
@@ -89,6 +92,7 @@
             arrived_at,
             deadline,
             body_charge: None,
+            standing: Cell::default(),
             fingerprint: OnceCell::new(),
         }
     }
@@ -108,6 +112,11 @@
         })
     }
 
+    /// Name of the tenant; empty without one.
+    pub fn tenant_name(&self) -> &str {
+        self.tenant.as_ref().map_or("", |tenant| &tenant.name)
+    }
+
     /// Time left until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
