--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`placement`]: which replica takes a request.
 //! - [`prefill`]: how long a replica takes to prefill a prompt.
 //! - [`queue_state`]: the wait in the queues of all replicas of a service together.
+//! - [`replica_speed`]: how fast the replicas answer, and when a request is hedged.
 //! - [`retry_after`]: when a refused caller should retry.
 //! - [`wait_statistics`]: the waits at one replica, from requests that have started.
 
@@ -17,5 +18,6 @@
 pub mod placement;
 pub mod prefill;
 pub mod queue_state;
+pub mod replica_speed;
 pub mod retry_after;
 pub mod wait_statistics;
--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -32,6 +32,8 @@
     pub fetch_time: Duration,
     /// The time to recompute the shared parts that are cached nowhere. It is not counted at their home.
     pub recompute_time: Duration,
+    /// The time that the request itself takes at a replica of normal speed; zero if that is not known.
+    pub service_time: Duration,
 }
 
 /// Cost of one open request: it shares the steps of its replica.
@@ -105,6 +107,15 @@
         + OPEN_REQUEST_COST_MS * f64::from(candidate.load.open_requests)
         + FAILURE_COST_MS * candidate.failure_rate
         + outdated
+        + slowdown_cost_ms(candidate)
+}
+
+/// The additional time that a slow replica takes for the request and for those that are open there; 0 at normal speed.
+fn slowdown_cost_ms(candidate: &Candidate) -> f64 {
+    let load = &candidate.load;
+    let normal =
+        milliseconds(candidate.service_time) + OPEN_REQUEST_COST_MS * f64::from(load.open_requests);
+    (load.slowdown - 1.0).max(0.0) * normal
 }
 
 fn least_loaded(candidates: &[Candidate], tie_seed: u64) -> Option<usize> {
--- a/crates/decisions/tests/support/mod.rs
+++ b/crates/decisions/tests/support/mod.rs
@@ -18,5 +18,6 @@
         is_in_own_zone: true,
         fetch_time: Duration::ZERO,
         recompute_time: Duration::from_millis(100),
+        service_time: Duration::ZERO,
     }
 }
--- a/crates/driftctl/src/explain.rs
+++ b/crates/driftctl/src/explain.rs
@@ -16,7 +16,7 @@
 ];
 
 /// Events of the process that may be the cause of what befell a request.
-const SURROUNDINGS: [&str; 24] = [
+const SURROUNDINGS: [&str; 26] = [
     "GATEWAY_STARTED",
     "GATEWAY_STOPPING",
     "GATEWAY_STOPPED",
@@ -32,6 +32,8 @@
     "REPLICA_PASSED_OVER",
     "REPLICA_SAID_LEAVING",
     "REPLICA_ASKED_FOR_REST",
+    "REPLICA_SLOW",
+    "REPLICA_SPEED_NORMAL",
     "REQUEST_STRUCK",
     "REQUEST_QUARANTINED",
     "REQUEST_TRIED",
@@ -147,7 +149,7 @@
         lines.extend(surroundings.iter().map(render));
     }
     lines.push(match end {
-        Some(end) => format!("so: {}", conclusion(end)),
+        Some(end) => format!("so: {}{}", conclusion(end), hedge(own)),
         None => format!("so: {without_end}"),
     });
     Explanation {
@@ -213,6 +215,28 @@
     words.find_map(|word| word.strip_prefix(name)?.strip_prefix('='))
 }
 
+/// Which of two replicas answered first, if the request was sent to a second one because the first took long.
+fn hedge(own: &[LogLine]) -> String {
+    if !own.iter().any(|line| line.is("REQUEST_HEDGED")) {
+        return String::new();
+    }
+    let ended = own.iter().find(|line| line.is("HEDGE_ENDED"));
+    let Some(ended) = ended else {
+        return "; it was sent to a second replica as well, and neither answer was final"
+            .to_owned();
+    };
+    let first_to_answer = field(&ended.message, "replica").unwrap_or("");
+    let other = field(&ended.message, "other").unwrap_or("");
+    match field(&ended.message, "hedge_won") {
+        Some("true") => format!(
+            "; {other} took longer than nearly all answers do, so it was sent to {first_to_answer} too, which answered first"
+        ),
+        _ => format!(
+            "; {first_to_answer} took longer than nearly all answers do, so it was sent to {other} too, but answered first"
+        ),
+    }
+}
+
 /// What the last line means.
 fn conclusion(end: &LogLine) -> String {
     let reason = field(&end.message, "reason").unwrap_or("");
--- a/crates/driftctl/tests/explain.rs
+++ b/crates/driftctl/tests/explain.rs
@@ -231,3 +231,40 @@
     assert_eq!(around.len(), 1, "{:?}", told.lines);
     assert!(around[0].contains("replica=i-1 said=limit:1/s"));
 }
+
+#[test]
+fn a_request_that_was_sent_to_a_second_replica_is_told_with_the_one_that_answered() {
+    let log = [
+        line(
+            "10:00:01",
+            "REPLICA_SLOW",
+            "replica=i-1 slowdown=8.00 limit=1",
+        ),
+        line("10:00:02", "REQUEST_SENT", "request=r1 route=a replica=i-1"),
+        line(
+            "10:00:03",
+            "REQUEST_HEDGED",
+            "request=r1 replica=i-2 first=i-1",
+        ),
+        line("10:00:03", "REQUEST_SENT", "request=r1 route=a replica=i-2"),
+        line(
+            "10:00:04",
+            "HEDGE_ENDED",
+            "request=r1 replica=i-2 hedge_won=true other=i-1 closed=true",
+        ),
+        line(
+            "10:00:04",
+            "REQUEST_ENDED",
+            "request=r1 replica=i-2 status=200",
+        ),
+    ]
+    .concat();
+    let told = explain("r1", log.as_bytes()).expect("readable");
+    assert!(told.lines.iter().any(|line| line.contains("REPLICA_SLOW")));
+    let conclusion = conclusion(&told.lines);
+    assert!(
+        conclusion.contains("i-1 took longer")
+            && conclusion.contains("sent to i-2 too, which answered first"),
+        "{conclusion}"
+    );
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use crate::replicas::MeasuredWait;
+use crate::replicas::speed_metrics::SpeedMetrics;
 
 /// The labels of the counter of invalid input.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -95,6 +96,8 @@
     pub replicas_resting: Gauge,
     /// Number of replicas that have announced that they are leaving; updated every second.
     pub replicas_leaving: Gauge,
+    /// What is learnt of the speed of replicas.
+    pub speed: SpeedMetrics,
     registry: Mutex<Registry>,
 }
 
@@ -143,6 +146,7 @@
             replicas_limited: Gauge::default(),
             replicas_leaving: Gauge::default(),
             replicas_resting: Gauge::default(),
+            speed: SpeedMetrics::default(),
             registry: Mutex::new(Registry::with_prefix("driftspring_gateway")),
         };
         metrics.register();
@@ -280,6 +284,7 @@
         for (name, help, histogram) in durations {
             registry.register_with_unit(name, help, Unit::Seconds, histogram.clone());
         }
+        self.speed.register(&mut registry);
         registry.register(
             "configuration_version",
             "The version of the configuration in force",
--- a/crates/gateway/src/notices/survey.rs
+++ b/crates/gateway/src/notices/survey.rs
@@ -28,8 +28,9 @@
         let is_current = |at: Instant| now.saturating_duration_since(at) < SURVEY_MAX_AGE;
         if !self.surveyed_at.get().is_some_and(is_current) {
             self.surveyed_at.set(Some(now));
-            let all = registry.all().into_iter();
-            let with_notices = all.filter(|replica| replica.notices.has_any());
+            let all = registry.all();
+            metrics.speed.update(&all);
+            let with_notices = all.into_iter().filter(|replica| replica.notices.has_any());
             self.replicas.replace(Rc::new(with_notices.collect()));
             self.count(metrics);
         }
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -14,6 +14,7 @@
 use super::context::RequestContext;
 use super::dispatch::{OpenAnswer, SendError, send};
 use super::first_list::first_list_timeout;
+use super::hedge::{HedgePlan, route_speed, send_hedged};
 use super::judge::{Verdict, judge};
 use super::refusal::{Reason, Refusal, Step};
 use crate::notices;
@@ -45,8 +46,8 @@
 
 /// The attempts of one request.
 pub struct Attempts {
-    state: Rc<GatewayState>,
-    context: Rc<RequestContext>,
+    pub(super) state: Rc<GatewayState>,
+    pub(super) context: Rc<RequestContext>,
     tried: Vec<ReplicaIncarnation>,
     /// Replicas that refused because they have other weights than the request was sent for.
     weights_mismatches: Vec<WeightsMismatch>,
@@ -60,8 +61,13 @@
     min_permit_wait: Duration,
     /// When the request was last sent to a replica.
     sent_at: Instant,
+    /// Whether the request is also open at another replica.
+    pub(super) has_other_send: bool,
 }
 
+/// How a send to a replica ended.
+pub type SendOutcome = Result<OpenAnswer, SendError>;
+
 /// A replica that refused a request because it has other weights.
 #[derive(Debug)]
 struct WeightsMismatch {
@@ -102,6 +108,9 @@
     /// Starts without any attempt.
     pub fn new(state: &Rc<GatewayState>, context: &Rc<RequestContext>) -> Self {
         state.retry_budgets.earn(&context.service);
+        if let Some(speed) = route_speed(state, context) {
+            speed.earn_hedge();
+        }
         Self {
             state: Rc::clone(state),
             context: Rc::clone(context),
@@ -114,6 +123,7 @@
             permit_denials: 0,
             min_permit_wait: Duration::MAX,
             sent_at: context.arrived_at,
+            has_other_send: false,
         }
     }
 
@@ -148,30 +158,64 @@
             if self.sends > 0 && !self.try_spend_retry() {
                 return Err(self.give_up(Reason::NotRun, None, "the budget is spent"));
             }
-            self.sent_at = Instant::now();
-            match send(&self.state, &self.context, &choice, last_event_id).await {
-                Ok(opened) => {
-                    self.sends += 1;
-                    if let Some(attempt) = self.handle_answer(opened, choice)? {
-                        return Ok(attempt);
-                    }
-                }
-                Err(SendError::Failed(SendFailure::NotSent { peer, cause })) => {
-                    self.handle_not_sent(&choice, peer, &cause)?;
-                }
-                Err(SendError::Failed(SendFailure::NoAnswer { peer, cause })) => {
-                    self.sends += 1;
-                    self.handle_lost(&choice, peer, &cause)?;
-                }
-                Err(SendError::Resting) => {
-                    self.log_attempt(&choice, "not_sent", "it is cooling down");
-                }
-                Err(SendError::Withdrawn) => {
-                    self.sends += 1;
-                    self.handle_withdrawn(&choice)?;
+            let ended = match HedgePlan::new(&self.state, &self.context, self.possible_runs) {
+                Some(plan) => send_hedged(self, choice, plan).await?,
+                None => {
+                    let sent_at = Instant::now();
+                    let outcome = send(&self.state, &self.context, &choice, last_event_id).await;
+                    self.handle_outcome(choice, sent_at, outcome)?
                 }
+            };
+            if let Some(attempt) = ended {
+                return Ok(attempt);
+            }
+        }
+    }
+
+    /// Handles the end of a send. Returns the answer if it is the one to forward; an error if the request can't be sent
+    /// again.
+    pub(super) fn handle_outcome(
+        &mut self,
+        choice: Choice,
+        sent_at: Instant,
+        outcome: SendOutcome,
+    ) -> Result<Option<Attempt>, Refusal> {
+        self.sent_at = sent_at;
+        match outcome {
+            Ok(opened) => {
+                self.sends += 1;
+                return self.handle_answer(opened, choice);
+            }
+            Err(SendError::Failed(SendFailure::NotSent { peer, cause })) => {
+                self.handle_not_sent(&choice, peer, &cause)?;
+            }
+            Err(SendError::Failed(SendFailure::NoAnswer { peer, cause })) => {
+                self.sends += 1;
+                self.handle_lost(&choice, peer, &cause)?;
+            }
+            Err(SendError::Resting) => {
+                self.log_attempt(&choice, "not_sent", "it is cooling down");
+            }
+            Err(SendError::Withdrawn) => {
+                self.sends += 1;
+                self.handle_withdrawn(&choice)?;
             }
         }
+        Ok(None)
+    }
+
+    /// Counts a send whose connection is closed because another replica answered first: it may have run.
+    pub(super) fn count_closed_send(&mut self, replica: &ReplicaIncarnation) {
+        self.sends += 1;
+        self.possible_runs += 1;
+        self.tried.push(replica.clone());
+    }
+
+    /// The replicas that were tried, and this one.
+    pub(super) fn tried_and(&self, replica: &ReplicaIncarnation) -> Vec<ReplicaIncarnation> {
+        let mut tried = self.tried.clone();
+        tried.push(replica.clone());
+        tried
     }
 
     /// Whether a request that a replica has run, or may have run, may be sent to another one.
@@ -219,10 +263,11 @@
 
     fn handle_answer(
         &mut self,
-        opened: OpenAnswer,
+        mut opened: OpenAnswer,
         choice: Choice,
     ) -> Result<Option<Attempt>, Refusal> {
         let (verdict, meta) = judge(&*self.state.platform, &self.context, &opened.answer);
+        opened.note_speed(&verdict);
         let peer = choice.replica.pool.peer();
         notices::record_answer(
             &self.state,
@@ -362,15 +407,14 @@
 
     /// Whether a request that failed at a replica is sent to another one instead of forwarding the failure.
     fn tries_elsewhere_after_failure(&mut self, choice: &Choice) -> bool {
-        let is_possible = self.may_run_again()
-            && !self.context.time_left().is_zero()
-            && choose(
-                &self.state,
-                &self.context,
-                &self.tried_with(choice),
-                Progress::New,
-            )
-            .is_ok();
+        let may_choose_another = || {
+            let tried = self.tried_and(&choice.replica.incarnation);
+            choose(&self.state, &self.context, &tried, Progress::New).is_ok()
+        };
+        let is_possible = self.has_other_send
+            || (self.may_run_again()
+                && !self.context.time_left().is_zero()
+                && may_choose_another());
         if is_possible {
             self.log_attempt(choice, "failed", "the replica answered with a failure");
             self.tried.push(choice.replica.incarnation.clone());
@@ -378,12 +422,6 @@
         is_possible
     }
 
-    fn tried_with(&self, choice: &Choice) -> Vec<ReplicaIncarnation> {
-        let mut tried = self.tried.clone();
-        tried.push(choice.replica.incarnation.clone());
-        tried
-    }
-
     fn handle_not_sent(
         &mut self,
         choice: &Choice,
@@ -505,7 +543,7 @@
         is_left
     }
 
-    fn refusal_without_replica(&self, refusal: Refusal) -> Refusal {
+    pub(super) fn refusal_without_replica(&self, refusal: Refusal) -> Refusal {
         match self.possible_runs {
             0 => refusal,
             _ => self.give_up(Reason::Unknown, None, &refusal.detail),
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use driftspring_clock::Instant;
+use driftspring_decisions::load::ReplicaLoad;
 use driftspring_decisions::placement::{Candidate, PlacementKey, place};
+use driftspring_decisions::replica_speed::SecondChance;
 use driftspring_decisions::retry_after::retry_after_pause;
 
 use super::admission::{Admitted, Progress, admit};
 use super::context::RequestContext;
+use super::hedge::{is_hedgeable, route_speed};
 use super::prompt_sources::{PromptSources, Supply};
 use super::refusal::{Reason, Refusal, Step};
 use crate::cache::Prefix;
@@ -79,7 +82,16 @@
             admit(state, context, progress, eligible_for)?
         }
     };
-    let Admitted { candidates, rank } = admitted;
+    let Admitted {
+        mut candidates,
+        rank,
+    } = admitted;
+    let speed = route_speed(state, context);
+    if speed.is_some() {
+        retain_below_limit(&mut candidates);
+    }
+    let usual = speed.and_then(|speed| speed.usual());
+    let service_time = usual.map_or(Duration::ZERO, |usual| usual.typical);
     let store = key
         .and_then(|key| context.configuration.kv_store(key.0))
         .cloned();
@@ -91,7 +103,7 @@
     let views: Vec<Candidate> = candidates
         .iter()
         .zip(&supplies)
-        .map(|(replica, supply)| to_candidate(state, context, replica, supply))
+        .map(|(replica, supply)| to_candidate(state, context, replica, supply, service_time))
         .collect();
     let (position, home) =
         place(&views, key, state.draw()).ok_or_else(|| no_replica("none is listed"))?;
@@ -293,21 +305,39 @@
     context.input_tokens().saturating_sub(known)
 }
 
+/// Passes over replicas at their learnt concurrency limit while others have room. If none has, all remain.
+fn retain_below_limit(candidates: &mut Vec<Rc<Replica>>) {
+    let has_room = |replica: &Rc<Replica>| replica.open_requests() < replica.speed.limit();
+    if candidates.iter().any(has_room) {
+        candidates.retain(has_room);
+    }
+}
+
 /// The replica as the placement compares it.
 fn to_candidate(
     state: &GatewayState,
     context: &RequestContext,
     replica: &Replica,
     supply: &Supply,
+    service_time: Duration,
 ) -> Candidate {
+    let now = Instant::now();
+    let chance = match is_hedgeable(context) {
+        true => SecondChance::Hedged,
+        false => SecondChance::Without,
+    };
     Candidate {
         id_hash: replica.id_hash,
-        load: replica.load(Instant::now()),
+        load: ReplicaLoad {
+            slowdown: replica.speed.slowdown(chance, now),
+            ..replica.load(now)
+        },
         has_outdated_weights: is_penalized_as_outdated(state, context, replica),
         failure_rate: replica.health.failure_rate(),
         is_in_own_zone: replica.entry().zone == state.settings.zone,
         fetch_time: supply.fetch_cost,
         recompute_time: supply.prefill_cost,
+        service_time,
     }
 }
 
--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -13,10 +13,12 @@
 
 use super::choose_replica::Choice;
 use super::context::RequestContext;
+use super::hedge::route_speed;
+use super::judge::Verdict;
 use super::withdrawal::{are_weights_too_old, replica_time_limit, until_weights_too_old};
 use crate::peers::message::WirePrompt;
 use crate::protocol::Dispatch;
-use crate::replicas::{OpenRequestGuard, QueuedRequest};
+use crate::replicas::{OpenRequestGuard, QueuedRequest, TimedCall};
 use crate::state::GatewayState;
 use crate::upstream::{Answer, Connection, SendFailure};
 
@@ -32,6 +34,8 @@
     pub _work: OpenRequestGuard,
     /// The request's wait in the replica's queue, until it begins.
     queued: Option<QueuedRequest>,
+    /// Measures the replica's time, until the answer is judged.
+    timed: Option<TimedCall>,
 }
 
 impl OpenAnswer {
@@ -40,6 +44,19 @@
         self.queued.is_none()
     }
 
+    /// Records what the answer says about the replica's speed. Only successful answers are compared: failures may come at
+    /// once.
+    pub fn note_speed(&mut self, verdict: &Verdict) {
+        let Some(timed) = self.timed.take() else {
+            return;
+        };
+        match verdict {
+            Verdict::Final if self.answer.status().is_success() => timed.record_answer(),
+            Verdict::NotRun => timed.record_refusal(),
+            _ => timed.ignore(),
+        }
+    }
+
     /// Records that the replica has begun to answer; later calls have no effect.
     pub fn note_begun(&mut self, state: &GatewayState, context: &RequestContext, choice: &Choice) {
         let Some(queued) = self.queued.take() else {
@@ -93,6 +110,8 @@
         let waits = &choice.replica.queue_waits;
         let queued = QueuedRequest::begin(waits, choice.rank, Instant::now());
         log_sent(state, context, choice, &connection, queued.expected());
+        let speed = route_speed(state, context);
+        let timed = speed.map(|speed| TimedCall::begin(&choice.replica, speed));
         let answer = tokio::select! {
             biased;
             answer = connection.send(request) => answer,
@@ -105,6 +124,7 @@
                     answer,
                     _work: work,
                     queued: Some(queued),
+                    timed,
                 });
             }
             Err(SendFailure::NotSent { .. }) if connection.is_reused => {}
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -19,6 +19,7 @@
 mod event_splitter;
 mod find_route;
 mod first_list;
+mod hedge;
 mod judge;
 mod pace;
 mod prompt_sources;
--- a/crates/gateway/src/replicas/mod.rs
+++ b/crates/gateway/src/replicas/mod.rs
@@ -6,6 +6,8 @@
 mod removed_incarnations;
 mod replica;
 mod service_replicas;
+mod speed;
+pub mod speed_metrics;
 
 pub use health::Health;
 pub use queue_wait::{MeasuredWait, QueueWaitEstimator, QueuedRequest};
@@ -15,3 +17,4 @@
 };
 pub use replica::{OpenRequestGuard, Replica};
 pub use service_replicas::{MAX_COMPARED, ServiceReplicas};
+pub use speed::{RouteSpeed, RouteSpeeds, SLOW_THRESHOLD, SpeedTracker, TimedCall};
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -11,6 +11,7 @@
 
 use super::health::Health;
 use super::queue_wait::QueueWaitEstimator;
+use super::speed::SpeedTracker;
 use crate::notices::ReplicaNotices;
 use crate::protocol::{ModelVersion, ReplicaEntry, ReplicaIncarnation};
 use crate::upstream::Pool;
@@ -38,6 +39,8 @@
     pub notices: ReplicaNotices,
     /// How long requests are queued there before they start.
     pub queue_waits: Rc<QueueWaitEstimator>,
+    /// How fast it answers.
+    pub speed: SpeedTracker,
     entry: RefCell<ReplicaEntry>,
     listed_models: RefCell<Vec<ModelVersion>>,
     open_requests: Cell<u32>,
@@ -59,6 +62,7 @@
             health: Health::default(),
             notices: ReplicaNotices::default(),
             queue_waits: Rc::default(),
+            speed: SpeedTracker::default(),
             order_sequence: Cell::new(None),
             lapses_at: Cell::new(None),
             listed_models: RefCell::new(entry.models.clone()),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -31,7 +31,7 @@
 use crate::protocol::{Platform, ReplicaEntry, Unreadable, UnreadableReason};
 use crate::quarantine::Quarantine;
 use crate::quota::{Quotas, Tolerance};
-use crate::replicas::{Registry, RemovedIncarnations};
+use crate::replicas::{Registry, RemovedIncarnations, RouteSpeeds};
 use crate::rollout::{OrderLease, lease_times};
 use crate::store::{
     self, KnownNamings, Rejected, Rejections, StoreEraTracker, StoreOutage, StorePosition,
@@ -114,6 +114,8 @@
     pub quarantine: Quarantine,
     /// Budgets for sending requests again.
     pub retry_budgets: RetryBudgets,
+    /// How long the answers of each route take.
+    pub route_speeds: RouteSpeeds,
     /// Quotas of the tenants.
     pub quotas: Quotas,
     /// Permits to send to replicas that limit their request rate.
@@ -191,6 +193,7 @@
         Rc::new(Self {
             times: Cell::new(settings.times),
             registry: Registry::new(settings.births),
+            route_speeds: RouteSpeeds::new(settings.replica_speed_enabled),
             settings,
             platform,
             status,
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -113,6 +113,8 @@
     pub quotas: GatewayQuotas,
     /// What is asked of the entries of replicas.
     pub births: Births,
+    /// Whether the speed of replicas is learnt and used.
+    pub replica_speed_enabled: bool,
     /// The machine.
     pub machine: GatewayMachine,
     /// Logs.
@@ -153,6 +155,7 @@
     let retries = read_retries(root.section("retries"));
     let quotas = read_quotas(root.section("quotas"));
     let births = read_births(root.section("replicas"));
+    let replica_speed_enabled = read_enabled(root.section("replica_speed"));
     let machine = read_machine(root.section("machine"));
     let log = read_log(root.section("log"));
     root.finish();
@@ -167,6 +170,7 @@
         retries,
         quotas,
         births,
+        replica_speed_enabled,
         machine,
         log,
     })
@@ -223,6 +227,13 @@
     births
 }
 
+/// Whether the part of the gateway that a section is about is switched on.
+fn read_enabled(section: Section<'_>) -> bool {
+    let enabled = section.or_default("enabled", false, values::boolean);
+    section.finish();
+    enabled
+}
+
 fn read_quotas(section: Section<'_>) -> GatewayQuotas {
     let quotas = GatewayQuotas {
         overshoot: section.or_default("overshoot", 0.0, |raw| values::number(raw, 0.0..=10.0)),
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -42,6 +42,16 @@
     assert!((settings.retries.slack - 38.077).abs() < 0.001);
 }
 
+#[test]
+fn the_speed_of_replicas_is_learnt_only_where_it_is_enabled() {
+    let with = |section: &str| check_gateway(&format!("{WHOLE}{section}"));
+    assert!(!with("").expect("valid").replica_speed_enabled);
+    let enabled = with("[replica_speed]\nenabled = true").expect("valid");
+    assert!(enabled.replica_speed_enabled);
+    let faults = with("[replica_speed]\nenabled = 1").expect_err("no boolean");
+    assert_eq!(faults[0].key, "replica_speed.enabled");
+}
+
 #[test]
 fn what_is_asked_of_the_entries_of_replicas_is_one_of_three_words() {
     let with = |births: &str| check_gateway(&format!("{WHOLE}[replicas]\nbirths = \"{births}\""));
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -43,6 +43,10 @@
     REPLICA_PASSED_OVER = 6310, Info, "A replica gets no requests for now because of what it says of itself. The fields give what it said, how long ago, and for how much longer that holds. Once a second at the most for each replica.";
     REPLICA_SAID_LEAVING = 6311, Info, "A replica has said in an answer that it is leaving, whatever its entry in the store says. The fields give who told: an answer to this gateway, or another gateway.";
     REPLICA_ASKED_FOR_REST = 6312, Info, "A replica turned a request away and wants none from this gateway for a while. The field gives the time; of several the latest end holds. Once a second at the most for each replica.";
+    REPLICA_SLOW = 6340, Warn, "A replica takes at least twice as long as answers of the route usually do, and longer than nearly all of them: it gets fewer requests. The fields give the learnt slowdown, how many requests of this gateway may be open there while others have room, how long the request was open from which this was learnt, and what is usual.";
+    REPLICA_SPEED_NORMAL = 6341, Info, "A replica that was slow has answered at normal speed.";
+    REQUEST_HEDGED = 6342, Info, "A request that may be repeated was sent to a second replica, since the first has taken longer than nearly all answers of the route do; the first answer counts.";
+    HEDGE_ENDED = 6343, Info, "One of two replicas to which a request was sent has answered. The fields tell whether it was the second one, and whether the connection to the other was closed while the request was open there.";
     ORDER_LEASE_ACQUIRED = 6400, Info, "This daemon may give orders, under the token given.";
     ORDER_LEASE_NOT_ACQUIRED = 6401, Info, "Another daemon holds the lease, or the store did not say; it is tried again.";
     ORDER_LEASE_LOST = 6402, Warn, "This daemon may not give orders any more.";
