--- a/crates/decisions/src/replica_speed.rs
+++ b/crates/decisions/src/replica_speed.rs
@@ -31,6 +31,18 @@
 /// Number of samples before the quantiles are used.
 const MIN_SAMPLES: u32 = 20;
 
+/// Weight of a new answer in the average time of its replica: the last ten or so count.
+const REPLICA_WEIGHT: f64 = 0.1;
+
+/// Number of answers after which a replica counts for what is normal.
+const MIN_REPLICA_SAMPLES: u32 = 3;
+
+/// Number of replicas whose times are kept for a route; of more, those that answered last.
+const MAX_REPLICAS: usize = 64;
+
+/// Time after which a replica that has not answered no longer counts for what is normal.
+const REPLICA_RETENTION: Duration = Duration::from_secs(60);
+
 /// Quantile below which nearly all answers lie. It matches [`HEDGE_SHARE`].
 const NEARLY_ALL: f64 = 0.95;
 
@@ -116,22 +128,34 @@
     }
 }
 
+/// What one replica takes for the answers of a route.
+#[derive(Debug, Clone, Copy)]
+struct ReplicaTime {
+    replica: u64,
+    /// Average of the logarithm of the milliseconds.
+    log_ms: f64,
+    samples: u32,
+    answered_at: Instant,
+}
+
 /// How long the answers of one route take.
 #[derive(Debug, Clone)]
 pub struct AnswerTimes {
     samples: u32,
-    /// Times as measured, for the median. It is that of normal replicas as long as they give most of the answers.
-    measured: Distribution,
     /// Times divided by the slowdown of their replicas, so that known slow replicas don't delay hedged requests.
     normalized: Distribution,
+    by_replica: Vec<ReplicaTime>,
+    /// What a replica of normal speed takes.
+    typical_ms: Option<f64>,
 }
 
 impl Default for AnswerTimes {
     fn default() -> Self {
         Self {
             samples: 0,
-            measured: Distribution::EMPTY,
             normalized: Distribution::EMPTY,
+            by_replica: Vec::new(),
+            typical_ms: None,
         }
     }
 }
@@ -139,26 +163,70 @@
 /// What the answers of a route usually take.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct UsualTimes {
-    /// The median.
+    /// What a replica of normal speed takes.
     pub typical: Duration,
     /// The time that nearly all answers of replicas of normal speed take at most.
     pub nearly_all: Duration,
 }
 
 impl AnswerTimes {
-    /// Adds the time of a successful answer from a replica with this learnt slowdown.
-    pub fn add(&mut self, time: Duration, slowdown: f64) {
+    /// Adds the time of a successful answer from `replica`, whose learnt slowdown was `slowdown`.
+    pub fn add(&mut self, replica: u64, time: Duration, slowdown: f64, now: Instant) {
         self.samples = self.samples.saturating_add(1);
         let weight = SAMPLE_WEIGHT.max(1.0 / f64::from(self.samples));
         let ms = milliseconds(time);
-        self.measured.add(ms, weight);
         self.normalized.add(ms / slowdown.max(1.0), weight);
+        self.add_to_replica(replica, ms.max(MIN_TIME_MS).ln(), now);
+        self.typical_ms = self.normal_replica_ms(now);
+    }
+
+    fn add_to_replica(&mut self, replica: u64, log_ms: f64, now: Instant) {
+        let mut known = self.by_replica.iter_mut();
+        if let Some(known) = known.find(|known| known.replica == replica) {
+            known.samples = known.samples.saturating_add(1);
+            let weight = REPLICA_WEIGHT.max(1.0 / f64::from(known.samples));
+            known.log_ms += weight * (log_ms - known.log_ms);
+            known.answered_at = now;
+            return;
+        }
+        if self.by_replica.len() >= MAX_REPLICAS {
+            let oldest = self.by_replica.iter().enumerate();
+            let oldest = oldest.min_by_key(|(_, known)| known.answered_at);
+            if let Some((position, _)) = oldest {
+                self.by_replica.swap_remove(position);
+            }
+        }
+        self.by_replica.push(ReplicaTime {
+            replica,
+            log_ms,
+            samples: 1,
+            answered_at: now,
+        });
+    }
+
+    /// The time of the fastest replica behind the fastest quarter, which is at least one: so neither a few replicas that
+    /// answer nonsense in no time nor a majority of slow ones determine what is normal. Of two, the faster one is normal.
+    fn normal_replica_ms(&self, now: Instant) -> Option<f64> {
+        let is_recent = |known: &&ReplicaTime| {
+            now.saturating_duration_since(known.answered_at) < REPLICA_RETENTION
+        };
+        let known = self.by_replica.iter().filter(is_recent);
+        let known = known.filter(|known| known.samples >= MIN_REPLICA_SAMPLES);
+        let mut times: Vec<f64> = known.map(|known| known.log_ms).collect();
+        times.sort_unstable_by(f64::total_cmp);
+        let position = match times.len() {
+            0 => return None,
+            1 | 2 => 0,
+            count => (count / 4).max(1),
+        };
+        Some(times[position].exp())
     }
 
     /// What answers usually take, unless too few are known.
     pub fn usual(&self) -> Option<UsualTimes> {
-        (self.samples >= MIN_SAMPLES).then(|| UsualTimes {
-            typical: from_milliseconds(self.measured.quantile_ms(0.5)),
+        let typical_ms = self.typical_ms.filter(|_| self.samples >= MIN_SAMPLES)?;
+        Some(UsualTimes {
+            typical: from_milliseconds(typical_ms),
             nearly_all: from_milliseconds(self.normalized.quantile_ms(NEARLY_ALL)),
         })
     }
--- a/crates/decisions/tests/placement.rs
+++ b/crates/decisions/tests/placement.rs
@@ -71,3 +71,34 @@
     assert_eq!(place(&all, None, 5), Some((1, 1)));
     assert_eq!(place(&[], None, 5), None);
 }
+
+quickcheck! {
+    // A service in which all replicas are of normal speed must be placed as if no speed were learnt.
+    fn at_normal_speed_the_time_of_the_request_makes_no_difference(loads: Vec<(u8, u8)>, key: Option<u64>, service_ms: u16) -> bool {
+        let with = |service_ms: u16| {
+            let all = loads.iter().enumerate().map(|(id, (open, prefill_ms))| {
+                let mut one = candidate(id as u64, u32::from(*open));
+                one.load.remaining_prefill = Duration::from_millis(u64::from(*prefill_ms));
+                one.service_time = Duration::from_millis(u64::from(service_ms));
+                one
+            });
+            let all: Vec<Candidate> = all.collect();
+            place(&all, key.map(PlacementKey), 1)
+        };
+        with(0) == with(service_ms)
+    }
+}
+
+#[test]
+fn a_slow_replica_is_chosen_once_the_others_are_busier_than_it_is_slow() {
+    let mut all: Vec<Candidate> = (1..=2).map(|id| candidate(id, 0)).collect();
+    for one in &mut all {
+        one.service_time = Duration::from_millis(100);
+    }
+    all[0].load.slowdown = 2.0;
+    // It takes 100 ms longer: as much as 25 open requests cost.
+    all[1].load.open_requests = 24;
+    assert_eq!(place(&all, None, 1), Some((1, 1)));
+    all[1].load.open_requests = 26;
+    assert_eq!(place(&all, None, 1), Some((0, 0)));
+}
--- a/crates/gateway/src/replicas/speed.rs
+++ b/crates/gateway/src/replicas/speed.rs
@@ -168,7 +168,8 @@
         let tracker = &self.replica.speed;
         let time = now.saturating_duration_since(self.call.sent_at);
         let mut times = self.route.times.borrow_mut();
-        times.add(time, tracker.learnt_slowdown(now));
+        let slowdown = tracker.learnt_slowdown(now);
+        times.add(self.replica.incarnation_hash, time, slowdown, now);
         let open = self.replica.open_requests();
         let mut speed = tracker.speed.borrow_mut();
         speed.record_answer(&self.call, open, now);
@@ -199,7 +200,8 @@
         let time = now.saturating_duration_since(self.call.sent_at);
         if self.call.usual.is_some_and(|usual| time > usual.nearly_all) {
             let mut times = self.route.times.borrow_mut();
-            times.add(time, tracker.learnt_slowdown(now));
+            let slowdown = tracker.learnt_slowdown(now);
+            times.add(self.replica.incarnation_hash, time, slowdown, now);
         }
         let open = self.replica.open_requests();
         let mut speed = tracker.speed.borrow_mut();
