--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -17,11 +17,11 @@
 use super::hedge::{HedgePlan, route_speed, send_hedged};
 use super::judge::{Verdict, judge};
 use super::refusal::{Reason, Refusal, Step};
+use super::weights_mismatch::WeightsMismatch;
 use crate::notices;
 use crate::permits::{self, PermitDenied};
 use crate::protocol::ReplicaIncarnation;
 use crate::quarantine::note_lost_answer;
-use crate::replicas::Replica;
 use crate::state::GatewayState;
 use crate::upstream::SendFailure;
 
@@ -35,11 +35,6 @@
 /// a round trip.
 const MAX_PERMIT_DENIALS: usize = 6;
 
-/// How long a request that every replica refused for its weights waits to learn of other weights. Its gateway queries
-/// another gateway at once, which answers within milliseconds; a refused caller would retry no sooner (`Retry-After` of
-/// 250 ms).
-const WEIGHTS_UPDATE_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Why a request is withdrawn.
 const WITHDRAWN_FOR_OLD_WEIGHTS: &str =
     "it had not begun when the weights of its replica became too old";
@@ -48,9 +43,9 @@
 pub struct Attempts {
     pub(super) state: Rc<GatewayState>,
     pub(super) context: Rc<RequestContext>,
-    tried: Vec<ReplicaIncarnation>,
+    pub(super) tried: Vec<ReplicaIncarnation>,
     /// Replicas that refused because they have other weights than the request was sent for.
-    weights_mismatches: Vec<WeightsMismatch>,
+    pub(super) weights_mismatches: Vec<WeightsMismatch>,
     possible_runs: u32,
     not_run_answers: usize,
     unreachable: usize,
@@ -63,19 +58,13 @@
     sent_at: Instant,
     /// Whether the request is also open at another replica.
     pub(super) has_other_send: bool,
+    /// Whether it was sent to a second replica because the first took long.
+    pub(super) has_hedged: bool,
 }
 
 /// How a send to a replica ended.
 pub type SendOutcome = Result<OpenAnswer, SendError>;
 
-/// A replica that refused a request because it has other weights.
-#[derive(Debug)]
-struct WeightsMismatch {
-    replica: Rc<Replica>,
-    /// Version that the request was sent for.
-    requested_version: u64,
-}
-
 /// Why an answer that has begun is not read to its end.
 #[derive(Debug)]
 pub enum AnswerFailure {
@@ -124,6 +113,7 @@
             min_permit_wait: Duration::MAX,
             sent_at: context.arrived_at,
             has_other_send: false,
+            has_hedged: false,
         }
     }
 
@@ -158,7 +148,7 @@
             if self.sends > 0 && !self.try_spend_retry() {
                 return Err(self.give_up(Reason::NotRun, None, "the budget is spent"));
             }
-            let ended = match HedgePlan::new(&self.state, &self.context, self.possible_runs) {
+            let ended = match HedgePlan::new(self, self.possible_runs) {
                 Some(plan) => send_hedged(self, choice, plan).await?,
                 None => {
                     let sent_at = Instant::now();
@@ -312,99 +302,6 @@
         }
     }
 
-    /// The replica with the version that the request was sent for; nothing if the request needs no weights.
-    fn mismatch_at(&self, choice: &Choice) -> Option<WeightsMismatch> {
-        self.context.prompt()?;
-        Some(WeightsMismatch {
-            replica: Rc::clone(&choice.replica),
-            requested_version: choice.weights_version?,
-        })
-    }
-
-    /// Handles an answer of the right replica that it has other weights than the request was sent for. If it is known
-    /// to have newer ones, the request is sent to it once more: in a service with few replicas, all may have loaded new
-    /// weights between the choice and the arrival. Otherwise it may be tried again once no other replica is left.
-    fn handle_mismatch(
-        &mut self,
-        choice: &Choice,
-        mismatch: WeightsMismatch,
-        peer: SocketAddr,
-        detail: &str,
-    ) -> Result<(), Refusal> {
-        let is_first = !self.has_mismatched(&choice.replica.incarnation);
-        let has_newer = self.has_learned_version(&mismatch)
-            && self.believed_version(&mismatch) > Some(mismatch.requested_version);
-        self.weights_mismatches.push(mismatch);
-        if !(is_first && has_newer) {
-            return self.handle_not_run(choice, peer, detail);
-        }
-        self.log_attempt(choice, "not_run", detail);
-        self.state.holders.remove(&choice.prefixes, &choice.replica);
-        self.count_not_run(peer, detail)
-    }
-
-    fn has_mismatched(&self, life: &ReplicaIncarnation) -> bool {
-        let mut mismatches = self.weights_mismatches.iter();
-        mismatches.any(|mismatch| mismatch.replica.incarnation == *life)
-    }
-
-    /// Version that the replica is believed to have.
-    fn believed_version(&self, mismatch: &WeightsMismatch) -> Option<u64> {
-        let prompt = self.context.prompt()?;
-        mismatch.replica.version_of(&prompt.model)
-    }
-
-    /// Whether the replica is now believed to have another version than the one that the request was sent for.
-    fn has_learned_version(&self, mismatch: &WeightsMismatch) -> bool {
-        let Some(prompt) = self.context.prompt() else {
-            return false;
-        };
-        let wanted = self.state.weights.borrow();
-        let replica = &mismatch.replica;
-        replica.correct_version(&prompt.model, mismatch.requested_version, &wanted);
-        self.believed_version(mismatch) != Some(mismatch.requested_version)
-    }
-
-    /// Whether a replica that refused the request for its weights may be tried again with those that it is now believed
-    /// to have. If nothing new is known of any, waits for an update of the weights.
-    async fn may_retry_after_mismatch(&mut self) -> bool {
-        let mismatches = std::mem::take(&mut self.weights_mismatches);
-        if mismatches.is_empty() {
-            return false;
-        }
-        if !mismatches
-            .iter()
-            .any(|mismatch| self.has_learned_version(mismatch))
-        {
-            self.wait_for_weights_update(&mismatches).await;
-        }
-        let known = mismatches
-            .iter()
-            .filter(|mismatch| self.has_learned_version(mismatch));
-        let known: Vec<ReplicaIncarnation> = known
-            .map(|mismatch| mismatch.replica.incarnation.clone())
-            .collect();
-        self.tried.retain(|life| !known.contains(life));
-        !known.is_empty()
-    }
-
-    /// Queries another gateway, and waits until it or the store names weights that one of these replicas may have.
-    async fn wait_for_weights_update(&self, mismatches: &[WeightsMismatch]) {
-        self.state.peers.ask_now();
-        let timeout = WEIGHTS_UPDATE_TIMEOUT.min(self.context.time_left());
-        let known = async {
-            while !mismatches
-                .iter()
-                .any(|mismatch| self.has_learned_version(mismatch))
-            {
-                self.state.weights_updated.notified().await;
-            }
-        };
-        if tokio::time::timeout(timeout, known).await.is_err() {
-            log::debug!("no newer weights were heard of in {timeout:?}");
-        }
-    }
-
     /// Whether a request that failed at a replica is sent to another one instead of forwarding the failure.
     fn tries_elsewhere_after_failure(&mut self, choice: &Choice) -> bool {
         let may_choose_another = || {
@@ -438,7 +335,7 @@
         }
     }
 
-    fn handle_not_run(
+    pub(super) fn handle_not_run(
         &mut self,
         choice: &Choice,
         peer: SocketAddr,
@@ -457,7 +354,7 @@
     }
 
     /// Counts an answer "not run"; an error if there were too many.
-    fn count_not_run(&mut self, peer: SocketAddr, detail: &str) -> Result<(), Refusal> {
+    pub(super) fn count_not_run(&mut self, peer: SocketAddr, detail: &str) -> Result<(), Refusal> {
         self.not_run_answers += 1;
         if self.not_run_answers < MAX_NOT_RUN_ANSWERS {
             return Ok(());
@@ -567,7 +464,7 @@
         }
     }
 
-    fn log_attempt(&self, choice: &Choice, taken_for: &str, detail: &str) {
+    pub(super) fn log_attempt(&self, choice: &Choice, taken_for: &str, detail: &str) {
         log_event!(
             gateway::ATTEMPT_ENDED,
             "request={} replica={} taken_for={taken_for} elapsed={:?} detail={detail:?}",
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -326,10 +326,15 @@
         true => SecondChance::Hedged,
         false => SecondChance::Without,
     };
+    // What requests without a prompt take says nothing about those with one.
+    let slowdown = match context.prompt() {
+        Some(_) => 1.0,
+        None => replica.speed.slowdown(chance, now),
+    };
     Candidate {
         id_hash: replica.id_hash,
         load: ReplicaLoad {
-            slowdown: replica.speed.slowdown(chance, now),
+            slowdown,
             ..replica.load(now)
         },
         has_outdated_weights: is_penalized_as_outdated(state, context, replica),
--- a/crates/gateway/src/pipeline/hedge.rs
+++ b/crates/gateway/src/pipeline/hedge.rs
@@ -57,12 +57,15 @@
 }
 
 impl HedgePlan {
-    /// The plan for a request, of which `possible_runs` earlier sends may have run; nothing if it is not hedged.
-    pub fn new(state: &GatewayState, context: &RequestContext, possible_runs: u32) -> Option<Self> {
-        if !is_hedgeable(context) || possible_runs + 2 > context.route.max_attempts {
+    /// The plan for the next send of a request, of which `possible_runs` earlier ones may have run; nothing if it is not
+    /// hedged.
+    pub fn new(attempts: &Attempts, possible_runs: u32) -> Option<Self> {
+        let context = &attempts.context;
+        let is_allowed = is_hedgeable(context) && !attempts.has_hedged;
+        if !is_allowed || possible_runs + 2 > context.route.max_attempts {
             return None;
         }
-        let speed = route_speed(state, context)?;
+        let speed = route_speed(&attempts.state, context)?;
         let delay = speed.usual()?.hedge_delay();
         (delay < context.time_left()).then_some(Self { speed, delay })
     }
@@ -126,6 +129,7 @@
                 }
                 let tried = attempts.tried_and(&first_life);
                 if let Ok(second) = choose(&attempts.state, &attempts.context, &tried, Progress::New) {
+                    attempts.has_hedged = true;
                     hedge = Some(second.replica.incarnation.clone());
                     let state = Rc::clone(&attempts.state);
                     let context = Rc::clone(&attempts.context);
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -26,6 +26,7 @@
 mod read_body;
 mod refusal;
 mod relay;
+mod weights_mismatch;
 mod withdrawal;
 
 use driftspring_clock::Instant;
