--- a/crates/decisions/tests/replay/mod.rs
+++ b/crates/decisions/tests/replay/mod.rs
@@ -238,6 +238,7 @@
             is_in_own_zone: true,
             fetch_time: milliseconds(fetch_ms),
             recompute_time: milliseconds(recompute_ms),
+            service_time: Duration::ZERO,
             interference_cost_ms: match mode {
                 Mode::Off => 0.0,
                 Mode::Stall => stall,
--- a/crates/decisions/tests/support/mod.rs
+++ b/crates/decisions/tests/support/mod.rs
@@ -19,5 +19,6 @@
         fetch_time: Duration::ZERO,
         recompute_time: Duration::from_millis(100),
         interference_cost_ms: 0.0,
+        service_time: Duration::ZERO,
     }
 }
--- a/crates/driftctl/tests/explain.rs
+++ b/crates/driftctl/tests/explain.rs
@@ -286,3 +286,39 @@
         assert!(conclusion.contains(part), "{conclusion}");
     }
 }
+
+#[test]
+fn a_request_that_was_sent_to_a_second_replica_is_told_with_the_one_that_answered() {
+    let log = [
+        line(
+            "10:00:01",
+            "REPLICA_SLOW",
+            "replica=i-1 slowdown=8.00 limit=1",
+        ),
+        line("10:00:02", "REQUEST_SENT", "request=r1 route=a replica=i-1"),
+        line(
+            "10:00:03",
+            "REQUEST_HEDGED",
+            "request=r1 replica=i-2 first=i-1",
+        ),
+        line("10:00:03", "REQUEST_SENT", "request=r1 route=a replica=i-2"),
+        line(
+            "10:00:04",
+            "HEDGE_ENDED",
+            "request=r1 replica=i-2 hedge_won=true other=i-1 closed=true",
+        ),
+        line(
+            "10:00:04",
+            "REQUEST_ENDED",
+            "request=r1 replica=i-2 status=200",
+        ),
+    ];
+    let told = explain("r1", log.concat().as_bytes()).expect("readable");
+    assert!(told.lines.iter().any(|line| line.contains("REPLICA_SLOW")));
+    let conclusion = conclusion(&log);
+    assert!(
+        conclusion.contains("i-1 took longer")
+            && conclusion.contains("sent to i-2 too, which answered first"),
+        "{conclusion}"
+    );
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use crate::replicas::MeasuredWait;
+use crate::replicas::speed_metrics::SpeedMetrics;
 use crate::shares::metrics::ShareMetrics;
 
 /// The labels of the counter of invalid input.
@@ -112,6 +113,8 @@
     pub answers_not_taken: Counter,
     /// Answers ended because the bytes held for callers had reached their limit.
     pub answers_ended_for_room: Counter,
+    /// What is learnt of the speed of replicas.
+    pub speed: SpeedMetrics,
     registry: Mutex<Registry>,
 }
 
@@ -168,6 +171,7 @@
             bytes_held: Gauge::default(),
             answers_not_taken: Counter::default(),
             answers_ended_for_room: Counter::default(),
+            speed: SpeedMetrics::default(),
             registry: Mutex::new(Registry::with_prefix("driftspring_gateway")),
         };
         metrics.register();
@@ -321,6 +325,7 @@
         for (name, help, histogram) in durations {
             registry.register_with_unit(name, help, Unit::Seconds, histogram.clone());
         }
+        self.speed.register(&mut registry);
         registry.register(
             "bytes_held",
             "Bytes held for callers: bodies, and what they have not taken of their answers",
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -14,13 +14,14 @@
 use super::context::RequestContext;
 use super::dispatch::{OpenAnswer, SendError, send};
 use super::first_list::first_list_timeout;
+use super::hedge::{HedgePlan, route_speed, send_hedged};
 use super::judge::{Verdict, judge};
 use super::refusal::{Reason, Refusal, Step};
+use super::weights_mismatch::WeightsMismatch;
 use crate::notices;
 use crate::permits::{self, PermitDenied};
 use crate::protocol::ReplicaIncarnation;
 use crate::quarantine::note_lost_answer;
-use crate::replicas::Replica;
 use crate::state::GatewayState;
 use crate::upstream::SendFailure;
 
@@ -34,22 +35,17 @@
 /// a round trip.
 const MAX_PERMIT_DENIALS: usize = 6;
 
-/// How long a request that every replica refused for its weights waits to learn of other weights. Its gateway queries
-/// another gateway at once, which answers within milliseconds; a refused caller would retry no sooner (`Retry-After` of
-/// 250 ms).
-const WEIGHTS_UPDATE_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Why a request is withdrawn.
 const WITHDRAWN_FOR_OLD_WEIGHTS: &str =
     "it had not begun when the weights of its replica became too old";
 
 /// The attempts of one request.
 pub struct Attempts {
-    state: Rc<GatewayState>,
-    context: Rc<RequestContext>,
-    tried: Vec<ReplicaIncarnation>,
+    pub(super) state: Rc<GatewayState>,
+    pub(super) context: Rc<RequestContext>,
+    pub(super) tried: Vec<ReplicaIncarnation>,
     /// Replicas that refused because they have other weights than the request was sent for.
-    weights_mismatches: Vec<WeightsMismatch>,
+    pub(super) weights_mismatches: Vec<WeightsMismatch>,
     possible_runs: u32,
     not_run_answers: usize,
     unreachable: usize,
@@ -60,15 +56,14 @@
     min_permit_wait: Duration,
     /// When the request was last sent to a replica.
     sent_at: Instant,
+    /// Whether the request is also open at another replica.
+    pub(super) has_other_send: bool,
+    /// Whether it was sent to a second replica because the first took long.
+    pub(super) has_hedged: bool,
 }
 
-/// A replica that refused a request because it has other weights.
-#[derive(Debug)]
-struct WeightsMismatch {
-    replica: Rc<Replica>,
-    /// Version that the request was sent for.
-    requested_version: u64,
-}
+/// How a send to a replica ended.
+pub type SendOutcome = Result<OpenAnswer, SendError>;
 
 /// Why an answer that has begun is not read to its end.
 #[derive(Debug)]
@@ -102,6 +97,9 @@
     /// Starts without any attempt.
     pub fn new(state: &Rc<GatewayState>, context: &Rc<RequestContext>) -> Self {
         state.retry_budgets.earn(&context.service);
+        if let Some(speed) = route_speed(state, context) {
+            speed.earn_hedge();
+        }
         Self {
             state: Rc::clone(state),
             context: Rc::clone(context),
@@ -114,6 +112,8 @@
             permit_denials: 0,
             min_permit_wait: Duration::MAX,
             sent_at: context.arrived_at,
+            has_other_send: false,
+            has_hedged: false,
         }
     }
 
@@ -148,32 +148,66 @@
             if self.sends > 0 && !self.try_spend_retry() {
                 return Err(self.give_up(Reason::NotRun, None, "the budget is spent"));
             }
-            self.sent_at = Instant::now();
-            match send(&self.state, &self.context, &choice, last_event_id).await {
-                Ok(opened) => {
-                    self.sends += 1;
-                    if let Some(attempt) = self.handle_answer(opened, choice)? {
-                        return Ok(attempt);
-                    }
-                }
-                Err(SendError::Failed(SendFailure::NotSent { peer, cause })) => {
-                    self.handle_not_sent(&choice, peer, &cause)?;
-                }
-                Err(SendError::Failed(SendFailure::NoAnswer { peer, cause })) => {
-                    self.sends += 1;
-                    self.handle_lost(&choice, peer, &cause)?;
-                }
-                Err(SendError::Resting) => {
-                    self.log_attempt(&choice, "not_sent", "it is cooling down");
-                }
-                Err(SendError::Withdrawn) => {
-                    self.sends += 1;
-                    self.handle_withdrawn(&choice)?;
+            let ended = match HedgePlan::new(self, self.possible_runs) {
+                Some(plan) => send_hedged(self, choice, plan).await?,
+                None => {
+                    let sent_at = Instant::now();
+                    let outcome = send(&self.state, &self.context, &choice, last_event_id).await;
+                    self.handle_outcome(choice, sent_at, outcome)?
                 }
+            };
+            if let Some(attempt) = ended {
+                return Ok(attempt);
             }
         }
     }
 
+    /// Handles the end of a send. Returns the answer if it is the one to forward; an error if the request can't be sent
+    /// again.
+    pub(super) fn handle_outcome(
+        &mut self,
+        choice: Choice,
+        sent_at: Instant,
+        outcome: SendOutcome,
+    ) -> Result<Option<Attempt>, Refusal> {
+        self.sent_at = sent_at;
+        match outcome {
+            Ok(opened) => {
+                self.sends += 1;
+                return self.handle_answer(opened, choice);
+            }
+            Err(SendError::Failed(SendFailure::NotSent { peer, cause })) => {
+                self.handle_not_sent(&choice, peer, &cause)?;
+            }
+            Err(SendError::Failed(SendFailure::NoAnswer { peer, cause })) => {
+                self.sends += 1;
+                self.handle_lost(&choice, peer, &cause)?;
+            }
+            Err(SendError::Resting) => {
+                self.log_attempt(&choice, "not_sent", "it is cooling down");
+            }
+            Err(SendError::Withdrawn) => {
+                self.sends += 1;
+                self.handle_withdrawn(&choice)?;
+            }
+        }
+        Ok(None)
+    }
+
+    /// Counts a send whose connection is closed because another replica answered first: it may have run.
+    pub(super) fn count_closed_send(&mut self, replica: &ReplicaIncarnation) {
+        self.sends += 1;
+        self.possible_runs += 1;
+        self.tried.push(replica.clone());
+    }
+
+    /// The replicas that were tried, and this one.
+    pub(super) fn tried_and(&self, replica: &ReplicaIncarnation) -> Vec<ReplicaIncarnation> {
+        let mut tried = self.tried.clone();
+        tried.push(replica.clone());
+        tried
+    }
+
     /// Whether a request that a replica has run, or may have run, may be sent to another one.
     pub fn may_run_again(&self) -> bool {
         self.context.route.is_repeatable() && self.possible_runs < self.context.route.max_attempts
@@ -219,10 +253,11 @@
 
     fn handle_answer(
         &mut self,
-        opened: OpenAnswer,
+        mut opened: OpenAnswer,
         choice: Choice,
     ) -> Result<Option<Attempt>, Refusal> {
         let (verdict, meta) = judge(&*self.state.platform, &self.context, &opened.answer);
+        opened.note_speed(&verdict);
         let peer = choice.replica.pool.peer();
         notices::record_answer(
             &self.state,
@@ -271,110 +306,16 @@
         }
     }
 
-    /// The replica with the version that the request was sent for; nothing if the request needs no weights.
-    fn mismatch_at(&self, choice: &Choice) -> Option<WeightsMismatch> {
-        self.context.prompt()?;
-        Some(WeightsMismatch {
-            replica: Rc::clone(&choice.replica),
-            requested_version: choice.weights_version?,
-        })
-    }
-
-    /// Handles an answer of the right replica that it has other weights than the request was sent for. If it is known
-    /// to have newer ones, the request is sent to it once more: in a service with few replicas, all may have loaded new
-    /// weights between the choice and the arrival. Otherwise it may be tried again once no other replica is left.
-    fn handle_mismatch(
-        &mut self,
-        choice: &Choice,
-        mismatch: WeightsMismatch,
-        peer: SocketAddr,
-        detail: &str,
-    ) -> Result<(), Refusal> {
-        let is_first = !self.has_mismatched(&choice.replica.incarnation);
-        let has_newer = self.has_learned_version(&mismatch)
-            && self.believed_version(&mismatch) > Some(mismatch.requested_version);
-        self.weights_mismatches.push(mismatch);
-        if !(is_first && has_newer) {
-            return self.handle_not_run(choice, peer, detail);
-        }
-        self.log_attempt(choice, "not_run", detail);
-        self.state.holders.remove(&choice.prefixes, &choice.replica);
-        self.count_not_run(peer, detail)
-    }
-
-    fn has_mismatched(&self, life: &ReplicaIncarnation) -> bool {
-        let mut mismatches = self.weights_mismatches.iter();
-        mismatches.any(|mismatch| mismatch.replica.incarnation == *life)
-    }
-
-    /// Version that the replica is believed to have.
-    fn believed_version(&self, mismatch: &WeightsMismatch) -> Option<u64> {
-        let prompt = self.context.prompt()?;
-        mismatch.replica.version_of(&prompt.model)
-    }
-
-    /// Whether the replica is now believed to have another version than the one that the request was sent for.
-    fn has_learned_version(&self, mismatch: &WeightsMismatch) -> bool {
-        let Some(prompt) = self.context.prompt() else {
-            return false;
-        };
-        let wanted = self.state.weights.borrow();
-        let replica = &mismatch.replica;
-        replica.correct_version(&prompt.model, mismatch.requested_version, &wanted);
-        self.believed_version(mismatch) != Some(mismatch.requested_version)
-    }
-
-    /// Whether a replica that refused the request for its weights may be tried again with those that it is now believed
-    /// to have. If nothing new is known of any, waits for an update of the weights.
-    async fn may_retry_after_mismatch(&mut self) -> bool {
-        let mismatches = std::mem::take(&mut self.weights_mismatches);
-        if mismatches.is_empty() {
-            return false;
-        }
-        if !mismatches
-            .iter()
-            .any(|mismatch| self.has_learned_version(mismatch))
-        {
-            self.wait_for_weights_update(&mismatches).await;
-        }
-        let known = mismatches
-            .iter()
-            .filter(|mismatch| self.has_learned_version(mismatch));
-        let known: Vec<ReplicaIncarnation> = known
-            .map(|mismatch| mismatch.replica.incarnation.clone())
-            .collect();
-        self.tried.retain(|life| !known.contains(life));
-        !known.is_empty()
-    }
-
-    /// Queries another gateway, and waits until it or the store names weights that one of these replicas may have.
-    async fn wait_for_weights_update(&self, mismatches: &[WeightsMismatch]) {
-        self.state.peers.ask_now();
-        let timeout = WEIGHTS_UPDATE_TIMEOUT.min(self.context.time_left());
-        let known = async {
-            while !mismatches
-                .iter()
-                .any(|mismatch| self.has_learned_version(mismatch))
-            {
-                self.state.weights_updated.notified().await;
-            }
-        };
-        if tokio::time::timeout(timeout, known).await.is_err() {
-            log::debug!("no newer weights were heard of in {timeout:?}");
-        }
-    }
-
     /// Whether a request that failed at a replica is sent to another one instead of forwarding the failure.
     fn tries_elsewhere_after_failure(&mut self, choice: &Choice) -> bool {
-        let is_possible = self.may_run_again()
-            && !self.context.time_left().is_zero()
-            && choose(
-                &self.state,
-                &self.context,
-                &self.tried_with(choice),
-                Progress::New,
-            )
-            .is_ok();
+        let may_choose_another = || {
+            let tried = self.tried_and(&choice.replica.incarnation);
+            choose(&self.state, &self.context, &tried, Progress::New).is_ok()
+        };
+        let is_possible = self.has_other_send
+            || (self.may_run_again()
+                && !self.context.time_left().is_zero()
+                && may_choose_another());
         if is_possible {
             self.log_attempt(choice, "failed", "the replica answered with a failure");
             self.tried.push(choice.replica.incarnation.clone());
@@ -382,12 +323,6 @@
         is_possible
     }
 
-    fn tried_with(&self, choice: &Choice) -> Vec<ReplicaIncarnation> {
-        let mut tried = self.tried.clone();
-        tried.push(choice.replica.incarnation.clone());
-        tried
-    }
-
     fn handle_not_sent(
         &mut self,
         choice: &Choice,
@@ -404,7 +339,7 @@
         }
     }
 
-    fn handle_not_run(
+    pub(super) fn handle_not_run(
         &mut self,
         choice: &Choice,
         peer: SocketAddr,
@@ -423,7 +358,7 @@
     }
 
     /// Counts an answer "not run"; an error if there were too many.
-    fn count_not_run(&mut self, peer: SocketAddr, detail: &str) -> Result<(), Refusal> {
+    pub(super) fn count_not_run(&mut self, peer: SocketAddr, detail: &str) -> Result<(), Refusal> {
         self.not_run_answers += 1;
         if self.not_run_answers < MAX_NOT_RUN_ANSWERS {
             return Ok(());
@@ -509,7 +444,7 @@
         is_left
     }
 
-    fn refusal_without_replica(&self, refusal: Refusal) -> Refusal {
+    pub(super) fn refusal_without_replica(&self, refusal: Refusal) -> Refusal {
         match self.possible_runs {
             0 => refusal,
             _ => self.give_up(Reason::Unknown, None, &refusal.detail),
@@ -533,7 +468,7 @@
         }
     }
 
-    fn log_attempt(&self, choice: &Choice, taken_for: &str, detail: &str) {
+    pub(super) fn log_attempt(&self, choice: &Choice, taken_for: &str, detail: &str) {
         log_event!(
             gateway::ATTEMPT_ENDED,
             "request={} replica={} taken_for={taken_for} elapsed={:?} detail={detail:?}",
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use driftspring_clock::Instant;
+use driftspring_decisions::load::ReplicaLoad;
 use driftspring_decisions::placement::{Candidate, PlacementKey, place};
+use driftspring_decisions::replica_speed::SecondChance;
 use driftspring_decisions::retry_after::retry_after_pause;
 
 use super::admission::{Admitted, Progress, admit};
 use super::context::RequestContext;
+use super::hedge::{is_hedgeable, route_speed};
 use super::interference_costs::{ChosenInterference, InterferenceCosts};
 use super::prompt_sources::{PromptSources, Supply};
 use super::refusal::{Reason, Refusal, Step};
@@ -83,7 +86,16 @@
             admit(state, context, progress, eligible_for)?
         }
     };
-    let Admitted { candidates, rank } = admitted;
+    let Admitted {
+        mut candidates,
+        rank,
+    } = admitted;
+    let speed = route_speed(state, context);
+    if speed.is_some() {
+        retain_below_limit(&mut candidates);
+    }
+    let usual = speed.and_then(|speed| speed.usual());
+    let service_time = usual.map_or(Duration::ZERO, |usual| usual.typical);
     let store = key
         .and_then(|key| context.configuration.kv_store(key.0))
         .cloned();
@@ -95,7 +107,9 @@
     let views: Vec<Candidate> = candidates
         .iter()
         .zip(&supplies)
-        .map(|(replica, supply)| to_candidate(state, context, replica, supply, &costs))
+        .map(|(replica, supply)| {
+            to_candidate(state, context, replica, supply, &costs, service_time)
+        })
         .collect();
     let (position, home) =
         place(&views, key, state.draw()).ok_or_else(|| no_replica("none is listed"))?;
@@ -314,6 +328,14 @@
     context.input_tokens().saturating_sub(known)
 }
 
+/// Passes over replicas at their learnt concurrency limit while others have room. If none has, all remain.
+fn retain_below_limit(candidates: &mut Vec<Rc<Replica>>) {
+    let has_room = |replica: &Rc<Replica>| replica.open_requests() < replica.speed.limit();
+    if candidates.iter().any(has_room) {
+        candidates.retain(has_room);
+    }
+}
+
 /// The replica as the placement compares it.
 fn to_candidate(
     state: &GatewayState,
@@ -321,8 +343,22 @@
     replica: &Replica,
     supply: &Supply,
     costs: &InterferenceCosts,
+    service_time: Duration,
 ) -> Candidate {
-    let load = replica.load(Instant::now());
+    let now = Instant::now();
+    let chance = match is_hedgeable(context) {
+        true => SecondChance::Hedged,
+        false => SecondChance::Without,
+    };
+    // What requests without a prompt take says nothing about those with one.
+    let slowdown = match context.prompt() {
+        Some(_) => 1.0,
+        None => replica.speed.slowdown(chance, now),
+    };
+    let load = ReplicaLoad {
+        slowdown,
+        ..replica.load(now)
+    };
     Candidate {
         id_hash: replica.id_hash,
         load,
@@ -332,6 +368,7 @@
         fetch_time: supply.fetch_cost,
         recompute_time: supply.prefill_cost,
         interference_cost_ms: costs.at(replica.id_hash, &load),
+        service_time,
     }
 }
 
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -21,6 +21,7 @@
 mod event_splitter;
 mod find_route;
 mod first_list;
+mod hedge;
 mod interference_costs;
 mod judge;
 mod pace;
@@ -28,6 +29,7 @@
 mod read_body;
 mod refusal;
 mod relay;
+mod weights_mismatch;
 mod withdrawal;
 
 use driftspring_clock::Instant;
--- a/crates/gateway/src/replicas/mod.rs
+++ b/crates/gateway/src/replicas/mod.rs
@@ -7,6 +7,8 @@
 mod replica;
 mod running_work;
 mod service_replicas;
+mod speed;
+pub mod speed_metrics;
 
 pub use health::Health;
 pub use queue_wait::{MeasuredWait, QueueWaitEstimator, QueuedRequest};
@@ -17,3 +19,4 @@
 pub use replica::{MAX_PROMPT_TOKENS, OpenRequestGuard, Replica};
 pub use running_work::{MAX_STREAM_TIME, MAX_TRACKED_STREAMS, RunningWork};
 pub use service_replicas::{MAX_COMPARED, ServiceReplicas};
+pub use speed::{RouteSpeed, RouteSpeeds, SLOW_THRESHOLD, SpeedTracker, TimedCall};
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -12,6 +12,7 @@
 use super::health::Health;
 use super::queue_wait::QueueWaitEstimator;
 use super::running_work::RunningWork;
+use super::speed::SpeedTracker;
 use crate::notices::ReplicaNotices;
 use crate::protocol::{ModelVersion, ReplicaEntry, ReplicaIncarnation};
 use crate::upstream::Pool;
@@ -45,6 +46,8 @@
     pub queue_waits: Rc<QueueWaitEstimator>,
     /// The streams that run there and its recent prefill.
     pub work: RunningWork,
+    /// How fast it answers.
+    pub speed: SpeedTracker,
     entry: RefCell<ReplicaEntry>,
     listed_models: RefCell<Vec<ModelVersion>>,
     open_requests: Cell<u32>,
@@ -67,6 +70,7 @@
             notices: ReplicaNotices::default(),
             queue_waits: Rc::default(),
             work: RunningWork::default(),
+            speed: SpeedTracker::default(),
             order_sequence: Cell::new(None),
             lapses_at: Cell::new(None),
             listed_models: RefCell::new(entry.models.clone()),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -33,7 +33,7 @@
 use crate::protocol::{Platform, ReplicaEntry, Unreadable, UnreadableReason};
 use crate::quarantine::Quarantine;
 use crate::quota::{Quotas, Tolerance};
-use crate::replicas::{Registry, RemovedIncarnations};
+use crate::replicas::{Registry, RemovedIncarnations, RouteSpeeds};
 use crate::rollout::{OrderLease, lease_times};
 use crate::shares::FairShares;
 use crate::store::{
@@ -117,6 +117,8 @@
     pub quarantine: Quarantine,
     /// Budgets for sending requests again.
     pub retry_budgets: RetryBudgets,
+    /// How long the answers of each route take.
+    pub route_speeds: RouteSpeeds,
     /// Quotas of the tenants.
     pub quotas: Quotas,
     /// Fair shares of the tenants.
@@ -203,6 +205,7 @@
         Rc::new(Self {
             times: Cell::new(settings.times),
             registry: Registry::new(settings.births),
+            route_speeds: RouteSpeeds::new(settings.replica_speed_enabled),
             settings,
             platform,
             status,
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -142,6 +142,8 @@
     pub births: Births,
     /// How the delay of streams by the prefill of prompts is weighed.
     pub interference: InterferenceMode,
+    /// Whether the speed of replicas is learnt and used.
+    pub replica_speed_enabled: bool,
     /// The machine.
     pub machine: GatewayMachine,
     /// Logs.
@@ -181,9 +183,12 @@
     let times = read_times(root.section("times"));
     let retries = read_retries(root.section("retries"));
     let quotas = read_quotas(root.section("quotas"));
-    let fair_shares = read_fair_shares(root.section("fair_shares"));
+    let fair_shares = GatewayFairShares {
+        is_enabled: read_enabled(root.section("fair_shares")),
+    };
     let births = read_births(root.section("replicas"));
     let interference = read_interference(root.section("interference"));
+    let replica_speed_enabled = read_enabled(root.section("replica_speed"));
     let machine = read_machine(root.section("machine"));
     let log = read_log(root.section("log"));
     root.finish();
@@ -200,6 +205,7 @@
         fair_shares,
         births,
         interference,
+        replica_speed_enabled,
         machine,
         log,
     })
@@ -271,6 +277,13 @@
     mode
 }
 
+/// Whether the part of the gateway that a section is about is switched on.
+fn read_enabled(section: Section<'_>) -> bool {
+    let enabled = section.or_default("enabled", false, values::boolean);
+    section.finish();
+    enabled
+}
+
 fn read_quotas(section: Section<'_>) -> GatewayQuotas {
     let quotas = GatewayQuotas {
         overshoot: section.or_default("overshoot", 0.0, |raw| values::number(raw, 0.0..=10.0)),
@@ -280,12 +293,6 @@
     quotas
 }
 
-fn read_fair_shares(section: Section<'_>) -> GatewayFairShares {
-    let is_enabled = section.or_default("enabled", false, values::boolean);
-    section.finish();
-    GatewayFairShares { is_enabled }
-}
-
 fn read_machine(section: Section<'_>) -> GatewayMachine {
     let machine = GatewayMachine {
         cores: section.or_default("cores", 1.0, |raw| values::number(raw, 0.001..=1024.0)),
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -48,6 +48,10 @@
     REPLICAS_RESERVED = 6320, Info, "The number of a service's replicas that long prompts prefer and streams avoid has changed. The fields give it, the number of all replicas, and the demand: how many replicas the long prompts of all gateways would keep busy.";
     ANSWER_ENDED_FOR_ROOM = 6350, Warn, "As much is held for callers as may be. The answer of which nothing was taken for the longest time was ended without its end; the fields give what was held of it, for how long nothing was taken, and what is held in all.";
     ANSWER_NOT_TAKEN = 6351, Warn, "A caller took nothing of its answer for too long: the answer was ended without its end, and the connection closed. The fields give what was held of it, and for how long nothing was taken.";
+    REPLICA_SLOW = 6340, Warn, "A replica takes at least twice as long as answers of the route usually do, and longer than nearly all of them: it gets fewer requests. The fields give the learnt slowdown, how many requests of this gateway may be open there while others have room, how long the request was open from which this was learnt, and what is usual.";
+    REPLICA_SPEED_NORMAL = 6341, Info, "A replica that was slow has answered at normal speed.";
+    REQUEST_HEDGED = 6342, Info, "A request that may be repeated was sent to a second replica, since the first has taken longer than nearly all answers of the route do; the first answer counts.";
+    HEDGE_ENDED = 6343, Info, "One of two replicas to which a request was sent has answered. The fields tell whether it was the second one, and whether the connection to the other was closed while the request was open there.";
     ORDER_LEASE_ACQUIRED = 6400, Info, "This daemon may give orders, under the token given.";
     ORDER_LEASE_NOT_ACQUIRED = 6401, Info, "Another daemon holds the lease, or the store did not say; it is tried again.";
     ORDER_LEASE_LOST = 6402, Warn, "This daemon may not give orders any more.";
