--- a/crates/gateway/src/peers/prompt_relay.rs
+++ b/crates/gateway/src/peers/prompt_relay.rs
@@ -2,7 +2,8 @@
 //!
 //! Every gateway reports its prompts to its group. Between groups that would take too many datagrams, so the leader of
 //! each group acts as its relay: it sends the prompts of its group in batches to the relays of the other groups, which
-//! forward them to their members. The only cost of a lost batch is that prompts are prefilled again.
+//! forward them to their members. The cost of a lost batch is that prompts are prefilled again, and that streams are not
+//! counted for as long as they run.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
