--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -47,6 +47,7 @@
 pub mod packed;
 pub mod packed_pages;
 mod permits;
+mod prompt_message;
 pub mod prompt_relay;
 mod quarantine_message;
 mod records;
