--- a/crates/gateway/src/pipeline/admission.rs
+++ b/crates/gateway/src/pipeline/admission.rs
@@ -84,8 +84,21 @@
     let objective_left = context.objective_left(now);
     if is_regulated && is_below_share && is_in_time(expected_wait, objective_left) {
         // In an overload the replicas that have most prompts cached have the longest queues. Few requests are below
-        // their tenants' shares, so what they recompute elsewhere hardly lengthens other queues.
-        candidates.retain(|replica| is_in_time(expected_at(replica), objective_left));
+        // their tenants' shares, so what they recompute elsewhere hardly lengthens other queues. Requests behind them
+        // count as well: not every replica begins urgent requests first.
+        let late = late_rank(rank);
+        let is_short = |replica: &Rc<Replica>| {
+            let typical_wait = replica.queue_waits.typical_wait(late, now);
+            is_in_time(expected_at(replica).max(typical_wait), objective_left)
+        };
+        let short: Vec<Rc<Replica>> = candidates
+            .iter()
+            .filter(|one| is_short(one))
+            .cloned()
+            .collect();
+        if !short.is_empty() {
+            candidates = short;
+        }
     }
     let is_punctual =
         standing != Standing::AboveShare && is_in_time(expected_wait, context.objective_left(now));
