--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -10,6 +10,7 @@
 
 use super::admission::Progress;
 use super::check_quarantine::check_quarantine;
+use super::check_share::may_be_loading;
 use super::choose_replica::{Choice, choose, paused};
 use super::context::RequestContext;
 use super::dispatch::{OpenAnswer, SendError, send};
@@ -272,7 +273,9 @@
         if let (Some(version), Some(prompt)) = (meta.weights_version, self.context.prompt()) {
             choice.replica.record_version(&prompt.model, version);
         }
-        let is_full = verdict == Verdict::NotRun && !meta.is_misdirected;
+        let is_full = verdict == Verdict::NotRun
+            && !meta.is_misdirected
+            && !may_be_loading(&self.state, &self.context, &choice.replica);
         self.state
             .shares
             .record_answer(&self.context.service, is_full);
--- a/crates/gateway/src/pipeline/check_share.rs
+++ b/crates/gateway/src/pipeline/check_share.rs
@@ -4,9 +4,11 @@
 
 use driftspring_clock::Instant;
 use driftspring_decisions::fair_share::over_share_retry_after;
+use driftspring_decisions::prefill::estimated_prefill_time;
 
 use super::context::RequestContext;
 use super::refusal::{Reason, Refusal, Step};
+use crate::replicas::Replica;
 use crate::shares::{Standing, work_of};
 use crate::state::GatewayState;
 
@@ -50,13 +52,32 @@
     }
 }
 
-/// Counts the work of a request that has begun at a replica after `wait`.
+/// Whether a replica may have refused a request because it loads weights, which hands back all that it has queued. That
+/// is no lack of capacity, and must not be taken for an overload.
+pub fn may_be_loading(state: &GatewayState, context: &RequestContext, replica: &Replica) -> bool {
+    let Some(prompt) = context.prompt() else {
+        return false;
+    };
+    let version = replica.version_of(&prompt.model);
+    let weights = state.weights.borrow();
+    let is_outdated = |version| {
+        weights
+            .outdated_for(&prompt.model, version, Instant::now())
+            .is_some()
+    };
+    replica.loading_since().is_some() || version.is_some_and(is_outdated)
+}
+
+/// Counts the work of a request that has begun at a replica after `wait`, `tokens_to_prefill` of which were its own. The
+/// time to prefill these is no queueing: after a change of weights every prompt is prefilled whole, with free replicas.
 pub fn note_work_begun(
     state: &GatewayState,
     context: &RequestContext,
     wait: Duration,
+    tokens_to_prefill: u64,
     now: Instant,
 ) {
+    let wait = wait.saturating_sub(estimated_prefill_time(tokens_to_prefill));
     let work = work_of(context.prompt());
     let (service, tenant) = (&context.service, context.tenant_name());
     state.shares.record_run(service, tenant, work, wait, now);
--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -70,7 +70,13 @@
         let now = Instant::now();
         let metrics = &state.status.metrics;
         let begun = queued.record_start(now);
-        note_work_begun(state, context, begun.min_wait, now);
+        note_work_begun(
+            state,
+            context,
+            begun.min_wait,
+            choice.tokens_to_prefill,
+            now,
+        );
         metrics.note_begun(&begun);
         if let Some((prompt, version)) = context.prompt().zip(choice.weights_version) {
             let wanted = state.weights.borrow();
