--- a/crates/driftctl/src/explain.rs
+++ b/crates/driftctl/src/explain.rs
@@ -4,6 +4,8 @@
 
 use serde::Deserialize;
 
+use crate::late_stream::{known_of_replica, late_pause};
+
 /// Lines told of what went on around the request, at the most.
 const MAX_SURROUNDINGS: usize = 12;
 
@@ -16,7 +18,7 @@
 ];
 
 /// Events of the process that may be the cause of what befell a request.
-const SURROUNDINGS: [&str; 24] = [
+const SURROUNDINGS: [&str; 29] = [
     "GATEWAY_STARTED",
     "GATEWAY_STOPPING",
     "GATEWAY_STOPPED",
@@ -32,6 +34,11 @@
     "REPLICA_PASSED_OVER",
     "REPLICA_SAID_LEAVING",
     "REPLICA_ASKED_FOR_REST",
+    "REPLICAS_RESERVED",
+    "SERVICE_OVERLOADED",
+    "SERVICE_OVERLOAD_ENDED",
+    "REPLICA_SLOW",
+    "REPLICA_SPEED_NORMAL",
     "REQUEST_STRUCK",
     "REQUEST_QUARANTINED",
     "REQUEST_TRIED",
@@ -146,8 +153,9 @@
         lines.push("around it:".to_owned());
         lines.extend(surroundings.iter().map(render));
     }
+    lines.extend(end.and_then(|end| late_stream(own, end)));
     lines.push(match end {
-        Some(end) => format!("so: {}", conclusion(end)),
+        Some(end) => format!("so: {}{}", conclusion(end), hedge(own)),
         None => format!("so: {without_end}"),
     });
     Explanation {
@@ -156,6 +164,17 @@
     }
 }
 
+/// Why a stream whose pauses exceed their target was late, if the lines tell it.
+fn late_stream(own: &[LogLine], end: &LogLine) -> Option<String> {
+    let pause = late_pause(|name| field(&end.message, name))?;
+    let sent = own.iter().rev().find(|line| line.is("REQUEST_SENT"));
+    let known = sent.and_then(|sent| known_of_replica(|name| field(&sent.message, name)));
+    Some(match known {
+        Some(known) => format!("{pause}; {known}"),
+        None => pause,
+    })
+}
+
 /// Why no line tells how a request ended: its gateway was started anew, or lines are missing.
 fn without_end(own: &[LogLine], around: &[LogLine]) -> String {
     let last = &own[own.len() - 1];
@@ -213,6 +232,28 @@
     words.find_map(|word| word.strip_prefix(name)?.strip_prefix('='))
 }
 
+/// Which of two replicas answered first, if the request was sent to a second one because the first took long.
+fn hedge(own: &[LogLine]) -> String {
+    if !own.iter().any(|line| line.is("REQUEST_HEDGED")) {
+        return String::new();
+    }
+    let ended = own.iter().find(|line| line.is("HEDGE_ENDED"));
+    let Some(ended) = ended else {
+        return "; it was sent to a second replica as well, and neither answer was final"
+            .to_owned();
+    };
+    let first_to_answer = field(&ended.message, "replica").unwrap_or("");
+    let other = field(&ended.message, "other").unwrap_or("");
+    match field(&ended.message, "hedge_won") {
+        Some("true") => format!(
+            "; {other} took longer than nearly all answers do, so it was sent to {first_to_answer} too, which answered first"
+        ),
+        _ => format!(
+            "; {first_to_answer} took longer than nearly all answers do, so it was sent to {other} too, but answered first"
+        ),
+    }
+}
+
 /// What the last line means.
 fn conclusion(end: &LogLine) -> String {
     let reason = field(&end.message, "reason").unwrap_or("");
@@ -236,6 +277,13 @@
         (_, "NotRun") => {
             "refused as not run: the replicas that were asked did not take it".to_owned()
         }
+        (_, "OverShare") => {
+            let (_, share) = end.message.split_once("detail=").unwrap_or_default();
+            format!(
+                "refused as not run: its service was overloaded and its tenant above its share ({}); look for SERVICE_OVERLOADED",
+                share.trim_matches('"').replace('\\', "")
+            )
+        }
         (_, "Paused") => {
             "refused as not run: every replica that could serve had asked for a pause; look for REPLICA_PASSED_OVER"
                 .to_owned()
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -11,6 +11,8 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use crate::replicas::MeasuredWait;
+use crate::replicas::speed_metrics::SpeedMetrics;
+use crate::shares::metrics::ShareMetrics;
 
 /// The labels of the counter of invalid input.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -57,6 +59,8 @@
     pub overloaded: Counter,
     /// Requests refused because every replica that could serve them had asked for a pause.
     pub paused: Counter,
+    /// Fair shares of tenants.
+    pub shares: ShareMetrics,
     /// Permits granted to this gateway to send to a replica with a rate limit.
     pub permits_granted: Counter,
     /// Permits denied to this gateway.
@@ -95,6 +99,22 @@
     pub replicas_resting: Gauge,
     /// Number of replicas that have announced that they are leaving; updated every second.
     pub replicas_leaving: Gauge,
+    /// Pauses between events of streams that were longer than the pause target of their route.
+    pub pauses_over_target: Counter,
+    /// Streams with a pause target that are expected to run at all replicas; updated every second.
+    pub streams_expected: Gauge,
+    /// Open streams of this gateway with a pause target; updated every second.
+    pub streams_open: Gauge,
+    /// Replicas that long prompts prefer and streams avoid; updated every second.
+    pub replicas_reserved: Gauge,
+    /// Bytes held for callers.
+    pub bytes_held: Gauge,
+    /// Answers ended because their callers took nothing for too long.
+    pub answers_not_taken: Counter,
+    /// Answers ended because the bytes held for callers had reached their limit.
+    pub answers_ended_for_room: Counter,
+    /// What is learnt of the speed of replicas.
+    pub speed: SpeedMetrics,
     registry: Mutex<Registry>,
 }
 
@@ -128,6 +148,7 @@
             permits_denied: Counter::default(),
             permits_unanswered: Counter::default(),
             over_quota: Counter::default(),
+            shares: ShareMetrics::default(),
             replicas_lapsed: Counter::default(),
             replicas_held_back: Counter::default(),
             replicas_ended: Counter::default(),
@@ -143,6 +164,14 @@
             replicas_limited: Gauge::default(),
             replicas_leaving: Gauge::default(),
             replicas_resting: Gauge::default(),
+            pauses_over_target: Counter::default(),
+            streams_expected: Gauge::default(),
+            streams_open: Gauge::default(),
+            replicas_reserved: Gauge::default(),
+            bytes_held: Gauge::default(),
+            answers_not_taken: Counter::default(),
+            answers_ended_for_room: Counter::default(),
+            speed: SpeedMetrics::default(),
             registry: Mutex::new(Registry::with_prefix("driftspring_gateway")),
         };
         metrics.register();
@@ -191,6 +220,11 @@
                 "Requests refused since every replica that could serve had asked for a pause",
                 &self.paused,
             ),
+            (
+                "pauses_over_target",
+                "Pauses between events of streams beyond the pause targets of their routes",
+                &self.pauses_over_target,
+            ),
             (
                 "permits_granted",
                 "Permits to send to replicas with limits",
@@ -241,10 +275,21 @@
                 "Requests refused since they ended the replicas that ran them",
                 &self.quarantined,
             ),
+            (
+                "answers_not_taken",
+                "Answers ended since their callers took nothing for too long",
+                &self.answers_not_taken,
+            ),
+            (
+                "answers_ended_for_room",
+                "Answers ended since too many bytes were held for callers",
+                &self.answers_ended_for_room,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
         }
+        self.shares.register(&mut registry);
         let durations = [
             (
                 "time_to_answer",
@@ -280,6 +325,12 @@
         for (name, help, histogram) in durations {
             registry.register_with_unit(name, help, Unit::Seconds, histogram.clone());
         }
+        self.speed.register(&mut registry);
+        registry.register(
+            "bytes_held",
+            "Bytes held for callers: bodies, and what they have not taken of their answers",
+            self.bytes_held.clone(),
+        );
         registry.register(
             "configuration_version",
             "The version of the configuration in force",
@@ -311,6 +362,21 @@
             "Replicas that said in an answer that they are leaving",
             self.replicas_leaving.clone(),
         );
+        registry.register(
+            "streams_expected",
+            "Streams with a pause target that are expected to run at replicas, for all gateways",
+            self.streams_expected.clone(),
+        );
+        registry.register(
+            "streams_open",
+            "Open streams of this gateway with a pause target",
+            self.streams_open.clone(),
+        );
+        registry.register(
+            "replicas_reserved",
+            "Replicas that long prompts prefer and streams avoid",
+            self.replicas_reserved.clone(),
+        );
         registry.register(
             "store_era",
             "The latest era of the store that is known; 0 where it names none",
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -6,6 +6,7 @@
 pub use super::configuration_message::{ConfigurationQuery, ConfigurationReply};
 pub use super::notice_message::{WireLimit, WireNotice, WirePermitQuery, WirePermitReply};
 use super::packed::PackedReplicas;
+pub use super::prompt_message::{OtherGroupPrompts, WirePrompt};
 pub use super::quarantine_message::{WireRecord, WireRecordStrike, WireRecords, WireStrike};
 use crate::protocol::{ModelVersion, ReplicaIncarnation};
 
@@ -121,6 +122,9 @@
     /// When the totals were sent, in milliseconds since a fixed moment of this incarnation.
     #[musli(default)]
     pub sent_ms: Option<u64>,
+    /// Demand and use by service and tenant, see [`crate::shares`].
+    #[musli(default)]
+    pub shares: Vec<WireTotals>,
 }
 
 /// Tenants' usage in one group since its leader began to count.
@@ -138,6 +142,9 @@
     /// When the totals were sent, in milliseconds since a fixed moment of the leader's incarnation.
     #[musli(default)]
     pub sent_ms: Option<u64>,
+    /// Demand and use by service and tenant, see [`crate::shares`].
+    #[musli(default)]
+    pub shares: Vec<WireTotals>,
 }
 
 /// Asks for the receiver's state and for the changes that the sender lacks.
@@ -361,13 +368,6 @@
     pub models: Vec<(String, u64)>,
 }
 
-impl WirePrompt {
-    /// The incarnation that received the prompt.
-    pub fn incarnation(&self) -> ReplicaIncarnation {
-        incarnation(&self.replica, self.born)
-    }
-}
-
 impl LoadStatus {
     /// The incarnation that loads the weights.
     pub fn incarnation(&self) -> ReplicaIncarnation {
@@ -406,33 +406,6 @@
     pub capacity: u32,
 }
 
-/// A prompt that was dispatched to a replica.
-#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
-pub struct WirePrompt {
-    /// The replica's id.
-    pub replica: String,
-    /// The birth time that identifies its incarnation, see [`ReplicaIncarnation::born`].
-    #[musli(default)]
-    pub born: Option<u64>,
-    /// The estimated number of tokens that the replica has to prefill.
-    pub tokens: u64,
-    /// The keys of the prompt's shared prefixes, see [`crate::cache::PrefixKey`].
-    pub prefixes: Vec<u64>,
-    /// A short digest of the sending gateway's name, by which that gateway recognizes its own reports.
-    #[musli(default)]
-    pub sender: u32,
-}
-
-/// Prompts that gateways of one group dispatched, for another group.
-#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
-pub struct OtherGroupPrompts {
-    /// The prompts.
-    pub prompts: Vec<WirePrompt>,
-    /// The zone of that group.
-    #[musli(default)]
-    pub zone: String,
-}
-
 /// Changes in the contents of one prompt-cache store, see [`crate::cache::CacheUpdate`].
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub struct WireCached {
--- a/crates/gateway/src/pipeline/context.rs
+++ b/crates/gateway/src/pipeline/context.rs
@@ -1,6 +1,6 @@
 //! Everything known about a request once it may be sent.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,9 +13,11 @@
 
 use super::decode::Decoded;
 use crate::configuration::{Configuration, EngineLimits, Route, Tenant};
+use crate::held_bytes::Charge;
 use crate::protocol::{Prompt, PromptPart, RequestMeta};
 use crate::quarantine::Fingerprint;
 use crate::replicas::Replica;
+use crate::shares::Standing;
 
 /// Time limit that stands in for the caller's or the route's, if that one is not set.
 const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(600);
@@ -47,9 +49,23 @@
     pub arrived_at: Instant,
     /// When the caller or the route gives up the request.
     pub deadline: Instant,
+    /// Accounts for the body as long as it may have to be sent again.
+    pub body_charge: Option<Charge>,
+    /// Where its tenant stands if the service is overloaded.
+    pub standing: Cell<Standing>,
     fingerprint: OnceCell<Fingerprint>,
 }
 
+/// When the caller or the route gives up a request that arrived at `arrived_at`.
+pub fn deadline(decoded: &Decoded, route: &Route, arrived_at: Instant) -> Instant {
+    let caller_limit = decoded.meta.deadline.unwrap_or(DEFAULT_REQUEST_TIMEOUT);
+    let route_limit = match route.timeout {
+        Duration::ZERO => DEFAULT_REQUEST_TIMEOUT,
+        timeout => timeout,
+    };
+    arrived_at + caller_limit.min(route_limit)
+}
+
 impl RequestContext {
     /// Builds the context of a request.
     pub fn new(
@@ -61,11 +77,7 @@
         body: Bytes,
         arrived_at: Instant,
     ) -> Self {
-        let caller_limit = decoded.meta.deadline.unwrap_or(DEFAULT_REQUEST_TIMEOUT);
-        let route_limit = match route.timeout {
-            Duration::ZERO => DEFAULT_REQUEST_TIMEOUT,
-            timeout => timeout,
-        };
+        let deadline = deadline(&decoded, &route, arrived_at);
         Self {
             id: decoded.id,
             meta: decoded.meta,
@@ -78,7 +90,9 @@
             tenant,
             service,
             arrived_at,
-            deadline: arrived_at + caller_limit.min(route_limit),
+            deadline,
+            body_charge: None,
+            standing: Cell::default(),
             fingerprint: OnceCell::new(),
         }
     }
@@ -98,6 +112,11 @@
         })
     }
 
+    /// Name of the tenant; empty without one.
+    pub fn tenant_name(&self) -> &str {
+        self.tenant.as_ref().map_or("", |tenant| &tenant.name)
+    }
+
     /// Time left until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -146,6 +165,12 @@
             .map_or(0, |prompt| u64::from(prompt.input_tokens))
     }
 
+    /// Expected number of output tokens: as the caller estimates, else the maximum.
+    pub fn output_tokens(&self) -> u32 {
+        let expected = |prompt: &Prompt| prompt.length_hint.unwrap_or(prompt.max_output_tokens);
+        self.prompt().map_or(0, expected)
+    }
+
     /// All parts of the prompt but the last, which is unique to the request.
     pub fn shared_parts(&self) -> &[PromptPart] {
         let parts = self.prompt().map_or(&[][..], |prompt| &prompt.parts);
--- a/crates/gateway/src/pipeline/refusal.rs
+++ b/crates/gateway/src/pipeline/refusal.rs
@@ -24,6 +24,8 @@
     Authenticate,
     /// Checking the tenant's quota.
     Quota,
+    /// Checking the tenant's share of an overloaded service.
+    Share,
     /// Reading the body.
     Body,
     /// Choosing a replica.
@@ -47,8 +49,12 @@
     OverQuota,
     /// It is larger than its tenant's quota ever allows.
     BeyondQuota,
+    /// The service is overloaded, and its tenant asks for more than its share.
+    OverShare,
     /// The body is too large.
     BodyTooLarge,
+    /// The body had not arrived when the request's time was over.
+    BodyTooSlow,
     /// The body broke off, or is malformed.
     BrokenBody,
     /// No configuration is known, or it is not known to be current.
@@ -84,11 +90,13 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::OverQuota | Self::BeyondQuota => StatusCode::TOO_MANY_REQUESTS,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::NotInformed
             | Self::Stopping
             | Self::NoReplica
             | Self::Paused
             | Self::Overloaded
+            | Self::OverShare
             | Self::NotRun
             | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -191,7 +199,7 @@
     fn closes_connection(&self) -> bool {
         matches!(
             self.reason,
-            Reason::BrokenBody | Reason::BodyTooLarge | Reason::NotInformed
+            Reason::BrokenBody | Reason::BodyTooLarge | Reason::BodyTooSlow | Reason::NotInformed
         )
     }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -27,6 +27,7 @@
 use tokio::sync::oneshot;
 
 use crate::cache;
+use crate::interference;
 use crate::peers;
 use crate::pipeline;
 use crate::protocol::Platform;
@@ -249,8 +250,14 @@
         }
         ntex::rt::spawn(cache::run(Rc::clone(&state)));
         ntex::rt::spawn(stop::close_idle_connections(Rc::clone(&state)));
+        let held = Rc::clone(&state);
+        ntex::rt::spawn(async move {
+            let limit = || held.times.get().caller_stall;
+            held.held_bytes.end_stalled(limit).await;
+        });
         ntex::rt::spawn(rollout::run(Rc::clone(&state)));
         ntex::rt::spawn(standstill::watch(Rc::clone(&state)));
+        ntex::rt::spawn(interference::run(Rc::clone(&state)));
         App::new()
             .state(state)
             .default_service(web::route().to(pipeline::respond))
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,6 +22,8 @@
 use crate::configuration::Configuration;
 use crate::connections::CallerConnections;
 use crate::currency::Currency;
+use crate::held_bytes::HeldBytes;
+use crate::interference::Interference;
 use crate::metrics::GatewayMetrics;
 use crate::notices::{ChangedNotices, NoticeSurvey};
 use crate::own_daemon::{machine, own_daemon, seeds};
@@ -31,8 +33,9 @@
 use crate::protocol::{Platform, ReplicaEntry, Unreadable, UnreadableReason};
 use crate::quarantine::Quarantine;
 use crate::quota::{Quotas, Tolerance};
-use crate::replicas::{Registry, RemovedIncarnations};
+use crate::replicas::{Registry, RemovedIncarnations, RouteSpeeds};
 use crate::rollout::{OrderLease, lease_times};
+use crate::shares::FairShares;
 use crate::store::{
     self, KnownNamings, Rejected, Rejections, StoreEraTracker, StoreOutage, StorePosition,
     StoreProgress,
@@ -114,8 +117,12 @@
     pub quarantine: Quarantine,
     /// Budgets for sending requests again.
     pub retry_budgets: RetryBudgets,
+    /// How long the answers of each route take.
+    pub route_speeds: RouteSpeeds,
     /// Quotas of the tenants.
     pub quotas: Quotas,
+    /// Fair shares of the tenants.
+    pub shares: FairShares,
     /// Permits to send to replicas that limit their request rate.
     pub permits: Permits,
     /// Notices from replicas that have to be sent to other gateways.
@@ -130,6 +137,8 @@
     pub cached: CachedParts,
     /// Which replicas have which prompts cached.
     pub holders: PromptHolders,
+    /// Bytes held for callers.
+    pub held_bytes: Rc<HeldBytes>,
     /// Connections of the callers.
     pub callers: CallerConnections,
     /// Connections to the object store.
@@ -163,6 +172,8 @@
     pub incarnation: u64,
     /// Credits of each route's services for the weighted division of its traffic.
     pub backend_credits: RefCell<HashMap<String, Vec<f64>>>,
+    /// Interference between prefills and streams at replicas.
+    pub interference: Interference,
     /// Whether changes were applied that are not published yet.
     has_pending_changes: Cell<bool>,
     /// Whether some of these changes concern replicas.
@@ -182,15 +193,19 @@
     ) -> Rc<Self> {
         let retry_budgets = RetryBudgets::new(&settings.retries);
         let quotas = Quotas::new(tolerance(&settings.quotas), Instant::now());
+        let shares = FairShares::new(settings.fair_shares.is_enabled, Instant::now());
         let store = Pool::new(settings.store);
         let incarnation = u64::from(rand::rng().random::<u32>());
         let peers = Peers::new(own_daemon(&settings), seeds(&settings), incarnation);
         let times = lease_times(settings.times.lease_term);
         let lease = OrderLease::new(&machine(&settings), incarnation, times);
         let lease = lease.at_first_start(settings.is_first_start);
+        let interference = Interference::new(settings.interference);
+        let held_bytes = HeldBytes::new(settings.machine.held_bytes, Arc::clone(&status));
         Rc::new(Self {
             times: Cell::new(settings.times),
             registry: Registry::new(settings.births),
+            route_speeds: RouteSpeeds::new(settings.replica_speed_enabled),
             settings,
             platform,
             status,
@@ -202,6 +217,7 @@
             quarantine: Quarantine::default(),
             retry_budgets,
             quotas,
+            shares,
             permits: Permits::default(),
             changed_notices: ChangedNotices::default(),
             notice_survey: NoticeSurvey::default(),
@@ -209,6 +225,7 @@
             peers,
             cached: CachedParts::default(),
             holders: PromptHolders::default(),
+            held_bytes,
             callers: CallerConnections::default(),
             store_outage: StoreOutage::default(),
             rejections: Rejections::default(),
@@ -224,6 +241,7 @@
             rollout_wanted: Notify::new(),
             incarnation,
             backend_credits: RefCell::new(HashMap::new()),
+            interference,
             replicas_listed: Notify::new(),
             has_pending_changes: Cell::new(false),
             has_pending_replicas: Cell::new(false),
@@ -451,7 +469,7 @@
         }
     }
 
-    /// Puts reloaded settings into force: times, retries and quotas. Listening addresses and the store's address stay
+    /// Puts reloaded settings into force: times, retries, quotas and the mode of interference. Listening addresses and the store's address stay
     /// as they are until the next start.
     pub fn apply_reloaded_settings(&self) {
         // If the lock is poisoned, a thread panicked while it stored new settings: the current ones stay.
@@ -460,6 +478,8 @@
             self.times.set(settings.times);
             self.retry_budgets.reload(&settings.retries);
             self.quotas.reload(tolerance(&settings.quotas));
+            self.interference.set_mode(settings.interference);
+            self.shares.reload(settings.fair_shares.is_enabled);
             // Requests that wait at replicas may have less time now.
             self.weights_updated.notify_waiters();
         }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -45,6 +45,8 @@
     pub weights_deadline: Duration,
     /// For how long after trouble on its way to the store a gateway is not held to what the store tells.
     pub contact: Duration,
+    /// For how long a caller may take nothing of an answer that waits for it.
+    pub caller_stall: Duration,
 }
 
 /// How often requests may be sent again.
@@ -65,6 +67,8 @@
     pub cores: f64,
     /// What its link carries, in megabits a second.
     pub link_megabits: f64,
+    /// Bytes that it may hold for callers.
+    pub held_bytes: usize,
 }
 
 /// How exactly the limits of tenants have to be kept by all gateways together.
@@ -76,6 +80,13 @@
     pub slack: f64,
 }
 
+/// Fair shares of tenants.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct GatewayFairShares {
+    /// Whether the requests of a tenant above its share are refused while a service cannot run all that is sent.
+    pub is_enabled: bool,
+}
+
 /// What is asked of the entries of replicas about the begin of their lives; an entry without what is asked for may be
 /// that of another writer, and is not used.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -89,6 +100,20 @@
     Optional,
 }
 
+/// How the placement of prompts weighs the delay that prefilling one adds to streams at the same replica.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum InterferenceMode {
+    /// It is not weighed.
+    #[default]
+    Off,
+    /// By the pauses that a prompt adds to running streams.
+    Stall,
+    /// By separating the replicas for long prompts from the others.
+    Separate,
+    /// By both.
+    Both,
+}
+
 /// All settings of a gateway.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
@@ -111,8 +136,14 @@
     pub retries: GatewayRetries,
     /// Limits of tenants.
     pub quotas: GatewayQuotas,
+    /// Fair shares of tenants.
+    pub fair_shares: GatewayFairShares,
     /// What is asked of the entries of replicas.
     pub births: Births,
+    /// How the delay of streams by the prefill of prompts is weighed.
+    pub interference: InterferenceMode,
+    /// Whether the speed of replicas is learnt and used.
+    pub replica_speed_enabled: bool,
     /// The machine.
     pub machine: GatewayMachine,
     /// Logs.
@@ -152,7 +183,12 @@
     let times = read_times(root.section("times"));
     let retries = read_retries(root.section("retries"));
     let quotas = read_quotas(root.section("quotas"));
+    let fair_shares = GatewayFairShares {
+        is_enabled: read_enabled(root.section("fair_shares")),
+    };
     let births = read_births(root.section("replicas"));
+    let interference = read_interference(root.section("interference"));
+    let replica_speed_enabled = read_enabled(root.section("replica_speed"));
     let machine = read_machine(root.section("machine"));
     let log = read_log(root.section("log"));
     root.finish();
@@ -166,7 +202,10 @@
         times,
         retries,
         quotas,
+        fair_shares,
         births,
+        interference,
+        replica_speed_enabled,
         machine,
         log,
     })
@@ -195,6 +234,7 @@
         lease_term: time("lease_term_seconds", 3.0),
         weights_deadline: time("weights_deadline_seconds", 8.0),
         contact: time("contact_seconds", 3.0),
+        caller_stall: time("caller_stall_seconds", 120.0),
     };
     section.finish();
     times
@@ -223,6 +263,27 @@
     births
 }
 
+fn read_interference(section: Section<'_>) -> InterferenceMode {
+    let words = [
+        ("off", InterferenceMode::Off),
+        ("stall", InterferenceMode::Stall),
+        ("separate", InterferenceMode::Separate),
+        ("both", InterferenceMode::Both),
+    ];
+    let mode = section.or_default("mode", InterferenceMode::default(), |raw| {
+        values::one_of(raw, &words)
+    });
+    section.finish();
+    mode
+}
+
+/// Whether the part of the gateway that a section is about is switched on.
+fn read_enabled(section: Section<'_>) -> bool {
+    let enabled = section.or_default("enabled", false, values::boolean);
+    section.finish();
+    enabled
+}
+
 fn read_quotas(section: Section<'_>) -> GatewayQuotas {
     let quotas = GatewayQuotas {
         overshoot: section.or_default("overshoot", 0.0, |raw| values::number(raw, 0.0..=10.0)),
@@ -238,6 +299,10 @@
         link_megabits: section.or_default("link_megabits", 1000.0, |raw| {
             values::number(raw, 0.001..=1e9)
         }),
+        held_bytes: section.or_default("held_mebibytes", 32 << 20, |raw| {
+            let mebibytes = values::number(raw, 16.0..=65536.0)?;
+            Ok((mebibytes * f64::from(1 << 20)) as usize)
+        }),
     };
     section.finish();
     machine
