--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`peers`]: messages between gateways.
 //! - [`permits`]: permits to send to replicas that limit their rate.
 //! - [`quarantine`]: requests that crash the replicas that run them.
+//! - [`reachability`]: whether this gateway reaches the replicas of a service at all.
 //! - [`replicas`]: the known state of each replica, and the choice of one.
 //! - [`upstream`]: connections to replicas and to the store.
 //! - [`store`]: calls to the object store and the tasks that follow it.
@@ -38,6 +39,7 @@
 pub mod protocol;
 pub mod quarantine;
 pub mod quota;
+pub mod reachability;
 pub mod replicas;
 pub mod rollout;
 pub mod server;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::reachability::PathMetrics;
 use crate::replicas::MeasuredWait;
 use crate::replicas::speed_metrics::SpeedMetrics;
 use crate::shares::metrics::ShareMetrics;
@@ -115,6 +116,8 @@
     pub answers_ended_for_room: Counter,
     /// What is learnt of the speed of replicas.
     pub speed: SpeedMetrics,
+    /// Paths to replicas.
+    pub paths: PathMetrics,
     registry: Mutex<Registry>,
 }
 
@@ -172,6 +175,7 @@
             answers_not_taken: Counter::default(),
             answers_ended_for_room: Counter::default(),
             speed: SpeedMetrics::default(),
+            paths: PathMetrics::default(),
             registry: Mutex::new(Registry::with_prefix("driftspring_gateway")),
         };
         metrics.register();
@@ -326,6 +330,7 @@
             registry.register_with_unit(name, help, Unit::Seconds, histogram.clone());
         }
         self.speed.register(&mut registry);
+        self.paths.register(&mut registry);
         registry.register(
             "bytes_held",
             "Bytes held for callers: bodies, and what they have not taken of their answers",
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -23,6 +23,7 @@
 use crate::permits::{self, PermitDenied};
 use crate::protocol::ReplicaIncarnation;
 use crate::quarantine::note_lost_answer;
+use crate::reachability::{self, Doubt};
 use crate::state::GatewayState;
 use crate::upstream::SendFailure;
 
@@ -423,6 +424,9 @@
     }
 
     fn note_failure(&self, choice: &Choice, cause: &str) {
+        let service = &self.context.service;
+        let path = self.state.paths.of(service);
+        reachability::doubt(&self.state, service, &path, Doubt::Failure);
         let pause = choice.replica.health.record_failure(Instant::now());
         log_event!(
             gateway::REPLICA_SUSPECT,
--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -21,6 +21,7 @@
 use crate::interference::OwnStream;
 use crate::peers::message::WirePrompt;
 use crate::protocol::Dispatch;
+use crate::reachability::{self, PathUse};
 use crate::replicas::{OpenRequestGuard, QueuedRequest, TimedCall};
 use crate::state::GatewayState;
 use crate::upstream::{Answer, Connection, SendFailure};
@@ -35,6 +36,8 @@
     pub answer: Answer,
     /// Counts the request as open at its replica until the answer is closed.
     pub _work: OpenRequestGuard,
+    /// Counts the request as open on the path to its service until the answer is closed.
+    pub path_use: PathUse,
     /// Counts the request as a stream at its replica until the answer is closed, if its route has a pause target.
     pub stream: Option<OwnStream>,
     /// The request's wait in the replica's queue, until it begins.
@@ -100,7 +103,7 @@
 /// Sends the request and waits for the head of the answer for as long as the request may begin there. A pooled
 /// connection that turns out to be closed before a byte was sent is replaced.
 pub async fn send(
-    state: &GatewayState,
+    state: &Rc<GatewayState>,
     context: &RequestContext,
     choice: &Choice,
     last_event_id: Option<&str>,
@@ -109,6 +112,9 @@
     let work = OpenRequestGuard::begin(&choice.replica);
     note_prompt(state, context, choice);
     let stream = own_stream(state, context, choice);
+    let path = state.paths.of(&context.service);
+    let path_use = PathUse::begin(&path, Instant::now());
+    reachability::watch(state, &context.service, &path);
     loop {
         let mut connection = connect(state, choice).await.map_err(SendError::Failed)?;
         if choice.replica.notices.is_cooling_down(Instant::now()) {
@@ -133,10 +139,12 @@
         };
         match answer {
             Ok(response) => {
+                path.record_answer(Instant::now());
                 let answer = Answer::new(response, connection, Rc::clone(pool));
                 return Ok(OpenAnswer {
                     answer,
                     _work: work,
+                    path_use,
                     stream,
                     queued: Some(queued),
                     timed,
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -123,6 +123,7 @@
         piece = read_piece(opened, splitter) => piece.map_err(AnswerFailure::BrokeOff)?,
         () = until_weights_too_old(state, context, choice), if !has_begun => return Err(AnswerFailure::Withdrawn),
     };
+    opened.path_use.path.record_answer(Instant::now());
     opened.note_begun(state, context, choice);
     if let Some(stream) = &mut opened.stream {
         match piece {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -33,6 +33,7 @@
 use crate::protocol::{Platform, ReplicaEntry, Unreadable, UnreadableReason};
 use crate::quarantine::Quarantine;
 use crate::quota::{Quotas, Tolerance};
+use crate::reachability::Paths;
 use crate::replicas::{Registry, RemovedIncarnations, RouteSpeeds};
 use crate::rollout::{OrderLease, lease_times};
 use crate::shares::FairShares;
@@ -109,6 +110,8 @@
     pub currency: Currency,
     /// Registry of the replicas.
     pub registry: Registry,
+    /// Paths to the replicas of each service.
+    pub paths: Paths,
     /// Wanted versions of the weights.
     pub weights: RefCell<WantedWeights>,
     /// Wakes requests that wait at replicas when a version of the weights becomes known.
@@ -212,6 +215,7 @@
             configuration: ArcSwapOption::empty(),
             configuration_position: Cell::default(),
             currency: Currency::new(),
+            paths: Paths::default(),
             weights: RefCell::default(),
             weights_updated: Notify::new(),
             quarantine: Quarantine::default(),
--- /dev/null
+++ b/crates/gateway/tests/service_path.rs
@@ -0,0 +1,131 @@
+//! When the path to the replicas of a service counts as in doubt, lost and back.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use driftspring_clock::Instant;
+use driftspring_gateway::reachability::random_sample;
+use driftspring_gateway::reachability::service_path::{
+    CONFIRMED_INTERVAL, PathChange, PathUse, ProbeResults, SILENCE_LIMIT, ServicePath,
+};
+
+const NONE_ANSWER: ProbeResults = ProbeResults {
+    probed: 3,
+    answered: 0,
+};
+
+const ONE_ANSWERS: ProbeResults = ProbeResults {
+    probed: 3,
+    answered: 1,
+};
+
+const ROUND: Duration = Duration::from_millis(500);
+
+fn lose(path: &ServicePath, at: Instant) -> Option<PathChange> {
+    path.begin_round(at);
+    path.end_round(NONE_ANSWER, at + ROUND)
+}
+
+fn answer(path: &ServicePath, at: Instant) -> Option<PathChange> {
+    path.begin_round(at);
+    path.end_round(ONE_ANSWERS, at)
+}
+
+#[test]
+fn a_path_is_silent_only_while_requests_are_open() {
+    let path: Rc<ServicePath> = Rc::default();
+    let start = Instant::now();
+    assert!(!path.is_silent(start + SILENCE_LIMIT));
+    let open = PathUse::begin(&path, start);
+    assert!(!path.is_silent(start + SILENCE_LIMIT / 2));
+    assert!(path.is_silent(start + SILENCE_LIMIT));
+    path.record_answer(start + SILENCE_LIMIT);
+    assert!(!path.is_silent(start + SILENCE_LIMIT));
+    drop(open);
+    assert!(!path.is_silent(start + SILENCE_LIMIT * 4));
+}
+
+#[test]
+fn a_request_after_a_quiet_time_does_not_make_a_path_silent() {
+    let path: Rc<ServicePath> = Rc::default();
+    let start = Instant::now();
+    path.record_answer(start);
+    let later = start + SILENCE_LIMIT * 20;
+    let _open = PathUse::begin(&path, later);
+    assert!(!path.is_silent(later));
+}
+
+#[test]
+fn a_path_is_lost_if_no_probe_is_answered_and_back_with_the_first_answer() {
+    let path = ServicePath::default();
+    let start = Instant::now();
+    let lost = Some(PathChange::Lost {
+        has_live_connections: false,
+    });
+    assert_eq!(lose(&path, start), lost);
+    assert!(path.is_lost() && path.is_cut_off(start + ROUND));
+    assert!(!path.needs_round(start + ROUND * 9));
+    let back_at = start + ROUND * 9;
+    let after = ROUND * 8;
+    assert_eq!(answer(&path, back_at), Some(PathChange::Regained { after }));
+    assert!(!path.is_lost());
+}
+
+#[test]
+fn one_answer_is_enough_for_the_path_to_be_there() {
+    let path = ServicePath::default();
+    let start = Instant::now();
+    assert_eq!(answer(&path, start), None);
+    assert!(!path.is_lost());
+    assert!(!path.needs_round(start + CONFIRMED_INTERVAL / 2));
+    assert!(path.needs_round(start + CONFIRMED_INTERVAL));
+}
+
+#[test]
+fn a_round_without_replicas_shows_nothing() {
+    let path = ServicePath::default();
+    path.begin_round(Instant::now());
+    let none = ProbeResults {
+        probed: 0,
+        answered: 0,
+    };
+    assert_eq!(path.end_round(none, Instant::now()), None);
+    assert!(!path.is_lost());
+}
+
+#[test]
+fn open_connections_are_live_only_by_answers_since_the_doubt() {
+    let path = ServicePath::default();
+    let start = Instant::now();
+    path.record_answer(start - Duration::from_millis(1));
+    lose(&path, start);
+    assert!(!path.has_live_connections(start + ROUND));
+    path.record_answer(start + ROUND);
+    assert!(path.has_live_connections(start + ROUND));
+    assert!(!path.is_cut_off(start + ROUND));
+    assert!(path.is_cut_off(start + ROUND * 4));
+}
+
+#[test]
+fn a_path_that_is_lost_again_soon_must_answer_several_rounds() {
+    let path = ServicePath::default();
+    let start = Instant::now();
+    lose(&path, start);
+    assert!(answer(&path, start + ROUND * 2).is_some());
+    lose(&path, start + ROUND * 3);
+    assert_eq!(answer(&path, start + ROUND * 5), None);
+    assert_eq!(answer(&path, start + ROUND * 6), None);
+    assert!(answer(&path, start + ROUND * 7).is_some());
+}
+
+#[test]
+fn a_sample_names_no_replica_twice() {
+    let items: Vec<u32> = (0..20).collect();
+    for draw in 0..50 {
+        let mut sample = random_sample(&items, 5, draw);
+        sample.sort_unstable();
+        sample.dedup();
+        assert_eq!(sample.len(), 5);
+    }
+    assert_eq!(random_sample(&items[..2], 5, 1).len(), 2);
+}
