--- a/crates/gateway-program/tests/unreachable_replicas.rs
+++ b/crates/gateway-program/tests/unreachable_replicas.rs
@@ -59,6 +59,16 @@
     play(1, 2, Cut::Silent);
 }
 
+#[test]
+fn a_single_gateway_that_keeps_its_replicas_serves_the_callers_of_all_others() {
+    play(2, 3, Cut::Silent);
+}
+
+#[test]
+fn gateways_whose_connections_to_replicas_are_reset_serve_as_often_as_the_others() {
+    play(3, 2, Cut::Reset);
+}
+
 #[test]
 fn gateways_with_open_connections_only_serve_as_often_as_the_others() {
     play(4, 2, Cut::NewReset);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`cache`]: the known contents of the prompt caches in KV stores.
 //! - [`configuration`]: routes, services and tenants in force.
+//! - [`forwarding`]: requests that go through another gateway while no replica can be reached from here.
 //! - [`protocol`]: the traits that a platform adapter implements.
 //! - [`pipeline`]: the processing of a request, one file per filter, with the list of filters in one place.
 //! - [`notices`]: notices that replicas give about themselves in their answers.
@@ -28,6 +29,7 @@
 pub mod configuration;
 pub mod connections;
 pub mod currency;
+pub mod forwarding;
 mod held_bytes;
 pub mod interference;
 pub mod metrics;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::forwarding::ForwardingMetrics;
 use crate::reachability::PathMetrics;
 use crate::replicas::MeasuredWait;
 use crate::replicas::speed_metrics::SpeedMetrics;
@@ -118,6 +119,8 @@
     pub speed: SpeedMetrics,
     /// Paths to replicas.
     pub paths: PathMetrics,
+    /// Requests that go through other gateways.
+    pub forwarding: ForwardingMetrics,
     registry: Mutex<Registry>,
 }
 
@@ -176,6 +179,7 @@
             answers_ended_for_room: Counter::default(),
             speed: SpeedMetrics::default(),
             paths: PathMetrics::default(),
+            forwarding: ForwardingMetrics::default(),
             registry: Mutex::new(Registry::with_prefix("driftspring_gateway")),
         };
         metrics.register();
@@ -331,6 +335,7 @@
         }
         self.speed.register(&mut registry);
         self.paths.register(&mut registry);
+        self.forwarding.register(&mut registry);
         registry.register(
             "bytes_held",
             "Bytes held for callers: bodies, and what they have not taken of their answers",
--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -11,6 +11,7 @@
 use super::configuration;
 use super::convert::to_ms;
 use super::directory::short_digest;
+use super::forwarding;
 use super::message::{
     CachedReply, Change, ConfigurationReply, LoadStatus, Message, RECEIVE_BUFFER_BYTES, Report,
     SyncQuery, SyncReply, WireLease, WirePrompt, WireWeights,
@@ -159,6 +160,12 @@
                 permits::answer(&state, &socket, &query, from).await;
             }
             Some(Message::PermitReply(reply)) => permits::apply(&state, reply),
+            Some(Message::ForwardQuery(query)) => {
+                forwarding::answer(&state, &socket, &query, from).await;
+            }
+            Some(Message::ForwardOffer(offer)) => {
+                crate::forwarding::apply_offer(&state, offer, from);
+            }
             None => {
                 let (name, reason) = (from.to_string(), UnreadableReason::Bytes);
                 state.reject(
--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/known.rs
@@ -322,7 +322,7 @@
     }
 
     /// The nonce for the next query.
-    pub(super) fn next_nonce(&self) -> u64 {
+    pub(crate) fn next_nonce(&self) -> u64 {
         let nonce = self.nonce.get() + 1;
         self.nonce.set(nonce);
         nonce
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -4,6 +4,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 pub use super::configuration_message::{ConfigurationQuery, ConfigurationReply};
+pub use super::forward_message::{WireForwardOffer, WireForwardQuery};
 pub use super::notice_message::{WireLimit, WireNotice, WirePermitQuery, WirePermitReply};
 use super::packed::PackedReplicas;
 pub use super::prompt_message::{OtherGroupPrompts, WirePrompt};
@@ -63,6 +64,10 @@
     PermitQuery(WirePermitQuery),
     /// The reply to [`Message::PermitQuery`].
     PermitReply(WirePermitReply),
+    /// Asks whether the receiver takes requests for services that the sender can't reach.
+    ForwardQuery(WireForwardQuery),
+    /// The reply to [`Message::ForwardQuery`].
+    ForwardOffer(WireForwardOffer),
 }
 
 /// A report that is being forwarded through a group, see [`super::spread`].
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -25,6 +25,7 @@
 //!   document.
 //! - `notices`: limits and leave notices of replicas; `permits`: permits to send to replicas with limits;
 //!   `notice_message`: their datagrams.
+//! - `forwarding`: offers to forward requests; `forward_message`: their datagrams.
 //! - `records`: requests that terminate replicas; `quarantine_message`: its datagrams.
 //! - [`task`]: starts all tasks: `ask` queries the source, `answer` replies to others, `news` sends changes unasked.
 
@@ -39,6 +40,8 @@
 mod convert;
 pub mod directory;
 pub mod followed_log;
+mod forward_message;
+mod forwarding;
 pub mod known;
 pub mod message;
 mod news;
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -12,6 +12,7 @@
 use super::ask::ask;
 use super::cached;
 use super::configuration;
+use super::forwarding;
 use super::news::send_news;
 use super::notices;
 use super::permits;
@@ -59,6 +60,10 @@
     ntex::rt::spawn(records::send_updates(Rc::clone(&state), Rc::clone(&socket)));
     ntex::rt::spawn(notices::send_updates(Rc::clone(&state), Rc::clone(&socket)));
     ntex::rt::spawn(permits::send_queries(Rc::clone(&state), Rc::clone(&socket)));
+    ntex::rt::spawn(forwarding::send_queries(
+        Rc::clone(&state),
+        Rc::clone(&socket),
+    ));
     ntex::rt::spawn(usage::send_updates(Rc::clone(&state), Rc::clone(&socket)));
     ntex::rt::spawn(shares::send_updates(Rc::clone(&state), Rc::clone(&socket)));
     ask(state, socket, received_replies).await;
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -15,6 +15,7 @@
 use super::context::RequestContext;
 use super::dispatch::{OpenAnswer, SendError, send};
 use super::first_list::first_list_timeout;
+use super::forward::Forwarder;
 use super::hedge::{HedgePlan, route_speed, send_hedged};
 use super::judge::{Verdict, judge};
 use super::refusal::{Reason, Refusal, Step};
@@ -23,7 +24,7 @@
 use crate::permits::{self, PermitDenied};
 use crate::protocol::ReplicaIncarnation;
 use crate::quarantine::note_lost_answer;
-use crate::reachability::{self, Doubt};
+use crate::reachability::{self, Doubt, ServicePath};
 use crate::state::GatewayState;
 use crate::upstream::SendFailure;
 
@@ -41,6 +42,9 @@
 const WITHDRAWN_FOR_OLD_WEIGHTS: &str =
     "it had not begun when the weights of its replica became too old";
 
+/// Why a request leaves a replica that can't be reached any more.
+const PATH_LOST: &str = "no replica can be reached from here";
+
 /// The attempts of one request.
 pub struct Attempts {
     pub(super) state: Rc<GatewayState>,
@@ -48,10 +52,16 @@
     pub(super) tried: Vec<ReplicaIncarnation>,
     /// Replicas that refused because they have other weights than the request was sent for.
     pub(super) weights_mismatches: Vec<WeightsMismatch>,
-    possible_runs: u32,
+    /// The path to the replicas of its service.
+    pub(super) path: Rc<ServicePath>,
+    /// Whether another gateway forwards it: that one counts its attempts, and it is not forwarded again.
+    pub(super) is_forwarded: bool,
+    pub(super) possible_runs: u32,
     not_run_answers: usize,
     unreachable: usize,
-    sends: u32,
+    /// Number of other gateways that declined it or could not be reached.
+    pub(super) peer_failures: usize,
+    pub(super) sends: u32,
     /// Number of replicas whose rate limits left no room.
     permit_denials: usize,
     /// Minimum time until one of them has room again.
@@ -74,6 +84,8 @@
     BrokeOff(String),
     /// Its head arrived, but the request had not begun when the replica's weights became too old.
     Withdrawn,
+    /// The path to all replicas was lost; another gateway can go on with it.
+    PathLost,
 }
 
 impl AnswerFailure {
@@ -82,6 +94,34 @@
         match self {
             Self::BrokeOff(cause) => cause,
             Self::Withdrawn => WITHDRAWN_FOR_OLD_WEIGHTS,
+            Self::PathLost => PATH_LOST,
+        }
+    }
+}
+
+/// Where an answer comes from.
+#[derive(Debug)]
+pub enum Responder {
+    /// A replica that this gateway has chosen.
+    Replica(Box<Choice>),
+    /// A replica that another gateway has chosen.
+    Peer(Forwarder),
+}
+
+impl Responder {
+    /// The id of the replica.
+    pub fn replica(&self) -> &str {
+        match self {
+            Self::Replica(choice) => choice.replica.id(),
+            Self::Peer(forwarder) => &forwarder.replica,
+        }
+    }
+
+    /// The replica that this gateway has chosen.
+    pub fn choice(&self) -> Option<&Choice> {
+        match self {
+            Self::Replica(choice) => Some(choice),
+            Self::Peer(_) => None,
         }
     }
 }
@@ -91,8 +131,8 @@
 pub struct Attempt {
     /// The answer.
     pub opened: OpenAnswer,
-    /// The replica.
-    pub choice: Choice,
+    /// Where it comes from.
+    pub responder: Responder,
 }
 
 impl Attempts {
@@ -102,14 +142,35 @@
         if let Some(speed) = route_speed(state, context) {
             speed.earn_hedge();
         }
+        Self::without_runs(state, context)
+    }
+
+    /// Starts with a request that another gateway forwards, which has tried these replicas.
+    pub fn for_forwarded(
+        state: &Rc<GatewayState>,
+        context: &Rc<RequestContext>,
+        tried: Vec<ReplicaIncarnation>,
+    ) -> Self {
+        Self {
+            tried,
+            is_forwarded: true,
+            has_hedged: true,
+            ..Self::without_runs(state, context)
+        }
+    }
+
+    fn without_runs(state: &Rc<GatewayState>, context: &Rc<RequestContext>) -> Self {
         Self {
             state: Rc::clone(state),
+            path: state.paths.of(&context.service),
+            is_forwarded: false,
             context: Rc::clone(context),
             tried: Vec::new(),
             weights_mismatches: Vec::new(),
             possible_runs: 0,
             not_run_answers: 0,
             unreachable: 0,
+            peer_failures: 0,
             sends: 0,
             permit_denials: 0,
             min_permit_wait: Duration::MAX,
@@ -136,6 +197,12 @@
             if let Err(refusal) = check_quarantine(&self.state, &self.context, may_have_run) {
                 return Err(self.refusal_without_replica(refusal));
             }
+            if self.is_cut_off() {
+                match self.forward(last_event_id).await? {
+                    Some(attempt) => return Ok(attempt),
+                    None => continue,
+                }
+            }
             let choice = match choose(&self.state, &self.context, &self.tried, progress) {
                 Ok(choice) => choice,
                 Err(refusal) => match refusal.reason {
@@ -143,6 +210,12 @@
                     _ => return Err(self.refusal_without_replica(refusal)),
                 },
             };
+            if self.needs_new_connection(&choice.replica.pool) {
+                match self.forward(last_event_id).await? {
+                    Some(attempt) => return Ok(attempt),
+                    None => continue,
+                }
+            }
             if let Err(denial) = permits::acquire(&self.state, &choice.replica).await {
                 self.handle_permit_denial(&choice, denial)?;
                 continue;
@@ -154,7 +227,9 @@
                 Some(plan) => send_hedged(self, choice, plan).await?,
                 None => {
                     let sent_at = Instant::now();
-                    let outcome = send(&self.state, &self.context, &choice, last_event_id).await;
+                    let may_move = self.may_move();
+                    let outcome =
+                        send(&self.state, &self.context, &choice, last_event_id, may_move).await;
                     self.handle_outcome(choice, sent_at, outcome)?
                 }
             };
@@ -192,6 +267,10 @@
                 self.sends += 1;
                 self.handle_withdrawn(&choice)?;
             }
+            Err(SendError::PathLost) => {
+                self.sends += 1;
+                self.handle_path_lost(&choice)?;
+            }
         }
         Ok(None)
     }
@@ -212,23 +291,39 @@
 
     /// Whether a request that a replica has run, or may have run, may be sent to another one.
     pub fn may_run_again(&self) -> bool {
-        self.context.route.is_repeatable() && self.possible_runs < self.context.route.max_attempts
+        !self.is_forwarded
+            && self.context.route.is_repeatable()
+            && self.possible_runs < self.context.route.max_attempts
+    }
+
+    /// Whether a request that is sent to a replica now may be sent again after that.
+    fn may_move(&self) -> bool {
+        !self.is_forwarded
+            && self.context.route.is_repeatable()
+            && self.possible_runs + 1 < self.context.route.max_attempts
     }
 
     /// Handles an answer that is not read to its end although its head has arrived; an error if the request can't be
     /// sent again.
     pub fn handle_failed_answer(
         &mut self,
-        choice: &Choice,
+        responder: &Responder,
         failure: &AnswerFailure,
     ) -> Result<(), Refusal> {
         // It was counted as a run when its head arrived.
         self.possible_runs -= 1;
+        let choice = match responder {
+            Responder::Replica(choice) => choice,
+            Responder::Peer(forwarder) => {
+                return self.handle_broken_hop(forwarder, failure.cause());
+            }
+        };
         match failure {
             AnswerFailure::BrokeOff(cause) => {
                 self.handle_lost(choice, choice.replica.pool.peer(), cause)
             }
             AnswerFailure::Withdrawn => self.handle_withdrawn(choice),
+            AnswerFailure::PathLost => self.handle_path_lost(choice),
         }
     }
 
@@ -288,7 +383,10 @@
                 if has_failed && self.tries_elsewhere_after_failure(&choice) {
                     return Ok(None);
                 }
-                Ok(Some(Attempt { opened, choice }))
+                Ok(Some(Attempt {
+                    opened,
+                    responder: Responder::Replica(Box::new(choice)),
+                }))
             }
             Verdict::NotRun => {
                 let status = opened.answer.status().as_u16();
@@ -423,10 +521,24 @@
         }
     }
 
+    /// Handles a request that leaves its replica because none can be reached. It may have run; this is not held against
+    /// the replica.
+    fn handle_path_lost(&mut self, choice: &Choice) -> Result<(), Refusal> {
+        self.possible_runs += 1;
+        self.log_attempt(choice, "path_lost", PATH_LOST);
+        self.tried.push(choice.replica.incarnation.clone());
+        match self.may_run_again() {
+            true => Ok(()),
+            false => {
+                let peer = Some(choice.replica.pool.peer());
+                Err(self.give_up(Reason::Unknown, peer, PATH_LOST))
+            }
+        }
+    }
+
     fn note_failure(&self, choice: &Choice, cause: &str) {
         let service = &self.context.service;
-        let path = self.state.paths.of(service);
-        reachability::doubt(&self.state, service, &path, Doubt::Failure);
+        reachability::doubt(&self.state, service, &self.path, Doubt::Failure);
         let pause = choice.replica.health.record_failure(Instant::now());
         log_event!(
             gateway::REPLICA_SUSPECT,
@@ -435,7 +547,7 @@
         );
     }
 
-    fn try_spend_retry(&self) -> bool {
+    pub(super) fn try_spend_retry(&self) -> bool {
         let is_left = self.state.retry_budgets.try_spend(&self.context.service);
         match is_left {
             true => {
@@ -459,7 +571,12 @@
     }
 
     /// Refusal of a request that is sent to no more replicas. If it may have run, it is not reported as not run.
-    fn give_up(&self, reason: Reason, peer: Option<SocketAddr>, detail: &str) -> Refusal {
+    pub(super) fn give_up(
+        &self,
+        reason: Reason,
+        peer: Option<SocketAddr>,
+        detail: &str,
+    ) -> Refusal {
         let reason = match (reason, self.possible_runs) {
             (Reason::NotRun, 0) => Reason::NotRun,
             (Reason::NotRun, _) => Reason::Unknown,
--- a/crates/gateway/src/pipeline/collect.rs
+++ b/crates/gateway/src/pipeline/collect.rs
@@ -81,13 +81,18 @@
 ) -> Result<CompleteAnswer, Refusal> {
     let mut attempts = Attempts::new(state, context);
     loop {
-        let Attempt { mut opened, choice } = attempts.next(None).await?;
-        opened.note_begun(state, context, &choice);
+        let Attempt {
+            mut opened,
+            responder,
+        } = attempts.next(None).await?;
+        if let Some(choice) = responder.choice() {
+            opened.note_begun(state, context, choice);
+        }
         let charge = Charge::new(&state.held_bytes);
         match collect(&mut opened.answer, &charge).await {
             Ok(pieces) => {
                 return Ok(CompleteAnswer {
-                    replica: choice.replica.id().to_owned(),
+                    replica: responder.replica().to_owned(),
                     status: opened.answer.status(),
                     headers: opened.answer.headers().clone(),
                     pieces,
@@ -96,7 +101,7 @@
             }
             Err(error) => {
                 let failure = AnswerFailure::BrokeOff(error);
-                attempts.handle_failed_answer(&choice, &failure)?;
+                attempts.handle_failed_answer(&responder, &failure)?;
             }
         }
     }
--- a/crates/gateway/src/pipeline/decode.rs
+++ b/crates/gateway/src/pipeline/decode.rs
@@ -52,9 +52,20 @@
 
 /// Decodes the head. The caller's control headers and those of its connection are not forwarded.
 pub fn decode(state: &GatewayState, request: &HttpRequest) -> Result<Decoded, Refusal> {
-    let all = convert(request);
+    let uri = request.uri();
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    decode_head(state, request.method(), path, &convert(request))
+}
+
+/// Decodes a head whose headers are `all`.
+pub fn decode_head(
+    state: &GatewayState,
+    method: &Method,
+    path: &str,
+    all: &HeaderMap,
+) -> Result<Decoded, Refusal> {
     let malformed = |detail: String| Refusal::new(Step::Decode, Reason::MalformedHead, detail);
-    let meta = state.platform.read_request(&all).map_err(malformed)?;
+    let meta = state.platform.read_request(all).map_err(malformed)?;
     let id = meta
         .id
         .clone()
@@ -66,15 +77,13 @@
         .map(without_port)
         .ok_or_else(|| malformed("no host".to_owned()))?
         .to_ascii_lowercase();
-    let uri = request.uri();
-    let path = uri.path_and_query().map_or("/", |path| path.as_str());
     Ok(Decoded {
         id,
         meta,
         host,
-        method: request.method().clone(),
+        method: method.clone(),
         path: path.to_owned(),
-        headers: forwarded_headers(state, &all),
+        headers: forwarded_headers(state, all),
     })
 }
 
--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -14,6 +14,7 @@
 use super::check_share::note_work_begun;
 use super::choose_replica::Choice;
 use super::context::RequestContext;
+use super::forward::until_forwardable;
 use super::hedge::route_speed;
 use super::interference_costs::InterferenceCosts;
 use super::judge::Verdict;
@@ -34,10 +35,10 @@
 pub struct OpenAnswer {
     /// The answer.
     pub answer: Answer,
-    /// Counts the request as open at its replica until the answer is closed.
-    pub _work: OpenRequestGuard,
+    /// Counts the request as open at its replica until the answer is closed; none if another gateway sent it there.
+    pub _work: Option<OpenRequestGuard>,
     /// Counts the request as open on the path to its service until the answer is closed.
-    pub path_use: PathUse,
+    path_use: Option<PathUse>,
     /// Counts the request as a stream at its replica until the answer is closed, if its route has a pause target.
     pub stream: Option<OwnStream>,
     /// The request's wait in the replica's queue, until it begins.
@@ -47,6 +48,25 @@
 }
 
 impl OpenAnswer {
+    /// An answer that comes through another gateway, which measures the replica.
+    pub fn of_peer(answer: Answer) -> Self {
+        Self {
+            answer,
+            _work: None,
+            path_use: None,
+            stream: None,
+            queued: None,
+            timed: None,
+        }
+    }
+
+    /// Records that bytes have arrived from the replica.
+    pub fn record_activity(&self) {
+        if let Some(path_use) = &self.path_use {
+            path_use.path.record_answer(Instant::now());
+        }
+    }
+
     /// Whether the replica has begun to answer: the first event of a stream has arrived, or the head of another answer.
     pub fn has_begun(&self) -> bool {
         self.queued.is_none()
@@ -96,17 +116,21 @@
     Failed(SendFailure),
     /// It waited until the replica's weights became too old.
     Withdrawn,
+    /// It waited there when the path to all replicas was lost; another gateway can bring it to one.
+    PathLost,
     /// It was not sent: the replica asked for a cooldown while the connection was being established.
     Resting,
 }
 
 /// Sends the request and waits for the head of the answer for as long as the request may begin there. A pooled
-/// connection that turns out to be closed before a byte was sent is replaced.
+/// connection that turns out to be closed before a byte was sent is replaced. `may_move` says whether the request may go
+/// through another gateway if the path to the replicas is lost while it waits.
 pub async fn send(
     state: &Rc<GatewayState>,
     context: &RequestContext,
     choice: &Choice,
     last_event_id: Option<&str>,
+    may_move: bool,
 ) -> Result<OpenAnswer, SendError> {
     let pool = &choice.replica.pool;
     let work = OpenRequestGuard::begin(&choice.replica);
@@ -136,6 +160,9 @@
             biased;
             answer = connection.send(request) => answer,
             () = until_weights_too_old(state, context, choice) => return Err(SendError::Withdrawn),
+            () = until_forwardable(state, context, &path), if may_move => {
+                return Err(SendError::PathLost);
+            }
         };
         match answer {
             Ok(response) => {
@@ -143,8 +170,8 @@
                 let answer = Answer::new(response, connection, Rc::clone(pool));
                 return Ok(OpenAnswer {
                     answer,
-                    _work: work,
-                    path_use,
+                    _work: Some(work),
+                    path_use: Some(path_use),
                     stream,
                     queued: Some(queued),
                     timed,
--- a/crates/gateway/src/pipeline/hedge.rs
+++ b/crates/gateway/src/pipeline/hedge.rs
@@ -148,7 +148,7 @@
     choice: Choice,
 ) -> EndedSend {
     let sent_at = Instant::now();
-    let outcome = send(&state, &context, &choice, None).await;
+    let outcome = send(&state, &context, &choice, None, true).await;
     (choice, sent_at, Ok(outcome))
 }
 
@@ -178,7 +178,8 @@
         context.arrived_at.elapsed()
     );
     let sent_at = Instant::now();
-    let outcome = send(&state, &context, &choice, None).await;
+    // The first send may have run too, so there is no attempt left to move it.
+    let outcome = send(&state, &context, &choice, None, false).await;
     (choice, sent_at, Ok(outcome))
 }
 
@@ -190,7 +191,10 @@
     hedge: &ReplicaIncarnation,
     is_other_open: bool,
 ) {
-    let is_hedge = winner.choice.replica.incarnation == *hedge;
+    let Some(choice) = winner.responder.choice() else {
+        return;
+    };
+    let is_hedge = choice.replica.incarnation == *hedge;
     let loser = if is_hedge { first } else { hedge };
     if is_hedge {
         attempts.state.status.metrics.speed.hedges_won.inc();
@@ -202,7 +206,7 @@
         gateway::HEDGE_ENDED,
         "request={} replica={} hedge_won={is_hedge} other={} closed={is_other_open} elapsed={:?}",
         attempts.context.id,
-        winner.choice.replica.id(),
+        choice.replica.id(),
         loser.id,
         attempts.context.arrived_at.elapsed()
     );
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -21,6 +21,8 @@
 mod event_splitter;
 mod find_route;
 mod first_list;
+mod forward;
+mod forwarded;
 mod hedge;
 mod interference_costs;
 mod judge;
@@ -49,6 +51,7 @@
 pub use delivery::Delivery;
 pub use event_splitter::EventSplitter;
 pub use first_list::first_list_timeout;
+pub(crate) use forwarded::{ForwardedAnswer, ForwardedRefusal, serve_forwarded};
 
 /// Serves one request and turns a refusal into its answer.
 pub async fn respond(
--- a/crates/gateway/src/pipeline/refusal.rs
+++ b/crates/gateway/src/pipeline/refusal.rs
@@ -67,6 +67,8 @@
     Paused,
     /// It would begin at no replica before its caller gives it up.
     Overloaded,
+    /// Neither this gateway nor another one reaches a replica that could serve it.
+    Unreachable,
     /// The replicas that were asked are full or leaving, and have not run it.
     NotRun,
     /// It crashed the replicas that ran it, and is sent to none any more.
@@ -94,6 +96,7 @@
             Self::NotInformed
             | Self::Stopping
             | Self::NoReplica
+            | Self::Unreachable
             | Self::Paused
             | Self::Overloaded
             | Self::OverShare
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -19,13 +19,14 @@
 use ntex::web::{HttpRequest, HttpResponse};
 
 use super::account::RequestTracker;
-use super::attempts::{AnswerFailure, Attempt, Attempts};
+use super::attempts::{AnswerFailure, Attempt, Attempts, Responder};
 use super::check_quarantine::note_survived;
 use super::collect::{DEADLINE_GRACE, copy_headers};
 use super::context::RequestContext;
 use super::delivery::{self, Delivery};
 use super::dispatch::OpenAnswer;
 use super::event_splitter::EventSplitter;
+use super::forward::until_forwardable;
 use super::refusal::{Reason, Refusal, Step};
 use super::withdrawal::until_weights_too_old;
 use crate::held_bytes::Charge;
@@ -99,31 +100,40 @@
     loop {
         let mut attempt = attempts.next(None).await?;
         let mut splitter = EventSplitter::after(context.meta.last_event_id.clone());
-        match read_or_withdraw(state, context, &mut attempt, &mut splitter).await {
+        match read_or_withdraw(state, context, &attempts, &mut attempt, &mut splitter).await {
             Ok(first) => {
                 return Ok((attempts, attempt, splitter, first));
             }
-            Err(failure) => attempts.handle_failed_answer(&attempt.choice, &failure)?,
+            Err(failure) => attempts.handle_failed_answer(&attempt.responder, &failure)?,
         }
     }
 }
 
 /// Reads the next piece. Before the first piece of an attempt the request waits at its replica, and is withdrawn once
-/// the weights there are too old for it to begin.
+/// the weights there are too old for it to begin. One that may be resumed leaves its replica if none can be reached from
+/// here, and another gateway reaches them.
 async fn read_or_withdraw(
     state: &GatewayState,
     context: &RequestContext,
+    attempts: &Attempts,
     attempt: &mut Attempt,
     splitter: &mut EventSplitter,
 ) -> Result<Piece, AnswerFailure> {
-    let Attempt { opened, choice } = attempt;
+    let Attempt { opened, responder } = attempt;
+    let Responder::Replica(choice) = responder else {
+        let piece = read_piece(opened, splitter).await;
+        return piece.map_err(AnswerFailure::BrokeOff);
+    };
     let has_begun = opened.has_begun();
     let piece = tokio::select! {
         biased;
         piece = read_piece(opened, splitter) => piece.map_err(AnswerFailure::BrokeOff)?,
         () = until_weights_too_old(state, context, choice), if !has_begun => return Err(AnswerFailure::Withdrawn),
+        () = until_forwardable(state, context, &attempts.path), if attempts.may_run_again() => {
+            return Err(AnswerFailure::PathLost);
+        }
     };
-    opened.path_use.path.record_answer(Instant::now());
+    opened.record_activity();
     opened.note_begun(state, context, choice);
     if let Some(stream) = &mut opened.stream {
         match piece {
@@ -201,6 +211,7 @@
         let reading = read_or_withdraw(
             &self.state,
             &self.context,
+            &self.attempts,
             &mut self.attempt,
             &mut self.splitter,
         );
@@ -225,7 +236,7 @@
         if is_over
             || self
                 .attempts
-                .handle_failed_answer(&self.attempt.choice, failure)
+                .handle_failed_answer(&self.attempt.responder, failure)
                 .is_err()
         {
             self.cut(cause);
@@ -240,8 +251,8 @@
                     gateway::STREAM_MOVED,
                     "request={} from={} to={} after={last_id:?} cause={cause:?}",
                     self.context.id,
-                    self.attempt.choice.replica.id(),
-                    attempt.choice.replica.id()
+                    self.attempt.responder.replica(),
+                    attempt.responder.replica()
                 );
                 self.attempt = attempt;
                 true
@@ -268,7 +279,7 @@
         note_survived(&self.state, &self.context);
         let status = self.attempt.opened.answer.status().as_u16();
         self.delivery
-            .complete(self.attempt.choice.replica.id(), status);
+            .complete(self.attempt.responder.replica(), status);
     }
 
     /// Ends the caller's connection after what was queued, without the end of the answer.
--- a/crates/gateway/src/reachability/probe.rs
+++ b/crates/gateway/src/reachability/probe.rs
@@ -38,6 +38,8 @@
     Failure,
     /// All replicas were silent for [`super::service_path::SILENCE_LIMIT`] while requests were open.
     Silence,
+    /// Another gateway asks, and no recent answer tells.
+    Question,
 }
 
 /// Probes the path unless that is needless.
--- a/crates/gateway/src/reachability/service_path.rs
+++ b/crates/gateway/src/reachability/service_path.rs
@@ -106,6 +106,13 @@
         self.answered_at.get().is_some_and(|at| at >= since)
     }
 
+    /// Whether an answer or a probe has shown within `age` before `now` that the path is there.
+    pub fn is_proved_within(&self, age: Duration, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < age;
+        let proofs = [self.answered_at.get(), self.confirmed_at.get()];
+        proofs.into_iter().flatten().any(is_recent)
+    }
+
     /// Whether no replica can be reached on a new connection.
     pub fn is_lost(&self) -> bool {
         self.lost_at.get().is_some()
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -27,6 +27,7 @@
 use tokio::sync::oneshot;
 
 use crate::cache;
+use crate::forwarding;
 use crate::interference;
 use crate::peers;
 use crate::pipeline;
@@ -72,7 +73,7 @@
         settings: GatewaySettings,
         platform: Arc<dyn Platform>,
     ) -> anyhow::Result<RunningGateway> {
-        let listeners = Listeners::bind(&settings.listen)?;
+        let listeners = Listeners::bind(&settings.listen, settings.forwarding_enabled)?;
         let (callers, health) = listeners.addresses()?;
         let status = Arc::new(SharedStatus::default());
         let (stop, stopped) = oneshot::channel();
@@ -217,6 +218,7 @@
                 status,
                 listeners.callers,
                 listeners.peers,
+                listeners.forwarded,
             )?,
             health: serve_health(status, listeners.health)?,
             metrics: metrics.transpose()?,
@@ -236,11 +238,13 @@
     status: &Arc<SharedStatus>,
     listener: TcpListener,
     peers_socket: UdpSocket,
+    forwarded: Option<TcpListener>,
 ) -> anyhow::Result<Server> {
     let settings = settings.clone();
     let platform = Arc::clone(platform);
     let status = Arc::clone(status);
     let peers_socket = Arc::new(peers_socket);
+    let forwarded = forwarded.map(Arc::new);
     let server = HttpServer::new(async move || {
         let state = GatewayState::new(settings.clone(), Arc::clone(&platform), Arc::clone(&status));
         store::spawn_all(&state);
@@ -248,6 +252,10 @@
         if let Ok(socket) = peers_socket.try_clone() {
             ntex::rt::spawn(peers::run(Rc::clone(&state), socket));
         }
+        if let Some(Ok(listener)) = forwarded.as_ref().map(|listener| listener.try_clone()) {
+            ntex::rt::spawn(forwarding::run_server(Rc::clone(&state), listener));
+        }
+        ntex::rt::spawn(forwarding::run_task(Rc::clone(&state)));
         ntex::rt::spawn(cache::run(Rc::clone(&state)));
         ntex::rt::spawn(stop::close_idle_connections(Rc::clone(&state)));
         let held = Rc::clone(&state);
--- a/crates/gateway/src/server/listeners.rs
+++ b/crates/gateway/src/server/listeners.rs
@@ -22,11 +22,13 @@
     pub metrics: Option<TcpListener>,
     /// For datagrams of other gateways.
     pub peers: UdpSocket,
+    /// For requests that other gateways forward; its port is the one for datagrams.
+    pub forwarded: Option<TcpListener>,
 }
 
 impl Listeners {
     /// Binds every address of `listen`.
-    pub fn bind(listen: &GatewayListen) -> anyhow::Result<Self> {
+    pub fn bind(listen: &GatewayListen, takes_forwarded: bool) -> anyhow::Result<Self> {
         let callers = bind(listen.callers, "callers")?;
         // Accepted connections inherit these options, which detect callers that vanish without closing their
         // connections. They have no limit for unacknowledged bytes: Linux applies it to a caller that reads slowly too.
@@ -38,6 +40,9 @@
             health: bind(listen.health, "health")?,
             metrics: metrics.transpose()?,
             peers: bind_udp(listen.peers)?,
+            forwarded: takes_forwarded
+                .then(|| bind_nonblocking(listen.peers))
+                .transpose()?,
         })
     }
 
@@ -54,6 +59,12 @@
     Ok(socket)
 }
 
+fn bind_nonblocking(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    let listener = bind(address, "other gateways")?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
 fn bind(address: SocketAddr, purpose: &str) -> anyhow::Result<TcpListener> {
     create_tcp_listener(address, BACKLOG)
         .with_context(|| format!("binding TCP {address} for {purpose}"))
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,6 +22,7 @@
 use crate::configuration::Configuration;
 use crate::connections::CallerConnections;
 use crate::currency::Currency;
+use crate::forwarding::Forwarding;
 use crate::held_bytes::HeldBytes;
 use crate::interference::Interference;
 use crate::metrics::GatewayMetrics;
@@ -112,6 +113,8 @@
     pub registry: Registry,
     /// Paths to the replicas of each service.
     pub paths: Paths,
+    /// Requests that go through other gateways.
+    pub forwarding: Forwarding,
     /// Wanted versions of the weights.
     pub weights: RefCell<WantedWeights>,
     /// Wakes requests that wait at replicas when a version of the weights becomes known.
@@ -205,6 +208,7 @@
         let lease = lease.at_first_start(settings.is_first_start);
         let interference = Interference::new(settings.interference);
         let held_bytes = HeldBytes::new(settings.machine.held_bytes, Arc::clone(&status));
+        let forwarding = Forwarding::new(settings.forwarding_enabled, settings.machine.cores);
         Rc::new(Self {
             times: Cell::new(settings.times),
             registry: Registry::new(settings.births),
@@ -216,6 +220,7 @@
             configuration_position: Cell::default(),
             currency: Currency::new(),
             paths: Paths::default(),
+            forwarding,
             weights: RefCell::default(),
             weights_updated: Notify::new(),
             quarantine: Quarantine::default(),
--- a/crates/gateway/src/upstream/answer.rs
+++ b/crates/gateway/src/upstream/answer.rs
@@ -49,6 +49,11 @@
         &self.head.headers
     }
 
+    /// The headers, for removal of those that are not forwarded.
+    pub fn headers_mut(&mut self) -> &mut HeaderMap {
+        &mut self.head.headers
+    }
+
     /// Takes the headers out of the answer.
     pub fn take_headers(&mut self) -> HeaderMap {
         std::mem::take(&mut self.head.headers)
--- a/crates/gateway/src/upstream/connector.rs
+++ b/crates/gateway/src/upstream/connector.rs
@@ -11,7 +11,7 @@
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 
 /// How long sent bytes may stay unacknowledged before the peer is considered dead.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1500);
+pub const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// How long a connection may be idle before its peer is probed.
 const PROBE_IDLE_TIME: Duration = Duration::from_secs(1);
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -14,5 +14,5 @@
 pub use answer::{Answer, AnswerError};
 pub use call::{CallAnswer, CallError, call, call_if, call_with_headers};
 pub use connection::{Connection, SendFailure};
-pub use connector::{ConnectError, is_refused, set_options};
+pub use connector::{ConnectError, UNACKNOWLEDGED_TIMEOUT, is_refused, set_options};
 pub use pool::Pool;
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -54,6 +54,13 @@
         Some(idle.remove(position))
     }
 
+    /// Whether an idle connection is ready.
+    pub fn has_idle(&self) -> bool {
+        let now = Instant::now();
+        let idle = self.idle.borrow();
+        idle.iter().any(|connection| connection.is_ready(now))
+    }
+
     /// Returns a connection whose last answer has ended to the pool.
     pub fn put(&self, connection: Connection) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -144,6 +144,8 @@
     pub interference: InterferenceMode,
     /// Whether the speed of replicas is learnt and used.
     pub replica_speed_enabled: bool,
+    /// Whether requests go through another gateway while no replica of their service can be reached.
+    pub forwarding_enabled: bool,
     /// The machine.
     pub machine: GatewayMachine,
     /// Logs.
@@ -189,6 +191,7 @@
     let births = read_births(root.section("replicas"));
     let interference = read_interference(root.section("interference"));
     let replica_speed_enabled = read_enabled(root.section("replica_speed"));
+    let forwarding_enabled = read_enabled(root.section("forwarding"));
     let machine = read_machine(root.section("machine"));
     let log = read_log(root.section("log"));
     root.finish();
@@ -206,6 +209,7 @@
         births,
         interference,
         replica_speed_enabled,
+        forwarding_enabled,
         machine,
         log,
     })
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -17,6 +17,10 @@
     STREAM_CUT = 6106, Warn, "A stream broke and can't go on; its caller's connection is closed without the end of the answer.";
     BUDGET_SPENT = 6107, Warn, "A request was not sent again since the budget of its service is spent.";
     REQUEST_WITHDRAWN = 6108, Warn, "A request had not begun at its replica when the weights there became too old; its connection was closed, and it goes to another replica where it may run again.";
+    REQUEST_FORWARDED = 6109, Info, "A request was sent to another gateway, since no replica of its service can be reached from here. The fields give that gateway, the service, how many further requests it takes, and the age of its offer.";
+    FORWARD_FAILED = 6110, Info, "Another gateway did not serve a request that was forwarded to it; the field tells whether it was not sent, declined (why), lost or failed.";
+    FORWARDED_TAKEN = 6111, Info, "Another gateway has forwarded a request, since it can't reach the replicas of the service. This gateway chooses the replica; the first one keeps quota, attempts and the resumption of streams.";
+    FORWARDED_ENDED = 6112, Info, "A request that another gateway has forwarded has ended here; the fields give the replica, if one answered, and the outcome.";
     CONFIGURATION_TAKEN = 6200, Info, "A newer configuration is in force.";
     ENTRY_REJECTED = 6201, Error, "An object of the store, a replica's report, a page of cached parts or a datagram can't be read: another writer may have made it. A replica's entry then names no replica to use, a lease counts as held by another, of all other kinds what was in force stays. Logged once for each name and reason; the metric `rejected` counts all.";
     STORE_LOST = 6202, Warn, "The store does not answer; the field tells which task noticed it.";
