--- a/crates/gateway/src/quarantine/lost_answers.rs
+++ b/crates/gateway/src/quarantine/lost_answers.rs
@@ -9,11 +9,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use driftspring_clock::Instant;
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
 
 use super::{Fingerprint, Strike, role};
 use crate::protocol::ReplicaIncarnation;
+use crate::reachability;
 use crate::replicas::Replica;
 use crate::state::GatewayState;
 use crate::upstream::is_refused;
@@ -27,6 +29,13 @@
 /// serves fewer requests of one gateway at once.
 const MAX_LOST_ANSWERS: usize = 256;
 
+/// How far apart the failures of replicas are noticed that this gateway has lost at once.
+const SAME_LOSS_WINDOW: Duration = Duration::from_millis(20);
+
+/// How long the return of the path to a service is waited for to find out whether a replica has crashed. Later, the
+/// request is of no interest any more.
+const MAX_PATH_LOSS: Duration = Duration::from_secs(30);
+
 /// The maximum number of fingerprints in a log line.
 const MAX_LOGGED: usize = 24;
 
@@ -86,7 +95,7 @@
 
 async fn check_for_crash(state: Rc<GatewayState>, replica: Rc<Replica>, ended_at: Duration) {
     tokio::time::sleep(GATHER_WINDOW).await;
-    let is_refused = is_refused(replica.pool.peer()).await;
+    let is_refused = is_refused_on_sound_path(&state, &replica).await;
     // A gateway whose process stood still during the crash may find the next incarnation at the address.
     let has_crashed = is_refused || state.registry.is_replaced(&replica);
     let lost = state.quarantine.lost_answers.take(&replica.incarnation);
@@ -119,6 +128,39 @@
     }
 }
 
+/// Whether the address of a replica refuses connections, and not because this gateway has lost all replicas of its service
+/// at once. In that case it looks again when one of them answers.
+async fn is_refused_on_sound_path(state: &Rc<GatewayState>, replica: &Replica) -> bool {
+    let checked_at = Instant::now();
+    if !is_refused(replica.pool.peer()).await {
+        return false;
+    }
+    let service = replica.entry().service.clone();
+    if reachability::confirm(state, &service, checked_at).await || failed_alone(state, replica) {
+        return true;
+    }
+    let regained = reachability::until_regained(state, &service);
+    match tokio::time::timeout(MAX_PATH_LOSS, regained).await {
+        Ok(()) => is_refused(replica.pool.peer()).await,
+        Err(_) => {
+            log::debug!("{} is out of reach: no crash is known", replica.id());
+            false
+        }
+    }
+}
+
+/// Whether no other replica of the service began to fail when this one did.
+fn failed_alone(state: &GatewayState, replica: &Replica) -> bool {
+    let Some(since) = replica.health.failing_since() else {
+        return true;
+    };
+    let service = replica.entry().service.clone();
+    let listed = state.registry.of_service(&service);
+    let others = listed.iter().filter(|other| other.id() != replica.id());
+    let mut failing = others.filter_map(|other| other.health.failing_since());
+    !failing.any(|other| since.max(other) - since.min(other) <= SAME_LOSS_WINDOW)
+}
+
 /// The fingerprints to name in a log line.
 fn logged_fingerprints(lost: &[LostAnswer]) -> Vec<Fingerprint> {
     let named = lost.iter().take(MAX_LOGGED);
--- a/crates/gateway/src/reachability/mod.rs
+++ b/crates/gateway/src/reachability/mod.rs
@@ -15,6 +15,6 @@
 
 pub use metrics::PathMetrics;
 pub use paths::Paths;
-pub(crate) use probe::{Doubt, doubt, watch};
+pub(crate) use probe::{Doubt, confirm, doubt, until_regained, watch};
 pub use sample::random_sample;
 pub use service_path::{PathUse, ServicePath};
--- a/crates/gateway/src/reachability/probe.rs
+++ b/crates/gateway/src/reachability/probe.rs
@@ -44,11 +44,13 @@
 
 /// Probes the path unless that is needless.
 pub(crate) fn doubt(state: &Rc<GatewayState>, service: &str, path: &Rc<ServicePath>, doubt: Doubt) {
-    let now = Instant::now();
-    if !path.needs_round(now) {
-        return;
+    if path.needs_round(Instant::now()) {
+        begin(state, service, path, doubt);
     }
-    path.begin_round(now);
+}
+
+fn begin(state: &Rc<GatewayState>, service: &str, path: &Rc<ServicePath>, doubt: Doubt) {
+    path.begin_round(Instant::now());
     ntex::rt::spawn(run_rounds(
         Rc::clone(state),
         service.to_owned(),
@@ -57,6 +59,29 @@
     ));
 }
 
+/// Whether the path is there, as far as an answer since `since` or a round of probes shows it.
+pub(crate) async fn confirm(state: &Rc<GatewayState>, service: &str, since: Instant) -> bool {
+    let path = state.paths.of(service);
+    if path.has_answered_since(since) || path.is_confirmed_since(since) {
+        return true;
+    }
+    if path.needs_confirmation() {
+        begin(state, service, &path, Doubt::Failure);
+    }
+    while path.is_probing() && !path.is_lost() {
+        path.round_ended.notified().await;
+    }
+    !path.is_lost()
+}
+
+/// Completes once replicas of the service answer again.
+pub(crate) async fn until_regained(state: &GatewayState, service: &str) {
+    let path = state.paths.of(service);
+    while path.is_lost() {
+        state.paths.changed.notified().await;
+    }
+}
+
 /// Watches a path for silence while requests are open.
 pub(crate) fn watch(state: &Rc<GatewayState>, service: &str, path: &Rc<ServicePath>) {
     if path.is_watched.replace(true) {
--- a/crates/gateway/src/reachability/service_path.rs
+++ b/crates/gateway/src/reachability/service_path.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use driftspring_clock::Instant;
+use tokio::sync::Notify;
 
 /// How long every replica of a service must be silent while requests are open before the path is in doubt. The replicas of
 /// a service rarely pause together for so long, unlike a single one.
@@ -69,6 +70,8 @@
     answered_rounds: Cell<u32>,
     round_began_at: Cell<Option<Instant>>,
     confirmed_at: Cell<Option<Instant>>,
+    /// Wakes what waits for the end of a round of probes.
+    pub(super) round_ended: Notify,
     /// Whether a task watches the path for silence.
     pub(super) is_watched: Cell<bool>,
 }
@@ -144,6 +147,21 @@
             && !self.confirmed_at.get().is_some_and(is_recent)
     }
 
+    /// Whether a round of probes would tell more than what is known: none runs, and the path is not lost.
+    pub fn needs_confirmation(&self) -> bool {
+        !self.is_probing() && !self.is_lost()
+    }
+
+    /// Whether a round of probes runs.
+    pub fn is_probing(&self) -> bool {
+        self.round_began_at.get().is_some()
+    }
+
+    /// Whether a round of probes was answered since `since`.
+    pub fn is_confirmed_since(&self, since: Instant) -> bool {
+        self.confirmed_at.get().is_some_and(|at| at >= since)
+    }
+
     /// Begins a round of probes.
     pub fn begin_round(&self, now: Instant) {
         self.round_began_at.set(Some(now));
@@ -152,6 +170,7 @@
     /// Ends the round; returns the change that it shows. A round without replicas to probe shows nothing.
     pub fn end_round(&self, results: ProbeResults, now: Instant) -> Option<PathChange> {
         let began_at = self.round_began_at.take()?;
+        self.round_ended.notify_waiters();
         match (results.answered > 0, results.probed > 0) {
             (true, _) => self.record_answered_round(now),
             (false, true) => self.record_unanswered_round(began_at, now),
--- a/crates/gateway/src/replicas/health.rs
+++ b/crates/gateway/src/replicas/health.rs
@@ -21,6 +21,8 @@
 #[derive(Debug, Default)]
 pub struct Health {
     consecutive_failures: Cell<u32>,
+    /// When the first of these failures was recorded.
+    failing_since: Cell<Option<Instant>>,
     suspect_until: Cell<Option<Instant>>,
     overloaded_until: Cell<Option<Instant>>,
     failure_rate: Cell<f64>,
@@ -32,6 +34,9 @@
         let failures = self.consecutive_failures.get();
         let backoff = INITIAL_BACKOFF.saturating_mul(1 << failures.min(8));
         let backoff = backoff.min(MAX_BACKOFF);
+        if failures == 0 {
+            self.failing_since.set(Some(now));
+        }
         self.consecutive_failures.set(failures + 1);
         self.suspect_until.set(Some(now + backoff));
         backoff
@@ -45,6 +50,14 @@
         was_suspect
     }
 
+    /// When the first failure since the last answer was recorded.
+    pub fn failing_since(&self) -> Option<Instant> {
+        match self.consecutive_failures.get() {
+            0 => None,
+            _ => self.failing_since.get(),
+        }
+    }
+
     /// Records that the replica did not run a request because it is full or loading.
     pub fn record_overload(&self, now: Instant) {
         self.overloaded_until.set(Some(now + OVERLOAD_BACKOFF));
