--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`wait_statistics`]: the waits at one replica, from requests that have started.
 
 pub mod admission;
+pub mod concurrency_window;
 pub mod fair_share;
 pub mod interference;
 pub mod load;
--- a/crates/driftctl/src/explain.rs
+++ b/crates/driftctl/src/explain.rs
@@ -18,7 +18,7 @@
 ];
 
 /// Events of the process that may be the cause of what befell a request.
-const SURROUNDINGS: [&str; 31] = [
+const SURROUNDINGS: [&str; 32] = [
     "GATEWAY_STARTED",
     "GATEWAY_STOPPING",
     "GATEWAY_STOPPED",
@@ -34,6 +34,7 @@
     "REPLICA_PASSED_OVER",
     "REPLICA_SAID_LEAVING",
     "REPLICA_ASKED_FOR_REST",
+    "REPLICA_BRITTLE",
     "PATH_LOST",
     "PATH_REGAINED",
     "REPLICAS_RESERVED",
--- a/crates/gateway/src/notices/record.rs
+++ b/crates/gateway/src/notices/record.rs
@@ -4,11 +4,14 @@
 use std::time::Duration;
 
 use driftspring_clock::Instant;
+use driftspring_decisions::concurrency_window::Division;
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
 
+use super::brittle::WindowStart;
 use super::limit::LimitNotice;
 use super::replica_notices::Cooldown;
+use crate::peers::directory::name_digest;
 use crate::protocol::{AnswerMeta, HeaderField, RequestRate, UnreadableReason};
 use crate::replicas::Replica;
 use crate::state::GatewayState;
@@ -36,6 +39,17 @@
         return;
     }
     record_answered_limit(state, replica, answer, sent_at);
+    match &answer.brittle {
+        HeaderField::Value(tolerated) => {
+            record_brittle(state, replica, Some(*tolerated), NoticeSource::Answer);
+        }
+        // Only headers that the replica itself has written show that it is not brittle any more.
+        HeaderField::Absent if answer.is_signed => {
+            record_brittle(state, replica, None, NoticeSource::Answer);
+        }
+        HeaderField::Absent => {}
+        HeaderField::Unreadable(cause) => reject(state, replica, cause),
+    }
     match &answer.is_leaving {
         HeaderField::Value(true) => record_leaving(state, replica, NoticeSource::Answer),
         HeaderField::Value(false) | HeaderField::Absent => {}
@@ -78,6 +92,59 @@
     }
 }
 
+/// Records how many refusals per second a replica tolerates, or that it is not brittle.
+pub fn record_brittle(
+    state: &GatewayState,
+    replica: &Rc<Replica>,
+    tolerated: Option<u32>,
+    source: NoticeSource,
+) {
+    let brittleness = &replica.notices.brittleness;
+    if let Some(tolerated) = tolerated {
+        let service = &replica.entry().service;
+        let now = Instant::now();
+        state.brittle_services.record(service, tolerated, now);
+    }
+    if !brittleness.record(tolerated, || window_start(state, replica)) {
+        return;
+    }
+    let window = brittleness.get().map(|brittle| brittle.window.size());
+    log_event!(
+        gateway::REPLICA_BRITTLE,
+        "replica={} refusals_tolerated={tolerated:?} window={window:?} told_by={source:?}",
+        replica.id()
+    );
+    if source == NoticeSource::Answer {
+        state.changed_notices.add(replica);
+    }
+}
+
+/// The circumstances under which a window at a replica begins now.
+pub fn window_start(state: &GatewayState, replica: &Replica) -> WindowStart {
+    let directory = state.peers.directory();
+    let own = name_digest(&state.peers.own().name);
+    let before = directory
+        .all()
+        .filter(|daemon| name_digest(&daemon.name) < own);
+    let entry = replica.entry();
+    let listed = state.registry.of_service(&entry.service);
+    let position = listed.iter().position(|other| other.id() == replica.id());
+    let position = position.unwrap_or(0);
+    WindowStart {
+        division: Division::new(entry.slots, directory.count, before.count(), position),
+        gateways: directory.count,
+        random: state.random_fraction(),
+        now: Instant::now(),
+    }
+}
+
+/// Records that a replica refused a request of this gateway for want of room; other gateways of a brittle one are told.
+pub fn record_refusal(state: &GatewayState, replica: &Rc<Replica>) {
+    if replica.notices.brittleness.record_refusal(Instant::now()) {
+        state.changed_notices.add(replica);
+    }
+}
+
 fn reject(state: &GatewayState, replica: &Replica, cause: &str) {
     let reason = UnreadableReason::Fields;
     state.reject(Rejected::AnswerHead, replica.id(), reason, cause.to_owned());
--- a/crates/gateway/src/notices/replica_notices.rs
+++ b/crates/gateway/src/notices/replica_notices.rs
@@ -8,6 +8,7 @@
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
 
+use super::brittle::Brittleness;
 use super::limit::LimitNotice;
 use crate::protocol::RequestRate;
 
@@ -37,6 +38,8 @@
     permit_retry_at: Cell<Option<Instant>>,
     has_announced_leaving: Cell<bool>,
     cooldown: Cell<Option<Cooldown>>,
+    /// Whether the replica crashes if it has to refuse many requests.
+    pub brittleness: Brittleness,
     passed_over_logged_at: Cell<Option<Instant>>,
 }
 
@@ -104,7 +107,7 @@
     /// Whether the replica has reported anything that other gateways should know. A cooldown applies to one
     /// gateway only.
     pub fn has_any_to_share(&self) -> bool {
-        self.limit().is_some() || self.has_announced_leaving()
+        self.limit().is_some() || self.has_announced_leaving() || self.brittleness.get().is_some()
     }
 
     /// The latest notice of a limit, or of its end.
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -5,7 +5,9 @@
 
 pub use super::configuration_message::{ConfigurationQuery, ConfigurationReply};
 pub use super::forward_message::{WireForwardOffer, WireForwardQuery};
-pub use super::notice_message::{WireLimit, WireNotice, WirePermitQuery, WirePermitReply};
+pub use super::notice_message::{
+    WireBrittle, WireLimit, WireNotice, WirePermitQuery, WirePermitReply,
+};
 use super::packed::PackedReplicas;
 pub use super::prompt_message::{OtherGroupPrompts, WirePrompt};
 pub use super::quarantine_message::{WireRecord, WireRecordStrike, WireRecords, WireStrike};
--- a/crates/gateway/src/peers/notice_message.rs
+++ b/crates/gateway/src/peers/notice_message.rs
@@ -19,6 +19,18 @@
     /// Whether it has announced that it is leaving.
     #[musli(default)]
     pub is_leaving: bool,
+    /// What it has announced of being brittle; none if it is not.
+    #[musli(default)]
+    pub brittle: Option<WireBrittle>,
+}
+
+/// That a replica is brittle, see [`crate::notices::brittle`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub struct WireBrittle {
+    /// Refusals per second that it tolerates.
+    pub refusals_tolerated: u32,
+    /// How long ago it last refused a request for want of room, in milliseconds.
+    pub refused_age_ms: Option<u64>,
 }
 
 impl WireNotice {
--- a/crates/gateway/src/peers/notices.rs
+++ b/crates/gateway/src/peers/notices.rs
@@ -8,12 +8,12 @@
 use driftspring_clock::Instant;
 
 use super::convert::to_ms;
-use super::message::{Message, Report, WireLimit, WireNotice};
+use super::message::{Message, Report, WireBrittle, WireLimit, WireNotice};
 use super::news::send_to_other_groups;
 use super::send::send_to;
 use super::spread::spread;
 use crate::notices::survey::SURVEY_MAX_AGE;
-use crate::notices::{LimitNotice, NoticeSource, record_leaving, record_limit};
+use crate::notices::{LimitNotice, NoticeSource, record_brittle, record_leaving, record_limit};
 use crate::protocol::RequestRate;
 use crate::replicas::Replica;
 use crate::state::GatewayState;
@@ -105,6 +105,14 @@
             heard_age_ms: age_ms(notice.received_at),
         }),
         is_leaving: replica.notices.has_announced_leaving(),
+        brittle: replica
+            .notices
+            .brittleness
+            .get()
+            .map(|brittle| WireBrittle {
+                refusals_tolerated: brittle.refusals_tolerated,
+                refused_age_ms: brittle.refused_at.map(age_ms),
+            }),
     }
 }
 
@@ -122,6 +130,14 @@
         if notice.is_leaving {
             record_leaving(state, &replica, NoticeSource::Peer);
         }
+        if let Some(brittle) = notice.brittle {
+            let tolerated = Some(brittle.refusals_tolerated);
+            record_brittle(state, &replica, tolerated, NoticeSource::Peer);
+            if let Some(age_ms) = brittle.refused_age_ms {
+                let brittleness = &replica.notices.brittleness;
+                brittleness.record_refusal(ago(age_ms));
+            }
+        }
         if let Some(limit) = &notice.limit {
             let limit_notice = LimitNotice {
                 rate: limit.thousandths.map(RequestRate::from_thousandths),
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -449,6 +449,7 @@
     ) -> Result<(), Refusal> {
         self.log_attempt(choice, "not_run", detail);
         choice.replica.health.record_overload(Instant::now());
+        notices::record_refusal(&self.state, &choice.replica);
         self.state.holders.remove(&choice.prefixes, &choice.replica);
         self.tried.push(choice.replica.incarnation.clone());
         // Its next request goes elsewhere at once, so only the retry budget bounds the search for a replica that has
@@ -540,6 +541,8 @@
         let service = &self.context.service;
         reachability::doubt(&self.state, service, &self.path, Doubt::Failure);
         let pause = choice.replica.health.record_failure(Instant::now());
+        let start = notices::window_start(&self.state, &choice.replica);
+        choice.replica.notices.brittleness.record_failure(start);
         log_event!(
             gateway::REPLICA_SUSPECT,
             "replica={} pause={pause:?} cause={cause:?}",
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -17,7 +17,7 @@
 use super::prompt_sources::{PromptSources, Supply};
 use super::refusal::{Reason, Refusal, Step};
 use crate::cache::Prefix;
-use crate::notices::Pause;
+use crate::notices::{Pause, window_start};
 use crate::protocol::ReplicaIncarnation;
 use crate::replicas::{MAX_COMPARED, Replica, ServiceReplicas};
 use crate::state::GatewayState;
@@ -32,6 +32,9 @@
 /// Time after which answers computed with older weights are worth less.
 const OUTDATED_PENALTY_DELAY: Duration = Duration::from_millis(1400);
 
+/// When a caller should retry if brittle replicas have no room, before jitter.
+const NO_ROOM_PAUSE: Duration = Duration::from_millis(300);
+
 /// Minimum number of eligible replicas among the few that are compared; with fewer, all replicas are considered.
 const MIN_ELIGIBLE_COMPARED: usize = MAX_COMPARED / 4;
 
@@ -213,6 +216,7 @@
         return Err(no_replica("none has weights that may be used"));
     }
     retain_unpaused(state, &mut staying, now)?;
+    retain_with_room(state, &context.service, &mut staying, now)?;
     let is_available = |replica: &&Rc<Replica>| {
         !replica.health.is_suspect(now) && replica.loading_since().is_none()
     };
@@ -242,6 +246,35 @@
     Ok(())
 }
 
+/// Keeps the replicas that have room for one more request of this gateway, which brittle ones may not have.
+fn retain_with_room(
+    state: &GatewayState,
+    service: &str,
+    replicas: &mut Vec<Rc<Replica>>,
+    now: Instant,
+) -> Result<(), Refusal> {
+    if state.brittle_services.is_any() {
+        let gateways = state.peers.directory().count;
+        let assumed = state.brittle_services.assumed(service, now);
+        for replica in replicas.iter() {
+            let start = || window_start(state, replica);
+            let brittleness = &replica.notices.brittleness;
+            if let Some(tolerated) = assumed {
+                brittleness.assume(tolerated, start);
+            }
+            brittleness.adjust(gateways, start);
+        }
+    }
+    replicas.retain(|replica| replica.has_room(now));
+    match replicas.is_empty() {
+        true => {
+            let detail = "no replica has room, and they crash if they refuse requests";
+            Err(paused(state, NO_ROOM_PAUSE, detail.to_owned()))
+        }
+        false => Ok(()),
+    }
+}
+
 /// The replica whose pause ends first, if all have asked for a pause.
 fn earliest_pause_end<'a>(
     replicas: impl Iterator<Item = &'a Rc<Replica>>,
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -144,6 +144,8 @@
     pub is_signed: bool,
     /// The rate that the replica accepts from all gateways together; it holds for as long as its answers state it.
     pub request_limit: HeaderField<RequestRate>,
+    /// Refusals per second beyond which the replica crashes, if it states that it is brittle.
+    pub brittle: HeaderField<u32>,
     /// Whether the replica is draining before it stops.
     pub is_leaving: HeaderField<bool>,
     /// For how long the replica wants no requests from this gateway.
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -137,6 +137,19 @@
         !self.is_leaving() && !self.has_lapsed(now)
     }
 
+    /// Whether a brittle replica has room for one more request of this gateway; any other one always has.
+    pub fn has_room(&self, now: Instant) -> bool {
+        let brittleness = &self.notices.brittleness;
+        let has_room = brittleness.has_room(self.open_requests(), now);
+        if !has_room {
+            brittleness.update(|brittle| {
+                let tolerated = brittle.refusals_tolerated;
+                brittle.window.record_used_up(tolerated, now);
+            });
+        }
+        has_room
+    }
+
     /// The version of the weights of `model` that it is believed to have.
     pub fn version_of(&self, model: &str) -> Option<u64> {
         let entry = self.entry.borrow();
@@ -255,21 +268,33 @@
 #[derive(Debug)]
 pub struct OpenRequestGuard {
     replica: Rc<Replica>,
+    began_at: Instant,
 }
 
 impl OpenRequestGuard {
     /// Counts one more open request.
     pub fn begin(replica: &Rc<Replica>) -> Self {
-        replica.open_requests.set(replica.open_requests.get() + 1);
+        let (open, now) = (replica.open_requests.get(), Instant::now());
+        replica
+            .notices
+            .brittleness
+            .update(|brittle| brittle.window.record_begin(open, now));
+        replica.open_requests.set(open + 1);
         Self {
             replica: Rc::clone(replica),
+            began_at: now,
         }
     }
 }
 
 impl Drop for OpenRequestGuard {
     fn drop(&mut self) {
-        let open = self.replica.open_requests.get();
-        self.replica.open_requests.set(open.saturating_sub(1));
+        let open = self.replica.open_requests.get().saturating_sub(1);
+        self.replica.open_requests.set(open);
+        let (began_at, now) = (self.began_at, Instant::now());
+        self.replica.notices.brittleness.update(|brittle| {
+            let duration = now.saturating_duration_since(began_at);
+            brittle.window.record_end(duration);
+        });
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -26,7 +26,7 @@
 use crate::held_bytes::HeldBytes;
 use crate::interference::Interference;
 use crate::metrics::GatewayMetrics;
-use crate::notices::{ChangedNotices, NoticeSurvey};
+use crate::notices::{BrittleServices, ChangedNotices, NoticeSurvey};
 use crate::own_daemon::{machine, own_daemon, seeds};
 use crate::peers::Peers;
 use crate::peers::message::{Change, Item, ItemKey, WireReplica};
@@ -133,6 +133,8 @@
     pub permits: Permits,
     /// Notices from replicas that have to be sent to other gateways.
     pub changed_notices: ChangedNotices,
+    /// Services with replicas that crash if they refuse many requests.
+    pub brittle_services: BrittleServices,
     /// Which replicas have given a notice.
     pub notice_survey: NoticeSurvey,
     /// Exchange with other gateways.
@@ -229,6 +231,7 @@
             shares,
             permits: Permits::default(),
             changed_notices: ChangedNotices::default(),
+            brittle_services: BrittleServices::default(),
             notice_survey: NoticeSurvey::default(),
             store,
             peers,
