--- a/crates/decisions/src/concurrency_window.rs
+++ b/crates/decisions/src/concurrency_window.rs
@@ -43,27 +43,49 @@
 /// Weight of one request in the moving average of how long they are open.
 const DURATION_WEIGHT: f64 = 0.2;
 
+/// Share of the slots that is used where a service has fewer slots than there are gateways. Then no gateway has a slot of
+/// its own, and the number of open requests fluctuates around the sum of the windows.
+const SPARSE_SHARE: f64 = 0.6;
+
 /// What a replica's slots give each of the gateways.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Division {
-    /// Slots of this gateway.
-    pub slots: u32,
-    /// What each would get if slots could be divided.
+    /// Slots of this gateway; a fraction where the service has fewer slots than there are gateways.
+    pub slots: f64,
+    /// What each would get if all slots were divided evenly.
     pub even_share: f64,
 }
 
+/// A service whose slots are divided among gateways.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DividedService {
+    /// Number of its replicas.
+    pub replicas: usize,
+    /// Slots of the replica in question.
+    pub slots: u32,
+    /// Number of gateways.
+    pub gateways: usize,
+}
+
 impl Division {
-    /// Divides the `slots` of the replica at position `replica` in its service among `gateways`, of which this one is at
+    /// Divides the slots of the replica at position `replica` in its service among the gateways, of which this one is at
     /// position `gateway`. What is left over goes to gateways in turn, from replica to replica, so that all get as many.
-    pub fn new(slots: u32, gateways: usize, gateway: usize, replica: usize) -> Self {
-        let gateways = u32::try_from(gateways.max(1)).unwrap_or(u32::MAX);
-        let slots = slots.max(1);
+    pub fn new(service: DividedService, gateway: usize, replica: usize) -> Self {
+        let gateways = u32::try_from(service.gateways.max(1)).unwrap_or(u32::MAX);
+        let slots = service.slots.max(1);
+        let even_share = f64::from(slots) / f64::from(gateways);
+        if even_share * (service.replicas.max(1) as f64) < 1.0 {
+            return Self {
+                slots: even_share * SPARSE_SHARE,
+                even_share,
+            };
+        }
         let left_over = u64::from(slots % gateways);
         let first = replica as u64 * left_over % u64::from(gateways);
         let turn = (gateway as u64 + u64::from(gateways) - first) % u64::from(gateways);
         Self {
-            slots: slots / gateways + u32::from(turn < left_over),
-            even_share: f64::from(slots) / f64::from(gateways),
+            slots: f64::from(slots / gateways + u32::from(turn < left_over)),
+            even_share,
         }
     }
 }
@@ -90,7 +112,7 @@
     /// `random`, from 0 to 1, is what this one has saved up.
     pub fn new(division: Division, share: f64, random: f64, now: Instant) -> Self {
         Self {
-            size: f64::from(division.slots) * share,
+            size: division.slots * share,
             division,
             refused_at: None,
             used_up_at: None,
@@ -104,7 +126,7 @@
     pub fn set_division(&mut self, division: Division, now: Instant) {
         self.settle_credit(now);
         self.division = division;
-        self.size = self.size.min(f64::from(division.slots));
+        self.size = self.size.min(division.slots);
     }
 
     /// Requests that may be open on average.
@@ -138,7 +160,7 @@
         }
         let elapsed = since.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let elapsed = elapsed.min(GROWTH_DELAY).as_secs_f64();
-        let slots = f64::from(self.division.slots);
+        let slots = self.division.slots;
         if self.size < slots {
             self.size = (self.size + slots * REGROWTH * elapsed).min(slots);
             return;
@@ -160,7 +182,9 @@
         if self.refused_at.is_some_and(is_same) {
             return false;
         }
-        self.settle_credit(at);
+        // Many gateways may have saved up for a request and send it at once.
+        self.credit = 0.0;
+        self.credited_at = at;
         self.refused_at = Some(at);
         self.size = (self.size * SHRINK_FACTOR).max(self.division.even_share * MIN_SHARE);
         true
--- a/crates/gateway/src/notices/record.rs
+++ b/crates/gateway/src/notices/record.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use driftspring_clock::Instant;
-use driftspring_decisions::concurrency_window::Division;
+use driftspring_decisions::concurrency_window::{DividedService, Division};
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
 
@@ -130,8 +130,13 @@
     let listed = state.registry.of_service(&entry.service);
     let position = listed.iter().position(|other| other.id() == replica.id());
     let position = position.unwrap_or(0);
+    let service = DividedService {
+        replicas: listed.len(),
+        slots: entry.slots,
+        gateways: directory.count,
+    };
     WindowStart {
-        division: Division::new(entry.slots, directory.count, before.count(), position),
+        division: Division::new(service, before.count(), position),
         gateways: directory.count,
         random: state.random_fraction(),
         now: Instant::now(),
