--- a/crates/gateway/src/peers/convert.rs
+++ b/crates/gateway/src/peers/convert.rs
@@ -24,6 +24,7 @@
             models: models
                 .map(|model| (model.model.clone(), model.version))
                 .collect(),
+            software: entry.software.clone(),
         }
     }
 }
@@ -49,6 +50,7 @@
                     version: *version,
                 })
                 .collect(),
+            software: self.software.clone(),
         })
     }
 }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -309,7 +309,8 @@
                 ];
                 let models = replica.models.iter();
                 let of_models: usize = models.map(|(model, _)| model.len() + 12).sum();
-                of_models + of_texts(&names)
+                let of_software = replica.software.as_ref().map_or(0, String::len);
+                of_models + of_software + of_texts(&names)
             }
             Self::Put(Item::Daemon(daemon)) => {
                 of_texts(&[&daemon.name, &daemon.peers, &daemon.zone])
@@ -373,6 +374,9 @@
     pub is_draining: bool,
     /// Its loaded weights: models with their versions.
     pub models: Vec<(String, u64)>,
+    /// The name of the version of its software, see [`crate::protocol::ReplicaEntry::software`].
+    #[musli(default)]
+    pub software: Option<String>,
 }
 
 impl LoadStatus {
--- a/crates/gateway/src/peers/packed.rs
+++ b/crates/gateway/src/peers/packed.rs
@@ -34,6 +34,9 @@
     pub is_draining: bool,
     /// Their loaded weights: models with their versions.
     pub models: Vec<(u8, u64)>,
+    /// The version of their software.
+    #[musli(default)]
+    pub software: Option<u8>,
 }
 
 /// Replicas with rows of equal length. A row holds the index of the kind, the address, the birth time if there is one,
@@ -49,7 +52,7 @@
 /// Packed replicas.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
 pub struct PackedReplicas {
-    /// The names of services, zones and models.
+    /// The names of services, zones, models and versions of software.
     pub texts: Vec<String>,
     /// The kinds.
     pub kinds: Vec<ReplicaKind>,
@@ -104,6 +107,10 @@
             slots: kind.slots,
             is_draining: kind.is_draining,
             models: models.collect::<Option<_>>()?,
+            software: match kind.software {
+                Some(index) => Some(self.text(index)?),
+                None => None,
+            },
         })
     }
 }
@@ -190,6 +197,10 @@
             slots: replica.slots,
             is_draining: replica.is_draining,
             models,
+            software: match &replica.software {
+                Some(name) => Some(self.text_index(name)?),
+                None => None,
+            },
         };
         index_of(&mut self.kinds, &mut self.names_bytes, &kind)
     }
--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -153,7 +153,8 @@
             build_request(state, context, choice, last_event_id).map_err(SendError::Failed)?;
         let waits = &choice.replica.queue_waits;
         let queued = QueuedRequest::begin(waits, choice.rank, Instant::now());
-        log_sent(state, context, choice, &connection, queued.expected());
+        let expected = queued.expected();
+        log_sent(state, context, choice, &connection, last_event_id, expected);
         let speed = route_speed(state, context);
         let timed = speed.map(|speed| TimedCall::begin(&choice.replica, speed));
         let answer = tokio::select! {
@@ -286,15 +287,20 @@
     context: &RequestContext,
     choice: &Choice,
     connection: &Connection,
+    last_event_id: Option<&str>,
     expected_wait: Duration,
 ) {
+    let last_event_id = last_event_id.or(context.meta.last_event_id.as_deref());
     state.status.metrics.sent.inc();
+    let entry = choice.replica.entry();
     log_event!(
         gateway::REQUEST_SENT,
-        "request={} route={} replica={} address={} key={:?} home={} candidates={} open={} reading={:?} rank={} expected_wait={expected_wait:?} {} held={} tokens={} version={:?} fetch={:?} save={} configuration={} proof_age={:?} left={:?} given={:?} reused={}",
+        "request={} route={} replica={} software={:?} after={last_event_id:?} resumes={:?} address={} key={:?} home={} candidates={} open={} reading={:?} rank={} expected_wait={expected_wait:?} {} held={} tokens={} version={:?} fetch={:?} save={} configuration={} proof_age={:?} left={:?} given={:?} reused={}",
         context.id,
         context.route.name,
         choice.replica.id(),
+        entry.software.as_deref().unwrap_or_default(),
+        context.meta.resumes,
         connection.peer,
         context.placement_key().map(|key| key.0),
         choice.is_home,
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Method, StatusCode};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::configuration::Configuration;
 use crate::store::{AnswerEra, StorePosition};
@@ -55,6 +55,8 @@
     pub prompt: Option<Prompt>,
     /// The id of the last event received; the stream resumes after it.
     pub last_event_id: Option<String>,
+    /// The id of the request that brought the first event of the stream to resume.
+    pub resumes: Option<String>,
 }
 
 /// The metadata that is sent to a replica in addition to the caller's own headers.
@@ -242,6 +244,17 @@
     }
 }
 
+/// A digest of the name of a version of replicas' software. Versions have no order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct SoftwareVersion(pub u64);
+
+impl SoftwareVersion {
+    /// The version of this name.
+    pub fn named(name: &str) -> Self {
+        Self(xxh3_64(name.as_bytes()))
+    }
+}
+
 /// A replica's registration entry in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReplicaEntry {
@@ -261,6 +274,8 @@
     pub cold_remaining: Duration,
     /// The weights that the replica has loaded.
     pub models: Vec<ModelVersion>,
+    /// The name of the version of its software; `None` if a gateway of an earlier build passed the entry on.
+    pub software: Option<String>,
 }
 
 /// The content of a store object.
@@ -269,7 +284,7 @@
     /// See [`ObjectKind::Configuration`].
     Configuration(Box<Configuration>),
     /// See [`ObjectKind::Replicas`].
-    Replica(ReplicaEntry),
+    Replica(Box<ReplicaEntry>),
     /// See [`ObjectKind::Weights`].
     Weights(ModelVersion),
     /// See [`ObjectKind::Leases`].
--- a/crates/gateway/src/replicas/registry.rs
+++ b/crates/gateway/src/replicas/registry.rs
@@ -140,12 +140,13 @@
         }
         log_event!(
             gateway::REPLICA_SEEN,
-            "replica={} born={:?} service={} address={} zone={} models={:?}",
+            "replica={} born={:?} service={} address={} zone={} software={:?} models={:?}",
             entry.incarnation.id,
             entry.incarnation.born,
             entry.service,
             entry.address,
             entry.zone,
+            entry.software.as_deref().unwrap_or_default(),
             entry.models
         );
     }
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -14,7 +14,7 @@
 use super::running_work::RunningWork;
 use super::speed::SpeedTracker;
 use crate::notices::ReplicaNotices;
-use crate::protocol::{ModelVersion, ReplicaEntry, ReplicaIncarnation};
+use crate::protocol::{ModelVersion, ReplicaEntry, ReplicaIncarnation, SoftwareVersion};
 use crate::upstream::Pool;
 use crate::weights::WantedWeights;
 
@@ -87,6 +87,12 @@
         &self.incarnation.id
     }
 
+    /// The version of its software, if known.
+    pub fn software(&self) -> Option<SoftwareVersion> {
+        let entry = self.entry.borrow();
+        entry.software.as_deref().map(SoftwareVersion::named)
+    }
+
     /// Its entry in the store.
     pub fn entry(&self) -> Ref<'_, ReplicaEntry> {
         self.entry.borrow()
@@ -100,6 +106,9 @@
                 model.version = model.version.max(known);
             }
         }
+        if entry.software.is_none() {
+            entry.software = self.entry().software.clone();
+        }
         *self.entry.borrow_mut() = entry;
         self.lapses_at.set(None);
     }
--- a/crates/gateway/tests/holders.rs
+++ b/crates/gateway/tests/holders.rs
@@ -27,6 +27,7 @@
         is_draining: false,
         cold_remaining: Duration::ZERO,
         models: Vec::new(),
+        software: Some("v1".to_owned()),
     })
 }
 
--- a/crates/gateway/tests/packed.rs
+++ b/crates/gateway/tests/packed.rs
@@ -95,6 +95,7 @@
             models: (0..u8::arbitrary(generator) % 3)
                 .map(|_| (name("m", generator), u64::arbitrary(generator)))
                 .collect(),
+            software: bool::arbitrary(generator).then(|| name("v", generator)),
         })),
     }
 }
@@ -230,6 +231,7 @@
         slots: 4,
         is_draining: false,
         models: vec![("model".to_owned(), 1)],
+        software: Some("v1".to_owned()),
     }))]);
     pack(&mut reply);
     let mut packed = reply.packed.expect("packed");
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -25,6 +25,7 @@
         slots,
         is_draining: false,
         models: vec![("model".to_owned(), 1)],
+        software: Some("v1".to_owned()),
     })
 }
 
--- a/crates/gateway/tests/removed_incarnations.rs
+++ b/crates/gateway/tests/removed_incarnations.rs
@@ -24,6 +24,7 @@
         slots: 8,
         is_draining: false,
         models: Vec::new(),
+        software: Some("v1".to_owned()),
     }
 }
 
--- a/crates/gateway/tests/replicas.rs
+++ b/crates/gateway/tests/replicas.rs
@@ -16,6 +16,7 @@
     ReplicaEntry {
         is_draining,
         models: Vec::new(),
+        software: Some("v1".to_owned()),
         ..registry_scene::entry(id, None)
     }
 }
--- a/crates/gateway/tests/support/registry_scene.rs
+++ b/crates/gateway/tests/support/registry_scene.rs
@@ -25,6 +25,7 @@
             model: "model".to_owned(),
             version: 3,
         }],
+        software: Some("v1".to_owned()),
     }
 }
 
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -8,7 +8,7 @@
     SETTINGS_REJECTED = 6004, Error, "The settings file was read again and is faulty; the earlier settings stay in force.";
     LOG_LINES_DROPPED = 6005, Warn, "Log lines were dropped since more came than may be written; the field counts them.";
     PROCESS_STOOD_STILL = 6006, Warn, "The process stood still for so long: it was frozen, or its machine was suspended. Waits at replicas count without that time; after a second or more, strikes (6600) that it reads at once are left out.";
-    REQUEST_SENT = 6100, Info, "A request was sent to a replica; the fields give the route, the configuration's version, the age of its proof, and why the replica was chosen.";
+    REQUEST_SENT = 6100, Info, "A request was sent to a replica; the fields give the route, the version of the replica's software, the event after which a stream resumes, the request that began it, the configuration's version, the age of its proof, and why the replica was chosen.";
     ATTEMPT_ENDED = 6101, Info, "A replica did not serve a request; the fields tell what its answer was taken for.";
     REQUEST_ENDED = 6102, Info, "A request got its whole answer from a replica; for a stream the fields give the time to its first event and the longest pause.";
     CALLER_REFUSED = 6103, Info, "A request got an answer of the gateway's own; the fields give the step, the peer, the reason and the time to come back.";
@@ -34,7 +34,7 @@
     CONFIGURATION_UNCONFIRMED = 6211, Warn, "This gateway has started, and no other that had run for a while told which configuration it holds. Where the store has come back from a copy, what the operator wrote after the copy was made is not known here. The fields tell the version in force and where the store had it (era and revision), the first position that was read of that era, the latest, and how many others were asked.";
     WEIGHTS_WANTED = 6205, Info, "The operator named new weights.";
     WEIGHTS_SUSPECTED = 6212, Warn, "Weights may have been named although nobody heard of it: the store shows the known version written again, or the entry of a replica shows a newer one. One replica is ordered to load them; it refuses what was not named.";
-    REPLICA_SEEN = 6300, Info, "A life of a replica is listed for the first time; one that starts again under its id begins another life.";
+    REPLICA_SEEN = 6300, Info, "A life of a replica is listed for the first time; the fields give the version of its software; one that starts again under its id begins another life.";
     REPLICA_CHANGED = 6301, Info, "The entry of a replica has changed.";
     REPLICA_GONE = 6302, Info, "The entry of a replica is gone; it gets no new requests. The reason tells whether it left, or lapsed and has not come back.";
     REPLICA_SUSPECT = 6303, Warn, "A replica could not be reached or broke off; it gets no requests for the time given.";
