--- a/crates/gateway/src/forwarding/hop.rs
+++ b/crates/gateway/src/forwarding/hop.rs
@@ -4,6 +4,8 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue};
 
+use crate::protocol::SoftwareVersion;
+
 const TOKEN: HeaderName = HeaderName::from_static("forward-token");
 const FROM: HeaderName = HeaderName::from_static("forward-from");
 const SERVICE: HeaderName = HeaderName::from_static("forward-service");
@@ -11,13 +13,14 @@
 const TIME_LEFT_MS: HeaderName = HeaderName::from_static("forward-time-left-ms");
 const TRIED: HeaderName = HeaderName::from_static("forward-tried");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("forward-last-event-id");
+const SOFTWARE: HeaderName = HeaderName::from_static("forward-software");
 const OUTCOME: HeaderName = HeaderName::from_static("forward-outcome");
 const REPLICA: HeaderName = HeaderName::from_static("forward-replica");
 const REASON: HeaderName = HeaderName::from_static("forward-reason");
 const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("forward-retry-after-ms");
 
 /// All headers of a hop; those that a caller or a replica sends under these names are not passed on.
-const ALL: [HeaderName; 11] = [
+const ALL: [HeaderName; 12] = [
     TOKEN,
     FROM,
     SERVICE,
@@ -25,6 +28,7 @@
     TIME_LEFT_MS,
     TRIED,
     LAST_EVENT_ID,
+    SOFTWARE,
     OUTCOME,
     REPLICA,
     REASON,
@@ -48,6 +52,8 @@
     pub tried: Vec<String>,
     /// The id of the last event that the caller has; the stream resumes after it.
     pub last_event_id: Option<String>,
+    /// The only software version that may run the request.
+    pub software: Option<SoftwareVersion>,
 }
 
 /// Why a request is not accepted from another gateway.
@@ -86,6 +92,9 @@
         if let Some(id) = &self.last_event_id {
             set(LAST_EVENT_ID, id)?;
         }
+        if let Some(version) = self.software {
+            set(SOFTWARE, &format!("{:016x}", version.0))?;
+        }
         if !self.tried.is_empty() {
             set(TRIED, &self.tried.join(","))?;
         }
@@ -110,6 +119,10 @@
         let token = u128::from_str_radix(&required(TOKEN)?, 16);
         let time_left = required(TIME_LEFT_MS)?.parse().map(Duration::from_millis);
         let tried = optional(TRIED)?.unwrap_or_default();
+        let software = optional(SOFTWARE)?.map(|text| parse_software(&text));
+        if software == Some(None) {
+            return Err(HopError::Malformed(SOFTWARE));
+        }
         let taken = Self {
             token: token.map_err(|_| HopError::Malformed(TOKEN))?,
             from: required(FROM)?,
@@ -122,6 +135,7 @@
                 .map(str::to_owned)
                 .collect(),
             last_event_id: optional(LAST_EVENT_ID)?,
+            software: software.flatten(),
         };
         remove_all(headers);
         Ok(taken)
@@ -145,10 +159,12 @@
     Quarantined,
     /// The replicas have refused it.
     NotRun,
+    /// No replica of the software version that began its stream is left.
+    VersionGone,
 }
 
 /// The names of the reasons in the header.
-const REASONS: [(DeclineReason, &str); 7] = [
+const REASONS: [(DeclineReason, &str); 8] = [
     (DeclineReason::NoRoom, "no-room"),
     (DeclineReason::Configuration, "configuration"),
     (DeclineReason::Unreachable, "unreachable"),
@@ -156,6 +172,7 @@
     (DeclineReason::Paused, "paused"),
     (DeclineReason::Quarantined, "quarantined"),
     (DeclineReason::NotRun, "not-run"),
+    (DeclineReason::VersionGone, "version-gone"),
 ];
 
 impl DeclineReason {
@@ -175,8 +192,13 @@
 /// What became of a forwarded request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum HopOutcome {
-    /// This is the answer of the replica with this id.
-    Answered(String),
+    /// A replica has answered.
+    Answered {
+        /// The id of the replica.
+        replica: String,
+        /// The version of its software, if that is known for certain.
+        software: Option<SoftwareVersion>,
+    },
     /// No replica has run it, and none will.
     NotRun {
         /// The reason.
@@ -193,7 +215,13 @@
     pub fn write(&self, headers: &mut HeaderMap) {
         remove_all(headers);
         let outcome = match self {
-            Self::Answered(replica) => {
+            Self::Answered { replica, software } => {
+                if let Some(version) = software {
+                    let text = format!("{:016x}", version.0);
+                    if let Ok(value) = HeaderValue::from_str(&text) {
+                        headers.insert(SOFTWARE, value);
+                    }
+                }
                 if let Ok(replica) = HeaderValue::from_str(replica) {
                     headers.insert(REPLICA, replica);
                 }
@@ -223,7 +251,10 @@
             .map_or(DeclineReason::NotRun, |(reason, _)| *reason);
         let retry_after = text(&RETRY_AFTER_MS).and_then(|ms| ms.parse().ok());
         let outcome = match text(&OUTCOME) {
-            Some("answered") => Self::Answered(text(&REPLICA).unwrap_or_default().to_owned()),
+            Some("answered") => Self::Answered {
+                replica: text(&REPLICA).unwrap_or_default().to_owned(),
+                software: text(&SOFTWARE).and_then(parse_software),
+            },
             Some("not-run") => Self::NotRun {
                 reason,
                 retry_after: retry_after.map(Duration::from_millis),
@@ -235,6 +266,10 @@
     }
 }
 
+fn parse_software(text: &str) -> Option<SoftwareVersion> {
+    u64::from_str_radix(text, 16).ok().map(SoftwareVersion)
+}
+
 fn remove_all(headers: &mut HeaderMap) {
     for name in &ALL {
         headers.remove(name);
--- a/crates/gateway/src/forwarding/offers.rs
+++ b/crates/gateway/src/forwarding/offers.rs
@@ -35,6 +35,8 @@
     pub room: u32,
     /// The services that it reaches.
     pub reachable: Vec<String>,
+    /// Whether it keeps streams to the software version that began them.
+    pub binds_streams: bool,
     /// When it was asked.
     pub asked_at: Instant,
 }
@@ -118,10 +120,14 @@
         by_peer.insert(peer.offer.peer.clone(), Rc::new(peer));
     }
 
-    /// The gateway to which the next request for `service` should go.
-    pub fn choose(&self, service: &str, now: Instant) -> Option<Rc<UsablePeer>> {
+    /// The gateway to which the next request for `service` should go. One that `is_bound` to a software version goes
+    /// only to a gateway that respects this.
+    pub fn choose(&self, service: &str, is_bound: bool, now: Instant) -> Option<Rc<UsablePeer>> {
         let by_peer = self.by_peer.borrow();
-        let usable = by_peer.values().filter(|peer| peer.is_usable(service, now));
+        let usable = by_peer
+            .values()
+            .filter(|peer| peer.is_usable(service, now))
+            .filter(|peer| peer.offer.binds_streams || !is_bound);
         let best = usable.min_by(|one, other| one.cost().total_cmp(&other.cost()));
         best.cloned()
     }
--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -159,7 +159,7 @@
             );
             let label = match &outcome {
                 HopOutcome::NotRun { reason, .. } => reason.name(),
-                HopOutcome::Answered(_) | HopOutcome::Unknown => "unknown",
+                HopOutcome::Answered { .. } | HopOutcome::Unknown => "unknown",
             };
             state.status.metrics.forwarding.count_taken(&peer, label);
             without_body(&outcome)
@@ -175,7 +175,11 @@
     peer: String,
 ) -> Response<StreamBody<Pieces>> {
     let (status, mut headers) = answer.take_head();
-    HopOutcome::Answered(answer.replica().to_owned()).write(&mut headers);
+    let outcome = HopOutcome::Answered {
+        replica: answer.replica().to_owned(),
+        software: answer.software(),
+    };
+    outcome.write(&mut headers);
     let metrics = &guard.state.status.metrics.forwarding;
     metrics.count_taken(&peer, "answered");
     let pieces = unfold(Some((answer, guard)), |open| async move {
--- a/crates/gateway/src/forwarding/task.rs
+++ b/crates/gateway/src/forwarding/task.rs
@@ -137,6 +137,7 @@
         port,
         room,
         reachable: reachable.collect(),
+        binds_streams: true,
     })
 }
 
@@ -174,6 +175,7 @@
         token: offer.token,
         room: offer.room,
         reachable: offer.reachable,
+        binds_streams: offer.binds_streams,
         asked_at: query.sent_at,
     });
     forwarding.offers_changed.notify_waiters();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`store`]: calls to the object store and the tasks that follow it.
 //! - [`rollout`]: the loading of new weights, ordered by one gateway at a time.
 //! - [`weights`]: the versions of weights that the operator wants, and since when.
+//! - [`stream_versions`]: the software version at which each resumable stream began.
 //! - [`suspected_weights`]: versions that may have been named although no gateway has seen it.
 //! - [`shares`]: fair shares of tenants while a service cannot run all that they send.
 //! - [`server`]: sockets, readiness, start and stop.
@@ -49,6 +50,7 @@
 pub mod standstill;
 pub mod state;
 pub mod store;
+pub mod stream_versions;
 pub mod suspected_weights;
 pub mod upstream;
 pub mod weights;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -15,6 +15,7 @@
 use crate::replicas::MeasuredWait;
 use crate::replicas::speed_metrics::SpeedMetrics;
 use crate::shares::metrics::ShareMetrics;
+use crate::stream_versions::StreamMetrics;
 
 /// The labels of the counter of invalid input.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -121,6 +122,8 @@
     pub paths: PathMetrics,
     /// Requests that go through other gateways.
     pub forwarding: ForwardingMetrics,
+    /// Metrics of streams that callers take up.
+    pub streams: StreamMetrics,
     registry: Mutex<Registry>,
 }
 
@@ -180,6 +183,7 @@
             speed: SpeedMetrics::default(),
             paths: PathMetrics::default(),
             forwarding: ForwardingMetrics::default(),
+            streams: StreamMetrics::default(),
             registry: Mutex::new(Registry::with_prefix("driftspring_gateway")),
         };
         metrics.register();
@@ -336,6 +340,7 @@
         self.speed.register(&mut registry);
         self.paths.register(&mut registry);
         self.forwarding.register(&mut registry);
+        self.streams.register(&mut registry);
         registry.register(
             "bytes_held",
             "Bytes held for callers: bodies, and what they have not taken of their answers",
--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -24,6 +24,7 @@
 use super::send::send_to;
 use super::spread::record_group_usage;
 use super::spread::{self, spread};
+use super::streams;
 use crate::cache::PrefixKey;
 use crate::protocol::{ModelVersion, UnreadableReason};
 use crate::rollout::record_if_suspected;
@@ -166,6 +167,11 @@
             Some(Message::ForwardOffer(offer)) => {
                 crate::forwarding::apply_offer(&state, offer, from);
             }
+            Some(Message::StreamsBegun(begun)) => streams::apply_begun(&state, &begun),
+            Some(Message::StreamQuery(query)) => {
+                streams::answer(&state, &socket, &query, from).await;
+            }
+            Some(Message::StreamReply(reply)) => state.streams.handle_reply(reply),
             None => {
                 let (name, reason) = (from.to_string(), UnreadableReason::Bytes);
                 state.reject(
--- a/crates/gateway/src/peers/forward_message.rs
+++ b/crates/gateway/src/peers/forward_message.rs
@@ -24,4 +24,7 @@
     pub room: u32,
     /// Those of the services whose replicas have answered the sender lately.
     pub reachable: Vec<String>,
+    /// Whether the sender keeps streams to the software version that began them.
+    #[musli(default)]
+    pub binds_streams: bool,
 }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -11,6 +11,7 @@
 use super::packed::PackedReplicas;
 pub use super::prompt_message::{OtherGroupPrompts, WirePrompt};
 pub use super::quarantine_message::{WireRecord, WireRecordStrike, WireRecords, WireStrike};
+pub use super::stream_message::{WireStream, WireStreamQuery, WireStreamReply};
 use crate::protocol::{ModelVersion, ReplicaIncarnation};
 
 /// The size limit of a sent datagram, in bytes.
@@ -70,6 +71,12 @@
     ForwardQuery(WireForwardQuery),
     /// The reply to [`Message::ForwardQuery`].
     ForwardOffer(WireForwardOffer),
+    /// Streams that the sender relays and that the receiver keeps records of.
+    StreamsBegun(Vec<WireStream>),
+    /// Asks where a stream began.
+    StreamQuery(WireStreamQuery),
+    /// The reply to [`Message::StreamQuery`].
+    StreamReply(WireStreamReply),
 }
 
 /// A report that is being forwarded through a group, see [`super::spread`].
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -25,6 +25,7 @@
 //!   document.
 //! - `notices`: limits and leave notices of replicas; `permits`: permits to send to replicas with limits;
 //!   `notice_message`: their datagrams.
+//! - `streams`: software versions of streams that may be resumed; `stream_message`: their datagrams.
 //! - `forwarding`: offers to forward requests; `forward_message`: their datagrams.
 //! - `records`: requests that terminate replicas; `quarantine_message`: its datagrams.
 //! - [`task`]: starts all tasks: `ask` queries the source, `answer` replies to others, `news` sends changes unasked.
@@ -59,6 +60,8 @@
 mod shares;
 pub mod source;
 pub mod spread;
+mod stream_message;
+mod streams;
 mod task;
 mod usage;
 pub mod view;
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -19,6 +19,7 @@
 use super::prompt_relay;
 use super::records;
 use super::shares;
+use super::streams;
 use super::usage;
 use crate::state::GatewayState;
 use crate::store;
@@ -64,6 +65,7 @@
         Rc::clone(&state),
         Rc::clone(&socket),
     ));
+    ntex::rt::spawn(streams::send_updates(Rc::clone(&state), Rc::clone(&socket)));
     ntex::rt::spawn(usage::send_updates(Rc::clone(&state), Rc::clone(&socket)));
     ntex::rt::spawn(shares::send_updates(Rc::clone(&state), Rc::clone(&socket)));
     ask(state, socket, received_replies).await;
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -26,6 +26,7 @@
 use crate::quarantine::note_lost_answer;
 use crate::reachability::{self, Doubt, ServicePath};
 use crate::state::GatewayState;
+use crate::stream_versions::VersionBinding;
 use crate::upstream::SendFailure;
 
 /// Maximum number of replicas that answer "not run" before the request is refused.
@@ -184,10 +185,14 @@
     pub async fn next(&mut self, last_event_id: Option<&str>) -> Result<Attempt, Refusal> {
         let timeout = first_list_timeout(self.state.now(), self.context.time_left());
         let service = &self.context.service;
-        let progress = match last_event_id {
-            Some(_) => Progress::Resumed,
-            None => Progress::New,
+        let progress = match last_event_id.is_some() || self.context.takes_stream_up() {
+            true => Progress::Resumed,
+            false => Progress::New,
         };
+        if self.context.binding.get() == VersionBinding::Unknown {
+            let detail = "the version of the replica that began the stream is not known";
+            return Err(self.give_up(Reason::VersionUnknown, None, detail));
+        }
         self.state.wait_for_replicas(service, timeout).await;
         loop {
             if self.context.time_left().is_zero() {
@@ -263,6 +268,7 @@
             Err(SendError::Resting) => {
                 self.log_attempt(&choice, "not_sent", "it is cooling down");
             }
+            Err(SendError::VersionUnconfirmed) => self.handle_unconfirmed(&choice)?,
             Err(SendError::Withdrawn) => {
                 self.sends += 1;
                 self.handle_withdrawn(&choice)?;
@@ -441,6 +447,18 @@
         }
     }
 
+    /// Handles a replica that could not be shown to run the version that began the stream.
+    fn handle_unconfirmed(&mut self, choice: &Choice) -> Result<(), Refusal> {
+        let detail = "its software version could not be confirmed";
+        self.log_attempt(choice, "not_sent", detail);
+        self.tried.push(choice.replica.incarnation.clone());
+        self.unreachable += 1;
+        match self.unreachable >= MAX_UNREACHABLE {
+            true => Err(self.give_up(Reason::NotRun, Some(choice.replica.pool.peer()), detail)),
+            false => Ok(()),
+        }
+    }
+
     pub(super) fn handle_not_run(
         &mut self,
         choice: &Choice,
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -201,12 +201,20 @@
     rank: u8,
 ) -> Result<Vec<Rc<Replica>>, Refusal> {
     let now = Instant::now();
-    let is_eligible =
-        |replica: &&Rc<Replica>| replica.is_eligible(now) && !tried.contains(&replica.incarnation);
-    let mut staying: Vec<Rc<Replica>> = listed.iter().filter(is_eligible).cloned().collect();
+    let binding = context.binding.get();
+    let left: Vec<&Rc<Replica>> = listed
+        .iter()
+        .filter(|replica| replica.is_eligible(now) && binding.allows(replica.software()))
+        .collect();
+    if left.is_empty() && context.is_bound() {
+        let detail = format!("none is left for a stream that is {binding:?}");
+        return Err(Refusal::new(Step::Choose, Reason::VersionGone, detail));
+    }
+    let is_untried = |replica: &&&Rc<Replica>| !tried.contains(&replica.incarnation);
+    let staying = left.iter().filter(is_untried);
+    let mut staying: Vec<Rc<Replica>> = staying.map(|replica| Rc::clone(replica)).collect();
     if staying.is_empty() {
-        let left = listed.iter().filter(|replica| replica.is_eligible(now));
-        return Err(match earliest_pause_end(left, now) {
+        return Err(match earliest_pause_end(left.into_iter(), now) {
             Some((replica, pause)) => all_paused(state, replica, &pause, now),
             None => no_replica("all are leaving, tried or unknown"),
         });
--- a/crates/gateway/src/pipeline/context.rs
+++ b/crates/gateway/src/pipeline/context.rs
@@ -12,12 +12,13 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::decode::Decoded;
-use crate::configuration::{Configuration, EngineLimits, Route, Tenant};
+use crate::configuration::{Configuration, EngineLimits, Route, RouteKind, Tenant};
 use crate::held_bytes::Charge;
-use crate::protocol::{Prompt, PromptPart, RequestMeta};
+use crate::protocol::{Prompt, PromptPart, RequestMeta, SoftwareVersion};
 use crate::quarantine::Fingerprint;
 use crate::replicas::Replica;
 use crate::shares::Standing;
+use crate::stream_versions::{StreamKey, VersionBinding};
 
 /// Time limit that stands in for the caller's or the route's, if that one is not set.
 const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(600);
@@ -51,6 +52,8 @@
     pub deadline: Instant,
     /// Accounts for the body as long as it may have to be sent again.
     pub body_charge: Option<Charge>,
+    /// At which software version it may run.
+    pub binding: Cell<VersionBinding>,
     /// Where its tenant stands if the service is overloaded.
     pub standing: Cell<Standing>,
     fingerprint: OnceCell<Fingerprint>,
@@ -92,6 +95,7 @@
             arrived_at,
             deadline,
             body_charge: None,
+            binding: Cell::default(),
             standing: Cell::default(),
             fingerprint: OnceCell::new(),
         }
@@ -112,6 +116,34 @@
         })
     }
 
+    /// Whether its stream may be resumed, and so has to keep to one software version.
+    pub fn is_resumable_stream(&self) -> bool {
+        self.route.kind == RouteKind::Streaming && self.route.is_resumable
+    }
+
+    /// Whether its caller takes a stream up.
+    pub fn takes_stream_up(&self) -> bool {
+        self.is_resumable_stream() && self.meta.last_event_id.is_some()
+    }
+
+    /// The only software version that may run it.
+    pub fn bound_version(&self) -> Option<SoftwareVersion> {
+        match self.binding.get() {
+            VersionBinding::Bound(version) => Some(version),
+            VersionBinding::Free | VersionBinding::Unknown => None,
+        }
+    }
+
+    /// Whether it may not run at every software version.
+    pub fn is_bound(&self) -> bool {
+        self.binding.get() != VersionBinding::Free
+    }
+
+    /// The key of the stream that the request `id` of this request's tenant began.
+    pub fn stream_key(&self, id: &str) -> StreamKey {
+        StreamKey::new(self.tenant_name(), id)
+    }
+
     /// Name of the tenant; empty without one.
     pub fn tenant_name(&self) -> &str {
         self.tenant.as_ref().map_or("", |tenant| &tenant.name)
--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -13,6 +13,7 @@
 
 use super::check_share::note_work_begun;
 use super::choose_replica::Choice;
+use super::confirm_software::{Confirmation, confirm_software};
 use super::context::RequestContext;
 use super::forward::until_forwardable;
 use super::hedge::route_speed;
@@ -21,7 +22,7 @@
 use super::withdrawal::{are_weights_too_old, replica_time_limit, until_weights_too_old};
 use crate::interference::OwnStream;
 use crate::peers::message::WirePrompt;
-use crate::protocol::Dispatch;
+use crate::protocol::{Dispatch, SoftwareVersion};
 use crate::reachability::{self, PathUse};
 use crate::replicas::{OpenRequestGuard, QueuedRequest, TimedCall};
 use crate::state::GatewayState;
@@ -30,6 +31,9 @@
 /// Why a request is not sent although the connection is established.
 const WEIGHTS_TOO_OLD: &str = "its weights have become too old";
 
+/// Maximum number of connections on which the replica's incarnation is asked for before a request is sent without it.
+const MAX_CONFIRMATIONS: usize = 2;
+
 /// An answer whose head has arrived.
 #[derive(Debug)]
 pub struct OpenAnswer {
@@ -37,6 +41,8 @@
     pub answer: Answer,
     /// Counts the request as open at its replica until the answer is closed; none if another gateway sent it there.
     pub _work: Option<OpenRequestGuard>,
+    /// The version of the software of the replica, if that is known for certain.
+    pub software: Option<SoftwareVersion>,
     /// Counts the request as open on the path to its service until the answer is closed.
     path_use: Option<PathUse>,
     /// Counts the request as a stream at its replica until the answer is closed, if its route has a pause target.
@@ -49,9 +55,10 @@
 
 impl OpenAnswer {
     /// An answer that comes through another gateway, which measures the replica.
-    pub fn of_peer(answer: Answer) -> Self {
+    pub fn of_peer(answer: Answer, software: Option<SoftwareVersion>) -> Self {
         Self {
             answer,
+            software,
             _work: None,
             path_use: None,
             stream: None,
@@ -120,6 +127,8 @@
     PathLost,
     /// It was not sent: the replica asked for a cooldown while the connection was being established.
     Resting,
+    /// It was not sent: it resumes a stream, and the replica could not be shown to run the version that began it.
+    VersionUnconfirmed,
 }
 
 /// Sends the request and waits for the head of the answer for as long as the request may begin there. A pooled
@@ -140,7 +149,16 @@
     let path_use = PathUse::begin(&path, Instant::now());
     reachability::watch(state, &context.service, &path);
     loop {
-        let mut connection = connect(state, choice).await.map_err(SendError::Failed)?;
+        let (mut connection, software) = match context.is_resumable_stream() {
+            true => connect_confirmed(state, choice).await,
+            false => connect(state, choice)
+                .await
+                .map(|connection| (connection, None)),
+        }
+        .map_err(SendError::Failed)?;
+        if !context.binding.get().allows(software) {
+            return Err(SendError::VersionUnconfirmed);
+        }
         if choice.replica.notices.is_cooling_down(Instant::now()) {
             pool.put(connection);
             return Err(SendError::Resting);
@@ -171,6 +189,7 @@
                 let answer = Answer::new(response, connection, Rc::clone(pool));
                 return Ok(OpenAnswer {
                     answer,
+                    software,
                     _work: Some(work),
                     path_use: Some(path_use),
                     stream,
@@ -235,6 +254,22 @@
     ))
 }
 
+/// Returns a connection to the replica with the version of its software, if that can be confirmed.
+async fn connect_confirmed(
+    state: &GatewayState,
+    choice: &Choice,
+) -> Result<(Connection, Option<SoftwareVersion>), SendFailure> {
+    for _ in 0..MAX_CONFIRMATIONS {
+        let mut connection = connect(state, choice).await?;
+        match confirm_software(state, &choice.replica, &mut connection).await {
+            Confirmation::Confirmed(version) => return Ok((connection, version)),
+            Confirmation::OtherIncarnation => return Ok((connection, None)),
+            Confirmation::Failed => {}
+        }
+    }
+    Ok((connect(state, choice).await?, None))
+}
+
 /// Returns a connection to the replica, unless the replica has begun to leave while it was established.
 async fn connect(state: &GatewayState, choice: &Choice) -> Result<Connection, SendFailure> {
     let connection = choice.replica.pool.take().await;
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -18,6 +18,7 @@
 use super::refusal::{Reason, Refusal, Step};
 use crate::forwarding::hop::{DeclineReason, HopOutcome, HopRequest};
 use crate::forwarding::{PeerUse, UsablePeer};
+use crate::protocol::SoftwareVersion;
 use crate::reachability::ServicePath;
 use crate::state::GatewayState;
 use crate::upstream::{Answer, SendFailure};
@@ -56,7 +57,7 @@
             && state
                 .forwarding
                 .offers
-                .choose(&context.service, now)
+                .choose(&context.service, context.is_bound(), now)
                 .is_some()
     };
     while !is_forwardable() {
@@ -94,13 +95,13 @@
         self.log_forwarded(&peer);
         let sent = self.send_to_peer(&peer, last_event_id).await;
         match sent {
-            Ok((answer, HopOutcome::Answered(replica))) => {
+            Ok((answer, HopOutcome::Answered { replica, software })) => {
                 let forwarder = Forwarder {
                     peer: peer.offer.peer.clone(),
                     replica,
                     _use: peer_use,
                 };
-                self.handle_peer_answer(answer, forwarder, &peer)
+                self.handle_peer_answer(answer, software, forwarder, &peer)
             }
             Ok((
                 _,
@@ -126,7 +127,9 @@
     /// The gateway to send to. Right after the loss of the path the first offers are waited for.
     async fn find_peer(&self) -> Option<Rc<UsablePeer>> {
         let service = &self.context.service;
-        let choose = || self.state.forwarding.offers.choose(service, Instant::now());
+        let is_bound = self.context.is_bound();
+        let offers = &self.state.forwarding.offers;
+        let choose = || offers.choose(service, is_bound, Instant::now());
         if let Some(peer) = choose() {
             return Some(peer);
         }
@@ -192,6 +195,7 @@
             time_left: context.time_left(),
             tried: self.tried.iter().map(|life| life.id.clone()).collect(),
             last_event_id: last_event_id.map(str::to_owned),
+            software: context.bound_version(),
         };
         let headers = request.headers_mut();
         *headers = context.headers.clone();
@@ -202,6 +206,7 @@
     fn handle_peer_answer(
         &mut self,
         answer: Answer,
+        software: Option<SoftwareVersion>,
         forwarder: Forwarder,
         peer: &UsablePeer,
     ) -> Result<Option<Attempt>, Refusal> {
@@ -220,7 +225,7 @@
                     return Ok(None);
                 }
                 Ok(Some(Attempt {
-                    opened: OpenAnswer::of_peer(answer),
+                    opened: OpenAnswer::of_peer(answer, software),
                     responder: Responder::Peer(forwarder),
                 }))
             }
@@ -246,6 +251,7 @@
             DeclineReason::Overloaded => Reason::Overloaded,
             DeclineReason::Paused => Reason::Paused,
             DeclineReason::Quarantined => Reason::Quarantined,
+            DeclineReason::VersionGone => Reason::VersionGone,
             DeclineReason::NoRoom
             | DeclineReason::Configuration
             | DeclineReason::Unreachable
--- a/crates/gateway/src/pipeline/forwarded.rs
+++ b/crates/gateway/src/pipeline/forwarded.rs
@@ -20,15 +20,18 @@
 use super::choose_replica::Choice;
 use super::collect::DEADLINE_GRACE;
 use super::context::{self, RequestContext};
-use super::decode::{self, is_hop_by_hop};
+use super::decode::{self, Decoded, is_hop_by_hop};
 use super::dispatch::OpenAnswer;
 use super::find_route::find_route;
 use super::refusal::{Reason, Refusal, Step};
+use super::take_stream_up;
 use super::withdrawal::until_weights_too_old;
+use crate::configuration::{Route, Tenant};
 use crate::forwarding::hop::{DeclineReason, HopOutcome, HopRequest};
 use crate::held_bytes::Charge;
-use crate::protocol::ReplicaIncarnation;
+use crate::protocol::{ReplicaIncarnation, SoftwareVersion};
 use crate::state::GatewayState;
+use crate::stream_versions::VersionBinding;
 
 /// Why a forwarded request gets no answer of a replica.
 #[derive(Debug)]
@@ -110,6 +113,10 @@
         .map_err(|error| broken(error.to_string()))?
         .to_bytes();
     charge.add(body.len()).await;
+    let binding = match hop.software {
+        Some(version) => VersionBinding::Bound(version),
+        None => bind_unbound(state, &decoded, &route, tenant.as_deref(), hop).await?,
+    };
     let mut context = RequestContext::new(
         decoded,
         configuration,
@@ -120,6 +127,7 @@
         arrived_at,
     );
     context.body_charge = Some(charge);
+    context.binding.set(binding);
     let context = Rc::new(context);
     let attempt = open(state, &context, hop).await?;
     let Attempt {
@@ -144,6 +152,30 @@
     })
 }
 
+/// The binding of a request that states none. A gateway of an earlier build states none for resumed streams either.
+async fn bind_unbound(
+    state: &Rc<GatewayState>,
+    decoded: &Decoded,
+    route: &Route,
+    tenant: Option<&Tenant>,
+    hop: &HopRequest,
+) -> Result<VersionBinding, Refusal> {
+    let is_resumed = decoded.meta.last_event_id.is_some() || hop.last_event_id.is_some();
+    let is_resumed = is_resumed && route.is_resumable;
+    let origin = match is_resumed {
+        true => take_stream_up::bind(state, decoded, route, tenant, hop.service.clone()).await?,
+        false => return Ok(VersionBinding::Free),
+    };
+    let (service, binding) = origin;
+    match service == hop.service {
+        true => Ok(binding),
+        false => {
+            let detail = "the stream began at another service";
+            Err(Refusal::new(Step::Resume, Reason::VersionGone, detail))
+        }
+    }
+}
+
 async fn open(
     state: &Rc<GatewayState>,
     context: &Rc<RequestContext>,
@@ -170,6 +202,11 @@
         self.choice.replica.id()
     }
 
+    /// The version of the replica's software, if that is known for certain.
+    pub fn software(&self) -> Option<SoftwareVersion> {
+        self.opened.software
+    }
+
     /// Takes the status and the headers that are forwarded.
     pub fn take_head(&mut self) -> (StatusCode, HeaderMap) {
         let all = self.opened.answer.take_headers();
@@ -247,6 +284,7 @@
         Reason::Overloaded => DeclineReason::Overloaded,
         Reason::Paused => DeclineReason::Paused,
         Reason::Quarantined => DeclineReason::Quarantined,
+        Reason::VersionGone => DeclineReason::VersionGone,
         _ => DeclineReason::NotRun,
     };
     HopOutcome::NotRun {
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -14,6 +14,7 @@
 mod choose_backend;
 mod choose_replica;
 mod collect;
+mod confirm_software;
 mod context;
 mod decode;
 mod delivery;
@@ -31,6 +32,7 @@
 mod read_body;
 mod refusal;
 mod relay;
+mod take_stream_up;
 mod weights_mismatch;
 mod withdrawal;
 
@@ -109,6 +111,8 @@
     let charge = Charge::new(&state.held_bytes);
     let body = read_body::read_body(payload, &configuration.limits, deadline, &charge).await?;
     let service = choose_backend::choose_backend(state, &route)?;
+    let (service, binding) =
+        take_stream_up::bind_request(state, &decoded, &route, tenant.as_deref(), service).await?;
     let mut context = RequestContext::new(
         decoded,
         configuration,
@@ -119,6 +123,7 @@
         arrived_at,
     );
     context.body_charge = Some(charge);
+    context.binding.set(binding);
     check_share::check_share(state, &context)?;
     let context = Rc::new(context);
     let result = match context.route.kind {
--- a/crates/gateway/src/pipeline/refusal.rs
+++ b/crates/gateway/src/pipeline/refusal.rs
@@ -28,6 +28,8 @@
     Share,
     /// Reading the body.
     Body,
+    /// Finding out where a stream that is taken up began.
+    Resume,
     /// Choosing a replica.
     Choose,
     /// Sending the request.
@@ -73,6 +75,10 @@
     NotRun,
     /// It crashed the replicas that ran it, and is sent to none any more.
     Quarantined,
+    /// It takes up a stream that began at a software version that is not known here.
+    VersionUnknown,
+    /// It takes up a stream, and no replica of the software version that began it is left.
+    VersionGone,
     /// It may have run.
     Unknown,
     /// Its time is over.
@@ -83,6 +89,10 @@
 /// goes to another gateway, which usually has one.
 const NOT_INFORMED_RETRY_AFTER: Duration = Duration::from_millis(10);
 
+/// When a caller should retry if no replica of its stream's version is left: replicas that have crashed are back within
+/// seconds.
+const VERSION_GONE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 impl Reason {
     /// Status that callers receive. 429, 503, 408 and 421 promise that the request never runs.
     fn status(self) -> StatusCode {
@@ -101,6 +111,8 @@
             | Self::Overloaded
             | Self::OverShare
             | Self::NotRun
+            | Self::VersionUnknown
+            | Self::VersionGone
             | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -120,6 +132,16 @@
                 "Replicas that ran this request have ended, so no replica gets it any more. It was not run this time. \
                  Coming again does not help; an operator can release it.",
             )),
+            Self::VersionUnknown => Some(Explanation::new(
+                "stream_origin_unknown",
+                "The software version that began this stream is not known, so it can't go on. It was not run. \
+                 Without Last-Event-Id the request begins a new stream.",
+            )),
+            Self::VersionGone => Some(Explanation::new(
+                "stream_version_gone",
+                "No replica of the software version that began this stream is left, so it can't go on now. \
+                 It was not run. Without Last-Event-Id the request begins a new stream.",
+            )),
             _ => None,
         }
     }
@@ -131,6 +153,7 @@
             Self::NotInformed => Some(NOT_INFORMED_RETRY_AFTER),
             Self::NoReplica => Some(Duration::from_millis(250)),
             Self::NotRun => Some(Duration::from_millis(120)),
+            Self::VersionGone => Some(VERSION_GONE_RETRY_AFTER),
             _ => None,
         }
     }
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -28,6 +28,7 @@
 use super::event_splitter::EventSplitter;
 use super::forward::until_forwardable;
 use super::refusal::{Reason, Refusal, Step};
+use super::take_stream_up;
 use super::withdrawal::until_weights_too_old;
 use crate::held_bytes::Charge;
 use crate::state::GatewayState;
@@ -67,6 +68,9 @@
             "no first event in the request's time",
         )
     })??;
+    if let Piece::Events(_) = &first {
+        take_stream_up::note_begun(state, &context, &attempt.opened);
+    }
     tracker.record_answer_head();
     let mut builder = ResponseBuilder::new(attempt.opened.answer.status());
     copy_headers(attempt.opened.answer.headers(), &mut builder);
--- /dev/null
+++ b/crates/gateway/src/pipeline/take_stream_up.rs
@@ -0,0 +1,118 @@
+//! Filter: keeps a stream that a caller takes up to the service and the software version that began it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use driftspring_clock::Instant;
+use driftspring_telemetry::events::gateway;
+use driftspring_telemetry::log_event;
+
+use super::context::RequestContext;
+use super::decode::Decoded;
+use super::dispatch::OpenAnswer;
+use super::refusal::{Reason, Refusal, Step};
+use crate::configuration::{Route, RouteKind, Tenant};
+use crate::state::GatewayState;
+use crate::stream_versions::origin::{StreamOrigin, UnknownOrigin};
+use crate::stream_versions::records::{RECORD_MARGIN, StreamRecord};
+use crate::stream_versions::{StreamKey, VersionBinding, find_origin, service_digest};
+
+/// When a caller should retry if this gateway can't reach the others: its next connection goes to another gateway.
+const ISOLATED_RETRY_AFTER: Duration = Duration::from_millis(10);
+
+/// Returns the service that the request goes to, `chosen` unless it takes up a stream that began at another one, and the
+/// software version that may run it.
+pub async fn bind_request(
+    state: &Rc<GatewayState>,
+    decoded: &Decoded,
+    route: &Route,
+    tenant: Option<&Tenant>,
+    chosen: String,
+) -> Result<(String, VersionBinding), Refusal> {
+    let is_resumable = route.kind == RouteKind::Streaming && route.is_resumable;
+    match is_resumable && decoded.meta.last_event_id.is_some() {
+        true => bind(state, decoded, route, tenant, chosen).await,
+        false => Ok((chosen, VersionBinding::Free)),
+    }
+}
+
+/// The same for a request that takes a stream up.
+pub async fn bind(
+    state: &Rc<GatewayState>,
+    decoded: &Decoded,
+    route: &Route,
+    tenant: Option<&Tenant>,
+    chosen: String,
+) -> Result<(String, VersionBinding), Refusal> {
+    let tenant = tenant.map_or("", |tenant| &tenant.name);
+    // Without the id of the first request no record can be found; the only version in use is still known.
+    let first = decoded.meta.resumes.as_deref().unwrap_or(&decoded.id);
+    let key = StreamKey::new(tenant, first);
+    let origin = find_origin(state, key, service_digest(&chosen)).await;
+    let metrics = &state.status.metrics.streams;
+    match origin {
+        Ok(StreamOrigin::OnlyVersion(version)) => {
+            metrics.count_taken_up("only_version");
+            Ok((chosen, VersionBinding::Bound(version)))
+        }
+        Ok(StreamOrigin::Recorded { service, version }) => {
+            let mut backends = route.backends.iter();
+            let began_at = backends.find(|backend| service_digest(&backend.service) == service);
+            let Some(began_at) = began_at else {
+                metrics.count_taken_up("service_gone");
+                let detail = "the route has left the service that began the stream";
+                return Err(Refusal::new(Step::Resume, Reason::VersionGone, detail));
+            };
+            metrics.count_taken_up("recorded");
+            Ok((began_at.service.clone(), VersionBinding::Bound(version)))
+        }
+        Err(unknown) => {
+            metrics.count_taken_up(label(unknown));
+            let detail = format!("resumes={first} {unknown:?}");
+            let isolated = unknown == UnknownOrigin::Isolated;
+            Err(Refusal {
+                retry_after: isolated.then_some(ISOLATED_RETRY_AFTER),
+                ..Refusal::new(Step::Resume, Reason::VersionUnknown, detail)
+            })
+        }
+    }
+}
+
+fn label(unknown: UnknownOrigin) -> &'static str {
+    match unknown {
+        UnknownOrigin::NotRecorded => "not_recorded",
+        UnknownOrigin::Ambiguous => "ambiguous",
+        UnknownOrigin::Isolated => "isolated",
+    }
+}
+
+/// Binds the request to the version of the replica that has answered with the first event, and records it, before the
+/// event is forwarded.
+pub fn note_begun(state: &GatewayState, context: &RequestContext, opened: &OpenAnswer) {
+    if !context.is_resumable_stream() || !opened.answer.status().is_success() {
+        return;
+    }
+    context.binding.set(VersionBinding::to(opened.software));
+    let now = Instant::now();
+    let record = StreamRecord {
+        service: service_digest(&context.service),
+        version: opened.software,
+        expires_at: context.deadline + RECORD_MARGIN,
+        is_own: true,
+    };
+    let resumed = context.meta.last_event_id.as_ref();
+    let resumed = resumed.and(context.meta.resumes.as_deref());
+    if let Some(first) = resumed {
+        log_event!(
+            gateway::STREAM_TAKEN_UP,
+            "request={} resumes={first} after={:?} version={:?}",
+            context.id,
+            context.meta.last_event_id,
+            opened.software
+        );
+    }
+    for id in [Some(context.id.as_str()), resumed].into_iter().flatten() {
+        let key = context.stream_key(id);
+        state.streams.record_own(key, record, now);
+    }
+}
--- a/crates/gateway/src/replicas/registry.rs
+++ b/crates/gateway/src/replicas/registry.rs
@@ -11,6 +11,8 @@
 use super::replica::Replica;
 use super::service_replicas::ServiceReplicas;
 use crate::protocol::{ReplicaEntry, ReplicaIncarnation};
+use crate::stream_versions::history::VersionSet;
+use crate::stream_versions::service_digest;
 
 /// Limit of the services that are remembered as reporting births. No configuration has more, but entries of
 /// other writers may name any service.
@@ -56,6 +58,19 @@
         replicas.cloned().collect()
     }
 
+    /// The versions of the software of each service's replicas, by the digest of the service's name.
+    pub fn software_by_service(&self) -> HashMap<u64, VersionSet> {
+        let by_service = self.by_service.borrow();
+        let versions_of = |replicas: &Rc<ServiceReplicas>| {
+            let versions = replicas.iter().map(|replica| replica.software());
+            versions.collect::<VersionSet>()
+        };
+        let services = by_service.iter();
+        let services =
+            services.map(|(service, replicas)| (service_digest(service), versions_of(replicas)));
+        services.collect()
+    }
+
     /// The latest incarnation of the replica with this id.
     pub fn get(&self, id: &str) -> Option<Rc<Replica>> {
         self.by_id.borrow().get(id).cloned()
--- a/crates/gateway/src/replicas/replica.rs
+++ b/crates/gateway/src/replicas/replica.rs
@@ -49,6 +49,7 @@
     /// How fast it answers.
     pub speed: SpeedTracker,
     entry: RefCell<ReplicaEntry>,
+    software: Cell<Option<SoftwareVersion>>,
     listed_models: RefCell<Vec<ModelVersion>>,
     open_requests: Cell<u32>,
     prefill_until: Cell<Option<Instant>>,
@@ -74,6 +75,7 @@
             order_sequence: Cell::new(None),
             lapses_at: Cell::new(None),
             listed_models: RefCell::new(entry.models.clone()),
+            software: Cell::new(version_of_software(&entry)),
             entry: RefCell::new(entry),
             open_requests: Cell::new(0),
             prefill_until: Cell::new(None),
@@ -89,8 +91,7 @@
 
     /// The version of its software, if known.
     pub fn software(&self) -> Option<SoftwareVersion> {
-        let entry = self.entry.borrow();
-        entry.software.as_deref().map(SoftwareVersion::named)
+        self.software.get()
     }
 
     /// Its entry in the store.
@@ -109,6 +110,7 @@
         if entry.software.is_none() {
             entry.software = self.entry().software.clone();
         }
+        self.software.set(version_of_software(&entry));
         *self.entry.borrow_mut() = entry;
         self.lapses_at.set(None);
     }
@@ -273,6 +275,10 @@
     }
 }
 
+fn version_of_software(entry: &ReplicaEntry) -> Option<SoftwareVersion> {
+    entry.software.as_deref().map(SoftwareVersion::named)
+}
+
 /// Counts a request as open at a replica until it is dropped.
 #[derive(Debug)]
 pub struct OpenRequestGuard {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -42,6 +42,7 @@
     self, KnownNamings, Rejected, Rejections, StoreEraTracker, StoreOutage, StorePosition,
     StoreProgress,
 };
+use crate::stream_versions::StreamVersions;
 use crate::suspected_weights::SuspectedWeights;
 use crate::upstream::Pool;
 use crate::weights::WantedWeights;
@@ -137,6 +138,8 @@
     pub brittle_services: BrittleServices,
     /// Which replicas have given a notice.
     pub notice_survey: NoticeSurvey,
+    /// Software versions of streams that may be resumed.
+    pub streams: StreamVersions,
     /// Exchange with other gateways.
     pub peers: Peers,
     /// Wakes requests that wait for the first list of replicas.
@@ -234,6 +237,7 @@
             brittle_services: BrittleServices::default(),
             notice_survey: NoticeSurvey::default(),
             store,
+            streams: StreamVersions::default(),
             peers,
             cached: CachedParts::default(),
             holders: PromptHolders::default(),
@@ -434,6 +438,7 @@
     /// Rebuilds the index of the replicas, and wakes what waits for them.
     fn publish_replicas(&self) {
         self.registry.rebuild_index();
+        self.streams.note_listed(&self.registry, Instant::now());
         self.replicas_listed.notify_waiters();
         let count = i64::try_from(self.registry.len()).unwrap_or(i64::MAX);
         self.status.metrics.replicas.set(count);
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -1,5 +1,6 @@
 //! Short calls to the store and to replicas, apart from callers' requests.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 use crate::protocol::Call;
 
 /// Largest accepted answer to a call, in bytes.
-const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+pub(super) const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
 /// Why a call is not sent although its connection was established.
 const NO_LONGER_ALLOWED: &str = "the call is no longer allowed";
@@ -97,7 +98,7 @@
     may_be_sent: impl Fn() -> bool,
 ) -> Result<CallAnswer, CallError> {
     let request =
-        build_request(pool, call).map_err(|error| CallError::NotSent(error.to_string()))?;
+        build_call(pool.peer(), call).map_err(|error| CallError::NotSent(error.to_string()))?;
     let connection = pool.take().await;
     let mut connection = connection.map_err(|error| CallError::NotSent(error.to_string()))?;
     if !may_be_sent() {
@@ -115,11 +116,15 @@
     })
 }
 
-fn build_request(pool: &Pool, call: &Call) -> Result<Request<Full<Bytes>>, http::Error> {
+/// The HTTP request of a call to `peer`.
+pub(super) fn build_call(
+    peer: SocketAddr,
+    call: &Call,
+) -> Result<Request<Full<Bytes>>, http::Error> {
     let mut request = Request::builder()
         .method(&call.method)
         .uri(&call.path)
-        .header(HOST, pool.peer().to_string());
+        .header(HOST, peer.to_string());
     for (name, value) in &call.headers {
         request = request.header(name, value);
     }
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -6,13 +6,15 @@
 use bytes::Bytes;
 use driftspring_clock::Instant;
 use http::{HeaderMap, Request, Response};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::task::AbortHandle;
 
+use super::call::{CallAnswer, CallError, MAX_ANSWER_BYTES, build_call};
 use super::connector::{ConnectError, connect};
+use crate::protocol::Call;
 
 /// How long an idle connection is kept if the peer does not specify it.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(8);
@@ -52,6 +54,8 @@
     usable_until: Instant,
     /// Whether it has carried a request before.
     pub is_reused: bool,
+    /// Whether the peer has reported on it that it is the expected incarnation of a replica.
+    pub is_confirmed: bool,
 }
 
 impl Drop for Connection {
@@ -84,6 +88,7 @@
             peer,
             usable_until: now + DEFAULT_IDLE_TIMEOUT,
             is_reused: false,
+            is_confirmed: false,
         })
     }
 
@@ -118,6 +123,28 @@
         })
     }
 
+    /// Makes a call and waits for its complete answer. After an error the connection can't be used any more.
+    ///
+    /// # Errors
+    ///
+    /// The error says whether the call may have been executed.
+    pub async fn call(&mut self, call: &Call) -> Result<CallAnswer, CallError> {
+        let request = build_call(self.peer, call);
+        let request = request.map_err(|error| CallError::NotSent(error.to_string()))?;
+        let lost = |error: &dyn std::error::Error| CallError::NoAnswer(describe_with_causes(error));
+        let response = self.send(request).await.map_err(|error| lost(&error))?;
+        let (head, body) = response.into_parts();
+        self.note_keep_alive(&head.headers);
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+        let body = body.map_err(|error| lost(&*error))?;
+        self.sender.ready().await.map_err(|error| lost(&error))?;
+        Ok(CallAnswer {
+            status: head.status,
+            headers: head.headers,
+            body: body.to_bytes(),
+        })
+    }
+
     /// Applies the `Keep-Alive` header of an answer, which says how long the peer keeps the connection.
     pub fn note_keep_alive(&mut self, headers: &HeaderMap) {
         let idle = match peer_idle_time(headers) {
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -21,6 +21,7 @@
     FORWARD_FAILED = 6110, Info, "Another gateway did not serve a request that was forwarded to it; the field tells whether it was not sent, declined (why), lost or failed.";
     FORWARDED_TAKEN = 6111, Info, "Another gateway has forwarded a request, since it can't reach the replicas of the service. This gateway chooses the replica; the first one keeps quota, attempts and the resumption of streams.";
     FORWARDED_ENDED = 6112, Info, "A request that another gateway has forwarded has ended here; the fields give the replica, if one answered, and the outcome.";
+    STREAM_TAKEN_UP = 6113, Info, "A stream that a caller has taken up goes on. The fields give the request that brought its first event, the event after which it goes on, and the digest of the software version to which it is bound.";
     CONFIGURATION_TAKEN = 6200, Info, "A newer configuration is in force.";
     ENTRY_REJECTED = 6201, Error, "An object of the store, a replica's report, a page of cached parts or a datagram can't be read: another writer may have made it. A replica's entry then names no replica to use, a lease counts as held by another, of all other kinds what was in force stays. Logged once for each name and reason; the metric `rejected` counts all.";
     STORE_LOST = 6202, Warn, "The store does not answer; the field tells which task noticed it.";
