--- a/crates/gateway/src/peers/packed.rs
+++ b/crates/gateway/src/peers/packed.rs
@@ -34,9 +34,16 @@
     pub is_draining: bool,
     /// Their loaded weights: models with their versions.
     pub models: Vec<(u8, u64)>,
-    /// The version of their software.
-    #[musli(default)]
-    pub software: Option<u8>,
+    /// The version of their software, if it differs from [`PackedReplicas::software`].
+    #[musli(default, skip_encoding_if = Option::is_none)]
+    pub software: Option<OwnSoftware>,
+}
+
+/// The version of the software of replicas of one kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub struct OwnSoftware {
+    /// Its name; none if it is unknown.
+    pub name: Option<u8>,
 }
 
 /// Replicas with rows of equal length. A row holds the index of the kind, the address, the birth time if there is one,
@@ -58,6 +65,9 @@
     pub kinds: Vec<ReplicaKind>,
     /// The replicas.
     pub tables: Vec<ReplicaTable>,
+    /// The version of the software of all kinds that state no other one; none if it is unknown.
+    #[musli(default, skip_encoding_if = Option::is_none)]
+    pub software: Option<u8>,
 }
 
 impl PackedReplicas {
@@ -107,7 +117,7 @@
             slots: kind.slots,
             is_draining: kind.is_draining,
             models: models.collect::<Option<_>>()?,
-            software: match kind.software {
+            software: match kind.software.map_or(self.software, |own| own.name) {
                 Some(index) => Some(self.text(index)?),
                 None => None,
             },
@@ -146,6 +156,8 @@
 struct Packer {
     texts: Vec<String>,
     kinds: Vec<ReplicaKind>,
+    /// See [`PackedReplicas::software`]; not set before the first replica.
+    software: Option<Option<u8>>,
     /// The size of the strings and kinds, in bytes.
     names_bytes: usize,
     tables: Vec<TableBuilder>,
@@ -197,14 +209,22 @@
             slots: replica.slots,
             is_draining: replica.is_draining,
             models,
-            software: match &replica.software {
-                Some(name) => Some(self.text_index(name)?),
-                None => None,
-            },
+            software: self.own_software(replica)?,
         };
         index_of(&mut self.kinds, &mut self.names_bytes, &kind)
     }
 
+    /// The version of a replica's software as its kind states it; `None` if there are too many texts. The first replica
+    /// decides what the others need not state.
+    fn own_software(&mut self, replica: &WireReplica) -> Option<Option<OwnSoftware>> {
+        let name = match &replica.software {
+            Some(name) => Some(self.text_index(name)?),
+            None => None,
+        };
+        let common = *self.software.get_or_insert(name);
+        Some((name != common).then_some(OwnSoftware { name }))
+    }
+
     fn text_index(&mut self, text: &String) -> Option<u8> {
         index_of(&mut self.texts, &mut self.names_bytes, text)
     }
@@ -224,6 +244,7 @@
             tables: tables.collect(),
             texts: self.texts,
             kinds: self.kinds,
+            software: self.software.flatten(),
         }
     }
 }
