--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -509,7 +509,8 @@
             &format!("fingerprint={fingerprint} {cause}"),
         );
         let ran = self.sent_at.elapsed();
-        note_lost_answer(&self.state, &choice.replica, fingerprint, ran);
+        let parts = self.context.part_fingerprints();
+        note_lost_answer(&self.state, &choice.replica, fingerprint, parts, ran);
         self.tried.push(choice.replica.incarnation.clone());
         match self.may_run_again() {
             true => Ok(()),
--- a/crates/gateway/src/pipeline/check_quarantine.rs
+++ b/crates/gateway/src/pipeline/check_quarantine.rs
@@ -1,4 +1,5 @@
-//! Filter: stops requests that crash the replicas that run them ([`crate::quarantine`]).
+//! Filter: stops requests that crash the replicas that run them, and those with a part in their prompts that does
+//! ([`crate::quarantine`]).
 
 use super::context::RequestContext;
 use super::refusal::{Reason, Refusal, Step};
@@ -14,38 +15,57 @@
     context: &RequestContext,
     may_have_run: bool,
 ) -> Result<(), Refusal> {
-    let fingerprint = || context.fingerprint();
-    match state.quarantine.verdict(fingerprint) {
-        Verdict::Clear => Ok(()),
-        // It may have crashed the replica that it was sent to. If it was not the cause, its caller sends it again.
-        Verdict::Suspicious if may_have_run => Err(refusal(
-            context.fingerprint(),
-            "suspected to have ended replicas",
-        )),
-        Verdict::Suspicious => Ok(()),
-        Verdict::TrialDue if is_trial_gateway(state, context.fingerprint()) => {
-            state.quarantine.begin_trial(context.fingerprint());
-            Ok(())
-        }
-        Verdict::IsolatedTrialDue(from)
-            if is_own_turn_to_isolate(state, context.fingerprint(), from) =>
-        {
-            state.quarantine.begin_isolated_trial(context.fingerprint());
-            Ok(())
-        }
-        Verdict::TrialDue | Verdict::IsolatedTrialDue(_) | Verdict::Quarantined => {
+    if !state.quarantine.has_suspects() {
+        return Ok(());
+    }
+    let own = context.fingerprint();
+    let parts = context.part_fingerprints();
+    let suspects = parts.iter().copied().chain([own]);
+    let judged: Vec<(Fingerprint, Verdict)> = suspects
+        .map(|suspect| (suspect, state.quarantine.verdict(|| suspect)))
+        .filter(|(_, verdict)| *verdict != Verdict::Clear)
+        .collect();
+    let held = judged
+        .iter()
+        .filter(|(_, verdict)| *verdict != Verdict::Suspicious);
+    // A trial in isolation says nothing if the request has another suspect.
+    let is_alone = held.clone().count() == 1;
+    for (suspect, verdict) in held.clone() {
+        let may_be_tried = match verdict {
+            Verdict::TrialDue => is_trial_gateway(state, *suspect),
+            Verdict::IsolatedTrialDue(from) => {
+                is_alone && is_own_turn_to_isolate(state, *suspect, *from)
+            }
+            Verdict::Clear | Verdict::Suspicious | Verdict::Quarantined => false,
+        };
+        if !may_be_tried {
             state.status.metrics.quarantined.inc();
-            Err(refusal(context.fingerprint(), "quarantined"))
+            return Err(refusal(context, *suspect, "quarantined"));
         }
     }
+    // It may have crashed the replica that it was sent to. If it was not the cause, its caller sends it again. Of parts
+    // this is not assumed: they are shared with many requests that have just lost their replica as well.
+    if may_have_run && judged.contains(&(own, Verdict::Suspicious)) {
+        let reason = "suspected to have ended replicas";
+        return Err(refusal(context, own, reason));
+    }
+    for (suspect, verdict) in held {
+        match verdict {
+            Verdict::TrialDue => state.quarantine.begin_trial(*suspect),
+            _ => state.quarantine.begin_isolated_trial(*suspect),
+        }
+    }
+    Ok(())
 }
 
-/// Records that a request was answered completely, so its replica has survived it.
+/// Records that a request was answered completely, so its replica has survived it and the parts of its prompt.
 pub fn note_survived(state: &GatewayState, context: &RequestContext) {
-    if state.quarantine.may_clear() {
-        state
-            .quarantine
-            .clear(context.fingerprint(), RecordSource::Own);
+    if !state.quarantine.may_clear() {
+        return;
+    }
+    let parts = context.part_fingerprints().iter().copied();
+    for survived in parts.chain([context.fingerprint()]) {
+        state.quarantine.clear(survived, RecordSource::Own);
     }
 }
 
@@ -61,7 +81,13 @@
     state.quarantine.now() >= from.saturating_add(turn)
 }
 
-fn refusal(fingerprint: Fingerprint, reason: &str) -> Refusal {
-    let detail = format!("{reason} fingerprint={fingerprint}");
+fn refusal(context: &RequestContext, suspect: Fingerprint, reason: &str) -> Refusal {
+    let mut parts = context.part_fingerprints().iter();
+    let position = parts.position(|part| *part == suspect);
+    let part = position.and_then(|position| context.shared_parts().get(position));
+    let detail = match part {
+        Some(part) => format!("{reason} fingerprint={suspect} part={}", part.id),
+        None => format!("{reason} fingerprint={suspect}"),
+    };
     Refusal::new(Step::Dispatch, Reason::Quarantined, detail)
 }
--- a/crates/gateway/src/pipeline/context.rs
+++ b/crates/gateway/src/pipeline/context.rs
@@ -23,6 +23,9 @@
 /// Time limit that stands in for the caller's or the route's, if that one is not set.
 const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(600);
 
+/// Number of the first shared parts of a prompt that may be held responsible for a crash; prompts have a few.
+const MAX_SUSPECT_PARTS: usize = 32;
+
 /// Everything known about a request once it may be sent.
 #[derive(Debug)]
 pub struct RequestContext {
@@ -57,6 +60,7 @@
     /// Where its tenant stands if the service is overloaded.
     pub standing: Cell<Standing>,
     fingerprint: OnceCell<Fingerprint>,
+    part_fingerprints: OnceCell<Vec<Fingerprint>>,
 }
 
 /// When the caller or the route gives up a request that arrived at `arrived_at`.
@@ -98,6 +102,7 @@
             binding: Cell::default(),
             standing: Cell::default(),
             fingerprint: OnceCell::new(),
+            part_fingerprints: OnceCell::new(),
         }
     }
 
@@ -116,6 +121,20 @@
         })
     }
 
+    /// Identify the shared parts of its prompt, in order; hashed on first use, since few requests need them.
+    pub fn part_fingerprints(&self) -> &[Fingerprint] {
+        self.part_fingerprints.get_or_init(|| {
+            let Some(prompt) = self.prompt() else {
+                return Vec::new();
+            };
+            let partition = self.cache_partition();
+            let parts = self.shared_parts().iter().take(MAX_SUSPECT_PARTS);
+            let fingerprints =
+                parts.map(|part| Fingerprint::of_part(partition, &prompt.model, &part.id));
+            fingerprints.collect()
+        })
+    }
+
     /// Whether its stream may be resumed, and so has to keep to one software version.
     pub fn is_resumable_stream(&self) -> bool {
         self.route.kind == RouteKind::Streaming && self.route.is_resumable
--- a/crates/gateway/src/pipeline/refusal.rs
+++ b/crates/gateway/src/pipeline/refusal.rs
@@ -129,7 +129,8 @@
         match self {
             Self::Quarantined => Some(Explanation::new(
                 "request_quarantined",
-                "Replicas that ran this request have ended, so no replica gets it any more. It was not run this time. \
+                "Replicas that ran this request, or others with a part of its prompt, have ended, so no replica gets it \
+                 any more. It was not run this time. \
                  Coming again does not help; an operator can release it.",
             )),
             Self::VersionUnknown => Some(Explanation::new(
--- a/crates/gateway/src/quarantine/evidence.rs
+++ b/crates/gateway/src/quarantine/evidence.rs
@@ -133,6 +133,27 @@
             || reaches_limit && !self.is_explained_by_quarantined(fingerprint, record)
     }
 
+    /// Whether this is a part of prompts, and one quarantined request was open at all crashes that count against it.
+    pub(super) fn is_part_explained_by_request(
+        &self,
+        fingerprint: Fingerprint,
+        record: &Record,
+    ) -> bool {
+        let Some(first) = record.strikes.first().filter(|_| fingerprint.is_part()) else {
+            return false;
+        };
+        let explains = |other: &Record| {
+            let mut crashes = record.strikes.iter();
+            other.is_quarantined && crashes.all(|strike| other.has_strike_of(strike.replica))
+        };
+        let open_there = self.requests_by_crash.requests_open_at(first.replica);
+        open_there
+            .iter()
+            .filter(|other| !other.is_part())
+            .filter_map(|other| self.records.get(other))
+            .any(explains)
+    }
+
     /// Whether a quarantined request was open at all crashes that count against this one, and at others too.
     /// A request that ran longer there explains nothing: it is rather the one that was there by chance.
     pub(super) fn is_explained_by_quarantined(
--- a/crates/gateway/src/quarantine/fingerprint.rs
+++ b/crates/gateway/src/quarantine/fingerprint.rs
@@ -1,4 +1,4 @@
-//! Identifies all attempts of the same request.
+//! Identifies all attempts of the same request, and all requests with the same part in their prompts.
 
 use std::fmt;
 use std::str::FromStr;
@@ -9,8 +9,15 @@
 /// second request with the same fingerprint, and so none can get another caller's request quarantined.
 const BYTES: usize = 16;
 
-/// A digest of a request's method, host, path, caller and body. Its id and its other headers are left out: a
-/// caller that retries uses a new id.
+/// The first bytes of the fingerprints of prompt parts. A request's fingerprint begins so by chance once in 2^32; it is
+/// then only judged like a part.
+const PART_TAG: [u8; 4] = *b"part";
+
+/// Separates the digests of parts from those of requests.
+const PART_CONTEXT: &str = "driftspring gateway quarantine prompt part";
+
+/// A digest of a request's method, host, path, caller and body, or of a part of prompts. The id and the other headers of
+/// a request are left out: a caller that retries uses a new id.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Fingerprint([u8; BYTES]);
 
@@ -28,6 +35,25 @@
         Self(bytes)
     }
 
+    /// Computes the fingerprint of a part of prompts for `model`. Parts of the same name are equal among all callers that
+    /// share a cache `partition`.
+    pub fn of_part(partition: &str, model: &str, part: &str) -> Self {
+        let mut hasher = blake3::Hasher::new_derive_key(PART_CONTEXT);
+        for field in [partition, model, part] {
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field.as_bytes());
+        }
+        let mut bytes = [0; BYTES];
+        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..BYTES]);
+        bytes[..PART_TAG.len()].copy_from_slice(&PART_TAG);
+        Self(bytes)
+    }
+
+    /// Whether it identifies a part of prompts rather than a request.
+    pub fn is_part(self) -> bool {
+        self.0.starts_with(&PART_TAG)
+    }
+
     /// Converts from the number that gateways exchange.
     pub fn from_number(number: u128) -> Self {
         Self(number.to_be_bytes())
--- a/crates/gateway/src/quarantine/ledger.rs
+++ b/crates/gateway/src/quarantine/ledger.rs
@@ -17,6 +17,10 @@
 //! and however often they arrive: clearing a request starts a new generation, which supersedes the earlier
 //! ones.
 //!
+//! Parts of prompts are judged by the same rules: a crash is a strike against the shared parts of all requests that
+//! were open there, and a completed answer clears its parts. A part whose crashes are all those of one quarantined
+//! request is not held: that request is the narrower explanation.
+//!
 //! A record with one strike is known only to the request's home gateways and to those that lost an answer.
 
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -267,7 +271,10 @@
     /// Decides how to treat the request at `now`.
     pub fn verdict(&self, fingerprint: Fingerprint, now: Duration) -> Verdict {
         match self.records.get(&fingerprint) {
-            Some(record) if record.is_quarantined => {
+            Some(record)
+                if record.is_quarantined
+                    && !self.is_part_explained_by_request(fingerprint, record) =>
+            {
                 let apart = self.isolated_trial_due_at(fingerprint);
                 match apart.filter(|from| now >= *from) {
                     Some(from) => Verdict::IsolatedTrialDue(from),
@@ -277,6 +284,7 @@
             }
             Some(record)
                 if record.is_suspect()
+                    && !record.is_quarantined
                     && !self.is_explained_by_quarantined(fingerprint, record) =>
             {
                 Verdict::Suspicious
@@ -382,13 +390,14 @@
         })
     }
 
-    /// The quarantined requests that were open at some of the crashes that count against this one.
+    /// The quarantined requests that were open at some of the crashes that count against this one. The parts of a
+    /// request that crashes replicas are no rivals of it, nor is any request one of a part.
     pub(super) fn rivals(&self, fingerprint: Fingerprint) -> Vec<(Fingerprint, &Record)> {
         let strikes = self.records.get(&fingerprint).into_iter();
         let strikes = strikes.flat_map(|record| &record.strikes);
         let mut rivals: Vec<Fingerprint> = strikes
             .flat_map(|strike| self.requests_by_crash.requests_open_at(strike.replica))
-            .filter(|other| **other != fingerprint)
+            .filter(|other| **other != fingerprint && (other.is_part() || !fingerprint.is_part()))
             .copied()
             .collect();
         rivals.sort_unstable();
@@ -396,7 +405,9 @@
         let rivals = rivals.into_iter();
         rivals
             .filter_map(|other| Some((other, self.records.get(&other)?)))
-            .filter(|(_, record)| record.is_quarantined)
+            .filter(|(other, record)| {
+                record.is_quarantined && !self.is_part_explained_by_request(*other, record)
+            })
             .collect()
     }
 
--- a/crates/gateway/src/quarantine/lost_answers.rs
+++ b/crates/gateway/src/quarantine/lost_answers.rs
@@ -5,7 +5,7 @@
 //! refused.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -44,9 +44,11 @@
 pub struct LostAnswers(RefCell<HashMap<ReplicaIncarnation, Vec<LostAnswer>>>);
 
 /// An answer that broke off.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct LostAnswer {
     fingerprint: Fingerprint,
+    /// The fingerprints of the shared parts of its prompt.
+    parts: Vec<Fingerprint>,
     /// How long the request had been at the replica.
     ran: Duration,
 }
@@ -68,19 +70,24 @@
 }
 
 /// Records that the answer of `replica` to the request with this fingerprint was lost after `ran`, and starts
-/// to find out whether the replica has crashed. A replica that is leaving may end its process: that is no
+/// to find out whether the replica has crashed. `parts` are the fingerprints of the shared parts of its prompt. A replica that is leaving may end its process: that is no
 /// crash.
 pub fn note_lost_answer(
     state: &Rc<GatewayState>,
     replica: &Rc<Replica>,
     fingerprint: Fingerprint,
+    parts: &[Fingerprint],
     ran: Duration,
 ) {
     let is_listed = state.registry.get(replica.id()).is_some();
     if !is_listed || replica.is_leaving() {
         return;
     }
-    let lost_answer = LostAnswer { fingerprint, ran };
+    let lost_answer = LostAnswer {
+        fingerprint,
+        parts: parts.to_vec(),
+        ran,
+    };
     if state
         .quarantine
         .lost_answers
@@ -113,7 +120,7 @@
         logged_fingerprints(&lost)
     );
     let directory = state.peers.directory();
-    for LostAnswer { fingerprint, ran } in lost {
+    for (fingerprint, ran) in longest_runs(lost) {
         // If the next incarnation is already there, the request may have run at either and only have broken
         // off at that one; with the start time, the strike would count against the incarnation that is alive.
         let began_at = is_refused.then(|| ended_at.saturating_sub(ran));
@@ -128,6 +135,20 @@
     }
 }
 
+/// The requests whose answers were lost, and the parts of their prompts, each with its longest run.
+fn longest_runs(lost: Vec<LostAnswer>) -> BTreeMap<Fingerprint, Duration> {
+    let mut runs: BTreeMap<Fingerprint, Duration> = BTreeMap::new();
+    for lost_answer in lost {
+        let mut suspects = lost_answer.parts;
+        suspects.push(lost_answer.fingerprint);
+        for suspect in suspects {
+            let longest = runs.entry(suspect).or_default();
+            *longest = lost_answer.ran.max(*longest);
+        }
+    }
+    runs
+}
+
 /// Whether the address of a replica refuses connections, and not because this gateway has lost all replicas of its service
 /// at once. In that case it looks again when one of them answers.
 async fn is_refused_on_sound_path(state: &Rc<GatewayState>, replica: &Replica) -> bool {
--- a/crates/gateway/src/quarantine/shared.rs
+++ b/crates/gateway/src/quarantine/shared.rs
@@ -279,6 +279,11 @@
         }
     }
 
+    /// Whether some records have to be compared with requests before these are sent.
+    pub fn has_suspects(&self) -> bool {
+        self.ledger.borrow().has_suspects()
+    }
+
     /// Whether a completed answer may clear a request.
     pub fn may_clear(&self) -> bool {
         self.ledger.borrow().may_clear(self.now())
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -67,9 +67,9 @@
     ORDER_LOST = 6404, Warn, "An order has no answer; it may have been taken, or may be taken later.";
     WEIGHTS_LOADED = 6405, Info, "A replica has new weights.";
     WEIGHTS_REFUSED = 6406, Info, "A replica refused suspected weights (6212): they were not named, and nothing changes.";
-    REQUEST_STRUCK = 6600, Info, "A replica ended while a request was open there; the fields give the request's fingerprint, the digest of the replica's life (see 6306), how many ends count against the request by now, and who told.";
+    REQUEST_STRUCK = 6600, Info, "A replica ended while a request was open there, or one with this shared part in its prompt (its fingerprint begins with 70617274); the fields give the fingerprint, the digest of the replica's life (see 6306), how many ends count against the request by now, and who told.";
     REQUEST_CLEARED = 6601, Info, "A request that was open at replicas as they ended was answered whole: nothing counts against it any more.";
-    REQUEST_QUARANTINED = 6602, Warn, "A request ended too many replicas; no replica gets it any more, whoever sends it. The fields give its fingerprint and the digests of the replicas' lives (see 6306).";
+    REQUEST_QUARANTINED = 6602, Warn, "A request, or a part of prompts (fingerprint 70617274...), ended too many replicas; no replica gets it, or a request with it, any more, whoever sends it. The fields give its fingerprint and the digests of the replicas' lives (see 6306).";
     REQUEST_RELEASED = 6603, Warn, "An operator took a request out of quarantine.";
     REQUEST_TRIED = 6604, Warn, "A request in quarantine is sent to one replica, by one daemon: it has been there for long, in case that the replicas were mended; or others were open at the same ends, and one of them may be the cause.";
     QUARANTINE_NOT_KEPT = 6605, Warn, "The store did not take, or did not remove, the record of a request that ended replicas; it is tried again. All daemons know it meanwhile.";
