--- a/crates/gateway/src/notices/brittle.rs
+++ b/crates/gateway/src/notices/brittle.rs
@@ -7,10 +7,11 @@
 use driftspring_clock::Instant;
 use driftspring_decisions::concurrency_window::{ConcurrencyWindow, Division};
 
-/// Share of its slots with which a gateway begins at a replica that says that it is brittle.
+/// Share of its slots with which a gateway begins at a replica that says that it is brittle, and at those that are listed
+/// beside it.
 const FIRST_SHARE: f64 = 1.0;
 
-/// The same at one that has just come back, or of which nothing is known.
+/// The same at one that may have crashed lately: it broke off, or is listed since its service is known to be brittle.
 const RETURN_SHARE: f64 = 0.5;
 
 /// How long the replicas of a service are assumed to be brittle after one of them has said so.
@@ -85,13 +86,28 @@
         known.map(|known| known.refusals_tolerated) != tolerated
     }
 
-    /// Assumes that the replica is brittle until it has answered, since others of its service are.
+    /// Assumes that a replica that is listed when another one of its service turns out to be brittle is brittle as well,
+    /// until it has answered.
     pub fn assume(&self, refusals_tolerated: u32, start: impl FnOnce() -> WindowStart) {
+        self.assume_with(FIRST_SHARE, refusals_tolerated, start);
+    }
+
+    /// The same for a replica that is listed later: it may have crashed and come back.
+    pub fn assume_returned(&self, refusals_tolerated: u32, start: impl FnOnce() -> WindowStart) {
+        self.assume_with(RETURN_SHARE, refusals_tolerated, start);
+    }
+
+    fn assume_with(
+        &self,
+        share: f64,
+        refusals_tolerated: u32,
+        start: impl FnOnce() -> WindowStart,
+    ) {
         if !self.is_told.get() && self.known.get().is_none() {
             let start = start();
             self.known.set(Some(Brittle {
                 refusals_tolerated,
-                window: start.window(RETURN_SHARE),
+                window: start.window(share),
                 gateways: start.gateways,
                 refused_at: None,
             }));
@@ -144,13 +160,15 @@
 pub struct BrittleServices(RefCell<HashMap<String, (u32, Instant)>>);
 
 impl BrittleServices {
-    /// Records what a replica of the service says.
-    pub fn record(&self, service: &str, refusals_tolerated: u32, now: Instant) {
+    /// Records what a replica of the service says. Returns whether the service was not assumed to be brittle before.
+    pub fn record(&self, service: &str, refusals_tolerated: u32, now: Instant) -> bool {
+        let is_new = self.assumed(service, now).is_none();
         let mut services = self.0.borrow_mut();
         match services.get_mut(service) {
             Some(known) => *known = (refusals_tolerated, now),
             None => drop(services.insert(service.to_owned(), (refusals_tolerated, now))),
         }
+        is_new
     }
 
     /// Whether any replica has said so yet.
--- a/crates/gateway/src/notices/record.rs
+++ b/crates/gateway/src/notices/record.rs
@@ -103,7 +103,12 @@
     if let Some(tolerated) = tolerated {
         let service = &replica.entry().service;
         let now = Instant::now();
-        state.brittle_services.record(service, tolerated, now);
+        if state.brittle_services.record(service, tolerated, now) {
+            for listed in state.registry.of_service(service).iter() {
+                let start = || window_start(state, listed);
+                listed.notices.brittleness.assume(tolerated, start);
+            }
+        }
     }
     if !brittleness.record(tolerated, || window_start(state, replica)) {
         return;
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -268,7 +268,7 @@
             let start = || window_start(state, replica);
             let brittleness = &replica.notices.brittleness;
             if let Some(tolerated) = assumed {
-                brittleness.assume(tolerated, start);
+                brittleness.assume_returned(tolerated, start);
             }
             brittleness.adjust(gateways, start);
         }
