--- a/crates/gateway/src/peers/stream_message.rs
+++ b/crates/gateway/src/peers/stream_message.rs
@@ -12,6 +12,9 @@
 use crate::stream_versions::origin::Knowledge;
 use crate::stream_versions::records::StreamRecord;
 
+/// Limit of the time for which a record is kept, whatever its sender states.
+const MAX_LIFETIME: Duration = Duration::from_secs(3600);
+
 /// The version at which a stream began.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub struct WireStream {
@@ -76,9 +79,6 @@
     }
 }
 
-/// Limit of the time for which a record is kept, whatever its sender states.
-const MAX_LIFETIME: Duration = Duration::from_secs(3600);
-
 impl WireStreamReply {
     /// What the sender knows.
     pub fn knowledge(&self, now: Instant) -> Knowledge {
--- a/crates/gateway/src/quarantine/lost_answers.rs
+++ b/crates/gateway/src/quarantine/lost_answers.rs
@@ -70,8 +70,8 @@
 }
 
 /// Records that the answer of `replica` to the request with this fingerprint was lost after `ran`, and starts
-/// to find out whether the replica has crashed. `parts` are the fingerprints of the shared parts of its prompt. A replica that is leaving may end its process: that is no
-/// crash.
+/// to find out whether the replica has crashed. `parts` are the fingerprints of the shared parts of its prompt.
+/// A replica that is leaving may end its process: that is no crash.
 pub fn note_lost_answer(
     state: &Rc<GatewayState>,
     replica: &Rc<Replica>,
