--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,131 @@
+"""A planned stop while callers read their answers slowly."""
+
+import os
+import sys
+
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(FOLDER, "..", "standins"))
+
+from world import *  # noqa: E402,F403
+
+SERVICE = "gauge-api"
+HOST, PATH, KEY = "jepu9.example", "/fiti832/", "ctnfzs989anu6wsjnban"
+
+#: The answers: 25 pieces of those that the gateway hands on (16 KiB), less one byte.
+ANSWER_BYTES = 409_599
+CALLERS = 60
+#: Each caller takes a part of its answer, rests, takes the next part, and so on; after the last rest it takes all that is
+#: left at once. The parts begin at other bytes for each caller, since what the kernel holds differs between machines.
+FIRST_REST_AT = 10_000
+FIRST_REST_STEP = 900
+REST_EVERY = 20_000
+RESTS = 4
+REST_SECONDS = 1.15
+DEADLINE_MS = 8_000
+#: When the requests are sent, after the SIGTERM if there is one. New requests are served for 2.6 s after it.
+SEND_AFTER_SECONDS = 0.3
+
+runs = {}
+
+
+async def behave(replica, request, writer):
+    """Runs a request; one with a size in its path gets an answer of that size."""
+    runs[request.id] = runs.get(request.id, 0) + 1
+    replica.world.record.note(f"run of {request.id} at {replica.id}")
+    await asyncio.sleep(0.03)
+    size = int(request.target.rsplit("/", 1)[1])
+    writer.write(answer_bytes(200, replica.answer_headers(request), b"x" * size))
+    await writer.drain()
+    replica.world.record.note(f"whole answer to {request.id} handed to the gateway by {replica.id}")
+
+
+class Caller:
+    """A client with a kept connection, at the segment size and window of a small machine on an ordinary network."""
+
+    def __init__(self, number, gateway):
+        self.number = number
+        self.gateway = gateway
+        first = FIRST_REST_AT + number * FIRST_REST_STEP
+        self.rests_at = [first + rest * REST_EVERY for rest in range(RESTS)]
+        self.answer = Answer()
+        self.id = new_id()
+
+    async def connect(self):
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1_460)
+        self.socket.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(self.socket, self.gateway.callers)
+        self.buffer = b""
+        await self.exchange(new_id(), 800, Answer(), [])
+
+    async def exchange(self, identity, size, answer, rests_at):
+        loop = asyncio.get_running_loop()
+        sent = request_bytes("POST", HOST, f"{PATH}{size}", identity, DEADLINE_MS, KEY, body=b"b" * 600)
+        await loop.sock_sendall(self.socket, sent)
+        received, length = b"", None
+        try:
+            while length is None or len(received) < length:
+                piece = await loop.sock_recv(self.socket, 4_096)
+                if not piece:
+                    answer.end = f"closed after {len(received)} of {length} bytes"
+                    return answer
+                received += piece
+                if length is None and b"\r\n\r\n" in received:
+                    text, _, _ = received.partition(b"\r\n\r\n")
+                    answer.status = int(text.split(b" ")[1])
+                    sizes = [line for line in text.lower().split(b"\r\n") if line.startswith(b"content-length:")]
+                    length = len(text) + 4 + int(sizes[0].split(b":")[1])
+                if rests_at and len(received) >= rests_at[0]:
+                    rests_at = rests_at[1:]
+                    await asyncio.sleep(REST_SECONDS)
+            answer.is_complete, answer.end = True, "whole"
+        except OSError as error:
+            answer.end = f"{type(error).__name__} after {len(received)} of {length} bytes"
+        return answer
+
+    async def run(self, record):
+        record.note(f"request {self.id} sent to {self.gateway.name}, rests after {self.rests_at} bytes")
+        sent_at = record.now()
+        await self.exchange(self.id, ANSWER_BYTES, self.answer, self.rests_at)
+        record.note(f"answer to {self.id} after {record.now() - sent_at:.2f} s: status={self.answer.status} "
+                    f"{self.answer.end}, runs={runs.get(self.id, 0)}")
+        self.socket.close()
+
+
+async def case(world):
+    await world.start(gateways=3)
+    for _ in range(3):
+        await world.add_replica(SERVICE, behave)
+    route = {"name": "r-1", "host": HOST, "pathPrefix": PATH, "kind": "unsafe", "timeoutMs": DEADLINE_MS,
+             "targetLatencyMs": 300, "priority": 2, "service": SERVICE, "maxAttempts": 1, "public": False,
+             "sticky": False, "resumable": False}
+    service = {"name": SERVICE, "healthPath": "/healthz", "maxConnections": 100, "protocol": "h1", "tls": False}
+    world.put_configuration([route], [service], [{"name": "t-1", "apiKeys": [KEY], "priority": 1, "isolated": False}])
+    await world.start_gateways()
+    await asyncio.sleep(world.bounds["contactMs"] / 1000 + 1)
+
+    stopped = world.gateways[0]
+    callers = [Caller(number, stopped) for number in range(CALLERS)]
+    for caller in callers:
+        await caller.connect()
+    if TROUBLE:
+        stopped.signal(signal.SIGTERM)
+    await asyncio.sleep(SEND_AFTER_SECONDS)
+    await asyncio.gather(*[caller.run(world.record) for caller in callers])
+    if TROUBLE:
+        world.record.note(f"{stopped.name} ended with {await stopped.ended(world.bounds['graceS'])}")
+
+    # LOST: the request was passed on to a replica, which answered whole, and the caller's connection ended without the
+    # whole answer, before the deadline. Refusals are answers.
+    lost = [caller for caller in callers if not caller.answer.is_complete and runs.get(caller.id, 0) > 0]
+    served = [caller for caller in callers if caller.answer.is_complete and caller.answer.status == 200]
+    world.record.note(f"LOST: {len(lost)} of {len(callers)} requests, {len(served)} were served")
+    print(f"{len(lost)} of {len(callers)} requests lost, {len(served)} served")
+    if not lost and len(served) < CALLERS // 2:
+        raise CaseError("too few requests were served")
+    return bool(lost)
+
+
+main(FOLDER, case)
