--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,5 @@
-"""A planned stop while callers read their answers slowly."""
+"""All gateways are killed at once while the last replicas of a software version leave."""
 
-import concurrent.futures
 import os
 import sys
 
@@ -9,128 +8,129 @@
 
 from world import *  # noqa: E402,F403
 
-SERVICE = "gauge-api"
-HOST, PATH, KEY = "jepu9.example", "/fiti832/", "ctnfzs989anu6wsjnban"
-
-#: Callers of each of the two gateways that are stopped, one after the other.
-CALLERS = 110
-#: The answers have different sizes, and each caller rests once, after the first part of its answer. An answer is lost if
-#: all but a last piece of it is in the kernel then. How much that holds differs between machines, hence the many sizes.
-FIRST_ANSWER_BYTES = 100_000
-ANSWER_STEP = 2_500
-REST_AT = [20_000, 40_000]
-REST_SECONDS = 1.9
-DEADLINE_MS = 8_000
-#: When the requests are sent, after the SIGTERM if there is one. New requests are served for 2.6 s after it.
-SEND_AFTER_SECONDS = 0.3
-
-runs = {}
+SERVICE = "verdict-llm"
+HOST, PATH, KEY = "jepu9.example", "/lepu270/", "ctnfzs989anu6wsjnban"
+DEADLINE_MS = 15_000
+EVENTS = 26
+EVENT_SECONDS = 0.4
+STREAMS = 9
+#: How long the gateways are down: the platform starts an ended process again after a short delay.
+DOWN_SECONDS = 0.5
+#: How often a client takes its stream up again.
+TRIES = 4
 
 
 async def behave(replica, request, writer):
-    """Runs a request; one with a size in its path gets an answer of that size."""
-    runs[request.id] = runs.get(request.id, 0) + 1
-    replica.world.record.note(f"run of {request.id} at {replica.id}")
-    await asyncio.sleep(0.03)
-    size = int(request.target.rsplit("/", 1)[1])
-    writer.write(answer_bytes(200, replica.answer_headers(request), b"x" * size))
-    await writer.drain()
-    replica.world.record.note(f"whole answer to {request.id} handed to the gateway by {replica.id}")
-
-
-class Caller:
-    """A client with a kept connection, at the segment size and window of a small machine on an ordinary network."""
-
-    def __init__(self, number, gateway, rest_at):
-        self.gateway = gateway
-        self.rest_at = rest_at
-        self.size = FIRST_ANSWER_BYTES + number * ANSWER_STEP
-        self.answer = Answer()
-        self.id = new_id()
-
-    def connect(self):
-        """Opens the connection, with a first small request on it."""
-        self.socket = socket.socket()
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
-        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1_460)
-        self.socket.settimeout(DEADLINE_MS / 1000 + 2)
-        self.socket.connect(self.gateway.callers)
-        first = Answer()
-        self.exchange(new_id(), 800, first, None)
-        if not first.is_complete:
-            raise CaseError(f"the first request got {first}")
-
-    def exchange(self, identity, size, answer, rest_at):
-        """Sends a request and reads its answer, with a rest after so many bytes."""
-        received, length = b"", None
+    """A stream of events with rising ids; it goes on after `Last-Event-Id`. Each event tells the version that made it."""
+    after = int(request.head.get("last-event-id", "0"))
+    replica.world.record.note(f"run of {request.id} at {replica.id} ({replica.software}) after event {after}")
+    headers = replica.answer_headers(request) + [("Content-Type", "text/event-stream")]
+    lines = ["HTTP/1.1 200 OK"] + [f"{name}: {value}" for name, value in headers] + ["Transfer-Encoding: chunked"]
+    writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+    for number in range(after + 1, EVENTS + 1):
+        event = f"id: {number}\ndata: {replica.software}\n\n".encode()
+        writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+        await writer.drain()
+        await asyncio.sleep(EVENT_SECONDS)
+    writer.write(b"0\r\n\r\n")
+
+
+def events_of(body):
+    """The ids and versions of the whole events in a body."""
+    events = []
+    for event in body.decode().split("\n\n")[:-1]:
+        fields = dict(line.split(": ", 1) for line in event.split("\n"))
+        events.append((int(fields["id"]), fields["data"]))
+    return events
+
+
+class Client:
+    """Asks for a stream, and takes it up at another gateway when it breaks off."""
+
+    def __init__(self, world, number):
+        self.world = world
+        self.number = number
+        self.events = []
+        self.first = new_id()
+
+    async def attempt(self, identity, headers):
+        gateway = self.world.gateways[self.number % len(self.world.gateways)]
+        self.number += 1
+        answer = Answer()
         try:
-            self.socket.sendall(request_bytes("POST", HOST, f"{PATH}{size}", identity, DEADLINE_MS, KEY, body=b"b" * 600))
-            while length is None or len(received) < length:
-                piece = self.socket.recv(4_096)
-                if not piece:
-                    answer.end = f"closed after {len(received)} of {length} bytes"
-                    return
-                received += piece
-                if length is None and b"\r\n\r\n" in received:
-                    text, _, _ = received.partition(b"\r\n\r\n")
-                    answer.status = int(text.split(b" ")[1])
-                    sizes = [line for line in text.lower().split(b"\r\n") if line.startswith(b"content-length:")]
-                    length = len(text) + 4 + int(sizes[0].split(b":")[1])
-                if rest_at is not None and len(received) >= rest_at:
-                    rest_at = None
-                    time.sleep(REST_SECONDS)
-            answer.is_complete, answer.end = True, "whole"
-        except OSError as error:
-            answer.end = f"{type(error).__name__} after {len(received)} of {length} bytes"
-
-    def run(self, record):
-        record.note(f"request {self.id} for {self.size} bytes sent to {self.gateway.name}, rests after {self.rest_at} bytes")
-        sent_at = record.now()
-        self.exchange(self.id, self.size, self.answer, self.rest_at)
-        record.note(f"answer to {self.id} after {record.now() - sent_at:.2f} s: status={self.answer.status} "
-                    f"{self.answer.end}, runs={runs.get(self.id, 0)}")
-        self.socket.close()
-
-
-async def stop_and_ask(world, gateway, rest_at):
-    """Stops a gateway and asks it for answers while it still serves; returns the callers."""
-    callers = [Caller(number, gateway, rest_at) for number in range(CALLERS)]
-    loop, threads = asyncio.get_running_loop(), concurrent.futures.ThreadPoolExecutor(CALLERS)
-    await asyncio.gather(*[loop.run_in_executor(threads, caller.connect) for caller in callers])
-    if TROUBLE:
-        gateway.signal(signal.SIGTERM)
-    await asyncio.sleep(SEND_AFTER_SECONDS)
-    await asyncio.gather(*[loop.run_in_executor(threads, caller.run, world.record) for caller in callers])
-    if TROUBLE:
-        world.record.note(f"{gateway.name} ended with {await gateway.ended(world.bounds['graceS'])}")
-    return callers
+            reader, writer = await asyncio.open_connection(*gateway.callers)
+        except OSError:
+            return answer
+        self.world.record.note(f"request {identity} sent to {gateway.name}, {headers}")
+        writer.write(request_bytes("POST", HOST, PATH + "2f", identity, DEADLINE_MS, KEY, headers, b"b" * 1_000))
+        await asyncio.wait_for(read_answer(reader, answer), DEADLINE_MS / 1000 + 2)
+        writer.close()
+        if answer.status == 200:
+            self.events += events_of(answer.body)
+        self.world.record.note(f"answer to {identity}: {answer}")
+        return answer
+
+    async def run(self, gateways_are_back):
+        answer = await self.attempt(self.first, [])
+        for _ in range(TRIES):
+            if answer.is_complete and answer.status == 200:
+                return
+            await gateways_are_back.wait()
+            last = self.events[-1][0] if self.events else 0
+            headers = [("Last-Event-Id", str(last)), ("Resumes", self.first)] if last else []
+            answer = await self.attempt(new_id(), headers)
+            await asyncio.sleep(0.3)
 
 
 async def case(world):
     await world.start(gateways=3)
-    for _ in range(3):
-        await world.add_replica(SERVICE, behave)
-    route = {"name": "r-1", "host": HOST, "pathPrefix": PATH, "kind": "unsafe", "timeoutMs": DEADLINE_MS,
-             "targetLatencyMs": 300, "priority": 2, "service": SERVICE, "maxAttempts": 1, "public": False,
-             "sticky": False, "resumable": False}
-    service = {"name": SERVICE, "healthPath": "/healthz", "maxConnections": 100, "protocol": "h1", "tls": False}
+    old = [await world.add_replica(SERVICE, behave, software="v1") for _ in range(2)]
+    route = {"name": "r-1", "host": HOST, "pathPrefix": PATH, "kind": "streaming", "timeoutMs": DEADLINE_MS,
+             "targetLatencyMs": 800, "priority": 1, "service": SERVICE, "maxAttempts": 2, "public": False,
+             "sticky": False, "resumable": True, "gapTargetMs": 500}
+    service = {"name": SERVICE, "healthPath": "/healthz", "maxConnections": 360, "protocol": "h1", "tls": False}
     world.put_configuration([route], [service], [{"name": "t-1", "apiKeys": [KEY], "priority": 1, "isolated": False}])
     await world.start_gateways()
     await asyncio.sleep(world.bounds["contactMs"] / 1000 + 1)
 
-    callers = []
-    for stopped, rest_at in zip(world.gateways, REST_AT):
-        callers += await stop_and_ask(world, stopped, rest_at)
-
-    # LOST: the request was passed on to a replica, which answered whole, and the caller's connection ended without the
-    # whole answer, before the deadline. Refusals are answers.
-    lost = [caller for caller in callers if not caller.answer.is_complete and runs.get(caller.id, 0) > 0]
-    served = [caller for caller in callers if caller.answer.is_complete and caller.answer.status == 200]
-    world.record.note(f"LOST: {len(lost)} of {len(callers)} requests, {len(served)} were served")
-    print(f"{len(lost)} of {len(callers)} requests lost, {len(served)} served")
-    if not lost and len(served) < len(callers) // 2:
-        raise CaseError("too few requests were served")
-    return bool(lost)
+    gateways_are_back = asyncio.Event()
+    clients = [Client(world, number) for number in range(STREAMS)]
+    running = [asyncio.create_task(client.run(gateways_are_back)) for client in clients]
+    await asyncio.sleep(0.8)
+
+    # A release: the new replicas start first, then the old ones leave, serve on for `drainMs` and a little longer, and end.
+    for _ in range(2):
+        await world.add_replica(SERVICE, behave, software="v1.1")
+    await asyncio.sleep(1)
+    for replica in old:
+        replica.drain()
+    await asyncio.sleep(world.bounds["drainMs"] / 1000 + 0.5)
+    if TROUBLE:
+        for gateway in world.gateways:
+            gateway.signal(signal.SIGKILL)
+    for replica in old:
+        replica.end()
+    await asyncio.sleep(DOWN_SECONDS)
+    if TROUBLE:
+        for gateway in world.gateways:
+            gateway.process.wait()
+            gateway.start()
+        for gateway in world.gateways:
+            await gateway.until_ready()
+    gateways_are_back.set()
+    await asyncio.gather(*running)
+
+    # ORDER: more than two streams hold events from replicas of two software versions of one service.
+    mixed = 0
+    for client in clients:
+        versions = {version for _, version in client.events}
+        if len(versions) > 1:
+            mixed += 1
+            world.record.note(f"ORDER: the stream that began as {client.first} holds {client.events}")
+    print(f"{mixed} of {STREAMS} streams hold events of two versions")
+    if not any(client.events for client in clients):
+        raise CaseError("no stream began")
+    return mixed > 2
 
 
 main(FOLDER, case)
