--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,13 +12,10 @@
 SERVICE = "gauge-api"
 HOST, PATH, KEY = "jepu9.example", "/fiti832/", "ctnfzs989anu6wsjnban"
 
-#: Callers of each of the two gateways that are stopped, one after the other.
-CALLERS = 110
-#: The answers have different sizes, and each caller rests once, after the first part of its answer. An answer is lost if
-#: all but a last piece of it is in the kernel then. How much that holds differs between machines, hence the many sizes.
-FIRST_ANSWER_BYTES = 100_000
-ANSWER_STEP = 2_500
-REST_AT = [20_000, 40_000]
+#: An answer is lost if all but a last piece of it is in the kernel while its caller rests. How much that holds differs
+#: between machines and times, so the answers have many sizes; each caller rests once, after the first part of its answer.
+#: For each gateway that is stopped: callers, bytes of the smallest answer, step to the next one, bytes before the rest.
+STOPS = [(110, 100_000, 2_500, 20_000), (110, 100_000, 2_500, 40_000), (48, 350_000, 5_500, 20_000)]
 REST_SECONDS = 1.9
 DEADLINE_MS = 8_000
 #: When the requests are sent, after the SIGTERM if there is one. New requests are served for 2.6 s after it.
@@ -41,10 +38,10 @@
 class Caller:
     """A client with a kept connection, at the segment size and window of a small machine on an ordinary network."""
 
-    def __init__(self, number, gateway, rest_at):
+    def __init__(self, gateway, size, rest_at):
         self.gateway = gateway
         self.rest_at = rest_at
-        self.size = FIRST_ANSWER_BYTES + number * ANSWER_STEP
+        self.size = size
         self.answer = Answer()
         self.id = new_id()
 
@@ -92,10 +89,10 @@
         self.socket.close()
 
 
-async def stop_and_ask(world, gateway, rest_at):
-    """Stops a gateway and asks it for answers while it still serves; returns the callers."""
-    callers = [Caller(number, gateway, rest_at) for number in range(CALLERS)]
-    loop, threads = asyncio.get_running_loop(), concurrent.futures.ThreadPoolExecutor(CALLERS)
+async def stop_and_ask(world, gateway, count, smallest, step, rest_at):
+    """Stops a gateway, asks it for answers while it still serves, and starts it again; returns the callers."""
+    callers = [Caller(gateway, smallest + number * step, rest_at) for number in range(count)]
+    loop, threads = asyncio.get_running_loop(), concurrent.futures.ThreadPoolExecutor(count)
     await asyncio.gather(*[loop.run_in_executor(threads, caller.connect) for caller in callers])
     if TROUBLE:
         gateway.signal(signal.SIGTERM)
@@ -103,6 +100,8 @@
     await asyncio.gather(*[loop.run_in_executor(threads, caller.run, world.record) for caller in callers])
     if TROUBLE:
         world.record.note(f"{gateway.name} ended with {await gateway.ended(world.bounds['graceS'])}")
+        gateway.start()
+        await gateway.until_ready()
     return callers
 
 
@@ -119,8 +118,8 @@
     await asyncio.sleep(world.bounds["contactMs"] / 1000 + 1)
 
     callers = []
-    for stopped, rest_at in zip(world.gateways, REST_AT):
-        callers += await stop_and_ask(world, stopped, rest_at)
+    for gateway, (count, smallest, step, rest_at) in zip(world.gateways, STOPS):
+        callers += await stop_and_ask(world, gateway, count, smallest, step, rest_at)
 
     # LOST: the request was passed on to a replica, which answered whole, and the caller's connection ended without the
     # whole answer, before the deadline. Refusals are answers.
