--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -1,6 +1,6 @@
 //! The configuration: routes, services, tenants and limits on callers' requests.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -244,6 +244,15 @@
             .find(|route| path.starts_with(route.path_prefix.as_str()))
     }
 
+    /// The services whose streams may be resumed.
+    pub fn resumable_services(&self) -> BTreeSet<&str> {
+        let routes = self.routes_by_host.values().flatten();
+        let routes = routes.filter(|route| route.kind == RouteKind::Streaming);
+        let resumable = routes.filter(|route| route.is_resumable);
+        let backends = resumable.flat_map(|route| &route.backends);
+        backends.map(|backend| backend.service.as_str()).collect()
+    }
+
     /// Whether requests on routes that aren't public need a key.
     pub fn needs_keys(&self) -> bool {
         self.tenants_by_key.is_some()
--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/known.rs
@@ -231,6 +231,11 @@
         self.view.age(Instant::now())
     }
 
+    /// Since when every replica that was listed has been seen here, see [`View::uninterrupted_since`].
+    pub fn view_uninterrupted_since(&self) -> Option<Instant> {
+        self.view.uninterrupted_since()
+    }
+
     /// Until when a replica whose entry was removed at `now` stays in use, see [`View::keep_until`].
     pub fn keep_until(&self, now: Instant, in_touch_at: Option<Instant>) -> Option<Instant> {
         self.view.keep_until(now, in_touch_at)
--- a/crates/gateway/src/peers/stream_message.rs
+++ b/crates/gateway/src/peers/stream_message.rs
@@ -9,7 +9,7 @@
 use crate::protocol::SoftwareVersion;
 use crate::stream_versions::StreamKey;
 use crate::stream_versions::history::Versions;
-use crate::stream_versions::origin::Knowledge;
+use crate::stream_versions::origin::{Knowledge, KnownVersions};
 use crate::stream_versions::records::StreamRecord;
 
 /// Limit of the time for which a record is kept, whatever its sender states.
@@ -52,6 +52,13 @@
     pub sole_version: Option<u64>,
     /// Whether the sender has seen several versions of the service lately.
     pub has_several_versions: bool,
+    /// How far back the sender knows all versions of the service, in milliseconds; none from a gateway of an earlier build.
+    #[musli(default)]
+    pub span_ms: Option<u64>,
+    /// The age of the sender's view of the replicas, in milliseconds; none if it has none, and from a gateway of an earlier
+    /// build.
+    #[musli(default)]
+    pub view_age_ms: Option<u64>,
 }
 
 impl WireStream {
@@ -90,7 +97,11 @@
         };
         Knowledge {
             record: record.map(|record| record.to_record(now).1),
-            versions,
+            known: KnownVersions {
+                versions,
+                span: self.span_ms.map(Duration::from_millis).unwrap_or_default(),
+                view_age: self.view_age_ms.map(Duration::from_millis),
+            },
         }
     }
 }
--- a/crates/gateway/src/peers/streams.rs
+++ b/crates/gateway/src/peers/streams.rs
@@ -6,6 +6,7 @@
 
 use driftspring_clock::Instant;
 
+use super::convert::to_ms;
 use super::directory::name_digest;
 use super::message::{Message, WireStream, WireStreamQuery, WireStreamReply};
 use super::send::{send, send_to};
@@ -68,16 +69,18 @@
     let now = Instant::now();
     let key = StreamKey::from_number(query.key);
     let record = state.streams.get(key, now);
-    let versions = state.streams.versions_of(query.service, now);
+    let known = state.streams.known_versions(state, query.service);
     let reply = WireStreamReply {
         nonce: query.nonce,
         daemon: name_digest(&state.peers.own().name),
         record: record.map(|record| WireStream::new(key, &record, now)),
-        sole_version: match versions {
+        sole_version: match known.versions {
             Versions::One(version) => Some(version.0),
             Versions::None | Versions::Several => None,
         },
-        has_several_versions: versions == Versions::Several,
+        has_several_versions: known.versions == Versions::Several,
+        span_ms: Some(to_ms(known.span)),
+        view_age_ms: known.view_age.map(to_ms),
     };
     send_to(socket, &Message::StreamReply(reply), from).await;
 }
--- a/crates/gateway/src/peers/view.rs
+++ b/crates/gateway/src/peers/view.rs
@@ -25,10 +25,16 @@
 /// flight: from then on it must not use any replica that has left.
 const MARGIN_BEFORE_CONTACT: Duration = Duration::from_millis(200);
 
+/// The longest time between two proofs of a view for it to count as uninterrupted. A replica that comes and goes stays
+/// listed for longer: one that leaves for as long as it drains (`drainMs`, 2 s and more), one that crashes until three of
+/// its heartbeats are missing.
+pub const MAX_INTERRUPTION: Duration = Duration::from_secs(2);
+
 /// The age of a gateway's knowledge of replicas and other gateways.
 #[derive(Debug, Default)]
 pub struct View {
     proved_at: Cell<Option<Instant>>,
+    uninterrupted_since: Cell<Option<Instant>>,
     reader: Cell<Option<u64>>,
     outage_ended_at: Cell<Option<Instant>>,
 }
@@ -42,6 +48,11 @@
             return;
         }
         self.reader.set(reader);
+        let is_interrupted =
+            before.is_none_or(|before| moment.saturating_duration_since(before) > MAX_INTERRUPTION);
+        if is_interrupted {
+            self.uninterrupted_since.set(Some(moment));
+        }
         if self.is_outage(now) {
             // Not `now`, so that a gateway that learns of it later counts from the same moment as the reader.
             self.outage_ended_at.set(Some(moment));
@@ -54,6 +65,11 @@
         self.reader.get()
     }
 
+    /// Since when every replica that was listed has been seen here.
+    pub fn uninterrupted_since(&self) -> Option<Instant> {
+        self.uninterrupted_since.get()
+    }
+
     /// How long before `now` a reader of the whole store had the known state.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         let proved_at = self.proved_at.get()?;
--- a/crates/gateway/src/pipeline/take_stream_up.rs
+++ b/crates/gateway/src/pipeline/take_stream_up.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use driftspring_clock::Instant;
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
 
@@ -15,11 +14,14 @@
 use crate::state::GatewayState;
 use crate::stream_versions::origin::{StreamOrigin, UnknownOrigin};
 use crate::stream_versions::records::{RECORD_MARGIN, StreamRecord};
-use crate::stream_versions::{StreamKey, VersionBinding, find_origin, service_digest};
+use crate::stream_versions::{OriginError, StreamKey, VersionBinding, find_origin, service_digest};
 
 /// When a caller should retry if this gateway can't reach the others: its next connection goes to another gateway.
 const ISOLATED_RETRY_AFTER: Duration = Duration::from_millis(10);
 
+/// When a caller should retry if this gateway may learn of earlier versions soon: from the store, or from a list of replicas.
+const LEARNING_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Returns the service that the request goes to, `chosen` unless it takes up a stream that began at another one, and the
 /// software version that may run it.
 pub async fn bind_request(
@@ -66,23 +68,39 @@
             metrics.count_taken_up("recorded");
             Ok((began_at.service.clone(), VersionBinding::Bound(version)))
         }
-        Err(unknown) => {
-            metrics.count_taken_up(label(unknown));
-            let detail = format!("resumes={first} {unknown:?}");
-            let isolated = unknown == UnknownOrigin::Isolated;
+        Err(error) => {
+            metrics.count_taken_up(label(error.unknown));
+            let detail = format!(
+                "resumes={first} origin={:?} stored={:?} replies={}/{} view_age={:?}",
+                error.unknown, error.stored, error.replied, error.asked, error.view_age
+            );
             Err(Refusal {
-                retry_after: isolated.then_some(ISOLATED_RETRY_AFTER),
+                retry_after: retry_after(&error),
                 ..Refusal::new(Step::Resume, Reason::VersionUnknown, detail)
             })
         }
     }
 }
 
+/// When to retry, if more may be known by then.
+fn retry_after(error: &OriginError) -> Option<Duration> {
+    match error.unknown {
+        UnknownOrigin::Isolated => Some(ISOLATED_RETRY_AFTER),
+        UnknownOrigin::HistoryTooShort { .. } if error.may_learn_more() => {
+            Some(LEARNING_RETRY_AFTER)
+        }
+        UnknownOrigin::HistoryTooShort { .. }
+        | UnknownOrigin::NotRecorded
+        | UnknownOrigin::Ambiguous => None,
+    }
+}
+
 fn label(unknown: UnknownOrigin) -> &'static str {
     match unknown {
         UnknownOrigin::NotRecorded => "not_recorded",
         UnknownOrigin::Ambiguous => "ambiguous",
         UnknownOrigin::Isolated => "isolated",
+        UnknownOrigin::HistoryTooShort { .. } => "history_too_short",
     }
 }
 
@@ -93,7 +111,6 @@
         return;
     }
     context.binding.set(VersionBinding::to(opened.software));
-    let now = Instant::now();
     let record = StreamRecord {
         service: service_digest(&context.service),
         version: opened.software,
@@ -113,6 +130,6 @@
     }
     for id in [Some(context.id.as_str()), resumed].into_iter().flatten() {
         let key = context.stream_key(id);
-        state.streams.record_own(key, record, now);
+        state.streams.record_own(key, record, state);
     }
 }
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -16,7 +16,7 @@
 
 mod own_records;
 
-pub use own_records::{DaemonRecord, LeaseRecord, QuarantineRecord};
+pub use own_records::{DaemonRecord, LeaseRecord, QuarantineRecord, VersionRecord};
 
 /// One part of a prompt.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -202,6 +202,8 @@
     Daemons,
     /// Requests that crash the replicas that run them.
     Quarantine,
+    /// The software versions that were in use lately, by service.
+    SoftwareVersions,
 }
 
 /// How recent the data in an answer of the store must be.
@@ -293,6 +295,8 @@
     Daemon(DaemonRecord),
     /// See [`ObjectKind::Quarantine`].
     Quarantine(QuarantineRecord),
+    /// See [`ObjectKind::SoftwareVersions`].
+    SoftwareVersions(VersionRecord),
 }
 
 /// An object in the store.
--- a/crates/gateway/src/protocol/own_records.rs
+++ b/crates/gateway/src/protocol/own_records.rs
@@ -1,7 +1,9 @@
 //! The records that gateways keep in the store for their own use.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use super::SoftwareVersion;
 use crate::store::StoreEra;
 
 /// The lease of a task that one gateway performs at a time. Field names appear in log lines through `Debug`.
@@ -49,3 +51,15 @@
     /// How often the request was tried in isolation from the other requests that were open when the replicas ended.
     pub apart_trials: u32,
 }
+
+/// The software versions of a service at which streams may have begun that are still taken up; its object is named after the
+/// service. Field names appear in log lines through `Debug`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VersionRecord {
+    /// The versions.
+    pub versions: BTreeSet<SoftwareVersion>,
+    /// Whether these are all that were in use within [`crate::stream_versions::history::VERSION_RETENTION`] before the write.
+    pub is_complete: bool,
+    /// The store's era as known to the writer.
+    pub era: StoreEra,
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -210,7 +210,8 @@
         let peers = Peers::new(own_daemon(&settings), seeds(&settings), incarnation);
         let times = lease_times(settings.times.lease_term);
         let lease = OrderLease::new(&machine(&settings), incarnation, times);
-        let lease = lease.at_first_start(settings.is_first_start);
+        let is_first_start = settings.is_first_start;
+        let lease = lease.at_first_start(is_first_start);
         let interference = Interference::new(settings.interference);
         let held_bytes = HeldBytes::new(settings.machine.held_bytes, Arc::clone(&status));
         let forwarding = Forwarding::new(settings.forwarding_enabled, settings.machine.cores);
@@ -237,7 +238,7 @@
             brittle_services: BrittleServices::default(),
             notice_survey: NoticeSurvey::default(),
             store,
-            streams: StreamVersions::default(),
+            streams: StreamVersions::new(is_first_start, Instant::now()),
             peers,
             cached: CachedParts::default(),
             holders: PromptHolders::default(),
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -115,7 +115,8 @@
         ObjectKind::Configuration
         | ObjectKind::Leases
         | ObjectKind::Daemons
-        | ObjectKind::Quarantine => return None,
+        | ObjectKind::Quarantine
+        | ObjectKind::SoftwareVersions => return None,
     };
     listed
         .inspect_err(|error| log::debug!("first list of {kind:?} failed: {error}"))
@@ -186,7 +187,10 @@
         ObjectKind::Daemons => Some(DAEMONS_WATCH_DELAY),
         ObjectKind::Replicas => Some(REPLICAS_WATCH_DELAY),
         ObjectKind::Quarantine => Some(QUARANTINE_WATCH_DELAY),
-        ObjectKind::Configuration | ObjectKind::Weights | ObjectKind::Leases => None,
+        ObjectKind::Configuration
+        | ObjectKind::Weights
+        | ObjectKind::Leases
+        | ObjectKind::SoftwareVersions => None,
     }
 }
 
@@ -286,7 +290,7 @@
         Ok(ObjectContent::Weights(weights)) => {
             follow_weights::apply_written(state, &weights, object.position);
         }
-        Ok(ObjectContent::Lease(_)) => {}
+        Ok(ObjectContent::Lease(_) | ObjectContent::SoftwareVersions(_)) => {}
         Ok(ObjectContent::Daemon(daemon)) => {
             state.apply(Change::Put(Item::Daemon(WireDaemon::from(&daemon))));
         }
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -14,6 +14,7 @@
 mod progress;
 mod quarantine;
 mod rejections;
+mod software_versions;
 
 pub use client::{CALL_TIMEOUT, StoreError, list_all, list_recent, watch, write};
 pub use era::{
@@ -41,6 +42,8 @@
     ntex::rt::spawn(configuration_reader::run(Rc::clone(state)));
     ntex::rt::spawn(quarantine::run(Rc::clone(state)));
     ntex::rt::spawn(own_entry::run(Rc::clone(state)));
+    ntex::rt::spawn(software_versions::serve_reads(Rc::clone(state)));
+    ntex::rt::spawn(software_versions::write_records(Rc::clone(state)));
     let followed = [
         ObjectKind::Configuration,
         ObjectKind::Replicas,
--- a/crates/gateway/src/stream_versions/metrics.rs
+++ b/crates/gateway/src/stream_versions/metrics.rs
@@ -14,6 +14,7 @@
 #[derive(Debug, Default)]
 pub struct StreamMetrics {
     taken_up: Family<OutcomeLabel, Counter>,
+    version_records: Family<OutcomeLabel, Counter>,
 }
 
 impl StreamMetrics {
@@ -24,6 +25,18 @@
             "Requests that take a stream up, by how its software version was found, or why it was not",
             self.taken_up.clone(),
         );
+        registry.register(
+            "version_records",
+            "Records of software versions in use, by whether they could be written to the store",
+            self.version_records.clone(),
+        );
+    }
+
+    /// Counts an attempt to write the record of a service's versions.
+    pub fn count_record(&self, outcome: &'static str) {
+        self.version_records
+            .get_or_create(&OutcomeLabel { outcome })
+            .inc();
     }
 
     /// Counts a request that takes a stream up.
--- a/crates/gateway/src/stream_versions/origin.rs
+++ b/crates/gateway/src/stream_versions/origin.rs
@@ -1,9 +1,19 @@
 //! Decides at which version a stream began, from what gateways know of it.
 
-use super::history::Versions;
+use std::time::Duration;
+
+use super::history::{VERSION_RETENTION, Versions};
 use super::records::StreamRecord;
+use crate::peers::view::MAX_INTERRUPTION;
 use crate::protocol::SoftwareVersion;
 
+/// How long ago a stream that is taken up can have begun.
+pub const MAX_STREAM_AGE: Duration = VERSION_RETENTION;
+
+/// How old the view of the replicas may be for a gateway to rely on the versions that it has seen. Gateways query each other
+/// twice a second.
+pub const MAX_VIEW_AGE: Duration = Duration::from_secs(2);
+
 /// Where a stream that is taken up began.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StreamOrigin {
@@ -27,6 +37,28 @@
     Ambiguous,
     /// Too few other gateways answer, and this one may have missed replicas of another version.
     Isolated,
+    /// Nobody has a record of the stream, and it may have begun before the time since which the versions are known.
+    HistoryTooShort {
+        /// How far back they are known.
+        span: Duration,
+    },
+}
+
+/// The versions of a service that a gateway knows to have been in use, and when these were all.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KnownVersions {
+    /// The versions.
+    pub versions: Versions,
+    /// How far back they are known; zero for a gateway that does not say.
+    pub span: Duration,
+    /// The age of the gateway's view of the replicas, up to which they are known; `None` if it has none, or does not say.
+    pub view_age: Option<Duration>,
+}
+
+impl KnownVersions {
+    fn is_current(&self) -> bool {
+        self.view_age.is_some_and(|age| age <= MAX_VIEW_AGE)
+    }
 }
 
 /// What one gateway knows.
@@ -34,23 +66,24 @@
 pub struct Knowledge {
     /// Its record of the stream.
     pub record: Option<StreamRecord>,
-    /// The versions of the service that it has seen.
-    pub versions: Versions,
+    /// The versions of the service.
+    pub known: KnownVersions,
 }
 
 /// What the asking gateway knows, and whom it has asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Asker {
-    /// The versions of the service that it has seen.
-    pub versions: Versions,
-    /// Whether its view of the replicas is recent.
-    pub is_current: bool,
+    /// The versions of the service.
+    pub known: KnownVersions,
     /// Number of other gateways that it has asked.
     pub asked: usize,
 }
 
 /// Where the stream began, according to the replies of other gateways.
 ///
+/// That nobody has a record shows that the stream began at the only version in use, but only if the versions are known for
+/// as long as it can have run: gateways that have all just started have no records either.
+///
 /// # Errors
 ///
 /// Its origin is not known for certain.
@@ -60,21 +93,53 @@
         return of_record(&record);
     }
     let is_majority = replies.len() * 2 > asker.asked;
-    if !asker.is_current && !is_majority {
+    if !asker.known.is_current() && !is_majority {
         return Err(UnknownOrigin::Isolated);
     }
-    let mut seen = replies.iter().map(|reply| reply.versions);
-    let sole = seen.try_fold(asker.versions, |known, other| match (known, other) {
+    let known = replies.iter().map(|reply| reply.known);
+    let known: Vec<KnownVersions> = known.chain([asker.known]).collect();
+    let Some(version) = sole_version(&known) else {
+        return Err(UnknownOrigin::NotRecorded);
+    };
+    let span = joint_span(&known);
+    match span >= MAX_STREAM_AGE {
+        true => Ok(StreamOrigin::OnlyVersion(version)),
+        false => Err(UnknownOrigin::HistoryTooShort { span }),
+    }
+}
+
+/// The only version that anybody has seen.
+fn sole_version(known: &[KnownVersions]) -> Option<SoftwareVersion> {
+    let mut seen = known.iter().map(|known| known.versions);
+    let sole = seen.try_fold(Versions::None, |known, other| match (known, other) {
         (Versions::None, other) => Some(other),
         (known, Versions::None) => Some(known),
         (known, other) => (known == other).then_some(known),
     });
     match sole {
-        Some(Versions::One(version)) => Ok(StreamOrigin::OnlyVersion(version)),
-        _ => Err(UnknownOrigin::NotRecorded),
+        Some(Versions::One(version)) => Some(version),
+        _ => None,
     }
 }
 
+/// How far back the versions are known without a gap by all together, from the most recent view on.
+fn joint_span(known: &[KnownVersions]) -> Duration {
+    let known = known.iter();
+    let mut periods: Vec<(Duration, Duration)> = known
+        .filter_map(|known| Some((known.view_age?, known.span)))
+        .collect();
+    periods.sort_unstable();
+    let Some((_, first)) = periods.first().copied() else {
+        return Duration::ZERO;
+    };
+    periods.into_iter().fold(first, |joint, (view_age, span)| {
+        match view_age <= joint + MAX_INTERRUPTION {
+            true => joint.max(span),
+            false => joint,
+        }
+    })
+}
+
 /// Where the stream of this record began.
 ///
 /// # Errors
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -34,6 +34,8 @@
     CONFIGURATION_HANDED_ON = 6210, Warn, "A configuration was taken from another gateway, since the store came back from a copy and has lost it. It is in force here though the store has an older one, until the operator has written again.";
     CONFIGURATION_UNCONFIRMED = 6211, Warn, "This gateway has started, and no other that had run for a while told which configuration it holds. Where the store has come back from a copy, what the operator wrote after the copy was made is not known here. The fields tell the version in force and where the store had it (era and revision), the first position that was read of that era, the latest, and how many others were asked.";
     WEIGHTS_WANTED = 6205, Info, "The operator named new weights.";
+    SOFTWARE_VERSIONS_STORED = 6213, Info, "The record of a service's software versions was written to the store; the fields give the digests of the versions that were in use lately, and whether these are all.";
+    SOFTWARE_VERSIONS_NOT_STORED = 6214, Warn, "The store did not take the record of a service's software versions; this gateway or the next one in rank tries again. If all gateways are restarted meanwhile, streams of the versions that it lacks may not be taken up.";
     WEIGHTS_SUSPECTED = 6212, Warn, "Weights may have been named although nobody heard of it: the store shows the known version written again, or the entry of a replica shows a newer one. One replica is ordered to load them; it refuses what was not named.";
     REPLICA_SEEN = 6300, Info, "A life of a replica is listed for the first time; the fields give the version of its software; one that starts again under its id begins another life.";
     REPLICA_CHANGED = 6301, Info, "The entry of a replica has changed.";
