--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -1,4 +1,5 @@
-//! Tracks the callers' connections, so that those without an open request can be closed during a planned stop.
+//! Tracks the callers' connections, so that those without an open request can be closed during a planned stop, and the stop
+//! waits for those whose bytes the operating system has not taken yet.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -8,12 +9,26 @@
 /// Number of tracked connections at which closed ones are first purged.
 const INITIAL_PURGE_SIZE: usize = 64;
 
+/// Number of bytes that wait in the connection's buffer for the operating system to take them.
+pub fn unsent_bytes(connection: &IoRef) -> usize {
+    match connection.is_closed() {
+        true => 0,
+        false => connection.with_write_dst_buf(|buffer| buffer.len()),
+    }
+}
+
 #[derive(Debug)]
 struct CallerConnection {
     connection: IoRef,
     open_requests: u32,
 }
 
+impl CallerConnection {
+    fn is_idle(&self) -> bool {
+        self.open_requests == 0 && unsent_bytes(&self.connection) == 0
+    }
+}
+
 /// The callers' connections that have carried a request.
 #[derive(Debug)]
 pub struct CallerConnections {
@@ -55,14 +70,22 @@
         }
     }
 
-    /// Closes every connection without an open request, and returns their number.
+    /// Number of connections with bytes that were not sent yet.
+    pub fn count_unsent(&self) -> usize {
+        let by_id = self.by_id.borrow();
+        let unsent = by_id
+            .values()
+            .filter(|tracked| unsent_bytes(&tracked.connection) > 0);
+        unsent.count()
+    }
+
+    /// Closes every connection without an open request or unsent bytes, and returns their number.
     pub fn close_idle(&self) -> usize {
         let mut by_id = self.by_id.borrow_mut();
-        let is_idle = |tracked: &CallerConnection| tracked.open_requests == 0;
-        let idle = by_id.values().filter(|tracked| is_idle(tracked));
+        let idle = by_id.values().filter(|tracked| tracked.is_idle());
         let open = idle.filter(|tracked| !tracked.connection.is_closed());
         let closed = open.map(|tracked| tracked.connection.close()).count();
-        by_id.retain(|_, tracked| !is_idle(tracked));
+        by_id.retain(|_, tracked| !tracked.is_idle());
         closed
     }
 }
--- a/crates/gateway/src/forwarding/mod.rs
+++ b/crates/gateway/src/forwarding/mod.rs
@@ -11,9 +11,10 @@
 //! - [`offers`]: the known offers, and the choice among them.
 //! - [`candidates`]: which gateways are asked.
 //! - `task`: asks for offers while a path is lost.
-//! - `server`: takes requests of other gateways.
+//! - `server`: takes requests of other gateways; `flush`: when their answers were sent.
 
 pub mod candidates;
+mod flush;
 pub mod hop;
 mod metrics;
 pub mod offers;
--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -18,9 +18,10 @@
 use hyper::body::{Frame, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use socket2::SockRef;
 
+use super::flush::{FlushTracked, UntilFlush};
 use super::hop::{DeclineReason, HopOutcome, HopRequest};
 use crate::pipeline::{ForwardedAnswer, ForwardedRefusal, serve_forwarded};
 use crate::state::GatewayState;
@@ -72,21 +73,23 @@
     stream: tokio::net::TcpStream,
     from: SocketAddr,
 ) {
+    let unsent = UntilFlush::default();
+    let connection = FlushTracked::new(stream, unsent.clone());
     let service = service_fn(move |request| {
-        let state = Rc::clone(&state);
-        async move { Ok::<_, Infallible>(respond(&state, request, from).await) }
+        let (state, unsent) = (Rc::clone(&state), unsent.clone());
+        async move { Ok::<_, Infallible>(respond(&state, request, from, unsent).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
         .auto_date_header(false)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(connection, service);
     if let Err(error) = connection.await {
         log::debug!("the connection of a gateway at {from} ended: {error}");
     }
 }
 
-/// Counts a request of another gateway as open until it is dropped.
+/// Counts a request of another gateway as open until it is dropped, which is when its answer was sent.
 struct TakenGuard {
     state: Rc<GatewayState>,
 }
@@ -117,6 +120,7 @@
     state: &Rc<GatewayState>,
     request: Request<Incoming>,
     from: SocketAddr,
+    unsent: UntilFlush<TakenGuard>,
 ) -> Response<StreamBody<Pieces>> {
     let (mut head, body) = request.into_parts();
     let hop = match HopRequest::take(&mut head.headers) {
@@ -146,7 +150,7 @@
     let arrived_at = Instant::now();
     let peer = hop.from.clone();
     match serve_forwarded(state, head, hop, body, arrived_at).await {
-        Ok(answer) => forward_answer(answer, guard, peer),
+        Ok(answer) => forward_answer(answer, guard, unsent, peer),
         Err(ForwardedRefusal {
             id,
             outcome,
@@ -172,6 +176,7 @@
 fn forward_answer(
     mut answer: ForwardedAnswer,
     guard: TakenGuard,
+    unsent: UntilFlush<TakenGuard>,
     peer: String,
 ) -> Response<StreamBody<Pieces>> {
     let (status, mut headers) = answer.take_head();
@@ -182,11 +187,14 @@
     outcome.write(&mut headers);
     let metrics = &guard.state.status.metrics.forwarding;
     metrics.count_taken(&peer, "answered");
-    let pieces = unfold(Some((answer, guard)), |open| async move {
-        let (mut answer, guard) = open?;
+    let pieces = unfold(Some((answer, guard, unsent)), |open| async move {
+        let (mut answer, guard, unsent) = open?;
         match answer.next().await {
-            Ok(Some(piece)) => Some((Ok(Frame::data(piece)), Some((answer, guard)))),
-            Ok(None) => None,
+            Ok(Some(piece)) => Some((Ok(Frame::data(piece)), Some((answer, guard, unsent)))),
+            Ok(None) => {
+                unsent.keep(guard);
+                None
+            }
             Err(cause) => Some((Err(std::io::Error::other(cause)), None)),
         }
     });
--- a/crates/gateway/src/held_bytes.rs
+++ b/crates/gateway/src/held_bytes.rs
@@ -79,6 +79,13 @@
         }
     }
 
+    /// Ends all answers that are being delivered as the grace period of a planned stop ends.
+    pub fn end_for_stop(&self) {
+        for delivery in self.open_deliveries() {
+            delivery.abort_for_stop();
+        }
+    }
+
     /// Answers that are being delivered; forgets the others.
     fn open_deliveries(&self) -> Vec<Rc<Delivery>> {
         let mut deliveries = self.deliveries.borrow_mut();
@@ -90,10 +97,9 @@
     /// lately.
     fn end_longest_stalled(&self) -> bool {
         let now = Instant::now();
-        let stalls = self
-            .open_deliveries()
-            .into_iter()
-            .map(|delivery| (delivery.stalled_for(now), delivery));
+        let deliveries = self.open_deliveries().into_iter();
+        let holding = deliveries.filter(|delivery| delivery.held() > 0);
+        let stalls = holding.map(|delivery| (delivery.stalled_for(now), delivery));
         let longest = stalls.max_by_key(|(stalled_for, _)| *stalled_for);
         let Some((stalled_for, delivery)) = longest.filter(|(stall, _)| *stall >= MIN_STALL) else {
             return false;
--- a/crates/gateway/src/pipeline/collect.rs
+++ b/crates/gateway/src/pipeline/collect.rs
@@ -22,10 +22,6 @@
 use crate::state::GatewayState;
 use crate::upstream::Answer;
 
-/// Maximum size of an answer that is handed to the caller's connection at once, in bytes. With its head it stays below
-/// the 16 KiB from which a connection counts as full.
-const MAX_DIRECT_BYTES: usize = 8 * 1024;
-
 /// How long a request is held beyond its deadline, so that the replica's own answer to the timeout arrives first.
 pub const DEADLINE_GRACE: Duration = Duration::from_millis(150);
 
@@ -51,9 +47,9 @@
     let mut builder = ResponseBuilder::new(answer.status);
     copy_headers(&answer.headers, &mut builder);
     let length: usize = answer.pieces.iter().map(Bytes::len).sum();
-    if length <= MAX_DIRECT_BYTES {
+    if length == 0 {
         tracker.record_completion(&answer.replica, status);
-        return Ok(builder.body(answer.pieces.concat()));
+        return Ok(builder.finish());
     }
     let caller = request.io().cloned();
     let tracker = tracker.hand_over();
--- a/crates/gateway/src/pipeline/delivery.rs
+++ b/crates/gateway/src/pipeline/delivery.rs
@@ -1,7 +1,9 @@
 //! Hands an answer on to its caller at the caller's pace.
 //!
 //! Pieces are queued as they are read from the replica, so that the replica is free however slowly the caller reads.
-//! An answer that is cut off ends after the pieces that were queued, and without the end of its framing.
+//! An answer is complete once the operating system has taken its last byte: until then its bytes are lost if the
+//! connection is closed or the process ends. An answer that is cut off ends after the pieces that were queued, and
+//! without the end of its framing.
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -16,6 +18,7 @@
 use tokio::sync::Notify;
 
 use super::account::RequestTracker;
+use crate::connections::unsent_bytes;
 use crate::held_bytes::{Charge, HeldBytes};
 
 /// Maximum number of bytes queued for one caller: that of a buffered answer. A stream's source is not read on beyond
@@ -25,6 +28,12 @@
 /// Size of the pieces that are handed to the connection, in bytes; it buffers as much again.
 const PIECE_BYTES: usize = 16 * 1024;
 
+/// Interval of the check whether a connection has no unsent bytes left; it doubles up to [`MAX_FLUSH_POLL`].
+const MIN_FLUSH_POLL: Duration = Duration::from_millis(1);
+
+/// The longest such interval.
+const MAX_FLUSH_POLL: Duration = Duration::from_millis(50);
+
 /// How an answer ends after what is queued.
 #[derive(Debug)]
 enum End {
@@ -89,12 +98,17 @@
 
     /// How long the caller has taken nothing although there is something to take.
     pub fn stalled_for(&self, now: Instant) -> Duration {
-        match self.queue.borrow().is_empty() {
+        match self.queue.borrow().is_empty() && self.unsent() == 0 {
             true => Duration::ZERO,
             false => now.saturating_duration_since(self.taken_at.get()),
         }
     }
 
+    /// Number of bytes in the connection's buffer.
+    fn unsent(&self) -> usize {
+        self.caller.as_ref().map_or(0, unsent_bytes)
+    }
+
     /// Queues events once there is room for them.
     pub async fn push(&self, events: Bytes) {
         self.tracker.borrow_mut().record_events();
@@ -153,6 +167,21 @@
         }
     }
 
+    /// Cuts the answer off because the grace period of a planned stop is over.
+    pub fn abort_for_stop(&self) {
+        let is_complete = matches!(*self.end.borrow(), End::Complete { .. });
+        let queue = self.queue.borrow();
+        let queued: usize = queue.iter().map(|queued| queued.rest.len()).sum();
+        drop(queue);
+        let untaken = queued + self.unsent();
+        match is_complete {
+            true => self.abort(&format!(
+                "its caller has not taken {untaken} bytes by the end of the grace period of a planned stop"
+            )),
+            false => self.abort("the grace period of a planned stop is over"),
+        }
+    }
+
     /// Waits until nobody takes the answer any more.
     pub async fn closed(&self) {
         while !self.is_closed.get() {
@@ -181,13 +210,16 @@
         Some(ntex::util::Bytes::copy_from_slice(&piece))
     }
 
-    /// Next piece; `None` at the end of a complete answer. After a cut nothing more is returned: the connection is
-    /// closed, and the answer must not end as if it were complete.
+    /// Next piece; `None` at the end of a complete answer, once all of it was sent. After a cut nothing more is returned:
+    /// the connection is closed, and the answer must not end as if it were complete.
     async fn next(&self) -> Option<ntex::util::Bytes> {
         loop {
             if let Some(piece) = self.take() {
                 return Some(piece);
             }
+            if matches!(*self.end.borrow(), End::Complete { .. }) {
+                self.flush().await;
+            }
             match &*self.end.borrow() {
                 End::Open => {}
                 End::Complete { replica, status } => {
@@ -204,6 +236,20 @@
             self.changed.notified().await;
         }
     }
+
+    /// Waits until the operating system has taken all bytes of the connection.
+    async fn flush(&self) {
+        if let Some(caller) = &self.caller
+            && let Err(error) = caller.send_buf()
+        {
+            log::debug!("request={} its caller has left: {error}", self.request_id());
+        }
+        let mut interval = MIN_FLUSH_POLL;
+        while self.unsent() > 0 && !self.is_closed.get() {
+            tokio::time::sleep(interval).await;
+            interval = (interval * 2).min(MAX_FLUSH_POLL);
+        }
+    }
 }
 
 /// The taker's side of an answer; dropping it tells the source that nobody waits for the rest.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -13,6 +13,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use anyhow::{Context, anyhow};
 use driftspring_settings::{GatewaySettings, load_gateway};
@@ -20,6 +21,7 @@
 use driftspring_telemetry::log_event;
 use ntex::SharedCfg;
 use ntex::http::HttpServiceConfig;
+use ntex::io::IoConfig;
 use ntex::rt::{DefaultRuntime, System};
 use ntex::server::Server;
 use ntex::time::Seconds;
@@ -34,13 +36,16 @@
 use crate::protocol::Platform;
 use crate::rollout;
 use crate::standstill;
-use crate::state::{GatewayState, SharedStatus};
+use crate::state::{GatewayState, SharedStatus, StopPhase};
 use crate::store;
 use listeners::Listeners;
 
 /// How long an idle connection of a caller is kept open.
 const KEEP_ALIVE: Seconds = Seconds(75);
 
+/// Time limit for the reader of a page to take the rest of it once its connection is being closed.
+const PAGE_DISCONNECT_TIMEOUT: Seconds = Seconds(30);
+
 /// Time limit for a request's head to arrive.
 const HEAD_TIMEOUT: Seconds = Seconds(30);
 
@@ -133,17 +138,18 @@
     /// First part of a planned stop: reports itself as not ready, then waits for open requests to end. The process
     /// should end right after it; in a process that goes on, use [`RunningGateway::stop`].
     pub fn drain(&self) {
-        self.status.is_stopping.store(true, Ordering::Release);
+        self.status.raise_stop_phase(StopPhase::Redirecting);
         log_event!(
             gateway::GATEWAY_STOPPING,
             "open={}",
             self.status.open_requests.load(Ordering::Acquire)
         );
-        stop::wait_for_open_requests(&self.status, self.settings.times.stop_grace);
+        let unfinished = stop::wait_for_open_requests(&self.status, self.settings.times.stop_grace);
         log_event!(
             gateway::GATEWAY_STOPPED,
-            "open={}",
-            self.status.open_requests.load(Ordering::Acquire)
+            "open={} unsent={}",
+            unfinished.open_requests,
+            unfinished.unsent_connections
         );
     }
 
@@ -240,6 +246,7 @@
     peers_socket: UdpSocket,
     forwarded: Option<TcpListener>,
 ) -> anyhow::Result<Server> {
+    let caller_stall = settings.times.caller_stall;
     let settings = settings.clone();
     let platform = Arc::clone(platform);
     let status = Arc::clone(status);
@@ -257,7 +264,7 @@
         }
         ntex::rt::spawn(forwarding::run_task(Rc::clone(&state)));
         ntex::rt::spawn(cache::run(Rc::clone(&state)));
-        ntex::rt::spawn(stop::close_idle_connections(Rc::clone(&state)));
+        ntex::rt::spawn(stop::follow_stop(Rc::clone(&state)));
         let held = Rc::clone(&state);
         ntex::rt::spawn(async move {
             let limit = || held.times.get().caller_stall;
@@ -274,14 +281,23 @@
         .set_keepalive(KEEP_ALIVE)
         .set_client_timeout(HEAD_TIMEOUT)
         .set_max_buf_size(MAX_HEAD_BYTES);
+    let io = IoConfig::new().set_disconnect_timeout(disconnect_timeout(caller_stall));
     let server = server
-        .config(SharedCfg::new("callers").add(http))
+        .config(SharedCfg::new("callers").add(http).add(io))
         .workers(1)
         .disable_signals()
         .listen(listener)?;
     Ok(server.run())
 }
 
+/// Time limit for the last bytes of a connection that is being closed: the same as for an answer of which its caller takes
+/// nothing. The library's own is 1 s.
+fn disconnect_timeout(caller_stall: Duration) -> Seconds {
+    let seconds = caller_stall.as_secs_f64().ceil().max(1.0);
+    // Saturates: the library counts in 16 bits.
+    Seconds(seconds as u16)
+}
+
 fn serve_health(status: &Arc<SharedStatus>, listener: TcpListener) -> anyhow::Result<Server> {
     let status = Arc::clone(status);
     serve_page(listener, move || {
@@ -316,8 +332,9 @@
         }))
     });
     let http = HttpServiceConfig::new().set_keepalive(KEEP_ALIVE);
+    let io = IoConfig::new().set_disconnect_timeout(PAGE_DISCONNECT_TIMEOUT);
     let server = server
-        .config(SharedCfg::new("pages").add(http))
+        .config(SharedCfg::new("pages").add(http).add(io))
         .workers(1)
         .disable_signals()
         .listen(listener)?;
--- a/crates/gateway/src/server/stop.rs
+++ b/crates/gateway/src/server/stop.rs
@@ -6,15 +6,15 @@
 
 use driftspring_clock::Instant;
 
-use crate::state::{GatewayState, SharedStatus};
+use crate::state::{GatewayState, SharedStatus, StopPhase};
 
 /// How long new requests may still arrive: the load balancer probes each second and acts on the second failed probe.
 const CALLER_REDIRECT_WINDOW: Duration = Duration::from_millis(2600);
 
-/// How long no request must have been open before the stop is complete.
+/// How long no request must have been open, and no answer unsent, before the stop is complete.
 const QUIET_WINDOW: Duration = Duration::from_millis(250);
 
-/// Interval at which a serving gateway checks whether it has to close connections.
+/// Interval at which a serving gateway checks whether a stop has begun.
 const WATCH_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Interval at which open requests are checked during a stop.
@@ -23,34 +23,79 @@
 /// Share of the grace period after which the gateway ends even if requests are open.
 const GRACE_SHARE_USED: f64 = 0.93;
 
-/// Waits until callers have been redirected and no request is open, or the grace period is nearly over. New requests
-/// are refused once callers had the time to move, since those requests might not end in time.
-pub fn wait_for_open_requests(status: &SharedStatus, grace: Duration) {
+/// How long the worker thread gets to end the answers that were not taken by the end of the grace period.
+const ABORT_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// What is left at the end of a planned stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Unfinished {
+    /// Number of open requests.
+    pub open_requests: u32,
+    /// Number of connections with bytes that were not sent.
+    pub unsent_connections: u32,
+}
+
+impl Unfinished {
+    fn now(status: &SharedStatus) -> Self {
+        Self {
+            open_requests: status.open_requests.load(Ordering::Acquire),
+            unsent_connections: status.unsent_connections.load(Ordering::Acquire),
+        }
+    }
+}
+
+/// Waits until callers have been redirected, no request is open and all answers were sent, or the grace period is nearly
+/// over; returns what is left then. New requests are refused once callers had the time to move, since those requests might
+/// not end in time.
+pub fn wait_for_open_requests(status: &SharedStatus, grace: Duration) -> Unfinished {
     let stop_began_at = Instant::now();
     let cutoff = stop_began_at + grace.mul_f64(GRACE_SHARE_USED);
     let mut quiet_since = Instant::now();
     while Instant::now() < cutoff {
-        if status.open_requests.load(Ordering::Acquire) > 0 {
+        let unfinished = Unfinished::now(status);
+        if unfinished != Unfinished::default() {
             quiet_since = Instant::now();
         }
         if stop_began_at.elapsed() >= CALLER_REDIRECT_WINDOW.min(grace / 2) {
-            status.is_refusing_requests.store(true, Ordering::Release);
+            status.raise_stop_phase(StopPhase::RefusingRequests);
             if quiet_since.elapsed() >= QUIET_WINDOW {
-                return;
+                return unfinished;
             }
         }
         std::thread::sleep(POLL_INTERVAL);
     }
+    let unfinished = Unfinished::now(status);
+    status.raise_stop_phase(StopPhase::EndingAnswers);
+    let aborted_by = Instant::now() + ABORT_TIMEOUT;
+    while status.stop_phase() == StopPhase::EndingAnswers && Instant::now() < aborted_by {
+        std::thread::sleep(POLL_INTERVAL);
+    }
+    unfinished
 }
 
-/// Closes callers' connections that have no open request, once new requests are refused. Callers then connect to
-/// another gateway without having been refused.
-pub async fn close_idle_connections(state: Rc<GatewayState>) {
-    while !state.status.is_refusing_requests() {
-        tokio::time::sleep(WATCH_INTERVAL).await;
-    }
+/// Does what a planned stop asks of the thread that serves callers: counts the connections with unsent bytes, closes idle
+/// ones once new requests are refused, so that callers connect to another gateway without having been refused, and ends
+/// the answers that are left at the end of the grace period.
+pub async fn follow_stop(state: Rc<GatewayState>) {
     loop {
-        state.callers.close_idle();
+        let phase = state.status.stop_phase();
+        if phase == StopPhase::Serving {
+            tokio::time::sleep(WATCH_INTERVAL).await;
+            continue;
+        }
+        if phase >= StopPhase::RefusingRequests {
+            state.callers.close_idle();
+        }
+        let unsent = state.callers.count_unsent();
+        let unsent = u32::try_from(unsent).unwrap_or(u32::MAX);
+        state
+            .status
+            .unsent_connections
+            .store(unsent, Ordering::Release);
+        if phase == StopPhase::EndingAnswers {
+            state.held_bytes.end_for_stop();
+            state.status.raise_stop_phase(StopPhase::Ended);
+        }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -3,7 +3,7 @@
 crate::event_codes! {
     GATEWAY_STARTED = 6000, Info, "The gateway listens; the fields give its addresses.";
     GATEWAY_STOPPING = 6001, Info, "A planned stop has begun: the gateway is not ready any more and finishes open requests.";
-    GATEWAY_STOPPED = 6002, Info, "The gateway ends; the fields tell how many requests were still open.";
+    GATEWAY_STOPPED = 6002, Info, "The gateway ends; the fields tell how many requests were still open, and on how many connections bytes were not sent. Both are 0 unless the grace period was over; 6106 names the answers that were cut off then.";
     SETTINGS_RELOADED = 6003, Info, "The settings file was read again and is in force.";
     SETTINGS_REJECTED = 6004, Error, "The settings file was read again and is faulty; the earlier settings stay in force.";
     LOG_LINES_DROPPED = 6005, Warn, "Log lines were dropped since more came than may be written; the field counts them.";
