--- a/crates/gateway/src/stream_versions/mod.rs
+++ b/crates/gateway/src/stream_versions/mod.rs
@@ -294,7 +294,7 @@
 }
 
 /// The rank of the gateway `own` among those that write the record of a service's versions; 0 is the first.
-pub(crate) fn writer_rank(directory: &Directory, service: u64, own: &WireDaemon) -> Option<usize> {
+pub fn writer_rank(directory: &Directory, service: u64, own: &WireDaemon) -> Option<usize> {
     let writers = by_rendezvous(directory, &service.to_le_bytes(), VERSION_WRITERS);
     writers.iter().position(|writer| writer.name == own.name)
 }
--- a/crates/gateway/tests/stream_versions.rs
+++ b/crates/gateway/tests/stream_versions.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use driftspring_clock::Instant;
-use driftspring_gateway::peers::message::{Message, WireReplica, WireStream, WireStreamReply};
+use driftspring_gateway::peers::directory::Directory;
+use driftspring_gateway::peers::message::{
+    Message, WireDaemon, WireReplica, WireStream, WireStreamReply,
+};
 use driftspring_gateway::protocol::{SoftwareVersion, VersionRecord};
 use driftspring_gateway::store::{StoreEra, StorePosition};
 use driftspring_gateway::stream_versions::history::{
@@ -16,7 +19,7 @@
 };
 use driftspring_gateway::stream_versions::records::{MAX_RECORDS, StreamRecord, StreamRecords};
 use driftspring_gateway::stream_versions::stored::{StoredRecord, StoredVersions, record_to_write};
-use driftspring_gateway::stream_versions::{StreamKey, VersionBinding};
+use driftspring_gateway::stream_versions::{StreamKey, VersionBinding, writer_rank};
 use musli::{Decode, Encode};
 use quickcheck::quickcheck;
 
@@ -484,6 +487,24 @@
     assert_eq!(of(&complete, StoreEra::named(2)), StoredVersions::Restored);
 }
 
+/// The cost of a record must not grow with the number of gateways.
+#[test]
+fn three_of_any_number_of_gateways_write_the_record_of_a_service_each_in_its_turn() {
+    for count in [3, 7, 380, 985] {
+        let daemon = |number: usize| WireDaemon {
+            name: format!("gateway-{number}"),
+            peers: format!("10.0.{}.{}:7340", number / 250, number % 250),
+            zone: format!("zone-{}", number % 5),
+            capacity: 0,
+        };
+        let daemons: Vec<WireDaemon> = (0..count).map(daemon).collect();
+        let rank = |own: &WireDaemon| writer_rank(&Directory::new(&daemons, own), SERVICE, own);
+        let mut ranks: Vec<usize> = daemons.iter().filter_map(rank).collect();
+        ranks.sort_unstable();
+        assert_eq!(ranks, [0, 1, 2], "{count} gateways");
+    }
+}
+
 /// One step in the life of a system whose gateways keep a history and write the record.
 #[derive(Debug, Clone, Copy)]
 enum Step {
