--- a/crates/daemon/src/runtime/mod.rs
+++ b/crates/daemon/src/runtime/mod.rs
@@ -21,6 +21,7 @@
 use futures_util::future::join_all;
 use ntex::SharedCfg;
 use ntex::http::HttpServiceConfig;
+use ntex::io::IoConfig;
 use ntex::rt::{DefaultRuntime, System};
 use ntex::server::Server;
 use ntex::time::Seconds;
@@ -34,8 +35,8 @@
 /// Worker threads of the operators' and of the peers' server.
 const INTERNAL_WORKERS: usize = 1;
 
-/// How long a server's connections may take, once no request is open, to be flushed and closed. Open
-/// requests are waited for before, for `request.stop_timeout`.
+/// How long a server's connections may take, once no request is open, to be flushed and closed: in a stop, where open
+/// requests are waited for before, for `request.stop_timeout`, and whenever a connection is closed after an answer.
 const FLUSH_TIMEOUT: Seconds = Seconds(5);
 
 /// How long an idle connection is kept; the library's 5 s makes callers connect again and again.
@@ -213,8 +214,9 @@
         App::new().configure(move |config| configure(config, state))
     });
     let http = HttpServiceConfig::new().set_keepalive(KEEP_ALIVE);
+    let io = IoConfig::new().set_disconnect_timeout(FLUSH_TIMEOUT);
     let server = server
-        .config(SharedCfg::new("driftspring").add(http))
+        .config(SharedCfg::new("driftspring").add(http).add(io))
         .workers(workers)
         .shutdown_timeout(FLUSH_TIMEOUT)
         .disable_signals()
