--- a/crates/gateway/src/pipeline/collect.rs
+++ b/crates/gateway/src/pipeline/collect.rs
@@ -49,7 +49,7 @@
     let length: usize = answer.pieces.iter().map(Bytes::len).sum();
     if length == 0 {
         tracker.record_completion(&answer.replica, status);
-        return Ok(builder.finish());
+        return Ok(builder.body(answer.pieces.concat()));
     }
     let caller = request.io().cloned();
     let tracker = tracker.hand_over();
--- a/crates/gateway/src/store/era.rs
+++ b/crates/gateway/src/store/era.rs
@@ -238,6 +238,7 @@
     // The store has answered, so tasks that wait for the end of an outage may continue.
     state.store_outage.end();
     state.quarantine.store_wakeup.notify_one();
+    state.streams.versions_changed.notify_one();
     state.peers.announce_changes();
 }
 
