--- a/crates/gateway/src/stream_versions/origin.rs
+++ b/crates/gateway/src/stream_versions/origin.rs
@@ -92,7 +92,11 @@
     if let Some(record) = records.reduce(StreamRecord::merge) {
         return of_record(&record);
     }
-    let is_majority = replies.len() * 2 > asker.asked;
+    // A gateway without a view could not have seen another version.
+    let views = replies
+        .iter()
+        .filter(|reply| reply.known.view_age.is_some());
+    let is_majority = views.count() * 2 > asker.asked;
     if !asker.known.is_current() && !is_majority {
         return Err(UnknownOrigin::Isolated);
     }
--- a/crates/gateway/tests/stream_versions.rs
+++ b/crates/gateway/tests/stream_versions.rs
@@ -347,6 +347,16 @@
     };
     assert_eq!(decide(&away, &[cut_off; 2]), only);
     assert_eq!(decide(&away, &[cut_off]), Err(UnknownOrigin::Isolated));
+    // Gateways that have just started are none of that majority.
+    let no_view = Knowledge {
+        record: None,
+        known: KnownVersions {
+            versions: Versions::None,
+            span: Duration::ZERO,
+            view_age: None,
+        },
+    };
+    assert_eq!(decide(&away, &[no_view; 2]), Err(UnknownOrigin::Isolated));
     let no_view = Knowledge {
         record: None,
         known: KnownVersions {
