--- a/crates/gateway/src/held_bytes.rs
+++ b/crates/gateway/src/held_bytes.rs
@@ -16,7 +16,7 @@
 use tokio::sync::Notify;
 
 use crate::pipeline::Delivery;
-use crate::state::SharedStatus;
+use crate::status::SharedStatus;
 
 /// How long a caller must have taken nothing before its answer may be ended at the limit. A caller that reads at all
 /// seldom pauses longer on the links in use, and whoever waits for room is held up by no more than this.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 //! - [`suspected_weights`]: versions that may have been named although no gateway has seen it.
 //! - [`shares`]: fair shares of tenants while a service cannot run all that they send.
 //! - [`server`]: sockets, readiness, start and stop.
+//! - [`status`]: what the threads of a gateway share, and the phases of a planned stop.
 //! - [`standstill`]: detection of times in which this process was suspended.
 
 pub mod budget;
@@ -49,6 +50,7 @@
 pub mod shares;
 pub mod standstill;
 pub mod state;
+pub mod status;
 pub mod store;
 pub mod stream_versions;
 pub mod suspected_weights;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -36,7 +36,8 @@
 use crate::protocol::Platform;
 use crate::rollout;
 use crate::standstill;
-use crate::state::{GatewayState, SharedStatus, StopPhase};
+use crate::state::GatewayState;
+use crate::status::{SharedStatus, StopPhase};
 use crate::store;
 use listeners::Listeners;
 
--- a/crates/gateway/src/server/stop.rs
+++ b/crates/gateway/src/server/stop.rs
@@ -6,7 +6,8 @@
 
 use driftspring_clock::Instant;
 
-use crate::state::{GatewayState, SharedStatus, StopPhase};
+use crate::state::GatewayState;
+use crate::status::{SharedStatus, StopPhase};
 
 /// How long new requests may still arrive: the load balancer probes each second and acts on the second failed probe.
 const CALLER_REDIRECT_WINDOW: Duration = Duration::from_millis(2600);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,8 +4,8 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -25,7 +25,6 @@
 use crate::forwarding::Forwarding;
 use crate::held_bytes::HeldBytes;
 use crate::interference::Interference;
-use crate::metrics::GatewayMetrics;
 use crate::notices::{BrittleServices, ChangedNotices, NoticeSurvey};
 use crate::own_daemon::{machine, own_daemon, seeds};
 use crate::peers::Peers;
@@ -38,6 +37,7 @@
 use crate::replicas::{Registry, RemovedIncarnations, RouteSpeeds};
 use crate::rollout::{OrderLease, lease_times};
 use crate::shares::FairShares;
+use crate::status::SharedStatus;
 use crate::store::{
     self, KnownNamings, Rejected, Rejections, StoreEraTracker, StoreOutage, StorePosition,
     StoreProgress,
@@ -60,80 +60,6 @@
 /// times the normal 4 ms per answer, two pages) stays well below it.
 pub(crate) const STARTUP_WINDOW: Duration = Duration::from_secs(3);
 
-/// Phase of a planned stop.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-#[repr(u8)]
-pub enum StopPhase {
-    /// No stop has begun.
-    Serving,
-    /// Callers are redirected; new requests are served.
-    Redirecting,
-    /// New requests are refused, and idle connections closed.
-    RefusingRequests,
-    /// The grace period is over: answers that were not taken are to be ended.
-    EndingAnswers,
-    /// These answers have ended.
-    Ended,
-}
-
-impl StopPhase {
-    const ALL: [Self; 5] = [
-        Self::Serving,
-        Self::Redirecting,
-        Self::RefusingRequests,
-        Self::EndingAnswers,
-        Self::Ended,
-    ];
-}
-
-/// Status that the threads of a gateway share.
-#[derive(Debug, Default)]
-pub struct SharedStatus {
-    /// Whether the configuration and the replicas are known and current.
-    pub is_synced: AtomicBool,
-    /// A [`StopPhase`].
-    stop_phase: AtomicU8,
-    /// Number of open requests.
-    pub open_requests: AtomicU32,
-    /// Number of connections with bytes that the operating system has not taken yet; counted during a planned stop.
-    pub unsent_connections: AtomicU32,
-    /// Metrics of this gateway.
-    pub metrics: GatewayMetrics,
-    /// Settings that were reloaded and are not in force yet.
-    pub reloaded: Mutex<Option<GatewaySettings>>,
-}
-
-impl SharedStatus {
-    /// Whether new connections should be sent to this gateway.
-    pub fn is_ready(&self) -> bool {
-        self.is_synced.load(Ordering::Acquire) && !self.is_stopping()
-    }
-
-    /// Phase of the planned stop.
-    pub fn stop_phase(&self) -> StopPhase {
-        let number = usize::from(self.stop_phase.load(Ordering::Acquire));
-        StopPhase::ALL
-            .get(number)
-            .copied()
-            .unwrap_or(StopPhase::Ended)
-    }
-
-    /// Sets the phase of the planned stop, unless a later one has been reached.
-    pub fn raise_stop_phase(&self, phase: StopPhase) {
-        self.stop_phase.fetch_max(phase as u8, Ordering::AcqRel);
-    }
-
-    /// Whether a planned stop has begun.
-    pub fn is_stopping(&self) -> bool {
-        self.stop_phase() > StopPhase::Serving
-    }
-
-    /// Whether new requests are refused because a planned stop is nearly over.
-    pub fn is_refusing_requests(&self) -> bool {
-        self.stop_phase() >= StopPhase::RefusingRequests
-    }
-}
-
 /// State of one gateway.
 pub struct GatewayState {
     /// Settings as read at the start.
