--- a/crates/gateway/src/store/software_versions.rs
+++ b/crates/gateway/src/store/software_versions.rs
@@ -1,7 +1,7 @@
 //! Reads and writes the records of software versions in use, so that they survive the restart of every gateway.
 //!
-//! The records are not watched: a gateway reads them when it starts, when a stream is taken up whose origin can't be found
-//! otherwise, and before it writes one.
+//! The records are not watched: a gateway reads them after its start when it begins a stream that may be resumed, when one is
+//! taken up whose origin can't be found otherwise, and before it writes one.
 
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -30,12 +30,13 @@
 
 /// Reads the records whenever that is wanted, until the process ends.
 pub(super) async fn serve_reads(state: Rc<GatewayState>) {
-    if !state.settings.is_first_start {
-        read_recent(&state).await;
-    }
     loop {
-        state.streams.read_wanted.notified().await;
-        read_newest(&state).await;
+        tokio::select! {
+            () = state.streams.read_wanted.notified() => {
+                read_newest(&state).await;
+            }
+            () = state.streams.recent_read_wanted.notified() => read_recent(&state).await,
+        }
     }
 }
 
@@ -44,7 +45,7 @@
     let read_at = Instant::now();
     match list_recent(state, ObjectKind::SoftwareVersions).await {
         Ok(objects) => apply(state, &objects, false, read_at),
-        Err(error) => log::debug!("first list of software versions failed: {error}"),
+        Err(error) => log::debug!("recent list of software versions failed: {error}"),
     }
 }
 
--- a/crates/gateway/src/stream_versions/mod.rs
+++ b/crates/gateway/src/stream_versions/mod.rs
@@ -89,6 +89,10 @@
     last_read: Cell<Option<(Instant, bool)>>,
     /// Wakes the task that reads the records of versions.
     pub(crate) read_wanted: Notify,
+    /// Wakes it for a read that need not show the newest ones.
+    pub(crate) recent_read_wanted: Notify,
+    /// Whether such a read was asked for since the start. It is not needed at the first start of the whole system.
+    has_asked_recent: Cell<bool>,
     /// Counts its reads, successful or not.
     reads: watch::Sender<u64>,
     /// Wakes the task that writes the records of versions.
@@ -99,6 +103,7 @@
     /// The state of a gateway that starts now; `is_first_start` says whether the whole system does so for the first time.
     pub fn new(is_first_start: bool, now: Instant) -> Self {
         let streams = Self::default();
+        streams.has_asked_recent.set(is_first_start);
         if is_first_start {
             streams.history.borrow_mut().set_first_start(now);
         }
@@ -117,6 +122,9 @@
         if record.version.is_none() || inferable != record.version {
             self.outbox.borrow_mut().push((key, record));
             self.outbox_changed.notify_one();
+            if !self.has_asked_recent.replace(true) {
+                self.recent_read_wanted.notify_one();
+            }
         }
     }
 
