--- /dev/null
+++ b/crates/gateway/src/callers/accept.rs
@@ -0,0 +1,54 @@
+//! Accepts callers' connections.
+
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Context;
+use ntex::SharedCfg;
+use ntex::io::Io;
+use ntex::service::{Pipeline, Service};
+
+use super::linger::Lingering;
+use super::socket::CallerStream;
+
+/// The pause after a connection could not be accepted, as when all descriptors are in use.
+const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts connections in an endless loop and serves each with `service`, as `config` says.
+///
+/// # Errors
+///
+/// The listener can't be used.
+pub async fn run<S>(
+    listener: TcpListener,
+    service: S,
+    config: SharedCfg,
+    lingering: Rc<Lingering>,
+) -> anyhow::Result<()>
+where
+    S: Service<Io> + 'static,
+{
+    listener
+        .set_nonblocking(true)
+        .context("the listener for callers")?;
+    let listener =
+        tokio::net::TcpListener::from_std(listener).context("the listener for callers")?;
+    let service = Pipeline::new(service);
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if let Err(error) = stream.set_nodelay(true) {
+                    log::debug!("options of a caller's connection: {error}");
+                }
+                let io = CallerStream::open(stream, config.clone(), Rc::clone(&lingering));
+                // The library logs the errors of a connection; they concern nothing else.
+                ntex::rt::spawn(service.call_static(io));
+            }
+            Err(error) => {
+                log::warn!("no caller's connection accepted: {error}");
+                tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/callers/linger.rs
@@ -0,0 +1,126 @@
+//! The lingering end of a connection: what its caller still sends after the last answer is read and discarded, so that the
+//! answer is not lost to a reset.
+
+use std::cell::Cell;
+use std::io;
+use std::net::{Shutdown, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use driftspring_clock::Instant;
+use driftspring_telemetry::events::gateway;
+use driftspring_telemetry::log_event;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+
+use super::metrics::LingerEnd;
+use crate::status::SharedStatus;
+
+/// How long the caller may send nothing before its connection is closed nevertheless.
+pub const MAX_SILENCE: Duration = Duration::from_secs(2);
+
+/// How long a connection lingers at most.
+pub const MAX_TIME: Duration = Duration::from_secs(60);
+
+/// Maximum number of bytes that are discarded.
+pub const MAX_BYTES: u64 = 16 * 1024 * 1024;
+
+/// Size of one read, in bytes.
+const READ_BYTES: usize = 16 * 1024;
+
+/// Number of reads after which other tasks get a turn: the bytes of a fast caller are always ready.
+const READS_PER_TURN: u32 = 8;
+
+/// The connections that linger.
+#[derive(Debug)]
+pub struct Lingering {
+    status: Arc<SharedStatus>,
+    open: Cell<u32>,
+}
+
+impl Lingering {
+    /// None yet; `status` holds the metrics.
+    pub fn new(status: Arc<SharedStatus>) -> Rc<Self> {
+        Rc::new(Self {
+            status,
+            open: Cell::new(0),
+        })
+    }
+
+    /// Number of connections that linger.
+    pub fn open(&self) -> u32 {
+        self.open.get()
+    }
+
+    fn begin(self: &Rc<Self>) -> LingerGuard {
+        self.open.set(self.open.get() + 1);
+        self.status.metrics.linger.open.inc();
+        LingerGuard(Rc::clone(self))
+    }
+}
+
+/// Counts a connection as lingering until it is dropped.
+struct LingerGuard(Rc<Lingering>);
+
+impl Drop for LingerGuard {
+    fn drop(&mut self) {
+        let lingering = &self.0;
+        lingering.open.set(lingering.open.get().saturating_sub(1));
+        lingering.status.metrics.linger.open.dec();
+    }
+}
+
+/// Closes the sending side of the connection, then reads and discards until the caller closes its side or a limit is
+/// reached.
+pub async fn linger(stream: &TcpStream, lingering: &Rc<Lingering>) {
+    let peer = stream.peer_addr();
+    if let Err(error) = SockRef::from(stream).shutdown(Shutdown::Write) {
+        log::debug!("the caller at {peer:?} has left: {error}");
+        return;
+    }
+    let _guard = lingering.begin();
+    let began = Instant::now();
+    let mut discarded = 0;
+    let end = match tokio::time::timeout(MAX_TIME, discard(stream, &mut discarded)).await {
+        Ok(end) => end,
+        Err(_) => LingerEnd::TimeLimit,
+    };
+    let metrics = &lingering.status.metrics.linger;
+    metrics.note_end(end, discarded);
+    if end.is_limit() && discarded > 0 {
+        log_limit(peer.ok(), end, discarded, began.elapsed());
+    }
+}
+
+/// Reads until the caller closes its side, says nothing for too long, or has sent too much.
+async fn discard(stream: &TcpStream, discarded: &mut u64) -> LingerEnd {
+    let mut buffer = [0; READ_BYTES];
+    loop {
+        match tokio::time::timeout(MAX_SILENCE, stream.readable()).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return LingerEnd::Reset,
+            Err(_) => return LingerEnd::SilenceLimit,
+        }
+        for _ in 0..READS_PER_TURN {
+            match stream.try_read(&mut buffer) {
+                Ok(0) => return LingerEnd::ClosedByCaller,
+                Ok(read) => *discarded += read as u64,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(_) => return LingerEnd::Reset,
+            }
+            if *discarded > MAX_BYTES {
+                return LingerEnd::ByteLimit;
+            }
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+fn log_limit(peer: Option<SocketAddr>, end: LingerEnd, discarded: u64, elapsed: Duration) {
+    log_event!(
+        gateway::CONNECTION_NOT_ENDED,
+        "caller={peer:?} limit={} discarded={discarded} elapsed={elapsed:?}",
+        end.name()
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/callers/socket.rs
@@ -0,0 +1,311 @@
+//! The socket of a caller's connection, as the HTTP library uses it.
+
+use std::any::{Any, TypeId};
+use std::cell::{Cell, RefCell};
+use std::io::{self, IoSlice};
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+
+use ntex::SharedCfg;
+use ntex::io::{Handle, Io, IoContext, IoRef, IoStream, IoTaskStatus, Readiness, types};
+use ntex::util::BytePages;
+use tokio::net::TcpStream;
+
+use super::linger::{Lingering, linger};
+
+/// Maximum number of buffers that one system call writes.
+const MAX_WRITE_BUFFERS: usize = 16;
+
+/// Maximum number of bytes that one system call discards.
+const DISCARD_BYTES: usize = 16 * 1024;
+
+/// An accepted connection of a caller.
+pub struct CallerStream {
+    stream: TcpStream,
+    socket: CallerSocket,
+    lingering: Rc<Lingering>,
+}
+
+impl CallerStream {
+    /// The library's object for an accepted connection; `lingering` tracks its end.
+    pub fn open(stream: TcpStream, config: SharedCfg, lingering: Rc<Lingering>) -> Io {
+        let socket = CallerSocket::default();
+        let io = Io::new(
+            Self {
+                stream,
+                socket: socket.clone(),
+                lingering,
+            },
+            config,
+        );
+        socket.0.connection.replace(Some(io.get_ref()));
+        io
+    }
+}
+
+/// What the gateway knows of a connection beside the HTTP library.
+#[derive(Debug, Clone, Default)]
+pub struct CallerSocket(Rc<SocketState>);
+
+#[derive(Debug, Default)]
+struct SocketState {
+    /// The library's side of the connection, until it ends: it refers to this state in turn.
+    connection: RefCell<Option<IoRef>>,
+    /// Whether a request was answered before all of its body was read.
+    has_unread_body: Cell<bool>,
+    /// Whether it is closed at a moment at which its caller expects no answer.
+    is_closed_idle: Cell<bool>,
+}
+
+impl CallerSocket {
+    /// The socket of `connection`; none for connections that were not accepted from a caller.
+    pub fn of(connection: &IoRef) -> Option<Self> {
+        connection.query::<Self>().as_ref().cloned()
+    }
+
+    /// Records that a request is answered although its caller still sends, or may send, its body.
+    pub fn note_unread_body(&self) {
+        self.0.has_unread_body.set(true);
+    }
+
+    /// Closes an idle connection. A request that arrives meanwhile is not read, so that its caller may send it again.
+    pub fn close_idle(connection: &IoRef) {
+        if let Some(socket) = Self::of(connection)
+            && !socket.0.has_unread_body.get()
+        {
+            socket.0.is_closed_idle.set(true);
+        }
+        connection.close();
+    }
+
+    /// Whether the library is closing the connection: it takes no further bytes, and writes what it has.
+    fn is_closing(&self) -> bool {
+        let connection = self.0.connection.borrow();
+        let connection = connection.as_ref();
+        connection.is_some_and(|connection| connection.with_write_buf(|_| ()).is_err())
+    }
+}
+
+impl IoStream for CallerStream {
+    fn start(self, context: IoContext) -> Box<dyn Handle> {
+        let stream = Rc::new(self.stream);
+        let transfer = Transfer {
+            stream: Rc::clone(&stream),
+            socket: self.socket.clone(),
+            context,
+            is_at_end: false,
+            is_paused: false,
+        };
+        ntex::rt::spawn(run(transfer, self.lingering));
+        Box::new(SocketHandle {
+            stream,
+            socket: self.socket,
+        })
+    }
+}
+
+/// Transfers bytes until either side ends the connection, then ends it in order.
+async fn run(mut transfer: Transfer, lingering: Rc<Lingering>) {
+    let end = std::future::poll_fn(|context| transfer.poll(context)).await;
+    let Transfer {
+        stream,
+        socket,
+        context,
+        ..
+    } = transfer;
+    // From here on the library is done with the connection; its buffers are free.
+    context.stop(None);
+    drop(context);
+    socket.0.connection.take();
+    if end == End::ByGateway && !socket.0.is_closed_idle.get() {
+        linger(&stream, &lingering).await;
+    }
+}
+
+/// The library's way to the socket outside of the transfer's task.
+struct SocketHandle {
+    stream: Rc<TcpStream>,
+    socket: CallerSocket,
+}
+
+impl Handle for SocketHandle {
+    fn query(&self, id: TypeId) -> Option<Box<dyn Any>> {
+        if id == TypeId::of::<types::PeerAddr>() {
+            let address = self.stream.peer_addr().ok()?;
+            return Some(Box::new(types::PeerAddr(address)));
+        }
+        if id == TypeId::of::<CallerSocket>() {
+            return Some(Box::new(self.socket.clone()));
+        }
+        None
+    }
+
+    fn write(&self, context: &IoContext) {
+        write(&self.stream, context);
+    }
+
+    // The transfer's task is woken by readiness.
+    fn notify(&self, _: &IoContext) {}
+}
+
+/// Who ended a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// The gateway; all that was written has been handed to the operating system, unless the connection was cut.
+    ByGateway,
+    /// The caller has closed its side or reset the connection.
+    ByCaller,
+}
+
+/// Moves bytes between the socket and the library's buffers.
+struct Transfer {
+    stream: Rc<TcpStream>,
+    socket: CallerSocket,
+    context: IoContext,
+    /// Whether the caller sends nothing more, or the connection has failed.
+    is_at_end: bool,
+    /// Whether the library had no room after the last read.
+    is_paused: bool,
+}
+
+impl Transfer {
+    fn poll(&mut self, task: &mut Context<'_>) -> Poll<End> {
+        self.poll_read(task);
+        ready!(self.poll_write(task));
+        Poll::Ready(match self.is_at_end {
+            true => End::ByCaller,
+            false => End::ByGateway,
+        })
+    }
+
+    /// Reads while the library has room.
+    fn poll_read(&mut self, task: &mut Context<'_>) {
+        // Polled at the end of the caller's bytes too, since it also drives the library's shutdown.
+        while let Poll::Ready(Readiness::Ready) = self.context.poll_read_ready(task) {
+            if self.is_at_end {
+                return;
+            }
+            match self.stream.poll_read_ready(task) {
+                Poll::Ready(Ok(())) => {}
+                Poll::Ready(Err(error)) => {
+                    self.is_at_end = true;
+                    return self.context.stop(Some(error));
+                }
+                Poll::Pending => return,
+            }
+            // A library that closes the connection asks for bytes although it consumes none.
+            let status = match self.is_paused && self.socket.is_closing() {
+                true => self.discard(),
+                false => self.read(),
+            };
+            self.is_paused = status == IoTaskStatus::Pause;
+            if status != IoTaskStatus::Io {
+                return;
+            }
+        }
+    }
+
+    /// Reads into the library's buffer.
+    fn read(&mut self) -> IoTaskStatus {
+        let mut buffer = self.context.get_read_buf();
+        let read = self.stream.try_read_buf(&mut buffer);
+        let read = self.note_read(read);
+        let status = self.context.update_read_status(buffer, read);
+        if self.is_at_end && !self.socket.is_closing() {
+            // A caller that closes its connection gives up its request.
+            self.context.stop(None);
+        }
+        status
+    }
+
+    /// Reads what nobody takes any more.
+    fn discard(&mut self) -> IoTaskStatus {
+        let mut scratch = [0; DISCARD_BYTES];
+        let read = self.stream.try_read(&mut scratch);
+        match self.note_read(read) {
+            Ok(0) => IoTaskStatus::Io,
+            Ok(_) => IoTaskStatus::Pause,
+            Err(error) => {
+                self.context.stop(Some(error));
+                IoTaskStatus::Stop
+            }
+        }
+    }
+
+    /// Notes the end of the caller's bytes. A socket without bytes for now has read none.
+    fn note_read(&mut self, read: io::Result<usize>) -> io::Result<usize> {
+        match read {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(0),
+            read => {
+                self.is_at_end |= !matches!(read, Ok(1..));
+                read
+            }
+        }
+    }
+
+    /// Writes what the library has buffered; ready at the end of the connection.
+    fn poll_write(&mut self, task: &mut Context<'_>) -> Poll<()> {
+        while let Readiness::Ready = ready!(self.context.poll_write_ready(task)) {
+            if let Err(error) = ready!(self.stream.poll_write_ready(task)) {
+                self.is_at_end = true;
+                self.context.update_write_status(Err(error));
+                return Poll::Ready(());
+            }
+            match write(&self.stream, &self.context) {
+                Written::More => {}
+                Written::All => return Poll::Pending,
+                Written::Failed => {
+                    self.is_at_end = true;
+                    return Poll::Ready(());
+                }
+            }
+        }
+        Poll::Ready(())
+    }
+}
+
+/// What is left to write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Written {
+    /// Some bytes, as far as is known.
+    More,
+    /// Nothing.
+    All,
+    /// Nothing more can be written.
+    Failed,
+}
+
+/// Writes a part of what the library has buffered, without waiting.
+fn write(stream: &TcpStream, context: &IoContext) -> Written {
+    let written = context.with_write_buf(|buffer| write_pages(stream, buffer));
+    match context.update_write_status(written) {
+        IoTaskStatus::Io => Written::More,
+        IoTaskStatus::Pause => Written::All,
+        IoTaskStatus::Stop => Written::Failed,
+    }
+}
+
+/// Writes the first buffers with one system call; returns whether any byte was taken.
+fn write_pages(stream: &TcpStream, pages: &mut BytePages) -> io::Result<bool> {
+    let written = {
+        let mut slices = [IoSlice::new(&[]); MAX_WRITE_BUFFERS];
+        let mut count = 0;
+        for (slice, page) in slices.iter_mut().zip(pages.iter()) {
+            *slice = IoSlice::new(page);
+            count += 1;
+        }
+        if count == 0 {
+            return Ok(false);
+        }
+        stream.try_write_vectored(&slices[..count])
+    };
+    match written {
+        Ok(0) => Err(io::ErrorKind::WriteZero.into()),
+        Ok(taken) => {
+            pages.advance_to(taken);
+            Ok(true)
+        }
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(false),
+        Err(error) => Err(error),
+    }
+}
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -6,6 +6,8 @@
 
 use ntex::io::{Id, IoRef};
 
+use crate::callers::socket::CallerSocket;
+
 /// Number of tracked connections at which closed ones are first purged.
 const INITIAL_PURGE_SIZE: usize = 64;
 
@@ -84,7 +86,9 @@
         let mut by_id = self.by_id.borrow_mut();
         let idle = by_id.values().filter(|tracked| tracked.is_idle());
         let open = idle.filter(|tracked| !tracked.connection.is_closed());
-        let closed = open.map(|tracked| tracked.connection.close()).count();
+        let closed = open
+            .map(|tracked| CallerSocket::close_idle(&tracked.connection))
+            .count();
         by_id.retain(|_, tracked| !tracked.is_idle());
         closed
     }
--- a/crates/gateway/src/forwarding/flush.rs
+++ b/crates/gateway/src/forwarding/flush.rs
@@ -55,6 +55,11 @@
             until_flush,
         }
     }
+
+    /// The stream.
+    pub fn into_inner(self) -> TcpStream {
+        self.stream.into_inner()
+    }
 }
 
 impl<T> Read for FlushTracked<T> {
--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -23,6 +23,7 @@
 
 use super::flush::{FlushTracked, UntilFlush};
 use super::hop::{DeclineReason, HopOutcome, HopRequest};
+use crate::callers::linger::linger;
 use crate::pipeline::{ForwardedAnswer, ForwardedRefusal, serve_forwarded};
 use crate::state::GatewayState;
 use crate::upstream::{UNACKNOWLEDGED_TIMEOUT, set_options};
@@ -75,18 +76,23 @@
 ) {
     let unsent = UntilFlush::default();
     let connection = FlushTracked::new(stream, unsent.clone());
+    let served = Rc::clone(&state);
     let service = service_fn(move |request| {
-        let (state, unsent) = (Rc::clone(&state), unsent.clone());
-        async move { Ok::<_, Infallible>(respond(&state, request, from, unsent).await) }
+        let (state, unsent) = (Rc::clone(&served), unsent.clone());
+        Box::pin(async move { Ok::<_, Infallible>(respond(&state, request, from, unsent).await) })
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
         .auto_date_header(false)
         .serve_connection(connection, service);
-    if let Err(error) = connection.await {
+    let ended = std::future::poll_fn(|context| connection.poll_without_shutdown(context)).await;
+    if let Err(error) = ended {
         log::debug!("the connection of a gateway at {from} ended: {error}");
     }
+    // A request that was declined before its body was read must not be lost to a reset.
+    let stream = connection.into_parts().io.into_inner();
+    linger(&stream, &state.lingering).await;
 }
 
 /// Counts a request of another gateway as open until it is dropped, which is when its answer was sent.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! by the sizes and names of their parts. It never reads a request body. The wire formats are defined by a
 //! [`protocol::Platform`], which is implemented outside this crate.
 //!
+//! - [`callers`]: how callers' connections are accepted, and how they end.
 //! - [`cache`]: the known contents of the prompt caches in KV stores.
 //! - [`configuration`]: routes, services and tenants in force.
 //! - [`forwarding`]: requests that go through another gateway while no replica can be reached from here.
@@ -28,6 +29,7 @@
 
 pub mod budget;
 pub mod cache;
+pub mod callers;
 pub mod configuration;
 pub mod connections;
 pub mod currency;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::callers::LingerMetrics;
 use crate::forwarding::ForwardingMetrics;
 use crate::reachability::PathMetrics;
 use crate::replicas::MeasuredWait;
@@ -122,6 +123,8 @@
     pub paths: PathMetrics,
     /// Requests that go through other gateways.
     pub forwarding: ForwardingMetrics,
+    /// Lingering ends of callers' connections.
+    pub linger: LingerMetrics,
     /// Metrics of streams that callers take up.
     pub streams: StreamMetrics,
     registry: Mutex<Registry>,
@@ -182,6 +185,7 @@
             answers_ended_for_room: Counter::default(),
             speed: SpeedMetrics::default(),
             paths: PathMetrics::default(),
+            linger: LingerMetrics::default(),
             forwarding: ForwardingMetrics::default(),
             streams: StreamMetrics::default(),
             registry: Mutex::new(Registry::with_prefix("driftspring_gateway")),
@@ -339,6 +343,7 @@
         }
         self.speed.register(&mut registry);
         self.paths.register(&mut registry);
+        self.linger.register(&mut registry);
         self.forwarding.register(&mut registry);
         self.streams.register(&mut registry);
         registry.register(
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -32,6 +32,7 @@
 mod read_body;
 mod refusal;
 mod relay;
+mod request_body;
 mod take_stream_up;
 mod weights_mismatch;
 mod withdrawal;
@@ -49,6 +50,7 @@
 use context::RequestContext;
 use decode::Decoded;
 use refusal::Refusal;
+use request_body::RequestBody;
 
 pub use delivery::Delivery;
 pub use event_splitter::EventSplitter;
@@ -63,9 +65,16 @@
 ) -> HttpResponse {
     let arrived_at = Instant::now();
     let mut tracker = RequestTracker::open(&state, request.io(), arrived_at);
-    let response = match serve(&state, &request, payload, &mut tracker).await {
+    let mut body = RequestBody::new(&request, payload);
+    let response = match serve(&state, &request, &mut body, &mut tracker).await {
         Ok(response) => response,
-        Err(refusal) => refusal.into_response(&state, &mut tracker),
+        Err(refusal) => {
+            let is_drained = body.drain().await;
+            if !is_drained {
+                request_body::note_unread(&request);
+            }
+            refusal.into_response(&state, &mut tracker, is_drained)
+        }
     };
     account::close_while_stopping(&state, response)
 }
@@ -74,7 +83,7 @@
 async fn serve(
     state: &Rc<GatewayState>,
     request: &HttpRequest,
-    payload: Payload,
+    body: &mut RequestBody,
     tracker: &mut RequestTracker,
 ) -> Result<HttpResponse, Refusal> {
     let decoded = decode::decode(state, request)?;
@@ -85,7 +94,7 @@
     let tenant = authenticate::authenticate(state, &route, decoded.meta.key.as_deref()).await?;
     let charge = check_quota::check_quota(state, &decoded, tenant.as_deref())?;
     let admitted = (decoded, configuration, route, tenant);
-    let result = serve_admitted(state, request, payload, admitted, tracker).await;
+    let result = serve_admitted(state, request, body, admitted, tracker).await;
     if let (Some(charge), Err(refusal)) = (charge, &result)
         && refusal.reason.is_not_run()
     {
@@ -101,7 +110,7 @@
 async fn serve_admitted(
     state: &Rc<GatewayState>,
     request: &HttpRequest,
-    payload: Payload,
+    body: &mut RequestBody,
     admitted: AdmittedRequest,
     tracker: &mut RequestTracker,
 ) -> Result<HttpResponse, Refusal> {
@@ -109,7 +118,7 @@
     let arrived_at = tracker.arrived_at();
     let deadline = context::deadline(&decoded, &route, arrived_at);
     let charge = Charge::new(&state.held_bytes);
-    let body = read_body::read_body(payload, &configuration.limits, deadline, &charge).await?;
+    let body = read_body::read_body(body, &configuration.limits, deadline, &charge).await?;
     let service = choose_backend::choose_backend(state, &route)?;
     let (service, binding) =
         take_stream_up::bind_request(state, &decoded, &route, tenant.as_deref(), service).await?;
--- a/crates/gateway/src/pipeline/read_body.rs
+++ b/crates/gateway/src/pipeline/read_body.rs
@@ -2,22 +2,22 @@
 
 use bytes::{Bytes, BytesMut};
 use driftspring_clock::Instant;
-use futures_util::StreamExt;
-use ntex::web::types::Payload;
+use ntex::http::error::PayloadError;
 
 use super::refusal::{Reason, Refusal, Step};
+use super::request_body::RequestBody;
 use crate::configuration::CallerLimits;
 use crate::held_bytes::Charge;
 
 /// Returns the body if it is within the limits and has arrived by the deadline.
 pub async fn read_body(
-    payload: Payload,
+    body: &mut RequestBody,
     limits: &CallerLimits,
     deadline: Instant,
     charge: &Charge,
 ) -> Result<Bytes, Refusal> {
     let left = deadline.saturating_duration_since(Instant::now());
-    let reading = tokio::time::timeout(left, read_whole(payload, limits, charge));
+    let reading = tokio::time::timeout(left, read_whole(body, limits, charge));
     let late = |_| {
         let detail = format!("{} bytes in the request's time", charge.bytes());
         Refusal::new(Step::Body, Reason::BodyTooSlow, detail)
@@ -26,16 +26,14 @@
 }
 
 async fn read_whole(
-    mut payload: Payload,
+    arriving: &mut RequestBody,
     limits: &CallerLimits,
     charge: &Charge,
 ) -> Result<Bytes, Refusal> {
     let mut body = BytesMut::new();
-    while let Some(piece) = payload.next().await {
-        let piece = piece.map_err(|error| {
-            let detail = error.to_string();
-            Refusal::new(Step::Body, Reason::BrokenBody, detail)
-        })?;
+    let broken =
+        |error: PayloadError| Refusal::new(Step::Body, Reason::BrokenBody, error.to_string());
+    while let Some(piece) = arriving.next().await.map_err(broken)? {
         if body.len() + piece.len() > limits.max_body_bytes {
             let detail = format!("over {} bytes", limits.max_body_bytes);
             return Err(Refusal::new(Step::Body, Reason::BodyTooLarge, detail));
--- a/crates/gateway/src/pipeline/refusal.rs
+++ b/crates/gateway/src/pipeline/refusal.rs
@@ -221,17 +221,20 @@
         }
     }
 
-    /// Whether the caller should use another connection: the rest of the body can't be skipped, or the next request on
-    /// this one would be refused too.
+    /// Whether the caller should use another connection although this one could carry its next request: that would be
+    /// refused too.
     fn closes_connection(&self) -> bool {
-        matches!(
-            self.reason,
-            Reason::BrokenBody | Reason::BodyTooLarge | Reason::BodyTooSlow | Reason::NotInformed
-        )
+        self.reason == Reason::NotInformed
     }
 
-    /// Converts the refusal into an answer, logs it and records it in the tracker.
-    pub fn into_response(self, state: &GatewayState, tracker: &mut RequestTracker) -> HttpResponse {
+    /// Converts the refusal into an answer, logs it and records it in the tracker. `has_whole_body` says whether the body
+    /// was read to its end; otherwise the connection can't be used again.
+    pub fn into_response(
+        self,
+        state: &GatewayState,
+        tracker: &mut RequestTracker,
+        has_whole_body: bool,
+    ) -> HttpResponse {
         let status = self.reason.status();
         let retry_after = self.retry_after.or(self.reason.retry_after());
         log_event!(
@@ -262,7 +265,7 @@
         if let Some(time) = retry_after {
             builder.header("retry-after", format!("{:.3}", time.as_secs_f64()));
         }
-        if self.closes_connection() {
+        if !has_whole_body || self.closes_connection() {
             builder.force_close();
         }
         match self.reason.explanation() {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,7 +1,7 @@
 //! Sockets, readiness, start and stop of a gateway.
 //!
-//! One worker thread serves callers and follows the store: the machines have a fraction of a core, and a second thread
-//! would only add wake-ups. A second small server answers readiness probes.
+//! One thread serves callers and follows the store: the machines have a fraction of a core, and a second thread would only
+//! add wake-ups. A second small server answers readiness probes.
 
 mod listeners;
 mod stop;
@@ -20,15 +20,17 @@
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
 use ntex::SharedCfg;
-use ntex::http::HttpServiceConfig;
+use ntex::http::{HttpService, HttpServiceConfig};
 use ntex::io::IoConfig;
 use ntex::rt::{DefaultRuntime, System};
 use ntex::server::Server;
+use ntex::service::ServiceFactory;
 use ntex::time::Seconds;
 use ntex::web::{self, App, HttpResponse, HttpServer};
 use tokio::sync::oneshot;
 
 use crate::cache;
+use crate::callers;
 use crate::forwarding;
 use crate::interference;
 use crate::peers;
@@ -92,7 +94,8 @@
                 let system = System::new("gateway", DefaultRuntime);
                 system.block_on(async move {
                     let servers =
-                        Servers::start(&thread_settings, &platform, &thread_status, listeners)?;
+                        Servers::start(&thread_settings, &platform, &thread_status, listeners)
+                            .await?;
                     // If the receiver is gone, the start was given up.
                     let _ = started.send(());
                     // A dropped sender also means that the gateway has to stop.
@@ -148,9 +151,10 @@
         let unfinished = stop::wait_for_open_requests(&self.status, self.settings.times.stop_grace);
         log_event!(
             gateway::GATEWAY_STOPPED,
-            "open={} unsent={}",
+            "open={} unsent={} lingering={}",
             unfinished.open_requests,
-            unfinished.unsent_connections
+            unfinished.unsent_connections,
+            unfinished.lingering_connections
         );
     }
 
@@ -201,15 +205,14 @@
     }
 }
 
-/// HTTP servers of a gateway.
+/// HTTP servers of pages. Callers are served on the gateway's own thread, until it ends.
 struct Servers {
-    callers: Server,
     health: Server,
     metrics: Option<Server>,
 }
 
 impl Servers {
-    fn start(
+    async fn start(
         settings: &GatewaySettings,
         platform: &Arc<dyn Platform>,
         status: &Arc<SharedStatus>,
@@ -218,15 +221,16 @@
         let metrics = listeners
             .metrics
             .map(|listener| serve_metrics(status, listener));
+        serve_callers(
+            settings,
+            platform,
+            status,
+            listeners.callers,
+            listeners.peers,
+            listeners.forwarded,
+        )
+        .await?;
         Ok(Self {
-            callers: serve_callers(
-                settings,
-                platform,
-                status,
-                listeners.callers,
-                listeners.peers,
-                listeners.forwarded,
-            )?,
             health: serve_health(status, listeners.health)?,
             metrics: metrics.transpose()?,
         })
@@ -234,61 +238,62 @@
 
     async fn stop(self) {
         let metrics = self.metrics.iter();
-        let servers = [&self.callers, &self.health].into_iter().chain(metrics);
+        let servers = [&self.health].into_iter().chain(metrics);
         futures_util::future::join_all(servers.map(|server| server.stop(false))).await;
     }
 }
 
-fn serve_callers(
+/// Starts the gateway's tasks on this thread and serves callers until the returned task is aborted.
+async fn serve_callers(
     settings: &GatewaySettings,
     platform: &Arc<dyn Platform>,
     status: &Arc<SharedStatus>,
     listener: TcpListener,
     peers_socket: UdpSocket,
     forwarded: Option<TcpListener>,
-) -> anyhow::Result<Server> {
-    let caller_stall = settings.times.caller_stall;
-    let settings = settings.clone();
-    let platform = Arc::clone(platform);
-    let status = Arc::clone(status);
-    let peers_socket = Arc::new(peers_socket);
-    let forwarded = forwarded.map(Arc::new);
-    let server = HttpServer::new(async move || {
-        let state = GatewayState::new(settings.clone(), Arc::clone(&platform), Arc::clone(&status));
-        store::spawn_all(&state);
-        ntex::rt::spawn(peers::limit_confirmation_wait(Rc::clone(&state)));
-        if let Ok(socket) = peers_socket.try_clone() {
-            ntex::rt::spawn(peers::run(Rc::clone(&state), socket));
-        }
-        if let Some(Ok(listener)) = forwarded.as_ref().map(|listener| listener.try_clone()) {
-            ntex::rt::spawn(forwarding::run_server(Rc::clone(&state), listener));
-        }
-        ntex::rt::spawn(forwarding::run_task(Rc::clone(&state)));
-        ntex::rt::spawn(cache::run(Rc::clone(&state)));
-        ntex::rt::spawn(stop::follow_stop(Rc::clone(&state)));
-        let held = Rc::clone(&state);
-        ntex::rt::spawn(async move {
-            let limit = || held.times.get().caller_stall;
-            held.held_bytes.end_stalled(limit).await;
-        });
-        ntex::rt::spawn(rollout::run(Rc::clone(&state)));
-        ntex::rt::spawn(standstill::watch(Rc::clone(&state)));
-        ntex::rt::spawn(interference::run(Rc::clone(&state)));
-        App::new()
-            .state(state)
-            .default_service(web::route().to(pipeline::respond))
-    });
+) -> anyhow::Result<()> {
+    let state = GatewayState::new(settings.clone(), Arc::clone(platform), Arc::clone(status));
     let http = HttpServiceConfig::new()
         .set_keepalive(KEEP_ALIVE)
         .set_client_timeout(HEAD_TIMEOUT)
         .set_max_buf_size(MAX_HEAD_BYTES);
-    let io = IoConfig::new().set_disconnect_timeout(disconnect_timeout(caller_stall));
-    let server = server
-        .config(SharedCfg::new("callers").add(http).add(io))
-        .workers(1)
-        .disable_signals()
-        .listen(listener)?;
-    Ok(server.run())
+    let io =
+        IoConfig::new().set_disconnect_timeout(disconnect_timeout(settings.times.caller_stall));
+    let config: SharedCfg = SharedCfg::new("callers").add(http).add(io).into();
+    let app = App::new()
+        .state(Rc::clone(&state))
+        .default_service(web::route().to(pipeline::respond));
+    let service = HttpService::new(app).create(config.clone()).await;
+    let service = service.map_err(|()| anyhow!("the HTTP service can't be created"))?;
+    spawn_tasks(&state, peers_socket, forwarded);
+    let lingering = Rc::clone(&state.lingering);
+    ntex::rt::spawn(async move {
+        if let Err(error) = callers::accept::run(listener, service, config, lingering).await {
+            log::error!("no callers are accepted: {error:#}");
+        }
+    });
+    Ok(())
+}
+
+/// Starts the tasks that run beside the requests.
+fn spawn_tasks(state: &Rc<GatewayState>, peers_socket: UdpSocket, forwarded: Option<TcpListener>) {
+    store::spawn_all(state);
+    ntex::rt::spawn(peers::limit_confirmation_wait(Rc::clone(state)));
+    ntex::rt::spawn(peers::run(Rc::clone(state), peers_socket));
+    if let Some(listener) = forwarded {
+        ntex::rt::spawn(forwarding::run_server(Rc::clone(state), listener));
+    }
+    ntex::rt::spawn(forwarding::run_task(Rc::clone(state)));
+    ntex::rt::spawn(cache::run(Rc::clone(state)));
+    ntex::rt::spawn(stop::follow_stop(Rc::clone(state)));
+    let held = Rc::clone(state);
+    ntex::rt::spawn(async move {
+        let limit = || held.times.get().caller_stall;
+        held.held_bytes.end_stalled(limit).await;
+    });
+    ntex::rt::spawn(rollout::run(Rc::clone(state)));
+    ntex::rt::spawn(standstill::watch(Rc::clone(state)));
+    ntex::rt::spawn(interference::run(Rc::clone(state)));
 }
 
 /// Time limit for the last bytes of a connection that is being closed: the same as for an answer of which its caller takes
--- a/crates/gateway/src/server/stop.rs
+++ b/crates/gateway/src/server/stop.rs
@@ -34,6 +34,8 @@
     pub open_requests: u32,
     /// Number of connections with bytes that were not sent.
     pub unsent_connections: u32,
+    /// Number of connections whose callers have not closed them after their last answer.
+    pub lingering_connections: u32,
 }
 
 impl Unfinished {
@@ -41,6 +43,7 @@
         Self {
             open_requests: status.open_requests.load(Ordering::Acquire),
             unsent_connections: status.unsent_connections.load(Ordering::Acquire),
+            lingering_connections: status.lingering_connections.load(Ordering::Acquire),
         }
     }
 }
@@ -74,7 +77,7 @@
     unfinished
 }
 
-/// Does what a planned stop asks of the thread that serves callers: counts the connections with unsent bytes, closes idle
+/// Does what a planned stop asks of the thread that serves callers: counts the connections that have not ended, closes idle
 /// ones once new requests are refused, so that callers connect to another gateway without having been refused, and ends
 /// the answers that are left at the end of the grace period.
 pub async fn follow_stop(state: Rc<GatewayState>) {
@@ -93,6 +96,10 @@
             .status
             .unsent_connections
             .store(unsent, Ordering::Release);
+        state
+            .status
+            .lingering_connections
+            .store(state.lingering.open(), Ordering::Release);
         if phase == StopPhase::EndingAnswers {
             state.held_bytes.end_for_stop();
             state.status.raise_stop_phase(StopPhase::Ended);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,6 +19,7 @@
 
 use crate::budget::RetryBudgets;
 use crate::cache::{CachedParts, PromptHolders};
+use crate::callers::Lingering;
 use crate::configuration::Configuration;
 use crate::connections::CallerConnections;
 use crate::currency::Currency;
@@ -118,6 +119,8 @@
     pub held_bytes: Rc<HeldBytes>,
     /// Connections of the callers.
     pub callers: CallerConnections,
+    /// Connections of callers that linger after their last answer.
+    pub lingering: Rc<Lingering>,
     /// Connections to the object store.
     pub store: Rc<Pool>,
     /// Outage of the store; ends waits for a store that is down.
@@ -180,6 +183,7 @@
         let lease = lease.at_first_start(is_first_start);
         let interference = Interference::new(settings.interference);
         let held_bytes = HeldBytes::new(settings.machine.held_bytes, Arc::clone(&status));
+        let lingering = Lingering::new(Arc::clone(&status));
         let forwarding = Forwarding::new(settings.forwarding_enabled, settings.machine.cores);
         Rc::new(Self {
             times: Cell::new(settings.times),
@@ -210,6 +214,7 @@
             holders: PromptHolders::default(),
             held_bytes,
             callers: CallerConnections::default(),
+            lingering,
             store_outage: StoreOutage::default(),
             rejections: Rejections::default(),
             known_namings: KnownNamings::default(),
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -44,6 +44,8 @@
     pub open_requests: AtomicU32,
     /// Number of connections with bytes that the operating system has not taken yet; counted during a planned stop.
     pub unsent_connections: AtomicU32,
+    /// Number of connections that their callers have not closed after the last answer; counted during a planned stop.
+    pub lingering_connections: AtomicU32,
     /// Metrics of this gateway.
     pub metrics: GatewayMetrics,
     /// Settings that were reloaded and are not in force yet.
