--- a/crates/gateway/src/pipeline/read_body.rs
+++ b/crates/gateway/src/pipeline/read_body.rs
@@ -16,6 +16,10 @@
     deadline: Instant,
     charge: &Charge,
 ) -> Result<Bytes, Refusal> {
+    let limit = limits.max_body_bytes;
+    if body.announced().is_some_and(|length| length > limit as u64) {
+        return Err(too_large(limit));
+    }
     let left = deadline.saturating_duration_since(Instant::now());
     let reading = tokio::time::timeout(left, read_whole(body, limits, charge));
     let late = |_| {
@@ -35,11 +39,15 @@
         |error: PayloadError| Refusal::new(Step::Body, Reason::BrokenBody, error.to_string());
     while let Some(piece) = arriving.next().await.map_err(broken)? {
         if body.len() + piece.len() > limits.max_body_bytes {
-            let detail = format!("over {} bytes", limits.max_body_bytes);
-            return Err(Refusal::new(Step::Body, Reason::BodyTooLarge, detail));
+            return Err(too_large(limits.max_body_bytes));
         }
         charge.add(piece.len()).await;
         body.extend_from_slice(&piece);
     }
     Ok(body.freeze())
 }
+
+fn too_large(limit: usize) -> Refusal {
+    let detail = format!("over {limit} bytes");
+    Refusal::new(Step::Body, Reason::BodyTooLarge, detail)
+}
