--- a/crates/gateway/src/callers/socket.rs
+++ b/crates/gateway/src/callers/socket.rs
@@ -2,14 +2,18 @@
 
 use std::any::{Any, TypeId};
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::io::{self, IoSlice};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use ntex::SharedCfg;
 use ntex::io::{Handle, Io, IoContext, IoRef, IoStream, IoTaskStatus, Readiness, types};
 use ntex::util::BytePages;
 use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
 
 use super::linger::{Lingering, linger};
 
@@ -19,6 +23,11 @@
 /// Maximum number of bytes that one system call discards.
 const DISCARD_BYTES: usize = 16 * 1024;
 
+/// How long a call goes on after its caller has ended its side of the connection. A caller that has only ended its side gets
+/// its answer if that begins by then; one that has closed the connection looks the same until something is sent to it, and
+/// no work may be done for it any more after half a second.
+const HALF_CLOSE_GRACE: Duration = Duration::from_millis(250);
+
 /// An accepted connection of a caller.
 pub struct CallerStream {
     stream: TcpStream,
@@ -51,6 +60,12 @@
 struct SocketState {
     /// The library's side of the connection, until it ends: it refers to this state in turn.
     connection: RefCell<Option<IoRef>>,
+    /// Whether a request may be under way: bytes were read since the last one ended.
+    has_request: Cell<bool>,
+    /// Whether the request under way ends with its caller, even if that has only ended its side.
+    ends_with_caller: Cell<bool>,
+    /// Whether bytes were sent since the caller ended its side.
+    has_sent_since_end: Cell<bool>,
     /// Whether a request was answered before all of its body was read.
     has_unread_body: Cell<bool>,
     /// Whether it is closed at a moment at which its caller expects no answer.
@@ -63,6 +78,18 @@
         connection.query::<Self>().as_ref().cloned()
     }
 
+    /// Records that the answer to a request has ended.
+    pub fn end_request(&self) {
+        self.0.has_request.set(false);
+        self.0.ends_with_caller.set(false);
+    }
+
+    /// Records that the request under way is to end as soon as its caller ends its side of the connection: each piece of a
+    /// stream costs its replica work.
+    pub fn end_with_caller(&self) {
+        self.0.ends_with_caller.set(true);
+    }
+
     /// Records that a request is answered although its caller still sends, or may send, its body.
     pub fn note_unread_body(&self) {
         self.0.has_unread_body.set(true);
@@ -78,6 +105,11 @@
         connection.close();
     }
 
+    /// Whether a call goes on for a while after its caller has ended its side.
+    fn has_half_close_grace(&self) -> bool {
+        self.0.has_request.get() && !self.0.ends_with_caller.get()
+    }
+
     /// Whether the library is closing the connection: it takes no further bytes, and writes what it has.
     fn is_closing(&self) -> bool {
         let connection = self.0.connection.borrow();
@@ -95,6 +127,7 @@
             context,
             is_at_end: false,
             is_paused: false,
+            half_close: None,
         };
         ntex::rt::spawn(run(transfer, self.lingering));
         Box::new(SocketHandle {
@@ -141,7 +174,7 @@
     }
 
     fn write(&self, context: &IoContext) {
-        write(&self.stream, context);
+        write(&self.stream, context, &self.socket);
     }
 
     // The transfer's task is woken by readiness.
@@ -166,11 +199,14 @@
     is_at_end: bool,
     /// Whether the library had no room after the last read.
     is_paused: bool,
+    /// Runs while a call goes on although its caller has ended its side.
+    half_close: Option<Pin<Box<Sleep>>>,
 }
 
 impl Transfer {
     fn poll(&mut self, task: &mut Context<'_>) -> Poll<End> {
         self.poll_read(task);
+        self.poll_half_close(task);
         ready!(self.poll_write(task));
         Poll::Ready(match self.is_at_end {
             true => End::ByCaller,
@@ -212,12 +248,29 @@
         let read = self.note_read(read);
         let status = self.context.update_read_status(buffer, read);
         if self.is_at_end && !self.socket.is_closing() {
-            // A caller that closes its connection gives up its request.
-            self.context.stop(None);
+            match self.socket.has_half_close_grace() {
+                true => self.half_close = Some(Box::pin(sleep(HALF_CLOSE_GRACE))),
+                // A caller that closes its connection gives up its request.
+                false => self.context.stop(None),
+            }
         }
         status
     }
 
+    /// Ends the connection if nothing was sent on it in the time after its caller has ended its side. If something was, the
+    /// caller's operating system resets a connection that it has closed.
+    fn poll_half_close(&mut self, task: &mut Context<'_>) {
+        let Some(timer) = &mut self.half_close else {
+            return;
+        };
+        if timer.as_mut().poll(task).is_ready() {
+            self.half_close = None;
+            if !self.socket.0.has_sent_since_end.get() {
+                self.context.stop(None);
+            }
+        }
+    }
+
     /// Reads what nobody takes any more.
     fn discard(&mut self) -> IoTaskStatus {
         let mut scratch = [0; DISCARD_BYTES];
@@ -237,7 +290,14 @@
         match read {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(0),
             read => {
-                self.is_at_end |= !matches!(read, Ok(1..));
+                let state = &self.socket.0;
+                match read {
+                    Ok(1..) => state.has_request.set(true),
+                    Ok(0) | Err(_) => {
+                        self.is_at_end = true;
+                        state.has_sent_since_end.set(false);
+                    }
+                }
                 read
             }
         }
@@ -251,7 +311,7 @@
                 self.context.update_write_status(Err(error));
                 return Poll::Ready(());
             }
-            match write(&self.stream, &self.context) {
+            match write(&self.stream, &self.context, &self.socket) {
                 Written::More => {}
                 Written::All => return Poll::Pending,
                 Written::Failed => {
@@ -276,8 +336,11 @@
 }
 
 /// Writes a part of what the library has buffered, without waiting.
-fn write(stream: &TcpStream, context: &IoContext) -> Written {
+fn write(stream: &TcpStream, context: &IoContext, socket: &CallerSocket) -> Written {
     let written = context.with_write_buf(|buffer| write_pages(stream, buffer));
+    if matches!(written, Ok(true)) {
+        socket.0.has_sent_since_end.set(true);
+    }
     match context.update_write_status(written) {
         IoTaskStatus::Io => Written::More,
         IoTaskStatus::Pause => Written::All,
--- a/crates/gateway/src/pipeline/account.rs
+++ b/crates/gateway/src/pipeline/account.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use super::pace::StreamTiming;
+use crate::callers::socket::CallerSocket;
 use crate::configuration::Route;
 use crate::state::GatewayState;
 
@@ -18,6 +19,7 @@
 pub struct RequestTracker {
     state: Rc<GatewayState>,
     connection: Option<Id>,
+    socket: Option<CallerSocket>,
     arrived_at: Instant,
     id: String,
     route: String,
@@ -36,6 +38,7 @@
         Self {
             state: Rc::clone(state),
             connection: connection.map(IoRef::id),
+            socket: connection.and_then(CallerSocket::of),
             arrived_at,
             id: String::new(),
             route: String::new(),
@@ -71,6 +74,13 @@
         self.arrived_at
     }
 
+    /// Records that the request is a stream, which ends as soon as its caller ends its side of the connection.
+    pub fn end_with_caller(&self) {
+        if let Some(socket) = &self.socket {
+            socket.end_with_caller();
+        }
+    }
+
     /// Records that the head of a replica's answer has arrived.
     pub fn record_answer_head(&self) {
         self.state
@@ -134,6 +144,7 @@
         let taken = Self {
             state: Rc::clone(&self.state),
             connection: self.connection.take(),
+            socket: self.socket.take(),
             arrived_at: self.arrived_at,
             id: self.id.clone(),
             route: self.route.clone(),
@@ -155,6 +166,9 @@
         if let Some(connection) = self.connection {
             self.state.callers.record_request_end(connection);
         }
+        if let Some(socket) = &self.socket {
+            socket.end_request();
+        }
         if !self.is_finished {
             self.state.status.metrics.abandoned.inc();
             log_event!(
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -59,6 +59,7 @@
     request: &HttpRequest,
     tracker: &mut RequestTracker,
 ) -> Result<HttpResponse, Refusal> {
+    tracker.end_with_caller();
     let limit = context.time_left() + DEADLINE_GRACE;
     let opening = tokio::time::timeout(limit, open_answer(state, &context)).await;
     let (attempts, attempt, splitter, first) = opening.map_err(|_| {
