--- a/crates/gateway/src/pipeline/authenticate.rs
+++ b/crates/gateway/src/pipeline/authenticate.rs
@@ -3,7 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::find_route::{CONFIRMATION_TIMEOUT, denial_max_proof_age};
+use driftspring_clock::Instant;
+
+use super::context;
+use super::decode::Decoded;
+use super::find_route::{confirmation_timeout, denial_max_proof_age};
 use super::refusal::{Reason, Refusal, Step};
 use crate::configuration::{Route, Tenant};
 use crate::state::GatewayState;
@@ -15,9 +19,13 @@
 /// Returns the tenant, or nothing if the route or the configuration requires no key.
 pub async fn authenticate(
     state: &GatewayState,
+    decoded: &Decoded,
     route: &Route,
-    key: Option<&str>,
+    arrived_at: Instant,
 ) -> Result<Option<Arc<Tenant>>, Refusal> {
+    let key = decoded.meta.key.as_deref();
+    let deadline = context::deadline(decoded, route, arrived_at);
+    let timeout = || confirmation_timeout(arrived_at, deadline);
     let needs_key = || {
         let configuration = state.configuration.load();
         let needs_keys = configuration
@@ -28,7 +36,7 @@
     if !needs_key() {
         return Ok(None);
     }
-    check_proof_age(state, route).await?;
+    check_proof_age(state, route, &timeout).await?;
     let look_up = || {
         let configuration = state.configuration.load_full()?;
         configuration.tenant(key?).cloned()
@@ -38,7 +46,7 @@
     }
     let is_confirmed = state
         .currency
-        .confirm(denial_max_proof_age(state), CONFIRMATION_TIMEOUT)
+        .confirm(denial_max_proof_age(state), timeout())
         .await;
     match (look_up(), is_confirmed) {
         (Some(tenant), _) => Ok(Some(tenant)),
@@ -53,12 +61,13 @@
 const LOST_PROOF_WAIT_SHARE: f64 = 0.2;
 
 /// Checks that the configuration is known to be current: a key may have been revoked since the last proof.
-async fn check_proof_age(state: &GatewayState, route: &Route) -> Result<(), Refusal> {
-    if !state
-        .currency
-        .until_peer_answers(CONFIRMATION_TIMEOUT)
-        .await
-    {
+/// `timeout` says how long the request still waits for that.
+async fn check_proof_age(
+    state: &GatewayState,
+    route: &Route,
+    timeout: &impl Fn() -> Duration,
+) -> Result<(), Refusal> {
+    if !state.currency.until_peer_answers(timeout()).await {
         return Err(refusal(
             Reason::NotInformed,
             "no other gateway has answered yet",
@@ -79,7 +88,8 @@
     if state.currency.is_within(allowed) {
         return Ok(());
     }
-    let timeout = proof_timeout(state.currency.age().is_some(), route.objective);
+    let had_proof = state.currency.age().is_some();
+    let timeout = proof_timeout(had_proof, route.objective, timeout());
     match state.currency.confirm(allowed, timeout).await {
         true => Ok(()),
         false => Err(refusal(
@@ -90,11 +100,11 @@
 }
 
 /// How long a request waits for a proof of the configuration. A gateway that has had a proof has lost it; one without
-/// any has just started and is reading the store for the first time.
-fn proof_timeout(had_proof: bool, objective: Duration) -> Duration {
+/// any has just started and is reading the store for the first time. No wait is longer than `longest`.
+fn proof_timeout(had_proof: bool, objective: Duration, longest: Duration) -> Duration {
     match had_proof && !objective.is_zero() {
-        true => CONFIRMATION_TIMEOUT.min(objective.mul_f64(LOST_PROOF_WAIT_SHARE)),
-        false => CONFIRMATION_TIMEOUT,
+        true => longest.min(objective.mul_f64(LOST_PROOF_WAIT_SHARE)),
+        false => longest,
     }
 }
 
--- a/crates/gateway/src/pipeline/context.rs
+++ b/crates/gateway/src/pipeline/context.rs
@@ -63,14 +63,18 @@
     part_fingerprints: OnceCell<Vec<Fingerprint>>,
 }
 
+/// When the caller gives up a request that arrived at `arrived_at`.
+pub fn caller_deadline(decoded: &Decoded, arrived_at: Instant) -> Instant {
+    arrived_at + decoded.meta.deadline.unwrap_or(DEFAULT_REQUEST_TIMEOUT)
+}
+
 /// When the caller or the route gives up a request that arrived at `arrived_at`.
 pub fn deadline(decoded: &Decoded, route: &Route, arrived_at: Instant) -> Instant {
-    let caller_limit = decoded.meta.deadline.unwrap_or(DEFAULT_REQUEST_TIMEOUT);
     let route_limit = match route.timeout {
         Duration::ZERO => DEFAULT_REQUEST_TIMEOUT,
         timeout => timeout,
     };
-    arrived_at + caller_limit.min(route_limit)
+    caller_deadline(decoded, arrived_at).min(arrived_at + route_limit)
 }
 
 impl RequestContext {
--- a/crates/gateway/src/pipeline/forwarded.rs
+++ b/crates/gateway/src/pipeline/forwarded.rs
@@ -92,7 +92,7 @@
     );
     decoded.meta.deadline = Some(hop.time_left);
     decoded.meta.key.clone_from(&hop.key);
-    let (configuration, route) = find_route(state, &decoded).await?;
+    let (configuration, route) = find_route(state, &decoded, arrived_at).await?;
     if !route
         .backends
         .iter()
@@ -101,7 +101,7 @@
         let detail = format!("the route has no service {}", hop.service);
         return Err(Refusal::new(Step::Route, Reason::NotInformed, detail));
     }
-    let tenant = authenticate(state, &route, decoded.meta.key.as_deref()).await?;
+    let tenant = authenticate(state, &decoded, &route, arrived_at).await?;
     let deadline = context::deadline(&decoded, &route, arrived_at);
     let left = deadline.saturating_duration_since(Instant::now());
     let charge = Charge::new(&state.held_bytes);
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -77,12 +77,13 @@
     payload: Payload,
     tracker: &mut RequestTracker,
 ) -> Result<HttpResponse, Refusal> {
+    let arrived_at = tracker.arrived_at();
     let decoded = decode::decode(state, request)?;
     tracker.set_request_id(&decoded.id);
     refusal::refuse_while_stopping(state)?;
-    let (configuration, route) = find_route::find_route(state, &decoded).await?;
+    let (configuration, route) = find_route::find_route(state, &decoded, arrived_at).await?;
     tracker.set_route(&route);
-    let tenant = authenticate::authenticate(state, &route, decoded.meta.key.as_deref()).await?;
+    let tenant = authenticate::authenticate(state, &decoded, &route, arrived_at).await?;
     let charge = check_quota::check_quota(state, &decoded, tenant.as_deref())?;
     let admitted = (decoded, configuration, route, tenant);
     let result = serve_admitted(state, request, payload, admitted, tracker).await;
