--- a/crates/gateway/src/pipeline/authenticate.rs
+++ b/crates/gateway/src/pipeline/authenticate.rs
@@ -7,7 +7,7 @@
 
 use super::context;
 use super::decode::Decoded;
-use super::find_route::{confirmation_timeout, denial_max_proof_age};
+use super::find_route::{self, confirmation_timeout, denial_max_proof_age};
 use super::refusal::{Reason, Refusal, Step};
 use crate::configuration::{Route, Tenant};
 use crate::state::GatewayState;
@@ -28,15 +28,22 @@
     let timeout = || confirmation_timeout(arrived_at, deadline);
     let needs_key = || {
         let configuration = state.configuration.load();
-        let needs_keys = configuration
-            .as_ref()
-            .is_some_and(|known| known.needs_keys());
-        needs_keys && !route.is_public
+        let Some(known) = configuration.as_ref() else {
+            return false;
+        };
+        let in_force = find_route::route_of(known, decoded);
+        let is_public = in_force.map_or(route.is_public, |route| route.is_public);
+        known.needs_keys() && !is_public
     };
     if !needs_key() {
         return Ok(None);
     }
-    check_proof_age(state, route, &timeout).await?;
+    let checked = check_proof_age(state, route, &timeout).await;
+    // A configuration that requires no key may have come into force meanwhile.
+    if !needs_key() {
+        return Ok(None);
+    }
+    checked?;
     let look_up = || {
         let configuration = state.configuration.load_full()?;
         configuration.tenant(key?).cloned()
@@ -48,6 +55,9 @@
         .currency
         .confirm(denial_max_proof_age(state), timeout())
         .await;
+    if !needs_key() {
+        return Ok(None);
+    }
     match (look_up(), is_confirmed) {
         (Some(tenant), _) => Ok(Some(tenant)),
         (None, true) => Err(refusal(Reason::UnknownKey, "no tenant holds the key")),
