--- a/crates/gateway/src/peers/configuration.rs
+++ b/crates/gateway/src/peers/configuration.rs
@@ -9,6 +9,7 @@
 use driftspring_telemetry::log_event;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::Receiver;
+use tokio::task::JoinError;
 
 use super::configuration_message::{MAX_PIECES, answers};
 use super::configuration_pieces::{ConfigurationPieces, PieceError};
@@ -17,7 +18,7 @@
 use crate::configuration::Configuration;
 use crate::protocol::{Unreadable, UnreadableReason};
 use crate::state::{GatewayState, STARTUP_WINDOW};
-use crate::store::{Rejected, apply_handed_on_configuration};
+use crate::store::{Rejected, apply_handed_on_configuration, parse};
 
 /// The capacity of the reply queue: the replies to two queries.
 pub(super) const MAX_QUEUED_REPLIES: usize = 2 * MAX_PIECES as usize;
@@ -74,6 +75,9 @@
     /// The document is not a valid configuration.
     #[error(transparent)]
     Unreadable(#[from] Unreadable),
+    /// The parser ended without a result.
+    #[error("parsing the document failed: {0}")]
+    ParserEnded(#[from] JoinError),
     /// The document has another version than the replies.
     #[error("the replies name version {announced}, but the document has version {read}")]
     OtherVersion {
@@ -253,7 +257,7 @@
     let transfer = receive_all(state, socket, replies, holder);
     let pieces = tokio::time::timeout(TRANSFER_TIMEOUT, transfer).await;
     let pieces = pieces.map_err(|_| TransferError::TimedOut)??;
-    let configuration = read(state, pieces)?;
+    let configuration = read(state, pieces).await?;
     apply_handed_on_configuration(state, configuration, &holder.to_string());
     // A read that returns an older version proves the version that is held now.
     state.currency.request_proof();
@@ -325,10 +329,16 @@
 }
 
 /// Parses the document like one from the store.
-fn read(state: &GatewayState, pieces: ConfigurationPieces) -> Result<Configuration, TransferError> {
+async fn read(
+    state: &GatewayState,
+    pieces: ConfigurationPieces,
+) -> Result<Configuration, TransferError> {
     let announced = pieces.version();
     let document = pieces.into_document()?;
-    let configuration = state.platform.read_configuration(&document)?;
+    let parsed = parse(&state.platform, document.into(), |platform, document| {
+        platform.read_configuration(document)
+    });
+    let configuration = parsed.await??;
     let read = configuration.version;
     match read == announced {
         true => Ok(configuration),
@@ -342,6 +352,7 @@
         TransferError::NoHolder
         | TransferError::NoPiece
         | TransferError::TimedOut
+        | TransferError::ParserEnded(_)
         | TransferError::NotNewer(_) => {
             return log::debug!("configuration transfer from another daemon failed: {error}");
         }
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -9,9 +9,10 @@
 use http::StatusCode;
 
 use super::era::accept_answer_era;
+use super::parse;
 use super::position::{StoreEra, StorePosition};
 use crate::protocol::{
-    Call, Freshness, ListPage, ObjectContent, ObjectKind, StoredObject, WatchPage, WriteAnswer,
+    Call, Freshness, ObjectContent, ObjectKind, Platform, StoredObject, WatchPage, WriteAnswer,
 };
 use crate::state::GatewayState;
 use crate::upstream::{self, CallAnswer, CallError};
@@ -103,11 +104,11 @@
             state.store_outage.note_failed_list(started_at);
         }
         let (era, body) = answer?;
-        let page: ListPage = state
-            .platform
-            .read_list(kind, &body)
-            .map_err(StoreError::Unreadable)?
-            .in_era(era);
+        let page = parse_page(state, kind, era, body, move |platform, body| {
+            platform.read_list(kind, body)
+        })
+        .await?;
+        let page = page.in_era(era);
         // The revision of data that may be old says nothing about the store's position at the time of the answer.
         if freshness == Freshness::Newest {
             record_position(state, page.position);
@@ -158,15 +159,35 @@
     if era != position.era {
         return Err(StoreError::EraChanged);
     }
-    let page = state
-        .platform
-        .read_watch(kind, &body)
-        .map_err(StoreError::Unreadable)?
-        .in_era(era);
+    let page = parse_page(state, kind, era, body, move |platform, body| {
+        platform.read_watch(kind, body)
+    })
+    .await?;
+    let page = page.in_era(era);
     record_position(state, page.position);
     Ok(page)
 }
 
+/// Parses the answer to a read in the store's era at that time. Only configurations are large enough to be parsed on
+/// another thread; the other kinds are applied in the order of their answers.
+async fn parse_page<T: Send + 'static>(
+    state: &GatewayState,
+    kind: ObjectKind,
+    era: StoreEra,
+    body: Bytes,
+    read: impl FnOnce(&dyn Platform, &[u8]) -> Result<T, String> + Send + 'static,
+) -> Result<T, StoreError> {
+    if kind != ObjectKind::Configuration {
+        return read(&*state.platform, &body).map_err(StoreError::Unreadable);
+    }
+    let parsed = parse(&state.platform, body, read).await;
+    if state.store_eras.known() != era {
+        return Err(StoreError::EraChanged);
+    }
+    let parsed = parsed.map_err(|error| StoreError::Unreadable(error.to_string()))?;
+    parsed.map_err(StoreError::Unreadable)
+}
+
 /// Records the store's position and that it was reached by now.
 fn record_position(state: &GatewayState, position: StorePosition) {
     let mut lease = state.lease.borrow_mut();
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -10,6 +10,7 @@
 mod known_namings;
 mod outage;
 pub mod own_entry;
+mod parse;
 mod position;
 mod progress;
 mod quarantine;
@@ -27,6 +28,7 @@
 pub use join::register_gateway;
 pub use known_namings::KnownNamings;
 pub use outage::{StoreOutage, backoff_after, backoff_after_call};
+pub(crate) use parse::parse;
 pub use position::{StoreEra, StorePosition};
 pub use progress::StoreProgress;
 pub use quarantine::{QuarantineObject, delete_quarantined, list_quarantined};
