--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -43,6 +43,9 @@
 const WITHDRAWN_FOR_OLD_WEIGHTS: &str =
     "it had not begun when the weights of its replica became too old";
 
+/// Why a request is not sent to a replica that may be sound.
+const NOT_CONNECTED: &str = "no connection to it has come up in time";
+
 /// Why a request leaves a replica that can't be reached any more.
 const PATH_LOST: &str = "no replica can be reached from here";
 
@@ -51,6 +54,8 @@
     pub(super) state: Rc<GatewayState>,
     pub(super) context: Rc<RequestContext>,
     pub(super) tried: Vec<ReplicaIncarnation>,
+    /// Those of them to which no connection came up, and which may be sound: they are tried again if no other is left.
+    silent: Vec<ReplicaIncarnation>,
     /// Replicas that refused because they have other weights than the request was sent for.
     pub(super) weights_mismatches: Vec<WeightsMismatch>,
     /// The path to the replicas of its service.
@@ -167,6 +172,7 @@
             is_forwarded: false,
             context: Rc::clone(context),
             tried: Vec::new(),
+            silent: Vec::new(),
             weights_mismatches: Vec::new(),
             possible_runs: 0,
             not_run_answers: 0,
@@ -212,6 +218,7 @@
                 Ok(choice) => choice,
                 Err(refusal) => match refusal.reason {
                     Reason::NoReplica if self.may_retry_after_mismatch().await => continue,
+                    Reason::NoReplica if self.may_retry_silent() => continue,
                     _ => return Err(self.refusal_without_replica(refusal)),
                 },
             };
@@ -265,6 +272,7 @@
                 self.sends += 1;
                 self.handle_lost(&choice, peer, &cause)?;
             }
+            Err(SendError::NotConnected) => self.handle_not_connected(&choice)?,
             Err(SendError::Resting) => {
                 self.log_attempt(&choice, "not_sent", "it is cooling down");
             }
@@ -447,6 +455,28 @@
         }
     }
 
+    /// Handles a replica to which no connection came up in time. It may be sound and silent for a while, so nothing is held
+    /// against it unless that lasts.
+    fn handle_not_connected(&mut self, choice: &Choice) -> Result<(), Refusal> {
+        let replica = &choice.replica;
+        if replica.health.record_silence(Instant::now()) {
+            return self.handle_not_sent(choice, replica.pool.peer(), NOT_CONNECTED);
+        }
+        let service = &self.context.service;
+        reachability::doubt(&self.state, service, &self.path, Doubt::Failure);
+        self.log_attempt(choice, "not_sent", NOT_CONNECTED);
+        self.tried.push(replica.incarnation.clone());
+        self.silent.push(replica.incarnation.clone());
+        Ok(())
+    }
+
+    /// Whether replicas to which no connection came up are tried again, since no other one is left.
+    fn may_retry_silent(&mut self) -> bool {
+        let silent = std::mem::take(&mut self.silent);
+        self.tried.retain(|tried| !silent.contains(tried));
+        !silent.is_empty()
+    }
+
     /// Handles a replica that could not be shown to run the version that began the stream.
     fn handle_unconfirmed(&mut self, choice: &Choice) -> Result<(), Refusal> {
         let detail = "its software version could not be confirmed";
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -226,7 +226,9 @@
     retain_unpaused(state, &mut staying, now)?;
     retain_with_room(state, &context.service, &mut staying, now)?;
     let is_available = |replica: &&Rc<Replica>| {
-        !replica.health.is_suspect(now) && replica.loading_since().is_none()
+        !replica.health.is_suspect(now)
+            && !replica.health.is_silent(now)
+            && replica.loading_since().is_none()
     };
     let available: Vec<Rc<Replica>> = staying.iter().filter(is_available).cloned().collect();
     match available.is_empty() {
--- a/crates/gateway/src/pipeline/confirm_software.rs
+++ b/crates/gateway/src/pipeline/confirm_software.rs
@@ -10,9 +10,6 @@
 use crate::state::GatewayState;
 use crate::upstream::Connection;
 
-/// How long the report is waited for. It needs no slot of the replica.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// What the peer of a connection has shown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Confirmation {
@@ -24,19 +21,20 @@
     Failed,
 }
 
-/// Confirms the software version of the peer. Only replicas that state their start times may keep their ids; the id of
+/// Confirms the software version of the peer, which needs no slot of the replica, within `patience`. Only replicas that state their start times may keep their ids; the id of
 /// any other one is checked by the replica itself with each request.
 pub async fn confirm_software(
     state: &GatewayState,
     replica: &Replica,
     connection: &mut Connection,
+    patience: Duration,
 ) -> Confirmation {
     let born = replica.incarnation.born;
     if born.is_none() || connection.is_confirmed {
         return Confirmation::Confirmed(replica.software());
     }
     let call = state.platform.report();
-    let report = tokio::time::timeout(REPORT_TIMEOUT, connection.call(&call)).await;
+    let report = tokio::time::timeout(patience, connection.call(&call)).await;
     let body = match report {
         Ok(Ok(answer)) => answer.body,
         Ok(Err(error)) => {
@@ -44,10 +42,7 @@
             return Confirmation::Failed;
         }
         Err(_) => {
-            log::debug!(
-                "no report of replica {} in {REPORT_TIMEOUT:?}",
-                replica.id()
-            );
+            log::debug!("no report of replica {} in {patience:?}", replica.id());
             return Confirmation::Failed;
         }
     };
--- a/crates/gateway/src/pipeline/context.rs
+++ b/crates/gateway/src/pipeline/context.rs
@@ -59,6 +59,8 @@
     pub binding: Cell<VersionBinding>,
     /// Where its tenant stands if the service is overloaded.
     pub standing: Cell<Standing>,
+    /// Whether any of it was sent to a replica or to another gateway, so that it may have run.
+    pub was_sent: Cell<bool>,
     fingerprint: OnceCell<Fingerprint>,
     part_fingerprints: OnceCell<Vec<Fingerprint>>,
 }
@@ -101,6 +103,7 @@
             body_charge: None,
             binding: Cell::default(),
             standing: Cell::default(),
+            was_sent: Cell::default(),
             fingerprint: OnceCell::new(),
             part_fingerprints: OnceCell::new(),
         }
--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -26,13 +26,14 @@
 use crate::reachability::{self, PathUse};
 use crate::replicas::{OpenRequestGuard, QueuedRequest, TimedCall};
 use crate::state::GatewayState;
-use crate::upstream::{Answer, Connection, SendFailure};
+use crate::upstream::{Answer, ConnectError, Connection, SendFailure};
 
 /// Why a request is not sent although the connection is established.
 const WEIGHTS_TOO_OLD: &str = "its weights have become too old";
 
-/// Maximum number of connections on which the replica's incarnation is asked for before a request is sent without it.
-const MAX_CONFIRMATIONS: usize = 2;
+/// How long the replica's report is waited for, on one connection after the other, before a request is sent without it. The
+/// first connection may be dead; a sound replica may be silent for a second or so on the second one.
+const REPORT_TIMEOUTS: [Duration; 2] = [Duration::from_millis(300), Duration::from_secs(2)];
 
 /// An answer whose head has arrived.
 #[derive(Debug)]
@@ -121,6 +122,8 @@
 pub enum SendError {
     /// It could not be sent, or its answer was lost.
     Failed(SendFailure),
+    /// It was not sent: no connection to the replica came up in time.
+    NotConnected,
     /// It waited until the replica's weights became too old.
     Withdrawn,
     /// It waited there when the path to all replicas was lost; another gateway can bring it to one.
@@ -154,8 +157,7 @@
             false => connect(state, choice)
                 .await
                 .map(|connection| (connection, None)),
-        }
-        .map_err(SendError::Failed)?;
+        }?;
         if !context.binding.get().allows(software) {
             return Err(SendError::VersionUnconfirmed);
         }
@@ -175,6 +177,7 @@
         log_sent(state, context, choice, &connection, last_event_id, expected);
         let speed = route_speed(state, context);
         let timed = speed.map(|speed| TimedCall::begin(&choice.replica, speed));
+        context.was_sent.set(true);
         let answer = tokio::select! {
             biased;
             answer = connection.send(request) => answer,
@@ -258,10 +261,10 @@
 async fn connect_confirmed(
     state: &GatewayState,
     choice: &Choice,
-) -> Result<(Connection, Option<SoftwareVersion>), SendFailure> {
-    for _ in 0..MAX_CONFIRMATIONS {
+) -> Result<(Connection, Option<SoftwareVersion>), SendError> {
+    for patience in REPORT_TIMEOUTS {
         let mut connection = connect(state, choice).await?;
-        match confirm_software(state, &choice.replica, &mut connection).await {
+        match confirm_software(state, &choice.replica, &mut connection, patience).await {
             Confirmation::Confirmed(version) => return Ok((connection, version)),
             Confirmation::OtherIncarnation => return Ok((connection, None)),
             Confirmation::Failed => {}
@@ -271,13 +274,16 @@
 }
 
 /// Returns a connection to the replica, unless the replica has begun to leave while it was established.
-async fn connect(state: &GatewayState, choice: &Choice) -> Result<Connection, SendFailure> {
+async fn connect(state: &GatewayState, choice: &Choice) -> Result<Connection, SendError> {
     let connection = choice.replica.pool.take().await;
-    let connection = connection.map_err(|error| not_sent(choice, &error.to_string()))?;
+    let connection = connection.map_err(|error| match error {
+        ConnectError::TimedOut { .. } => SendError::NotConnected,
+        ConnectError::Failed { .. } => SendError::Failed(not_sent(choice, &error.to_string())),
+    })?;
     let is_listed = state.registry.is_current(&choice.replica.incarnation);
     match is_listed && choice.replica.is_eligible(Instant::now()) {
         true => Ok(connection),
-        false => Err(not_sent(choice, "it is leaving")),
+        false => Err(SendError::Failed(not_sent(choice, "it is leaving"))),
     }
 }
 
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -164,6 +164,7 @@
             let connection = peer.pool.take().await;
             let mut connection = connection.map_err(|error| not_sent(error.to_string()))?;
             let request = self.build_hop(peer, last_event_id).map_err(not_sent)?;
+            self.context.was_sent.set(true);
             match connection.send(request).await {
                 Ok(response) => {
                     let mut answer = Answer::new(response, connection, Rc::clone(&peer.pool));
--- a/crates/gateway/src/reachability/probe.rs
+++ b/crates/gateway/src/reachability/probe.rs
@@ -12,7 +12,7 @@
 use super::service_path::{PathChange, ProbeResults, ServicePath};
 use crate::replicas::Replica;
 use crate::state::GatewayState;
-use crate::upstream::{CallError, Pool, call};
+use crate::upstream::{Reaction, reaction};
 
 /// Number of replicas that are probed when the path is in doubt; of a smaller service all.
 const PROBED_IN_DOUBT: usize = 3;
@@ -99,10 +99,16 @@
     });
 }
 
-/// One round of probes, and further ones while the path is lost.
+/// One round of probes, and further ones while the path is in doubt or lost.
 async fn run_rounds(state: Rc<GatewayState>, service: String, path: Rc<ServicePath>, doubt: Doubt) {
     let results = probe(&state, &service, PROBED_IN_DOUBT).await;
     end_round(&state, &service, &path, results, doubt);
+    while path.is_in_doubt() {
+        // A round that leaves doubt has taken the time limit of a connection at the least.
+        path.begin_round(Instant::now());
+        let results = probe(&state, &service, PROBED_IN_DOUBT).await;
+        end_round(&state, &service, &path, results, doubt);
+    }
     while path.is_lost() {
         let jitter = LOST_JITTER.mul_f64(state.random_fraction());
         tokio::time::sleep(LOST_INTERVAL + jitter).await;
@@ -130,8 +136,9 @@
             state.status.metrics.paths.lost.inc();
             log_event!(
                 gateway::PATH_LOST,
-                "service={service} doubt={doubt:?} probed={} answered=0 open_requests={} last_answer_ago={:?} open_connections_live={has_live_connections}",
+                "service={service} doubt={doubt:?} probed={} answered=0 refused={} open_requests={} last_answer_ago={:?} open_connections_live={has_live_connections}",
                 results.probed,
+                results.refused,
                 path.open_requests(),
                 path.last_answer_age(now)
             );
@@ -161,22 +168,20 @@
         .cloned()
         .collect();
     let sample = random_sample(&eligible, count, state.draw());
-    let answers = join_all(sample.iter().map(|replica| answers(state, replica))).await;
+    let reactions = join_all(sample.iter().map(|replica| probe_one(state, replica))).await;
+    let count = |wanted: Reaction| reactions.iter().filter(|one| **one == wanted).count();
     ProbeResults {
-        probed: answers.len(),
-        answered: answers.into_iter().filter(|answers| *answers).count(),
+        probed: reactions.len(),
+        answered: count(Reaction::Answer),
+        refused: count(Reaction::End),
     }
 }
 
-/// Whether a replica answers on a new connection; any answer counts.
-async fn answers(state: &GatewayState, replica: &Replica) -> bool {
+/// What a replica does about a call on a new connection.
+async fn probe_one(state: &GatewayState, replica: &Replica) -> Reaction {
     state.status.metrics.paths.probes.inc();
-    let pool = Pool::new(replica.pool.peer());
-    match call(&pool, &state.platform.report(), PROBE_TIMEOUT).await {
-        Ok(_) => true,
-        Err(error @ (CallError::NotSent(_) | CallError::NoAnswer(_) | CallError::TimedOut(_))) => {
-            log::debug!("probe of {}: {error}", replica.id());
-            false
-        }
-    }
+    let call = state.platform.report();
+    let reaction = reaction(replica.pool.peer(), &call, PROBE_TIMEOUT).await;
+    log::debug!("probe of {}: {reaction:?}", replica.id());
+    reaction
 }
--- a/crates/gateway/src/reachability/service_path.rs
+++ b/crates/gateway/src/reachability/service_path.rs
@@ -2,7 +2,9 @@
 //!
 //! Any byte from a replica of the service proves that its path is there. Failed connections, lost answers and silence
 //! while requests are open only raise doubt, since a replica may be at fault; then several replicas are probed on new
-//! connections. The path counts as lost if none of them answers, and as back once one does.
+//! connections. The path counts as lost at once if all of them refuse, and if none of them answers for
+//! [`UNANSWERED_LIMIT`]: sound replicas may be silent for a second or so, all of a service at once too. It counts as back
+//! once one answers.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -11,10 +13,13 @@
 use driftspring_clock::Instant;
 use tokio::sync::Notify;
 
-/// How long every replica of a service must be silent while requests are open before the path is in doubt. The replicas of
-/// a service rarely pause together for so long, unlike a single one.
+/// How long every replica of a service must be silent while requests are open before the path is in doubt.
 pub const SILENCE_LIMIT: Duration = Duration::from_millis(500);
 
+/// How long no probe must be answered, where some are not refused either, before the path counts as lost. With
+/// [`SILENCE_LIMIT`] and the time to notice it, less than the 3 s after which a cut must be known.
+pub const UNANSWERED_LIMIT: Duration = Duration::from_secs(2);
+
 /// Minimum time between a round of probes that was answered and the next one: a replica that fails raises doubt again
 /// and again.
 pub const CONFIRMED_INTERVAL: Duration = Duration::from_secs(1);
@@ -35,6 +40,8 @@
     pub probed: usize,
     /// Number of these that answered.
     pub answered: usize,
+    /// Number of these whose connections were refused or ended.
+    pub refused: usize,
 }
 
 /// A change of the state of a path.
@@ -69,6 +76,8 @@
     is_flapping: Cell<bool>,
     answered_rounds: Cell<u32>,
     round_began_at: Cell<Option<Instant>>,
+    /// When the first of the rounds began that were not answered while the path is in doubt.
+    unanswered_since: Cell<Option<Instant>>,
     confirmed_at: Cell<Option<Instant>>,
     /// Wakes what waits for the end of a round of probes.
     pub(super) round_ended: Notify,
@@ -142,9 +151,7 @@
     /// lost and so probed anyway, or soon after one was answered.
     pub fn needs_round(&self, now: Instant) -> bool {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < CONFIRMED_INTERVAL;
-        self.round_began_at.get().is_none()
-            && !self.is_lost()
-            && !self.confirmed_at.get().is_some_and(is_recent)
+        !self.is_probing() && !self.is_lost() && !self.confirmed_at.get().is_some_and(is_recent)
     }
 
     /// Whether a round of probes would tell more than what is known: none runs, and the path is not lost.
@@ -152,9 +159,14 @@
         !self.is_probing() && !self.is_lost()
     }
 
-    /// Whether a round of probes runs.
+    /// Whether a round of probes runs, or follows because the one before was not answered.
     pub fn is_probing(&self) -> bool {
-        self.round_began_at.get().is_some()
+        self.round_began_at.get().is_some() || self.is_in_doubt()
+    }
+
+    /// Whether the last round of probes was not answered, but that does not show a loss yet.
+    pub fn is_in_doubt(&self) -> bool {
+        self.unanswered_since.get().is_some()
     }
 
     /// Whether a round of probes was answered since `since`.
@@ -173,13 +185,20 @@
         self.round_ended.notify_waiters();
         match (results.answered > 0, results.probed > 0) {
             (true, _) => self.record_answered_round(now),
-            (false, true) => self.record_unanswered_round(began_at, now),
-            (false, false) => None,
+            (false, true) => {
+                let is_refused = results.refused == results.probed;
+                self.record_unanswered_round(began_at, is_refused, now)
+            }
+            (false, false) => {
+                self.unanswered_since.set(None);
+                None
+            }
         }
     }
 
     fn record_answered_round(&self, now: Instant) -> Option<PathChange> {
         self.confirmed_at.set(Some(now));
+        self.unanswered_since.set(None);
         let lost_at = self.lost_at.get()?;
         self.answered_rounds.set(self.answered_rounds.get() + 1);
         let required = match self.is_flapping.get() {
@@ -196,18 +215,29 @@
         Some(PathChange::Regained { after })
     }
 
-    fn record_unanswered_round(&self, began_at: Instant, now: Instant) -> Option<PathChange> {
+    fn record_unanswered_round(
+        &self,
+        began_at: Instant,
+        is_refused: bool,
+        now: Instant,
+    ) -> Option<PathChange> {
         self.answered_rounds.set(0);
         if self.is_lost() {
             return None;
         }
+        let since = self.unanswered_since.get().unwrap_or(began_at);
+        if !is_refused && now.saturating_duration_since(since) < UNANSWERED_LIMIT {
+            self.unanswered_since.set(Some(since));
+            return None;
+        }
+        self.unanswered_since.set(None);
         let is_recent = |at: Instant| now.saturating_duration_since(at) < FLAP_WINDOW;
         self.is_flapping
             .set(self.regained_at.get().is_some_and(is_recent));
         self.lost_at.set(Some(now));
-        self.in_doubt_at.set(Some(began_at));
+        self.in_doubt_at.set(Some(since));
         Some(PathChange::Lost {
-            has_live_connections: self.has_answered_since(began_at),
+            has_live_connections: self.has_answered_since(since),
         })
     }
 }
--- a/crates/gateway/src/replicas/health.rs
+++ b/crates/gateway/src/replicas/health.rs
@@ -14,6 +14,16 @@
 /// Backoff after a replica reports that it is overloaded.
 const OVERLOAD_BACKOFF: Duration = Duration::from_millis(120);
 
+/// How long no connection to a replica must come up before that counts as a failure: a sound one may be silent for a second
+/// or so.
+const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Time between two connections that did not come up, above which the silence between them is not known.
+const MAX_SILENCE_GAP: Duration = Duration::from_secs(1);
+
+/// How long other replicas are preferred to one to which a connection did not come up.
+const SILENCE_PREFERENCE: Duration = Duration::from_millis(500);
+
 /// Weight of one outcome in the moving average of failures.
 const OUTCOME_WEIGHT: f64 = 0.08;
 
@@ -25,6 +35,9 @@
     failing_since: Cell<Option<Instant>>,
     suspect_until: Cell<Option<Instant>>,
     overloaded_until: Cell<Option<Instant>>,
+    /// When the first and the last connection did not come up, without an answer meanwhile.
+    silent_since: Cell<Option<Instant>>,
+    silent_at: Cell<Option<Instant>>,
     failure_rate: Cell<f64>,
 }
 
@@ -42,11 +55,32 @@
         backoff
     }
 
+    /// Records that a connection to the replica did not come up in time. Returns whether that has lasted for so long that
+    /// it counts as a failure.
+    pub fn record_silence(&self, now: Instant) -> bool {
+        let is_continued = |at: Instant| now.saturating_duration_since(at) <= MAX_SILENCE_GAP;
+        let since = match self.silent_at.get().is_some_and(is_continued) {
+            true => self.silent_since.get().unwrap_or(now),
+            false => now,
+        };
+        self.silent_since.set(Some(since));
+        self.silent_at.set(Some(now));
+        self.consecutive_failures.get() > 0 || now.saturating_duration_since(since) >= SILENCE_LIMIT
+    }
+
+    /// Whether other replicas are preferred because a connection to this one did not come up lately.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < SILENCE_PREFERENCE;
+        self.silent_at.get().is_some_and(is_recent)
+    }
+
     /// Records that the replica answered. Returns whether it was suspect before.
     pub fn record_answer(&self) -> bool {
         let was_suspect = self.consecutive_failures.get() > 0;
         self.consecutive_failures.set(0);
         self.suspect_until.set(None);
+        self.silent_since.set(None);
+        self.silent_at.set(None);
         was_suspect
     }
 
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -10,6 +10,8 @@
 use http_body_util::Full;
 
 use super::answer::Answer;
+use super::connection::Connection;
+use super::connector::ConnectError;
 use super::pool::Pool;
 use crate::protocol::Call;
 
@@ -44,6 +46,37 @@
     pub body: Bytes,
 }
 
+/// What a peer does about a call on a new connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reaction {
+    /// It answers.
+    Answer,
+    /// It refuses or ends the connection.
+    End,
+    /// It does neither in the given time.
+    Silence,
+}
+
+/// Makes a call on a new connection to see whether the peer answers at all; any answer counts.
+pub async fn reaction(peer: SocketAddr, call: &Call, timeout: Duration) -> Reaction {
+    let reacting = async {
+        let Ok(request) = build_call(peer, call) else {
+            return Reaction::End;
+        };
+        let connection = match Connection::open(peer).await {
+            Ok(connection) => connection,
+            Err(ConnectError::TimedOut { .. }) => return Reaction::Silence,
+            Err(ConnectError::Failed { .. }) => return Reaction::End,
+        };
+        match exchange_on(connection, request, &Pool::new(peer)).await {
+            Ok(_) => Reaction::Answer,
+            Err(_) => Reaction::End,
+        }
+    };
+    let reaction = tokio::time::timeout(timeout, reacting).await;
+    reaction.unwrap_or(Reaction::Silence)
+}
+
 /// Makes a call and waits for its complete answer.
 ///
 /// # Errors
@@ -100,10 +133,18 @@
     let request =
         build_call(pool.peer(), call).map_err(|error| CallError::NotSent(error.to_string()))?;
     let connection = pool.take().await;
-    let mut connection = connection.map_err(|error| CallError::NotSent(error.to_string()))?;
+    let connection = connection.map_err(|error| CallError::NotSent(error.to_string()))?;
     if !may_be_sent() {
         return Err(CallError::NotSent(NO_LONGER_ALLOWED.to_owned()));
     }
+    exchange_on(connection, request, pool).await
+}
+
+async fn exchange_on(
+    mut connection: Connection,
+    request: Request<Full<Bytes>>,
+    pool: &Rc<Pool>,
+) -> Result<CallAnswer, CallError> {
     let response = connection.send(request).await;
     let response = response.map_err(|failure| CallError::NoAnswer(failure.to_string()))?;
     let mut answer = Answer::new(response, connection, Rc::clone(pool));
--- a/crates/gateway/src/upstream/connector.rs
+++ b/crates/gateway/src/upstream/connector.rs
@@ -7,10 +7,13 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
+use super::peer_stream::PeerStream;
+
 /// Time limit for establishing a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// How long sent bytes may stay unacknowledged before the peer is considered dead.
+/// How long sent bytes may stay unacknowledged before the peer is considered dead. The operating system also counts the
+/// time in which the peer has no room for more bytes, see [`PeerStream`].
 pub const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// How long a connection may be idle before its peer is probed.
@@ -42,7 +45,7 @@
 }
 
 /// Connects to `peer`.
-pub async fn connect(peer: SocketAddr) -> Result<TcpStream, ConnectError> {
+pub async fn connect(peer: SocketAddr) -> Result<PeerStream, ConnectError> {
     let failed = |cause| ConnectError::Failed { peer, cause };
     let connecting = TcpStream::connect(peer);
     let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
@@ -50,7 +53,7 @@
         .map_err(|_| ConnectError::TimedOut { peer })?
         .map_err(failed)?;
     set_options(&SockRef::from(&stream), Some(UNACKNOWLEDGED_TIMEOUT)).map_err(failed)?;
-    Ok(stream)
+    Ok(PeerStream::new(stream))
 }
 
 /// Whether `peer` refuses connections, so that nothing listens there. A peer that does not answer may be cut
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -9,10 +9,11 @@
 mod call;
 mod connection;
 mod connector;
+mod peer_stream;
 mod pool;
 
 pub use answer::{Answer, AnswerError};
-pub use call::{CallAnswer, CallError, call, call_if, call_with_headers};
+pub use call::{CallAnswer, CallError, Reaction, call, call_if, call_with_headers, reaction};
 pub use connection::{Connection, SendFailure};
 pub use connector::{ConnectError, UNACKNOWLEDGED_TIMEOUT, is_refused, set_options};
 pub use pool::Pool;
