--- a/crates/gateway/src/forwarding/flush.rs
+++ b/crates/gateway/src/forwarding/flush.rs
@@ -9,8 +9,8 @@
 use std::task::{Context, Poll};
 
 use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+
+use crate::upstream::MeteredStream;
 
 /// What is kept until the next flush of a connection, by either of its two ends.
 #[derive(Debug)]
@@ -43,15 +43,15 @@
 
 /// A connection that releases what is kept until its next flush.
 pub struct FlushTracked<T> {
-    stream: TokioIo<TcpStream>,
+    stream: MeteredStream,
     until_flush: UntilFlush<T>,
 }
 
 impl<T> FlushTracked<T> {
     /// Tracks the flushes of `stream`.
-    pub fn new(stream: TcpStream, until_flush: UntilFlush<T>) -> Self {
+    pub fn new(stream: MeteredStream, until_flush: UntilFlush<T>) -> Self {
         Self {
-            stream: TokioIo::new(stream),
+            stream,
             until_flush,
         }
     }
--- a/crates/gateway/src/forwarding/offers.rs
+++ b/crates/gateway/src/forwarding/offers.rs
@@ -16,6 +16,9 @@
 /// How long a gateway that failed or declined a request gets no further ones.
 pub const DECLINE_PAUSE: Duration = Duration::from_millis(500);
 
+/// How long a gateway gets no further requests whose answer has an element without end.
+pub const ENDLESS_PAUSE: Duration = Duration::from_secs(2);
+
 /// The load of a gateway in the own zone, as a share of what it takes, up to which it is preferred over idle ones in other
 /// zones.
 const OTHER_ZONE_PENALTY: f64 = 0.25;
@@ -49,13 +52,24 @@
     /// Connections to it.
     pub pool: Rc<Pool>,
     open: Rc<Cell<u32>>,
-    paused_until: Cell<Option<Instant>>,
+    /// Kept for its next offers.
+    paused_until: Rc<Cell<Option<Instant>>>,
 }
 
 impl UsablePeer {
     /// Keeps requests away from it for [`DECLINE_PAUSE`].
     pub fn pause(&self, now: Instant) {
-        self.paused_until.set(Some(now + DECLINE_PAUSE));
+        self.pause_until(now + DECLINE_PAUSE);
+    }
+
+    /// Keeps requests away from it for [`ENDLESS_PAUSE`].
+    pub fn pause_as_endless(&self, now: Instant) {
+        self.pause_until(now + ENDLESS_PAUSE);
+    }
+
+    fn pause_until(&self, until: Instant) {
+        let later = self.paused_until.get().max(Some(until));
+        self.paused_until.set(later);
     }
 
     fn is_usable(&self, service: &str, now: Instant) -> bool {
@@ -114,7 +128,7 @@
         let peer = UsablePeer {
             pool: same.map_or_else(|| Pool::new(offer.address), |known| Rc::clone(&known.pool)),
             open: same.map_or_else(Rc::default, |known| Rc::clone(&known.open)),
-            paused_until: Cell::new(same.and_then(|known| known.paused_until.get())),
+            paused_until: same.map_or_else(Rc::default, |known| Rc::clone(&known.paused_until)),
             offer,
         };
         by_peer.insert(peer.offer.peer.clone(), Rc::new(peer));
--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -25,7 +25,7 @@
 use super::hop::{DeclineReason, HopOutcome, HopRequest};
 use crate::pipeline::{ForwardedAnswer, ForwardedRefusal, serve_forwarded};
 use crate::state::GatewayState;
-use crate::upstream::{UNACKNOWLEDGED_TIMEOUT, set_options};
+use crate::upstream::{Messages, Meter, MeteredStream, UNACKNOWLEDGED_TIMEOUT, set_options};
 
 /// Time limit for the head of a request, and for the next one on an idle connection; the other gateway closes idle ones
 /// sooner.
@@ -74,6 +74,8 @@
     from: SocketAddr,
 ) {
     let unsent = UntilFlush::default();
+    let meter = Rc::new(Meter::new(from, Messages::Requests));
+    let stream = MeteredStream::new(stream, meter);
     let connection = FlushTracked::new(stream, unsent.clone());
     let service = service_fn(move |request| {
         let (state, unsent) = (Rc::clone(&state), unsent.clone());
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,6 +16,7 @@
 use crate::replicas::speed_metrics::SpeedMetrics;
 use crate::shares::metrics::ShareMetrics;
 use crate::stream_versions::StreamMetrics;
+use crate::upstream::ended_by_element;
 
 /// The labels of the counter of invalid input.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -361,6 +362,11 @@
             "Objects, reports and datagrams that could not be read, each time",
             self.rejected.clone(),
         );
+        registry.register(
+            "answers_without_end",
+            "Answers and requests of others that were ended, since an element of them had no end",
+            ended_by_element(),
+        );
         registry.register("replicas", "Replicas listed", self.replicas.clone());
         registry.register(
             "replicas_limited",
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -19,6 +19,7 @@
 use super::hedge::{HedgePlan, route_speed, send_hedged};
 use super::judge::{Verdict, judge};
 use super::refusal::{Reason, Refusal, Step};
+use super::unended::note_endless;
 use super::weights_mismatch::WeightsMismatch;
 use crate::notices;
 use crate::permits::{self, PermitDenied};
@@ -27,7 +28,7 @@
 use crate::reachability::{self, Doubt, ServicePath};
 use crate::state::GatewayState;
 use crate::stream_versions::VersionBinding;
-use crate::upstream::SendFailure;
+use crate::upstream::{AnswerError, EndlessError, SendFailure};
 
 /// Maximum number of replicas that answer "not run" before the request is refused.
 const MAX_NOT_RUN_ANSWERS: usize = 3;
@@ -83,6 +84,8 @@
 pub enum AnswerFailure {
     /// It broke off, for this cause.
     BrokeOff(String),
+    /// It is none, since an element has no end.
+    Endless(EndlessError),
     /// Its head arrived, but the request had not begun when the replica's weights became too old.
     Withdrawn,
     /// The path to all replicas was lost; another gateway can go on with it.
@@ -90,12 +93,21 @@
 }
 
 impl AnswerFailure {
+    /// The failure of an answer that was being read.
+    pub fn of(error: &AnswerError) -> Self {
+        match error {
+            AnswerError::Endless(endless) => Self::Endless(*endless),
+            AnswerError::BrokeOff(_) => Self::BrokeOff(error.to_string()),
+        }
+    }
+
     /// Description of the cause.
-    pub fn cause(&self) -> &str {
+    pub fn cause(&self) -> String {
         match self {
-            Self::BrokeOff(cause) => cause,
-            Self::Withdrawn => WITHDRAWN_FOR_OLD_WEIGHTS,
-            Self::PathLost => PATH_LOST,
+            Self::BrokeOff(cause) => cause.clone(),
+            Self::Endless(endless) => endless.to_string(),
+            Self::Withdrawn => WITHDRAWN_FOR_OLD_WEIGHTS.to_owned(),
+            Self::PathLost => PATH_LOST.to_owned(),
         }
     }
 }
@@ -261,6 +273,11 @@
             Err(SendError::Failed(SendFailure::NotSent { peer, cause })) => {
                 self.handle_not_sent(&choice, peer, &cause)?;
             }
+            Err(SendError::Failed(SendFailure::Endless { peer, error })) => {
+                self.sends += 1;
+                note_endless(&choice.replica, &error);
+                self.handle_lost(&choice, peer, &error.to_string())?;
+            }
             Err(SendError::Failed(SendFailure::NoAnswer { peer, cause })) => {
                 self.sends += 1;
                 self.handle_lost(&choice, peer, &cause)?;
@@ -321,13 +338,18 @@
         let choice = match responder {
             Responder::Replica(choice) => choice,
             Responder::Peer(forwarder) => {
-                return self.handle_broken_hop(forwarder, failure.cause());
+                return self.handle_broken_hop(forwarder, failure);
             }
         };
         match failure {
             AnswerFailure::BrokeOff(cause) => {
                 self.handle_lost(choice, choice.replica.pool.peer(), cause)
             }
+            AnswerFailure::Endless(endless) => {
+                note_endless(&choice.replica, endless);
+                let cause = endless.to_string();
+                self.handle_lost(choice, choice.replica.pool.peer(), &cause)
+            }
             AnswerFailure::Withdrawn => self.handle_withdrawn(choice),
             AnswerFailure::PathLost => self.handle_path_lost(choice),
         }
--- a/crates/gateway/src/pipeline/collect.rs
+++ b/crates/gateway/src/pipeline/collect.rs
@@ -17,10 +17,11 @@
 use super::context::RequestContext;
 use super::decode::is_hop_by_hop;
 use super::delivery::{self, Delivery, MAX_QUEUED_BYTES};
+use super::dispatch::OpenAnswer;
 use super::refusal::{Reason, Refusal, Step};
 use crate::held_bytes::Charge;
 use crate::state::GatewayState;
-use crate::upstream::Answer;
+use crate::upstream::{AnswerError, Element, WholeBody};
 
 /// How long a request is held beyond its deadline, so that the replica's own answer to the timeout arrives first.
 pub const DEADLINE_GRACE: Duration = Duration::from_millis(150);
@@ -85,8 +86,11 @@
             opened.note_begun(state, context, choice);
         }
         let charge = Charge::new(&state.held_bytes);
-        match collect(&mut opened.answer, &charge).await {
+        match collect(&mut opened, &charge).await {
             Ok(pieces) => {
+                if let Some(choice) = responder.choice() {
+                    choice.replica.health.record_whole_answer();
+                }
                 return Ok(CompleteAnswer {
                     replica: responder.replica().to_owned(),
                     status: opened.answer.status(),
@@ -96,7 +100,7 @@
                 });
             }
             Err(error) => {
-                let failure = AnswerFailure::BrokeOff(error);
+                let failure = AnswerFailure::of(&error);
                 attempts.handle_failed_answer(&responder, &failure)?;
             }
         }
@@ -105,24 +109,20 @@
 
 /// Reads a whole answer once there is room for it. Where its length is known, room for all of it is reserved first:
 /// answers of which each holds a part could otherwise wait for each other.
-async fn collect(answer: &mut Answer, charge: &Charge) -> Result<Vec<Bytes>, String> {
-    let announced = answer.content_length().unwrap_or(0);
+async fn collect(opened: &mut OpenAnswer, charge: &Charge) -> Result<Vec<Bytes>, AnswerError> {
+    let announced = opened.answer.content_length().unwrap_or(0);
     let reserved = usize::try_from(announced).unwrap_or(usize::MAX);
     if reserved <= MAX_QUEUED_BYTES {
         charge.add(reserved).await;
     }
-    let mut pieces = Vec::new();
-    let mut length = 0;
-    while let Some(piece) = answer.next().await.map_err(|error| error.to_string())? {
-        length += piece.len();
-        if length > MAX_QUEUED_BYTES {
-            answer.close();
-            return Err(format!("its body is longer than {MAX_QUEUED_BYTES} bytes"));
-        }
-        charge.add(length.saturating_sub(charge.bytes())).await;
-        pieces.push(piece);
+    let mut whole = WholeBody::new(MAX_QUEUED_BYTES);
+    while let Some(piece) = opened.answer.next().await? {
+        let pushed = whole.push(piece);
+        pushed.map_err(|length| opened.answer.end_endless(Element::Body, length))?;
+        opened.record_part();
+        charge.add(whole.len().saturating_sub(charge.bytes())).await;
     }
-    Ok(pieces)
+    Ok(whole.into_pieces())
 }
 
 /// Copies the headers of a replica's answer, except those of its connection.
--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -19,14 +19,16 @@
 use super::hedge::route_speed;
 use super::interference_costs::InterferenceCosts;
 use super::judge::Verdict;
+use super::unended::UnendedGuard;
 use super::withdrawal::{are_weights_too_old, replica_time_limit, until_weights_too_old};
+use crate::configuration::RouteKind;
 use crate::interference::OwnStream;
 use crate::peers::message::WirePrompt;
 use crate::protocol::{Dispatch, SoftwareVersion};
 use crate::reachability::{self, PathUse};
 use crate::replicas::{OpenRequestGuard, QueuedRequest, TimedCall};
 use crate::state::GatewayState;
-use crate::upstream::{Answer, Connection, SendFailure};
+use crate::upstream::{Answer, Connection, Element, SendFailure};
 
 /// Why a request is not sent although the connection is established.
 const WEIGHTS_TOO_OLD: &str = "its weights have become too old";
@@ -51,6 +53,10 @@
     queued: Option<QueuedRequest>,
     /// Measures the replica's time, until the answer is judged.
     timed: Option<TimedCall>,
+    /// Notes an answer that has no end by its deadline.
+    unended: Option<UnendedGuard>,
+    /// Bytes of the body of a failure that have been passed on.
+    pub failure_bytes: usize,
 }
 
 impl OpenAnswer {
@@ -64,6 +70,8 @@
             stream: None,
             queued: None,
             timed: None,
+            unended: None,
+            failure_bytes: 0,
         }
     }
 
@@ -74,6 +82,13 @@
         }
     }
 
+    /// Records that bytes have arrived that neither end the answer nor an event of it.
+    pub fn record_part(&self) {
+        if let Some(unended) = &self.unended {
+            unended.check();
+        }
+    }
+
     /// Whether the replica has begun to answer: the first event of a stream has arrived, or the head of another answer.
     pub fn has_begun(&self) -> bool {
         self.queued.is_none()
@@ -175,6 +190,12 @@
         log_sent(state, context, choice, &connection, last_event_id, expected);
         let speed = route_speed(state, context);
         let timed = speed.map(|speed| TimedCall::begin(&choice.replica, speed));
+        let body = match context.route.kind {
+            RouteKind::Streaming => Element::Event,
+            _ => Element::Body,
+        };
+        let unended =
+            UnendedGuard::new(&choice.replica, connection.meter(), context.deadline, body);
         let answer = tokio::select! {
             biased;
             answer = connection.send(request) => answer,
@@ -195,6 +216,8 @@
                     stream,
                     queued: Some(queued),
                     timed,
+                    unended: Some(unended),
+                    failure_bytes: 0,
                 });
             }
             Err(SendFailure::NotSent { .. }) if connection.is_reused => {}
--- a/crates/gateway/src/pipeline/event_splitter.rs
+++ b/crates/gateway/src/pipeline/event_splitter.rs
@@ -8,6 +8,11 @@
 /// Maximum size of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// An event is longer than [`MAX_EVENT_BYTES`]; so many bytes of it have arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("an event is too long: {0} bytes")]
+pub struct EventTooLong(pub usize);
+
 /// Buffers bytes and returns complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -44,12 +49,12 @@
     /// # Errors
     ///
     /// An event is too long.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, &'static str> {
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLong> {
         let searched = self.buffer.len().saturating_sub(3);
         self.buffer.extend_from_slice(bytes);
         let Some(end) = last_event_end(&self.buffer, searched) else {
             return match self.buffer.len() > MAX_EVENT_BYTES {
-                true => Err("an event is too long"),
+                true => Err(EventTooLong(self.buffer.len())),
                 false => Ok(Bytes::new()),
             };
         };
@@ -85,3 +90,27 @@
     let text = std::str::from_utf8(id).ok()?;
     Some(text.trim().to_owned())
 }
+
+/// Finds the ends of events in a stream of bytes without keeping them.
+#[derive(Debug, Default)]
+pub struct EventEnds {
+    is_after_line: bool,
+}
+
+impl EventEnds {
+    /// Whether an event ends in the next bytes.
+    pub fn is_in(&mut self, bytes: &[u8]) -> bool {
+        let mut has_end = false;
+        for byte in bytes {
+            match byte {
+                b'\n' => {
+                    has_end |= self.is_after_line;
+                    self.is_after_line = true;
+                }
+                b'\r' => {}
+                _ => self.is_after_line = false,
+            }
+        }
+        has_end
+    }
+}
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -11,7 +11,7 @@
 use http::Request;
 use http_body_util::Full;
 
-use super::attempts::{Attempt, Attempts, Responder};
+use super::attempts::{AnswerFailure, Attempt, Attempts, Responder};
 use super::context::RequestContext;
 use super::dispatch::OpenAnswer;
 use super::judge::{Verdict, judge};
@@ -42,6 +42,8 @@
     pub peer: String,
     /// The id of the replica that answered.
     pub replica: String,
+    /// Its offer.
+    usable: Rc<UsablePeer>,
     /// Counts the request as open there.
     _use: PeerUse,
 }
@@ -99,6 +101,7 @@
                 let forwarder = Forwarder {
                     peer: peer.offer.peer.clone(),
                     replica,
+                    usable: Rc::clone(&peer),
                     _use: peer_use,
                 };
                 self.handle_peer_answer(answer, software, forwarder, &peer)
@@ -121,6 +124,10 @@
                 peer.pause(Instant::now());
                 self.handle_lost_at_peer(&peer, &cause)
             }
+            Err(SendFailure::Endless { error, .. }) => {
+                peer.pause_as_endless(Instant::now());
+                self.handle_lost_at_peer(&peer, &error.to_string())
+            }
         }
     }
 
@@ -300,9 +307,13 @@
     pub(super) fn handle_broken_hop(
         &mut self,
         forwarder: &Forwarder,
-        cause: &str,
+        failure: &AnswerFailure,
     ) -> Result<(), Refusal> {
         self.possible_runs += 1;
+        if let AnswerFailure::Endless(_) = failure {
+            forwarder.usable.pause_as_endless(Instant::now());
+        }
+        let cause = failure.cause();
         log_event!(
             gateway::FORWARD_FAILED,
             "request={} peer={} outcome=lost elapsed={:?} detail={cause:?}",
@@ -312,7 +323,7 @@
         );
         match self.may_run_again() {
             true => Ok(()),
-            false => Err(self.give_up(Reason::Unknown, None, cause)),
+            false => Err(self.give_up(Reason::Unknown, None, &cause)),
         }
     }
 
--- a/crates/gateway/src/pipeline/forwarded.rs
+++ b/crates/gateway/src/pipeline/forwarded.rs
@@ -22,9 +22,11 @@
 use super::context::{self, RequestContext};
 use super::decode::{self, Decoded, is_hop_by_hop};
 use super::dispatch::OpenAnswer;
+use super::event_splitter::EventEnds;
 use super::find_route::find_route;
 use super::refusal::{Reason, Refusal, Step};
 use super::take_stream_up;
+use super::unended::note_endless;
 use super::withdrawal::until_weights_too_old;
 use crate::configuration::{Route, Tenant};
 use crate::forwarding::hop::{DeclineReason, HopOutcome, HopRequest};
@@ -32,6 +34,7 @@
 use crate::protocol::{ReplicaIncarnation, SoftwareVersion};
 use crate::state::GatewayState;
 use crate::stream_versions::VersionBinding;
+use crate::upstream::AnswerError;
 
 /// Why a forwarded request gets no answer of a replica.
 #[derive(Debug)]
@@ -52,6 +55,7 @@
     choice: Box<Choice>,
     from: String,
     arrived_at: Instant,
+    event_ends: EventEnds,
     is_finished: bool,
 }
 
@@ -148,6 +152,7 @@
         choice,
         from: hop.from.clone(),
         arrived_at,
+        event_ends: EventEnds::default(),
         is_finished: false,
     })
 }
@@ -225,14 +230,22 @@
         let has_begun = self.opened.has_begun();
         let read = tokio::select! {
             biased;
-            read = self.opened.answer.next() => read.map_err(|error| error.to_string()),
+            read = self.opened.answer.next() => read.map_err(|error| {
+                if let AnswerError::Endless(endless) = &error {
+                    note_endless(&self.choice.replica, endless);
+                }
+                error.to_string()
+            }),
             () = until_weights_too_old(&self.state, &self.context, &self.choice), if !has_begun => {
                 Err("the weights of its replica have become too old".to_owned())
             }
         };
         self.opened.record_activity();
         match &read {
-            Ok(Some(_)) => {
+            Ok(Some(piece)) => {
+                if self.event_ends.is_in(piece) {
+                    self.opened.answer.note_progress();
+                }
                 self.opened
                     .note_begun(&self.state, &self.context, &self.choice);
             }
@@ -240,6 +253,7 @@
                 self.opened
                     .note_begun(&self.state, &self.context, &self.choice);
                 note_survived(&self.state, &self.context);
+                self.choice.replica.health.record_whole_answer();
                 self.finish("complete");
             }
             Err(cause) => {
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -33,6 +33,7 @@
 mod refusal;
 mod relay;
 mod take_stream_up;
+mod unended;
 mod weights_mismatch;
 mod withdrawal;
 
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -25,13 +25,17 @@
 use super::context::RequestContext;
 use super::delivery::{self, Delivery};
 use super::dispatch::OpenAnswer;
-use super::event_splitter::EventSplitter;
+use super::event_splitter::{EventSplitter, EventTooLong};
 use super::forward::until_forwardable;
 use super::refusal::{Reason, Refusal, Step};
 use super::take_stream_up;
 use super::withdrawal::until_weights_too_old;
 use crate::held_bytes::Charge;
 use crate::state::GatewayState;
+use crate::upstream::Element;
+
+/// Limit of the body of an answer that is no stream of events, in bytes.
+const MAX_FAILURE_BYTES: usize = 1 << 20;
 
 /// A stream that is being forwarded.
 struct Relay {
@@ -125,13 +129,12 @@
 ) -> Result<Piece, AnswerFailure> {
     let Attempt { opened, responder } = attempt;
     let Responder::Replica(choice) = responder else {
-        let piece = read_piece(opened, splitter).await;
-        return piece.map_err(AnswerFailure::BrokeOff);
+        return read_piece(opened, splitter).await;
     };
     let has_begun = opened.has_begun();
     let piece = tokio::select! {
         biased;
-        piece = read_piece(opened, splitter) => piece.map_err(AnswerFailure::BrokeOff)?,
+        piece = read_piece(opened, splitter) => piece?,
         () = until_weights_too_old(state, context, choice), if !has_begun => return Err(AnswerFailure::Withdrawn),
         () = until_forwardable(state, context, &attempts.path), if attempts.may_run_again() => {
             return Err(AnswerFailure::PathLost);
@@ -153,19 +156,37 @@
 async fn read_piece(
     opened: &mut OpenAnswer,
     splitter: &mut EventSplitter,
-) -> Result<Piece, String> {
+) -> Result<Piece, AnswerFailure> {
     let is_stream = opened.answer.status().is_success();
     loop {
         let next = opened.answer.next().await;
-        match next.map_err(|error| error.to_string())? {
-            Some(bytes) if !is_stream => return Ok(Piece::Events(bytes)),
+        match next.map_err(|error| AnswerFailure::of(&error))? {
+            Some(bytes) if !is_stream => {
+                opened.failure_bytes += bytes.len();
+                if opened.failure_bytes > MAX_FAILURE_BYTES {
+                    let error = opened
+                        .answer
+                        .end_endless(Element::Body, opened.failure_bytes as u64);
+                    return Err(AnswerFailure::of(&error));
+                }
+                return Ok(Piece::Events(bytes));
+            }
             Some(bytes) => {
-                let events = splitter.push(&bytes)?;
+                let events = splitter.push(&bytes).map_err(|EventTooLong(length)| {
+                    let error = opened.answer.end_endless(Element::Event, length as u64);
+                    AnswerFailure::of(&error)
+                })?;
                 if !events.is_empty() {
+                    opened.answer.note_progress();
                     return Ok(Piece::Events(events));
                 }
+                opened.record_part();
+            }
+            None if splitter.is_inside_event() => {
+                return Err(AnswerFailure::BrokeOff(
+                    "it ended inside an event".to_owned(),
+                ));
             }
-            None if splitter.is_inside_event() => return Err("it ended inside an event".to_owned()),
             None => return Ok(Piece::End),
         }
     }
@@ -243,7 +264,7 @@
                 .handle_failed_answer(&self.attempt.responder, failure)
                 .is_err()
         {
-            self.cut(cause);
+            self.cut(&cause);
             return false;
         }
         self.attempt.opened.answer.close();
@@ -262,7 +283,7 @@
                 true
             }
             Ok(_) => {
-                self.cut(cause);
+                self.cut(&cause);
                 false
             }
             Err(refusal) => {
@@ -281,6 +302,9 @@
 
     fn end(&self) {
         note_survived(&self.state, &self.context);
+        if let Some(choice) = self.attempt.responder.choice() {
+            choice.replica.health.record_whole_answer();
+        }
         let status = self.attempt.opened.answer.status().as_u16();
         self.delivery
             .complete(self.attempt.responder.replica(), status);
--- /dev/null
+++ b/crates/gateway/src/pipeline/unended.rs
@@ -0,0 +1,76 @@
+//! Notes replicas whose answers have an element without end.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use driftspring_clock::Instant;
+use driftspring_telemetry::events::gateway;
+use driftspring_telemetry::log_event;
+
+use crate::replicas::Replica;
+use crate::upstream::{Element, EndlessError, Meter};
+
+/// Keeps requests away from the replica for a while.
+pub fn note_endless(replica: &Replica, error: &EndlessError) {
+    keep_away(replica, &error.to_string());
+}
+
+fn keep_away(replica: &Replica, cause: &str) {
+    let pause = replica.health.record_endless(Instant::now());
+    log_event!(
+        gateway::REPLICA_SUSPECT,
+        "replica={} pause={pause:?} cause={cause:?}",
+        replica.id()
+    );
+}
+
+/// Watches an answer that may be given up at its deadline. If bytes of it still keep coming by then, a few at a time, it
+/// counts as one without end. Silence does not.
+#[derive(Debug)]
+pub struct UnendedGuard {
+    replica: Rc<Replica>,
+    meter: Rc<Meter>,
+    deadline: Instant,
+    body: Element,
+    /// Whether the replica was noted before the deadline.
+    is_noted: Cell<bool>,
+}
+
+impl UnendedGuard {
+    /// Watches the answer that this meter measures; `body` names its contents.
+    pub fn new(replica: &Rc<Replica>, meter: &Rc<Meter>, deadline: Instant, body: Element) -> Self {
+        Self {
+            replica: Rc::clone(replica),
+            meter: Rc::clone(meter),
+            deadline,
+            body,
+            is_noted: Cell::new(false),
+        }
+    }
+
+    /// Keeps other requests away from the replica if a few bytes at a time have come for a while. This one goes on: the
+    /// replica may be slow, and its next whole answer shows that it is sound.
+    pub fn check(&self) {
+        if !self.is_noted.get() && self.meter.is_trickling() {
+            self.is_noted.set(true);
+            let element = self.body;
+            keep_away(
+                &self.replica,
+                &format!("its {element} comes a few bytes at a time"),
+            );
+        }
+    }
+}
+
+impl Drop for UnendedGuard {
+    fn drop(&mut self) {
+        if Instant::now() < self.deadline {
+            return;
+        }
+        if let Some(error) = self.meter.end_if_endless(self.body)
+            && !self.is_noted.get()
+        {
+            note_endless(&self.replica, &error);
+        }
+    }
+}
--- a/crates/gateway/src/replicas/health.rs
+++ b/crates/gateway/src/replicas/health.rs
@@ -14,6 +14,13 @@
 /// Backoff after a replica reports that it is overloaded.
 const OVERLOAD_BACKOFF: Duration = Duration::from_millis(120);
 
+/// Backoff after an answer of which an element had no end. It doubles with each further one, until an answer is whole:
+/// such answers may begin well.
+const INITIAL_ENDLESS_BACKOFF: Duration = Duration::from_secs(1);
+
+/// Upper limit of that backoff.
+const MAX_ENDLESS_BACKOFF: Duration = Duration::from_secs(8);
+
 /// Weight of one outcome in the moving average of failures.
 const OUTCOME_WEIGHT: f64 = 0.08;
 
@@ -26,6 +33,9 @@
     suspect_until: Cell<Option<Instant>>,
     overloaded_until: Cell<Option<Instant>>,
     failure_rate: Cell<f64>,
+    /// Answers without end since the last whole one.
+    endless_answers: Cell<u32>,
+    endless_until: Cell<Option<Instant>>,
 }
 
 impl Health {
@@ -58,6 +68,22 @@
         }
     }
 
+    /// Records that an element of an answer had no end. Returns the backoff that follows.
+    pub fn record_endless(&self, now: Instant) -> Duration {
+        let earlier = self.endless_answers.get();
+        let backoff = INITIAL_ENDLESS_BACKOFF.saturating_mul(1 << earlier.min(8));
+        let backoff = backoff.min(MAX_ENDLESS_BACKOFF);
+        self.endless_answers.set(earlier.saturating_add(1));
+        self.endless_until.set(Some(now + backoff));
+        backoff
+    }
+
+    /// Records that an answer was read to its end.
+    pub fn record_whole_answer(&self) {
+        self.endless_answers.set(0);
+        self.endless_until.set(None);
+    }
+
     /// Records that the replica did not run a request because it is full or loading.
     pub fn record_overload(&self, now: Instant) {
         self.overloaded_until.set(Some(now + OVERLOAD_BACKOFF));
@@ -81,10 +107,12 @@
         self.suspect_until.get().is_some_and(|until| now < until)
     }
 
-    /// Whether the replica should get no requests at `now`, because it was unreachable or overloaded.
+    /// Whether the replica should get no requests at `now`, because it was unreachable or overloaded, or its answers have
+    /// no end.
     pub fn is_suspect(&self, now: Instant) -> bool {
         let is_before = |until: Instant| now < until;
         self.suspect_until.get().is_some_and(is_before)
             || self.overloaded_until.get().is_some_and(is_before)
+            || self.endless_until.get().is_some_and(is_before)
     }
 }
--- a/crates/gateway/src/standstill.rs
+++ b/crates/gateway/src/standstill.rs
@@ -39,6 +39,9 @@
 /// When the last long standstill was noticed, in nanoseconds since [`TICK_EPOCH`]; 0 if there was none.
 static LAST_WAKE_NANOS: AtomicU64 = AtomicU64::new(0);
 
+/// The longest gap between two ticks since it was last taken, in nanoseconds.
+static LONGEST_GAP_NANOS: AtomicU64 = AtomicU64::new(0);
+
 /// How long after a long standstill incoming data may have been waiting for this process: a socket's buffer
 /// is read within milliseconds, after other tasks that wake up first.
 const WAKE_WINDOW: Duration = Duration::from_millis(250);
@@ -48,6 +51,9 @@
     let now = nanos(TICK_EPOCH.get_or_init(Instant::now).elapsed()).max(1);
     let last = LAST_TICK_NANOS.fetch_max(now, Ordering::Relaxed);
     let gap = now.saturating_sub(last);
+    if last > 0 {
+        LONGEST_GAP_NANOS.fetch_max(gap, Ordering::Relaxed);
+    }
     if last == 0 || gap < nanos(MIN_STANDSTILL) {
         return None;
     }
@@ -67,6 +73,20 @@
     Duration::from_nanos(TOTAL_STANDSTILL_NANOS.load(Ordering::Relaxed))
 }
 
+/// The longest time between two ticks since the last call, including the one that is still due: for so long the thread
+/// that serves callers was kept from it, beside [`TICK_INTERVAL`].
+pub fn take_longest_gap() -> Duration {
+    let ended = LONGEST_GAP_NANOS.swap(0, Ordering::Relaxed);
+    let last = LAST_TICK_NANOS.load(Ordering::Relaxed);
+    let now = TICK_EPOCH.get().map_or(0, |epoch| nanos(epoch.elapsed()));
+    let open = if last == 0 {
+        0
+    } else {
+        now.saturating_sub(last)
+    };
+    Duration::from_nanos(ended.max(open))
+}
+
 /// Whether the process has just resumed after a long standstill, so that data it reads may have been waiting.
 pub fn has_just_woken() -> bool {
     total();
--- a/crates/gateway/src/upstream/answer.rs
+++ b/crates/gateway/src/upstream/answer.rs
@@ -9,13 +9,24 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
+use super::call::NO_ROOM;
+use super::call_bytes::CallBytes;
 use super::connection::{Connection, describe_with_causes};
+use super::endless::EndlessError;
+use super::framing::Element;
 use super::pool::Pool;
+use super::whole_body::WholeBody;
 
-/// An answer broke off before its end, or its framing is invalid.
+/// Why an answer is not read to its end.
 #[derive(Debug, thiserror::Error)]
-#[error("the answer broke off: {0}")]
-pub struct AnswerError(pub String);
+pub enum AnswerError {
+    /// It broke off before its end, or its framing is invalid.
+    #[error("the answer broke off: {0}")]
+    BrokeOff(String),
+    /// It is none, since an element has no end.
+    #[error("no answer: {0}")]
+    Endless(#[from] EndlessError),
+}
 
 /// An answer of a peer.
 #[derive(Debug)]
@@ -78,8 +89,12 @@
                     }
                 }
                 Some(Err(error)) => {
-                    self.connection = None;
-                    return Err(AnswerError(describe_with_causes(&error)));
+                    let connection = self.connection.take();
+                    let endless = connection.and_then(|connection| connection.meter().endless());
+                    return Err(match endless {
+                        Some(endless) => AnswerError::Endless(endless),
+                        None => AnswerError::BrokeOff(describe_with_causes(&error)),
+                    });
                 }
                 None => {
                     self.keep_connection();
@@ -89,21 +104,40 @@
         }
     }
 
-    /// Reads the whole body, up to `limit` bytes.
+    /// Reads the whole body of the answer to a call, up to `limit` bytes.
     ///
     /// # Errors
     ///
-    /// The answer broke off, or is longer than `limit`.
+    /// The answer broke off, is longer than `limit`, or there is no room for it.
     pub async fn collect(&mut self, limit: usize) -> Result<Bytes, AnswerError> {
-        let mut whole = Vec::new();
+        let mut whole = WholeBody::new(limit);
+        let mut held = CallBytes::default();
         while let Some(piece) = self.next().await? {
-            if whole.len() + piece.len() > limit {
+            if !held.add(piece.len()) {
                 self.connection = None;
-                return Err(AnswerError(format!("body is longer than {limit} bytes")));
+                return Err(AnswerError::BrokeOff(NO_ROOM.to_owned()));
             }
-            whole.extend_from_slice(&piece);
+            let pushed = whole.push(piece);
+            pushed.map_err(|length| self.end_endless(Element::Body, length))?;
+        }
+        Ok(whole.into_bytes())
+    }
+
+    /// A part that is whole by itself has been read, as an event of a stream.
+    pub fn note_progress(&self) {
+        if let Some(connection) = &self.connection {
+            connection.meter().note_progress();
+        }
+    }
+
+    /// Closes the connection, since this element of the body has had so many bytes and no end.
+    pub fn end_endless(&mut self, element: Element, bytes: u64) -> AnswerError {
+        let connection = self.connection.take();
+        let error = connection.map(|connection| connection.meter().end_body(element, bytes));
+        match error {
+            Some(error) => AnswerError::Endless(error),
+            None => AnswerError::BrokeOff(format!("its {element} has no end")),
         }
-        Ok(Bytes::from(whole))
     }
 
     /// Closes the connection at once, which tells the replica that nobody waits for the rest.
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -16,6 +16,9 @@
 /// Largest accepted answer to a call, in bytes.
 pub(super) const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
+/// Why the answer to a call is not read to its end.
+pub(super) const NO_ROOM: &str = "the answers to other calls take all the room";
+
 /// Why a call is not sent although its connection was established.
 const NO_LONGER_ALLOWED: &str = "the call is no longer allowed";
 
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -1,19 +1,25 @@
 //! A connection that carries one request at a time.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use driftspring_clock::Instant;
-use http::{HeaderMap, Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http::{HeaderMap, Method, Request, Response};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use tokio::task::AbortHandle;
 
-use super::call::{CallAnswer, CallError, MAX_ANSWER_BYTES, build_call};
+use super::call::{CallAnswer, CallError, MAX_ANSWER_BYTES, NO_ROOM, build_call};
+use super::call_bytes::CallBytes;
 use super::connector::{ConnectError, connect};
+use super::endless::EndlessError;
+use super::framing::{Element, Messages};
+use super::meter::Meter;
+use super::metered::MeteredStream;
+use super::whole_body::WholeBody;
 use crate::protocol::Call;
 
 /// How long an idle connection is kept if the peer does not specify it.
@@ -42,6 +48,14 @@
         /// The cause.
         cause: String,
     },
+    /// The request was sent and may have run. What came is no answer, since an element has no end.
+    #[error("no answer from {peer}: {error}")]
+    Endless {
+        /// The peer.
+        peer: SocketAddr,
+        /// What had no end.
+        error: EndlessError,
+    },
 }
 
 /// A connection. Dropping it closes it at once, whatever is still open on it.
@@ -49,6 +63,7 @@
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    meter: Rc<Meter>,
     /// The peer.
     pub peer: SocketAddr,
     usable_until: Instant,
@@ -72,7 +87,9 @@
     /// The peer can't be reached.
     pub async fn open(peer: SocketAddr) -> Result<Self, ConnectError> {
         let stream = connect(peer).await?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let meter = Rc::new(Meter::new(peer, Messages::Answers));
+        let stream = MeteredStream::new(stream, Rc::clone(&meter));
+        let handshake = http1::handshake(stream).await;
         let (sender, driver) = handshake.map_err(|error| ConnectError::Failed {
             peer,
             cause: std::io::Error::other(error),
@@ -85,6 +102,7 @@
         Ok(Self {
             sender,
             driver: driver.abort_handle(),
+            meter,
             peer,
             usable_until: now + DEFAULT_IDLE_TIMEOUT,
             is_reused: false,
@@ -92,6 +110,11 @@
         })
     }
 
+    /// What has arrived of the answer.
+    pub fn meter(&self) -> &Rc<Meter> {
+        &self.meter
+    }
+
     /// Whether it can carry a request now.
     pub fn is_ready(&self, now: Instant) -> bool {
         self.sender.is_ready() && now < self.usable_until
@@ -112,13 +135,15 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendFailure> {
         let peer = self.peer;
+        self.meter.begin_answer(request.method() == Method::HEAD);
         let sent = self.sender.try_send_request(request).await;
         sent.map_err(|mut error| {
             let was_sent = error.take_message().is_none();
             let cause = describe_with_causes(error.error());
-            match was_sent {
-                true => SendFailure::NoAnswer { peer, cause },
-                false => SendFailure::NotSent { peer, cause },
+            match self.meter.endless() {
+                _ if !was_sent => SendFailure::NotSent { peer, cause },
+                Some(error) => SendFailure::Endless { peer, error },
+                None => SendFailure::NoAnswer { peer, cause },
             }
         })
     }
@@ -131,20 +156,42 @@
     pub async fn call(&mut self, call: &Call) -> Result<CallAnswer, CallError> {
         let request = build_call(self.peer, call);
         let request = request.map_err(|error| CallError::NotSent(error.to_string()))?;
-        let lost = |error: &dyn std::error::Error| CallError::NoAnswer(describe_with_causes(error));
-        let response = self.send(request).await.map_err(|error| lost(&error))?;
-        let (head, body) = response.into_parts();
+        let response = self.send(request).await;
+        let response = response.map_err(|error| CallError::NoAnswer(error.to_string()))?;
+        let (head, mut body) = response.into_parts();
         self.note_keep_alive(&head.headers);
-        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        let body = body.map_err(|error| lost(&*error))?;
-        self.sender.ready().await.map_err(|error| lost(&error))?;
+        let lost = |error: &hyper::Error| CallError::NoAnswer(self.describe(error));
+        let mut whole = WholeBody::new(MAX_ANSWER_BYTES);
+        let mut held = CallBytes::default();
+        while let Some(frame) = body.frame().await {
+            if let Ok(data) = frame.map_err(|error| lost(&error))?.into_data() {
+                if !held.add(data.len()) {
+                    return Err(CallError::NoAnswer(NO_ROOM.to_owned()));
+                }
+                let pushed = whole.push(data);
+                pushed.map_err(|length| {
+                    let endless = self.meter.end_body(Element::Body, length);
+                    CallError::NoAnswer(endless.to_string())
+                })?;
+            }
+        }
+        let ready = self.sender.ready().await;
+        ready.map_err(|error| CallError::NoAnswer(self.describe(&error)))?;
         Ok(CallAnswer {
             status: head.status,
             headers: head.headers,
-            body: body.to_bytes(),
+            body: whole.into_bytes(),
         })
     }
 
+    /// The text of an error of the HTTP library, or of the element without end that has caused it.
+    pub(super) fn describe(&self, error: &hyper::Error) -> String {
+        match self.meter.endless() {
+            Some(endless) => endless.to_string(),
+            None => describe_with_causes(error),
+        }
+    }
+
     /// Applies the `Keep-Alive` header of an answer, which says how long the peer keeps the connection.
     pub fn note_keep_alive(&mut self, headers: &HeaderMap) {
         let idle = match peer_idle_time(headers) {
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -7,12 +7,23 @@
 
 mod answer;
 mod call;
+mod call_bytes;
 mod connection;
 mod connector;
+mod endless;
+mod framing;
+mod meter;
+mod metered;
 mod pool;
+mod whole_body;
 
 pub use answer::{Answer, AnswerError};
 pub use call::{CallAnswer, CallError, call, call_if, call_with_headers};
 pub use connection::{Connection, SendFailure};
 pub use connector::{ConnectError, UNACKNOWLEDGED_TIMEOUT, is_refused, set_options};
+pub use endless::{ElementLabels, EndlessError, ended_by_element};
+pub use framing::{Element, Framing, Messages};
+pub use meter::Meter;
+pub use metered::MeteredStream;
 pub use pool::Pool;
+pub use whole_body::WholeBody;
