--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -34,6 +34,7 @@
 mod relay;
 mod request_body;
 mod take_stream_up;
+mod unended;
 mod weights_mismatch;
 mod withdrawal;
 
