--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -1,4 +1,4 @@
-//! The configuration: routes, services, tenants and limits on callers' requests.
+//! The configuration: routes, services, tenants and limits on callers.
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -163,13 +163,29 @@
     pub kv_store: Option<KvStore>,
 }
 
-/// Limits on the size of callers' requests.
+/// Limits on what callers may send, and how long they may take or rest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerLimits {
     /// Maximum size of a request's headers in bytes.
     pub max_header_bytes: usize,
     /// Maximum size of a request's body in bytes.
     pub max_body_bytes: usize,
+    /// Maximum time from the first byte of a request's head to its last one.
+    pub header_timeout: Duration,
+    /// Maximum time for which a connection may rest between requests, or before the first one.
+    pub idle_timeout: Duration,
+}
+
+/// The limits where no configuration is known, or the configuration names none.
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            max_header_bytes: 64 * 1024,
+            max_body_bytes: 4 * 1024 * 1024,
+            header_timeout: Duration::from_secs(30),
+            idle_timeout: Duration::from_secs(75),
+        }
+    }
 }
 
 /// A complete configuration; immutable once built.
@@ -183,7 +199,7 @@
     shortest_pause_targets: HashMap<String, Duration>,
     kv_stores: Vec<NamedKvStore>,
     tenants_by_key: Option<HashMap<String, Arc<Tenant>>>,
-    /// Limits on the size of callers' requests.
+    /// Limits on callers.
     pub limits: CallerLimits,
     document: Bytes,
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`protocol::Platform`], which is implemented outside this crate.
 //!
 //! - [`cache`]: the known contents of the prompt caches in KV stores.
+//! - [`caller_limits`]: limits on the time that callers take.
 //! - [`configuration`]: routes, services and tenants in force.
 //! - [`forwarding`]: requests that go through another gateway while no replica can be reached from here.
 //! - [`protocol`]: the traits that a platform adapter implements.
@@ -28,6 +29,7 @@
 
 pub mod budget;
 pub mod cache;
+pub mod caller_limits;
 pub mod configuration;
 pub mod connections;
 pub mod currency;
--- a/crates/gateway/src/pipeline/account.rs
+++ b/crates/gateway/src/pipeline/account.rs
@@ -4,7 +4,7 @@
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
 use ntex::http::ConnectionType;
-use ntex::io::{Id, IoRef};
+use ntex::io::IoRef;
 use ntex::web::HttpResponse;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
@@ -12,12 +12,13 @@
 
 use super::pace::StreamTiming;
 use crate::configuration::Route;
+use crate::connections::OpenRequest;
 use crate::state::GatewayState;
 
 /// Tracks one request. If it is dropped unfinished, the caller has left.
 pub struct RequestTracker {
     state: Rc<GatewayState>,
-    connection: Option<Id>,
+    connection: Option<OpenRequest>,
     arrived_at: Instant,
     id: String,
     route: String,
@@ -30,12 +31,9 @@
     /// Starts tracking a request.
     pub fn open(state: &Rc<GatewayState>, connection: Option<&IoRef>, arrived_at: Instant) -> Self {
         state.status.open_requests.fetch_add(1, Ordering::AcqRel);
-        if let Some(connection) = connection {
-            state.callers.record_request_start(connection);
-        }
         Self {
             state: Rc::clone(state),
-            connection: connection.map(IoRef::id),
+            connection: connection.map(|io| state.callers.record_request_start(io)),
             arrived_at,
             id: String::new(),
             route: String::new(),
@@ -152,9 +150,6 @@
             .status
             .open_requests
             .fetch_sub(1, Ordering::AcqRel);
-        if let Some(connection) = self.connection {
-            self.state.callers.record_request_end(connection);
-        }
         if !self.is_finished {
             self.state.status.metrics.abandoned.inc();
             log_event!(
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -19,16 +19,18 @@
 use driftspring_settings::{GatewaySettings, load_gateway};
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
-use ntex::SharedCfg;
-use ntex::http::HttpServiceConfig;
-use ntex::io::IoConfig;
+use ntex::http::error::DispatchError;
+use ntex::http::{HttpService, HttpServiceConfig};
+use ntex::io::{Io, IoConfig};
 use ntex::rt::{DefaultRuntime, System};
 use ntex::server::Server;
 use ntex::time::Seconds;
 use ntex::web::{self, App, HttpResponse, HttpServer};
+use ntex::{SharedCfg, chain_factory, fn_service};
 use tokio::sync::oneshot;
 
 use crate::cache;
+use crate::caller_limits;
 use crate::forwarding;
 use crate::interference;
 use crate::peers;
@@ -41,18 +43,12 @@
 use crate::store;
 use listeners::Listeners;
 
-/// How long an idle connection of a caller is kept open.
-const KEEP_ALIVE: Seconds = Seconds(75);
+/// How long an idle connection of a reader of a page is kept open.
+const PAGE_KEEP_ALIVE: Seconds = Seconds(75);
 
 /// Time limit for the reader of a page to take the rest of it once its connection is being closed.
 const PAGE_DISCONNECT_TIMEOUT: Seconds = Seconds(30);
 
-/// Time limit for a request's head to arrive.
-const HEAD_TIMEOUT: Seconds = Seconds(30);
-
-/// Maximum size of a request's head, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
-
 /// Starts gateways.
 pub struct Gateway;
 
@@ -253,7 +249,13 @@
     let status = Arc::clone(status);
     let peers_socket = Arc::new(peers_socket);
     let forwarded = forwarded.map(Arc::new);
-    let server = HttpServer::new(async move || {
+    let io = IoConfig::new().set_disconnect_timeout(disconnect_timeout(caller_stall));
+    let config: SharedCfg = SharedCfg::new("callers")
+        .add(caller_limits::http_config())
+        .add(io)
+        .into();
+    let serve = async move |server: ntex::server::Config| {
+        server.config(config.clone());
         let state = GatewayState::new(settings.clone(), Arc::clone(&platform), Arc::clone(&status));
         store::spawn_all(&state);
         ntex::rt::spawn(peers::limit_confirmation_wait(Rc::clone(&state)));
@@ -274,20 +276,21 @@
         ntex::rt::spawn(rollout::run(Rc::clone(&state)));
         ntex::rt::spawn(standstill::watch(Rc::clone(&state)));
         ntex::rt::spawn(interference::run(Rc::clone(&state)));
-        App::new()
+        ntex::rt::spawn(caller_limits::apply(Rc::clone(&state)));
+        let opened = Rc::clone(&state);
+        let track = fn_service(move |io: Io| {
+            opened.callers.record_open(&io);
+            async move { Ok::<_, DispatchError>(io) }
+        });
+        let app = App::new()
             .state(state)
-            .default_service(web::route().to(pipeline::respond))
-    });
-    let http = HttpServiceConfig::new()
-        .set_keepalive(KEEP_ALIVE)
-        .set_client_timeout(HEAD_TIMEOUT)
-        .set_max_buf_size(MAX_HEAD_BYTES);
-    let io = IoConfig::new().set_disconnect_timeout(disconnect_timeout(caller_stall));
-    let server = server
-        .config(SharedCfg::new("callers").add(http).add(io))
+            .default_service(web::route().to(pipeline::respond));
+        chain_factory(track).and_then(HttpService::new(app))
+    };
+    let server = ntex::server::build()
         .workers(1)
         .disable_signals()
-        .listen(listener)?;
+        .listen("callers", listener, serve)?;
     Ok(server.run())
 }
 
@@ -332,7 +335,7 @@
             async move { response }
         }))
     });
-    let http = HttpServiceConfig::new().set_keepalive(KEEP_ALIVE);
+    let http = HttpServiceConfig::new().set_keepalive(PAGE_KEEP_ALIVE);
     let io = IoConfig::new().set_disconnect_timeout(PAGE_DISCONNECT_TIMEOUT);
     let server = server
         .config(SharedCfg::new("pages").add(http).add(io))
--- a/crates/gateway/tests/configuration_pieces.rs
+++ b/crates/gateway/tests/configuration_pieces.rs
@@ -16,6 +16,7 @@
     let limits = CallerLimits {
         max_header_bytes: 1000,
         max_body_bytes: 1000,
+        ..CallerLimits::default()
     };
     Configuration::new(version, Vec::new(), Vec::new(), None, limits)
         .with_document(Bytes::from(document))
--- a/crates/gateway/tests/kv_stores.rs
+++ b/crates/gateway/tests/kv_stores.rs
@@ -19,6 +19,7 @@
     let limits = CallerLimits {
         max_header_bytes: 1000,
         max_body_bytes: 1000,
+        ..CallerLimits::default()
     };
     let services = stores.iter().map(service).collect();
     Configuration::new(1, Vec::new(), services, None, limits)
--- a/crates/gateway/tests/running_work.rs
+++ b/crates/gateway/tests/running_work.rs
@@ -49,6 +49,7 @@
     let limits = CallerLimits {
         max_header_bytes: 1000,
         max_body_bytes: 1000,
+        ..CallerLimits::default()
     };
     Configuration::new(1, routes.collect(), Vec::new(), None, limits)
 }
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -62,6 +62,7 @@
     HEDGE_ENDED = 6343, Info, "One of two replicas to which a request was sent has answered. The fields tell whether it was the second one, and whether the connection to the other was closed while the request was open there.";
     ANSWER_ENDED_FOR_ROOM = 6350, Warn, "As much is held for callers as may be. The answer of which nothing was taken for the longest time was ended without its end; the fields give what was held of it, for how long nothing was taken, and what is held in all.";
     ANSWER_NOT_TAKEN = 6351, Warn, "A caller took nothing of its answer for too long: the answer was ended without its end, and the connection closed. The fields give what was held of it, and for how long nothing was taken.";
+    SLOW_HEADS_ENDED = 6370, Warn, "Callers took longer for the heads of their requests than the configuration's `headerTimeoutMs` allows: each was answered with 408, and its connection closed. The fields give their number, the limit in force, and the time that was allowed: longer for a while after a change.";
     ORDER_LEASE_ACQUIRED = 6400, Info, "This daemon may give orders, under the token given.";
     ORDER_LEASE_NOT_ACQUIRED = 6401, Info, "Another daemon holds the lease, or the store did not say; it is tried again.";
     ORDER_LEASE_LOST = 6402, Warn, "This daemon may not give orders any more.";
