--- a/crates/gateway/src/caller_limits.rs
+++ b/crates/gateway/src/caller_limits.rs
@@ -13,8 +13,11 @@
 use crate::configuration::CallerLimits;
 use crate::state::GatewayState;
 
-/// Maximum size of a request's head, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Maximum size of a request's head in bytes, whatever the configuration allows.
+pub const MAX_HEAD_BYTES: usize = 256 * 1024;
+
+/// Maximum number of a request's headers.
+pub const MAX_HEADERS: usize = 8192;
 
 /// Time limit of the library for a head: the longest that it can count. It has to have one for it to answer a head that this
 /// module gives up.
@@ -38,6 +41,7 @@
             LIBRARY_HEAD_TIMEOUT,
             LIBRARY_HEAD_RATE,
         )
+        .set_max_headers(MAX_HEADERS)
         .set_max_buf_size(MAX_HEAD_BYTES)
 }
 
--- a/crates/gateway/src/pipeline/decode.rs
+++ b/crates/gateway/src/pipeline/decode.rs
@@ -48,6 +48,8 @@
     pub path: String,
     /// Headers that are forwarded.
     pub headers: HeaderMap,
+    /// Size of the head, see [`head_bytes`].
+    pub head_bytes: usize,
 }
 
 /// Decodes the head. The caller's control headers and those of its connection are not forwarded.
@@ -84,9 +86,19 @@
         method: method.clone(),
         path: path.to_owned(),
         headers: forwarded_headers(state, all),
+        head_bytes: head_bytes(method, path, all),
     })
 }
 
+/// Size of a head in bytes, as it is if it has no spaces that could be left out.
+fn head_bytes(method: &Method, path: &str, all: &HeaderMap) -> usize {
+    let request_line = method.as_str().len() + path.len() + "  HTTP/1.1\r\n".len();
+    let line =
+        |name: &HeaderName, value: &HeaderValue| name.as_str().len() + value.len() + ": \r\n".len();
+    let lines = all.iter().map(|(name, value)| line(name, value));
+    request_line + lines.sum::<usize>() + "\r\n".len()
+}
+
 fn convert(request: &HttpRequest) -> HeaderMap {
     let mut headers = HeaderMap::with_capacity(request.headers().len());
     for (name, value) in request.headers() {
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -11,6 +11,7 @@
 mod check_quarantine;
 mod check_quota;
 mod check_share;
+mod check_size;
 mod choose_backend;
 mod choose_replica;
 mod collect;
@@ -80,6 +81,7 @@
     let decoded = decode::decode(state, request)?;
     tracker.set_request_id(&decoded.id);
     refusal::refuse_while_stopping(state)?;
+    check_size::check_head_size(state, &decoded).await?;
     let (configuration, route) = find_route::find_route(state, &decoded).await?;
     tracker.set_route(&route);
     let tenant = authenticate::authenticate(state, &route, decoded.meta.key.as_deref()).await?;
@@ -109,7 +111,8 @@
     let arrived_at = tracker.arrived_at();
     let deadline = context::deadline(&decoded, &route, arrived_at);
     let charge = Charge::new(&state.held_bytes);
-    let body = read_body::read_body(payload, &configuration.limits, deadline, &charge).await?;
+    let limits = &configuration.limits;
+    let body = read_body::read_body(state, payload, limits, deadline, &charge).await?;
     let service = choose_backend::choose_backend(state, &route)?;
     let (service, binding) =
         take_stream_up::bind_request(state, &decoded, &route, tenant.as_deref(), service).await?;
--- a/crates/gateway/src/pipeline/read_body.rs
+++ b/crates/gateway/src/pipeline/read_body.rs
@@ -5,19 +5,23 @@
 use futures_util::StreamExt;
 use ntex::web::types::Payload;
 
+use super::check_size::limit_for;
 use super::refusal::{Reason, Refusal, Step};
 use crate::configuration::CallerLimits;
 use crate::held_bytes::Charge;
+use crate::state::GatewayState;
 
-/// Returns the body if it is within the limits and has arrived by the deadline.
+/// Returns the body if it has arrived by the deadline and is within the limits under which the request was accepted, or
+/// within newer ones.
 pub async fn read_body(
+    state: &GatewayState,
     payload: Payload,
     limits: &CallerLimits,
     deadline: Instant,
     charge: &Charge,
 ) -> Result<Bytes, Refusal> {
     let left = deadline.saturating_duration_since(Instant::now());
-    let reading = tokio::time::timeout(left, read_whole(payload, limits, charge));
+    let reading = tokio::time::timeout(left, read_whole(state, payload, limits, charge));
     let late = |_| {
         let detail = format!("{} bytes in the request's time", charge.bytes());
         Refusal::new(Step::Body, Reason::BodyTooSlow, detail)
@@ -26,18 +30,25 @@
 }
 
 async fn read_whole(
+    state: &GatewayState,
     mut payload: Payload,
     limits: &CallerLimits,
     charge: &Charge,
 ) -> Result<Bytes, Refusal> {
     let mut body = BytesMut::new();
+    let mut limit = limits.max_body_bytes;
     while let Some(piece) = payload.next().await {
         let piece = piece.map_err(|error| {
             let detail = error.to_string();
             Refusal::new(Step::Body, Reason::BrokenBody, detail)
         })?;
-        if body.len() + piece.len() > limits.max_body_bytes {
-            let detail = format!("over {} bytes", limits.max_body_bytes);
+        let length = body.len() + piece.len();
+        if length > limit {
+            let newest = limit_for(state, Step::Body, length, |newest| newest.max_body_bytes);
+            limit = newest.await?.map_or(limit, |newest| newest.max(limit));
+        }
+        if length > limit {
+            let detail = format!("over {limit} bytes");
             return Err(Refusal::new(Step::Body, Reason::BodyTooLarge, detail));
         }
         charge.add(piece.len()).await;
--- a/crates/gateway/src/pipeline/refusal.rs
+++ b/crates/gateway/src/pipeline/refusal.rs
@@ -43,6 +43,8 @@
 pub enum Reason {
     /// The head can't be read.
     MalformedHead,
+    /// The head is too large.
+    HeadTooLarge,
     /// There is no such route.
     NoRoute,
     /// The key is unknown.
@@ -98,6 +100,7 @@
     fn status(self) -> StatusCode {
         match self {
             Self::MalformedHead | Self::BrokenBody => StatusCode::BAD_REQUEST,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::OverQuota | Self::BeyondQuota => StatusCode::TOO_MANY_REQUESTS,
