--- a/crates/gateway/src/callers/accept.rs
+++ b/crates/gateway/src/callers/accept.rs
@@ -9,8 +9,8 @@
 use ntex::io::Io;
 use ntex::service::{Pipeline, Service};
 
-use super::linger::Lingering;
 use super::socket::CallerStream;
+use crate::state::GatewayState;
 
 /// The pause after a connection could not be accepted, as when all descriptors are in use.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
@@ -21,10 +21,10 @@
 ///
 /// The listener can't be used.
 pub async fn run<S>(
+    state: Rc<GatewayState>,
     listener: TcpListener,
     service: S,
     config: SharedCfg,
-    lingering: Rc<Lingering>,
 ) -> anyhow::Result<()>
 where
     S: Service<Io> + 'static,
@@ -41,7 +41,8 @@
                 if let Err(error) = stream.set_nodelay(true) {
                     log::debug!("options of a caller's connection: {error}");
                 }
-                let io = CallerStream::open(stream, config.clone(), Rc::clone(&lingering));
+                let io = CallerStream::open(stream, config.clone(), Rc::clone(&state.lingering));
+                state.callers.record_open(&io);
                 // The library logs the errors of a connection; they concern nothing else.
                 ntex::rt::spawn(service.call_static(io));
             }
