--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`callers`]: how callers' connections are accepted, and how they end.
 //! - [`cache`]: the known contents of the prompt caches in KV stores.
+//! - [`caller_limits`]: limits on the time that callers take.
 //! - [`configuration`]: routes, services and tenants in force.
 //! - [`forwarding`]: requests that go through another gateway while no replica can be reached from here.
 //! - [`protocol`]: the traits that a platform adapter implements.
@@ -29,6 +30,7 @@
 
 pub mod budget;
 pub mod cache;
+pub mod caller_limits;
 pub mod callers;
 pub mod configuration;
 pub mod connections;
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -19,6 +19,7 @@
 use super::hedge::{HedgePlan, route_speed, send_hedged};
 use super::judge::{Verdict, judge};
 use super::refusal::{Reason, Refusal, Step};
+use super::unended::note_endless;
 use super::weights_mismatch::WeightsMismatch;
 use crate::notices;
 use crate::permits::{self, PermitDenied};
@@ -27,7 +28,7 @@
 use crate::reachability::{self, Doubt, ServicePath};
 use crate::state::GatewayState;
 use crate::stream_versions::VersionBinding;
-use crate::upstream::SendFailure;
+use crate::upstream::{AnswerError, EndlessError, SendFailure};
 
 /// Maximum number of replicas that answer "not run" before the request is refused.
 const MAX_NOT_RUN_ANSWERS: usize = 3;
@@ -43,6 +44,9 @@
 const WITHDRAWN_FOR_OLD_WEIGHTS: &str =
     "it had not begun when the weights of its replica became too old";
 
+/// Why a request is not sent to a replica that may be sound.
+const NOT_CONNECTED: &str = "no connection to it has come up in time";
+
 /// Why a request leaves a replica that can't be reached any more.
 const PATH_LOST: &str = "no replica can be reached from here";
 
@@ -51,6 +55,8 @@
     pub(super) state: Rc<GatewayState>,
     pub(super) context: Rc<RequestContext>,
     pub(super) tried: Vec<ReplicaIncarnation>,
+    /// Those of them to which no connection came up, and which may be sound: they are tried again if no other is left.
+    silent: Vec<ReplicaIncarnation>,
     /// Replicas that refused because they have other weights than the request was sent for.
     pub(super) weights_mismatches: Vec<WeightsMismatch>,
     /// The path to the replicas of its service.
@@ -83,6 +89,8 @@
 pub enum AnswerFailure {
     /// It broke off, for this cause.
     BrokeOff(String),
+    /// It is none, since an element has no end.
+    Endless(EndlessError),
     /// Its head arrived, but the request had not begun when the replica's weights became too old.
     Withdrawn,
     /// The path to all replicas was lost; another gateway can go on with it.
@@ -90,12 +98,21 @@
 }
 
 impl AnswerFailure {
+    /// The failure of an answer that was being read.
+    pub fn of(error: &AnswerError) -> Self {
+        match error {
+            AnswerError::Endless(endless) => Self::Endless(*endless),
+            AnswerError::BrokeOff(_) => Self::BrokeOff(error.to_string()),
+        }
+    }
+
     /// Description of the cause.
-    pub fn cause(&self) -> &str {
+    pub fn cause(&self) -> String {
         match self {
-            Self::BrokeOff(cause) => cause,
-            Self::Withdrawn => WITHDRAWN_FOR_OLD_WEIGHTS,
-            Self::PathLost => PATH_LOST,
+            Self::BrokeOff(cause) => cause.clone(),
+            Self::Endless(endless) => endless.to_string(),
+            Self::Withdrawn => WITHDRAWN_FOR_OLD_WEIGHTS.to_owned(),
+            Self::PathLost => PATH_LOST.to_owned(),
         }
     }
 }
@@ -167,6 +184,7 @@
             is_forwarded: false,
             context: Rc::clone(context),
             tried: Vec::new(),
+            silent: Vec::new(),
             weights_mismatches: Vec::new(),
             possible_runs: 0,
             not_run_answers: 0,
@@ -212,6 +230,7 @@
                 Ok(choice) => choice,
                 Err(refusal) => match refusal.reason {
                     Reason::NoReplica if self.may_retry_after_mismatch().await => continue,
+                    Reason::NoReplica if self.may_retry_silent() => continue,
                     _ => return Err(self.refusal_without_replica(refusal)),
                 },
             };
@@ -261,10 +280,16 @@
             Err(SendError::Failed(SendFailure::NotSent { peer, cause })) => {
                 self.handle_not_sent(&choice, peer, &cause)?;
             }
+            Err(SendError::Failed(SendFailure::Endless { peer, error })) => {
+                self.sends += 1;
+                note_endless(&choice.replica, &error);
+                self.handle_lost(&choice, peer, &error.to_string())?;
+            }
             Err(SendError::Failed(SendFailure::NoAnswer { peer, cause })) => {
                 self.sends += 1;
                 self.handle_lost(&choice, peer, &cause)?;
             }
+            Err(SendError::NotConnected) => self.handle_not_connected(&choice)?,
             Err(SendError::Resting) => {
                 self.log_attempt(&choice, "not_sent", "it is cooling down");
             }
@@ -321,13 +346,18 @@
         let choice = match responder {
             Responder::Replica(choice) => choice,
             Responder::Peer(forwarder) => {
-                return self.handle_broken_hop(forwarder, failure.cause());
+                return self.handle_broken_hop(forwarder, failure);
             }
         };
         match failure {
             AnswerFailure::BrokeOff(cause) => {
                 self.handle_lost(choice, choice.replica.pool.peer(), cause)
             }
+            AnswerFailure::Endless(endless) => {
+                note_endless(&choice.replica, endless);
+                let cause = endless.to_string();
+                self.handle_lost(choice, choice.replica.pool.peer(), &cause)
+            }
             AnswerFailure::Withdrawn => self.handle_withdrawn(choice),
             AnswerFailure::PathLost => self.handle_path_lost(choice),
         }
@@ -447,6 +477,28 @@
         }
     }
 
+    /// Handles a replica to which no connection came up in time. It may be sound and silent for a while, so nothing is held
+    /// against it unless that lasts.
+    fn handle_not_connected(&mut self, choice: &Choice) -> Result<(), Refusal> {
+        let replica = &choice.replica;
+        if replica.health.record_silence(Instant::now()) {
+            return self.handle_not_sent(choice, replica.pool.peer(), NOT_CONNECTED);
+        }
+        let service = &self.context.service;
+        reachability::doubt(&self.state, service, &self.path, Doubt::Failure);
+        self.log_attempt(choice, "not_sent", NOT_CONNECTED);
+        self.tried.push(replica.incarnation.clone());
+        self.silent.push(replica.incarnation.clone());
+        Ok(())
+    }
+
+    /// Whether replicas to which no connection came up are tried again, since no other one is left.
+    fn may_retry_silent(&mut self) -> bool {
+        let silent = std::mem::take(&mut self.silent);
+        self.tried.retain(|tried| !silent.contains(tried));
+        !silent.is_empty()
+    }
+
     /// Handles a replica that could not be shown to run the version that began the stream.
     fn handle_unconfirmed(&mut self, choice: &Choice) -> Result<(), Refusal> {
         let detail = "its software version could not be confirmed";
--- a/crates/gateway/src/pipeline/context.rs
+++ b/crates/gateway/src/pipeline/context.rs
@@ -59,18 +59,24 @@
     pub binding: Cell<VersionBinding>,
     /// Where its tenant stands if the service is overloaded.
     pub standing: Cell<Standing>,
+    /// Whether any of it was sent to a replica or to another gateway, so that it may have run.
+    pub was_sent: Cell<bool>,
     fingerprint: OnceCell<Fingerprint>,
     part_fingerprints: OnceCell<Vec<Fingerprint>>,
 }
 
+/// When the caller gives up a request that arrived at `arrived_at`.
+pub fn caller_deadline(decoded: &Decoded, arrived_at: Instant) -> Instant {
+    arrived_at + decoded.meta.deadline.unwrap_or(DEFAULT_REQUEST_TIMEOUT)
+}
+
 /// When the caller or the route gives up a request that arrived at `arrived_at`.
 pub fn deadline(decoded: &Decoded, route: &Route, arrived_at: Instant) -> Instant {
-    let caller_limit = decoded.meta.deadline.unwrap_or(DEFAULT_REQUEST_TIMEOUT);
     let route_limit = match route.timeout {
         Duration::ZERO => DEFAULT_REQUEST_TIMEOUT,
         timeout => timeout,
     };
-    arrived_at + caller_limit.min(route_limit)
+    caller_deadline(decoded, arrived_at).min(arrived_at + route_limit)
 }
 
 impl RequestContext {
@@ -101,6 +107,7 @@
             body_charge: None,
             binding: Cell::default(),
             standing: Cell::default(),
+            was_sent: Cell::default(),
             fingerprint: OnceCell::new(),
             part_fingerprints: OnceCell::new(),
         }
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -11,6 +11,7 @@
 mod check_quarantine;
 mod check_quota;
 mod check_share;
+mod check_size;
 mod choose_backend;
 mod choose_replica;
 mod collect;
@@ -34,6 +35,7 @@
 mod relay;
 mod request_body;
 mod take_stream_up;
+mod unended;
 mod weights_mismatch;
 mod withdrawal;
 
@@ -47,6 +49,7 @@
 use crate::held_bytes::Charge;
 use crate::state::GatewayState;
 use account::RequestTracker;
+use check_size::RequestTimes;
 use context::RequestContext;
 use decode::Decoded;
 use refusal::Refusal;
@@ -86,12 +89,14 @@
     body: &mut RequestBody,
     tracker: &mut RequestTracker,
 ) -> Result<HttpResponse, Refusal> {
+    let arrived_at = tracker.arrived_at();
     let decoded = decode::decode(state, request)?;
     tracker.set_request_id(&decoded.id);
     refusal::refuse_while_stopping(state)?;
-    let (configuration, route) = find_route::find_route(state, &decoded).await?;
+    check_size::check_head_size(state, &decoded, arrived_at).await?;
+    let (configuration, route) = find_route::find_route(state, &decoded, arrived_at).await?;
     tracker.set_route(&route);
-    let tenant = authenticate::authenticate(state, &route, decoded.meta.key.as_deref()).await?;
+    let tenant = authenticate::authenticate(state, &decoded, &route, arrived_at).await?;
     let charge = check_quota::check_quota(state, &decoded, tenant.as_deref())?;
     let admitted = (decoded, configuration, route, tenant);
     let result = serve_admitted(state, request, body, admitted, tracker).await;
@@ -116,9 +121,13 @@
 ) -> Result<HttpResponse, Refusal> {
     let (decoded, configuration, route, tenant) = admitted;
     let arrived_at = tracker.arrived_at();
-    let deadline = context::deadline(&decoded, &route, arrived_at);
+    let times = RequestTimes {
+        arrived_at,
+        deadline: context::deadline(&decoded, &route, arrived_at),
+    };
     let charge = Charge::new(&state.held_bytes);
-    let body = read_body::read_body(body, &configuration.limits, deadline, &charge).await?;
+    let limits = &configuration.limits;
+    let body = read_body::read_body(state, body, limits, times, &charge).await?;
     let service = choose_backend::choose_backend(state, &route)?;
     let (service, binding) =
         take_stream_up::bind_request(state, &decoded, &route, tenant.as_deref(), service).await?;
--- a/crates/gateway/src/replicas/health.rs
+++ b/crates/gateway/src/replicas/health.rs
@@ -14,6 +14,22 @@
 /// Backoff after a replica reports that it is overloaded.
 const OVERLOAD_BACKOFF: Duration = Duration::from_millis(120);
 
+/// How long no connection to a replica must come up before that counts as a failure: a sound one may be silent for a second
+/// or so.
+const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Time between two connections that did not come up, above which the silence between them is not known.
+const MAX_SILENCE_GAP: Duration = Duration::from_secs(1);
+
+/// How long other replicas are preferred to one to which a connection did not come up.
+const SILENCE_PREFERENCE: Duration = Duration::from_millis(500);
+/// Backoff after an answer of which an element had no end. It doubles with each further one, until an answer is whole:
+/// such answers may begin well.
+const INITIAL_ENDLESS_BACKOFF: Duration = Duration::from_secs(1);
+
+/// Upper limit of that backoff.
+const MAX_ENDLESS_BACKOFF: Duration = Duration::from_secs(8);
+
 /// Weight of one outcome in the moving average of failures.
 const OUTCOME_WEIGHT: f64 = 0.08;
 
@@ -25,7 +41,13 @@
     failing_since: Cell<Option<Instant>>,
     suspect_until: Cell<Option<Instant>>,
     overloaded_until: Cell<Option<Instant>>,
+    /// When the first and the last connection did not come up, without an answer meanwhile.
+    silent_since: Cell<Option<Instant>>,
+    silent_at: Cell<Option<Instant>>,
     failure_rate: Cell<f64>,
+    /// Answers without end since the last whole one.
+    endless_answers: Cell<u32>,
+    endless_until: Cell<Option<Instant>>,
 }
 
 impl Health {
@@ -42,11 +64,32 @@
         backoff
     }
 
+    /// Records that a connection to the replica did not come up in time. Returns whether that has lasted for so long that
+    /// it counts as a failure.
+    pub fn record_silence(&self, now: Instant) -> bool {
+        let is_continued = |at: Instant| now.saturating_duration_since(at) <= MAX_SILENCE_GAP;
+        let since = match self.silent_at.get().is_some_and(is_continued) {
+            true => self.silent_since.get().unwrap_or(now),
+            false => now,
+        };
+        self.silent_since.set(Some(since));
+        self.silent_at.set(Some(now));
+        self.consecutive_failures.get() > 0 || now.saturating_duration_since(since) >= SILENCE_LIMIT
+    }
+
+    /// Whether other replicas are preferred because a connection to this one did not come up lately.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < SILENCE_PREFERENCE;
+        self.silent_at.get().is_some_and(is_recent)
+    }
+
     /// Records that the replica answered. Returns whether it was suspect before.
     pub fn record_answer(&self) -> bool {
         let was_suspect = self.consecutive_failures.get() > 0;
         self.consecutive_failures.set(0);
         self.suspect_until.set(None);
+        self.silent_since.set(None);
+        self.silent_at.set(None);
         was_suspect
     }
 
@@ -58,6 +101,22 @@
         }
     }
 
+    /// Records that an element of an answer had no end. Returns the backoff that follows.
+    pub fn record_endless(&self, now: Instant) -> Duration {
+        let earlier = self.endless_answers.get();
+        let backoff = INITIAL_ENDLESS_BACKOFF.saturating_mul(1 << earlier.min(8));
+        let backoff = backoff.min(MAX_ENDLESS_BACKOFF);
+        self.endless_answers.set(earlier.saturating_add(1));
+        self.endless_until.set(Some(now + backoff));
+        backoff
+    }
+
+    /// Records that an answer was read to its end.
+    pub fn record_whole_answer(&self) {
+        self.endless_answers.set(0);
+        self.endless_until.set(None);
+    }
+
     /// Records that the replica did not run a request because it is full or loading.
     pub fn record_overload(&self, now: Instant) {
         self.overloaded_until.set(Some(now + OVERLOAD_BACKOFF));
@@ -81,10 +140,12 @@
         self.suspect_until.get().is_some_and(|until| now < until)
     }
 
-    /// Whether the replica should get no requests at `now`, because it was unreachable or overloaded.
+    /// Whether the replica should get no requests at `now`, because it was unreachable or overloaded, or its answers have
+    /// no end.
     pub fn is_suspect(&self, now: Instant) -> bool {
         let is_before = |until: Instant| now < until;
         self.suspect_until.get().is_some_and(is_before)
             || self.overloaded_until.get().is_some_and(is_before)
+            || self.endless_until.get().is_some_and(is_before)
     }
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -30,6 +30,7 @@
 use tokio::sync::oneshot;
 
 use crate::cache;
+use crate::caller_limits;
 use crate::callers;
 use crate::forwarding;
 use crate::interference;
@@ -43,18 +44,12 @@
 use crate::store;
 use listeners::Listeners;
 
-/// How long an idle connection of a caller is kept open.
-const KEEP_ALIVE: Seconds = Seconds(75);
+/// How long an idle connection of a reader of a page is kept open.
+const PAGE_KEEP_ALIVE: Seconds = Seconds(75);
 
 /// Time limit for the reader of a page to take the rest of it once its connection is being closed.
 const PAGE_DISCONNECT_TIMEOUT: Seconds = Seconds(30);
 
-/// Time limit for a request's head to arrive.
-const HEAD_TIMEOUT: Seconds = Seconds(30);
-
-/// Maximum size of a request's head, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
-
 /// Starts gateways.
 pub struct Gateway;
 
@@ -253,10 +248,7 @@
     forwarded: Option<TcpListener>,
 ) -> anyhow::Result<()> {
     let state = GatewayState::new(settings.clone(), Arc::clone(platform), Arc::clone(status));
-    let http = HttpServiceConfig::new()
-        .set_keepalive(KEEP_ALIVE)
-        .set_client_timeout(HEAD_TIMEOUT)
-        .set_max_buf_size(MAX_HEAD_BYTES);
+    let http = caller_limits::http_config();
     let io =
         IoConfig::new().set_disconnect_timeout(disconnect_timeout(settings.times.caller_stall));
     let config: SharedCfg = SharedCfg::new("callers").add(http).add(io).into();
@@ -266,9 +258,8 @@
     let service = HttpService::new(app).create(config.clone()).await;
     let service = service.map_err(|()| anyhow!("the HTTP service can't be created"))?;
     spawn_tasks(&state, peers_socket, forwarded);
-    let lingering = Rc::clone(&state.lingering);
     ntex::rt::spawn(async move {
-        if let Err(error) = callers::accept::run(listener, service, config, lingering).await {
+        if let Err(error) = callers::accept::run(state, listener, service, config).await {
             log::error!("no callers are accepted: {error:#}");
         }
     });
@@ -294,6 +285,7 @@
     ntex::rt::spawn(rollout::run(Rc::clone(state)));
     ntex::rt::spawn(standstill::watch(Rc::clone(state)));
     ntex::rt::spawn(interference::run(Rc::clone(state)));
+    ntex::rt::spawn(caller_limits::apply(Rc::clone(state)));
 }
 
 /// Time limit for the last bytes of a connection that is being closed: the same as for an answer of which its caller takes
@@ -337,7 +329,7 @@
             async move { response }
         }))
     });
-    let http = HttpServiceConfig::new().set_keepalive(KEEP_ALIVE);
+    let http = HttpServiceConfig::new().set_keepalive(PAGE_KEEP_ALIVE);
     let io = IoConfig::new().set_disconnect_timeout(PAGE_DISCONNECT_TIMEOUT);
     let server = server
         .config(SharedCfg::new("pages").add(http).add(io))
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -40,7 +40,7 @@
     REPLICA_SEEN = 6300, Info, "A life of a replica is listed for the first time; the fields give the version of its software; one that starts again under its id begins another life.";
     REPLICA_CHANGED = 6301, Info, "The entry of a replica has changed.";
     REPLICA_GONE = 6302, Info, "The entry of a replica is gone; it gets no new requests. The reason tells whether it left, or lapsed and has not come back.";
-    REPLICA_SUSPECT = 6303, Warn, "A replica could not be reached or broke off; it gets no requests for the time given.";
+    REPLICA_SUSPECT = 6303, Warn, "A replica could not be reached, for 2 s where it says nothing, or broke off; it gets no requests for the time given.";
     REPLICA_WELL = 6304, Info, "A replica that was suspect has answered.";
     REPLICA_LAPSED = 6305, Info, "The entry of a replica is gone after an outage of the store; it stays in use for a while, since it may come back. The fields tell how old the view of the replicas was, how long ago the last call began that the store failed this daemon itself, and whom it asks.";
     REPLICA_ENDED = 6306, Warn, "A replica has ended while requests of this gateway were open there: their answers broke off, and its address refuses connections. The fields give the fingerprints of these requests; the same request has the same one at every gateway and in every try.";
@@ -50,7 +50,7 @@
     REPLICA_PASSED_OVER = 6310, Info, "A replica gets no requests for now because of what it says of itself. The fields give what it said, how long ago, and for how much longer that holds. Once a second at the most for each replica.";
     REPLICA_SAID_LEAVING = 6311, Info, "A replica has said in an answer that it is leaving, whatever its entry in the store says. The fields give who told: an answer to this gateway, or another gateway.";
     REPLICA_ASKED_FOR_REST = 6312, Info, "A replica turned a request away and wants none from this gateway for a while. The field gives the time; of several the latest end holds. Once a second at the most for each replica.";
-    PATH_LOST = 6313, Warn, "This gateway can't reach any replica of a service on a new connection, although the replicas are listed. The fields give what raised the doubt, how many replicas were probed, how many requests are open there, when the last byte came from one of them, and whether open connections still carry answers.";
+    PATH_LOST = 6313, Warn, "This gateway can't reach any replica of a service on a new connection, although the replicas are listed. The fields give what raised the doubt, how many replicas were probed and how many of them refused, how many requests are open there, when the last byte came from one of them, and whether open connections still carry answers.";
     PATH_REGAINED = 6314, Info, "A service whose replicas could not be reached answers probes again. The fields give for how long its path was lost, and how many replicas were probed and answered.";
     REPLICA_BRITTLE = 6315, Warn, "A replica says that it crashes if it has to refuse more than so many requests in a second, or does not say so any more. Each gateway then keeps to a window of open requests there, which shrinks whenever one of them is refused. The fields give the refusals that it tolerates, this gateway's window, and who told.";
     REPLICAS_RESERVED = 6320, Info, "The number of a service's replicas that long prompts prefer and streams avoid has changed. The fields give it, the number of all replicas, and the demand: how many replicas the long prompts of all gateways would keep busy.";
@@ -63,6 +63,8 @@
     ANSWER_ENDED_FOR_ROOM = 6350, Warn, "As much is held for callers as may be. The answer of which nothing was taken for the longest time was ended without its end; the fields give what was held of it, for how long nothing was taken, and what is held in all.";
     ANSWER_NOT_TAKEN = 6351, Warn, "A caller took nothing of its answer for too long: the answer was ended without its end, and the connection closed. The fields give what was held of it, and for how long nothing was taken.";
     CONNECTION_NOT_ENDED = 6352, Warn, "A caller still sent when the connection that had carried its last answer was closed at a limit of bytes, time or silence: bytes that it sends later reset the connection, and it may not have read the answer. The fields give the limit and how much was discarded.";
+    ANSWER_WITHOUT_END = 6360, Warn, "A replica, the store or another gateway sent bytes that are no answer, or no request, without end: the connection was closed, and the request goes on as after any other lost answer. The fields give the peer, the element that had no end, what was read of it, and for how long.";
+    SLOW_HEADS_ENDED = 6370, Warn, "Callers took longer for the heads of their requests than the configuration's `headerTimeoutMs` allows: each was answered with 408, and its connection closed. The fields give their number, the limit in force, and the time that was allowed: longer for a while after a change.";
     ORDER_LEASE_ACQUIRED = 6400, Info, "This daemon may give orders, under the token given.";
     ORDER_LEASE_NOT_ACQUIRED = 6401, Info, "Another daemon holds the lease, or the store did not say; it is tried again.";
     ORDER_LEASE_LOST = 6402, Warn, "This daemon may not give orders any more.";
