--- a/crates/gateway/src/caller_limits.rs
+++ b/crates/gateway/src/caller_limits.rs
@@ -112,6 +112,10 @@
             Some(configuration) => TimeLimits::from(&configuration.limits),
             None => TimeLimits::from(&CallerLimits::default()),
         };
+        if let Some(configuration) = state.configuration.load().as_ref() {
+            let size = configuration.limits.max_body_bytes;
+            state.lingering.set_max_body_bytes(size);
+        }
         let lag = state.times.get().configuration_lag;
         let now = Instant::now();
         // A caller may know of longer limits before this gateway does.
--- a/crates/gateway/src/callers/linger.rs
+++ b/crates/gateway/src/callers/linger.rs
@@ -18,12 +18,12 @@
 use crate::status::SharedStatus;
 
 /// How long the caller may send nothing before its connection is closed nevertheless.
-pub const MAX_SILENCE: Duration = Duration::from_secs(2);
+pub const MAX_SILENCE: Duration = Duration::from_secs(5);
 
 /// How long a connection lingers at most.
 pub const MAX_TIME: Duration = Duration::from_secs(60);
 
-/// Maximum number of bytes that are discarded.
+/// Maximum number of bytes that are discarded, unless the configuration allows larger bodies.
 pub const MAX_BYTES: u64 = 16 * 1024 * 1024;
 
 /// Size of one read, in bytes.
@@ -37,6 +37,7 @@
 pub struct Lingering {
     status: Arc<SharedStatus>,
     open: Cell<u32>,
+    max_bytes: Cell<u64>,
 }
 
 impl Lingering {
@@ -45,9 +46,17 @@
         Rc::new(Self {
             status,
             open: Cell::new(0),
+            max_bytes: Cell::new(MAX_BYTES),
         })
     }
 
+    /// Sets the size in bytes of the largest body that callers may send: such a body is always read to its end.
+    pub fn set_max_body_bytes(&self, size: usize) {
+        // Chunks add to the size.
+        let with_framing = (size as u64).saturating_mul(2);
+        self.max_bytes.set(with_framing.max(MAX_BYTES));
+    }
+
     /// Number of connections that linger.
     pub fn open(&self) -> u32 {
         self.open.get()
@@ -74,15 +83,20 @@
 /// Closes the sending side of the connection, then reads and discards until the caller closes its side or a limit is
 /// reached.
 pub async fn linger(stream: &TcpStream, lingering: &Rc<Lingering>) {
+    let _guard = lingering.begin();
     let peer = stream.peer_addr();
     if let Err(error) = SockRef::from(stream).shutdown(Shutdown::Write) {
         log::debug!("the caller at {peer:?} has left: {error}");
         return;
     }
-    let _guard = lingering.begin();
     let began = Instant::now();
     let mut discarded = 0;
-    let end = match tokio::time::timeout(MAX_TIME, discard(stream, &mut discarded)).await {
+    let end = match tokio::time::timeout(
+        MAX_TIME,
+        discard(stream, lingering.max_bytes.get(), &mut discarded),
+    )
+    .await
+    {
         Ok(end) => end,
         Err(_) => LingerEnd::TimeLimit,
     };
@@ -94,7 +108,7 @@
 }
 
 /// Reads until the caller closes its side, says nothing for too long, or has sent too much.
-async fn discard(stream: &TcpStream, discarded: &mut u64) -> LingerEnd {
+async fn discard(stream: &TcpStream, max_bytes: u64, discarded: &mut u64) -> LingerEnd {
     let mut buffer = [0; READ_BYTES];
     loop {
         match tokio::time::timeout(MAX_SILENCE, stream.readable()).await {
@@ -109,7 +123,7 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 Err(_) => return LingerEnd::Reset,
             }
-            if *discarded > MAX_BYTES {
+            if *discarded > max_bytes {
                 return LingerEnd::ByteLimit;
             }
         }
--- a/crates/gateway/src/callers/socket.rs
+++ b/crates/gateway/src/callers/socket.rs
@@ -23,6 +23,9 @@
 /// Maximum number of bytes that one system call discards.
 const DISCARD_BYTES: usize = 16 * 1024;
 
+/// Number of such calls after which other tasks get a turn.
+const DISCARDS_PER_TURN: u32 = 8;
+
 /// How long a call goes on after its caller has ended its side of the connection. A caller that has only ended its side gets
 /// its answer if that begins by then; one that has closed the connection looks the same until something is sent to it, and
 /// no work may be done for it any more after half a second.
@@ -64,8 +67,8 @@
     has_request: Cell<bool>,
     /// Whether the request under way ends with its caller, even if that has only ended its side.
     ends_with_caller: Cell<bool>,
-    /// Whether bytes were sent since the caller ended its side.
-    has_sent_since_end: Cell<bool>,
+    /// Whether the answer to the request under way is being sent.
+    has_answer: Cell<bool>,
     /// Whether a request was answered before all of its body was read.
     has_unread_body: Cell<bool>,
     /// Whether it is closed at a moment at which its caller expects no answer.
@@ -78,10 +81,26 @@
         connection.query::<Self>().as_ref().cloned()
     }
 
+    /// Records that a request has arrived.
+    pub fn begin_request(&self) {
+        self.0.has_request.set(true);
+        self.0.ends_with_caller.set(false);
+        self.0.has_answer.set(false);
+    }
+
+    /// Records that the whole answer to the request under way is known, and is being sent from now on.
+    pub fn begin_answer(&self) {
+        self.0.has_answer.set(true);
+    }
+
     /// Records that the answer to a request has ended.
     pub fn end_request(&self) {
-        self.0.has_request.set(false);
+        let connection = self.0.connection.borrow();
+        let connection = connection.as_ref();
+        let has_bytes = |connection: &IoRef| connection.with_read_src_buf(|read| !read.is_empty());
+        self.0.has_request.set(connection.is_some_and(has_bytes));
         self.0.ends_with_caller.set(false);
+        self.0.has_answer.set(false);
     }
 
     /// Records that the request under way is to end as soon as its caller ends its side of the connection: each piece of a
@@ -146,12 +165,12 @@
         context,
         ..
     } = transfer;
-    // From here on the library is done with the connection; its buffers are free.
     context.stop(None);
     drop(context);
     socket.0.connection.take();
     if end == End::ByGateway && !socket.0.is_closed_idle.get() {
-        linger(&stream, &lingering).await;
+        // Boxed, since every open connection would have room for its buffer otherwise.
+        Box::pin(linger(&stream, &lingering)).await;
     }
 }
 
@@ -174,7 +193,7 @@
     }
 
     fn write(&self, context: &IoContext) {
-        write(&self.stream, context, &self.socket);
+        write(&self.stream, context);
     }
 
     // The transfer's task is woken by readiness.
@@ -217,6 +236,7 @@
     /// Reads while the library has room.
     fn poll_read(&mut self, task: &mut Context<'_>) {
         // Polled at the end of the caller's bytes too, since it also drives the library's shutdown.
+        let mut discards = 0;
         while let Poll::Ready(Readiness::Ready) = self.context.poll_read_ready(task) {
             if self.is_at_end {
                 return;
@@ -230,10 +250,15 @@
                 Poll::Pending => return,
             }
             // A library that closes the connection asks for bytes although it consumes none.
-            let status = match self.is_paused && self.socket.is_closing() {
-                true => self.discard(),
-                false => self.read(),
-            };
+            if self.is_paused && self.socket.is_closing() {
+                self.discard();
+                discards += 1;
+                if discards == DISCARDS_PER_TURN {
+                    return task.waker().wake_by_ref();
+                }
+                continue;
+            }
+            let status = self.read();
             self.is_paused = status == IoTaskStatus::Pause;
             if status != IoTaskStatus::Io {
                 return;
@@ -257,31 +282,36 @@
         status
     }
 
-    /// Ends the connection if nothing was sent on it in the time after its caller has ended its side. If something was, the
-    /// caller's operating system resets a connection that it has closed.
+    /// Ends a connection some time after its caller has ended its side: at once if the answer has not begun, else once it was
+    /// sent. A caller that has closed the connection resets it when the answer arrives.
     fn poll_half_close(&mut self, task: &mut Context<'_>) {
-        let Some(timer) = &mut self.half_close else {
-            return;
-        };
-        if timer.as_mut().poll(task).is_ready() {
-            self.half_close = None;
-            if !self.socket.0.has_sent_since_end.get() {
-                self.context.stop(None);
+        while let Some(timer) = &mut self.half_close
+            && timer.as_mut().poll(task).is_ready()
+        {
+            let state = &self.socket.0;
+            match (state.has_request.get(), state.has_answer.get()) {
+                (true, true) => timer.set(sleep(HALF_CLOSE_GRACE)),
+                (true, false) => {
+                    self.half_close = None;
+                    self.context.stop(None);
+                }
+                (false, _) => {
+                    self.half_close = None;
+                    let connection = state.connection.borrow();
+                    if let Some(connection) = connection.as_ref() {
+                        connection.close();
+                    }
+                }
             }
         }
     }
 
     /// Reads what nobody takes any more.
-    fn discard(&mut self) -> IoTaskStatus {
+    fn discard(&mut self) {
         let mut scratch = [0; DISCARD_BYTES];
         let read = self.stream.try_read(&mut scratch);
-        match self.note_read(read) {
-            Ok(0) => IoTaskStatus::Io,
-            Ok(_) => IoTaskStatus::Pause,
-            Err(error) => {
-                self.context.stop(Some(error));
-                IoTaskStatus::Stop
-            }
+        if let Err(error) = self.note_read(read) {
+            self.context.stop(Some(error));
         }
     }
 
@@ -293,10 +323,7 @@
                 let state = &self.socket.0;
                 match read {
                     Ok(1..) => state.has_request.set(true),
-                    Ok(0) | Err(_) => {
-                        self.is_at_end = true;
-                        state.has_sent_since_end.set(false);
-                    }
+                    Ok(0) | Err(_) => self.is_at_end = true,
                 }
                 read
             }
@@ -311,7 +338,7 @@
                 self.context.update_write_status(Err(error));
                 return Poll::Ready(());
             }
-            match write(&self.stream, &self.context, &self.socket) {
+            match write(&self.stream, &self.context) {
                 Written::More => {}
                 Written::All => return Poll::Pending,
                 Written::Failed => {
@@ -336,11 +363,8 @@
 }
 
 /// Writes a part of what the library has buffered, without waiting.
-fn write(stream: &TcpStream, context: &IoContext, socket: &CallerSocket) -> Written {
+fn write(stream: &TcpStream, context: &IoContext) -> Written {
     let written = context.with_write_buf(|buffer| write_pages(stream, buffer));
-    if matches!(written, Ok(true)) {
-        socket.0.has_sent_since_end.set(true);
-    }
     match context.update_write_status(written) {
         IoTaskStatus::Io => Written::More,
         IoTaskStatus::Pause => Written::All,
--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -88,13 +88,12 @@
         .header_read_timeout(HEAD_TIMEOUT)
         .auto_date_header(false)
         .serve_connection(connection, service);
-    let ended = std::future::poll_fn(|context| connection.poll_without_shutdown(context)).await;
-    if let Err(error) = ended {
+    if let Err(error) = (&mut connection).await {
         log::debug!("the connection of a gateway at {from} ended: {error}");
     }
     // A request that was declined before its body was read must not be lost to a reset.
     let stream = connection.into_parts().io.into_inner();
-    linger(&stream, &state.lingering).await;
+    Box::pin(linger(&stream, &state.lingering)).await;
 }
 
 /// Counts a request of another gateway as open until it is dropped, which is when its answer was sent.
--- a/crates/gateway/src/pipeline/account.rs
+++ b/crates/gateway/src/pipeline/account.rs
@@ -33,10 +33,14 @@
     /// Starts tracking a request.
     pub fn open(state: &Rc<GatewayState>, connection: Option<&IoRef>, arrived_at: Instant) -> Self {
         state.status.open_requests.fetch_add(1, Ordering::AcqRel);
+        let socket = connection.and_then(CallerSocket::of);
+        if let Some(socket) = &socket {
+            socket.begin_request();
+        }
         Self {
             state: Rc::clone(state),
             connection: connection.map(|io| state.callers.record_request_start(io)),
-            socket: connection.and_then(CallerSocket::of),
+            socket,
             arrived_at,
             id: String::new(),
             route: String::new(),
@@ -79,6 +83,13 @@
         }
     }
 
+    /// Records that the whole answer is known, and is being sent from now on.
+    pub fn begin_answer(&self) {
+        if let Some(socket) = &self.socket {
+            socket.begin_answer();
+        }
+    }
+
     /// Records that the head of a replica's answer has arrived.
     pub fn record_answer_head(&self) {
         self.state
--- a/crates/gateway/src/pipeline/collect.rs
+++ b/crates/gateway/src/pipeline/collect.rs
@@ -44,6 +44,7 @@
     })??;
     note_survived(state, &context);
     tracker.record_answer_head();
+    tracker.begin_answer();
     let status = answer.status.as_u16();
     let mut builder = ResponseBuilder::new(answer.status);
     copy_headers(&answer.headers, &mut builder);
