--- a/crates/gateway/src/pipeline/collect.rs
+++ b/crates/gateway/src/pipeline/collect.rs
@@ -2,7 +2,6 @@
 
 use std::error::Error;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -17,14 +16,11 @@
 use super::context::RequestContext;
 use super::decode::is_hop_by_hop;
 use super::delivery::{self, Delivery, MAX_QUEUED_BYTES};
-use super::refusal::{Reason, Refusal, Step};
+use super::refusal::{Refusal, Step};
 use crate::held_bytes::Charge;
 use crate::state::GatewayState;
 use crate::upstream::Answer;
 
-/// How long a request is held beyond its deadline, so that the replica's own answer to the timeout arrives first.
-pub const DEADLINE_GRACE: Duration = Duration::from_millis(150);
-
 /// Serves the request.
 pub async fn serve(
     state: &Rc<GatewayState>,
@@ -32,12 +28,12 @@
     request: &HttpRequest,
     tracker: &mut RequestTracker,
 ) -> Result<HttpResponse, Refusal> {
-    let limit = context.time_left() + DEADLINE_GRACE;
+    let limit = context.answer_time_left();
     let served = tokio::time::timeout(limit, fetch_answer(state, &context)).await;
     let answer = served.map_err(|_| {
         Refusal::new(
             Step::Answer,
-            Reason::TimedOut,
+            context.time_over(),
             "no whole answer in the request's time",
         )
     })??;
--- a/crates/gateway/src/pipeline/context.rs
+++ b/crates/gateway/src/pipeline/context.rs
@@ -12,6 +12,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::decode::Decoded;
+use super::refusal::Reason;
+use super::time_limits::TimeLimits;
 use crate::configuration::{Configuration, EngineLimits, Route, RouteKind, Tenant};
 use crate::held_bytes::Charge;
 use crate::protocol::{Prompt, PromptPart, RequestMeta, SoftwareVersion};
@@ -20,9 +22,6 @@
 use crate::shares::Standing;
 use crate::stream_versions::{StreamKey, VersionBinding};
 
-/// Time limit that stands in for the caller's or the route's, if that one is not set.
-const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(600);
-
 /// Number of the first shared parts of a prompt that may be held responsible for a crash; prompts have a few.
 const MAX_SUSPECT_PARTS: usize = 32;
 
@@ -53,6 +52,8 @@
     pub arrived_at: Instant,
     /// When the caller or the route gives up the request.
     pub deadline: Instant,
+    /// When its caller is told that there is no answer, unless one has begun.
+    pub answer_limit: Instant,
     /// Accounts for the body as long as it may have to be sent again.
     pub body_charge: Option<Charge>,
     /// At which software version it may run.
@@ -65,14 +66,9 @@
     part_fingerprints: OnceCell<Vec<Fingerprint>>,
 }
 
-/// When the caller or the route gives up a request that arrived at `arrived_at`.
-pub fn deadline(decoded: &Decoded, route: &Route, arrived_at: Instant) -> Instant {
-    let caller_limit = decoded.meta.deadline.unwrap_or(DEFAULT_REQUEST_TIMEOUT);
-    let route_limit = match route.timeout {
-        Duration::ZERO => DEFAULT_REQUEST_TIMEOUT,
-        timeout => timeout,
-    };
-    arrived_at + caller_limit.min(route_limit)
+/// The time limits of a request.
+pub fn time_limits(decoded: &Decoded, route: &Route) -> TimeLimits {
+    TimeLimits::new(decoded.meta.deadline, route.timeout)
 }
 
 impl RequestContext {
@@ -86,7 +82,7 @@
         body: Bytes,
         arrived_at: Instant,
     ) -> Self {
-        let deadline = deadline(&decoded, &route, arrived_at);
+        let limits = time_limits(&decoded, &route);
         Self {
             id: decoded.id,
             meta: decoded.meta,
@@ -99,7 +95,8 @@
             tenant,
             service,
             arrived_at,
-            deadline,
+            deadline: arrived_at + limits.deadline(),
+            answer_limit: arrived_at + limits.answer(),
             body_charge: None,
             binding: Cell::default(),
             standing: Cell::default(),
@@ -176,6 +173,19 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Time left until the caller is told that there is no answer.
+    pub fn answer_time_left(&self) -> Duration {
+        self.answer_limit.saturating_duration_since(Instant::now())
+    }
+
+    /// The reason to refuse the request when its time is over.
+    pub fn time_over(&self) -> Reason {
+        match self.was_sent.get() {
+            true => Reason::TimedOut,
+            false => Reason::NotRun,
+        }
+    }
+
     /// Time left at `now` within which the answer should begin, according to the route's objective. Without an
     /// objective, the time until the caller gives up waiting for the first event.
     pub fn objective_left(&self, now: Instant) -> Duration {
--- a/crates/gateway/src/pipeline/forwarded.rs
+++ b/crates/gateway/src/pipeline/forwarded.rs
@@ -18,13 +18,13 @@
 use super::authenticate::authenticate;
 use super::check_quarantine::note_survived;
 use super::choose_replica::Choice;
-use super::collect::DEADLINE_GRACE;
 use super::context::{self, RequestContext};
 use super::decode::{self, Decoded, is_hop_by_hop};
 use super::dispatch::OpenAnswer;
 use super::find_route::find_route;
 use super::refusal::{Reason, Refusal, Step};
 use super::take_stream_up;
+use super::time_limits::DEADLINE_GRACE;
 use super::withdrawal::until_weights_too_old;
 use crate::configuration::{Route, Tenant};
 use crate::forwarding::hop::{DeclineReason, HopOutcome, HopRequest};
@@ -102,7 +102,7 @@
         return Err(Refusal::new(Step::Route, Reason::NotInformed, detail));
     }
     let tenant = authenticate(state, &route, decoded.meta.key.as_deref()).await?;
-    let deadline = context::deadline(&decoded, &route, arrived_at);
+    let deadline = arrived_at + context::time_limits(&decoded, &route).deadline();
     let left = deadline.saturating_duration_since(Instant::now());
     let charge = Charge::new(&state.held_bytes);
     let limit = configuration.limits.max_body_bytes;
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -33,6 +33,7 @@
 mod refusal;
 mod relay;
 mod take_stream_up;
+mod time_limits;
 mod weights_mismatch;
 mod withdrawal;
 
@@ -54,6 +55,7 @@
 pub use event_splitter::EventSplitter;
 pub use first_list::first_list_timeout;
 pub(crate) use forwarded::{ForwardedAnswer, ForwardedRefusal, serve_forwarded};
+pub use time_limits::{CALLER_MARGIN, DEADLINE_GRACE, TimeLimits};
 
 /// Serves one request and turns a refusal into its answer.
 pub async fn respond(
@@ -107,9 +109,9 @@
 ) -> Result<HttpResponse, Refusal> {
     let (decoded, configuration, route, tenant) = admitted;
     let arrived_at = tracker.arrived_at();
-    let deadline = context::deadline(&decoded, &route, arrived_at);
+    let body_limit = arrived_at + context::time_limits(&decoded, &route).body();
     let charge = Charge::new(&state.held_bytes);
-    let body = read_body::read_body(payload, &configuration.limits, deadline, &charge).await?;
+    let body = read_body::read_body(payload, &configuration.limits, body_limit, &charge).await?;
     let service = choose_backend::choose_backend(state, &route)?;
     let (service, binding) =
         take_stream_up::bind_request(state, &decoded, &route, tenant.as_deref(), service).await?;
--- a/crates/gateway/src/pipeline/read_body.rs
+++ b/crates/gateway/src/pipeline/read_body.rs
@@ -9,7 +9,7 @@
 use crate::configuration::CallerLimits;
 use crate::held_bytes::Charge;
 
-/// Returns the body if it is within the limits and has arrived by the deadline.
+/// Returns the body if it is within the limits and has arrived by `deadline`.
 pub async fn read_body(
     payload: Payload,
     limits: &CallerLimits,
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -21,7 +21,7 @@
 use super::account::RequestTracker;
 use super::attempts::{AnswerFailure, Attempt, Attempts, Responder};
 use super::check_quarantine::note_survived;
-use super::collect::{DEADLINE_GRACE, copy_headers};
+use super::collect::copy_headers;
 use super::context::RequestContext;
 use super::delivery::{self, Delivery};
 use super::dispatch::OpenAnswer;
@@ -29,6 +29,7 @@
 use super::forward::until_forwardable;
 use super::refusal::{Reason, Refusal, Step};
 use super::take_stream_up;
+use super::time_limits::DEADLINE_GRACE;
 use super::withdrawal::until_weights_too_old;
 use crate::held_bytes::Charge;
 use crate::state::GatewayState;
@@ -59,12 +60,12 @@
     request: &HttpRequest,
     tracker: &mut RequestTracker,
 ) -> Result<HttpResponse, Refusal> {
-    let limit = context.time_left() + DEADLINE_GRACE;
+    let limit = context.answer_time_left();
     let opening = tokio::time::timeout(limit, open_answer(state, &context)).await;
     let (attempts, attempt, splitter, first) = opening.map_err(|_| {
         Refusal::new(
             Step::Answer,
-            Reason::TimedOut,
+            context.time_over(),
             "no first event in the request's time",
         )
     })??;
