--- a/crates/gateway/src/pipeline/authenticate.rs
+++ b/crates/gateway/src/pipeline/authenticate.rs
@@ -24,7 +24,7 @@
     arrived_at: Instant,
 ) -> Result<Option<Arc<Tenant>>, Refusal> {
     let key = decoded.meta.key.as_deref();
-    let deadline = context::deadline(decoded, route, arrived_at);
+    let deadline = arrived_at + context::time_limits(decoded, route).deadline();
     let timeout = || confirmation_timeout(arrived_at, deadline);
     let needs_key = || {
         let configuration = state.configuration.load();
--- a/crates/gateway/src/pipeline/forwarded.rs
+++ b/crates/gateway/src/pipeline/forwarded.rs
@@ -18,7 +18,6 @@
 use super::authenticate::authenticate;
 use super::check_quarantine::note_survived;
 use super::choose_replica::Choice;
-use super::collect::DEADLINE_GRACE;
 use super::context::{self, RequestContext};
 use super::decode::{self, Decoded, is_hop_by_hop};
 use super::dispatch::OpenAnswer;
@@ -26,6 +25,7 @@
 use super::find_route::find_route;
 use super::refusal::{Reason, Refusal, Step};
 use super::take_stream_up;
+use super::time_limits::DEADLINE_GRACE;
 use super::unended::note_endless;
 use super::withdrawal::until_weights_too_old;
 use crate::configuration::{Route, Tenant};
@@ -106,7 +106,7 @@
         return Err(Refusal::new(Step::Route, Reason::NotInformed, detail));
     }
     let tenant = authenticate(state, &decoded, &route, arrived_at).await?;
-    let deadline = context::deadline(&decoded, &route, arrived_at);
+    let deadline = arrived_at + context::time_limits(&decoded, &route).deadline();
     let left = deadline.saturating_duration_since(Instant::now());
     let charge = Charge::new(&state.held_bytes);
     let limit = configuration.limits.max_body_bytes;
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -35,6 +35,7 @@
 mod relay;
 mod request_body;
 mod take_stream_up;
+mod time_limits;
 mod unended;
 mod weights_mismatch;
 mod withdrawal;
@@ -59,6 +60,7 @@
 pub use event_splitter::EventSplitter;
 pub use first_list::first_list_timeout;
 pub(crate) use forwarded::{ForwardedAnswer, ForwardedRefusal, serve_forwarded};
+pub use time_limits::{CALLER_MARGIN, DEADLINE_GRACE, TimeLimits};
 
 /// Serves one request and turns a refusal into its answer.
 pub async fn respond(
@@ -123,7 +125,7 @@
     let arrived_at = tracker.arrived_at();
     let times = RequestTimes {
         arrived_at,
-        deadline: context::deadline(&decoded, &route, arrived_at),
+        deadline: arrived_at + context::time_limits(&decoded, &route).body(),
     };
     let charge = Charge::new(&state.held_bytes);
     let limits = &configuration.limits;
