--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -199,6 +199,7 @@
         let answer = tokio::select! {
             biased;
             answer = connection.send(request) => answer,
+            never = unended.watch() => match never {},
             () = until_weights_too_old(state, context, choice) => return Err(SendError::Withdrawn),
             () = until_forwardable(state, context, &path), if may_move => {
                 return Err(SendError::PathLost);
--- a/crates/gateway/src/pipeline/unended.rs
+++ b/crates/gateway/src/pipeline/unended.rs
@@ -1,7 +1,9 @@
 //! Notes replicas whose answers have an element without end.
 
 use std::cell::Cell;
+use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 
 use driftspring_clock::Instant;
 use driftspring_telemetry::events::gateway;
@@ -10,6 +12,9 @@
 use crate::replicas::Replica;
 use crate::upstream::{Element, EndlessError, Meter};
 
+/// How often an answer is looked at until its head has arrived.
+const WATCH_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Keeps requests away from the replica for a while.
 pub fn note_endless(replica: &Replica, error: &EndlessError) {
     keep_away(replica, &error.to_string());
@@ -48,16 +53,20 @@
         }
     }
 
+    /// Checks the answer from time to time.
+    pub async fn watch(&self) -> Infallible {
+        loop {
+            tokio::time::sleep(WATCH_INTERVAL).await;
+            self.check();
+        }
+    }
+
     /// Keeps other requests away from the replica if a few bytes at a time have come for a while. This one goes on: the
     /// replica may be slow, and its next whole answer shows that it is sound.
     pub fn check(&self) {
         if !self.is_noted.get() && self.meter.is_trickling() {
             self.is_noted.set(true);
-            let element = self.body;
-            keep_away(
-                &self.replica,
-                &format!("its {element} comes a few bytes at a time"),
-            );
+            keep_away(&self.replica, "its answer comes a few bytes at a time");
         }
     }
 }
--- a/crates/gateway/src/replicas/health.rs
+++ b/crates/gateway/src/replicas/health.rs
@@ -14,8 +14,8 @@
 /// Backoff after a replica reports that it is overloaded.
 const OVERLOAD_BACKOFF: Duration = Duration::from_millis(120);
 
-/// Backoff after an answer of which an element had no end. It doubles with each further one, until an answer is whole:
-/// such answers may begin well.
+/// Backoff after an answer of which an element had no end. It doubles with each further one after the backoff, until
+/// an answer is whole: such answers may begin well.
 const INITIAL_ENDLESS_BACKOFF: Duration = Duration::from_secs(1);
 
 /// Upper limit of that backoff.
@@ -70,7 +70,12 @@
 
     /// Records that an element of an answer had no end. Returns the backoff that follows.
     pub fn record_endless(&self, now: Instant) -> Duration {
-        let earlier = self.endless_answers.get();
+        // Several requests may be open there at once.
+        let is_known = self.endless_until.get().is_some_and(|until| now < until);
+        let earlier = match is_known {
+            true => self.endless_answers.get().saturating_sub(1),
+            false => self.endless_answers.get(),
+        };
         let backoff = INITIAL_ENDLESS_BACKOFF.saturating_mul(1 << earlier.min(8));
         let backoff = backoff.min(MAX_ENDLESS_BACKOFF);
         self.endless_answers.set(earlier.saturating_add(1));
--- a/crates/gateway/src/upstream/framing.rs
+++ b/crates/gateway/src/upstream/framing.rs
@@ -17,8 +17,11 @@
 /// Limit of the trailer of a message, in bytes.
 const MAX_TRAILER_BYTES: u64 = 8 * 1024;
 
-/// Limit of the framing of a chunked body beyond as many bytes as it has data, in bytes.
-const MAX_SURPLUS_FRAMING_BYTES: u64 = 16 * 1024;
+/// Limit of the framing of chunks beyond [`FRAMING_RATIO`] times their data, in bytes.
+const MAX_SURPLUS_FRAMING_BYTES: u64 = 8 * 1024;
+
+/// How many bytes of framing a byte of data may have. The sizes of small chunks may be padded with zeros.
+const FRAMING_RATIO: u64 = 2;
 
 /// How much of a line of a head is kept, in bytes: enough for the values that tell how the body is framed.
 const KEPT_LINE_BYTES: usize = 256;
@@ -36,7 +39,7 @@
     ChunkSize,
     /// The extensions of a chunk.
     ChunkExtension,
-    /// The chunks: there are more bytes of framing than of data.
+    /// The chunks: they have far more framing than data.
     Chunks,
     /// The trailer.
     Trailer,
@@ -118,7 +121,7 @@
     chunk_size: u64,
     /// Bytes of the current element.
     element_bytes: u64,
-    /// Bytes of the framing and of the data of a chunked body.
+    /// Bytes of the framing and of the data of the chunks.
     framing_bytes: u64,
     data_bytes: u64,
     ended_elements: u64,
@@ -245,8 +248,11 @@
             self.follow_head(byte);
             return Ok(());
         }
+        if self.state == State::Trailer {
+            return self.follow_trailer(byte);
+        }
         self.framing_bytes += 1;
-        if self.framing_bytes > self.data_bytes + MAX_SURPLUS_FRAMING_BYTES {
+        if self.framing_bytes > FRAMING_RATIO * self.data_bytes + MAX_SURPLUS_FRAMING_BYTES {
             return Err(Element::Chunks);
         }
         match self.state {
@@ -260,7 +266,6 @@
                 }
             }
             State::ChunkEnd if byte == b'\n' => self.enter(State::ChunkSize),
-            State::Trailer => self.follow_trailer(byte)?,
             _ => {}
         }
         Ok(())
--- a/crates/gateway/src/upstream/meter.rs
+++ b/crates/gateway/src/upstream/meter.rs
@@ -12,8 +12,8 @@
 /// How long a few bytes at a time may keep coming before the element of the framing that they belong to ends.
 const MAX_ELEMENT_TIME: Duration = Duration::from_millis(500);
 
-/// How long a few bytes at a time have to keep coming for a message that is not whole by its deadline to count as one
-/// without end.
+/// How long a few bytes at a time have to keep coming for other requests to avoid the server, and for a message that is not
+/// whole by its deadline to count as one without end.
 const MIN_ANSWER_TIME: Duration = Duration::from_millis(250);
 
 /// The length from which a message counts as one without end that is not whole by its deadline, did not announce its length
@@ -149,7 +149,7 @@
     /// server may be as slow, so this is no reason to end the message. Silence does not count.
     pub fn is_trickling(&self) -> bool {
         let reading = self.reading.borrow();
-        !reading.framing.is_done() && reading.answer.came_in_few_bytes(MAX_ELEMENT_TIME)
+        !reading.framing.is_done() && reading.answer.came_in_few_bytes(MIN_ANSWER_TIME)
     }
 
     /// Ends a message that is given up at its deadline, if bytes of it keep coming, a few at a time or very many. Silence does
--- a/crates/gateway/tests/framing.rs
+++ b/crates/gateway/tests/framing.rs
@@ -96,6 +96,7 @@
         (format!("{chunked}4;"), "x", Element::ChunkExtension),
         (format!("{chunked}0\r\n"), "x: y\r\n", Element::Trailer),
         (chunked.to_owned(), "1\r\n.\r\n", Element::Chunks),
+        (chunked.to_owned(), "2\r\n..\r\n", Element::Chunks),
         (chunked.to_owned(), "1;x\r\n.\r\n", Element::Chunks),
     ];
     for (beginning, unit, element) in cases {
@@ -108,6 +109,14 @@
     }
 }
 
+#[test]
+fn small_chunks_with_padded_sizes_have_no_limit() {
+    let mut framing = answer(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", 7);
+    let chunk = b"00000009\r\ndata: x\n\n\r\n";
+    follow(&mut framing, &chunk.repeat(MANY), 4096).expect("sound");
+    assert!(!framing.is_done());
+}
+
 #[test]
 fn chunks_that_hold_more_data_than_framing_have_no_limit() {
     let mut framing = answer(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", 7);
