--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -258,11 +258,14 @@
             return false;
         }
         let is_over = self.time_left() <= DEADLINE_GRACE;
+        // Events can't go on behind the head and a part of the body of a failure.
+        let is_stream = self.attempt.opened.answer.status().is_success();
         if is_over
             || self
                 .attempts
                 .handle_failed_answer(&self.attempt.responder, failure)
                 .is_err()
+            || !is_stream
         {
             self.cut(&cause);
             return false;
