--- a/crates/gateway/src/pipeline/unended.rs
+++ b/crates/gateway/src/pipeline/unended.rs
@@ -61,12 +61,12 @@
         }
     }
 
-    /// Keeps other requests away from the replica if a few bytes at a time have come for a while. This one goes on: the
-    /// replica may be slow, and its next whole answer shows that it is sound.
+    /// Keeps other requests away from the replica if bytes of the answer come and come. This request goes on: the replica may
+    /// be slow, and its next whole answer shows that it is sound.
     pub fn check(&self) {
-        if !self.is_noted.get() && self.meter.is_trickling() {
+        if !self.is_noted.get() && self.meter.is_doubtful() {
             self.is_noted.set(true);
-            keep_away(&self.replica, "its answer comes a few bytes at a time");
+            keep_away(&self.replica, "its answer does not end");
         }
     }
 }
--- a/crates/gateway/src/upstream/meter.rs
+++ b/crates/gateway/src/upstream/meter.rs
@@ -16,8 +16,7 @@
 /// whole by its deadline to count as one without end.
 const MIN_ANSWER_TIME: Duration = Duration::from_millis(250);
 
-/// The length from which a message counts as one without end that is not whole by its deadline, did not announce its length
-/// and keeps coming, in bytes.
+/// The length, in bytes, from which the same holds for a message that did not announce its length.
 const LONG_BYTES: u64 = 1024 * 1024;
 
 /// How much of the time between two reads counts as time in which bytes came: a server may fall silent and go on.
@@ -64,6 +63,11 @@
 }
 
 impl Reading {
+    fn is_doubtful(&self) -> bool {
+        let is_long = self.answer.bytes >= LONG_BYTES && !self.framing.is_sized();
+        is_long || self.answer.came_in_few_bytes(MIN_ANSWER_TIME)
+    }
+
     fn endless(&mut self, element: Element, bytes: u64) -> EndlessError {
         let elapsed = self.begun_at.elapsed();
         let error = EndlessError {
@@ -145,11 +149,12 @@
         Ok(())
     }
 
-    /// Whether bytes have come for a while, a few at a time, and neither the message nor an event of it has ended. A sound
-    /// server may be as slow, so this is no reason to end the message. Silence does not count.
-    pub fn is_trickling(&self) -> bool {
+    /// Whether bytes have come for a while, a few at a time, or very many without an announced length, and neither the
+    /// message nor an event of it has ended. A sound server may do so, so this is no reason to end the message. Silence does
+    /// not count.
+    pub fn is_doubtful(&self) -> bool {
         let reading = self.reading.borrow();
-        !reading.framing.is_done() && reading.answer.came_in_few_bytes(MIN_ANSWER_TIME)
+        !reading.framing.is_done() && reading.is_doubtful()
     }
 
     /// Ends a message that is given up at its deadline, if bytes of it keep coming, a few at a time or very many. Silence does
@@ -161,9 +166,7 @@
         }
         let last = reading.answer.last;
         let is_coming = last.is_some_and(|last| last.elapsed() <= MAX_COUNTED_GAP);
-        let is_long = reading.answer.bytes >= LONG_BYTES && !reading.framing.is_sized();
-        let is_endless = is_long || reading.answer.came_in_few_bytes(MIN_ANSWER_TIME);
-        if !is_coming || !is_endless {
+        if !is_coming || !reading.is_doubtful() {
             return None;
         }
         let element = match reading.framing.element() {
