--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -25,6 +25,9 @@
 /// How long an idle connection is kept if the peer does not specify it.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Limit of the time for which an idle connection is kept, whatever the peer says.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3600);
+
 /// How much earlier than the peer an idle connection is closed, to allow for differences of the clocks and for
 /// the network latency.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
@@ -195,7 +198,7 @@
     /// Applies the `Keep-Alive` header of an answer, which says how long the peer keeps the connection.
     pub fn note_keep_alive(&mut self, headers: &HeaderMap) {
         let idle = match peer_idle_time(headers) {
-            Some(time) => time.saturating_sub(IDLE_MARGIN),
+            Some(time) => time.min(MAX_IDLE_TIMEOUT).saturating_sub(IDLE_MARGIN),
             None => DEFAULT_IDLE_TIMEOUT,
         };
         self.is_reused = true;
