--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -23,6 +23,7 @@
 
 use super::flush::{FlushTracked, UntilFlush};
 use super::hop::{DeclineReason, HopOutcome, HopRequest};
+use crate::caller_limits::MAX_HEADERS;
 use crate::callers::linger::linger;
 use crate::pipeline::{ForwardedAnswer, ForwardedRefusal, serve_forwarded};
 use crate::state::GatewayState;
@@ -32,6 +33,9 @@
 /// sooner.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Maximum number of headers that the other gateway adds to those of its caller.
+const HOP_HEADERS: usize = 32;
+
 /// The pause after a connection could not be accepted, as when all descriptors are in use.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -86,6 +90,7 @@
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
+        .max_headers(MAX_HEADERS + HOP_HEADERS)
         .auto_date_header(false)
         .serve_connection(connection, service);
     if let Err(error) = (&mut connection).await {
--- a/crates/gateway/src/upstream/framing.rs
+++ b/crates/gateway/src/upstream/framing.rs
@@ -5,9 +5,14 @@
 
 use std::fmt;
 
-/// Limit of the head of a message, including all interim answers before it, in bytes.
+use crate::caller_limits;
+
+/// Limit of the head of an answer, including all interim answers before it, in bytes.
 const MAX_HEAD_BYTES: u64 = 64 * 1024;
 
+/// Limit of the head of a request, in bytes: what callers may send, and the headers of the hop.
+const MAX_REQUEST_HEAD_BYTES: u64 = caller_limits::MAX_HEAD_BYTES as u64 + 16 * 1024;
+
 /// Limit of the digits of a chunk's size, in bytes. Some servers pad them with zeros.
 const MAX_CHUNK_SIZE_BYTES: u64 = 64;
 
@@ -81,6 +86,16 @@
     Requests,
 }
 
+impl Messages {
+    /// Limit of a head, in bytes.
+    fn max_head_bytes(self) -> u64 {
+        match self {
+            Self::Answers => MAX_HEAD_BYTES,
+            Self::Requests => MAX_REQUEST_HEAD_BYTES,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
     /// In the head.
@@ -242,7 +257,7 @@
     fn follow_byte(&mut self, byte: u8) -> Result<(), Element> {
         self.element_bytes += 1;
         if self.state == State::Head {
-            if self.element_bytes > MAX_HEAD_BYTES {
+            if self.element_bytes > self.messages.max_head_bytes() {
                 return Err(self.element());
             }
             self.follow_head(byte);
