--- a/crates/gateway/src/callers/linger.rs
+++ b/crates/gateway/src/callers/linger.rs
@@ -1,7 +1,8 @@
 //! The lingering end of a connection: what its caller still sends after the last answer is read and discarded, so that the
 //! answer is not lost to a reset.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
@@ -13,6 +14,7 @@
 use driftspring_telemetry::log_event;
 use socket2::SockRef;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 use super::metrics::LingerEnd;
 use crate::status::SharedStatus;
@@ -26,6 +28,9 @@
 /// Maximum number of bytes that are discarded, unless the configuration allows larger bodies.
 pub const MAX_BYTES: u64 = 16 * 1024 * 1024;
 
+/// Maximum number of connections that linger. Each takes a descriptor, which callers and replicas need as well.
+pub const MAX_OPEN: usize = 512;
+
 /// Size of one read, in bytes.
 const READ_BYTES: usize = 16 * 1024;
 
@@ -36,16 +41,26 @@
 #[derive(Debug)]
 pub struct Lingering {
     status: Arc<SharedStatus>,
-    open: Cell<u32>,
+    /// What ends each of them early, in the order in which they began.
+    open: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    max_open: usize,
+    next: Cell<u64>,
     max_bytes: Cell<u64>,
 }
 
 impl Lingering {
     /// None yet; `status` holds the metrics.
     pub fn new(status: Arc<SharedStatus>) -> Rc<Self> {
+        Self::with_max_open(status, MAX_OPEN)
+    }
+
+    /// The same with another maximum number of connections.
+    pub fn with_max_open(status: Arc<SharedStatus>, max_open: usize) -> Rc<Self> {
         Rc::new(Self {
             status,
-            open: Cell::new(0),
+            open: RefCell::default(),
+            max_open,
+            next: Cell::new(0),
             max_bytes: Cell::new(MAX_BYTES),
         })
     }
@@ -59,48 +74,63 @@
 
     /// Number of connections that linger.
     pub fn open(&self) -> u32 {
-        self.open.get()
+        u32::try_from(self.open.borrow().len()).unwrap_or(u32::MAX)
     }
 
+    /// Counts a connection; if they are too many, the oldest one ends.
     fn begin(self: &Rc<Self>) -> LingerGuard {
-        self.open.set(self.open.get() + 1);
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let evicted = Rc::new(Notify::new());
+        let mut open = self.open.borrow_mut();
+        if open.len() >= self.max_open
+            && let Some((_, oldest)) = open.pop_first()
+        {
+            oldest.notify_one();
+        }
+        open.insert(number, Rc::clone(&evicted));
         self.status.metrics.linger.open.inc();
-        LingerGuard(Rc::clone(self))
+        LingerGuard {
+            lingering: Rc::clone(self),
+            number,
+            evicted,
+        }
     }
 }
 
 /// Counts a connection as lingering until it is dropped.
-struct LingerGuard(Rc<Lingering>);
+struct LingerGuard {
+    lingering: Rc<Lingering>,
+    number: u64,
+    evicted: Rc<Notify>,
+}
 
 impl Drop for LingerGuard {
     fn drop(&mut self) {
-        let lingering = &self.0;
-        lingering.open.set(lingering.open.get().saturating_sub(1));
-        lingering.status.metrics.linger.open.dec();
+        self.lingering.open.borrow_mut().remove(&self.number);
+        self.lingering.status.metrics.linger.open.dec();
     }
 }
 
 /// Closes the sending side of the connection, then reads and discards until the caller closes its side or a limit is
 /// reached.
 pub async fn linger(stream: &TcpStream, lingering: &Rc<Lingering>) {
-    let _guard = lingering.begin();
+    let guard = lingering.begin();
+    let metrics = &lingering.status.metrics.linger;
     let peer = stream.peer_addr();
     if let Err(error) = SockRef::from(stream).shutdown(Shutdown::Write) {
         log::debug!("the caller at {peer:?} has left: {error}");
+        metrics.note_end(LingerEnd::Reset, 0);
         return;
     }
     let began = Instant::now();
     let mut discarded = 0;
-    let end = match tokio::time::timeout(
-        MAX_TIME,
-        discard(stream, lingering.max_bytes.get(), &mut discarded),
-    )
-    .await
-    {
-        Ok(end) => end,
-        Err(_) => LingerEnd::TimeLimit,
+    let end = tokio::select! {
+        biased;
+        end = discard(stream, lingering.max_bytes.get(), &mut discarded) => end,
+        () = guard.evicted.notified() => LingerEnd::CountLimit,
+        () = tokio::time::sleep(MAX_TIME) => LingerEnd::TimeLimit,
     };
-    let metrics = &lingering.status.metrics.linger;
     metrics.note_end(end, discarded);
     if end.is_limit() && discarded > 0 {
         log_limit(peer.ok(), end, discarded, began.elapsed());
--- a/crates/gateway/src/callers/metrics.rs
+++ b/crates/gateway/src/callers/metrics.rs
@@ -19,6 +19,8 @@
     TimeLimit,
     /// The caller sent too much.
     ByteLimit,
+    /// Too many others lingered.
+    CountLimit,
 }
 
 impl LingerEnd {
@@ -30,6 +32,7 @@
             Self::SilenceLimit => "silence",
             Self::TimeLimit => "time",
             Self::ByteLimit => "bytes",
+            Self::CountLimit => "count",
         }
     }
 
@@ -37,7 +40,7 @@
     pub fn is_limit(self) -> bool {
         match self {
             Self::ClosedByCaller | Self::Reset => false,
-            Self::SilenceLimit | Self::TimeLimit | Self::ByteLimit => true,
+            Self::SilenceLimit | Self::TimeLimit | Self::ByteLimit | Self::CountLimit => true,
         }
     }
 }
@@ -46,7 +49,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct LingerLabels {
     /// The name of a [`LingerEnd`].
-    pub end: String,
+    pub end: &'static str,
 }
 
 /// Metrics of lingering connections.
@@ -70,7 +73,7 @@
         );
         registry.register(
             "callers_lingered",
-            "Connections of callers that have lingered, by how they ended; silence, time and bytes are limits",
+            "Connections of callers that have lingered, by how they ended; silence, time, bytes and count are limits",
             self.ended.clone(),
         );
         registry.register(
@@ -82,8 +85,8 @@
 
     /// Counts the end of a lingering connection of which `discarded` bytes were discarded.
     pub fn note_end(&self, end: LingerEnd, discarded: u64) {
-        let end = end.name().to_owned();
-        self.ended.get_or_create(&LingerLabels { end }).inc();
+        let end = LingerLabels { end: end.name() };
+        self.ended.get_or_create(&end).inc();
         self.discarded_bytes.inc_by(discarded);
     }
 }
