--- a/crates/gateway/src/caller_limits.rs
+++ b/crates/gateway/src/caller_limits.rs
@@ -19,11 +19,11 @@
 /// Maximum number of a request's headers.
 pub const MAX_HEADERS: usize = 8192;
 
-/// Time limit of the library for a head: the longest that it can count. It has to have one for it to answer a head that this
-/// module gives up.
-const LIBRARY_HEAD_TIMEOUT: Seconds = Seconds(u16::MAX);
+/// Time limit of the library for a head, whatever the configuration allows. It has to have one for it to answer a head that
+/// this module gives up, and holds memory for each second of it.
+const LIBRARY_HEAD_TIMEOUT: Seconds = Seconds(3600);
 
-/// Bytes of a head that would extend that limit.
+/// Bytes of a head per second. The library requires a rate, and does not apply it to heads.
 const LIBRARY_HEAD_RATE: u32 = 256;
 
 /// How often the connections are checked.
