--- a/crates/gateway/src/callers/accept.rs
+++ b/crates/gateway/src/callers/accept.rs
@@ -1,5 +1,6 @@
 //! Accepts callers' connections.
 
+use std::convert::Infallible;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,25 +16,28 @@
 /// The pause after a connection could not be accepted, as when all descriptors are in use.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
-/// Accepts connections in an endless loop and serves each with `service`, as `config` says.
+/// Registers the listener with the runtime of this thread.
 ///
 /// # Errors
 ///
 /// The listener can't be used.
+pub fn register(listener: TcpListener) -> anyhow::Result<tokio::net::TcpListener> {
+    listener
+        .set_nonblocking(true)
+        .context("the listener for callers")?;
+    tokio::net::TcpListener::from_std(listener).context("the listener for callers")
+}
+
+/// Accepts connections in an endless loop and serves each with `service`, as `config` says.
 pub async fn run<S>(
     state: Rc<GatewayState>,
-    listener: TcpListener,
+    listener: tokio::net::TcpListener,
     service: S,
     config: SharedCfg,
-) -> anyhow::Result<()>
+) -> Infallible
 where
     S: Service<Io> + 'static,
 {
-    listener
-        .set_nonblocking(true)
-        .context("the listener for callers")?;
-    let listener =
-        tokio::net::TcpListener::from_std(listener).context("the listener for callers")?;
     let service = Pipeline::new(service);
     loop {
         match listener.accept().await {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -257,12 +257,9 @@
         .default_service(web::route().to(pipeline::respond));
     let service = HttpService::new(app).create(config.clone()).await;
     let service = service.map_err(|()| anyhow!("the HTTP service can't be created"))?;
+    let listener = callers::accept::register(listener)?;
     spawn_tasks(&state, peers_socket, forwarded);
-    ntex::rt::spawn(async move {
-        if let Err(error) = callers::accept::run(state, listener, service, config).await {
-            log::error!("no callers are accepted: {error:#}");
-        }
-    });
+    ntex::rt::spawn(callers::accept::run(state, listener, service, config));
     Ok(())
 }
 
