--- a/crates/gateway/src/forwarding/flush.rs
+++ b/crates/gateway/src/forwarding/flush.rs
@@ -9,7 +9,6 @@
 use std::task::{Context, Poll};
 
 use hyper::rt::{Read, ReadBufCursor, Write};
-
 use tokio::net::TcpStream;
 
 use crate::upstream::MeteredStream;
--- a/crates/gateway/src/pipeline/confirm_software.rs
+++ b/crates/gateway/src/pipeline/confirm_software.rs
@@ -21,20 +21,21 @@
     Failed,
 }
 
-/// Confirms the software version of the peer, which needs no slot of the replica, within `patience`. Only replicas that state their start times may keep their ids; the id of
-/// any other one is checked by the replica itself with each request.
+/// Confirms the software version of the peer within `timeout`; the report that it asks for occupies no slot of the replica.
+/// Only replicas that state their start times may keep their ids; the id of any other one is checked by the replica itself
+/// with each request.
 pub async fn confirm_software(
     state: &GatewayState,
     replica: &Replica,
     connection: &mut Connection,
-    patience: Duration,
+    timeout: Duration,
 ) -> Confirmation {
     let born = replica.incarnation.born;
     if born.is_none() || connection.is_confirmed {
         return Confirmation::Confirmed(replica.software());
     }
     let call = state.platform.report();
-    let report = tokio::time::timeout(patience, connection.call(&call)).await;
+    let report = tokio::time::timeout(timeout, connection.call(&call)).await;
     let body = match report {
         Ok(Ok(answer)) => answer.body,
         Ok(Err(error)) => {
@@ -42,7 +43,7 @@
             return Confirmation::Failed;
         }
         Err(_) => {
-            log::debug!("no report of replica {} in {patience:?}", replica.id());
+            log::debug!("no report of replica {} in {timeout:?}", replica.id());
             return Confirmation::Failed;
         }
     };
--- a/crates/gateway/src/store/parse.rs
+++ b/crates/gateway/src/store/parse.rs
@@ -7,8 +7,7 @@
 
 use crate::protocol::Platform;
 
-/// The size in bytes up to which a document is parsed at once. One of 1 MB kept callers waiting for 15 to 40 ms on a whole
-/// core of a busy machine.
+/// Size in bytes up to which a document is parsed on the calling thread.
 const MAX_INLINE_BYTES: usize = 32 * 1024;
 
 /// Parses a document, on another thread if it is large. Changes may be applied meanwhile, so the caller has to check
