--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -91,6 +91,8 @@
     BrokeOff(String),
     /// It is none, since an element has no end.
     Endless(EndlessError),
+    /// Its head announces more than is accepted.
+    TooLong(String),
     /// Its head arrived, but the request had not begun when the replica's weights became too old.
     Withdrawn,
     /// The path to all replicas was lost; another gateway can go on with it.
@@ -103,13 +105,14 @@
         match error {
             AnswerError::Endless(endless) => Self::Endless(*endless),
             AnswerError::BrokeOff(_) => Self::BrokeOff(error.to_string()),
+            AnswerError::TooLong(_) => Self::TooLong(error.to_string()),
         }
     }
 
     /// Description of the cause.
     pub fn cause(&self) -> String {
         match self {
-            Self::BrokeOff(cause) => cause.clone(),
+            Self::BrokeOff(cause) | Self::TooLong(cause) => cause.clone(),
             Self::Endless(endless) => endless.to_string(),
             Self::Withdrawn => WITHDRAWN_FOR_OLD_WEIGHTS.to_owned(),
             Self::PathLost => PATH_LOST.to_owned(),
@@ -358,6 +361,7 @@
                 let cause = endless.to_string();
                 self.handle_lost(choice, choice.replica.pool.peer(), &cause)
             }
+            AnswerFailure::TooLong(cause) => Err(self.handle_too_long(choice, cause)),
             AnswerFailure::Withdrawn => self.handle_withdrawn(choice),
             AnswerFailure::PathLost => self.handle_path_lost(choice),
         }
@@ -570,6 +574,14 @@
         }
     }
 
+    /// Handles an answer that announces more than is accepted. Another replica would give the same, and nothing is held
+    /// against this one.
+    fn handle_too_long(&mut self, choice: &Choice, cause: &str) -> Refusal {
+        self.possible_runs += 1;
+        self.log_attempt(choice, "too_long", cause);
+        self.give_up(Reason::Unknown, Some(choice.replica.pool.peer()), cause)
+    }
+
     /// Handles the withdrawal of the request from a replica. It may have begun without an answer, so it counts as a
     /// run; this is not held against the replica.
     fn handle_withdrawn(&mut self, choice: &Choice) -> Result<(), Refusal> {
--- a/crates/gateway/src/pipeline/collect.rs
+++ b/crates/gateway/src/pipeline/collect.rs
@@ -20,7 +20,7 @@
 use super::refusal::{Refusal, Step};
 use crate::held_bytes::Charge;
 use crate::state::GatewayState;
-use crate::upstream::{AnswerError, Element, WholeBody};
+use crate::upstream::{AnswerError, WholeBody};
 
 /// Serves the request.
 pub async fn serve(
@@ -109,13 +109,14 @@
 async fn collect(opened: &mut OpenAnswer, charge: &Charge) -> Result<Vec<Bytes>, AnswerError> {
     let announced = opened.answer.content_length().unwrap_or(0);
     let reserved = usize::try_from(announced).unwrap_or(usize::MAX);
-    if reserved <= MAX_QUEUED_BYTES {
-        charge.add(reserved).await;
+    if reserved > MAX_QUEUED_BYTES {
+        return Err(opened.answer.end_too_long(announced));
     }
+    charge.add(reserved).await;
     let mut whole = WholeBody::new(MAX_QUEUED_BYTES);
     while let Some(piece) = opened.answer.next().await? {
         let pushed = whole.push(piece);
-        pushed.map_err(|length| opened.answer.end_endless(Element::Body, length))?;
+        pushed.map_err(|length| opened.answer.end_too_long(length))?;
         opened.record_part();
         charge.add(whole.len().saturating_sub(charge.bytes())).await;
     }
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -322,7 +322,9 @@
             forwarder.peer,
             self.context.arrived_at.elapsed()
         );
-        match self.may_run_again() {
+        // Another replica would give the same.
+        let is_too_long = matches!(failure, AnswerFailure::TooLong(_));
+        match self.may_run_again() && !is_too_long {
             true => Ok(()),
             false => Err(self.give_up(Reason::Unknown, None, &cause)),
         }
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -23,7 +23,7 @@
 use super::check_quarantine::note_survived;
 use super::collect::copy_headers;
 use super::context::RequestContext;
-use super::delivery::{self, Delivery};
+use super::delivery::{self, Delivery, MAX_QUEUED_BYTES};
 use super::dispatch::OpenAnswer;
 use super::event_splitter::{EventSplitter, EventTooLong};
 use super::forward::until_forwardable;
@@ -35,8 +35,8 @@
 use crate::state::GatewayState;
 use crate::upstream::Element;
 
-/// Limit of the body of an answer that is no stream of events, in bytes.
-const MAX_FAILURE_BYTES: usize = 1 << 20;
+/// Limit of the body of an answer that is no stream of events and does not announce its length, in bytes.
+const MAX_FAILURE_BYTES: usize = MAX_QUEUED_BYTES;
 
 /// A stream that is being forwarded.
 struct Relay {
@@ -165,12 +165,14 @@
         match next.map_err(|error| AnswerFailure::of(&error))? {
             Some(bytes) if !is_stream => {
                 opened.failure_bytes += bytes.len();
-                if opened.failure_bytes > MAX_FAILURE_BYTES {
+                let is_sized = opened.answer.content_length().is_some();
+                if opened.failure_bytes > MAX_FAILURE_BYTES && !is_sized {
                     let error = opened
                         .answer
                         .end_endless(Element::Body, opened.failure_bytes as u64);
                     return Err(AnswerFailure::of(&error));
                 }
+                opened.record_part();
                 return Ok(Piece::Events(bytes));
             }
             Some(bytes) => {
--- a/crates/gateway/src/upstream/answer.rs
+++ b/crates/gateway/src/upstream/answer.rs
@@ -26,6 +26,9 @@
     /// It is none, since an element has no end.
     #[error("no answer: {0}")]
     Endless(#[from] EndlessError),
+    /// Its head announces more than is accepted: so many bytes.
+    #[error("its body of {0} bytes is too long")]
+    TooLong(u64),
 }
 
 /// An answer of a peer.
@@ -118,7 +121,7 @@
                 return Err(AnswerError::BrokeOff(NO_ROOM.to_owned()));
             }
             let pushed = whole.push(piece);
-            pushed.map_err(|length| self.end_endless(Element::Body, length))?;
+            pushed.map_err(|length| self.end_too_long(length))?;
         }
         Ok(whole.into_bytes())
     }
@@ -140,6 +143,16 @@
         }
     }
 
+    /// Closes the connection, since the body is longer than is accepted: it has `bytes` bytes, or more. It is one without end
+    /// unless its length was announced.
+    pub fn end_too_long(&mut self, bytes: u64) -> AnswerError {
+        if self.content_length().is_none() {
+            return self.end_endless(Element::Body, bytes);
+        }
+        self.close();
+        AnswerError::TooLong(bytes)
+    }
+
     /// Closes the connection at once, which tells the replica that nobody waits for the rest.
     pub fn close(&mut self) {
         self.connection = None;
--- a/crates/gateway/src/upstream/meter.rs
+++ b/crates/gateway/src/upstream/meter.rs
@@ -16,7 +16,8 @@
 /// whole by its deadline to count as one without end.
 const MIN_ANSWER_TIME: Duration = Duration::from_millis(250);
 
-/// The length, in bytes, from which the same holds for a message that did not announce its length.
+/// The length, in bytes, from which the same holds for a message that did not announce its length, however large its reads
+/// are.
 const LONG_BYTES: u64 = 1024 * 1024;
 
 /// How much of the time between two reads counts as time in which bytes came: a server may fall silent and go on.
@@ -63,9 +64,13 @@
 }
 
 impl Reading {
+    fn is_long(&self) -> bool {
+        self.answer.bytes >= LONG_BYTES && !self.framing.is_sized()
+    }
+
     fn is_doubtful(&self) -> bool {
-        let is_long = self.answer.bytes >= LONG_BYTES && !self.framing.is_sized();
-        is_long || self.answer.came_in_few_bytes(MIN_ANSWER_TIME)
+        let is_long_and_slow = self.is_long() && self.answer.coming >= MIN_ANSWER_TIME;
+        is_long_and_slow || self.answer.came_in_few_bytes(MIN_ANSWER_TIME)
     }
 
     fn endless(&mut self, element: Element, bytes: u64) -> EndlessError {
@@ -150,7 +155,7 @@
     }
 
     /// Whether bytes have come for a while, a few at a time, or very many without an announced length, and neither the
-    /// message nor an event of it has ended. A sound server may do so, so this is no reason to end the message. Silence does
+    /// message nor an event of it has ended. A long body that comes at full speed ends soon, or at the limit of its reader. A sound server may do so, so this is no reason to end the message. Silence does
     /// not count.
     pub fn is_doubtful(&self) -> bool {
         let reading = self.reading.borrow();
@@ -166,7 +171,7 @@
         }
         let last = reading.answer.last;
         let is_coming = last.is_some_and(|last| last.elapsed() <= MAX_COUNTED_GAP);
-        if !is_coming || !reading.is_doubtful() {
+        if !is_coming || !(reading.is_long() || reading.is_doubtful()) {
             return None;
         }
         let element = match reading.framing.element() {
