--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -197,8 +197,8 @@
             RouteKind::Streaming => Element::Event,
             _ => Element::Body,
         };
-        let unended =
-            UnendedGuard::new(&choice.replica, connection.meter(), context.deadline, body);
+        let given_up_at = context.deadline.min(context.answer_limit);
+        let unended = UnendedGuard::new(&choice.replica, connection.meter(), given_up_at, body);
         let answer = tokio::select! {
             biased;
             answer = connection.send(request) => answer,
--- a/crates/gateway/src/pipeline/unended.rs
+++ b/crates/gateway/src/pipeline/unended.rs
@@ -29,25 +29,31 @@
     );
 }
 
-/// Watches an answer that may be given up at its deadline. If bytes of it still keep coming by then, a few at a time, it
-/// counts as one without end. Silence does not.
+/// Watches an answer that may be given up because its request's time is over. If bytes of it still keep coming by then, a few
+/// at a time, it counts as one without end. Silence does not.
 #[derive(Debug)]
 pub struct UnendedGuard {
     replica: Rc<Replica>,
     meter: Rc<Meter>,
-    deadline: Instant,
+    /// The earliest time at which the answer is given up.
+    given_up_at: Instant,
     body: Element,
-    /// Whether the replica was noted before the deadline.
+    /// Whether the replica was noted before that.
     is_noted: Cell<bool>,
 }
 
 impl UnendedGuard {
     /// Watches the answer that this meter measures; `body` names its contents.
-    pub fn new(replica: &Rc<Replica>, meter: &Rc<Meter>, deadline: Instant, body: Element) -> Self {
+    pub fn new(
+        replica: &Rc<Replica>,
+        meter: &Rc<Meter>,
+        given_up_at: Instant,
+        body: Element,
+    ) -> Self {
         Self {
             replica: Rc::clone(replica),
             meter: Rc::clone(meter),
-            deadline,
+            given_up_at,
             body,
             is_noted: Cell::new(false),
         }
@@ -73,7 +79,7 @@
 
 impl Drop for UnendedGuard {
     fn drop(&mut self) {
-        if Instant::now() < self.deadline {
+        if Instant::now() < self.given_up_at {
             return;
         }
         if let Some(error) = self.meter.end_if_endless(self.body)
