--- a/crates/gateway/src/upstream/framing.rs
+++ b/crates/gateway/src/upstream/framing.rs
@@ -17,8 +17,9 @@
 /// Limit of the trailer of a message, in bytes.
 const MAX_TRAILER_BYTES: u64 = 8 * 1024;
 
-/// Limit of the framing of chunks beyond [`FRAMING_RATIO`] times their data, in bytes.
-const MAX_SURPLUS_FRAMING_BYTES: u64 = 8 * 1024;
+/// Limit of the framing of chunks beyond [`FRAMING_RATIO`] times their data, in bytes: for the whole body, or for what comes
+/// until the end of an event. More is read at once than one event, so this is above the size of a read.
+const MAX_SURPLUS_FRAMING_BYTES: u64 = 32 * 1024;
 
 /// How many bytes of framing a byte of data may have. The sizes of small chunks may be padded with zeros.
 const FRAMING_RATIO: u64 = 2;
@@ -121,7 +122,7 @@
     chunk_size: u64,
     /// Bytes of the current element.
     element_bytes: u64,
-    /// Bytes of the framing and of the data of the chunks.
+    /// Bytes of the framing and of the data of the chunks since the body, or an event in it, began.
     framing_bytes: u64,
     data_bytes: u64,
     ended_elements: u64,
@@ -161,6 +162,12 @@
         self.line.clear();
     }
 
+    /// A part of the body that is whole by itself has been read, as an event of a stream: its framing counts no more.
+    pub fn note_progress(&mut self) {
+        self.framing_bytes = 0;
+        self.data_bytes = 0;
+    }
+
     /// Number of elements that have ended; interim answers and the head after them are one.
     pub fn ended_elements(&self) -> u64 {
         self.ended_elements
--- a/crates/gateway/src/upstream/meter.rs
+++ b/crates/gateway/src/upstream/meter.rs
@@ -117,7 +117,9 @@
 
     /// A part of the message that is whole by itself has been read, as an event of a stream.
     pub fn note_progress(&self) {
-        self.reading.borrow_mut().answer = Arrivals::default();
+        let mut reading = self.reading.borrow_mut();
+        reading.answer = Arrivals::default();
+        reading.framing.note_progress();
     }
 
     /// The element without end for which the connection was ended.
--- a/crates/gateway/tests/framing.rs
+++ b/crates/gateway/tests/framing.rs
@@ -117,6 +117,26 @@
     assert!(!framing.is_done());
 }
 
+#[test]
+fn tiny_chunks_have_no_limit_as_long_as_events_end() {
+    let mut framing = answer(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", 7);
+    let piece = b"1\r\n.\r\n".repeat(2500);
+    for _ in 0..100 {
+        framing.follow(&piece).expect("sound");
+        framing.note_progress();
+    }
+    // Extensions are a part of the framing of an event, however short each of them is.
+    let padded = [b"1;".as_slice(), &[b'x'; 4000], b"\r\n.\r\n"].concat();
+    for _ in 0..100 {
+        follow(&mut framing, &padded, 4096).expect("sound");
+        framing.note_progress();
+    }
+    assert_eq!(
+        follow(&mut framing, &padded.repeat(100), 4096),
+        Err(Element::Chunks)
+    );
+}
+
 #[test]
 fn chunks_that_hold_more_data_than_framing_have_no_limit() {
     let mut framing = answer(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", 7);
