--- a/crates/gateway/src/upstream/endless.rs
+++ b/crates/gateway/src/upstream/endless.rs
@@ -30,7 +30,7 @@
 
 /// A message that is none, since an element has no end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("its {element} has no end: {bytes} bytes, {elapsed:?} after it was due to begin")]
+#[error("the {element} exceeds its limit: {bytes} bytes in {elapsed:?}")]
 pub struct EndlessError {
     /// The element.
     pub element: Element,
--- a/crates/gateway/src/upstream/meter.rs
+++ b/crates/gateway/src/upstream/meter.rs
@@ -16,8 +16,8 @@
 /// whole by its deadline to count as one without end.
 const MIN_ANSWER_TIME: Duration = Duration::from_millis(250);
 
-/// The length, in bytes, from which the same holds for a message that did not announce its length, however large its reads
-/// are.
+/// The length, in bytes, from which a message is long: one that did not announce its length is then doubtful without
+/// trickling.
 const LONG_BYTES: u64 = 1024 * 1024;
 
 /// How much of the time between two reads counts as time in which bytes came: a server may fall silent and go on.
@@ -33,31 +33,39 @@
     reads: u64,
     bytes: u64,
     /// The time in which bytes kept coming.
-    coming: Duration,
+    active_time: Duration,
 }
 
 impl Arrivals {
     fn note(&mut self, bytes: u64, now: Instant) {
         if let Some(last) = self.last {
             let gap = now.saturating_duration_since(last);
-            self.coming += gap.min(MAX_COUNTED_GAP);
+            self.active_time += gap.min(MAX_COUNTED_GAP);
         }
         self.last = Some(now);
         self.reads += 1;
         self.bytes += bytes;
     }
 
-    fn came_in_few_bytes(&self, time: Duration) -> bool {
-        self.coming >= time && self.bytes < self.reads * FEW_BYTES
+    /// Whether bytes came a few at a time for so long.
+    fn is_trickle(&self, time: Duration) -> bool {
+        self.active_time >= time && self.bytes < self.reads * FEW_BYTES
     }
 }
 
+/// The reads that ended inside a line of an element.
+#[derive(Debug, Default)]
+struct ElementArrivals {
+    /// Number of elements that had ended before it.
+    ended_before: u64,
+    arrivals: Arrivals,
+}
+
 #[derive(Debug)]
 struct Reading {
     framing: Framing,
     begun_at: Instant,
-    /// Reads that ended inside a line of the element which had ended so many before it.
-    element: (u64, Arrivals),
+    element: ElementArrivals,
     /// Reads since the message, or the event of a stream, began.
     answer: Arrivals,
     endless: Option<EndlessError>,
@@ -69,8 +77,8 @@
     }
 
     fn is_doubtful(&self) -> bool {
-        let is_long_and_slow = self.is_long() && self.answer.coming >= MIN_ANSWER_TIME;
-        is_long_and_slow || self.answer.came_in_few_bytes(MIN_ANSWER_TIME)
+        let is_long_and_slow = self.is_long() && self.answer.active_time >= MIN_ANSWER_TIME;
+        is_long_and_slow || self.answer.is_trickle(MIN_ANSWER_TIME)
     }
 
     fn endless(&mut self, element: Element, bytes: u64) -> EndlessError {
@@ -97,7 +105,7 @@
         let reading = Reading {
             framing: Framing::new(messages),
             begun_at: Instant::now(),
-            element: (0, Arrivals::default()),
+            element: ElementArrivals::default(),
             answer: Arrivals::default(),
             endless: None,
         };
@@ -142,12 +150,15 @@
             return Err(self.end(&mut reading, element, length));
         }
         let ended = reading.framing.ended_elements();
-        if reading.element.0 != ended {
-            reading.element = (ended, Arrivals::default());
+        if reading.element.ended_before != ended {
+            reading.element = ElementArrivals {
+                ended_before: ended,
+                arrivals: Arrivals::default(),
+            };
         }
         if reading.framing.is_inside_line() {
-            reading.element.1.note(read, now);
-            if reading.element.1.came_in_few_bytes(MAX_ELEMENT_TIME) {
+            reading.element.arrivals.note(read, now);
+            if reading.element.arrivals.is_trickle(MAX_ELEMENT_TIME) {
                 let element = reading.framing.element();
                 let length = reading.framing.element_bytes();
                 return Err(self.end(&mut reading, element, length));
--- a/crates/gateway/src/upstream/metered.rs
+++ b/crates/gateway/src/upstream/metered.rs
@@ -25,17 +25,29 @@
 const TURN_READS: usize = 16;
 
 thread_local! {
-    /// What was read last on this thread, before it is handed on.
+    /// Scratch space for a read. Its bytes are metered here before they are copied to the reader's buffer.
     static READ: RefCell<Box<[u8]>> = RefCell::new(vec![0; MAX_READ_BYTES].into());
 }
 
+/// What was read since others had their turn.
+#[derive(Debug, Clone, Copy, Default)]
+struct Turn {
+    bytes: usize,
+    reads: usize,
+}
+
+impl Turn {
+    fn is_over(self) -> bool {
+        self.bytes >= TURN_BYTES || self.reads >= TURN_READS
+    }
+}
+
 /// A connection whose reads are metered.
 #[derive(Debug)]
 pub struct MeteredStream<S> {
     stream: TokioIo<S>,
     meter: Rc<Meter>,
-    /// Bytes and reads of this turn.
-    turn: (usize, usize),
+    turn: Turn,
 }
 
 impl<S> MeteredStream<S> {
@@ -44,7 +56,7 @@
         Self {
             stream: TokioIo::new(stream),
             meter,
-            turn: (0, 0),
+            turn: Turn::default(),
         }
     }
 
@@ -60,9 +72,8 @@
         context: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let (bytes, reads) = self.turn;
-        if bytes >= TURN_BYTES || reads >= TURN_READS {
-            self.turn = (0, 0);
+        if self.turn.is_over() {
+            self.turn = Turn::default();
             context.waker().wake_by_ref();
             return Poll::Pending;
         }
@@ -71,12 +82,13 @@
             let mut read = ReadBuf::new(&mut scratch[..room]);
             let stream = Pin::new(self.stream.inner_mut());
             let Poll::Ready(result) = stream.poll_read(context, &mut read) else {
-                self.turn = (0, 0);
+                self.turn = Turn::default();
                 return Poll::Pending;
             };
             result?;
             let filled = read.filled();
-            self.turn = (bytes + filled.len(), reads + 1);
+            self.turn.bytes += filled.len();
+            self.turn.reads += 1;
             self.meter.note(filled).map_err(io::Error::other)?;
             buffer.put_slice(filled);
             Poll::Ready(Ok(()))
