--- a/crates/gateway/src/upstream/meter.rs
+++ b/crates/gateway/src/upstream/meter.rs
@@ -16,7 +16,8 @@
 /// whole by its deadline to count as one without end.
 const MIN_ANSWER_TIME: Duration = Duration::from_millis(250);
 
-/// The length, in bytes, from which the same holds for a message that did not announce its length.
+/// The length, in bytes, from which a message is long: one that did not announce its length is then doubtful without
+/// trickling.
 const LONG_BYTES: u64 = 1024 * 1024;
 
 /// How much of the time between two reads counts as time in which bytes came: a server may fall silent and go on.
@@ -32,40 +33,52 @@
     reads: u64,
     bytes: u64,
     /// The time in which bytes kept coming.
-    coming: Duration,
+    active_time: Duration,
 }
 
 impl Arrivals {
     fn note(&mut self, bytes: u64, now: Instant) {
         if let Some(last) = self.last {
             let gap = now.saturating_duration_since(last);
-            self.coming += gap.min(MAX_COUNTED_GAP);
+            self.active_time += gap.min(MAX_COUNTED_GAP);
         }
         self.last = Some(now);
         self.reads += 1;
         self.bytes += bytes;
     }
 
-    fn came_in_few_bytes(&self, time: Duration) -> bool {
-        self.coming >= time && self.bytes < self.reads * FEW_BYTES
+    /// Whether bytes came a few at a time for so long.
+    fn is_trickle(&self, time: Duration) -> bool {
+        self.active_time >= time && self.bytes < self.reads * FEW_BYTES
     }
 }
 
+/// The reads that ended inside a line of an element.
+#[derive(Debug, Default)]
+struct ElementArrivals {
+    /// Number of elements that had ended before it.
+    ended_before: u64,
+    arrivals: Arrivals,
+}
+
 #[derive(Debug)]
 struct Reading {
     framing: Framing,
     begun_at: Instant,
-    /// Reads that ended inside a line of the element which had ended so many before it.
-    element: (u64, Arrivals),
+    element: ElementArrivals,
     /// Reads since the message, or the event of a stream, began.
     answer: Arrivals,
     endless: Option<EndlessError>,
 }
 
 impl Reading {
+    fn is_long(&self) -> bool {
+        self.answer.bytes >= LONG_BYTES && !self.framing.is_sized()
+    }
+
     fn is_doubtful(&self) -> bool {
-        let is_long = self.answer.bytes >= LONG_BYTES && !self.framing.is_sized();
-        is_long || self.answer.came_in_few_bytes(MIN_ANSWER_TIME)
+        let is_long_and_slow = self.is_long() && self.answer.active_time >= MIN_ANSWER_TIME;
+        is_long_and_slow || self.answer.is_trickle(MIN_ANSWER_TIME)
     }
 
     fn endless(&mut self, element: Element, bytes: u64) -> EndlessError {
@@ -92,7 +105,7 @@
         let reading = Reading {
             framing: Framing::new(messages),
             begun_at: Instant::now(),
-            element: (0, Arrivals::default()),
+            element: ElementArrivals::default(),
             answer: Arrivals::default(),
             endless: None,
         };
@@ -112,7 +125,9 @@
 
     /// A part of the message that is whole by itself has been read, as an event of a stream.
     pub fn note_progress(&self) {
-        self.reading.borrow_mut().answer = Arrivals::default();
+        let mut reading = self.reading.borrow_mut();
+        reading.answer = Arrivals::default();
+        reading.framing.note_progress();
     }
 
     /// The element without end for which the connection was ended.
@@ -135,12 +150,15 @@
             return Err(self.end(&mut reading, element, length));
         }
         let ended = reading.framing.ended_elements();
-        if reading.element.0 != ended {
-            reading.element = (ended, Arrivals::default());
+        if reading.element.ended_before != ended {
+            reading.element = ElementArrivals {
+                ended_before: ended,
+                arrivals: Arrivals::default(),
+            };
         }
         if reading.framing.is_inside_line() {
-            reading.element.1.note(read, now);
-            if reading.element.1.came_in_few_bytes(MAX_ELEMENT_TIME) {
+            reading.element.arrivals.note(read, now);
+            if reading.element.arrivals.is_trickle(MAX_ELEMENT_TIME) {
                 let element = reading.framing.element();
                 let length = reading.framing.element_bytes();
                 return Err(self.end(&mut reading, element, length));
@@ -150,7 +168,7 @@
     }
 
     /// Whether bytes have come for a while, a few at a time, or very many without an announced length, and neither the
-    /// message nor an event of it has ended. A sound server may do so, so this is no reason to end the message. Silence does
+    /// message nor an event of it has ended. A long body that comes at full speed ends soon, or at the limit of its reader. A sound server may do so, so this is no reason to end the message. Silence does
     /// not count.
     pub fn is_doubtful(&self) -> bool {
         let reading = self.reading.borrow();
@@ -166,7 +184,7 @@
         }
         let last = reading.answer.last;
         let is_coming = last.is_some_and(|last| last.elapsed() <= MAX_COUNTED_GAP);
-        if !is_coming || !reading.is_doubtful() {
+        if !is_coming || !(reading.is_long() || reading.is_doubtful()) {
             return None;
         }
         let element = match reading.framing.element() {
