--- a/crates/gateway/src/pipeline/collect.rs
+++ b/crates/gateway/src/pipeline/collect.rs
@@ -11,12 +11,13 @@
 use ntex::web::{HttpRequest, HttpResponse};
 
 use super::account::RequestTracker;
-use super::attempts::{AnswerFailure, Attempt, Attempts};
+use super::attempts::{Attempt, Attempts};
 use super::check_quarantine::note_survived;
 use super::context::RequestContext;
 use super::decode::is_hop_by_hop;
 use super::delivery::{self, Delivery, MAX_QUEUED_BYTES};
 use super::dispatch::OpenAnswer;
+use super::outcomes::AnswerFailure;
 use super::refusal::{Refusal, Step};
 use crate::held_bytes::Charge;
 use crate::state::GatewayState;
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -11,10 +11,11 @@
 use http::Request;
 use http_body_util::Full;
 
-use super::attempts::{AnswerFailure, Attempt, Attempts, Responder};
+use super::attempts::{Attempt, Attempts, Responder};
 use super::context::RequestContext;
 use super::dispatch::OpenAnswer;
 use super::judge::{Verdict, judge};
+use super::outcomes::AnswerFailure;
 use super::refusal::{Reason, Refusal, Step};
 use crate::forwarding::hop::{DeclineReason, HopOutcome, HopRequest};
 use crate::forwarding::{PeerUse, UsablePeer};
--- a/crates/gateway/src/pipeline/hedge.rs
+++ b/crates/gateway/src/pipeline/hedge.rs
@@ -15,10 +15,11 @@
 use futures_util::stream::FuturesUnordered;
 
 use super::admission::Progress;
-use super::attempts::{Attempt, Attempts, SendOutcome};
+use super::attempts::{Attempt, Attempts};
 use super::choose_replica::{Choice, choose};
 use super::context::RequestContext;
 use super::dispatch::send;
+use super::outcomes::SendOutcome;
 use super::refusal::Refusal;
 use crate::configuration::RouteKind;
 use crate::permits;
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -28,6 +28,7 @@
 mod hedge;
 mod interference_costs;
 mod judge;
+mod outcomes;
 mod pace;
 mod prompt_sources;
 mod read_body;
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -19,7 +19,7 @@
 use ntex::web::{HttpRequest, HttpResponse};
 
 use super::account::RequestTracker;
-use super::attempts::{AnswerFailure, Attempt, Attempts, Responder};
+use super::attempts::{Attempt, Attempts, Responder};
 use super::check_quarantine::note_survived;
 use super::collect::copy_headers;
 use super::context::RequestContext;
@@ -27,6 +27,7 @@
 use super::dispatch::OpenAnswer;
 use super::event_splitter::{EventSplitter, EventTooLong};
 use super::forward::until_forwardable;
+use super::outcomes::AnswerFailure;
 use super::refusal::{Reason, Refusal, Step};
 use super::take_stream_up;
 use super::time_limits::DEADLINE_GRACE;
