--- a/crates/gateway/src/upstream/meter.rs
+++ b/crates/gateway/src/upstream/meter.rs
@@ -168,8 +168,8 @@
     }
 
     /// Whether bytes have come for a while, a few at a time, or very many without an announced length, and neither the
-    /// message nor an event of it has ended. A long body that comes at full speed ends soon, or at the limit of its reader. A sound server may do so, so this is no reason to end the message. Silence does
-    /// not count.
+    /// message nor an event of it has ended. A sound server may do so, so this is no reason to end the message. Silence does
+    /// not count, nor does a long body at full speed: it ends soon, or at the limit of its reader.
     pub fn is_doubtful(&self) -> bool {
         let reading = self.reading.borrow();
         !reading.framing.is_done() && reading.is_doubtful()
