--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod daemon;
 pub mod engines;
+pub mod strict;
 
 use std::time::{Duration, Instant};
 
