--- a/crates/gateway/src/callers/linger.rs
+++ b/crates/callers/src/linger.rs
@@ -5,18 +5,15 @@
 use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use driftspring_clock::Instant;
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
+use driftspring_telemetry::metrics::{LingerEnd, LingerMetrics};
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
-use super::metrics::LingerEnd;
-use crate::status::SharedStatus;
-
 /// How long the caller may send nothing before its connection is closed nevertheless.
 pub const MAX_SILENCE: Duration = Duration::from_secs(5);
 
@@ -32,20 +29,22 @@
 /// Number of reads after which other tasks get a turn: the bytes of a fast caller are always ready.
 const READS_PER_TURN: u32 = 8;
 
-/// The connections that linger.
+/// The connections of one thread, and those of them that linger.
 #[derive(Debug)]
 pub struct Lingering {
-    status: Arc<SharedStatus>,
+    metrics: LingerMetrics,
     open: Cell<u32>,
+    connections: Cell<u32>,
     max_bytes: Cell<u64>,
 }
 
 impl Lingering {
-    /// None yet; `status` holds the metrics.
-    pub fn new(status: Arc<SharedStatus>) -> Rc<Self> {
+    /// None yet.
+    pub fn new(metrics: LingerMetrics) -> Rc<Self> {
         Rc::new(Self {
-            status,
+            metrics,
             open: Cell::new(0),
+            connections: Cell::new(0),
             max_bytes: Cell::new(MAX_BYTES),
         })
     }
@@ -62,9 +61,20 @@
         self.open.get()
     }
 
+    /// Number of callers' connections, among them those that linger.
+    pub fn connections(&self) -> u32 {
+        self.connections.get()
+    }
+
+    /// Counts a connection until the returned guard is dropped.
+    pub(crate) fn begin_connection(self: &Rc<Self>) -> ConnectionGuard {
+        self.connections.set(self.connections.get() + 1);
+        ConnectionGuard(Rc::clone(self))
+    }
+
     fn begin(self: &Rc<Self>) -> LingerGuard {
         self.open.set(self.open.get() + 1);
-        self.status.metrics.linger.open.inc();
+        self.metrics.open.inc();
         LingerGuard(Rc::clone(self))
     }
 }
@@ -76,7 +86,17 @@
     fn drop(&mut self) {
         let lingering = &self.0;
         lingering.open.set(lingering.open.get().saturating_sub(1));
-        lingering.status.metrics.linger.open.dec();
+        lingering.metrics.open.dec();
+    }
+}
+
+/// Counts a connection until it is dropped.
+pub(crate) struct ConnectionGuard(Rc<Lingering>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        let connections = &self.0.connections;
+        connections.set(connections.get().saturating_sub(1));
     }
 }
 
@@ -100,8 +120,7 @@
         Ok(end) => end,
         Err(_) => LingerEnd::TimeLimit,
     };
-    let metrics = &lingering.status.metrics.linger;
-    metrics.note_end(end, discarded);
+    lingering.metrics.note_end(end, discarded);
     if end.is_limit() && discarded > 0 {
         log_limit(peer.ok(), end, discarded, began.elapsed());
     }
--- a/crates/gateway/src/callers/socket.rs
+++ b/crates/callers/src/socket.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
 
-use super::linger::{Lingering, linger};
+use crate::linger::{ConnectionGuard, Lingering, linger};
 
 /// Maximum number of buffers that one system call writes.
 const MAX_WRITE_BUFFERS: usize = 16;
@@ -55,7 +55,7 @@
     }
 }
 
-/// What the gateway knows of a connection beside the HTTP library.
+/// What its server knows of a connection beside the HTTP library.
 #[derive(Debug, Clone, Default)]
 pub struct CallerSocket(Rc<SocketState>);
 
@@ -148,7 +148,8 @@
             is_paused: false,
             half_close: None,
         };
-        ntex::rt::spawn(run(transfer, self.lingering));
+        let guard = self.lingering.begin_connection();
+        ntex::rt::spawn(run(transfer, self.lingering, guard));
         Box::new(SocketHandle {
             stream,
             socket: self.socket,
@@ -157,7 +158,7 @@
 }
 
 /// Transfers bytes until either side ends the connection, then ends it in order.
-async fn run(mut transfer: Transfer, lingering: Rc<Lingering>) {
+async fn run(mut transfer: Transfer, lingering: Rc<Lingering>, _guard: ConnectionGuard) {
     let end = std::future::poll_fn(|context| transfer.poll(context)).await;
     let Transfer {
         stream,
@@ -168,7 +169,7 @@
     context.stop(None);
     drop(context);
     socket.0.connection.take();
-    if end == End::ByGateway && !socket.0.is_closed_idle.get() {
+    if end == End::ByServer && !socket.0.is_closed_idle.get() {
         // Boxed, since every open connection would have room for its buffer otherwise.
         Box::pin(linger(&stream, &lingering)).await;
     }
@@ -203,8 +204,8 @@
 /// Who ended a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum End {
-    /// The gateway; all that was written has been handed to the operating system, unless the connection was cut.
-    ByGateway,
+    /// This side; all that was written has been handed to the operating system, unless the connection was cut.
+    ByServer,
     /// The caller has closed its side or reset the connection.
     ByCaller,
 }
@@ -229,7 +230,7 @@
         ready!(self.poll_write(task));
         Poll::Ready(match self.is_at_end {
             true => End::ByCaller,
-            false => End::ByGateway,
+            false => End::ByServer,
         })
     }
 
--- a/crates/daemon/src/runtime/mod.rs
+++ b/crates/daemon/src/runtime/mod.rs
@@ -3,6 +3,7 @@
 //! One thread runs the daemon's ntex system: the three HTTP servers (whose workers have threads of
 //! their own) and the background tasks of `sync` and `control`. Gossip has its own thread.
 
+mod callers;
 mod sockets;
 mod stop;
 
@@ -18,7 +19,7 @@
 use driftspring_telemetry::events::process;
 use driftspring_telemetry::log_event;
 use driftspring_types::Incarnation;
-use futures_util::future::join_all;
+use futures_util::future::{join, join_all};
 use ntex::SharedCfg;
 use ntex::http::HttpServiceConfig;
 use ntex::io::IoConfig;
@@ -29,6 +30,7 @@
 
 use crate::state::{BoundAddresses, DaemonState, Phase};
 use crate::{claims, control, operator, pipeline, sync};
+use callers::CallersServer;
 use sockets::{Listeners, PeerSockets};
 use stop::StopSender;
 
@@ -155,7 +157,7 @@
 
 /// The three HTTP servers of a daemon.
 struct Servers {
-    callers: Server,
+    callers: CallersServer,
     operators: Server,
     peers: Server,
 }
@@ -169,11 +171,10 @@
             peers,
         } = listeners;
         let PeerSockets { tcp, udp } = peers;
-        let workers = state.settings.workers;
         let servers = Self {
-            callers: serve(state, callers, workers, pipeline::configure)?,
-            operators: serve(state, operators, INTERNAL_WORKERS, operator::configure)?,
-            peers: serve(state, tcp, INTERNAL_WORKERS, sync::configure_peer_server)?,
+            callers: CallersServer::start(state, callers)?,
+            operators: serve(state, operators, operator::configure)?,
+            peers: serve(state, tcp, sync::configure_peer_server)?,
         };
         sync::spawn_all(state, udp)?;
         pipeline::spawn_all(state);
@@ -196,16 +197,15 @@
         state.enter_phase(Phase::Terminated);
         stop::end_workers();
         // Each server's stop takes a fixed pause of the library, so they stop side by side.
-        let rest = [&self.callers, &self.operators, &self.peers].map(|server| server.stop(false));
-        join_all(rest).await;
+        let rest = [&self.operators, &self.peers].map(|server| server.stop(false));
+        join(self.callers.stop(false), join_all(rest)).await;
     }
 }
 
-/// Starts one HTTP server, whose workers each have the routes that `configure` adds.
+/// Starts one HTTP server inside of the system, whose workers each have the routes that `configure` adds.
 fn serve(
     state: &Arc<DaemonState>,
     listener: TcpListener,
-    workers: usize,
     configure: fn(&mut ServiceConfig, Arc<DaemonState>),
 ) -> std::io::Result<Server> {
     let shared = Arc::clone(state);
@@ -213,17 +213,22 @@
         let state = Arc::clone(&shared);
         App::new().configure(move |config| configure(config, state))
     });
-    let http = HttpServiceConfig::new().set_keepalive(KEEP_ALIVE);
-    let io = IoConfig::new().set_disconnect_timeout(FLUSH_TIMEOUT);
     let server = server
-        .config(SharedCfg::new("driftspring").add(http).add(io))
-        .workers(workers)
+        .config(http_config())
+        .workers(INTERNAL_WORKERS)
         .shutdown_timeout(FLUSH_TIMEOUT)
         .disable_signals()
         .listen(listener)?;
     Ok(server.run())
 }
 
+/// The limits of connections.
+fn http_config() -> SharedCfg {
+    let http = HttpServiceConfig::new().set_keepalive(KEEP_ALIVE);
+    let io = IoConfig::new().set_disconnect_timeout(FLUSH_TIMEOUT);
+    SharedCfg::new("driftspring").add(http).add(io).into()
+}
+
 fn log_started(state: &DaemonState) {
     let addresses = state.addresses;
     log_event!(
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,14 +3,13 @@
 use std::fmt;
 use std::sync::Mutex;
 
-use driftspring_telemetry::metrics::DurationHistogram;
+use driftspring_telemetry::metrics::{DurationHistogram, LingerMetrics};
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::{Registry, Unit};
 
-use crate::callers::LingerMetrics;
 use crate::forwarding::ForwardingMetrics;
 use crate::reachability::PathMetrics;
 use crate::replicas::MeasuredWait;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -183,7 +183,7 @@
         let lease = lease.at_first_start(is_first_start);
         let interference = Interference::new(settings.interference);
         let held_bytes = HeldBytes::new(settings.machine.held_bytes, Arc::clone(&status));
-        let lingering = Lingering::new(Arc::clone(&status));
+        let lingering = Lingering::new(status.metrics.linger.clone());
         let forwarding = Forwarding::new(settings.forwarding_enabled, settings.machine.cores);
         Rc::new(Self {
             times: Cell::new(settings.times),
--- a/crates/gateway/src/callers/metrics.rs
+++ b/crates/telemetry/src/metrics/lingering.rs
@@ -22,6 +22,14 @@
 }
 
 impl LingerEnd {
+    const ALL: [Self; 5] = [
+        Self::ClosedByCaller,
+        Self::Reset,
+        Self::SilenceLimit,
+        Self::TimeLimit,
+        Self::ByteLimit,
+    ];
+
     /// Name in metrics and logs.
     pub fn name(self) -> &'static str {
         match self {
@@ -50,7 +58,7 @@
 }
 
 /// Metrics of lingering connections.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct LingerMetrics {
     /// Connections that linger now.
     pub open: Gauge,
@@ -80,6 +88,14 @@
         );
     }
 
+    /// Shows every kind of end from the start.
+    pub fn show_all_ends(&self) {
+        for end in LingerEnd::ALL {
+            let end = end.name().to_owned();
+            drop(self.ended.get_or_create(&LingerLabels { end }));
+        }
+    }
+
     /// Counts the end of a lingering connection of which `discarded` bytes were discarded.
     pub fn note_end(&self, end: LingerEnd, discarded: u64) {
         let end = end.name().to_owned();
--- a/crates/telemetry/src/metrics/mod.rs
+++ b/crates/telemetry/src/metrics/mod.rs
@@ -7,6 +7,7 @@
 mod counters;
 mod histogram;
 mod labels;
+mod lingering;
 mod process;
 
 use std::time::Duration;
@@ -22,6 +23,7 @@
 use driftspring_types::{EngineHealth, MemberState, NotRunReason};
 pub use histogram::DurationHistogram;
 pub use labels::{ControlSubsystem, ExtraAttempt, MetricLabel, OutcomeLabel};
+pub use lingering::{LingerEnd, LingerLabels, LingerMetrics};
 
 /// All metrics of one daemon.
 ///
@@ -53,6 +55,8 @@
     pub cached_prompt_tokens: Counter,
     /// Bytes and time of control work.
     pub control: ControlMetrics,
+    /// Lingering ends of callers' connections.
+    pub lingering: LingerMetrics,
     /// Gauges, set before each rendering.
     pub gauges: Gauges,
     registry: Registry,
@@ -93,6 +97,7 @@
             prompt_tokens: Counter::default(),
             cached_prompt_tokens: Counter::default(),
             control: ControlMetrics::default(),
+            lingering: LingerMetrics::default(),
             gauges: Gauges {
                 members: LabelledCounters::gauges(),
                 engines: LabelledCounters::gauges(),
@@ -103,6 +108,8 @@
         metrics.register_requests();
         metrics.register_cache_and_control();
         metrics.register_gauges();
+        metrics.lingering.register(&mut metrics.registry);
+        metrics.lingering.show_all_ends();
         metrics
     }
 
