--- a/crates/gateway/src/callers/linger.rs
+++ b/crates/callers/src/linger.rs
@@ -6,19 +6,16 @@
 use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use driftspring_clock::Instant;
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
+use driftspring_telemetry::metrics::{LingerEnd, LingerMetrics};
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-use super::metrics::LingerEnd;
-use crate::status::SharedStatus;
-
 /// How long the caller may send nothing before its connection is closed nevertheless.
 pub const MAX_SILENCE: Duration = Duration::from_secs(5);
 
@@ -37,30 +34,32 @@
 /// Number of reads after which other tasks get a turn: the bytes of a fast caller are always ready.
 const READS_PER_TURN: u32 = 8;
 
-/// The connections that linger.
+/// The connections of one thread, and those of them that linger.
 #[derive(Debug)]
 pub struct Lingering {
-    status: Arc<SharedStatus>,
+    metrics: LingerMetrics,
     /// What ends each of them early, in the order in which they began.
     open: RefCell<BTreeMap<u64, Rc<Notify>>>,
     max_open: usize,
     next: Cell<u64>,
+    connections: Cell<u32>,
     max_bytes: Cell<u64>,
 }
 
 impl Lingering {
-    /// None yet; `status` holds the metrics.
-    pub fn new(status: Arc<SharedStatus>) -> Rc<Self> {
-        Self::with_max_open(status, MAX_OPEN)
+    /// None yet.
+    pub fn new(metrics: LingerMetrics) -> Rc<Self> {
+        Self::with_max_open(metrics, MAX_OPEN)
     }
 
     /// The same with another maximum number of connections.
-    pub fn with_max_open(status: Arc<SharedStatus>, max_open: usize) -> Rc<Self> {
+    pub fn with_max_open(metrics: LingerMetrics, max_open: usize) -> Rc<Self> {
         Rc::new(Self {
-            status,
+            metrics,
             open: RefCell::default(),
             max_open,
             next: Cell::new(0),
+            connections: Cell::new(0),
             max_bytes: Cell::new(MAX_BYTES),
         })
     }
@@ -77,7 +76,18 @@
         u32::try_from(self.open.borrow().len()).unwrap_or(u32::MAX)
     }
 
-    /// Counts a connection; if they are too many, the oldest one ends.
+    /// Number of callers' connections, among them those that linger.
+    pub fn connections(&self) -> u32 {
+        self.connections.get()
+    }
+
+    /// Counts a connection until the returned guard is dropped.
+    pub(crate) fn begin_connection(self: &Rc<Self>) -> ConnectionGuard {
+        self.connections.set(self.connections.get() + 1);
+        ConnectionGuard(Rc::clone(self))
+    }
+
+    /// Counts a connection as lingering; if they are too many, the oldest one ends.
     fn begin(self: &Rc<Self>) -> LingerGuard {
         let number = self.next.get();
         self.next.set(number + 1);
@@ -89,7 +99,7 @@
             oldest.notify_one();
         }
         open.insert(number, Rc::clone(&evicted));
-        self.status.metrics.linger.open.inc();
+        self.metrics.open.inc();
         LingerGuard {
             lingering: Rc::clone(self),
             number,
@@ -108,7 +118,17 @@
 impl Drop for LingerGuard {
     fn drop(&mut self) {
         self.lingering.open.borrow_mut().remove(&self.number);
-        self.lingering.status.metrics.linger.open.dec();
+        self.lingering.metrics.open.dec();
+    }
+}
+
+/// Counts a connection until it is dropped.
+pub(crate) struct ConnectionGuard(Rc<Lingering>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        let connections = &self.0.connections;
+        connections.set(connections.get().saturating_sub(1));
     }
 }
 
@@ -116,7 +136,7 @@
 /// reached.
 pub async fn linger(stream: &TcpStream, lingering: &Rc<Lingering>) {
     let guard = lingering.begin();
-    let metrics = &lingering.status.metrics.linger;
+    let metrics = &lingering.metrics;
     let peer = stream.peer_addr();
     if let Err(error) = SockRef::from(stream).shutdown(Shutdown::Write) {
         log::debug!("the caller at {peer:?} has left: {error}");
--- a/crates/gateway/src/callers/metrics.rs
+++ b/crates/telemetry/src/metrics/lingering.rs
@@ -24,6 +24,15 @@
 }
 
 impl LingerEnd {
+    const ALL: [Self; 6] = [
+        Self::ClosedByCaller,
+        Self::Reset,
+        Self::SilenceLimit,
+        Self::TimeLimit,
+        Self::ByteLimit,
+        Self::CountLimit,
+    ];
+
     /// Name in metrics and logs.
     pub fn name(self) -> &'static str {
         match self {
@@ -53,7 +62,7 @@
 }
 
 /// Metrics of lingering connections.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct LingerMetrics {
     /// Connections that linger now.
     pub open: Gauge,
@@ -83,6 +92,14 @@
         );
     }
 
+    /// Shows every kind of end from the start.
+    pub fn show_all_ends(&self) {
+        for end in LingerEnd::ALL {
+            let end = end.name();
+            drop(self.ended.get_or_create(&LingerLabels { end }));
+        }
+    }
+
     /// Counts the end of a lingering connection of which `discarded` bytes were discarded.
     pub fn note_end(&self, end: LingerEnd, discarded: u64) {
         let end = LingerLabels { end: end.name() };
