--- a/crates/driftctl/tests/support/mod.rs
+++ b/crates/driftctl/tests/support/mod.rs
@@ -9,6 +9,7 @@
 use driftspring::{Daemon, RunningDaemon};
 use driftspring_settings::Settings;
 use driftspring_standin::object_store::{self, RunningObjectStore};
+use driftspring_standin::ports::free_address;
 use serde_json::Value;
 
 /// The longest that any condition may take.
@@ -38,6 +39,7 @@
         for number in 0..count {
             let id = format!("daemon-{number}");
             let mut settings = Settings::loopback(id.as_str().into(), "zone-a".into());
+            settings.listen.peers = free_address().expect("a port");
             settings.platform.object_store = Some(store.server.address);
             settings.seeds = daemons
                 .iter()
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod legacy;
 pub mod machine_list;
 pub mod object_store;
+pub mod ports;
 pub mod weight_store;
 
 pub use faults::{FaultSwitches, FaultUpdate, Faults};
--- a/crates/system-tests/src/daemon.rs
+++ b/crates/system-tests/src/daemon.rs
@@ -120,14 +120,20 @@
     }
 
     /// Where its next life shall listen: where the one before did.
-    pub(crate) fn listen(&self) -> ListenSection {
+    ///
+    /// # Errors
+    ///
+    /// It has not run yet, and no port is free.
+    pub(crate) fn listen(&self) -> anyhow::Result<ListenSection> {
         let section = |addresses: Addresses| ListenSection {
             callers: addresses.callers,
             operators: addresses.operators,
             peers: addresses.peers,
         };
         self.addresses
-            .map_or_else(ListenSection::free_ports, section)
+            .map_or_else(ListenSection::free_ports, |addresses| {
+                Ok(section(addresses))
+            })
     }
 
     /// The recording of its next life.
--- a/crates/system-tests/src/settings_file.rs
+++ b/crates/system-tests/src/settings_file.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use driftspring_standin::ports::free_address;
 use driftspring_types::{KeyHash, Route, Tenant, WeightsVersion};
 use serde::Serialize;
 
@@ -66,14 +67,17 @@
 }
 
 impl ListenSection {
-    /// Free loopback ports.
-    pub(crate) fn free_ports() -> Self {
-        let free_port = SocketAddr::from(([127, 0, 0, 1], 0));
-        Self {
-            callers: free_port,
-            operators: free_port,
-            peers: free_port,
-        }
+    /// Free loopback ports, which no other socket takes while the daemon is down.
+    ///
+    /// # Errors
+    ///
+    /// None is free.
+    pub(crate) fn free_ports() -> anyhow::Result<Self> {
+        Ok(Self {
+            callers: free_address()?,
+            operators: free_address()?,
+            peers: free_address()?,
+        })
     }
 }
 
--- a/crates/system-tests/src/system.rs
+++ b/crates/system-tests/src/system.rs
@@ -192,7 +192,7 @@
             seeds,
             history_file: daemon.next_history_file(directory),
             log: LogSection { level: "error" },
-            listen: daemon.listen(),
+            listen: daemon.listen()?,
             platform,
             bootstrap: if daemon.options.bootstrap {
                 bootstrap
