--- a/crates/daemon/tests/claim_group.rs
+++ b/crates/daemon/tests/claim_group.rs
@@ -8,6 +8,7 @@
 
 use configuration_support::{Cluster, Hearing, eventually, within};
 use driftspring_settings::MechanismSettings;
+use driftspring_standin::ports::{first_given_out, own_ip};
 use driftspring_types::ClaimGroup;
 
 /// A daemon's death is noticed, and a group replaced, within this time.
@@ -71,3 +72,27 @@
         assert_eq!(holder.incarnation, cluster.state(index).incarnation);
     }
 }
+
+/// Clusters whose daemons have the same names become one where a daemon of the one starts at an address of the other.
+#[ntex::test]
+async fn a_daemon_that_starts_beside_another_cluster_takes_none_of_its_addresses() {
+    let mut cluster = Cluster::new(1, 2, MechanismSettings::default(), Hearing::Gossip);
+    let mut used = BTreeSet::new();
+    for _ in 0..3 {
+        cluster.start_all();
+        for index in 0..cluster.len() {
+            let address = cluster.state(index).addresses.peers;
+            assert_eq!(
+                address.ip(),
+                own_ip(1),
+                "another process may take {address}"
+            );
+            assert!(
+                address.port() < first_given_out(),
+                "any socket may take {address}"
+            );
+            assert!(used.insert(address), "{address} was used before");
+            cluster.kill(index);
+        }
+    }
+}
--- a/crates/daemon/tests/configuration_support/mod.rs
+++ b/crates/daemon/tests/configuration_support/mod.rs
@@ -22,6 +22,7 @@
 use driftspring_settings::{MechanismSettings, Settings};
 use driftspring_standin::FaultUpdate;
 use driftspring_standin::object_store::{self, ObjectStore, RunningObjectStore};
+use driftspring_standin::ports::free_address;
 use driftspring_types::{DaemonId, ObjectKey, ObjectKind, Revision, ZoneName};
 use serde_json::{Map, Value, json};
 
@@ -134,6 +135,7 @@
         if self.hearing == Hearing::Gossip {
             place.settings.seeds = seeds;
         }
+        place.settings.listen.peers = free_address().expect("a port");
         let name = format!("driftspring-{}.jsonl", uuid::Uuid::new_v4());
         let path = std::env::temp_dir().join(name);
         place.settings.history_file = Some(path.clone());
--- a/crates/daemon/tests/membership_tests.rs
+++ b/crates/daemon/tests/membership_tests.rs
@@ -7,6 +7,7 @@
 use driftspring_settings::Settings;
 use driftspring_standin::engine::{self, EngineStandinOptions, RunningEngine};
 use driftspring_standin::machine_list::{self, Machine, MachineKind, MachineState};
+use driftspring_standin::ports::free_address;
 use driftspring_standin::{FaultUpdate, machine_list::RunningMachineList};
 use driftspring_types::{DaemonId, EngineHealth, EngineId, MemberState, ZoneName};
 
@@ -26,6 +27,7 @@
 
 fn daemon(name: &str, zone: &str, change: impl FnOnce(&mut Settings)) -> RunningDaemon {
     let mut settings = Settings::loopback(DaemonId::from(name), ZoneName::from(zone));
+    settings.listen.peers = free_address().unwrap();
     change(&mut settings);
     Daemon::start(settings).unwrap()
 }
