--- a/crates/system-tests/src/daemon.rs
+++ b/crates/system-tests/src/daemon.rs
@@ -143,7 +143,7 @@
     }
 
     /// Begins a life with the settings of `file`.
-    pub(crate) fn start(
+    pub(crate) async fn start(
         &mut self,
         host: &Host,
         file: &SettingsFile,
@@ -156,7 +156,7 @@
         std::fs::write(&path, toml::to_string(file)?)?;
         let (life, addresses) = match host {
             Host::Threads => self.start_in_threads(&path)?,
-            Host::Processes(programs) => self.start_process(&programs.daemon, &path)?,
+            Host::Processes(programs) => self.start_process(&programs.daemon, &path).await?,
         };
         self.life = Some(life);
         self.addresses = Some(addresses);
@@ -181,14 +181,18 @@
         Ok((Life::Threads(running), addresses))
     }
 
-    fn start_process(&self, program: &Path, path: &Path) -> anyhow::Result<(Life, Addresses)> {
+    async fn start_process(
+        &self,
+        program: &Path,
+        path: &Path,
+    ) -> anyhow::Result<(Life, Addresses)> {
         let path = path.to_str().context("a path that is no text")?;
         let mut arguments = vec!["run".to_owned(), "--config".to_owned(), path.to_owned()];
         for assignment in &self.options.assignments {
             arguments.push("--set".to_owned());
             arguments.push(assignment.clone());
         }
-        let (process, addresses) = ChildProcess::start(program, &arguments)?;
+        let (process, addresses) = ChildProcess::start(program, &arguments).await?;
         Ok((Life::Process(process), addresses))
     }
 
--- a/crates/system-tests/src/engine.rs
+++ b/crates/system-tests/src/engine.rs
@@ -63,10 +63,10 @@
 
 impl EngineHost {
     /// Starts an engine.
-    pub(crate) fn start(host: &Host, options: EngineOptions) -> anyhow::Result<Self> {
+    pub(crate) async fn start(host: &Host, options: EngineOptions) -> anyhow::Result<Self> {
         let standin = match host {
             Host::Threads => start_in_threads(&options)?,
-            Host::Processes(programs) => start_process(programs, &options)?,
+            Host::Processes(programs) => start_process(programs, &options).await?,
         };
         Ok(Self { options, standin })
     }
@@ -105,7 +105,7 @@
     Ok(Standin::in_threads(engine.server.address, engine))
 }
 
-fn start_process(programs: &Programs, options: &EngineOptions) -> anyhow::Result<Standin> {
+async fn start_process(programs: &Programs, options: &EngineOptions) -> anyhow::Result<Standin> {
     let arguments = [
         "engine",
         "--id",
@@ -118,5 +118,5 @@
         &options.weights_version.to_string(),
     ]
     .map(str::to_owned);
-    Standin::in_process(programs, &arguments)
+    Standin::in_process(programs, &arguments).await
 }
--- a/crates/system-tests/src/process.rs
+++ b/crates/system-tests/src/process.rs
@@ -8,6 +8,7 @@
 
 use anyhow::{Context, ensure};
 use serde::de::DeserializeOwned;
+use tokio::sync::oneshot;
 
 /// How long a process may take to say where it listens.
 const START_PATIENCE: Duration = Duration::from_secs(20);
@@ -31,12 +32,26 @@
 }
 
 impl ChildProcess {
-    /// Starts `program` and reads the one JSON line in which it says where it listens.
+    /// Starts `program` and reads the one JSON line in which it says where it listens. The tasks of this thread run on
+    /// meanwhile, also where the operating system takes seconds to start a process.
     ///
     /// # Errors
     ///
     /// It can't be started, or says nothing readable in time.
-    pub fn start<T: DeserializeOwned>(
+    pub async fn start<T: DeserializeOwned + Send + 'static>(
+        program: &Path,
+        arguments: &[String],
+    ) -> anyhow::Result<(Self, T)> {
+        let (program, arguments) = (program.to_owned(), arguments.to_vec());
+        let (sender, receiver) = oneshot::channel();
+        std::thread::spawn(move || {
+            // Where the test has given up waiting the process is dropped, and so killed.
+            let _ = sender.send(Self::start_on_this_thread(&program, &arguments));
+        });
+        receiver.await.context("the thread ended that starts it")?
+    }
+
+    fn start_on_this_thread<T: DeserializeOwned>(
         program: &Path,
         arguments: &[String],
     ) -> anyhow::Result<(Self, T)> {
--- a/crates/system-tests/src/standin.rs
+++ b/crates/system-tests/src/standin.rs
@@ -43,8 +43,8 @@
     /// # Errors
     ///
     /// The process does not start.
-    pub fn in_process(programs: &Programs, arguments: &[String]) -> anyhow::Result<Self> {
-        let (process, announced) = ChildProcess::start(&programs.standin, arguments)?;
+    pub async fn in_process(programs: &Programs, arguments: &[String]) -> anyhow::Result<Self> {
+        let (process, announced) = ChildProcess::start(&programs.standin, arguments).await?;
         let Announcement { address } = announced;
         Ok(Self {
             address,
--- a/crates/system-tests/src/system.rs
+++ b/crates/system-tests/src/system.rs
@@ -88,7 +88,9 @@
                 let store = object_store::start(free_port())?;
                 Standin::in_threads(store.server.address, store)
             }
-            Host::Processes(programs) => Standin::in_process(programs, &["object-store".into()])?,
+            Host::Processes(programs) => {
+                Standin::in_process(programs, &["object-store".into()]).await?
+            }
         };
         for id in TENANTS {
             let route = route(id);
@@ -114,7 +116,9 @@
                 let list = machine_list::start(free_port(), Vec::new())?;
                 Standin::in_threads(list.server.address, list)
             }
-            Host::Processes(programs) => Standin::in_process(programs, &["machine-list".into()])?,
+            Host::Processes(programs) => {
+                Standin::in_process(programs, &["machine-list".into()]).await?
+            }
         };
         self.machine_list = Some(list);
         self.publish_machines().await
@@ -125,13 +129,15 @@
     /// # Errors
     ///
     /// The stand-in does not start.
-    pub fn start_kv_store(&mut self) -> anyhow::Result<()> {
+    pub async fn start_kv_store(&mut self) -> anyhow::Result<()> {
         let store = match &self.host {
             Host::Threads => {
                 let store = kv_store::start(free_port())?;
                 Standin::in_threads(store.address, store)
             }
-            Host::Processes(programs) => Standin::in_process(programs, &["kv-store".into()])?,
+            Host::Processes(programs) => {
+                Standin::in_process(programs, &["kv-store".into()]).await?
+            }
         };
         self.kv_store = Some(store);
         Ok(())
@@ -144,7 +150,7 @@
     /// The stand-in does not start.
     pub async fn start_engine(&mut self, options: EngineOptions) -> anyhow::Result<()> {
         let id = options.id.clone();
-        let engine = EngineHost::start(&self.host, options)?;
+        let engine = EngineHost::start(&self.host, options).await?;
         self.engines.insert(id.clone(), engine);
         self.record_engine_start(&id).await?;
         self.publish_machines().await
@@ -155,11 +161,11 @@
     /// # Errors
     ///
     /// It does not start.
-    pub fn start_daemon(&mut self, options: DaemonOptions) -> anyhow::Result<()> {
+    pub async fn start_daemon(&mut self, options: DaemonOptions) -> anyhow::Result<()> {
         let id = options.id.clone();
         let daemon = DaemonHost::new(options);
         self.daemons.insert(id.clone(), daemon);
-        self.begin_life(&id)
+        self.begin_life(&id).await
     }
 
     /// Starts a daemon again that was killed or stopped, under the same addresses.
@@ -167,11 +173,11 @@
     /// # Errors
     ///
     /// It runs, or does not start.
-    pub fn restart_daemon(&mut self, id: &str) -> anyhow::Result<()> {
-        self.begin_life(&id.into())
+    pub async fn restart_daemon(&mut self, id: &str) -> anyhow::Result<()> {
+        self.begin_life(&id.into()).await
     }
 
-    fn begin_life(&mut self, id: &DaemonId) -> anyhow::Result<()> {
+    async fn begin_life(&mut self, id: &DaemonId) -> anyhow::Result<()> {
         let seeds = self
             .daemons
             .iter()
@@ -200,7 +206,7 @@
                 BootstrapSection::default()
             },
         };
-        daemon.start(&self.host, &file, directory)
+        daemon.start(&self.host, &file, directory).await
     }
 
     fn engine_sections(&self) -> Vec<EngineSection> {
--- a/crates/system-tests/tests/harness.rs
+++ b/crates/system-tests/tests/harness.rs
@@ -4,8 +4,10 @@
 
 use driftspring_check::{CheckSettings, Promise};
 use driftspring_history::Ending;
-use driftspring_system_tests::{Call, EngineOptions, Host, NestedPrompt, System, run};
-use serde_json::json;
+use driftspring_system_tests::{
+    Call, ChildProcess, EngineOptions, Host, NestedPrompt, System, TemporaryDirectory, run,
+};
+use serde_json::{Value, json};
 
 const ENGINE: &str = "engine-1";
 
@@ -61,3 +63,22 @@
         Ok(())
     })
 }
+
+/// A process that says where it listens only once another task of this thread has run.
+#[test]
+fn a_process_that_starts_slowly_holds_up_no_caller() -> anyhow::Result<()> {
+    run(async {
+        let directory = TemporaryDirectory::create()?;
+        let signal = directory.path().join("signal");
+        let script = format!(
+            "until [ -e {} ]; do sleep 0.01; done; echo {{}}",
+            signal.display()
+        );
+        let arguments = ["-c".to_owned(), script];
+        let caller = ntex::rt::spawn(async move { std::fs::write(signal, "") });
+        let (_process, announced) = ChildProcess::start::<Value>("sh".as_ref(), &arguments).await?;
+        assert_eq!(announced, json!({}));
+        caller.await??;
+        Ok(())
+    })
+}
