--- a/crates/gateway/src/reachability/service_path.rs
+++ b/crates/gateway/src/reachability/service_path.rs
@@ -24,8 +24,9 @@
 /// and again.
 pub const CONFIRMED_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How recent an answer must be to show that the connections still carry answers.
-const LIVE_ANSWER_AGE: Duration = Duration::from_secs(1);
+/// How recent an answer must be to show that the connections still carry answers. Sound replicas may be silent on open
+/// connections for as long as on new ones.
+const LIVE_ANSWER_AGE: Duration = SILENCE_LIMIT.saturating_add(UNANSWERED_LIMIT);
 
 /// How soon a loss after the previous one counts as flapping.
 const FLAP_WINDOW: Duration = Duration::from_secs(10);
