--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -304,6 +304,9 @@
         ConnectError::TimedOut { .. } => SendError::NotConnected,
         ConnectError::Failed { .. } => SendError::Failed(not_sent(choice, &error.to_string())),
     })?;
+    if !connection.is_reused {
+        choice.replica.health.record_connection();
+    }
     let is_listed = state.registry.is_current(&choice.replica.incarnation);
     match is_listed && choice.replica.is_eligible(Instant::now()) {
         true => Ok(connection),
--- a/crates/gateway/src/replicas/health.rs
+++ b/crates/gateway/src/replicas/health.rs
@@ -38,7 +38,7 @@
 #[derive(Debug, Default)]
 pub struct Health {
     consecutive_failures: Cell<u32>,
-    /// When the first of these failures was recorded.
+    /// When the first of these failures since the last new connection was recorded.
     failing_since: Cell<Option<Instant>>,
     suspect_until: Cell<Option<Instant>>,
     overloaded_until: Cell<Option<Instant>>,
@@ -57,7 +57,7 @@
         let failures = self.consecutive_failures.get();
         let backoff = INITIAL_BACKOFF.saturating_mul(1 << failures.min(8));
         let backoff = backoff.min(MAX_BACKOFF);
-        if failures == 0 {
+        if failures == 0 || self.failing_since.get().is_none() {
             self.failing_since.set(Some(now));
         }
         self.consecutive_failures.set(failures + 1);
@@ -94,7 +94,12 @@
         was_suspect
     }
 
-    /// When the first failure since the last answer was recorded.
+    /// Records that a new connection to the replica came up. Its backoff goes on, since that is no answer.
+    pub fn record_connection(&self) {
+        self.failing_since.set(None);
+    }
+
+    /// When the first failure since the last answer and the last new connection was recorded.
     pub fn failing_since(&self) -> Option<Instant> {
         match self.consecutive_failures.get() {
             0 => None,
