--- a/crates/gateway/src/quarantine/lost_answers.rs
+++ b/crates/gateway/src/quarantine/lost_answers.rs
@@ -2,7 +2,7 @@
 //!
 //! A broken answer proves little: replicas reset connections and corrupt answers, links fail, and gateway
 //! machines freeze. A crashed process shows at its address: nothing listens there, and the connection is
-//! refused.
+//! refused, or what answers there has started later.
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -18,7 +18,7 @@
 use crate::reachability;
 use crate::replicas::Replica;
 use crate::state::GatewayState;
-use crate::upstream::is_refused;
+use crate::upstream::{Connection, is_refused};
 
 /// How long lost answers of one replica are gathered before its address is probed. When a replica crashed,
 /// its connections broke within 2 ms of each other at seven gateways (logs of an incident); a replica takes
@@ -36,6 +36,12 @@
 /// request is of no interest any more.
 const MAX_PATH_LOSS: Duration = Duration::from_secs(30);
 
+/// Time limit for the report of a replica, with its connection.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How often a replica is looked at that accepts connections and does not report.
+const MAX_LOOKS: u32 = 3;
+
 /// The maximum number of fingerprints in a log line.
 const MAX_LOGGED: usize = 24;
 
@@ -102,13 +108,13 @@
 
 async fn check_for_crash(state: Rc<GatewayState>, replica: Rc<Replica>, ended_at: Duration) {
     tokio::time::sleep(GATHER_WINDOW).await;
-    let is_refused = is_refused_on_sound_path(&state, &replica).await;
-    // A gateway whose process stood still during the crash may find the next incarnation at the address.
-    let has_crashed = is_refused || state.registry.is_replaced(&replica);
+    let found = look(&state, &replica).await;
     let lost = state.quarantine.lost_answers.take(&replica.incarnation);
-    if !has_crashed {
-        return;
-    }
+    let is_refused = match found {
+        Found::Nothing => true,
+        Found::NextIncarnation => false,
+        Found::Alive => return,
+    };
     state.status.metrics.replicas_ended.inc();
     log_event!(
         gateway::REPLICA_ENDED,
@@ -135,6 +141,68 @@
     }
 }
 
+/// What is at the address of a replica that has lost answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Found {
+    /// Nothing listens there.
+    Nothing,
+    /// A later incarnation, or another replica: this gateway's process stood still during the crash, or had lost the path.
+    NextIncarnation,
+    /// The replica, as far as is known.
+    Alive,
+}
+
+/// Finds out what is at the address of a replica. What answers there is asked when it started, since the entry of a next
+/// incarnation may be read later than its first answer.
+async fn look(state: &Rc<GatewayState>, replica: &Replica) -> Found {
+    for _ in 0..MAX_LOOKS {
+        if is_refused_on_sound_path(state, replica).await {
+            return Found::Nothing;
+        }
+        if state.registry.is_replaced(replica) {
+            return Found::NextIncarnation;
+        }
+        let Some(born) = replica.incarnation.born else {
+            break;
+        };
+        match reported_start(state, replica).await {
+            Some(reported) if reported > born => return Found::NextIncarnation,
+            Some(_) => return Found::Alive,
+            None => {}
+        }
+    }
+    match state.registry.is_replaced(replica) {
+        true => Found::NextIncarnation,
+        false => Found::Alive,
+    }
+}
+
+/// When the incarnation started that answers at the address of a replica, if it says so.
+async fn reported_start(state: &GatewayState, replica: &Replica) -> Option<u64> {
+    let call = state.platform.report();
+    let report = async {
+        let connection = Connection::open(replica.pool.peer()).await;
+        let mut connection = connection.map_err(|error| error.to_string())?;
+        let answer = connection.call(&call).await;
+        let answer = answer.map_err(|error| error.to_string())?;
+        state.platform.read_report(&answer.body)
+    };
+    match tokio::time::timeout(REPORT_TIMEOUT, report).await {
+        Ok(Ok(report)) => report.born,
+        Ok(Err(error)) => {
+            log::debug!("no report of replica {}: {error}", replica.id());
+            None
+        }
+        Err(_) => {
+            log::debug!(
+                "no report of replica {} in {REPORT_TIMEOUT:?}",
+                replica.id()
+            );
+            None
+        }
+    }
+}
+
 /// The requests whose answers were lost, and the parts of their prompts, each with its longest run.
 fn longest_runs(lost: Vec<LostAnswer>) -> BTreeMap<Fingerprint, Duration> {
     let mut runs: BTreeMap<Fingerprint, Duration> = BTreeMap::new();
