--- a/crates/driftctl/src/explain.rs
+++ b/crates/driftctl/src/explain.rs
@@ -156,6 +156,7 @@
         lines.push("around it:".to_owned());
         lines.extend(surroundings.iter().map(render));
     }
+    lines.extend(authorization(own));
     lines.extend(end.and_then(|end| late_stream(own, end)));
     lines.push(match end {
         Some(end) => format!("so: {}{}", conclusion(end), hedge(own)),
@@ -167,6 +168,27 @@
     }
 }
 
+/// Which configuration allowed the request, and whether it was decided anew after a wait, if the lines tell it.
+fn authorization(own: &[LogLine]) -> Option<String> {
+    let sent = own.iter().find(|line| line.is("REQUEST_SENT"))?;
+    let version = field(&sent.message, "configuration")?;
+    let route = field(&sent.message, "route")?;
+    let tenant = match field(&sent.message, "tenant")?.trim_matches('"') {
+        "" => "no tenant".to_owned(),
+        tenant => format!("tenant {tenant}"),
+    };
+    let changed = own
+        .iter()
+        .find(|line| line.is("CONFIGURATION_CHANGED_MEANWHILE"));
+    let before = changed.and_then(|line| field(&line.message, "before"));
+    let since = before.map_or_else(String::new, |before| {
+        format!("; configuration {before} was in force when it began to wait")
+    });
+    Some(format!(
+        "allowed by configuration {version}: route {route}, {tenant}{since}"
+    ))
+}
+
 /// Why a stream whose pauses exceed their target was late, if the lines tell it.
 fn late_stream(own: &[LogLine], end: &LogLine) -> Option<String> {
     let pause = late_pause(|name| field(&end.message, name))?;
--- a/crates/driftctl/tests/explain.rs
+++ b/crates/driftctl/tests/explain.rs
@@ -322,3 +322,17 @@
         "{conclusion}"
     );
 }
+
+#[test]
+fn the_configuration_that_allowed_a_request_is_told_and_the_one_before_its_wait() {
+    let sent = "request=r1 route=a tenant=\"tenant-1\" configuration=107 replica=i-1";
+    let waited = "request=r1 before=100 after=107 waited_for=[KeyProof(4.7s)] outcome=allowed";
+    let lines = [
+        line("10:00:01", "CONFIGURATION_CHANGED_MEANWHILE", waited),
+        line("10:00:02", "REQUEST_SENT", sent),
+    ];
+    let told = explain("r1", lines.concat().as_bytes()).expect("readable");
+    let expected = "allowed by configuration 107: route a, tenant tenant-1; \
+                    configuration 100 was in force when it began to wait";
+    assert!(told.lines.iter().any(|line| line == expected), "{told:?}");
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! by the sizes and names of their parts. It never reads a request body. The wire formats are defined by a
 //! [`protocol::Platform`], which is implemented outside this crate.
 //!
+//! - [`authorization`]: what a configuration allows a request.
 //! - [`callers`]: how callers' connections are accepted, and how they end.
 //! - [`cache`]: the known contents of the prompt caches in KV stores.
 //! - [`caller_limits`]: limits on the time that callers take.
@@ -28,6 +29,7 @@
 //! - [`status`]: what the threads of a gateway share, and the phases of a planned stop.
 //! - [`standstill`]: detection of times in which this process was suspended.
 
+pub mod authorization;
 pub mod budget;
 pub mod cache;
 pub mod caller_limits;
--- a/crates/gateway/src/pipeline/admission.rs
+++ b/crates/gateway/src/pipeline/admission.rs
@@ -66,7 +66,7 @@
     let expected_at = |replica: &Rc<Replica>| replica.queue_waits.expected_wait(rank, now);
     let queue_state_at = |replica: &Rc<Replica>| replica.queue_waits.queue_state(rank, now);
     let service_wait = service_queue_wait(candidates.iter().map(queue_state_at));
-    let objective = context.configuration.longest_objective(&context.service);
+    let objective = context.configuration().longest_objective(context.service());
     let standing = context.standing.get();
     let is_below_share = standing == Standing::BelowShare;
     if is_regulated && !is_below_share && are_queues_too_long(service_wait, objective) {
--- a/crates/gateway/src/pipeline/attempts.rs
+++ b/crates/gateway/src/pipeline/attempts.rs
@@ -98,7 +98,7 @@
 impl Attempts {
     /// Starts without any attempt.
     pub fn new(state: &Rc<GatewayState>, context: &Rc<RequestContext>) -> Self {
-        state.retry_budgets.earn(&context.service);
+        state.retry_budgets.earn(context.service());
         if let Some(speed) = route_speed(state, context) {
             speed.earn_hedge();
         }
@@ -122,7 +122,7 @@
     fn without_runs(state: &Rc<GatewayState>, context: &Rc<RequestContext>) -> Self {
         Self {
             state: Rc::clone(state),
-            path: state.paths.of(&context.service),
+            path: state.paths.of(context.service()),
             is_forwarded: false,
             context: Rc::clone(context),
             tried: Vec::new(),
@@ -144,7 +144,7 @@
     /// Sends the request until a replica's answer has begun. `last_event_id` resumes a stream after that event.
     pub async fn next(&mut self, last_event_id: Option<&str>) -> Result<Attempt, Refusal> {
         let timeout = first_list_timeout(self.state.now(), self.context.time_left());
-        let service = &self.context.service;
+        let service = self.context.service();
         let progress = match last_event_id.is_some() || self.context.takes_stream_up() {
             true => Progress::Resumed,
             false => Progress::New,
@@ -222,15 +222,15 @@
     /// Whether a request that a replica has run, or may have run, may be sent to another one.
     pub fn may_run_again(&self) -> bool {
         !self.is_forwarded
-            && self.context.route.is_repeatable()
-            && self.possible_runs < self.context.route.max_attempts
+            && self.context.route().is_repeatable()
+            && self.possible_runs < self.context.route().max_attempts
     }
 
     /// Whether a request that is sent to a replica now may be sent again after that.
     fn may_move(&self) -> bool {
         !self.is_forwarded
-            && self.context.route.is_repeatable()
-            && self.possible_runs + 1 < self.context.route.max_attempts
+            && self.context.route().is_repeatable()
+            && self.possible_runs + 1 < self.context.route().max_attempts
     }
 
     /// Handles a denied permit: the replica is passed over until its limit has room. An error if too many replicas have
@@ -262,7 +262,7 @@
     }
 
     pub(super) fn try_spend_retry(&self) -> bool {
-        let is_left = self.state.retry_budgets.try_spend(&self.context.service);
+        let is_left = self.state.retry_budgets.try_spend(self.context.service());
         match is_left {
             true => {
                 self.state.status.metrics.repeated.inc();
@@ -271,7 +271,7 @@
                 gateway::BUDGET_SPENT,
                 "request={} service={}",
                 self.context.id,
-                self.context.service
+                self.context.service()
             ),
         }
         is_left
--- a/crates/gateway/src/pipeline/check_quota.rs
+++ b/crates/gateway/src/pipeline/check_quota.rs
@@ -1,5 +1,7 @@
 //! Filter: checks whether a request is within its tenant's quota.
 
+use std::sync::Arc;
+
 use driftspring_clock::Instant;
 
 use super::decode::Decoded;
@@ -13,7 +15,7 @@
 pub fn check_quota(
     state: &GatewayState,
     decoded: &Decoded,
-    tenant: Option<&Tenant>,
+    tenant: Option<&Arc<Tenant>>,
 ) -> Result<Option<Charge>, Refusal> {
     let Some(tenant) = tenant else {
         return Ok(None);
--- a/crates/gateway/src/pipeline/check_share.rs
+++ b/crates/gateway/src/pipeline/check_share.rs
@@ -15,7 +15,7 @@
 /// Counts a request as its tenant's demand, and refuses it at once if it is above the tenant's share.
 pub fn check_share(state: &GatewayState, context: &RequestContext) -> Result<(), Refusal> {
     let work = work_of(context.prompt());
-    let (service, tenant) = (&context.service, context.tenant_name());
+    let (service, tenant) = (context.service(), context.tenant_name());
     let draw = state.random_fraction();
     let decision = state
         .shares
@@ -44,11 +44,11 @@
 /// Counts a request that was not run, as a sign of an overload and for the metrics.
 pub fn note_refusal(state: &GatewayState, context: &RequestContext, refusal: &Refusal) {
     if refusal.reason == Reason::Overloaded {
-        state.shares.record_refused_for_queues(&context.service);
+        state.shares.record_refused_for_queues(context.service());
     }
     if context.standing.get() == Standing::BelowShare && refusal.reason.is_not_run() {
         let tenant = context.tenant_name();
-        state.shares.record_refused_below(&context.service, tenant);
+        state.shares.record_refused_below(context.service(), tenant);
     }
 }
 
@@ -79,6 +79,6 @@
 ) {
     let wait = wait.saturating_sub(estimated_prefill_time(tokens_to_prefill));
     let work = work_of(context.prompt());
-    let (service, tenant) = (&context.service, context.tenant_name());
+    let (service, tenant) = (context.service(), context.tenant_name());
     state.shares.record_run(service, tenant, work, wait, now);
 }
--- a/crates/gateway/src/pipeline/check_size.rs
+++ b/crates/gateway/src/pipeline/check_size.rs
@@ -2,9 +2,9 @@
 
 use driftspring_clock::Instant;
 
+use super::authorize::{confirmation_timeout, denial_max_proof_age};
 use super::context::caller_deadline;
 use super::decode::Decoded;
-use super::find_route::{confirmation_timeout, denial_max_proof_age};
 use super::refusal::{Reason, Refusal, Step};
 use crate::configuration::CallerLimits;
 use crate::state::GatewayState;
--- a/crates/gateway/src/pipeline/choose_backend.rs
+++ b/crates/gateway/src/pipeline/choose_backend.rs
@@ -1,29 +1,35 @@
 //! Filter: divides the traffic of a route among its services.
 
 use super::refusal::{Reason, Refusal, Step};
+use crate::authorization::{Authorization, Destination};
 use crate::configuration::Route;
 use crate::state::GatewayState;
 
 /// Returns the service of the next request by weighted round-robin: the service that is furthest behind its share goes
 /// next, so the division follows the weights closely.
-pub fn choose_backend(state: &GatewayState, route: &Route) -> Result<String, Refusal> {
+pub fn choose_backend(
+    state: &GatewayState,
+    authorization: &Authorization,
+) -> Result<Destination, Refusal> {
+    let route = authorization.route();
     let total: f64 = route
         .backends
         .iter()
         .map(|backend| f64::from(backend.weight))
         .sum();
-    if total <= 0.0 {
-        return Err(Refusal::new(
-            Step::Choose,
-            Reason::NoReplica,
-            "no service has any weight",
-        ));
-    }
     let position = match route.backends.len() {
-        1 => 0,
-        _ => next_position(state, route, total),
+        _ if total <= 0.0 => None,
+        1 => Some(0),
+        _ => Some(next_position(state, route, total)),
     };
-    Ok(route.backends[position].service.clone())
+    let chosen = position.and_then(|position| {
+        let service = &route.backends[position].service;
+        authorization.to_service(service)
+    });
+    chosen.ok_or_else(|| {
+        let detail = "no service has any weight";
+        Refusal::new(Step::Choose, Reason::NoReplica, detail)
+    })
 }
 
 /// Index of the service with the highest credit, after all credits have grown by the services' weights.
--- a/crates/gateway/src/pipeline/choose_replica.rs
+++ b/crates/gateway/src/pipeline/choose_replica.rs
@@ -75,7 +75,7 @@
     tried: &[ReplicaIncarnation],
     progress: Progress,
 ) -> Result<Choice, Refusal> {
-    let listed = state.registry.of_service(&context.service);
+    let listed = state.registry.of_service(context.service());
     let key = context.placement_key();
     let costs = InterferenceCosts::new(state, context, listed.len());
     let admitted = match listed.len() > MAX_COMPARED {
@@ -100,7 +100,7 @@
     let usual = speed.and_then(|speed| speed.usual());
     let service_time = usual.map_or(Duration::ZERO, |usual| usual.typical);
     let store = key
-        .and_then(|key| context.configuration.kv_store(key.0))
+        .and_then(|key| context.configuration().kv_store(key.0))
         .cloned();
     let mut sources = PromptSources::new(state, context, store.clone());
     let supplies: Vec<Supply> = candidates
@@ -224,7 +224,7 @@
         return Err(no_replica("none has weights that may be used"));
     }
     retain_unpaused(state, &mut staying, now)?;
-    retain_with_room(state, &context.service, &mut staying, now)?;
+    retain_with_room(state, context.service(), &mut staying, now)?;
     let is_available = |replica: &&Rc<Replica>| {
         !replica.health.is_suspect(now)
             && !replica.health.is_silent(now)
--- a/crates/gateway/src/pipeline/context.rs
+++ b/crates/gateway/src/pipeline/context.rs
@@ -14,6 +14,7 @@
 use super::decode::Decoded;
 use super::refusal::Reason;
 use super::time_limits::TimeLimits;
+use crate::authorization::Destination;
 use crate::configuration::{Configuration, EngineLimits, Route, RouteKind, Tenant};
 use crate::held_bytes::Charge;
 use crate::protocol::{Prompt, PromptPart, RequestMeta, SoftwareVersion};
@@ -40,14 +41,7 @@
     pub headers: HeaderMap,
     /// Request body.
     pub body: Bytes,
-    /// Configuration under which the request was accepted.
-    pub configuration: Arc<Configuration>,
-    /// Route of the request.
-    pub route: Arc<Route>,
-    /// Tenant of the request, if its route requires a key.
-    pub tenant: Option<Arc<Tenant>>,
-    /// Service that the request is sent to.
-    pub service: String,
+    destination: Destination,
     /// When the request arrived.
     pub arrived_at: Instant,
     /// When the caller or the route gives up the request.
@@ -80,14 +74,11 @@
     /// Builds the context of a request.
     pub fn new(
         decoded: Decoded,
-        configuration: Arc<Configuration>,
-        route: Arc<Route>,
-        tenant: Option<Arc<Tenant>>,
-        service: String,
+        destination: Destination,
         body: Bytes,
         arrived_at: Instant,
     ) -> Self {
-        let limits = time_limits(&decoded, &route);
+        let limits = time_limits(&decoded, destination.authorization().route());
         Self {
             id: decoded.id,
             meta: decoded.meta,
@@ -95,10 +86,7 @@
             path: decoded.path,
             headers: decoded.headers,
             body,
-            configuration,
-            route,
-            tenant,
-            service,
+            destination,
             arrived_at,
             deadline: arrived_at + limits.deadline(),
             answer_limit: arrived_at + limits.answer(),
@@ -111,10 +99,31 @@
         }
     }
 
+    /// Configuration that allows the request.
+    pub fn configuration(&self) -> &Configuration {
+        self.destination.authorization().configuration()
+    }
+
+    /// Route of the request.
+    pub fn route(&self) -> &Route {
+        self.destination.authorization().route()
+    }
+
+    /// Tenant of the request, if its route requires a key.
+    pub fn tenant(&self) -> Option<&Tenant> {
+        let tenant = self.destination.authorization().tenant();
+        tenant.map(Arc::as_ref)
+    }
+
+    /// Service that the request is sent to.
+    pub fn service(&self) -> &str {
+        self.destination.service()
+    }
+
     /// Identifies the request across retries by the caller; hashed on first use, since few requests need it.
     pub fn fingerprint(&self) -> Fingerprint {
         let host = self.headers.get(HOST).and_then(|host| host.to_str().ok());
-        let caller = self.tenant.as_ref().map_or("", |tenant| &tenant.name);
+        let caller = self.tenant_name();
         *self.fingerprint.get_or_init(|| {
             Fingerprint::new(
                 &self.method,
@@ -142,7 +151,7 @@
 
     /// Whether its stream may be resumed, and so has to keep to one software version.
     pub fn is_resumable_stream(&self) -> bool {
-        self.route.kind == RouteKind::Streaming && self.route.is_resumable
+        self.route().kind == RouteKind::Streaming && self.route().is_resumable
     }
 
     /// Whether its caller takes a stream up.
@@ -170,7 +179,7 @@
 
     /// Name of the tenant; empty without one.
     pub fn tenant_name(&self) -> &str {
-        self.tenant.as_ref().map_or("", |tenant| &tenant.name)
+        self.destination.authorization().tenant_name()
     }
 
     /// Time left until the deadline.
@@ -195,7 +204,7 @@
     /// objective, the time until the caller gives up waiting for the first event.
     pub fn objective_left(&self, now: Instant) -> Duration {
         let elapsed = now.saturating_duration_since(self.arrived_at);
-        let objective = match self.route.objective {
+        let objective = match self.route().objective {
             Duration::ZERO => self.first_event_timeout(),
             objective => objective,
         };
@@ -205,7 +214,7 @@
     /// How long the caller waits for the first event, from the request's arrival.
     pub fn first_event_timeout(&self) -> Duration {
         let time_limit = self.deadline.saturating_duration_since(self.arrived_at);
-        let timeout = self.route.first_event_timeout;
+        let timeout = self.route().first_event_timeout;
         timeout.map_or(time_limit, |timeout| timeout.min(time_limit))
     }
 
@@ -222,7 +231,7 @@
 
     /// Partition of the prompt cache: an isolated tenant's own, or the one that all others share.
     pub fn cache_partition(&self) -> &str {
-        match &self.tenant {
+        match self.tenant() {
             Some(tenant) if tenant.is_isolated => &tenant.name,
             _ => "",
         }
@@ -282,12 +291,15 @@
 
     /// Limits of the service's replicas, if configured.
     pub fn engine(&self) -> Option<&EngineLimits> {
-        self.configuration.service(&self.service)?.engine.as_ref()
+        self.configuration()
+            .service(self.service())?
+            .engine
+            .as_ref()
     }
 
     /// Rank in a replica's queue; 0 goes first.
     pub fn priority(&self) -> u8 {
-        let of_tenant = self.tenant.as_ref().and_then(|tenant| tenant.priority);
-        of_tenant.unwrap_or(self.route.priority).min(9)
+        let of_tenant = self.tenant().and_then(|tenant| tenant.priority);
+        of_tenant.unwrap_or(self.route().priority).min(9)
     }
 }
--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -163,9 +163,9 @@
     let work = OpenRequestGuard::begin(&choice.replica);
     note_prompt(state, context, choice);
     let stream = own_stream(state, context, choice);
-    let path = state.paths.of(&context.service);
+    let path = state.paths.of(context.service());
     let path_use = PathUse::begin(&path, Instant::now());
-    reachability::watch(state, &context.service, &path);
+    reachability::watch(state, context.service(), &path);
     loop {
         let (mut connection, software) = match context.is_resumable_stream() {
             true => connect_confirmed(state, choice).await,
@@ -193,7 +193,7 @@
         let speed = route_speed(state, context);
         let timed = speed.map(|speed| TimedCall::begin(&choice.replica, speed));
         context.was_sent.set(true);
-        let body = match context.route.kind {
+        let body = match context.route().kind {
             RouteKind::Streaming => Element::Event,
             _ => Element::Body,
         };
@@ -233,7 +233,7 @@
 /// Records what the replica has to prefill and will have cached, and reports it to other gateways.
 fn note_prompt(state: &GatewayState, context: &RequestContext, choice: &Choice) {
     let is_on = state.interference.is_on();
-    let pause_target = context.route.pause_target.filter(|_| is_on);
+    let pause_target = context.route().pause_target.filter(|_| is_on);
     if choice.tokens_to_prefill == 0 && pause_target.is_none() {
         return;
     }
@@ -272,8 +272,8 @@
     context: &RequestContext,
     choice: &Choice,
 ) -> Option<OwnStream> {
-    context.route.pause_target?;
-    let service = state.interference.service(&context.service);
+    context.route().pause_target?;
+    let service = state.interference.service(context.service());
     Some(OwnStream::begin(
         &choice.replica,
         service,
@@ -330,7 +330,7 @@
     let dispatch = Dispatch {
         replica: choice.replica.id().to_owned(),
         deadline: replica_time_limit(state, context, choice),
-        tenant: context.tenant.as_ref().map(|tenant| tenant.name.clone()),
+        tenant: context.tenant().map(|tenant| tenant.name.clone()),
         priority: context.prompt().map(|_| choice.rank),
         weights_version: choice.weights_version,
         cache_scope: choice.cache_scope.clone(),
@@ -363,9 +363,11 @@
     let entry = choice.replica.entry();
     log_event!(
         gateway::REQUEST_SENT,
-        "request={} route={} replica={} software={:?} after={last_event_id:?} resumes={:?} address={} key={:?} home={} candidates={} open={} reading={:?} rank={} expected_wait={expected_wait:?} {} held={} tokens={} version={:?} fetch={:?} save={} configuration={} proof_age={:?} left={:?} given={:?} reused={}",
+        "request={} route={} tenant={:?} configuration={} replica={} software={:?} after={last_event_id:?} resumes={:?} address={} key={:?} home={} candidates={} open={} reading={:?} rank={} expected_wait={expected_wait:?} {} held={} tokens={} version={:?} fetch={:?} save={} proof_age={:?} left={:?} given={:?} reused={}",
         context.id,
-        context.route.name,
+        context.route().name,
+        context.tenant_name(),
+        context.configuration().version,
         choice.replica.id(),
         entry.software.as_deref().unwrap_or_default(),
         context.meta.resumes,
@@ -382,7 +384,6 @@
         choice.weights_version,
         choice.fetch_from,
         choice.save_to.is_some(),
-        context.configuration.version,
         state.currency.age(),
         context.time_left(),
         replica_time_limit(state, context, choice),
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -60,7 +60,7 @@
             && state
                 .forwarding
                 .offers
-                .choose(&context.service, context.is_bound(), now)
+                .choose(context.service(), context.is_bound(), now)
                 .is_some()
     };
     while !is_forwardable() {
@@ -134,7 +134,7 @@
 
     /// The gateway to send to. Right after the loss of the path the first offers are waited for.
     async fn find_peer(&self) -> Option<Rc<UsablePeer>> {
-        let service = &self.context.service;
+        let service = self.context.service();
         let is_bound = self.context.is_bound();
         let offers = &self.state.forwarding.offers;
         let choose = || offers.choose(service, is_bound, Instant::now());
@@ -199,7 +199,7 @@
         let hop = HopRequest {
             token: peer.offer.token,
             from: self.state.peers.own().name.clone(),
-            service: context.service.clone(),
+            service: context.service().to_owned(),
             key: context.meta.key.clone(),
             time_left: context.time_left(),
             tried: self.tried.iter().map(|life| life.id.clone()).collect(),
@@ -353,7 +353,7 @@
             self.context.id,
             offer.peer,
             offer.address,
-            self.context.service,
+            self.context.service(),
             offer.room,
             offer.asked_at.elapsed(),
             self.context.time_left()
--- a/crates/gateway/src/pipeline/forwarded.rs
+++ b/crates/gateway/src/pipeline/forwarded.rs
@@ -15,20 +15,19 @@
 use hyper::body::Incoming;
 
 use super::attempts::{Attempt, Attempts, Responder};
-use super::authenticate::authenticate;
+use super::authorize::authorize;
 use super::check_quarantine::note_survived;
 use super::choose_replica::Choice;
 use super::context::{self, RequestContext};
 use super::decode::{self, Decoded, is_hop_by_hop};
 use super::dispatch::OpenAnswer;
 use super::event_splitter::EventEnds;
-use super::find_route::find_route;
 use super::refusal::{Reason, Refusal, Step};
 use super::take_stream_up;
 use super::time_limits::DEADLINE_GRACE;
 use super::unended::note_endless;
 use super::withdrawal::until_weights_too_old;
-use crate::configuration::{Route, Tenant};
+use crate::authorization::Destination;
 use crate::forwarding::hop::{DeclineReason, HopOutcome, HopRequest};
 use crate::held_bytes::Charge;
 use crate::protocol::{ReplicaIncarnation, SoftwareVersion};
@@ -96,20 +95,16 @@
     );
     decoded.meta.deadline = Some(hop.time_left);
     decoded.meta.key.clone_from(&hop.key);
-    let (configuration, route) = find_route(state, &decoded, arrived_at).await?;
-    if !route
-        .backends
-        .iter()
-        .any(|backend| backend.service == hop.service)
-    {
+    let authorized = authorize(state, &decoded, arrived_at).await;
+    let authorization = authorized.map_err(|unauthorized| unauthorized.refusal)?;
+    let destination = authorization.to_service(&hop.service).ok_or_else(|| {
         let detail = format!("the route has no service {}", hop.service);
-        return Err(Refusal::new(Step::Route, Reason::NotInformed, detail));
-    }
-    let tenant = authenticate(state, &decoded, &route, arrived_at).await?;
-    let deadline = arrived_at + context::time_limits(&decoded, &route).deadline();
+        Refusal::new(Step::Route, Reason::NotInformed, detail)
+    })?;
+    let deadline = arrived_at + context::time_limits(&decoded, authorization.route()).deadline();
     let left = deadline.saturating_duration_since(Instant::now());
     let charge = Charge::new(&state.held_bytes);
-    let limit = configuration.limits.max_body_bytes;
+    let limit = authorization.configuration().limits.max_body_bytes;
     let reading = tokio::time::timeout(left, Limited::new(body, limit).collect()).await;
     let broken = |detail: String| Refusal::new(Step::Body, Reason::BrokenBody, detail);
     let body = reading
@@ -119,17 +114,9 @@
     charge.add(body.len()).await;
     let binding = match hop.software {
         Some(version) => VersionBinding::Bound(version),
-        None => bind_unbound(state, &decoded, &route, tenant.as_deref(), hop).await?,
+        None => bind_unbound(state, &decoded, destination.clone(), hop).await?,
     };
-    let mut context = RequestContext::new(
-        decoded,
-        configuration,
-        route,
-        tenant,
-        hop.service.clone(),
-        body,
-        arrived_at,
-    );
+    let mut context = RequestContext::new(decoded, destination, body, arrived_at);
     context.body_charge = Some(charge);
     context.binding.set(binding);
     let context = Rc::new(context);
@@ -161,18 +148,15 @@
 async fn bind_unbound(
     state: &Rc<GatewayState>,
     decoded: &Decoded,
-    route: &Route,
-    tenant: Option<&Tenant>,
+    destination: Destination,
     hop: &HopRequest,
 ) -> Result<VersionBinding, Refusal> {
     let is_resumed = decoded.meta.last_event_id.is_some() || hop.last_event_id.is_some();
-    let is_resumed = is_resumed && route.is_resumable;
-    let origin = match is_resumed {
-        true => take_stream_up::bind(state, decoded, route, tenant, hop.service.clone()).await?,
-        false => return Ok(VersionBinding::Free),
-    };
-    let (service, binding) = origin;
-    match service == hop.service {
+    if !is_resumed || !destination.authorization().route().is_resumable {
+        return Ok(VersionBinding::Free);
+    }
+    let (began_at, binding) = take_stream_up::bind(state, decoded, destination).await?;
+    match began_at.service() == hop.service {
         true => Ok(binding),
         false => {
             let detail = "the stream began at another service";
--- a/crates/gateway/src/pipeline/hedge.rs
+++ b/crates/gateway/src/pipeline/hedge.rs
@@ -31,13 +31,13 @@
 pub fn route_speed(state: &GatewayState, context: &RequestContext) -> Option<Rc<RouteSpeed>> {
     match context.prompt() {
         Some(_) => None,
-        None => state.route_speeds.of(&context.route.name),
+        None => state.route_speeds.of(&context.route().name),
     }
 }
 
 /// Whether a request of this kind may be hedged at all.
 pub fn is_hedgeable(context: &RequestContext) -> bool {
-    context.route.kind == RouteKind::Safe && context.route.max_attempts > 1
+    context.route().kind == RouteKind::Safe && context.route().max_attempts > 1
 }
 
 /// How a send ended.
@@ -63,7 +63,7 @@
     pub fn new(attempts: &Attempts, possible_runs: u32) -> Option<Self> {
         let context = &attempts.context;
         let is_allowed = is_hedgeable(context) && !attempts.has_hedged;
-        if !is_allowed || possible_runs + 2 > context.route.max_attempts {
+        if !is_allowed || possible_runs + 2 > context.route().max_attempts {
             return None;
         }
         let speed = route_speed(&attempts.state, context)?;
@@ -164,7 +164,7 @@
     if permits::acquire(&state, &choice.replica).await.is_err() {
         return (choice, skipped_at, Err(Skipped::NoPermit));
     }
-    if !state.retry_budgets.try_spend(&context.service) {
+    if !state.retry_budgets.try_spend(context.service()) {
         return (choice, skipped_at, Err(Skipped::BudgetSpent));
     }
     speed.spend_hedge();
--- a/crates/gateway/src/pipeline/interference_costs.rs
+++ b/crates/gateway/src/pipeline/interference_costs.rs
@@ -30,9 +30,9 @@
     /// The costs for a request to a service with so many replicas.
     pub fn new(state: &GatewayState, context: &RequestContext, replicas: usize) -> Self {
         let weighed = profile(state, context).map(|profile| {
-            let service = state.interference.service(&context.service);
+            let service = state.interference.service(context.service());
             if state.interference.is_separating() {
-                update_separation(&context.service, &service, replicas, Instant::now());
+                update_separation(context.service(), &service, replicas, Instant::now());
             }
             Weighed {
                 mode: state.interference.mode(),
@@ -79,7 +79,7 @@
                 prefill_time: prefill_time(tokens),
                 ..profile
             };
-            let service = state.interference.service(&context.service);
+            let service = state.interference.service(context.service());
             service.record_prompt(&sent, now);
         }
     }
@@ -98,14 +98,14 @@
     }
     context.prompt()?;
     let target = context
-        .configuration
-        .shortest_pause_target(&context.service)?;
+        .configuration()
+        .shortest_pause_target(context.service())?;
     let whole = context.input_tokens();
     let own = whole.saturating_sub(context.shared_tokens());
     Some(PromptProfile {
         prefill_time: prefill_time(own),
         whole_prefill_time: prefill_time(whole),
-        pause_target: context.route.pause_target,
+        pause_target: context.route().pause_target,
         service_pause_target: Some(target),
     })
 }
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -7,7 +7,7 @@
 mod account;
 mod admission;
 mod attempts;
-mod authenticate;
+mod authorize;
 mod check_quarantine;
 mod check_quota;
 mod check_share;
@@ -21,7 +21,6 @@
 mod delivery;
 mod dispatch;
 mod event_splitter;
-mod find_route;
 mod first_list;
 mod forward;
 mod forwarded;
@@ -45,9 +44,9 @@
 use ntex::web::types::{Payload, State};
 use ntex::web::{HttpRequest, HttpResponse};
 use std::rc::Rc;
-use std::sync::Arc;
 
-use crate::configuration::{Configuration, Route, RouteKind, Tenant};
+use crate::authorization::Authorization;
+use crate::configuration::RouteKind;
 use crate::held_bytes::Charge;
 use crate::state::GatewayState;
 use account::RequestTracker;
@@ -97,12 +96,16 @@
     tracker.set_request_id(&decoded.id);
     refusal::refuse_while_stopping(state)?;
     check_size::check_head_size(state, &decoded, arrived_at).await?;
-    let (configuration, route) = find_route::find_route(state, &decoded, arrived_at).await?;
-    tracker.set_route(&route);
-    let tenant = authenticate::authenticate(state, &decoded, &route, arrived_at).await?;
-    let charge = check_quota::check_quota(state, &decoded, tenant.as_deref())?;
-    let admitted = (decoded, configuration, route, tenant);
-    let result = serve_admitted(state, request, body, admitted, tracker).await;
+    let authorized = authorize::authorize(state, &decoded, arrived_at).await;
+    let authorization = authorized.map_err(|unauthorized| {
+        if let Some(route) = &unauthorized.route {
+            tracker.set_route(route);
+        }
+        unauthorized.refusal
+    })?;
+    tracker.set_route(authorization.route());
+    let charge = check_quota::check_quota(state, &decoded, authorization.tenant())?;
+    let result = serve_admitted(state, request, body, decoded, authorization, tracker).await;
     if let (Some(charge), Err(refusal)) = (charge, &result)
         && refusal.reason.is_not_run()
     {
@@ -111,43 +114,31 @@
     result
 }
 
-/// Parts of a request that is within its tenant's quota.
-type AdmittedRequest = (Decoded, Arc<Configuration>, Arc<Route>, Option<Arc<Tenant>>);
-
 /// Runs the filters after the check of the tenant's quota.
 async fn serve_admitted(
     state: &Rc<GatewayState>,
     request: &HttpRequest,
     body: &mut RequestBody,
-    admitted: AdmittedRequest,
+    decoded: Decoded,
+    authorization: Authorization,
     tracker: &mut RequestTracker,
 ) -> Result<HttpResponse, Refusal> {
-    let (decoded, configuration, route, tenant) = admitted;
     let arrived_at = tracker.arrived_at();
     let times = RequestTimes {
         arrived_at,
-        deadline: arrived_at + context::time_limits(&decoded, &route).body(),
+        deadline: arrived_at + context::time_limits(&decoded, authorization.route()).body(),
     };
     let charge = Charge::new(&state.held_bytes);
-    let limits = &configuration.limits;
+    let limits = &authorization.configuration().limits;
     let body = read_body::read_body(state, body, limits, times, &charge).await?;
-    let service = choose_backend::choose_backend(state, &route)?;
-    let (service, binding) =
-        take_stream_up::bind_request(state, &decoded, &route, tenant.as_deref(), service).await?;
-    let mut context = RequestContext::new(
-        decoded,
-        configuration,
-        route,
-        tenant,
-        service,
-        body,
-        arrived_at,
-    );
+    let destination = choose_backend::choose_backend(state, &authorization)?;
+    let (destination, binding) = take_stream_up::bind_request(state, &decoded, destination).await?;
+    let mut context = RequestContext::new(decoded, destination, body, arrived_at);
     context.body_charge = Some(charge);
     context.binding.set(binding);
     check_share::check_share(state, &context)?;
     let context = Rc::new(context);
-    let result = match context.route.kind {
+    let result = match context.route().kind {
         RouteKind::Streaming => relay::serve(state, Rc::clone(&context), request, tracker).await,
         RouteKind::Safe | RouteKind::Unsafe => {
             collect::serve(state, Rc::clone(&context), request, tracker).await
--- a/crates/gateway/src/pipeline/outcomes.rs
+++ b/crates/gateway/src/pipeline/outcomes.rs
@@ -174,7 +174,7 @@
             && !may_be_loading(&self.state, &self.context, &choice.replica);
         self.state
             .shares
-            .record_answer(&self.context.service, is_full);
+            .record_answer(self.context.service(), is_full);
         match verdict {
             Verdict::Final | Verdict::Failed => {
                 self.possible_runs += 1;
@@ -248,7 +248,7 @@
         if replica.health.record_silence(Instant::now()) {
             return self.handle_not_sent(choice, replica.pool.peer(), NOT_CONNECTED);
         }
-        let service = &self.context.service;
+        let service = self.context.service();
         reachability::doubt(&self.state, service, &self.path, Doubt::Failure);
         self.log_attempt(choice, "not_sent", NOT_CONNECTED);
         self.tried.push(replica.incarnation.clone());
@@ -374,7 +374,7 @@
     }
 
     fn note_failure(&self, choice: &Choice, cause: &str) {
-        let service = &self.context.service;
+        let service = self.context.service();
         reachability::doubt(&self.state, service, &self.path, Doubt::Failure);
         let pause = choice.replica.health.record_failure(Instant::now());
         let start = notices::window_start(&self.state, &choice.replica);
--- a/crates/gateway/src/pipeline/prompt_sources.rs
+++ b/crates/gateway/src/pipeline/prompt_sources.rs
@@ -131,7 +131,7 @@
             };
         };
         let prefixes = prefixes(&scope, parts);
-        let listed = self.state.registry.of_service(&self.context.service);
+        let listed = self.state.registry.of_service(self.context.service());
         let is_usable = |replica: &&Rc<Replica>| {
             self.context.version_of(replica) == version
                 && replica.loading_since().is_none()
--- a/crates/gateway/src/pipeline/take_stream_up.rs
+++ b/crates/gateway/src/pipeline/take_stream_up.rs
@@ -10,7 +10,8 @@
 use super::decode::Decoded;
 use super::dispatch::OpenAnswer;
 use super::refusal::{Reason, Refusal, Step};
-use crate::configuration::{Route, RouteKind, Tenant};
+use crate::authorization::Destination;
+use crate::configuration::RouteKind;
 use crate::state::GatewayState;
 use crate::stream_versions::origin::{StreamOrigin, UnknownOrigin};
 use crate::stream_versions::records::{RECORD_MARGIN, StreamRecord};
@@ -22,18 +23,17 @@
 /// When a caller should retry if this gateway may learn of earlier versions soon: from the store, or from a list of replicas.
 const LEARNING_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Returns the service that the request goes to, `chosen` unless it takes up a stream that began at another one, and the
-/// software version that may run it.
+/// Returns where the request goes, to `chosen` unless it takes up a stream that began at another service, and the software
+/// version that may run it.
 pub async fn bind_request(
     state: &Rc<GatewayState>,
     decoded: &Decoded,
-    route: &Route,
-    tenant: Option<&Tenant>,
-    chosen: String,
-) -> Result<(String, VersionBinding), Refusal> {
+    chosen: Destination,
+) -> Result<(Destination, VersionBinding), Refusal> {
+    let route = chosen.authorization().route();
     let is_resumable = route.kind == RouteKind::Streaming && route.is_resumable;
     match is_resumable && decoded.meta.last_event_id.is_some() {
-        true => bind(state, decoded, route, tenant, chosen).await,
+        true => bind(state, decoded, chosen).await,
         false => Ok((chosen, VersionBinding::Free)),
     }
 }
@@ -42,15 +42,14 @@
 pub async fn bind(
     state: &Rc<GatewayState>,
     decoded: &Decoded,
-    route: &Route,
-    tenant: Option<&Tenant>,
-    chosen: String,
-) -> Result<(String, VersionBinding), Refusal> {
-    let tenant = tenant.map_or("", |tenant| &tenant.name);
+    chosen: Destination,
+) -> Result<(Destination, VersionBinding), Refusal> {
+    let authorization = chosen.authorization();
+    let tenant = authorization.tenant_name();
     // Without the id of the first request no record can be found; the only version in use is still known.
     let first = decoded.meta.resumes.as_deref().unwrap_or(&decoded.id);
     let key = StreamKey::new(tenant, first);
-    let origin = find_origin(state, key, service_digest(&chosen)).await;
+    let origin = find_origin(state, key, service_digest(chosen.service())).await;
     let metrics = &state.status.metrics.streams;
     match origin {
         Ok(StreamOrigin::OnlyVersion(version)) => {
@@ -58,15 +57,16 @@
             Ok((chosen, VersionBinding::Bound(version)))
         }
         Ok(StreamOrigin::Recorded { service, version }) => {
-            let mut backends = route.backends.iter();
+            let mut backends = authorization.route().backends.iter();
             let began_at = backends.find(|backend| service_digest(&backend.service) == service);
+            let began_at = began_at.and_then(|backend| authorization.to_service(&backend.service));
             let Some(began_at) = began_at else {
                 metrics.count_taken_up("service_gone");
                 let detail = "the route has left the service that began the stream";
                 return Err(Refusal::new(Step::Resume, Reason::VersionGone, detail));
             };
             metrics.count_taken_up("recorded");
-            Ok((began_at.service.clone(), VersionBinding::Bound(version)))
+            Ok((began_at, VersionBinding::Bound(version)))
         }
         Err(error) => {
             metrics.count_taken_up(label(error.unknown));
@@ -112,7 +112,7 @@
     }
     context.binding.set(VersionBinding::to(opened.software));
     let record = StreamRecord {
-        service: service_digest(&context.service),
+        service: service_digest(context.service()),
         version: opened.software,
         expires_at: context.deadline + RECORD_MARGIN,
         is_own: true,
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -8,7 +8,7 @@
     SETTINGS_REJECTED = 6004, Error, "The settings file was read again and is faulty; the earlier settings stay in force.";
     LOG_LINES_DROPPED = 6005, Warn, "Log lines were dropped since more came than may be written; the field counts them.";
     PROCESS_STOOD_STILL = 6006, Warn, "The process stood still for so long: it was frozen, or its machine was suspended. Waits at replicas count without that time; after a second or more, strikes (6600) that it reads at once are left out.";
-    REQUEST_SENT = 6100, Info, "A request was sent to a replica; the fields give the route, the version of the replica's software, the event after which a stream resumes, the request that began it, the configuration's version, the age of its proof, and why the replica was chosen.";
+    REQUEST_SENT = 6100, Info, "A request was sent to a replica; the fields give the route, the tenant (empty if none is needed) and the version of the configuration that allowed it, the version of the replica's software, the event after which a stream resumes, the request that began it, the age of the configuration's proof, and why the replica was chosen.";
     ATTEMPT_ENDED = 6101, Info, "A replica did not serve a request; the fields tell what its answer was taken for.";
     REQUEST_ENDED = 6102, Info, "A request got its whole answer from a replica; for a stream the fields give the time to its first event and the longest pause.";
     CALLER_REFUSED = 6103, Info, "A request got an answer of the gateway's own; the fields give the step, the peer, the reason and the time to come back.";
@@ -22,6 +22,7 @@
     FORWARDED_TAKEN = 6111, Info, "Another gateway has forwarded a request, since it can't reach the replicas of the service. This gateway chooses the replica; the first one keeps quota, attempts and the resumption of streams.";
     FORWARDED_ENDED = 6112, Info, "A request that another gateway has forwarded has ended here; the fields give the replica, if one answered, and the outcome.";
     STREAM_TAKEN_UP = 6113, Info, "A stream that a caller has taken up goes on. The fields give the request that brought its first event, the event after which it goes on, and the digest of the software version to which it is bound.";
+    CONFIGURATION_CHANGED_MEANWHILE = 6114, Info, "A newer configuration came into force while a request waited for what its decision lacked to be final, and decided it. The fields give the versions before and after, what was waited for, and the outcome.";
     CONFIGURATION_TAKEN = 6200, Info, "A newer configuration is in force.";
     ENTRY_REJECTED = 6201, Error, "An object of the store, a replica's report, a page of cached parts or a datagram can't be read: another writer may have made it. A replica's entry then names no replica to use, a lease counts as held by another, of all other kinds what was in force stays. Logged once for each name and reason; the metric `rejected` counts all.";
     STORE_LOST = 6202, Warn, "The store does not answer; the field tells which task noticed it.";
