--- a/crates/gateway/src/authorization/mod.rs
+++ b/crates/gateway/src/authorization/mod.rs
@@ -87,10 +87,11 @@
         self.tenant.as_ref().map_or("", |tenant| &tenant.name)
     }
 
-    /// The request at one of the services of its route; `None` if the route does not lead to `service`.
+    /// The request at one of the services of its route; `None` if the route does not lead to `service`, or gives it no weight.
     pub fn to_service(&self, service: &str) -> Option<Destination> {
-        let mut backends = self.route.backends.iter();
-        let backend = backends.find(|backend| backend.service == service)?;
+        let weighted = self.route.backends.iter();
+        let mut weighted = weighted.filter(|backend| backend.weight > 0);
+        let backend = weighted.find(|backend| backend.service == service)?;
         Some(Destination {
             authorization: self.clone(),
             service: backend.service.clone(),
