--- a/crates/gateway/src/pipeline/dispatch.rs
+++ b/crates/gateway/src/pipeline/dispatch.rs
@@ -168,8 +168,8 @@
     reachability::watch(state, context.service(), &path);
     loop {
         let (mut connection, software) = match context.is_resumable_stream() {
-            true => connect_confirmed(state, choice).await,
-            false => connect(state, choice)
+            true => connect_confirmed(state, context, choice).await,
+            false => connect(state, context, choice)
                 .await
                 .map(|connection| (connection, None)),
         }?;
@@ -284,21 +284,29 @@
 /// Returns a connection to the replica with the version of its software, if that can be confirmed.
 async fn connect_confirmed(
     state: &GatewayState,
+    context: &RequestContext,
     choice: &Choice,
 ) -> Result<(Connection, Option<SoftwareVersion>), SendError> {
     for patience in REPORT_TIMEOUTS {
-        let mut connection = connect(state, choice).await?;
-        match confirm_software(state, &choice.replica, &mut connection, patience).await {
+        let mut connection = connect(state, context, choice).await?;
+        let confirmation =
+            confirm_software(state, &choice.replica, &mut connection, patience).await;
+        check_entry(state, context, choice)?;
+        match confirmation {
             Confirmation::Confirmed(version) => return Ok((connection, version)),
             Confirmation::OtherIncarnation => return Ok((connection, None)),
             Confirmation::Failed => {}
         }
     }
-    Ok((connect(state, choice).await?, None))
+    Ok((connect(state, context, choice).await?, None))
 }
 
-/// Returns a connection to the replica, unless the replica has begun to leave while it was established.
-async fn connect(state: &GatewayState, choice: &Choice) -> Result<Connection, SendError> {
+/// Returns a connection to the replica, unless its entry has changed while it was established.
+async fn connect(
+    state: &GatewayState,
+    context: &RequestContext,
+    choice: &Choice,
+) -> Result<Connection, SendError> {
     let connection = choice.replica.pool.take().await;
     let connection = connection.map_err(|error| match error {
         ConnectError::TimedOut { .. } => SendError::NotConnected,
@@ -307,11 +315,23 @@
     if !connection.is_reused {
         choice.replica.health.record_connection();
     }
-    let is_listed = state.registry.is_current(&choice.replica.incarnation);
-    match is_listed && choice.replica.is_eligible(Instant::now()) {
-        true => Ok(connection),
-        false => Err(SendError::Failed(not_sent(choice, "it is leaving"))),
-    }
+    check_entry(state, context, choice)?;
+    Ok(connection)
+}
+
+/// Checks that the replica still serves the request's service and is not leaving.
+fn check_entry(
+    state: &GatewayState,
+    context: &RequestContext,
+    choice: &Choice,
+) -> Result<(), SendError> {
+    let listed = state.registry.current(&choice.replica.incarnation);
+    let cause = match listed {
+        Some(listed) if listed.entry().service != context.service() => "it serves another service",
+        Some(_) if choice.replica.is_eligible(Instant::now()) => return Ok(()),
+        _ => "it is leaving",
+    };
+    Err(SendError::Failed(not_sent(choice, cause)))
 }
 
 fn not_sent(choice: &Choice, cause: &str) -> SendFailure {
