--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -252,7 +252,7 @@
         &self.document
     }
 
-    /// The route of `host` (without a port) with the longest prefix that matches `path`.
+    /// The route of `host` (without a port, in lower case) with the longest prefix that matches `path`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.routes_by_host.get(host)?;
         routes
@@ -322,11 +322,11 @@
         .collect()
 }
 
-/// Groups routes by host, with the longest prefixes first.
+/// Groups routes by host in lower case, with the longest prefixes first.
 fn index_routes(routes: Vec<Route>) -> HashMap<String, Vec<Arc<Route>>> {
     let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
     for route in routes {
-        let of_host = by_host.entry(route.host.clone()).or_default();
+        let of_host = by_host.entry(route.host.to_ascii_lowercase()).or_default();
         of_host.push(Arc::new(route));
     }
     for routes in by_host.values_mut() {
