--- a/crates/gateway/src/pipeline/decode.rs
+++ b/crates/gateway/src/pipeline/decode.rs
@@ -73,12 +73,7 @@
         .clone()
         .filter(|id| !id.is_empty())
         .ok_or_else(|| malformed("no request id".to_owned()))?;
-    let host = all
-        .get(HOST)
-        .and_then(|host| host.to_str().ok())
-        .map(without_port)
-        .ok_or_else(|| malformed("no host".to_owned()))?
-        .to_ascii_lowercase();
+    let host = read_host(all).map_err(|detail| malformed(detail.to_owned()))?;
     Ok(Decoded {
         id,
         meta,
@@ -90,6 +85,20 @@
     })
 }
 
+/// The host that a head names, without the port, in lower case. With several `Host` lines it would depend on the reader which
+/// of them counts (RFC 9112, section 3.2).
+fn read_host(all: &HeaderMap) -> Result<String, &'static str> {
+    let mut lines = all.get_all(HOST).iter();
+    match (lines.next(), lines.next()) {
+        (Some(host), None) => {
+            let host = host.to_str().map_err(|_| "the host can't be read")?;
+            Ok(without_port(host).to_ascii_lowercase())
+        }
+        (None, _) => Err("no host"),
+        (Some(_), Some(_)) => Err("several hosts"),
+    }
+}
+
 /// Size of a head in bytes, as it is if it has no spaces that could be left out.
 fn head_bytes(method: &Method, path: &str, all: &HeaderMap) -> usize {
     let request_line = method.as_str().len() + path.len() + "  HTTP/1.1\r\n".len();
