--- a/examples/separate-processes.sh
+++ b/examples/separate-processes.sh
@@ -55,6 +55,10 @@
 }
 daemon 1
 daemon 2 --set seeds="$(address_of daemon-1 peers)"
+# A change waits for the daemons that are members when it is made.
+until "$target/driftctl" --server "$(address_of daemon-1 operators)" 'show members' | grep -q daemon-2; do
+  kill -0 "$(cat "$work/daemon-2.pid")"
+done
 
 driftctl() { "$target/driftctl" --server "$(address_of daemon-1 operators)" "$@"; }
 driftctl --wait 10 'add tenant depots key "local-key"'
