--- a/crates/gateway/src/quarantine/lost_answers.rs
+++ b/crates/gateway/src/quarantine/lost_answers.rs
@@ -39,8 +39,8 @@
 /// Time limit for the report of a replica, with its connection.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// How often a replica is looked at that accepts connections and does not report.
-const MAX_LOOKS: u32 = 3;
+/// How often an address is probed that accepts connections, if no report comes.
+const MAX_PROBES: u32 = 3;
 
 /// The maximum number of fingerprints in a log line.
 const MAX_LOGGED: usize = 24;
@@ -108,12 +108,12 @@
 
 async fn check_for_crash(state: Rc<GatewayState>, replica: Rc<Replica>, ended_at: Duration) {
     tokio::time::sleep(GATHER_WINDOW).await;
-    let found = look(&state, &replica).await;
+    let occupant = probe_address(&state, &replica).await;
     let lost = state.quarantine.lost_answers.take(&replica.incarnation);
-    let is_refused = match found {
-        Found::Nothing => true,
-        Found::NextIncarnation => false,
-        Found::Alive => return,
+    let is_refused = match occupant {
+        Occupant::Nobody => true,
+        Occupant::NextIncarnation => false,
+        Occupant::Alive => return,
     };
     state.status.metrics.replicas_ended.inc();
     log_event!(
@@ -141,39 +141,39 @@
     }
 }
 
-/// What is at the address of a replica that has lost answers.
+/// What answers at the address of a replica whose answers were lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Found {
+enum Occupant {
     /// Nothing listens there.
-    Nothing,
+    Nobody,
     /// A later incarnation, or another replica: this gateway's process stood still during the crash, or had lost the path.
     NextIncarnation,
     /// The replica, as far as is known.
     Alive,
 }
 
-/// Finds out what is at the address of a replica. What answers there is asked when it started, since the entry of a next
-/// incarnation may be read later than its first answer.
-async fn look(state: &Rc<GatewayState>, replica: &Replica) -> Found {
-    for _ in 0..MAX_LOOKS {
+/// Finds out what answers at the address of a replica. It is asked when it started, since the entry of a next incarnation may
+/// be read later than its first answer.
+async fn probe_address(state: &Rc<GatewayState>, replica: &Replica) -> Occupant {
+    for _ in 0..MAX_PROBES {
         if is_refused_on_sound_path(state, replica).await {
-            return Found::Nothing;
+            return Occupant::Nobody;
         }
         if state.registry.is_replaced(replica) {
-            return Found::NextIncarnation;
+            return Occupant::NextIncarnation;
         }
         let Some(born) = replica.incarnation.born else {
             break;
         };
         match reported_start(state, replica).await {
-            Some(reported) if reported > born => return Found::NextIncarnation,
-            Some(_) => return Found::Alive,
+            Some(reported) if reported > born => return Occupant::NextIncarnation,
+            Some(_) => return Occupant::Alive,
             None => {}
         }
     }
     match state.registry.is_replaced(replica) {
-        true => Found::NextIncarnation,
-        false => Found::Alive,
+        true => Occupant::NextIncarnation,
+        false => Occupant::Alive,
     }
 }
 
