--- a/crates/gateway/src/callers/accept.rs
+++ b/crates/gateway/src/callers/accept.rs
@@ -1,6 +1,5 @@
 //! Accepts callers' connections.
 
-use std::convert::Infallible;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,19 +27,18 @@
     tokio::net::TcpListener::from_std(listener).context("the listener for callers")
 }
 
-/// Accepts connections in an endless loop and serves each with `service`, as `config` says.
+/// Accepts connections until a planned stop is over, and serves each with `service`, as `config` says.
 pub async fn run<S>(
     state: Rc<GatewayState>,
     listener: tokio::net::TcpListener,
     service: S,
     config: SharedCfg,
-) -> Infallible
-where
+) where
     S: Service<Io> + 'static,
 {
     let service = Pipeline::new(service);
-    loop {
-        match listener.accept().await {
+    while let Some(accepted) = state.listening.accept(&listener).await {
+        match accepted {
             Ok((stream, _)) => {
                 if let Err(error) = stream.set_nodelay(true) {
                     log::debug!("options of a caller's connection: {error}");
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -207,13 +207,21 @@
     }
 
     /// Closes every connection that has carried a request and has none open, nor a head under way, nor unsent bytes; returns
-    /// their number.
+    /// their number. The request of a new connection may be on its way.
     pub fn close_idle(&self) -> usize {
+        self.close_where(|tracked| tracked.activity.has_carried_request.get())
+    }
+
+    /// The same for new connections as well. A request that is on its way is not read.
+    pub fn close_idle_and_new(&self) -> usize {
+        self.close_where(|_| true)
+    }
+
+    fn close_where(&self, is_to_close: impl Fn(&CallerConnection) -> bool) -> usize {
         let mut by_id = self.by_id.borrow_mut();
         let mut closed = 0;
         by_id.retain(|_, tracked| {
-            // The request of a new connection may be on its way.
-            let is_idle = tracked.is_idle() && tracked.activity.has_carried_request.get();
+            let is_idle = tracked.is_idle() && is_to_close(tracked);
             if is_idle && !tracked.connection.is_closed() {
                 CallerSocket::close_idle(&tracked.connection);
                 closed += 1;
--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -41,7 +41,7 @@
 
 type Pieces = Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, std::io::Error>>>>;
 
-/// Takes requests in an endless loop.
+/// Takes requests until a planned stop is over.
 pub(crate) async fn run(state: Rc<GatewayState>, listener: TcpListener) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => listener,
@@ -55,8 +55,8 @@
     };
     let port = listener.local_addr().map(|address| address.port());
     state.forwarding.port.set(port.ok());
-    loop {
-        match listener.accept().await {
+    while let Some(accepted) = state.listening.accept(&listener).await {
+        match accepted {
             Ok((stream, from)) => {
                 if let Err(error) =
                     set_options(&SockRef::from(&stream), Some(UNACKNOWLEDGED_TIMEOUT))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod forwarding;
 mod held_bytes;
 pub mod interference;
+pub mod listening;
 pub mod metrics;
 pub mod notices;
 mod own_daemon;
--- a/crates/gateway/src/server/stop.rs
+++ b/crates/gateway/src/server/stop.rs
@@ -24,8 +24,9 @@
 /// Share of the grace period after which the gateway ends even if requests are open.
 const GRACE_SHARE_USED: f64 = 0.93;
 
-/// How long the worker thread gets to end the answers that were not taken by the end of the grace period.
-const ABORT_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long the thread that serves callers gets to close listeners and connections, and to end the answers that were not taken
+/// by the end of the grace period.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// What is left at the end of a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -50,8 +51,18 @@
 
 /// Waits until callers have been redirected, no request is open and all answers were sent, or the grace period is nearly
 /// over; returns what is left then. New requests are refused once callers had the time to move, since those requests might
-/// not end in time.
+/// not end in time. Listeners are closed at the end.
 pub fn wait_for_open_requests(status: &SharedStatus, grace: Duration) -> Unfinished {
+    let unfinished = wait_until_quiet(status, grace);
+    status.raise_stop_phase(StopPhase::Closing);
+    let closed_by = Instant::now() + CLOSE_TIMEOUT;
+    while status.stop_phase() == StopPhase::Closing && Instant::now() < closed_by {
+        std::thread::sleep(POLL_INTERVAL);
+    }
+    unfinished
+}
+
+fn wait_until_quiet(status: &SharedStatus, grace: Duration) -> Unfinished {
     let stop_began_at = Instant::now();
     let cutoff = stop_began_at + grace.mul_f64(GRACE_SHARE_USED);
     let mut quiet_since = Instant::now();
@@ -68,28 +79,25 @@
         }
         std::thread::sleep(POLL_INTERVAL);
     }
-    let unfinished = Unfinished::now(status);
-    status.raise_stop_phase(StopPhase::EndingAnswers);
-    let aborted_by = Instant::now() + ABORT_TIMEOUT;
-    while status.stop_phase() == StopPhase::EndingAnswers && Instant::now() < aborted_by {
-        std::thread::sleep(POLL_INTERVAL);
-    }
-    unfinished
+    Unfinished::now(status)
 }
 
 /// Does what a planned stop asks of the thread that serves callers: counts the connections that have not ended, closes idle
-/// ones once new requests are refused, so that callers connect to another gateway without having been refused, and ends
-/// the answers that are left at the end of the grace period.
+/// ones once new requests are refused, so that callers connect to another gateway without having been refused, and closes
+/// the listeners and ends the answers that are left at its end.
 pub async fn follow_stop(state: Rc<GatewayState>) {
+    let mut is_closing = false;
     loop {
         let phase = state.status.stop_phase();
         if phase == StopPhase::Serving {
             tokio::time::sleep(WATCH_INTERVAL).await;
             continue;
         }
-        if phase >= StopPhase::RefusingRequests {
-            state.callers.close_idle();
-        }
+        match phase {
+            StopPhase::Closing | StopPhase::Ended => state.callers.close_idle_and_new(),
+            StopPhase::RefusingRequests => state.callers.close_idle(),
+            StopPhase::Redirecting | StopPhase::Serving => 0,
+        };
         let unsent = state.callers.count_unsent();
         let unsent = u32::try_from(unsent).unwrap_or(u32::MAX);
         state
@@ -100,9 +108,13 @@
             .status
             .lingering_connections
             .store(state.lingering.open(), Ordering::Release);
-        if phase == StopPhase::EndingAnswers {
+        if phase == StopPhase::Closing {
+            if is_closing {
+                state.status.raise_stop_phase(StopPhase::Ended);
+            }
+            is_closing = true;
             state.held_bytes.end_for_stop();
-            state.status.raise_stop_phase(StopPhase::Ended);
+            state.listening.end();
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -26,6 +26,7 @@
 use crate::forwarding::Forwarding;
 use crate::held_bytes::HeldBytes;
 use crate::interference::Interference;
+use crate::listening::Listening;
 use crate::notices::{BrittleServices, ChangedNotices, NoticeSurvey};
 use crate::own_daemon::{machine, own_daemon, seeds};
 use crate::peers::Peers;
@@ -119,6 +120,8 @@
     pub held_bytes: Rc<HeldBytes>,
     /// Connections of the callers.
     pub callers: CallerConnections,
+    /// Whether connections are accepted.
+    pub listening: Listening,
     /// Connections of callers that linger after their last answer.
     pub lingering: Rc<Lingering>,
     /// Connections to the object store.
@@ -214,6 +217,7 @@
             holders: PromptHolders::default(),
             held_bytes,
             callers: CallerConnections::default(),
+            listening: Listening::default(),
             lingering,
             store_outage: StoreOutage::default(),
             rejections: Rejections::default(),
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -17,9 +17,10 @@
     Redirecting,
     /// New requests are refused, and idle connections closed.
     RefusingRequests,
-    /// The grace period is over: answers that were not taken are to be ended.
-    EndingAnswers,
-    /// These answers have ended.
+    /// The process is about to end: listeners and connections without a request are to be closed, and answers that were not
+    /// taken are to be ended.
+    Closing,
+    /// This is done.
     Ended,
 }
 
@@ -28,7 +29,7 @@
         Self::Serving,
         Self::Redirecting,
         Self::RefusingRequests,
-        Self::EndingAnswers,
+        Self::Closing,
         Self::Ended,
     ];
 }
