--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -19,6 +19,7 @@
 use super::framing::{Element, Messages};
 use super::meter::Meter;
 use super::metered::MeteredStream;
+use super::peer_stream::RequestCount;
 use super::whole_body::WholeBody;
 use crate::protocol::Call;
 
@@ -67,6 +68,7 @@
     sender: http1::SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     meter: Rc<Meter>,
+    requests: RequestCount,
     /// The peer.
     pub peer: SocketAddr,
     usable_until: Instant,
@@ -90,6 +92,7 @@
     /// The peer can't be reached.
     pub async fn open(peer: SocketAddr) -> Result<Self, ConnectError> {
         let stream = connect(peer).await?;
+        let requests = stream.requests();
         let meter = Rc::new(Meter::new(peer, Messages::Answers));
         let stream = MeteredStream::new(stream, Rc::clone(&meter));
         let handshake = http1::handshake(stream).await;
@@ -106,6 +109,7 @@
             sender,
             driver: driver.abort_handle(),
             meter,
+            requests,
             peer,
             usable_until: now + DEFAULT_IDLE_TIMEOUT,
             is_reused: false,
@@ -139,6 +143,7 @@
     ) -> Result<Response<Incoming>, SendFailure> {
         let peer = self.peer;
         self.meter.begin_answer(request.method() == Method::HEAD);
+        self.requests.begin();
         let sent = self.sender.try_send_request(request).await;
         sent.map_err(|mut error| {
             let was_sent = error.take_message().is_none();
--- a/crates/gateway/src/upstream/peer_stream.rs
+++ b/crates/gateway/src/upstream/peer_stream.rs
@@ -3,11 +3,13 @@
 //! The operating system ends a connection if sent bytes stay unacknowledged for [`UNACKNOWLEDGED_TIMEOUT`]. It counts the
 //! time in which the peer acknowledges everything but has no room for more: a sound replica that does not read a large
 //! body yet looks like a dead one. It does not tell which of the two it is, so the limit is lifted while more bytes are on
-//! their way than any peer has room for, and until the peer says something. Meanwhile the deadline of the request is the
-//! only limit.
+//! their way than any peer has room for. A peer may answer a request before it has read all of it, but answers the next one
+//! only after that. Until then the deadline of the request is the only limit.
 
+use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -20,13 +22,26 @@
 /// Bytes that a peer takes although it does not read; operating systems reserve more for each connection.
 const ROOM_AT_PEER: usize = 16 * 1024;
 
+/// The number of requests on a connection, shared by their sender and the stream that carries them.
+#[derive(Debug, Clone, Default)]
+pub struct RequestCount(Rc<Cell<u64>>);
+
+impl RequestCount {
+    /// Counts a request that is about to be sent.
+    pub fn begin(&self) {
+        self.0.set(self.0.get() + 1);
+    }
+}
+
 /// A connection to a peer.
 #[derive(Debug)]
 pub struct PeerStream {
     stream: TcpStream,
-    /// Bytes written since the peer last said something.
-    unanswered: usize,
-    is_limit_lifted: bool,
+    requests: RequestCount,
+    /// The last request of which bytes were written, by its number, and how many.
+    written: (u64, usize),
+    /// The last request that was larger than what a peer has room for, while the limit is lifted for it.
+    lifted_for: Option<u64>,
 }
 
 impl PeerStream {
@@ -34,22 +49,33 @@
     pub fn new(stream: TcpStream) -> Self {
         Self {
             stream,
-            unanswered: 0,
-            is_limit_lifted: false,
+            requests: RequestCount::default(),
+            written: (0, 0),
+            lifted_for: None,
         }
     }
 
+    /// The count of its requests, which its user keeps.
+    pub fn requests(&self) -> RequestCount {
+        self.requests.clone()
+    }
+
     fn note_written(&mut self, bytes: usize) {
-        self.unanswered = self.unanswered.saturating_add(bytes);
-        if self.unanswered > ROOM_AT_PEER && !self.is_limit_lifted {
+        let request = self.requests.0.get();
+        let before = match self.written {
+            (same, before) if same == request => before,
+            _ => 0,
+        };
+        self.written = (request, before.saturating_add(bytes));
+        if self.written.1 > ROOM_AT_PEER && self.lifted_for.replace(request).is_none() {
             self.set_limit(None);
-            self.is_limit_lifted = true;
         }
     }
 
+    /// What the peer says answers the request under way, so it has read all of those before.
     fn note_read(&mut self) {
-        self.unanswered = 0;
-        if std::mem::take(&mut self.is_limit_lifted) {
+        let request = self.requests.0.get();
+        if self.lifted_for.take_if(|large| *large < request).is_some() {
             self.set_limit(Some(UNACKNOWLEDGED_TIMEOUT));
         }
     }
@@ -65,7 +91,7 @@
 impl Drop for PeerStream {
     /// What is left to send on a closed connection must not occupy memory for long.
     fn drop(&mut self) {
-        if self.is_limit_lifted {
+        if self.lifted_for.is_some() {
             self.set_limit(Some(UNACKNOWLEDGED_TIMEOUT));
         }
     }
