--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -12,6 +12,7 @@
 mod check_quota;
 mod check_share;
 mod check_size;
+mod check_version;
 mod choose_backend;
 mod choose_replica;
 mod collect;
@@ -104,6 +105,7 @@
         unauthorized.refusal
     })?;
     tracker.set_route(authorization.route());
+    check_version::check_version(request, authorization.route())?;
     let charge = check_quota::check_quota(state, &decoded, authorization.tenant())?;
     let result = serve_admitted(state, request, body, decoded, authorization, tracker).await;
     if let (Some(charge), Err(refusal)) = (charge, &result)
--- a/crates/gateway/src/pipeline/refusal.rs
+++ b/crates/gateway/src/pipeline/refusal.rs
@@ -45,6 +45,8 @@
     MalformedHead,
     /// The head is too large.
     HeadTooLarge,
+    /// The caller's version of HTTP can't carry the answer.
+    UnsupportedVersion,
     /// There is no such route.
     NoRoute,
     /// The key is unknown.
@@ -101,6 +103,7 @@
         match self {
             Self::MalformedHead | Self::BrokenBody => StatusCode::BAD_REQUEST,
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::UnsupportedVersion => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::OverQuota | Self::BeyondQuota => StatusCode::TOO_MANY_REQUESTS,
