--- a/crates/gateway/src/forwarding/flush.rs
+++ b/crates/gateway/src/forwarding/flush.rs
@@ -9,9 +9,8 @@
 use std::task::{Context, Poll};
 
 use hyper::rt::{Read, ReadBufCursor, Write};
-use tokio::net::TcpStream;
 
-use crate::upstream::MeteredStream;
+use crate::upstream::{MeteredStream, PeerStream};
 
 /// What is kept until the next flush of a connection, by either of its two ends.
 #[derive(Debug)]
@@ -44,13 +43,13 @@
 
 /// A connection that releases what is kept until its next flush.
 pub struct FlushTracked<T> {
-    stream: MeteredStream<TcpStream>,
+    stream: MeteredStream<PeerStream>,
     until_flush: UntilFlush<T>,
 }
 
 impl<T> FlushTracked<T> {
     /// Tracks the flushes of `stream`.
-    pub fn new(stream: MeteredStream<TcpStream>, until_flush: UntilFlush<T>) -> Self {
+    pub fn new(stream: MeteredStream<PeerStream>, until_flush: UntilFlush<T>) -> Self {
         Self {
             stream,
             until_flush,
@@ -58,7 +57,7 @@
     }
 
     /// The stream.
-    pub fn into_inner(self) -> TcpStream {
+    pub fn into_inner(self) -> PeerStream {
         self.stream.into_inner()
     }
 }
--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -27,7 +27,9 @@
 use crate::callers::linger::linger;
 use crate::pipeline::{ForwardedAnswer, ForwardedRefusal, serve_forwarded};
 use crate::state::GatewayState;
-use crate::upstream::{Messages, Meter, MeteredStream, UNACKNOWLEDGED_TIMEOUT, set_options};
+use crate::upstream::{
+    Messages, Meter, MeteredStream, PeerStream, UNACKNOWLEDGED_TIMEOUT, set_options,
+};
 
 /// Time limit for the head of a request, and for the next one on an idle connection; the other gateway closes idle ones
 /// sooner.
@@ -80,7 +82,8 @@
 ) {
     let unsent = UntilFlush::default();
     let meter = Rc::new(Meter::new(from, Messages::Requests));
-    let stream = MeteredStream::new(stream, meter);
+    let stall = state.times.get().caller_stall;
+    let stream = MeteredStream::new(PeerStream::to_client(stream, stall), meter);
     let connection = FlushTracked::new(stream, unsent.clone());
     let served = Rc::clone(&state);
     let service = service_fn(move |request| {
@@ -98,7 +101,7 @@
     }
     // A request that was declined before its body was read must not be lost to a reset.
     let stream = connection.into_parts().io.into_inner();
-    Box::pin(linger(&stream, &state.lingering)).await;
+    Box::pin(linger(stream.socket(), &state.lingering)).await;
 }
 
 /// Counts a request of another gateway as open until it is dropped, which is when its answer was sent.
--- a/crates/gateway/src/upstream/connector.rs
+++ b/crates/gateway/src/upstream/connector.rs
@@ -53,7 +53,7 @@
         .map_err(|_| ConnectError::TimedOut { peer })?
         .map_err(failed)?;
     set_options(&SockRef::from(&stream), Some(UNACKNOWLEDGED_TIMEOUT)).map_err(failed)?;
-    Ok(PeerStream::new(stream))
+    Ok(PeerStream::to_server(stream))
 }
 
 /// Whether `peer` refuses connections, so that nothing listens there. A peer that does not answer may be cut
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -26,5 +26,6 @@
 pub use framing::{Element, Framing, Messages};
 pub use meter::Meter;
 pub use metered::MeteredStream;
+pub use peer_stream::PeerStream;
 pub use pool::Pool;
 pub use whole_body::WholeBody;
--- a/crates/gateway/src/upstream/peer_stream.rs
+++ b/crates/gateway/src/upstream/peer_stream.rs
@@ -1,10 +1,9 @@
-//! The bytes of a connection to a peer that may leave a large body unread for a while.
+//! The bytes of a connection to a peer that may leave a large message unread for a while.
 //!
 //! The operating system ends a connection if sent bytes stay unacknowledged for [`UNACKNOWLEDGED_TIMEOUT`]. It counts the
-//! time in which the peer acknowledges everything but has no room for more: a sound replica that does not read a large
-//! body yet looks like a dead one. It does not tell which of the two it is, so the limit is lifted while more bytes are on
-//! their way than any peer has room for. A peer may answer a request before it has read all of it, but answers the next one
-//! only after that. Until then the deadline of the request is the only limit.
+//! time in which the peer acknowledges everything but has no room for more: a sound peer that does not read a large message
+//! yet looks like a dead one. It does not tell which of the two it is, so a longer limit holds while more bytes are on their
+//! way than any peer has room for, until the peer says something that it can't say before it has read them.
 
 use std::cell::Cell;
 use std::io;
@@ -33,49 +32,97 @@
     }
 }
 
+/// What shows that the peer has read a message.
+#[derive(Debug)]
+enum Proof {
+    /// An answer to a later request: a server may answer a request before it has read all of it.
+    LaterAnswer(RequestCount),
+    /// Anything that it says: a client sends its next request after it has read the answer.
+    AnyBytes,
+}
+
 /// A connection to a peer.
 #[derive(Debug)]
 pub struct PeerStream {
     stream: TcpStream,
-    requests: RequestCount,
-    /// The last request of which bytes were written, by its number, and how many.
+    proof: Proof,
+    /// The limit while a large message may be unread; none if its request has one.
+    large_limit: Option<Duration>,
+    /// The last request of which, or whose answer, bytes were written, by its number, and how many.
     written: (u64, usize),
-    /// The last request that was larger than what a peer has room for, while the limit is lifted for it.
-    lifted_for: Option<u64>,
+    /// The last request that was, or whose answer was, larger than what a peer has room for, while it may be unread.
+    unread: Option<u64>,
 }
 
 impl PeerStream {
-    /// A connection that has [`UNACKNOWLEDGED_TIMEOUT`].
-    pub fn new(stream: TcpStream) -> Self {
+    /// A connection to a server that has [`UNACKNOWLEDGED_TIMEOUT`]. While a large request may be unread, its deadline is the
+    /// only limit.
+    pub fn to_server(stream: TcpStream) -> Self {
+        Self::new(stream, Proof::LaterAnswer(RequestCount::default()), None)
+    }
+
+    /// A connection to a client that has [`UNACKNOWLEDGED_TIMEOUT`], and `stall` while a large answer may be unread.
+    pub fn to_client(stream: TcpStream, stall: Duration) -> Self {
+        Self::new(stream, Proof::AnyBytes, Some(stall))
+    }
+
+    fn new(stream: TcpStream, proof: Proof, large_limit: Option<Duration>) -> Self {
         Self {
             stream,
-            requests: RequestCount::default(),
+            proof,
+            large_limit,
             written: (0, 0),
-            lifted_for: None,
+            unread: None,
         }
     }
 
-    /// The count of its requests, which its user keeps.
+    /// The count of requests that the sender keeps.
     pub fn requests(&self) -> RequestCount {
-        self.requests.clone()
+        match &self.proof {
+            Proof::LaterAnswer(requests) => requests.clone(),
+            Proof::AnyBytes => RequestCount::default(),
+        }
+    }
+
+    /// The socket.
+    pub fn socket(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    /// The number of the request under way; always 0 if any bytes prove that the peer has read all.
+    fn request(&self) -> u64 {
+        match &self.proof {
+            Proof::LaterAnswer(requests) => requests.0.get(),
+            Proof::AnyBytes => 0,
+        }
     }
 
     fn note_written(&mut self, bytes: usize) {
-        let request = self.requests.0.get();
+        let request = self.request();
         let before = match self.written {
             (same, before) if same == request => before,
             _ => 0,
         };
         self.written = (request, before.saturating_add(bytes));
-        if self.written.1 > ROOM_AT_PEER && self.lifted_for.replace(request).is_none() {
-            self.set_limit(None);
+        if self.written.1 > ROOM_AT_PEER && self.unread.replace(request).is_none() {
+            self.set_limit(self.large_limit);
+        }
+    }
+
+    /// Whether bytes of the peer show that it has read the message that belongs to this request.
+    fn is_proven(&self, request: u64) -> bool {
+        match &self.proof {
+            Proof::LaterAnswer(requests) => request < requests.0.get(),
+            Proof::AnyBytes => true,
         }
     }
 
-    /// What the peer says answers the request under way, so it has read all of those before.
     fn note_read(&mut self) {
-        let request = self.requests.0.get();
-        if self.lifted_for.take_if(|large| *large < request).is_some() {
+        if self.is_proven(self.written.0) {
+            self.written.1 = 0;
+        }
+        if self.unread.is_some_and(|request| self.is_proven(request)) {
+            self.unread = None;
             self.set_limit(Some(UNACKNOWLEDGED_TIMEOUT));
         }
     }
@@ -91,7 +138,7 @@
 impl Drop for PeerStream {
     /// What is left to send on a closed connection must not occupy memory for long.
     fn drop(&mut self) {
-        if self.lifted_for.is_some() {
+        if self.unread.is_some() {
             self.set_limit(Some(UNACKNOWLEDGED_TIMEOUT));
         }
     }
