--- a/crates/gateway/src/upstream/peer_stream.rs
+++ b/crates/gateway/src/upstream/peer_stream.rs
@@ -41,6 +41,14 @@
     AnyBytes,
 }
 
+/// What was written of a message.
+#[derive(Debug, Clone, Copy, Default)]
+struct Written {
+    /// The number of the request that the message is, or answers.
+    request: u64,
+    bytes: usize,
+}
+
 /// A connection to a peer.
 #[derive(Debug)]
 pub struct PeerStream {
@@ -48,9 +56,9 @@
     proof: Proof,
     /// The limit while a large message may be unread; none if its request has one.
     large_limit: Option<Duration>,
-    /// The last request of which, or whose answer, bytes were written, by its number, and how many.
-    written: (u64, usize),
-    /// The last request that was, or whose answer was, larger than what a peer has room for, while it may be unread.
+    /// The last message.
+    written: Written,
+    /// The request of the last message that was larger than what a peer has room for, while that may be unread.
     unread: Option<u64>,
 }
 
@@ -71,7 +79,7 @@
             stream,
             proof,
             large_limit,
-            written: (0, 0),
+            written: Written::default(),
             unread: None,
         }
     }
@@ -99,12 +107,11 @@
 
     fn note_written(&mut self, bytes: usize) {
         let request = self.request();
-        let before = match self.written {
-            (same, before) if same == request => before,
-            _ => 0,
-        };
-        self.written = (request, before.saturating_add(bytes));
-        if self.written.1 > ROOM_AT_PEER && self.unread.replace(request).is_none() {
+        if self.written.request != request {
+            self.written = Written { request, bytes: 0 };
+        }
+        self.written.bytes = self.written.bytes.saturating_add(bytes);
+        if self.written.bytes > ROOM_AT_PEER && self.unread.replace(request).is_none() {
             self.set_limit(self.large_limit);
         }
     }
@@ -118,8 +125,8 @@
     }
 
     fn note_read(&mut self) {
-        if self.is_proven(self.written.0) {
-            self.written.1 = 0;
+        if self.is_proven(self.written.request) {
+            self.written.bytes = 0;
         }
         if self.unread.is_some_and(|request| self.is_proven(request)) {
             self.unread = None;
@@ -136,9 +143,9 @@
 }
 
 impl Drop for PeerStream {
-    /// What is left to send on a closed connection must not occupy memory for long.
+    /// What is left of a request on a closed connection must not occupy memory for long. An answer may still be read.
     fn drop(&mut self) {
-        if self.unread.is_some() {
+        if self.unread.is_some() && self.large_limit.is_none() {
             self.set_limit(Some(UNACKNOWLEDGED_TIMEOUT));
         }
     }
