--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -1,5 +1,6 @@
 //! Receives datagrams: replies to queries of other gateways, and applies what they report.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,6 +23,7 @@
 use super::permits;
 use super::records;
 use super::send::send_to;
+use super::socket::{PeerSocket, Received};
 use super::spread::record_group_usage;
 use super::spread::{self, spread};
 use super::streams;
@@ -45,18 +47,18 @@
 }
 
 /// Receives datagrams in an endless loop.
-pub(super) async fn listen(
-    state: Rc<GatewayState>,
-    socket: Rc<tokio::net::UdpSocket>,
-    queues: ReplyQueues,
-) {
+pub(super) async fn listen(state: Rc<GatewayState>, socket: Rc<PeerSocket>, queues: ReplyQueues) {
     let mut buffer = [0_u8; RECEIVE_BUFFER_BYTES];
     loop {
-        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+        let Ok((received, from)) = socket.receive(&mut buffer).await else {
             tokio::time::sleep(RECEIVE_RETRY_PAUSE).await;
             continue;
         };
-        match Message::decode(&buffer[..length]) {
+        let Received::Content(content) = received else {
+            reject(&state, from, "it is of another deployment");
+            continue;
+        };
+        match Message::decode(content) {
             Some(Message::SyncQuery(query)) => {
                 adopt_peer_era(&state, query.store_era, &from.to_string());
                 state.currency.note_version(query.configuration_version);
@@ -104,7 +106,7 @@
                 state.peers.prompt_relay.forward_to_group(&batch.prompts);
             }
             Some(Message::Spread(report)) => {
-                spread::relay(&state, &socket, report, &buffer[..length]).await;
+                spread::relay(&state, &socket, report, content).await;
             }
             Some(Message::CachedQuery(query)) => {
                 if let Some(page) = cached::answer(&state, &query) {
@@ -172,19 +174,17 @@
                 streams::answer(&state, &socket, &query, from).await;
             }
             Some(Message::StreamReply(reply)) => state.streams.handle_reply(reply),
-            None => {
-                let (name, reason) = (from.to_string(), UnreadableReason::Bytes);
-                state.reject(
-                    Rejected::Datagram,
-                    &name,
-                    reason,
-                    "it does not decode".to_owned(),
-                );
-            }
+            None => reject(&state, from, "it does not decode"),
         }
     }
 }
 
+/// Records that a datagram is not used; logged once for each sender and reason.
+fn reject(state: &GatewayState, from: SocketAddr, cause: &str) {
+    let (name, reason) = (from.to_string(), UnreadableReason::Bytes);
+    state.reject(Rejected::Datagram, &name, reason, cause.to_owned());
+}
+
 /// The reply to a query.
 fn reply_to(state: &GatewayState, query: &SyncQuery) -> SyncReply {
     let log = state.peers.log.borrow();
--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -11,6 +11,7 @@
 use super::message::{Message, SyncQuery, SyncReply, WireDaemon, WireWeights};
 use super::records;
 use super::send::send;
+use super::socket::PeerSocket;
 use super::source::{Source, SourceChooser};
 use crate::currency::{NewerVersion, Proof};
 use crate::protocol::{LeaseRecord, ModelVersion};
@@ -48,11 +49,7 @@
 type Replies = tokio::sync::mpsc::UnboundedReceiver<SyncReply>;
 
 /// Queries the source in an endless loop.
-pub(super) async fn ask(
-    state: Rc<GatewayState>,
-    socket: Rc<tokio::net::UdpSocket>,
-    mut replies: Replies,
-) {
+pub(super) async fn ask(state: Rc<GatewayState>, socket: Rc<PeerSocket>, mut replies: Replies) {
     let mut chooser = SourceChooser::default();
     loop {
         state.apply_reloaded_settings();
@@ -160,7 +157,7 @@
 /// Queries one gateway; true if it has more changes to send.
 async fn ask_daemon(
     state: &Rc<GatewayState>,
-    socket: &tokio::net::UdpSocket,
+    socket: &PeerSocket,
     daemon: &WireDaemon,
     chooser: &mut SourceChooser,
     replies: &mut Replies,
--- a/crates/gateway/src/peers/cached.rs
+++ b/crates/gateway/src/peers/cached.rs
@@ -12,6 +12,7 @@
 
 use super::message::{CachedQuery, CachedReply, Message, Report, WireCached};
 use super::send::send;
+use super::socket::PeerSocket;
 use super::spread::spread;
 use crate::cache::{CacheUpdate, CachedPartChange, configured_stores};
 use crate::state::GatewayState;
@@ -37,7 +38,7 @@
 const MAX_PAUSE: Duration = Duration::from_secs(8);
 
 /// Sends to the group what this gateway learns of the stores, in an endless loop.
-pub(super) async fn send_updates(state: Rc<GatewayState>, socket: Rc<tokio::net::UdpSocket>) {
+pub(super) async fn send_updates(state: Rc<GatewayState>, socket: Rc<PeerSocket>) {
     loop {
         state.peers.cached_news_added.notified().await;
         tokio::time::sleep(BATCH_DELAY).await;
@@ -98,7 +99,7 @@
 /// Fetches the contents of unknown stores from this gateway's source, in an endless loop.
 pub(super) async fn catch_up(
     state: Rc<GatewayState>,
-    socket: Rc<tokio::net::UdpSocket>,
+    socket: Rc<PeerSocket>,
     mut pages: UnboundedReceiver<CachedReply>,
 ) {
     let mut pause = INITIAL_PAUSE;
@@ -124,7 +125,7 @@
 /// contents.
 async fn fetch(
     state: &GatewayState,
-    socket: &tokio::net::UdpSocket,
+    socket: &PeerSocket,
     store: SocketAddr,
     pages: &mut UnboundedReceiver<CachedReply>,
 ) {
--- a/crates/gateway/src/peers/configuration.rs
+++ b/crates/gateway/src/peers/configuration.rs
@@ -7,7 +7,6 @@
 
 use driftspring_telemetry::events::gateway;
 use driftspring_telemetry::log_event;
-use tokio::net::UdpSocket;
 use tokio::sync::mpsc::Receiver;
 use tokio::task::JoinError;
 
@@ -15,6 +14,7 @@
 use super::configuration_pieces::{ConfigurationPieces, PieceError};
 use super::message::{ConfigurationQuery, ConfigurationReply, Message};
 use super::send::{send_to, send_to_all};
+use super::socket::PeerSocket;
 use crate::configuration::Configuration;
 use crate::protocol::{Unreadable, UnreadableReason};
 use crate::state::{GatewayState, STARTUP_WINDOW};
@@ -100,7 +100,7 @@
 /// Replies to a query.
 pub(super) async fn answer(
     state: &GatewayState,
-    socket: &UdpSocket,
+    socket: &PeerSocket,
     query: &ConfigurationQuery,
     from: SocketAddr,
 ) {
@@ -115,7 +115,7 @@
 /// store has lost it.
 pub(super) async fn exchange(
     state: Rc<GatewayState>,
-    socket: Rc<UdpSocket>,
+    socket: Rc<PeerSocket>,
     mut replies: Receiver<ConfigurationReply>,
 ) {
     let confirmation = confirm_version(&state, &socket, &mut replies).await;
@@ -154,7 +154,7 @@
 /// If all start for the first time, no gateway can know more than the store.
 async fn confirm_version(
     state: &GatewayState,
-    socket: &UdpSocket,
+    socket: &PeerSocket,
     replies: &mut Receiver<ConfigurationReply>,
 ) -> Confirmation {
     if state.settings.is_first_start {
@@ -249,7 +249,7 @@
 /// Transfers the configuration from the gateway that reported the highest version.
 async fn transfer_configuration(
     state: &GatewayState,
-    socket: &UdpSocket,
+    socket: &PeerSocket,
     replies: &mut Receiver<ConfigurationReply>,
 ) -> Result<(), TransferError> {
     let holder = state.peers.configuration_holder();
@@ -267,7 +267,7 @@
 
 async fn receive_all(
     state: &GatewayState,
-    socket: &UdpSocket,
+    socket: &PeerSocket,
     replies: &mut Receiver<ConfigurationReply>,
     holder: SocketAddr,
 ) -> Result<ConfigurationPieces, TransferError> {
--- a/crates/gateway/src/peers/forwarding.rs
+++ b/crates/gateway/src/peers/forwarding.rs
@@ -5,11 +5,12 @@
 
 use super::message::{Message, WireForwardQuery};
 use super::send::{send, send_to};
+use super::socket::PeerSocket;
 use crate::forwarding;
 use crate::state::GatewayState;
 
 /// Sends queries in an endless loop.
-pub(super) async fn send_queries(state: Rc<GatewayState>, socket: Rc<tokio::net::UdpSocket>) {
+pub(super) async fn send_queries(state: Rc<GatewayState>, socket: Rc<PeerSocket>) {
     forwarding::send_queries(state, async |query, to: String| {
         send(&socket, &Message::ForwardQuery(query), &to).await;
     })
@@ -19,7 +20,7 @@
 /// Replies to a query.
 pub(super) async fn answer(
     state: &Rc<GatewayState>,
-    socket: &tokio::net::UdpSocket,
+    socket: &PeerSocket,
     query: &WireForwardQuery,
     from: SocketAddr,
 ) {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -15,6 +15,7 @@
 //! - [`followed_log`]: a gateway's position in the change log of its source.
 //! - [`directory`]: the known gateways by rank; [`relays`]: the receivers in other groups.
 //! - [`spread`]: forwards reports from member to member.
+//! - `socket`: the socket, which keeps deployments apart.
 //! - [`source`]: chooses the gateway to query.
 //! - [`view`]: how recent the known state is.
 //! - [`known`]: the state shared by the tasks of this module.
@@ -58,6 +59,7 @@
 pub mod relays;
 mod send;
 mod shares;
+mod socket;
 pub mod source;
 pub mod spread;
 mod stream_message;
--- a/crates/gateway/src/peers/news.rs
+++ b/crates/gateway/src/peers/news.rs
@@ -9,6 +9,7 @@
 use super::known::{MAX_PROMPTS, Peers};
 use super::message::{Message, Report};
 use super::send::{send, send_to, send_to_all, send_to_group};
+use super::socket::PeerSocket;
 use super::spread::spread;
 use crate::state::GatewayState;
 
@@ -24,7 +25,7 @@
 const MAX_DIRECT_MEMBERS: usize = 32;
 
 /// Notifies followers of changes, and reports weight loads, prompts and a recovered store, in an endless loop.
-pub(super) async fn send_news(state: Rc<GatewayState>, socket: Rc<tokio::net::UdpSocket>) {
+pub(super) async fn send_news(state: Rc<GatewayState>, socket: Rc<PeerSocket>) {
     loop {
         state.peers.outbox_changed.notified().await;
         tokio::time::sleep(BATCH_DELAY).await;
@@ -53,7 +54,7 @@
 }
 
 /// Reports this gateway's own prompts to the group: directly if it is small, otherwise through its leader.
-async fn send_prompts(state: &GatewayState, socket: &tokio::net::UdpSocket) {
+async fn send_prompts(state: &GatewayState, socket: &PeerSocket) {
     let prompts = std::mem::take(&mut *state.peers.prompts.borrow_mut());
     if prompts.is_empty() {
         return;
@@ -80,7 +81,7 @@
 /// Sends a message to one gateway of each other group, which forwards it.
 pub(super) async fn send_to_other_groups(
     state: &GatewayState,
-    socket: &tokio::net::UdpSocket,
+    socket: &PeerSocket,
     message: &Message,
 ) {
     let directory = state.peers.directory();
--- a/crates/gateway/src/peers/notices.rs
+++ b/crates/gateway/src/peers/notices.rs
@@ -11,6 +11,7 @@
 use super::message::{Message, Report, WireBrittle, WireLimit, WireNotice};
 use super::news::send_to_other_groups;
 use super::send::send_to;
+use super::socket::PeerSocket;
 use super::spread::spread;
 use crate::notices::survey::SURVEY_MAX_AGE;
 use crate::notices::{LimitNotice, NoticeSource, record_brittle, record_leaving, record_limit};
@@ -31,7 +32,7 @@
 const MAX_NOTICES: usize = 12;
 
 /// Sends new notices in an endless loop.
-pub(super) async fn send_updates(state: Rc<GatewayState>, socket: Rc<tokio::net::UdpSocket>) {
+pub(super) async fn send_updates(state: Rc<GatewayState>, socket: Rc<PeerSocket>) {
     loop {
         let changed = state.changed_notices.changed.notified();
         let has_news = tokio::time::timeout(SURVEY_MAX_AGE, changed).await.is_ok();
@@ -60,7 +61,7 @@
 
 /// Sends the known notices to a querying gateway, at once for a new one and then every few seconds: it may have just
 /// started, and datagrams get lost.
-pub(super) async fn remind(state: &GatewayState, socket: &tokio::net::UdpSocket, to: SocketAddr) {
+pub(super) async fn remind(state: &GatewayState, socket: &PeerSocket, to: SocketAddr) {
     let surveyed = survey(state);
     if surveyed.is_empty() || !is_due(state, to) {
         return;
--- a/crates/gateway/src/peers/permits.rs
+++ b/crates/gateway/src/peers/permits.rs
@@ -8,12 +8,13 @@
 use super::directory::name_digest;
 use super::message::{Message, WirePermitQuery, WirePermitReply};
 use super::send::{send, send_to};
+use super::socket::PeerSocket;
 use crate::permits;
 use crate::protocol::RequestRate;
 use crate::state::GatewayState;
 
 /// Sends permit queries in an endless loop.
-pub(super) async fn send_queries(state: Rc<GatewayState>, socket: Rc<tokio::net::UdpSocket>) {
+pub(super) async fn send_queries(state: Rc<GatewayState>, socket: Rc<PeerSocket>) {
     let questions = &state.permits.queries;
     loop {
         questions.outbox_changed.notified().await;
@@ -26,7 +27,7 @@
 /// Replies to a permit query.
 pub(super) async fn answer(
     state: &Rc<GatewayState>,
-    socket: &tokio::net::UdpSocket,
+    socket: &PeerSocket,
     query: &WirePermitQuery,
     from: SocketAddr,
 ) {
--- a/crates/gateway/src/peers/prompt_relay.rs
+++ b/crates/gateway/src/peers/prompt_relay.rs
@@ -14,6 +14,7 @@
 use super::known::{MAX_PROMPTS, MIN_REPORTED_TOKENS};
 use super::message::{Message, OtherGroupPrompts, Report, WirePrompt};
 use super::news::send_to_other_groups;
+use super::socket::PeerSocket;
 use super::spread::spread;
 use crate::state::GatewayState;
 
@@ -96,7 +97,7 @@
 }
 
 /// Sends the batches in an endless loop.
-pub(super) async fn run(state: Rc<GatewayState>, socket: Rc<tokio::net::UdpSocket>) {
+pub(super) async fn run(state: Rc<GatewayState>, socket: Rc<PeerSocket>) {
     loop {
         let batch = state.peers.prompt_relay.next_batch().await;
         for prompts in batch.incoming.chunks(MAX_PROMPTS) {
--- a/crates/gateway/src/peers/records.rs
+++ b/crates/gateway/src/peers/records.rs
@@ -13,6 +13,7 @@
 use super::message::{Message, Report, WireRecord, WireRecordStrike, WireRecords, WireStrike};
 use super::news::send_to_other_groups;
 use super::send::{send, send_to};
+use super::socket::PeerSocket;
 use super::spread::spread;
 use crate::quarantine::shared::{ANNOUNCE_INTERVAL, Outbox};
 use crate::quarantine::{Fingerprint, Record, RecordSource, Stored, Strike, homes, role};
@@ -33,7 +34,7 @@
 const MAX_RECONCILED: usize = 60;
 
 /// Sends strikes, clearances and records in an endless loop.
-pub(super) async fn send_updates(state: Rc<GatewayState>, socket: Rc<tokio::net::UdpSocket>) {
+pub(super) async fn send_updates(state: Rc<GatewayState>, socket: Rc<PeerSocket>) {
     loop {
         match state.quarantine.has_announcements() {
             true => {
@@ -58,7 +59,7 @@
 }
 
 /// Sends strikes, and the fingerprints of completed requests, to the gateways that keep the records.
-async fn send_to_homes(state: &GatewayState, socket: &tokio::net::UdpSocket, outbox: &Outbox) {
+async fn send_to_homes(state: &GatewayState, socket: &PeerSocket, outbox: &Outbox) {
     let now = state.quarantine.now();
     let strikes = outbox.strikes.iter().map(|(fingerprint, strike)| {
         let strike = WireStrike {
@@ -101,11 +102,7 @@
     by_home
 }
 
-async fn send_to_all_daemons(
-    state: &GatewayState,
-    socket: &tokio::net::UdpSocket,
-    records: &[WireRecord],
-) {
+async fn send_to_all_daemons(state: &GatewayState, socket: &PeerSocket, records: &[WireRecord]) {
     let message = Message::Records(WireRecords {
         records: records.to_vec(),
         is_for_group: true,
@@ -117,7 +114,7 @@
 /// Sends the known records to a gateway with another digest.
 pub(super) async fn reconcile(
     state: &GatewayState,
-    socket: &tokio::net::UdpSocket,
+    socket: &PeerSocket,
     their_digest: Option<u64>,
     to: SocketAddr,
 ) {
--- a/crates/gateway/src/peers/send.rs
+++ b/crates/gateway/src/peers/send.rs
@@ -3,14 +3,11 @@
 use std::net::SocketAddr;
 
 use super::message::Message;
+use super::socket::PeerSocket;
 use crate::state::GatewayState;
 
 /// Sends to every other gateway of the own group.
-pub(super) async fn send_to_group(
-    state: &GatewayState,
-    socket: &tokio::net::UdpSocket,
-    message: &Message,
-) {
+pub(super) async fn send_to_group(state: &GatewayState, socket: &PeerSocket, message: &Message) {
     let own = state.peers.own();
     let directory = state.peers.directory();
     let others = directory.group.iter();
@@ -20,7 +17,7 @@
 
 /// Sends to several addresses in text form; the datagram is encoded once.
 pub(super) async fn send_to_all<'a>(
-    socket: &tokio::net::UdpSocket,
+    socket: &PeerSocket,
     message: &Message,
     addresses: impl Iterator<Item = &'a str>,
 ) {
@@ -33,28 +30,28 @@
 }
 
 /// Sends to an address in text form.
-pub(super) async fn send(socket: &tokio::net::UdpSocket, message: &Message, to: &str) {
+pub(super) async fn send(socket: &PeerSocket, message: &Message, to: &str) {
     if let Some(bytes) = message.encode() {
         send_bytes(socket, &bytes, to).await;
     }
 }
 
 /// Sends to a socket address.
-pub(super) async fn send_to(socket: &tokio::net::UdpSocket, message: &Message, to: SocketAddr) {
+pub(super) async fn send_to(socket: &PeerSocket, message: &Message, to: SocketAddr) {
     if let Some(bytes) = message.encode() {
         send_datagram(socket, &bytes, to).await;
     }
 }
 
-/// Sends an encoded datagram to an address in text form.
-pub(super) async fn send_bytes(socket: &tokio::net::UdpSocket, bytes: &[u8], to: &str) {
+/// Sends an encoded message to an address in text form.
+pub(super) async fn send_bytes(socket: &PeerSocket, bytes: &[u8], to: &str) {
     if let Ok(to) = to.parse() {
         send_datagram(socket, bytes, to).await;
     }
 }
 
 /// Sends a datagram. If that fails, it is lost like any other datagram: the next query compensates for it.
-async fn send_datagram(socket: &tokio::net::UdpSocket, bytes: &[u8], to: SocketAddr) {
+async fn send_datagram(socket: &PeerSocket, bytes: &[u8], to: SocketAddr) {
     if let Err(error) = socket.send_to(bytes, to).await {
         log::debug!("datagram to {to} not sent: {error}");
     }
--- a/crates/gateway/src/peers/shares.rs
+++ b/crates/gateway/src/peers/shares.rs
@@ -14,6 +14,7 @@
 use super::message::{Message, Report, WireGroupUsage, WireTotals, WireUsage};
 use super::news::send_to_other_groups;
 use super::send::send;
+use super::socket::PeerSocket;
 use super::spread::spread;
 use super::usage::pack;
 use crate::shares::service::{Load, ServiceShares};
@@ -30,7 +31,7 @@
 const MIN_QUEUED: u32 = 4;
 
 /// Updates and reports shares in an endless loop.
-pub(super) async fn send_updates(state: Rc<GatewayState>, socket: Rc<tokio::net::UdpSocket>) {
+pub(super) async fn send_updates(state: Rc<GatewayState>, socket: Rc<PeerSocket>) {
     loop {
         tokio::time::sleep(UPDATE_INTERVAL).await;
         if !state.shares.is_active() {
@@ -105,7 +106,7 @@
 
 async fn send_to_leader(
     state: &GatewayState,
-    socket: &tokio::net::UdpSocket,
+    socket: &PeerSocket,
     own: &[WireTotals],
     now: Instant,
 ) {
@@ -119,12 +120,7 @@
 }
 
 /// Sums up the group's usage, and reports it to the leaders of other groups and to the members.
-async fn lead(
-    state: &GatewayState,
-    socket: &tokio::net::UdpSocket,
-    own: &[WireTotals],
-    now: Instant,
-) {
+async fn lead(state: &GatewayState, socket: &PeerSocket, own: &[WireTotals], now: Instant) {
     let shares = &state.shares;
     shares.record_member_usage(&usage_of(state, own, now), now);
     let mut of_groups = Vec::new();
--- a/crates/gateway/src/peers/spread.rs
+++ b/crates/gateway/src/peers/spread.rs
@@ -14,6 +14,7 @@
 use super::notices;
 use super::records;
 use super::send::{send_bytes, send_to_all};
+use super::socket::PeerSocket;
 use crate::state::GatewayState;
 
 /// The number of members to which one member forwards a report. Two hops reach 72 members: another hop would wake a
@@ -57,7 +58,7 @@
 }
 
 /// Originates a report to the own group.
-pub(super) async fn spread(state: &GatewayState, socket: &tokio::net::UdpSocket, report: Report) {
+pub(super) async fn spread(state: &GatewayState, socket: &PeerSocket, report: Report) {
     let own = name_digest(&state.peers.own().name);
     let rotation = state.peers.next_rotation();
     let message = Message::Spread(Spread {
@@ -81,7 +82,7 @@
 /// Forwards the datagram of a report and applies the report.
 pub(super) async fn relay(
     state: &GatewayState,
-    socket: &tokio::net::UdpSocket,
+    socket: &PeerSocket,
     spread: Spread,
     datagram: &[u8],
 ) {
--- a/crates/gateway/src/peers/streams.rs
+++ b/crates/gateway/src/peers/streams.rs
@@ -10,6 +10,7 @@
 use super::directory::name_digest;
 use super::message::{Message, WireStream, WireStreamQuery, WireStreamReply};
 use super::send::{send, send_to};
+use super::socket::PeerSocket;
 use crate::state::GatewayState;
 use crate::stream_versions::history::Versions;
 use crate::stream_versions::{StreamKey, homes};
@@ -18,7 +19,7 @@
 const MAX_STREAMS: usize = 22;
 
 /// Sends records and queries in an endless loop.
-pub(super) async fn send_updates(state: Rc<GatewayState>, socket: Rc<tokio::net::UdpSocket>) {
+pub(super) async fn send_updates(state: Rc<GatewayState>, socket: Rc<PeerSocket>) {
     loop {
         state.streams.outbox_changed.notified().await;
         for (home, streams) in records_by_home(&state) {
@@ -62,7 +63,7 @@
 /// Replies to a query.
 pub(super) async fn answer(
     state: &GatewayState,
-    socket: &tokio::net::UdpSocket,
+    socket: &PeerSocket,
     query: &WireStreamQuery,
     from: SocketAddr,
 ) {
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -19,6 +19,7 @@
 use super::prompt_relay;
 use super::records;
 use super::shares;
+use super::socket::PeerSocket;
 use super::streams;
 use super::usage;
 use crate::state::GatewayState;
@@ -27,7 +28,10 @@
 /// Starts the tasks that synchronize this gateway with its peers.
 pub async fn run(state: Rc<GatewayState>, socket: UdpSocket) {
     let socket = match tokio::net::UdpSocket::from_std(socket) {
-        Ok(socket) => Rc::new(socket),
+        Ok(socket) => {
+            let deployment = state.settings.deployment.as_deref();
+            Rc::new(PeerSocket::new(socket, deployment))
+        }
         Err(error) => {
             log_event!(gateway::PEER_LOST, "no socket for peers: {error}");
             return;
--- a/crates/gateway/src/peers/usage.rs
+++ b/crates/gateway/src/peers/usage.rs
@@ -11,6 +11,7 @@
 use super::message::{Message, Report, WireGroupUsage, WireTotals, WireUsage};
 use super::news::send_to_other_groups;
 use super::send::send;
+use super::socket::PeerSocket;
 use super::spread::spread;
 use crate::state::GatewayState;
 
@@ -24,7 +25,7 @@
 pub(super) const MAX_TOTALS: usize = 20;
 
 /// Reports usage in an endless loop.
-pub(super) async fn send_updates(state: Rc<GatewayState>, socket: Rc<tokio::net::UdpSocket>) {
+pub(super) async fn send_updates(state: Rc<GatewayState>, socket: Rc<PeerSocket>) {
     let mut last_reported = Vec::new();
     let mut last_reported_at = Instant::now();
     loop {
@@ -46,7 +47,7 @@
     }
 }
 
-async fn send_to_leader(state: &GatewayState, socket: &tokio::net::UdpSocket, own: &[WireTotals]) {
+async fn send_to_leader(state: &GatewayState, socket: &PeerSocket, own: &[WireTotals]) {
     let Some(leader) = state.peers.leader.borrow().clone() else {
         return;
     };
@@ -67,12 +68,7 @@
 }
 
 /// Sums up the group's usage, and reports it to the leaders of other groups and to the members.
-async fn lead(
-    state: &GatewayState,
-    socket: &tokio::net::UdpSocket,
-    own: Vec<WireTotals>,
-    now: Instant,
-) {
+async fn lead(state: &GatewayState, socket: &PeerSocket, own: Vec<WireTotals>, now: Instant) {
     state
         .quotas
         .record_member_usage(&usage_of(state, &own), now);
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -121,6 +121,8 @@
     pub name: String,
     /// Its zone.
     pub zone: String,
+    /// The name of its deployment, whose gateways take no datagrams of others; none to take any.
+    pub deployment: Option<String>,
     /// Where it listens.
     pub listen: GatewayListen,
     /// The address of the object store.
@@ -178,6 +180,7 @@
 fn read_settings(root: Section<'_>) -> Option<GatewaySettings> {
     let name = root.required("name", "this gateway's unique name", values::name);
     let zone = root.required("zone", "the name of this gateway's zone", values::name);
+    let deployment = root.optional("deployment", |raw| values::text(raw, "production"));
     let store = root.required("store", ADDRESS_EXPECTED, values::address);
     let is_first_start = root.or_default("first_start", false, values::boolean);
     let seeds = root.list("seeds", values::address);
@@ -198,6 +201,7 @@
     Some(GatewaySettings {
         name: name?,
         zone: zone?,
+        deployment,
         listen: listen?,
         store: store?,
         is_first_start,
