--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -23,7 +23,7 @@
 use super::permits;
 use super::records;
 use super::send::send_to;
-use super::socket::{PeerSocket, Received};
+use super::socket::{Datagram, PeerSocket};
 use super::spread::record_group_usage;
 use super::spread::{self, spread};
 use super::streams;
@@ -50,14 +50,17 @@
 pub(super) async fn listen(state: Rc<GatewayState>, socket: Rc<PeerSocket>, queues: ReplyQueues) {
     let mut buffer = [0_u8; RECEIVE_BUFFER_BYTES];
     loop {
-        let Ok((received, from)) = socket.receive(&mut buffer).await else {
+        let Ok(datagram) = socket.receive(&mut buffer).await else {
             tokio::time::sleep(RECEIVE_RETRY_PAUSE).await;
             continue;
         };
-        let Received::Content(content) = received else {
+        let Datagram { content, from, .. } = datagram;
+        if let Some(sender) = datagram.foreign_sender
+            && !state.peers.is_member(from, sender)
+        {
             reject(&state, from, "it is of another deployment");
             continue;
-        };
+        }
         match Message::decode(content) {
             Some(Message::SyncQuery(query)) => {
                 adopt_peer_era(&state, query.store_era, &from.to_string());
--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/known.rs
@@ -10,7 +10,7 @@
 use tokio::sync::Notify;
 
 use super::change_log::ChangeLog;
-use super::directory::{Directory, short_digest};
+use super::directory::{Directory, name_digest, short_digest};
 use super::followed_log::FollowedLog;
 use super::message::{Item, LoadStatus, WireDaemon, WirePrompt};
 use super::packed_pages::PackedPages;
@@ -187,6 +187,18 @@
         seeds.chain([&self.own]).cloned().collect()
     }
 
+    /// Whether the store lists a gateway with this address and digest of its name. Until all gateways are known, the addresses
+    /// of seeds count too, whose names the settings don't tell.
+    pub(super) fn is_member(&self, address: SocketAddr, name: u64) -> bool {
+        let address = address.to_string();
+        let is_seed = || self.seeds.iter().any(|seed| seed.peers == address);
+        let is_listed = self
+            .directory()
+            .all()
+            .any(|daemon| daemon.peers == address && name_digest(&daemon.name) == name);
+        is_listed || (!self.are_daemons_known() && is_seed())
+    }
+
     /// Records that all gateways are known that another gateway or the store lists. Before that, ranks are meaningless:
     /// some of the known gateways may know less than this one.
     pub fn set_daemons_known(&self) {
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -29,8 +29,9 @@
 pub async fn run(state: Rc<GatewayState>, socket: UdpSocket) {
     let socket = match tokio::net::UdpSocket::from_std(socket) {
         Ok(socket) => {
-            let deployment = state.settings.deployment.as_deref();
-            Rc::new(PeerSocket::new(socket, deployment))
+            let settings = &state.settings;
+            let deployment = settings.deployment.as_deref();
+            Rc::new(PeerSocket::new(socket, deployment, &settings.name))
         }
         Err(error) => {
             log_event!(gateway::PEER_LOST, "no socket for peers: {error}");
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -24,7 +24,7 @@
     STREAM_TAKEN_UP = 6113, Info, "A stream that a caller has taken up goes on. The fields give the request that brought its first event, the event after which it goes on, and the digest of the software version to which it is bound.";
     CONFIGURATION_CHANGED_MEANWHILE = 6114, Info, "A newer configuration came into force while a request waited for what its decision lacked to be final, and decided it. The fields give the versions before and after, what was waited for, and the outcome.";
     CONFIGURATION_TAKEN = 6200, Info, "A newer configuration is in force.";
-    ENTRY_REJECTED = 6201, Error, "An object of the store, a replica's report, a page of cached parts or a datagram can't be read: another writer may have made it. A replica's entry then names no replica to use, a lease counts as held by another, of all other kinds what was in force stays. Datagrams of another deployment are dropped. Logged once for each name and reason; the metric `rejected` counts all.";
+    ENTRY_REJECTED = 6201, Error, "An object of the store, a replica's report, a page of cached parts or a datagram can't be read: another writer may have made it. A replica's entry then names no replica to use, a lease counts as held by another, of all other kinds what was in force stays. Datagrams of another deployment, whose sender the store does not list, are dropped. Logged once for each name and reason; the metric `rejected` counts all.";
     STORE_LOST = 6202, Warn, "The store does not answer; the field tells which task noticed it.";
     STORE_REGAINED = 6203, Info, "The store answers again.";
     CURRENCY_LOST = 6204, Warn, "The configuration is not known to be current any more: requests that need a key are refused until it is.";
