--- a/crates/daemon/src/sync/gossip.rs
+++ b/crates/daemon/src/sync/gossip.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
+use driftspring_membership::tag::ClusterTag;
 use driftspring_membership::{Action, Datagram, GossipConfig, MAX_DATAGRAM_BYTES, Membership};
 use driftspring_replication::Notice;
 use driftspring_telemetry::events::sync;
@@ -76,7 +77,12 @@
     fn new(state: Arc<DaemonState>, socket: UdpSocket, commands: Receiver<GossipCommand>) -> Self {
         let seed = rand::random();
         let own = own_record(&state);
-        let mut membership = Membership::new(own, GossipConfig::default(), seed);
+        let cluster = state.settings.cluster.as_deref().map(ClusterTag::of);
+        let config = GossipConfig {
+            cluster,
+            ..GossipConfig::default()
+        };
+        let mut membership = Membership::new(own, config, seed);
         membership.set_contacts(state.settings.seeds.clone());
         Self {
             state,
--- a/crates/daemon/tests/membership_tests.rs
+++ b/crates/daemon/tests/membership_tests.rs
@@ -86,6 +86,33 @@
     }
 }
 
+/// Two clusters become one where a daemon of the one has taken an address that the other knows.
+#[test]
+fn daemons_of_another_cluster_join_through_a_reused_address() {
+    let of = |cluster: &'static str| {
+        move |settings: &mut Settings| settings.cluster = Some(cluster.to_owned())
+    };
+    let first = daemon("first", "zone-a", of("one"));
+    let reused = first.addresses().peers;
+    let [foreign, second] = [("foreign", "another"), ("second", "one")].map(|(name, cluster)| {
+        daemon(name, "zone-a", |settings| {
+            of(cluster)(settings);
+            settings.seeds = vec![reused];
+        })
+    });
+    eventually("the own cluster is one", || {
+        state_of(&first, "second") == Some(MemberState::Alive)
+            && state_of(&second, "first") == Some(MemberState::Alive)
+    });
+    // The foreign daemon tries its seed once in five seconds.
+    let tries = Instant::now() + Duration::from_secs(6);
+    while Instant::now() < tries {
+        assert_eq!(state_of(&first, "foreign"), None);
+        assert_eq!(state_of(&foreign, "first"), None);
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
 #[test]
 fn daemons_meet_through_the_machine_list_alone() {
     let list = machine_list::start(FREE_PORT, Vec::new()).unwrap();
--- a/crates/membership/src/config.rs
+++ b/crates/membership/src/config.rs
@@ -2,12 +2,16 @@
 
 use std::time::Duration;
 
+use crate::tag::ClusterTag;
+
 /// The largest datagram, in bytes, so that no network path has to fragment it.
 pub const MAX_DATAGRAM_BYTES: usize = 1200;
 
 /// Periods, bounds and byte budgets of the gossip of one daemon.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GossipConfig {
+    /// The cluster, if it is named. Datagrams that name another one are not used.
+    pub cluster: Option<ClusterTag>,
     /// Time between two probes by this daemon.
     pub probe_interval: Duration,
     /// How long a direct probe waits before helpers are asked.
@@ -63,6 +67,7 @@
 impl Default for GossipConfig {
     fn default() -> Self {
         Self {
+            cluster: None,
             probe_interval: Duration::from_secs(1),
             probe_timeout: Duration::from_millis(400),
             probe_deadline: Duration::from_millis(1500),
--- a/crates/membership/src/membership/inbound.rs
+++ b/crates/membership/src/membership/inbound.rs
@@ -14,14 +14,20 @@
 use crate::tag::MemberTag;
 
 impl Membership {
-    /// Merges what `datagram`, received from `from`, brings and answers it. An error where a list
-    /// in it does not decode; what came before the error stays merged, which is harmless.
+    /// Merges what `datagram`, received from `from`, brings and answers it. An error where it is of
+    /// another cluster, which may have had this address before, or where a list in it does not
+    /// decode; what came before that stays merged, which is harmless.
     pub fn receive(
         &mut self,
         now: Duration,
         from: SocketAddr,
         datagram: &Datagram,
     ) -> Result<Vec<Action>, DecodeError> {
+        if let (Some(own), Some(other)) = (self.config.cluster, datagram.cluster)
+            && own != other
+        {
+            return Err(DecodeError::new("it is of another cluster"));
+        }
         let mut actions = Vec::new();
         let is_sync = matches!(datagram.kind, MessageKind::SyncRows { .. });
         self.receive_members(now, datagram, is_sync, &mut actions)?;
--- a/crates/membership/src/membership/outbound.rs
+++ b/crates/membership/src/membership/outbound.rs
@@ -44,6 +44,7 @@
             loads: Section::default(),
             zone_contacts: Section::default(),
             notice: Section::default(),
+            cluster: self.config.cluster,
         }
     }
 
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -13,7 +13,7 @@
 use crate::config::MAX_DATAGRAM_BYTES;
 use crate::digest::DigestHalf;
 use crate::rows::{CompactAddress, EngineRow, LoadReport, MemberChange, MemberRow, ZoneContact};
-use crate::tag::MemberTag;
+use crate::tag::{ClusterTag, MemberTag};
 
 /// What a datagram asks or answers.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
@@ -141,14 +141,17 @@
     /// The replication notice, opaque to this crate.
     #[musli(default, skip_encoding_if = Section::is_empty)]
     pub notice: Section,
+    /// The sender's cluster, if it is named.
+    #[musli(default, skip_encoding_if = Option::is_none)]
+    pub cluster: Option<ClusterTag>,
 }
 
-/// A datagram that does not decode: truncated, hostile or of another protocol.
+/// A datagram that is not used: truncated, hostile, of another protocol or of another cluster.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DecodeError(String);
 
 impl DecodeError {
-    fn new(cause: impl fmt::Display) -> Self {
+    pub(crate) fn new(cause: impl fmt::Display) -> Self {
         Self(cause.to_string())
     }
 }
--- a/crates/membership/src/tag.rs
+++ b/crates/membership/src/tag.rs
@@ -50,6 +50,18 @@
     }
 }
 
+/// Names a cluster of daemons.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Encode, Decode)]
+#[musli(transparent)]
+pub struct ClusterTag(pub u64);
+
+impl ClusterTag {
+    /// The tag of the cluster `name`.
+    pub fn of(name: &str) -> Self {
+        Self(xxh3_64_with_seed(name.as_bytes(), 0))
+    }
+}
+
 /// What a member's record adds to the digest of the member table; 0 for the dead.
 ///
 /// Alive and suspect count as equal: a suspicion is either refuted or confirmed within seconds.
--- a/crates/membership/tests/messages.rs
+++ b/crates/membership/tests/messages.rs
@@ -3,7 +3,7 @@
 use driftspring_membership::config::MAX_DATAGRAM_BYTES;
 use driftspring_membership::message::{Datagram, MessageKind, Section};
 use driftspring_membership::rows::{LoadReport, MemberChange, MemberRow};
-use driftspring_membership::tag::{EngineTag, MemberTag};
+use driftspring_membership::tag::{ClusterTag, EngineTag, MemberTag};
 use driftspring_types::{DaemonId, Incarnation, MemberRecord, MemberState, Revision, ZoneName};
 use musli::{Decode, Encode};
 use quickcheck::quickcheck;
@@ -34,6 +34,7 @@
         loads: Section::default(),
         zone_contacts: Section::default(),
         notice: Section::from_bytes(vec![1, 2, 3]),
+        cluster: Some(ClusterTag::of("cluster")),
     };
     datagram
         .member_rows
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -96,6 +96,7 @@
 fn read_settings(root: Section<'_>) -> Option<Settings> {
     let id = root.required("id", "this daemon's unique name", values::name);
     let zone = root.required("zone", "the name of this daemon's zone", values::name);
+    let cluster = root.optional("cluster", values::name);
     let workers = root.or_default("workers", DEFAULT_WORKERS, |raw| {
         values::integer(raw, 1..=MAX_WORKERS).map(|number| number as usize)
     });
@@ -116,6 +117,7 @@
     Some(Settings {
         id: DaemonId::new(id?),
         zone: ZoneName::new(zone?),
+        cluster,
         workers,
         listen: listen?,
         seeds,
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -13,6 +13,8 @@
     pub id: DaemonId,
     /// Its zone.
     pub zone: ZoneName,
+    /// The name of its cluster, whose daemons take no gossip of others; none to take any.
+    pub cluster: Option<String>,
     /// Worker threads that serve callers.
     pub workers: usize,
     /// Where it listens.
@@ -228,6 +230,7 @@
         Self {
             id,
             zone,
+            cluster: None,
             workers: 2,
             listen: ListenSettings {
                 callers: free_port,
--- a/crates/telemetry/src/events/sync.rs
+++ b/crates/telemetry/src/events/sync.rs
@@ -6,7 +6,7 @@
     ENGINE_CHANGED = 3002, Info, "An engine is new or has another life, weights version or health.";
     ENGINE_UNREACHABLE = 3003, Warn, "An engine does not answer its observer; it gets no new requests until it does.";
     OWN_INCARNATION_RAISED = 3004, Warn, "Other daemons knew a later life under this daemon's name, because the clock was set back or two daemons have one name. Check the names if this repeats.";
-    GOSSIP_UNDECODABLE = 3005, Warn, "A datagram on the peer address does not decode and was dropped. Check what sends it, or the versions of the daemons.";
+    GOSSIP_UNDECODABLE = 3005, Warn, "A datagram on the peer address does not decode, or is of another cluster, and was dropped. Check what sends it, or the versions of the daemons.";
     GOSSIP_NOT_SENT = 3006, Warn, "A gossip datagram could not be sent; the next one makes up for it.";
     GOSSIP_NOT_RECEIVED = 3007, Error, "The gossip socket failed; the daemon tries again.";
     MACHINE_LIST_UNREACHABLE = 3008, Warn, "The machine list did not answer; engines and daemons known stay known. Logged once until it answers again.";
