--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -22,7 +22,7 @@
 use super::packed_pages::PAGE_BYTES;
 use super::permits;
 use super::records;
-use super::send::send_to;
+use super::send::{send_reply, send_to};
 use super::socket::{Datagram, PeerSocket};
 use super::spread::record_group_usage;
 use super::spread::{self, spread};
@@ -74,7 +74,7 @@
                     .borrow_mut()
                     .insert(from, Instant::now());
                 let answer = Message::SyncReply(Box::new(reply_to(&state, &query)));
-                send_to(&socket, &answer, from).await;
+                send_reply(&socket, &answer, from).await;
                 records::reconcile(&state, &socket, query.quarantine_digest, from).await;
                 notices::remind(&state, &socket, from).await;
             }
--- a/crates/gateway/src/peers/send.rs
+++ b/crates/gateway/src/peers/send.rs
@@ -1,5 +1,6 @@
 //! Sends datagrams to other gateways.
 
+use std::io;
 use std::net::SocketAddr;
 
 use super::message::Message;
@@ -43,6 +44,14 @@
     }
 }
 
+/// Sends the reply to a query, without the names of the deployment and the sender. After the loss of all gateways, hundreds ask
+/// one of them for all replicas, and its link carries the replies.
+pub(super) async fn send_reply(socket: &PeerSocket, message: &Message, to: SocketAddr) {
+    if let Some(bytes) = message.encode() {
+        note_failure(socket.send_reply(&bytes, to).await, to);
+    }
+}
+
 /// Sends an encoded message to an address in text form.
 pub(super) async fn send_bytes(socket: &PeerSocket, bytes: &[u8], to: &str) {
     if let Ok(to) = to.parse() {
@@ -50,9 +59,13 @@
     }
 }
 
-/// Sends a datagram. If that fails, it is lost like any other datagram: the next query compensates for it.
 async fn send_datagram(socket: &PeerSocket, bytes: &[u8], to: SocketAddr) {
-    if let Err(error) = socket.send_to(bytes, to).await {
+    note_failure(socket.send_to(bytes, to).await, to);
+}
+
+/// A datagram that was not sent is lost like any other: the next query compensates for it.
+fn note_failure(sent: io::Result<()>, to: SocketAddr) {
+    if let Err(error) = sent {
         log::debug!("datagram to {to} not sent: {error}");
     }
 }
--- a/crates/gateway/src/peers/socket.rs
+++ b/crates/gateway/src/peers/socket.rs
@@ -1,9 +1,9 @@
 //! The socket for datagrams between gateways, which names their deployment and their sender.
 //!
 //! An address may have belonged to a gateway of another deployment, which is still asked there. Its versions and its
-//! configuration would be taken for those of this deployment. So each datagram ends with digests of the names of the deployment
-//! and of the sender, where the settings name a deployment. One that names another deployment counts as foreign, unless this
-//! one's store lists its sender. Gateways of an earlier build append nothing, and read what stands before.
+//! configuration would be taken for those of this deployment. So datagrams end with digests of the names of the deployment and
+//! of the sender, where the settings name a deployment. One that names another deployment counts as foreign, unless this one's
+//! store lists its sender. Gateways of an earlier build append nothing, and read what stands before.
 
 use std::io;
 use std::net::SocketAddr;
@@ -85,7 +85,17 @@
         Self { socket, own }
     }
 
-    /// Sends a datagram with this content.
+    /// Sends a datagram with this content alone, for the reply to a query: that was answered since it named this deployment.
+    ///
+    /// # Errors
+    ///
+    /// As of the socket.
+    pub async fn send_reply(&self, content: &[u8], to: SocketAddr) -> io::Result<()> {
+        self.socket.send_to(content, to).await?;
+        Ok(())
+    }
+
+    /// Sends a datagram with this content and the names.
     ///
     /// # Errors
     ///
